--- /dev/null
+++ b/cmd/skylarkwoodd/main.go
@@ -0,0 +1,13 @@
+// Skylarkwoodd is the daemon: an entry, a sidecar, or a whole small system for
+// development.
+package main
+
+import (
+	"os"
+
+	"github.com/skylarkwood/skylarkwood/internal/daemon/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,85 @@
+// Package ctl holds the commands of skylarkctl and the few pieces that the
+// daemon's dev mode prints with.
+package ctl
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	v1 "github.com/skylarkwood/skylarkwood/api/skylarkwood/v1"
+	"github.com/skylarkwood/skylarkwood/api/skylarkwood/v1/skylarkwoodv1connect"
+)
+
+// Client talks to one entry.
+type Client struct {
+	Requests  skylarkwoodv1connect.RequestServiceClient
+	Operators skylarkwoodv1connect.OperatorServiceClient
+}
+
+// NewClient makes a client of the entry at a base URL.
+func NewClient(url string) *Client {
+	hc := &http.Client{}
+	return &Client{
+		Requests:  skylarkwoodv1connect.NewRequestServiceClient(hc, url),
+		Operators: skylarkwoodv1connect.NewOperatorServiceClient(hc, url),
+	}
+}
+
+// Result is a request's answer and what became of it.
+type Result struct {
+	ID      string
+	Answer  []byte
+	Outcome *v1.Outcome
+}
+
+// Submit sends a request and reads its whole answer, copying it to w as it
+// comes. An error means that the stream broke before an outcome came.
+func (c *Client) Submit(ctx context.Context, m *v1.SubmitRequest, w io.Writer) (Result, error) {
+	var res Result
+	stream, err := c.Requests.Submit(ctx, connect.NewRequest(m))
+	if err != nil {
+		return res, err
+	}
+	defer stream.Close()
+	for stream.Receive() {
+		msg := stream.Msg()
+		if msg.RequestId != "" {
+			res.ID = msg.RequestId
+		}
+		if len(msg.Data) > 0 {
+			res.Answer = append(res.Answer, msg.Data...)
+			if _, err := w.Write(msg.Data); err != nil {
+				return res, errors.Wrap(err, "write answer")
+			}
+		}
+		if msg.Outcome != nil {
+			res.Outcome = msg.Outcome
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return res, err
+	}
+	if res.Outcome == nil {
+		return res, errors.Errorf("stream of request %s ended without an outcome: ask for it", res.ID)
+	}
+	return res, nil
+}
+
+// Met counts the instances that the entry has met, itself included.
+func (c *Client) Met(ctx context.Context) int {
+	rep, err := c.Operators.GetStatus(ctx, connect.NewRequest(&v1.GetStatusRequest{}))
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, in := range rep.Msg.Instances {
+		if in.Reachable && (in.Role == "entry" || in.Service != "") {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/daemon/command/command.go
@@ -0,0 +1,151 @@
+// Package command is the command line of the daemon.
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	v1 "github.com/skylarkwood/skylarkwood/api/skylarkwood/v1"
+	"github.com/skylarkwood/skylarkwood/internal/ctl"
+	"github.com/skylarkwood/skylarkwood/internal/daemon"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/settings"
+)
+
+const exitFailure = 1
+
+// Main runs the daemon's command line and gives the exit code.
+func Main(args []string) int {
+	root := newRoot()
+	root.SetArgs(args)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "skylarkwoodd:", err)
+		return exitFailure
+	}
+	return 0
+}
+
+func newRoot() *cobra.Command {
+	var path string
+	root := &cobra.Command{
+		Use:           "skylarkwoodd --settings FILE",
+		Short:         "Route requests over pipelines of model engines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return errors.New("--settings names no file; `skylarkwoodd dev` needs none")
+			}
+			s, err := settings.Load(path)
+			if err != nil {
+				return err
+			}
+			return run(s)
+		},
+	}
+	root.Flags().StringVar(&path, "settings", "", "settings file (TOML)")
+	logs := flag.NewFlagSet("logs", flag.ContinueOnError)
+	klog.InitFlags(logs)
+	root.PersistentFlags().AddGoFlagSet(logs)
+	root.AddCommand(newDev())
+	return root
+}
+
+// run serves until SIGTERM or SIGINT, then drains.
+func run(s settings.Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if s.Role == model.RoleEntry {
+		return daemon.NewEntry(s, daemon.Dial(s)).Run(ctx)
+	}
+	return daemon.NewSidecar(s, daemon.Dial(s)).Run(ctx)
+}
+
+func newDev() *cobra.Command {
+	var once bool
+	var addr string
+	cmd := &cobra.Command{
+		Use:   "dev",
+		Short: "Run a whole small system in this process, on loopback",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			if once {
+				return devOnce(ctx)
+			}
+			return devStay(ctx, addr)
+		},
+	}
+	cmd.Flags().BoolVar(&once, "once", false, "send one round sheet through three stages, print what became of it, and exit")
+	cmd.Flags().StringVar(&addr, "http", "127.0.0.1:7400", "address of the entry")
+	return cmd
+}
+
+func devStay(ctx context.Context, addr string) error {
+	d, err := daemon.NewDev(addr)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("entry at %s; customer %s, services %s and %s; stop with Ctrl-C\n",
+		d.URL, daemon.DevCustomer, daemon.DevService, daemon.DevPlain)
+	return d.Run(ctx)
+}
+
+func devOnce(ctx context.Context) error {
+	d, err := daemon.NewDev("")
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	c := ctl.NewClient(d.URL)
+	if err := d.WaitReady(ctx, c.Met); err != nil {
+		return err
+	}
+	if err := sendSheet(ctx, c); err != nil {
+		return err
+	}
+	stop()
+	return <-done
+}
+
+func sendSheet(ctx context.Context, c *ctl.Client) error {
+	const sheetTokens = 24
+	fmt.Print("answer:   ")
+	res, err := c.Submit(ctx, &v1.SubmitRequest{
+		Customer:  daemon.DevCustomer,
+		Service:   daemon.DevService,
+		Body:      []byte("Draft the round sheet for the school on Manus before Thursday 's inspection"),
+		MaxTokens: sheetTokens,
+	}, os.Stdout)
+	fmt.Println()
+	if err != nil {
+		return err
+	}
+	ctl.PrintOutcome(os.Stdout, res.ID, res.Outcome)
+	if res.Outcome.State != v1.OutcomeState_OUTCOME_STATE_RAN {
+		return errors.New("the round sheet did not run")
+	}
+	rep, err := c.Requests.GetTimeline(ctx, connect.NewRequest(&v1.GetTimelineRequest{
+		Customer:  daemon.DevCustomer,
+		RequestId: res.ID,
+	}))
+	if err != nil {
+		return err
+	}
+	fmt.Println("time line:")
+	ctl.PrintTimeline(os.Stdout, rep.Msg.Events, rep.Msg.Unreachable)
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,295 @@
+// Package daemon puts the parts of a process together: an entry, a sidecar, or
+// a whole small system in one process for development.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/api/skylarkwood/v1/skylarkwoodv1connect"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/ledger"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routing"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/owner"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/settings"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/state/requests"
+	"github.com/skylarkwood/skylarkwood/internal/transport/api"
+	"github.com/skylarkwood/skylarkwood/internal/transport/link"
+	"github.com/skylarkwood/skylarkwood/internal/transport/mesh"
+)
+
+const (
+	sweepEvery  = 5 * time.Second
+	grantWait   = 3 * time.Second
+	ledgerBurst = 5
+	// drainPoll is how often an entry that leaves looks whether all is answered.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Outside is what a process meets beyond the system.
+type Outside struct {
+	KV        platform.KV
+	Instances platform.Instances
+	Engine    platform.Engine
+	Plain     platform.Plain
+}
+
+// Dial gives the outside that settings name.
+func Dial(s settings.Settings) Outside {
+	const idle = 64
+	hc := platform.NewHTTPClient(idle)
+	out := Outside{
+		KV:        platform.DialKV(hc, s.Platform.KeyValue),
+		Instances: platform.DialInstances(hc, s.Platform.Instances),
+	}
+	if s.Role == model.RoleSidecar && s.Sidecar.Kind == model.KindPipeline {
+		out.Engine = platform.DialEngine(hc, s.Sidecar.Backend)
+	}
+	if s.Role == model.RoleSidecar && s.Sidecar.Kind == model.KindPlain {
+		out.Plain = platform.DialPlain(hc, s.Sidecar.Backend)
+	}
+	return out
+}
+
+// NewID makes a ULID: ids that sort by time.
+func NewID() string {
+	return ulid.MustNew(ulid.Now(), rand.Reader).String()
+}
+
+// Entry is one running entry.
+type Entry struct {
+	settings settings.Settings
+	node     *mesh.Node
+	owner    *owner.Owner
+	store    *requests.Store
+	ledger   *ledger.Ledger
+	metrics  *metrics
+	draining chan struct{}
+}
+
+// NewEntry puts an entry together.
+func NewEntry(s settings.Settings, out Outside) *Entry {
+	e := &Entry{
+		settings: s,
+		metrics:  newMetrics(s),
+		store:    requests.NewStore(time.Now, time.Duration(s.Entry.KeepOutcomes)),
+		draining: make(chan struct{}),
+	}
+	e.ledger = ledger.New(out.KV, time.Now, rate.NewLimiter(rate.Limit(s.Entry.LedgerWrites), ledgerBurst))
+	e.node = mesh.New(mesh.Options{
+		Self:        instanceOf(s),
+		Incarnation: NewID(),
+		KV:          out.KV,
+		Instances:   out.Instances,
+		Now:         time.Now,
+		NewID:       NewID,
+		EventLimit:  s.Events.Keep,
+	})
+	e.owner = owner.New(owner.Deps{
+		Instance: s.Instance,
+		Address:  s.Listen.Link,
+		Peers:    e.node.Pool,
+		Table:    e.node.Table,
+		Router:   routing.New(e.node.Table, linkTimes(s.Links), time.Now, nil),
+		Config:   e.node.Config,
+		Rates:    limits.NewRates(func() int { return 1 + len(e.node.Table.Entries()) }),
+		Retries:  limits.NewRetryBudget(),
+		Grant:    e.grant,
+		Requests: e.store,
+		Events:   e.node.Events,
+		Now:      time.Now,
+		Refresh:  e.node.FetchConfig,
+		Observe:  e.metrics.outcome,
+		Timing:   owner.DefaultTiming(),
+	})
+	e.register()
+	return e
+}
+
+func instanceOf(s settings.Settings) model.Instance {
+	return model.Instance{
+		ID:            s.Instance,
+		Role:          s.Role,
+		Address:       s.Listen.Link,
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+	}
+}
+
+func (e *Entry) register() {
+	srv := e.node.Server
+	srv.Register(wire.MethodTokens, link.Handle(func(_ context.Context, _ string, t wire.Tokens) (struct{}, error) {
+		e.owner.Tokens(t)
+		return struct{}{}, nil
+	}))
+	srv.Register(wire.MethodStageFailed, link.Handle(func(_ context.Context, _ string, f wire.StageFailed) (struct{}, error) {
+		e.owner.StageFailed(f)
+		return struct{}{}, nil
+	}))
+	srv.Register(wire.MethodOutcome, link.Handle(func(_ context.Context, _ string, q wire.OutcomeQuery) (wire.OutcomeReply, error) {
+		return e.owner.KnownOutcome(q.Key), nil
+	}))
+	srv.Register(wire.MethodOutcomeCopy, link.Handle(func(_ context.Context, _ string, c wire.OutcomeCopy) (struct{}, error) {
+		e.store.KeepCopy(c.Key, c.Outcome)
+		return struct{}{}, nil
+	}))
+	srv.Register(wire.MethodIntent, link.Handle(e.recordIntent))
+}
+
+// intentMessage carries an intent to the entry that acts for its shard.
+type intentMessage struct {
+	Intent ledger.Intent `json:"intent"`
+	ID     string        `json:"id"`
+}
+
+func (e *Entry) recordIntent(ctx context.Context, _ string, m intentMessage) (ledger.Intent, error) {
+	ctx, cancel := context.WithTimeout(ctx, grantWait)
+	defer cancel()
+	return e.ledger.Record(ctx, m.Intent, m.ID)
+}
+
+// grant asks the entry that acts for the intent's shard. If that one cannot be
+// reached this entry acts itself: the swap in the key-value service decides,
+// and the intent's own grant id tells whether the first try took effect.
+func (e *Entry) grant(ctx context.Context, in ledger.Intent, id string) (ledger.Intent, error) {
+	ctx, cancel := context.WithTimeout(ctx, grantWait)
+	defer cancel()
+	addrs := []string{e.node.Self.Address}
+	for _, m := range e.node.Table.Entries() {
+		addrs = append(addrs, m.Instance.Address)
+	}
+	shard := fmt.Sprintf("ledger-%d", ledger.ShardOf(in.Key))
+	actor := membership.Rendezvous(shard, addrs)[0]
+	if actor == e.node.Self.Address {
+		return e.ledger.Record(ctx, in, id)
+	}
+	var stored ledger.Intent
+	call, stop := context.WithTimeout(ctx, grantWait/2)
+	defer stop()
+	err := e.node.Pool.Call(call, actor, wire.MethodIntent, intentMessage{in, id}, &stored)
+	if fault.Is(err, fault.Unreachable) {
+		return e.ledger.Record(ctx, in, id)
+	}
+	return stored, err
+}
+
+// Run serves until ctx ends, then drains: it fails its readiness, lets the
+// balancer go elsewhere, and answers what it took in.
+func (e *Entry) Run(ctx context.Context) error {
+	linkL, httpL, err := listen(e.settings.Listen)
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	done := make(chan error, 2)
+	go func() { done <- e.node.Run(running, linkL) }()
+	srv := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { done <- srv.Serve(httpL) }()
+	go every(running, sweepEvery, func() { e.store.Sweep(); e.ledger.Sweep(running) })
+	klog.InfoS("Entry serves", "instance", e.settings.Instance, "incarnation", e.node.Incarnation,
+		"http", e.settings.Listen.HTTP, "link", e.settings.Listen.Link)
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "entry stopped")
+	case <-ctx.Done():
+	}
+	e.drain()
+	err = srv.Shutdown(context.Background())
+	stop()
+	return err
+}
+
+func (e *Entry) drain() {
+	close(e.draining)
+	e.node.Events.Add(model.RequestKey{}, events.DrainStarted, "")
+	klog.InfoS("Entry drains", "instance", e.settings.Instance, "running", e.store.Running())
+	time.Sleep(time.Duration(e.settings.Entry.DrainDelay))
+	for e.store.Running() > 0 {
+		time.Sleep(drainPoll)
+	}
+}
+
+func (e *Entry) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(skylarkwoodv1connect.NewRequestServiceHandler(&api.Requests{Node: e.node, Owner: e.owner}))
+	mux.Handle(skylarkwoodv1connect.NewOperatorServiceHandler(&api.Operators{Node: e.node}))
+	mux.Handle("GET /metrics", e.metrics.handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := e.ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (e *Entry) ready() error {
+	select {
+	case <-e.draining:
+		return fault.New(fault.Leaving, "entry is leaving")
+	default:
+		return e.node.Serving()
+	}
+}
+
+func listen(l settings.Listen) (linkL, httpL net.Listener, err error) {
+	if linkL, err = net.Listen("tcp", l.Link); err != nil {
+		return nil, nil, errors.Wrap(err, "listen.link")
+	}
+	if httpL, err = net.Listen("tcp", l.HTTP); err != nil {
+		linkL.Close()
+		return nil, nil, errors.Wrap(err, "listen.http")
+	}
+	return linkL, httpL, nil
+}
+
+func every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
+
+// defaultLink is the one-way time between failure domains that no link names.
+const defaultLink = 500 * time.Microsecond
+
+// linkTimes reads the links of the settings.
+func linkTimes(links []settings.Link) routing.LinkTime {
+	times := map[[2]string]time.Duration{}
+	for _, l := range links {
+		a, b := l.Between[0], l.Between[1]
+		times[[2]string{a, b}] = time.Duration(l.OneWay)
+		times[[2]string{b, a}] = time.Duration(l.OneWay)
+	}
+	return func(a, b model.Instance) time.Duration {
+		if d, ok := times[[2]string{a.FailureDomain, b.FailureDomain}]; ok {
+			return d
+		}
+		if a.FailureDomain == b.FailureDomain {
+			return defaultLink / 5
+		}
+		return defaultLink
+	}
+}
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/settings"
+)
+
+// metrics is a process's tally scope and the page that collectors read.
+type metrics struct {
+	scope    tally.Scope
+	reporter promreporter.Reporter
+}
+
+const reportEvery = time.Second
+
+func newMetrics(s settings.Settings) *metrics {
+	// A registry of its own: dev mode runs several processes' worth in one.
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: prometheus.NewRegistry()})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "skylarkwood",
+		Tags:                   map[string]string{"instance": s.Instance, "role": string(s.Role)},
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	return &metrics{scope: scope, reporter: reporter}
+}
+
+// outcome counts a request that ended.
+func (m *metrics) outcome(service string, o model.Outcome, took time.Duration) {
+	tagged := m.scope.Tagged(map[string]string{"service": service, "outcome": string(o.State), "kind": o.Kind})
+	tagged.Counter("requests").Inc(1)
+	tagged.Timer("request_time").Record(took)
+}
+
+func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
--- /dev/null
+++ b/internal/daemon/sidecar.go
@@ -0,0 +1,229 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/sidecar"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/settings"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/transport/link"
+	"github.com/skylarkwood/skylarkwood/internal/transport/mesh"
+)
+
+const (
+	fenceTimeout  = time.Second
+	prepareRetry  = 200 * time.Millisecond
+	engineTimeout = 2 * time.Second
+	// leaveGrace lets entries learn from heartbeats that the sidecar leaves.
+	leaveGrace = time.Second
+)
+
+// Sidecar is one running sidecar.
+type Sidecar struct {
+	settings settings.Settings
+	out      Outside
+	node     *mesh.Node
+	sidecar  *sidecar.Sidecar
+	gate     *gate.Gate
+	metrics  *metrics
+	load     platform.EngineLoad
+	prepared chan struct{}
+}
+
+// NewSidecar puts a sidecar together.
+func NewSidecar(s settings.Settings, out Outside) *Sidecar {
+	d := &Sidecar{settings: s, out: out, metrics: newMetrics(s), prepared: make(chan struct{})}
+	incarnation := NewID()
+	d.gate = gate.New(incarnation, s.Sidecar.Capacity, s.Sidecar.Queue, time.Now)
+	d.node = mesh.New(mesh.Options{
+		Self:        instanceOf(s),
+		Incarnation: incarnation,
+		KV:          out.KV,
+		Instances:   out.Instances,
+		Now:         time.Now,
+		NewID:       NewID,
+		EventLimit:  s.Events.Keep,
+		Describe:    d.describe,
+	})
+	return d
+}
+
+// describe tells nothing of the backend server before it is prepared, so that
+// no entry sends work yet.
+func (d *Sidecar) describe() wire.HelloReply {
+	select {
+	case <-d.prepared:
+	default:
+		return wire.HelloReply{}
+	}
+	return wire.HelloReply{
+		Service:    d.settings.Sidecar.Service,
+		Kind:       d.settings.Sidecar.Kind,
+		Range:      d.load.Range,
+		Layers:     d.settings.Sidecar.Layers,
+		StepMicros: d.load.StepTime.Microseconds(),
+		Load:       d.gate.Load(),
+	}
+}
+
+// prepare ends what a predecessor left at the engine and learns what it holds.
+// Until then nothing is accepted.
+func (d *Sidecar) prepare(ctx context.Context) error {
+	b := sidecar.Backend{Engine: d.out.Engine, Plain: d.out.Plain}
+	for b.Engine != nil {
+		err := d.takeEngine(ctx, &b)
+		if err == nil {
+			break
+		}
+		klog.InfoS("Engine cannot be taken over yet", "instance", d.settings.Instance, "err", err)
+		select {
+		case <-time.After(prepareRetry):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	d.sidecar = sidecar.New(d.settings.Listen.Link, d.gate, b, sender{d.node.Pool}, d.node.Events, time.Now)
+	d.register()
+	return nil
+}
+
+func (d *Sidecar) takeEngine(ctx context.Context, b *sidecar.Backend) error {
+	b.Fence = takeFence(ctx, d.out.KV, d.settings.Sidecar.Backend)
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	ended, err := b.Engine.EndAll(ctx, b.Fence)
+	if err != nil {
+		return err
+	}
+	if d.load, err = b.Engine.Load(ctx); err != nil {
+		return err
+	}
+	klog.InfoS("Engine taken over", "instance", d.settings.Instance, "fence", b.Fence, "ended", ended, "layers", d.load.Range)
+	return nil
+}
+
+// takeFence takes the next fencing number for an engine. The number is at least
+// the time in milliseconds; in an outage of the key-value service the time
+// alone serves, which holds while clocks do not go back further than a restart
+// takes.
+func takeFence(ctx context.Context, kv platform.KV, backend string) int64 {
+	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+	defer cancel()
+	now := time.Now().UnixMilli()
+	for ctx.Err() == nil {
+		v, err := kv.Get(ctx, "fence/"+backend)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			break
+		}
+		last, _ := strconv.ParseInt(string(v.Data), 10, 64)
+		next := max(last+1, now)
+		if _, err = kv.Swap(ctx, "fence/"+backend, strconv.AppendInt(nil, next, 10), v.Version); err == nil {
+			return next
+		}
+	}
+	return now
+}
+
+// register opens the gate's methods; before it every message is refused as
+// unknown, which entries take as an instance that is not up.
+func (d *Sidecar) register() {
+	srv, s := d.node.Server, d.sidecar
+	srv.Register(wire.MethodOpen, link.Handle(checked(d, s.Open)))
+	srv.Register(wire.MethodCall, link.Handle(checked(d, s.Call)))
+	srv.Register(wire.MethodResume, link.Handle(s.Resume))
+	srv.Register(wire.MethodForward, link.Handle(s.Forward))
+	srv.Register(wire.MethodClose, link.Handle(s.Close))
+	srv.Register(wire.MethodCancel, link.Handle(s.Cancel))
+	srv.Register(wire.MethodHello, heardHello(d))
+}
+
+// checked refuses work from an entry that acts on an older configuration.
+func checked[Req, Rep any](d *Sidecar, f func(context.Context, string, Req) (Rep, error)) func(context.Context, string, Req) (Rep, error) {
+	return func(ctx context.Context, from string, req Req) (Rep, error) {
+		if err := d.node.Refuse(from); err != nil {
+			var none Rep
+			return none, err
+		}
+		return f(ctx, from, req)
+	}
+}
+
+func heardHello(d *Sidecar) link.Handler {
+	return func(_ context.Context, from string, _ json.RawMessage) (any, error) {
+		d.sidecar.Heard(from)
+		rep := d.describe()
+		rep.Instance = d.node.Self
+		rep.Incarnation = d.node.Incarnation
+		return rep, nil
+	}
+}
+
+// sender passes a stage's results on over the links.
+type sender struct{ pool *link.Pool }
+
+func (s sender) Forward(ctx context.Context, addr string, f wire.Forward) error {
+	return s.pool.Notify(ctx, addr, wire.MethodForward, f)
+}
+
+func (s sender) Tokens(ctx context.Context, addr string, t wire.Tokens) error {
+	return s.pool.Notify(ctx, addr, wire.MethodTokens, t)
+}
+
+func (s sender) Failed(ctx context.Context, addr string, f wire.StageFailed) error {
+	return s.pool.Notify(ctx, addr, wire.MethodStageFailed, f)
+}
+
+// Run serves until ctx ends, then drains: the gate refuses new work at once,
+// what runs finishes, then the process ends.
+func (d *Sidecar) Run(ctx context.Context) error {
+	linkL, httpL, err := listen(d.settings.Listen)
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := d.prepare(ctx); err != nil {
+		return nil // told to stop before it had begun
+	}
+	close(d.prepared)
+	done := make(chan error, 2)
+	go func() { done <- d.node.Run(running, linkL) }()
+	srv := &http.Server{Handler: d.handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { done <- srv.Serve(httpL) }()
+	go every(running, sweepEvery/5, d.sidecar.Sweep)
+	klog.InfoS("Sidecar serves", "instance", d.settings.Instance, "incarnation", d.node.Incarnation,
+		"service", d.settings.Sidecar.Service, "link", d.settings.Listen.Link)
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "sidecar stopped")
+	case <-ctx.Done():
+	}
+	d.node.Events.Add(model.RequestKey{}, events.DrainStarted, "")
+	klog.InfoS("Sidecar drains", "instance", d.settings.Instance, "active", d.gate.Load().Active)
+	<-d.gate.Drain()
+	time.Sleep(leaveGrace)
+	return srv.Close()
+}
+
+func (d *Sidecar) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", d.metrics.handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if d.gate.Load().Leaving {
+			http.Error(w, "leaving", http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,162 @@
+// Package fault is the closed list of error kinds and the one table that says
+// how each is answered. No layer makes up an answer of its own.
+package fault
+
+import (
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// Kind names one way in which a request can fail.
+type Kind string
+
+// The error kinds. A new one needs a row in the table below.
+const (
+	InvalidRequest   Kind = "invalid_request"
+	TooLarge         Kind = "too_large"
+	ConflictingID    Kind = "conflicting_request_id"
+	ExpiredID        Kind = "expired_request_id"
+	UnknownCustomer  Kind = "unknown_customer"
+	UnknownService   Kind = "unknown_service"
+	Forbidden        Kind = "forbidden"
+	RateLimited      Kind = "rate_limited"
+	Overloaded       Kind = "overloaded"
+	NoCapacity       Kind = "no_capacity"
+	Leaving          Kind = "leaving"
+	NotReady         Kind = "not_ready"
+	StoreUnavailable Kind = "store_unavailable"
+	Deadline         Kind = "deadline"
+	BackendLost      Kind = "backend_lost"
+	BackendFailed    Kind = "backend_failed"
+	Cancelled        Kind = "cancelled"
+	WrongIncarnation Kind = "wrong_incarnation"
+	AlreadyHandedOff Kind = "already_handed_over"
+	RevisionConflict Kind = "revision_conflict"
+	NotFound         Kind = "not_found"
+	Unreachable      Kind = "unreachable"
+	StaleConfig      Kind = "stale_configuration"
+	Internal         Kind = "internal"
+)
+
+// Answer is a row of the table from kind to answer.
+type Answer struct {
+	Code connect.Code
+	// RetryAfter is the usual time after which coming back is worth it; zero
+	// means coming back unchanged will not help.
+	RetryAfter time.Duration
+	// Retryable says that another backend server may be tried, provided the
+	// gate proved that nothing ran or the request is repeatable.
+	Retryable bool
+}
+
+var table = map[Kind]Answer{
+	InvalidRequest:   {Code: connect.CodeInvalidArgument},
+	TooLarge:         {Code: connect.CodeInvalidArgument},
+	ConflictingID:    {Code: connect.CodeAlreadyExists},
+	ExpiredID:        {Code: connect.CodeFailedPrecondition},
+	UnknownCustomer:  {Code: connect.CodePermissionDenied},
+	UnknownService:   {Code: connect.CodeNotFound},
+	Forbidden:        {Code: connect.CodePermissionDenied},
+	RateLimited:      {Code: connect.CodeResourceExhausted, RetryAfter: time.Second},
+	Overloaded:       {Code: connect.CodeResourceExhausted, RetryAfter: time.Second, Retryable: true},
+	NoCapacity:       {Code: connect.CodeUnavailable, RetryAfter: 2 * time.Second, Retryable: true},
+	Leaving:          {Code: connect.CodeUnavailable, RetryAfter: 200 * time.Millisecond, Retryable: true},
+	NotReady:         {Code: connect.CodeUnavailable, RetryAfter: time.Second, Retryable: true},
+	StoreUnavailable: {Code: connect.CodeUnavailable, RetryAfter: 5 * time.Second},
+	Deadline:         {Code: connect.CodeDeadlineExceeded, RetryAfter: time.Second},
+	BackendLost:      {Code: connect.CodeUnavailable, RetryAfter: time.Second, Retryable: true},
+	BackendFailed:    {Code: connect.CodeInternal, Retryable: true},
+	Cancelled:        {Code: connect.CodeCanceled},
+	WrongIncarnation: {Code: connect.CodeUnavailable, RetryAfter: 200 * time.Millisecond, Retryable: true},
+	AlreadyHandedOff: {Code: connect.CodeAlreadyExists},
+	RevisionConflict: {Code: connect.CodeAborted},
+	NotFound:         {Code: connect.CodeNotFound},
+	Unreachable:      {Code: connect.CodeUnavailable, RetryAfter: time.Second, Retryable: true},
+	StaleConfig:      {Code: connect.CodeUnavailable, RetryAfter: time.Second, Retryable: true},
+	Internal:         {Code: connect.CodeInternal},
+}
+
+// Kinds lists every kind that has an answer.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(table))
+	for k := range table {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// Answer gives the row for a kind; an unknown kind is answered as Internal.
+func (k Kind) Answer() Answer {
+	row, ok := table[k]
+	if !ok {
+		return table[Internal]
+	}
+	return row
+}
+
+// Error is a failure of a known kind.
+type Error struct {
+	Kind Kind
+	// Msg is written for the caller.
+	Msg string
+	// RetryAfter overrides the table's time when not zero.
+	RetryAfter time.Duration
+}
+
+func (e *Error) Error() string {
+	return string(e.Kind) + ": " + e.Msg
+}
+
+// After gives the time after which the caller may come back; zero means never.
+func (e *Error) After() time.Duration {
+	if e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+	return e.Kind.Answer().RetryAfter
+}
+
+// New makes an error of a kind.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Msg: fmt.Sprintf(format, args...)}
+}
+
+// From finds the Error in err's chain; an error of no known kind is Internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Kind: Internal, Msg: err.Error()}
+}
+
+// Is tells whether err is of kind k.
+func Is(err error, k Kind) bool {
+	return err != nil && From(err).Kind == k
+}
+
+// NotRun is the outcome of a request that provably never ran.
+func NotRun(e *Error, evidence string) model.Outcome {
+	return outcome(model.NotRun, e, evidence)
+}
+
+// CutOff is the outcome of a request that may have run.
+func CutOff(e *Error, evidence string) model.Outcome {
+	o := outcome(model.CutOff, e, evidence)
+	o.MayHaveRun = true
+	return o
+}
+
+func outcome(s model.State, e *Error, evidence string) model.Outcome {
+	return model.Outcome{
+		State:      s,
+		Kind:       string(e.Kind),
+		Cause:      e.Msg,
+		RetryAfter: e.After(),
+		Evidence:   evidence,
+	}
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,198 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	platformv1 "github.com/skylarkwood/skylarkwood/api/platform/v1"
+	"github.com/skylarkwood/skylarkwood/api/platform/v1/platformv1connect"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// NewHTTPClient makes the client through which all backend servers are met.
+// idle is how many idle connections are kept per host.
+func NewHTTPClient(idle int) *http.Client {
+	d := &net.Dialer{Timeout: time.Second}
+	return &http.Client{Transport: onceTransport{&http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConns:        idle,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     time.Minute,
+	}}}
+}
+
+// onceTransport keeps net/http from sending a request twice. A transport that
+// finds a kept connection stale sends the request again if it can rewind the
+// body, which would run a call that is not repeatable a second time. Without
+// GetBody it cannot rewind, and returns the error instead.
+type onceTransport struct {
+	next http.RoundTripper
+}
+
+func (t onceTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	once := r.Clone(r.Context())
+	once.GetBody = nil
+	once.Header.Del("Idempotency-Key")
+	once.Header.Del("X-Idempotency-Key")
+	return t.next.RoundTrip(once)
+}
+
+type kvClient struct {
+	c platformv1connect.KeyValueServiceClient
+}
+
+// DialKV gives the key-value service at a base URL.
+func DialKV(hc *http.Client, url string) KV {
+	return kvClient{platformv1connect.NewKeyValueServiceClient(hc, url)}
+}
+
+func (k kvClient) Get(ctx context.Context, key string) (Value, error) {
+	rep, err := k.c.Get(ctx, connect.NewRequest(&platformv1.GetRequest{Key: key}))
+	if err != nil {
+		return Value{}, kvError(err)
+	}
+	return Value{rep.Msg.Value, rep.Msg.Version}, nil
+}
+
+func (k kvClient) Swap(ctx context.Context, key string, data []byte, expected int64) (int64, error) {
+	rep, err := k.c.CompareAndSwap(ctx, connect.NewRequest(&platformv1.CompareAndSwapRequest{
+		Key:             key,
+		Value:           data,
+		ExpectedVersion: expected,
+	}))
+	if err != nil {
+		return 0, kvError(err)
+	}
+	if !rep.Msg.Swapped {
+		return rep.Msg.Version, ErrSwapFailed
+	}
+	return rep.Msg.Version, nil
+}
+
+func (k kvClient) Delete(ctx context.Context, key string) error {
+	_, err := k.c.Delete(ctx, connect.NewRequest(&platformv1.DeleteRequest{Key: key}))
+	return kvError(err)
+}
+
+func (k kvClient) Watch(ctx context.Context, key string, after int64, wait time.Duration) (Value, error) {
+	rep, err := k.c.Watch(ctx, connect.NewRequest(&platformv1.WatchRequest{
+		Key:          key,
+		AfterVersion: after,
+		WaitMs:       wait.Milliseconds(),
+	}))
+	if err != nil {
+		return Value{}, kvError(err)
+	}
+	return Value{rep.Msg.Value, rep.Msg.Version}, nil
+}
+
+func kvError(err error) error {
+	if err == nil {
+		return nil
+	}
+	if connect.CodeOf(err) == connect.CodeNotFound {
+		return ErrNotFound
+	}
+	return errors.Wrap(ErrUnknown, err.Error())
+}
+
+type instancesClient struct {
+	c platformv1connect.InstanceListServiceClient
+}
+
+// DialInstances gives the instance list at a base URL.
+func DialInstances(hc *http.Client, url string) Instances {
+	return instancesClient{platformv1connect.NewInstanceListServiceClient(hc, url)}
+}
+
+func (i instancesClient) List(ctx context.Context) ([]model.Instance, error) {
+	rep, err := i.c.List(ctx, connect.NewRequest(&platformv1.ListRequest{}))
+	if err != nil {
+		return nil, errors.Wrap(err, "instance list")
+	}
+	out := make([]model.Instance, 0, len(rep.Msg.Instances))
+	for _, in := range rep.Msg.Instances {
+		out = append(out, model.Instance{
+			ID:            in.Id,
+			Role:          model.Role(in.Role),
+			Address:       in.Address,
+			FailureDomain: in.FailureDomain,
+			Region:        in.Region,
+			Leaving:       in.Leaving,
+		})
+	}
+	return out, nil
+}
+
+type engineClient struct {
+	c platformv1connect.EngineServiceClient
+}
+
+// DialEngine gives the model engine at a base URL.
+func DialEngine(hc *http.Client, url string) Engine {
+	return engineClient{platformv1connect.NewEngineServiceClient(hc, url)}
+}
+
+func (e engineClient) Step(ctx context.Context, s Step) ([][]byte, error) {
+	rep, err := e.c.Step(ctx, connect.NewRequest(&platformv1.StepRequest{
+		Session:   s.Session,
+		FromLayer: int32(s.Range.From),
+		ToLayer:   int32(s.Range.To),
+		Position:  s.Position,
+		Inputs:    s.Inputs,
+		Priority:  int32(s.Priority),
+		Fence:     s.Fence,
+	}))
+	if err != nil {
+		return nil, errors.Wrap(err, "engine step")
+	}
+	return rep.Msg.Outputs, nil
+}
+
+func (e engineClient) EndSession(ctx context.Context, session string, fence int64) error {
+	_, err := e.c.EndSession(ctx, connect.NewRequest(&platformv1.EndSessionRequest{Session: session, Fence: fence}))
+	return errors.Wrap(err, "end engine session")
+}
+
+func (e engineClient) EndAll(ctx context.Context, fence int64) (int, error) {
+	rep, err := e.c.EndAll(ctx, connect.NewRequest(&platformv1.EndAllRequest{Fence: fence}))
+	if err != nil {
+		return 0, errors.Wrap(err, "end all engine sessions")
+	}
+	return int(rep.Msg.Ended), nil
+}
+
+func (e engineClient) Load(ctx context.Context) (EngineLoad, error) {
+	rep, err := e.c.GetLoad(ctx, connect.NewRequest(&platformv1.GetLoadRequest{}))
+	if err != nil {
+		return EngineLoad{}, errors.Wrap(err, "engine load")
+	}
+	return EngineLoad{
+		Active:   int(rep.Msg.Active),
+		Capacity: int(rep.Msg.Capacity),
+		Range:    model.LayerRange{From: int(rep.Msg.FromLayer), To: int(rep.Msg.ToLayer)},
+		StepTime: time.Duration(rep.Msg.StepMicros) * time.Microsecond,
+	}, nil
+}
+
+type plainClient struct {
+	c platformv1connect.PlainServiceClient
+}
+
+// DialPlain gives the plain service at a base URL.
+func DialPlain(hc *http.Client, url string) Plain {
+	return plainClient{platformv1connect.NewPlainServiceClient(hc, url)}
+}
+
+func (p plainClient) Call(ctx context.Context, id string, body []byte) ([]byte, error) {
+	rep, err := p.c.Call(ctx, connect.NewRequest(&platformv1.CallRequest{CallId: id, Body: body}))
+	if err != nil {
+		return nil, errors.Wrap(err, "plain call")
+	}
+	return rep.Msg.Body, nil
+}
--- /dev/null
+++ b/internal/protocol/gate/gate.go
@@ -0,0 +1,351 @@
+// Package gate decides, beside one backend server, what may start there. It
+// alone says "started": nothing reaches the backend server but through a Ticket
+// whose Start succeeded, so its word that a request never started is proof.
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+)
+
+const (
+	// clockSkew is how far the clocks of two instances may differ. Tombstones
+	// stand that much longer than the deadline: a late dispatch from an entry
+	// whose clock is behind would otherwise start after "not run" was said.
+	clockSkew = 5 * time.Second
+	// ewmaWeight is the weight of the newest service time.
+	ewmaWeight = 0.1
+)
+
+type phase int
+
+const (
+	reserved phase = iota
+	started
+	finished
+	tombstone
+)
+
+// record is what the gate remembers of a request until its deadline is over.
+type record struct {
+	phase         phase
+	attempt       int64
+	notRepeatable bool
+	answer        []byte
+	keepUntil     time.Time
+}
+
+// Request is what a gate needs to know to let a request in.
+type Request struct {
+	Key           wire.RunKey
+	Attempt       int64
+	Incarnation   string
+	Deadline      time.Time
+	Priority      int
+	NotRepeatable bool
+}
+
+// Gate is the gate of one sidecar incarnation.
+type Gate struct {
+	incarnation string
+	capacity    int
+	queueLimit  int
+	now         func() time.Time
+
+	mu       sync.Mutex
+	records  map[wire.RunKey]*record
+	active   int
+	running  map[string]int // active requests by customer
+	queue    []*Ticket
+	seq      int64
+	service  time.Duration // smoothed time that a request holds its place
+	leaving  bool
+	drained  chan struct{}
+	settled  bool // drained is closed
+	admitted int64
+}
+
+// New makes a gate that lets capacity requests run and queueLimit more wait.
+func New(incarnation string, capacity, queueLimit int, now func() time.Time) *Gate {
+	return &Gate{
+		incarnation: incarnation,
+		capacity:    capacity,
+		queueLimit:  queueLimit,
+		now:         now,
+		records:     map[wire.RunKey]*record{},
+		running:     map[string]int{},
+		drained:     make(chan struct{}),
+	}
+}
+
+// Ticket is a request's place at the gate.
+type Ticket struct {
+	gate  *Gate
+	req   Request
+	rec   *record
+	seq   int64
+	ready chan struct{} // closed when the ticket holds a place
+	held  bool
+	gone  bool
+	since time.Time
+}
+
+// Reserve takes a request in, to run at once or to wait; with canWait false a
+// full gate refuses. Every error is a proof that this dispatch did not start.
+func (g *Gate) Reserve(r Request, canWait bool) (*Ticket, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.admissible(r); err != nil {
+		return nil, err
+	}
+	if err := g.room(r, canWait); err != nil {
+		return nil, err
+	}
+	rec := &record{
+		phase:         reserved,
+		attempt:       r.Attempt,
+		notRepeatable: r.NotRepeatable,
+		keepUntil:     r.Deadline.Add(clockSkew),
+	}
+	g.records[r.Key] = rec
+	g.seq++
+	g.admitted++
+	t := &Ticket{gate: g, req: r, rec: rec, seq: g.seq, ready: make(chan struct{})}
+	if g.active < g.capacity {
+		g.grant(t)
+	} else {
+		g.queue = append(g.queue, t)
+	}
+	return t, nil
+}
+
+func (g *Gate) admissible(r Request) error {
+	now := g.now()
+	if r.Incarnation != g.incarnation {
+		return fault.New(fault.WrongIncarnation, "dispatch is for incarnation %s, this is %s", r.Incarnation, g.incarnation)
+	}
+	if !r.Deadline.After(now) {
+		return fault.New(fault.Deadline, "deadline passed before the hand-over")
+	}
+	if g.leaving {
+		return fault.New(fault.Leaving, "backend server is leaving")
+	}
+	rec, known := g.records[r.Key]
+	if !known {
+		return nil
+	}
+	return admitAgain(rec, r)
+}
+
+// admitAgain decides on a request that the gate has met before.
+func admitAgain(rec *record, r Request) error {
+	if rec.phase == tombstone {
+		return fault.New(fault.Cancelled, "request was cancelled before it started")
+	}
+	if rec.notRepeatable || r.NotRepeatable {
+		return fault.New(fault.AlreadyHandedOff, "request was handed over before")
+	}
+	if rec.phase == finished && r.Attempt > rec.attempt {
+		return nil
+	}
+	return fault.New(fault.AlreadyHandedOff, "attempt %d is still here", rec.attempt)
+}
+
+func (g *Gate) room(r Request, canWait bool) error {
+	if g.active < g.capacity {
+		return nil
+	}
+	wait := g.predictedWait()
+	if !canWait || len(g.queue) >= g.queueLimit {
+		e := fault.New(fault.Overloaded, "%d running, %d waiting", g.active, len(g.queue))
+		e.RetryAfter = wait
+		return e
+	}
+	if g.now().Add(wait).After(r.Deadline) {
+		e := fault.New(fault.Overloaded, "predicted wait of %v exceeds the deadline", wait.Round(time.Millisecond))
+		e.RetryAfter = wait
+		return e
+	}
+	return nil
+}
+
+// predictedWait is how long a request that came now would wait for its place.
+func (g *Gate) predictedWait() time.Duration {
+	rounds := float64(len(g.queue)+1) / float64(g.capacity)
+	return max(time.Duration(rounds*float64(g.service)), time.Millisecond)
+}
+
+func (g *Gate) grant(t *Ticket) {
+	t.held = true
+	t.since = g.now()
+	g.active++
+	g.running[t.req.Key.Customer]++
+	close(t.ready)
+}
+
+// Ready is closed when the ticket holds a place.
+func (t *Ticket) Ready() <-chan struct{} { return t.ready }
+
+// Start is the hand-over: after true the backend server may be called, and the
+// gate says "started". False means that a cancel came first.
+func (t *Ticket) Start() bool {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	if !t.held || t.gone || t.rec.phase != reserved {
+		return false
+	}
+	// A sidecar thawed after its deadline must not hand over what its caller
+	// has long been told about.
+	if !t.req.Deadline.After(t.gate.now()) {
+		return false
+	}
+	t.rec.phase = started
+	return true
+}
+
+// Finish gives the place back. The answer is kept until the deadline, for a
+// caller that comes back; nil keeps none.
+func (t *Ticket) Finish(answer []byte) {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.rec.phase == started {
+		t.rec.phase = finished
+		t.rec.answer = answer
+	}
+	if t.rec.phase == reserved && g.records[t.req.Key] == t.rec {
+		delete(g.records, t.req.Key)
+	}
+	g.release(t)
+}
+
+func (g *Gate) release(t *Ticket) {
+	if t.gone {
+		return
+	}
+	t.gone = true
+	if !t.held {
+		g.unqueue(t)
+		return
+	}
+	g.active--
+	g.running[t.req.Key.Customer]--
+	if g.running[t.req.Key.Customer] == 0 {
+		delete(g.running, t.req.Key.Customer)
+	}
+	g.observe(g.now().Sub(t.since))
+	if next := g.pick(); next != nil {
+		g.unqueue(next)
+		g.grant(next)
+	}
+	g.settle()
+}
+
+func (g *Gate) observe(d time.Duration) {
+	if g.service == 0 {
+		g.service = d
+		return
+	}
+	g.service += time.Duration(ewmaWeight * float64(d-g.service))
+}
+
+// pick chooses who runs next: the highest priority, within it the customer with
+// the least running, so that a flood by one does not starve the others.
+func (g *Gate) pick() *Ticket {
+	var best *Ticket
+	for _, t := range g.queue {
+		if best == nil || g.goesBefore(t, best) {
+			best = t
+		}
+	}
+	return best
+}
+
+func (g *Gate) goesBefore(a, b *Ticket) bool {
+	if a.req.Priority != b.req.Priority {
+		return a.req.Priority > b.req.Priority
+	}
+	ra, rb := g.running[a.req.Key.Customer], g.running[b.req.Key.Customer]
+	if ra != rb {
+		return ra < rb
+	}
+	return a.seq < b.seq
+}
+
+func (g *Gate) unqueue(t *Ticket) {
+	for i, q := range g.queue {
+		if q == t {
+			g.queue = append(g.queue[:i], g.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// Cancel keeps a request from starting, now and later, and tells what the gate
+// knows of it. Asked about another incarnation's dispatch it knows nothing.
+func (g *Gate) Cancel(c wire.Cancel) (wire.CancelReply, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.Incarnation != g.incarnation {
+		return wire.CancelReply{}, fault.New(fault.WrongIncarnation, "this incarnation knows nothing of %s", c.Incarnation)
+	}
+	rec, known := g.records[c.Key]
+	if known && rec.phase == finished {
+		return wire.CancelReply{Verdict: wire.WasFinished, Body: rec.answer}, nil
+	}
+	if known && rec.phase == started {
+		return wire.CancelReply{Verdict: wire.WasStarted}, nil
+	}
+	if !known {
+		rec = &record{}
+		g.records[c.Key] = rec
+	}
+	rec.phase = tombstone
+	rec.keepUntil = c.Deadline.Add(clockSkew)
+	return wire.CancelReply{Verdict: wire.NeverStarted}, nil
+}
+
+// Load is what the gate says of itself.
+func (g *Gate) Load() wire.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return wire.Load{
+		Active:   g.active,
+		Queued:   len(g.queue),
+		Capacity: g.capacity,
+		Leaving:  g.leaving,
+	}
+}
+
+// Drain refuses all new work from now on; the channel closes when what was
+// taken in has ended.
+func (g *Gate) Drain() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+	g.settle()
+	return g.drained
+}
+
+func (g *Gate) settle() {
+	if g.leaving && g.active == 0 && len(g.queue) == 0 && !g.settled {
+		g.settled = true
+		close(g.drained)
+	}
+}
+
+// Sweep forgets requests whose deadline is over; it tells how many are left.
+func (g *Gate) Sweep() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for k, rec := range g.records {
+		if rec.phase != started && rec.phase != reserved && rec.keepUntil.Before(now) {
+			delete(g.records, k)
+		}
+	}
+	return len(g.records)
+}
--- /dev/null
+++ b/internal/protocol/owner/owner.go
@@ -0,0 +1,350 @@
+// Package owner is an entry's part in a request: from acceptance to the one
+// final outcome. It admits the request by its customer's template, hands it to
+// gates, collects the answer and repairs the pipeline under it.
+package owner
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/config"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/ledger"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routing"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/state/requests"
+	"github.com/skylarkwood/skylarkwood/internal/state/shard"
+)
+
+// Limits on what a caller may send.
+const (
+	MaxBody     = 1 << 20
+	MaxTokens   = 8192
+	MaxIDLength = 64
+	maxTimeout  = 10 * time.Minute
+)
+
+// Peers sends messages to other processes. A link.Pool is one.
+type Peers interface {
+	Call(ctx context.Context, addr string, m wire.Method, req, rep any) error
+	Notify(ctx context.Context, addr string, m wire.Method, msg any) error
+	Reset(addr string)
+}
+
+// Granter asks the ledger for the one hand-over of a request; see package
+// ledger.
+type Granter func(ctx context.Context, in ledger.Intent, id string) (ledger.Intent, error)
+
+// Deps is what an Owner works with.
+type Deps struct {
+	Instance string // id of this entry
+	Address  string // its link address
+	Peers    Peers
+	Table    *membership.Table
+	Router   *routing.Router
+	Config   *config.Store
+	Rates    *limits.Rates
+	Retries  *limits.RetryBudget
+	Grant    Granter
+	Requests *requests.Store
+	Events   *events.Log
+	Now      func() time.Time
+	// Refresh brings the configuration up to that of the peer at addr.
+	Refresh func(ctx context.Context, addr string) error
+	// Observe is told of each final outcome.
+	Observe func(service string, o model.Outcome, took time.Duration)
+	Timing  Timing
+}
+
+// Timing is how long the owner waits before it looks into a request.
+type Timing struct {
+	// Call bounds one control message.
+	Call time.Duration
+	// Stall is how long a pipeline may bring no token before it is resynchronised.
+	Stall time.Duration
+	// Poll is how often an outcome elsewhere is asked for.
+	Poll time.Duration
+}
+
+// DefaultTiming suits instances of one region.
+func DefaultTiming() Timing {
+	return Timing{
+		Call:  500 * time.Millisecond,
+		Stall: time.Second,
+		Poll:  50 * time.Millisecond,
+	}
+}
+
+// Owner owns the requests of one entry.
+type Owner struct {
+	Deps
+	started time.Time
+	runs    *shard.Map[*run]
+}
+
+// New makes an owner.
+func New(d Deps) *Owner {
+	return &Owner{Deps: d, started: d.Now(), runs: shard.New[*run]()}
+}
+
+// Ask is a caller's request.
+type Ask struct {
+	Customer      string
+	ID            string
+	Service       string
+	Body          []byte
+	MaxTokens     int
+	Timeout       time.Duration
+	NotRepeatable bool
+}
+
+// job is an accepted request on its way.
+type job struct {
+	ask           Ask
+	req           *requests.Request
+	rule          config.Rule
+	kind          model.ServiceKind
+	layers        int
+	notRepeatable bool
+	began         time.Time
+	run           string // empty for a request that is not repeatable
+}
+
+func (j *job) key() model.RequestKey { return j.req.Key }
+
+// runKey names the job's run at the gates.
+func (j *job) runKey() wire.RunKey { return wire.RunKey{RequestKey: j.req.Key, Run: j.run} }
+
+// Submit accepts a request or joins it to the same one sent before. An error
+// means that nothing was accepted and nothing ran.
+func (o *Owner) Submit(ask Ask) (*requests.Request, error) {
+	if ask.ID == "" {
+		ask.ID = ulid.MustNew(ulid.Timestamp(o.Now()), rand.Reader).String()
+	}
+	if err := validate(ask); err != nil {
+		return nil, o.reject(ask, err)
+	}
+	rule, err := o.rule(ask)
+	if err != nil {
+		return nil, o.reject(ask, err)
+	}
+	j := &job{ask: ask, rule: rule, began: o.Now(), notRepeatable: ask.NotRepeatable || rule.NotRepeatable}
+	key := model.RequestKey{Customer: ask.Customer, ID: ask.ID}
+	if r, ok := o.Requests.Get(key); ok {
+		return r, o.join(ask, r)
+	}
+	if err := o.admit(j); err != nil {
+		return nil, o.reject(ask, err)
+	}
+	r, joined := o.Requests.Begin(key, content(ask), j.began.Add(o.timeout(ask, rule)))
+	if joined {
+		return r, o.join(ask, r)
+	}
+	j.req = r
+	if !j.notRepeatable {
+		j.run = ulid.MustNew(ulid.Timestamp(j.began), rand.Reader).String()
+	}
+	o.Events.Add(key, events.Accepted, ask.Service)
+	go o.serve(j)
+	return r, nil
+}
+
+func validate(ask Ask) error {
+	switch {
+	case ask.Customer == "":
+		return fault.New(fault.InvalidRequest, "customer is missing")
+	case ask.Service == "":
+		return fault.New(fault.InvalidRequest, "service is missing")
+	case len(ask.Customer) > MaxIDLength:
+		return fault.New(fault.InvalidRequest, "customer is longer than %d bytes", MaxIDLength)
+	case len(ask.ID) > MaxIDLength:
+		return fault.New(fault.InvalidRequest, "request id is longer than %d bytes", MaxIDLength)
+	case len(ask.Body) > MaxBody:
+		return fault.New(fault.TooLarge, "body of %d bytes exceeds %d", len(ask.Body), MaxBody)
+	case ask.MaxTokens < 0 || ask.MaxTokens > MaxTokens:
+		return fault.New(fault.InvalidRequest, "max_tokens must be between 0 and %d", MaxTokens)
+	case ask.Timeout < 0 || ask.Timeout > maxTimeout:
+		return fault.New(fault.InvalidRequest, "timeout must be between 0 and %v", maxTimeout)
+	}
+	return nil
+}
+
+func (o *Owner) rule(ask Ask) (config.Rule, error) {
+	t, ok := o.Config.Current().Template(ask.Customer)
+	if !ok {
+		return config.Rule{}, fault.New(fault.UnknownCustomer, "customer %q has no template", ask.Customer)
+	}
+	rule, ok := t.Rule(ask.Service)
+	if !ok {
+		return rule, fault.New(fault.Forbidden, "customer %q may not reach service %q", ask.Customer, ask.Service)
+	}
+	return rule, nil
+}
+
+// admit checks what does not depend on the request's id being new.
+func (o *Owner) admit(j *job) error {
+	var known bool
+	if j.kind, j.layers, known = o.Router.Describe(j.ask.Service); !known {
+		return fault.New(fault.UnknownService, "no backend server offers service %q", j.ask.Service)
+	}
+	if j.kind == model.KindPipeline && j.ask.MaxTokens == 0 {
+		return fault.New(fault.InvalidRequest, "max_tokens is missing for pipeline service %q", j.ask.Service)
+	}
+	if j.kind == model.KindPipeline && len(j.ask.Body) == 0 {
+		return fault.New(fault.InvalidRequest, "prompt is empty")
+	}
+	if j.notRepeatable {
+		if _, err := ledger.CheckID(j.ask.ID, o.Now()); err != nil {
+			return err
+		}
+	}
+	ok, wait := o.Rates.Allow(j.ask.Customer, j.ask.Service, j.rule.Rate, j.rule.Burst, o.Now())
+	if !ok {
+		e := fault.New(fault.RateLimited, "rate of %g a second for service %q is used up", j.rule.Rate, j.ask.Service)
+		e.RetryAfter = limits.Jitter(wait)
+		return e
+	}
+	return nil
+}
+
+func (o *Owner) timeout(ask Ask, rule config.Rule) time.Duration {
+	const fallback = 30 * time.Second
+	switch {
+	case ask.Timeout > 0:
+		return ask.Timeout
+	case rule.DefaultTimeout > 0:
+		return rule.DefaultTimeout
+	}
+	return fallback
+}
+
+func (o *Owner) join(ask Ask, r *requests.Request) error {
+	if r.Content != content(ask) {
+		err := fault.New(fault.ConflictingID, "request id %q was used for another request", ask.ID)
+		o.Events.Add(r.Key, events.Rejected, err.Error())
+		return err
+	}
+	o.Events.Add(r.Key, events.Joined, "")
+	return nil
+}
+
+func (o *Owner) reject(ask Ask, err error) error {
+	o.Events.Add(model.RequestKey{Customer: ask.Customer, ID: ask.ID}, events.Rejected, err.Error())
+	return err
+}
+
+func content(ask Ask) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(ask.Service)
+	_, _ = d.Write([]byte{0, byte(ask.MaxTokens), byte(ask.MaxTokens >> 8)})
+	_, _ = d.Write(ask.Body)
+	return d.Sum64()
+}
+
+// serve carries a request to its outcome. It does not end with the caller's
+// connection: the caller may come back for the answer.
+func (o *Owner) serve(j *job) {
+	ctx, cancel := context.WithDeadline(context.Background(), j.req.Deadline)
+	defer cancel()
+	o.Retries.Request()
+	var out model.Outcome
+	switch {
+	case j.notRepeatable:
+		out = o.serveOnce(ctx, j)
+	case j.kind == model.KindPipeline:
+		out = o.servePipeline(ctx, j, nil)
+	default:
+		out = o.servePlain(ctx, j)
+	}
+	out.Entry = o.Instance
+	o.Events.Add(j.key(), events.OutcomeFixed, string(out.State)+" "+out.Kind)
+	j.req.Finish(out)
+	o.Observe(j.ask.Service, out, o.Now().Sub(j.began))
+	o.copyOutcome(j.key(), out)
+}
+
+// outcomeCopies is at how many other entries a final outcome is left, so that
+// it can be told after this entry is gone.
+const outcomeCopies = 2
+
+func (o *Owner) copyOutcome(key model.RequestKey, out model.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), o.Timing.Call)
+	defer cancel()
+	for _, addr := range o.copyHolders(key) {
+		_ = o.Peers.Notify(ctx, addr, wire.MethodOutcomeCopy, wire.OutcomeCopy{Key: key, Outcome: out})
+	}
+}
+
+func (o *Owner) copyHolders(key model.RequestKey) []string {
+	var addrs []string
+	for _, m := range o.Table.Entries() {
+		addrs = append(addrs, m.Instance.Address)
+	}
+	ranked := membership.Rendezvous(key.String(), addrs)
+	return ranked[:min(outcomeCopies, len(ranked))]
+}
+
+// KnownOutcome answers what this entry knows of a request.
+func (o *Owner) KnownOutcome(key model.RequestKey) wire.OutcomeReply {
+	rep := wire.OutcomeReply{Started: o.started}
+	if r, ok := o.Requests.Get(key); ok {
+		rep.Known = true
+		rep.Outcome = r.Outcome()
+		rep.Answer = r.Answer()
+		return rep
+	}
+	rep.Outcome, rep.Known = o.Requests.Copy(key)
+	return rep
+}
+
+// Outcome finds what became of a request, here or at the other entries.
+func (o *Owner) Outcome(ctx context.Context, key model.RequestKey) (model.Outcome, []string, error) {
+	best := o.KnownOutcome(key)
+	if best.Known && best.Outcome.Final() {
+		return best.Outcome, nil, nil
+	}
+	var unreachable []string
+	for _, m := range o.Table.All() {
+		if m.Instance.Role != model.RoleEntry {
+			continue
+		}
+		var rep wire.OutcomeReply
+		if err := o.call(ctx, m.Instance.Address, wire.MethodOutcome, wire.OutcomeQuery{Key: key}, &rep); err != nil {
+			unreachable = append(unreachable, m.Instance.ID)
+			continue
+		}
+		if rep.Known && (!best.Known || rep.Outcome.Final()) {
+			best = rep
+		}
+	}
+	if !best.Known {
+		return model.Outcome{}, unreachable, fault.New(fault.NotFound,
+			"no reachable entry knows request %s; its record may be lost with an instance that is gone", key)
+	}
+	return best.Outcome, unreachable, nil
+}
+
+func (o *Owner) call(ctx context.Context, addr string, m wire.Method, req, rep any) error {
+	ctx, cancel := context.WithTimeout(ctx, o.Timing.Call)
+	defer cancel()
+	return o.Peers.Call(ctx, addr, m, req, rep)
+}
+
+// callTwice calls again over a new connection where the first is silent: an
+// open connection can go dead while new ones work. Only for idempotent messages.
+func (o *Owner) callTwice(ctx context.Context, addr string, m wire.Method, req, rep any) error {
+	err := o.call(ctx, addr, m, req, rep)
+	if !fault.Is(err, fault.Unreachable) || ctx.Err() != nil {
+		return err
+	}
+	o.Peers.Reset(addr)
+	return o.call(ctx, addr, m, req, rep)
+}
--- /dev/null
+++ b/internal/protocol/owner/pipeline.go
@@ -0,0 +1,461 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routing"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+)
+
+const (
+	// feedBatch is how many positions one message to the first stage carries.
+	feedBatch = 256
+	// maxRepairs bounds chain repairs without a new token between them.
+	maxRepairs = 8
+	// maxOpenTries bounds attempts to open a first chain. All of them end
+	// before anything ran.
+	maxOpenTries = 6
+	firstPause   = 10 * time.Millisecond
+	maxPause     = 200 * time.Millisecond
+	// watchEvery is how often the membership is compared with the chain.
+	watchEvery = 50 * time.Millisecond
+)
+
+// run is one pipeline request as its owner sees it.
+type run struct {
+	*job
+	o      *Owner
+	prompt [][]byte
+	epoch  int64
+	chain  []wire.Hop
+	// used are the stages that were ever opened, to be closed at the end.
+	used map[string]bool
+	// avoid are stages that failed this request.
+	avoid    map[string]bool
+	reported map[string]int // failure reports by stage address
+	started  bool           // the first stage was fed: it may have run
+	sentOnce bool           // first token was seen
+
+	arrived chan struct{}         // signals new tokens; buffered by one
+	failed  chan wire.StageFailed // reports from stages
+}
+
+// servePipeline runs a request over a chain. A request that is not repeatable
+// comes with its plan, which it must keep to.
+func (o *Owner) servePipeline(ctx context.Context, j *job, plan []wire.Hop) model.Outcome {
+	r := &run{
+		job:      j,
+		o:        o,
+		prompt:   splitPrompt(j.ask.Body),
+		chain:    plan,
+		used:     map[string]bool{},
+		avoid:    map[string]bool{},
+		reported: map[string]int{},
+		arrived:  make(chan struct{}, 1),
+		failed:   make(chan wire.StageFailed, 16),
+	}
+	o.runs.Put(j.runKey().String(), r)
+	defer o.runs.Delete(j.runKey().String())
+	// The outcome does not wait for the stages to close.
+	defer func() { go r.closeAll() }()
+	if err := r.openFirst(ctx); err != nil {
+		return r.ended(ctx, err)
+	}
+	return r.follow(ctx)
+}
+
+// splitPrompt makes one input of each word; tokenising is the engines' matter
+// and the stand-ins take any.
+func splitPrompt(body []byte) [][]byte {
+	var out [][]byte
+	start := 0
+	for i, b := range body {
+		if b == ' ' && i > start {
+			out = append(out, body[start:i+1])
+			start = i + 1
+		}
+	}
+	if start < len(body) {
+		out = append(out, body[start:])
+	}
+	return out
+}
+
+// openFirst opens a chain and feeds it the prompt. Refusals are answered by
+// another chain, a few times; none of them lets anything run.
+func (r *run) openFirst(ctx context.Context) error {
+	pause := firstPause
+	for try := 1; ; try++ {
+		err := r.establish(ctx)
+		if err == nil {
+			return nil
+		}
+		e := fault.From(err)
+		if r.notRepeatable || try == maxOpenTries || !e.Kind.Answer().Retryable {
+			return err
+		}
+		if !sleep(ctx, limits.Jitter(pause)) {
+			return fault.New(fault.Deadline, "no chain opened before the deadline: %s", e.Msg)
+		}
+		pause = min(2*pause, maxPause)
+		if !r.started {
+			clear(r.avoid) // a gate that was full may have room now
+		}
+	}
+}
+
+// follow waits for the tokens and repairs the chain under them.
+func (r *run) follow(ctx context.Context) model.Outcome {
+	watch := time.NewTicker(watchEvery)
+	defer watch.Stop()
+	repairs, have, stall := 0, r.req.Len(), r.o.Timing.Stall
+	progressAt := r.o.Now()
+	for {
+		if n := r.req.Len(); n > have {
+			r.firstToken(n)
+			repairs, have, stall, progressAt = 0, n, r.o.Timing.Stall, r.o.Now()
+		}
+		if have == int64(r.ask.MaxTokens) {
+			return model.Outcome{State: model.Ran, Evidence: fmt.Sprintf("all %d tokens, epoch %d", have, r.epoch)}
+		}
+		var broken string
+		select {
+		case <-r.arrived:
+			continue
+		case <-ctx.Done():
+			return r.ended(ctx, fault.New(fault.Deadline, "deadline passed after %d of %d tokens", have, r.ask.MaxTokens))
+		case f := <-r.failed:
+			broken = r.judge(f)
+		case <-watch.C:
+			if broken = r.lostMember(); broken == "" && r.o.Now().Sub(progressAt) > stall {
+				broken = "no token for " + stall.String()
+				stall *= 2
+			}
+		}
+		if broken == "" {
+			continue
+		}
+		if repairs++; repairs > maxRepairs {
+			return r.ended(ctx, fault.New(fault.BackendLost, "chain could not be repaired: %s", broken))
+		}
+		if err := r.repair(ctx, broken); err != nil {
+			return r.ended(ctx, err)
+		}
+		progressAt = r.o.Now()
+	}
+}
+
+func (r *run) firstToken(n int64) {
+	if r.sentOnce {
+		return
+	}
+	r.sentOnce = true
+	r.o.Events.Add(r.key(), events.FirstToken, fmt.Sprintf("%d tokens", n))
+}
+
+// ended gives the outcome of a request that got no whole answer. Nothing has
+// run before the first stage was fed.
+func (r *run) ended(_ context.Context, err error) model.Outcome {
+	e := fault.From(err)
+	if e.After() > 0 {
+		e = &fault.Error{Kind: e.Kind, Msg: e.Msg, RetryAfter: limits.Jitter(e.After())}
+	}
+	if !r.started {
+		return fault.NotRun(e, "never handed over: the first stage was not fed")
+	}
+	return fault.CutOff(e, fmt.Sprintf("%d of %d tokens came, epoch %d", r.req.Len(), r.ask.MaxTokens, r.epoch))
+}
+
+// judge decides on a stage's report; it gives what is broken, if anything. A
+// stage that two reports call unreachable is left out even if this entry still
+// reaches it: the link that counts is the one between the stages.
+func (r *run) judge(f wire.StageFailed) string {
+	if f.Epoch != r.epoch {
+		return ""
+	}
+	r.reported[f.Address]++
+	if r.reported[f.Address] > 1 {
+		r.avoid[f.Address] = true
+	}
+	return f.Address + ": " + f.Cause
+}
+
+// lostMember compares the chain with the membership.
+func (r *run) lostMember() string {
+	for _, h := range r.chain {
+		m, ok := r.o.Table.Get(h.Address)
+		if ok && m.Down() {
+			return h.Address + ": does not answer"
+		}
+		if ok && m.Incarnation != h.Incarnation {
+			r.avoid[h.Address] = false
+			return h.Address + ": was replaced"
+		}
+	}
+	return ""
+}
+
+// repair raises the epoch over a chain in which lost stages are replaced. A
+// request that is not repeatable keeps its chain or is cut off: a replacement
+// would run layers a second time.
+func (r *run) repair(ctx context.Context, broken string) error {
+	r.o.Events.Add(r.key(), events.StageLost, broken)
+	pause := firstPause
+	for try := 1; ; try++ {
+		err := r.establish(ctx)
+		if err == nil {
+			return nil
+		}
+		e := fault.From(err)
+		if r.notRepeatable {
+			return fault.New(fault.BackendLost, "a stage was lost and the request is not repeatable: %s", e.Msg)
+		}
+		if try == maxRepairs {
+			return fault.New(fault.BackendLost, "no replacement for a lost stage: %s", e.Msg)
+		}
+		if !sleep(ctx, limits.Jitter(pause)) {
+			return fault.New(fault.Deadline, "deadline passed during repair: %s", e.Msg)
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// establish opens a chain under a new epoch, replacing stages that refuse, and
+// lets it run from where each stage stands.
+func (r *run) establish(ctx context.Context) error {
+	if err := r.choose(); err != nil {
+		return err
+	}
+	r.epoch++
+	r.o.Events.Add(r.key(), events.EpochRaised, fmt.Sprintf("%d: %s", r.epoch, describe(r.chain)))
+	next, err := r.openAll(ctx)
+	if err != nil {
+		return err
+	}
+	r.started = true
+	if err := r.resumeAll(ctx, next); err != nil {
+		return err
+	}
+	return r.feed(ctx, next[0])
+}
+
+// choose keeps the stages that still stand and finds others for the rest.
+func (r *run) choose() error {
+	if r.notRepeatable {
+		return nil
+	}
+	if len(r.chain) == 0 {
+		chain, err := r.o.Router.Chain(r.ask.Service, model.LayerRange{To: r.layers}, r.avoid)
+		if err != nil {
+			return err
+		}
+		r.chain = hopsOf(chain)
+		return nil
+	}
+	var next []wire.Hop
+	for _, h := range r.chain {
+		if r.stands(h) {
+			next = append(next, h)
+			continue
+		}
+		part, err := r.o.Router.Chain(r.ask.Service, h.Range, r.without(r.chain))
+		if err != nil {
+			return err
+		}
+		next = append(next, hopsOf(part)...)
+	}
+	r.chain = next
+	return nil
+}
+
+// without is avoid with the members of the chain added: a member takes part
+// once, as a session has one range.
+func (r *run) without(chain []wire.Hop) map[string]bool {
+	out := map[string]bool{}
+	for a, bad := range r.avoid {
+		out[a] = bad
+	}
+	for _, h := range chain {
+		out[h.Address] = true
+	}
+	return out
+}
+
+func (r *run) stands(h wire.Hop) bool {
+	m, ok := r.o.Table.Get(h.Address)
+	return ok && !r.avoid[h.Address] && !m.Down() && m.Incarnation == h.Incarnation
+}
+
+// openAll opens every stage at once; it gives the next position of each.
+func (r *run) openAll(ctx context.Context) ([]int64, error) {
+	next := make([]int64, len(r.chain))
+	errs := make([]error, len(r.chain))
+	var g errgroup.Group
+	for i, h := range r.chain {
+		r.used[h.Address] = true
+		g.Go(func() error {
+			var rep wire.OpenReply
+			errs[i] = r.o.callTwice(ctx, h.Address, wire.MethodOpen, r.openMessage(i), &rep)
+			if errs[i] == nil {
+				next[i] = rep.Next
+				r.o.Table.SeenLoad(h.Address, rep.Load.Active, rep.Load.Queued, rep.Load.Leaving)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return next, r.refusals(ctx, errs)
+}
+
+func (r *run) openMessage(i int) wire.Open {
+	return wire.Open{
+		Key:      r.runKey(),
+		Epoch:    r.epoch,
+		Chain:    r.chain,
+		Index:    i,
+		Owner:    r.o.Address,
+		Prompt:   int64(len(r.prompt)),
+		Tokens:   int64(r.ask.MaxTokens),
+		Deadline: r.req.Deadline,
+		Priority: r.rule.Priority,
+	}
+}
+
+// refusals notes which stages did not open. Those that did stay open for the
+// next epoch.
+func (r *run) refusals(ctx context.Context, errs []error) error {
+	var worst error
+	for i, err := range errs {
+		if err == nil {
+			continue
+		}
+		h := r.chain[i]
+		r.avoid[h.Address] = true
+		worst = err
+		e := fault.From(err)
+		if e.Kind == fault.Unreachable {
+			r.o.Table.Missed(h.Address)
+		}
+		r.o.refused(ctx, r.job, h, e)
+	}
+	if worst != nil && !r.started {
+		r.chain = nil // nothing has run: any other chain will do
+	}
+	return worst
+}
+
+// resumeAll tells each stage what the one after it lacks.
+func (r *run) resumeAll(ctx context.Context, next []int64) error {
+	last := len(r.chain) - 1
+	var g errgroup.Group
+	for i, h := range r.chain {
+		msg := wire.Resume{Key: r.runKey(), Epoch: r.epoch}
+		if i < last {
+			msg.NextInput = next[i+1]
+		} else {
+			msg.NextToken = r.req.Len()
+			msg.FirstNext = next[0]
+		}
+		g.Go(func() error {
+			err := r.o.callTwice(ctx, h.Address, wire.MethodResume, msg, nil)
+			if fault.Is(err, fault.Unreachable) {
+				r.o.Table.Missed(h.Address)
+			}
+			return err
+		})
+	}
+	return g.Wait()
+}
+
+// feed gives the first stage what it lacks of the prompt and of the tokens that
+// came: it may be a replacement that has seen none of them.
+func (r *run) feed(ctx context.Context, from int64) error {
+	inputs := append(append([][]byte(nil), r.prompt...), r.req.Answer()...)
+	if from > 0 && from < int64(len(inputs)) {
+		r.o.Events.Add(r.key(), events.Replayed, fmt.Sprintf("positions %d to %d", from, len(inputs)))
+	}
+	for from < int64(len(inputs)) {
+		to := min(from+feedBatch, int64(len(inputs)))
+		err := r.o.Peers.Notify(ctx, r.chain[0].Address, wire.MethodForward, wire.Forward{
+			Key:      r.runKey(),
+			Epoch:    r.epoch,
+			Position: from,
+			Data:     inputs[from:to],
+		})
+		if err != nil {
+			return err
+		}
+		from = to
+	}
+	return nil
+}
+
+// closeAll ends the request at every stage it was opened at.
+func (r *run) closeAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), r.o.Timing.Call)
+	defer cancel()
+	var g errgroup.Group
+	for addr := range r.used {
+		g.Go(func() error {
+			_ = r.o.callTwice(ctx, addr, wire.MethodClose, wire.Close{Key: r.runKey(), Epoch: r.epoch}, nil)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// Tokens takes in generated tokens. Tokens of another epoch still count, as the
+// position tells where they belong and each position has one token.
+func (o *Owner) Tokens(t wire.Tokens) {
+	r, ok := o.runs.Get(t.Key.String())
+	if !ok {
+		return
+	}
+	if added, _ := r.req.Append(t.Position, t.Data); added == 0 {
+		return
+	}
+	select {
+	case r.arrived <- struct{}{}:
+	default:
+	}
+}
+
+// StageFailed takes in a stage's report; a flood of them is cut, as one is
+// enough to look.
+func (o *Owner) StageFailed(f wire.StageFailed) {
+	r, ok := o.runs.Get(f.Key.String())
+	if !ok {
+		return
+	}
+	select {
+	case r.failed <- f:
+	default:
+	}
+}
+
+func hopsOf(chain []routing.Stage) []wire.Hop {
+	out := make([]wire.Hop, 0, len(chain))
+	for _, s := range chain {
+		out = append(out, hopOf(s.Member, s.Range))
+	}
+	return out
+}
+
+func describe(chain []wire.Hop) string {
+	s := ""
+	for i, h := range chain {
+		if i > 0 {
+			s += " > "
+		}
+		s += h.Address + h.Range.String()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/protocol/owner/plain.go
@@ -0,0 +1,176 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+)
+
+// maxRefusals bounds how many gates may refuse one request before it is given
+// up; each refusal is proof that nothing ran.
+const maxRefusals = 4
+
+// servePlain carries out a repeatable call, at another backend server if the
+// first is lost.
+func (o *Owner) servePlain(ctx context.Context, j *job) model.Outcome {
+	avoid := map[string]bool{}
+	mayHaveRun := false
+	var last *fault.Error
+	for attempt := int64(1); ; attempt++ {
+		m, err := o.Router.Plain(j.ask.Service, avoid)
+		if err != nil {
+			return giveUp(fault.From(orElse(last, err)), mayHaveRun, "no gate left to try")
+		}
+		gate := hopOf(m, model.LayerRange{})
+		body, ran, err := o.dispatch(ctx, j, gate, attempt)
+		if err == nil {
+			return o.complete(j, gate, body)
+		}
+		last = fault.From(err)
+		mayHaveRun = mayHaveRun || ran
+		if ctx.Err() != nil {
+			return giveUp(fault.New(fault.Deadline, "deadline passed"), mayHaveRun, "gate "+gate.Address)
+		}
+		if !o.mayRetry(last, ran, attempt) {
+			return giveUp(last, mayHaveRun, "gate "+gate.Address)
+		}
+		avoid[gate.Address] = true
+	}
+}
+
+func orElse(last *fault.Error, err error) error {
+	if last != nil {
+		return last
+	}
+	return err
+}
+
+// mayRetry: a refusal costs a backend server nothing and is bounded by number;
+// work that may have run is bounded by the budget.
+func (o *Owner) mayRetry(e *fault.Error, ran bool, attempt int64) bool {
+	if !ran {
+		return e.Kind.Answer().Retryable && attempt < maxRefusals
+	}
+	return o.Retries.Retry()
+}
+
+func giveUp(e *fault.Error, mayHaveRun bool, evidence string) model.Outcome {
+	if mayHaveRun {
+		return fault.CutOff(e, evidence+": handed over, no answer")
+	}
+	return fault.NotRun(e, evidence+": never handed over")
+}
+
+func (o *Owner) complete(j *job, gate wire.Hop, body []byte) model.Outcome {
+	j.req.Append(0, [][]byte{body})
+	return model.Outcome{State: model.Ran, Evidence: "answer from gate " + gate.Address}
+}
+
+// dispatch makes one attempt at one gate. With an error, ran tells whether the
+// backend server may have run it; false is proof.
+func (o *Owner) dispatch(ctx context.Context, j *job, gate wire.Hop, attempt int64) (body []byte, ran bool, err error) {
+	var rep wire.CallReply
+	err = o.Peers.Call(ctx, gate.Address, wire.MethodCall, wire.Call{
+		Key:           j.runKey(),
+		Attempt:       attempt,
+		Incarnation:   gate.Incarnation,
+		Body:          j.ask.Body,
+		Deadline:      j.req.Deadline,
+		Priority:      j.rule.Priority,
+		NotRepeatable: j.notRepeatable,
+	}, &rep)
+	if err == nil {
+		o.Table.SeenLoad(gate.Address, rep.Load.Active, rep.Load.Queued, rep.Load.Leaving)
+		return rep.Body, true, nil
+	}
+	e := fault.From(err)
+	if !provesNotStarted(e.Kind) {
+		return o.settle(ctx, j, gate, e)
+	}
+	o.refused(ctx, j, gate, e)
+	return nil, false, e
+}
+
+// provesNotStarted lists the gate's answers that come before any hand-over.
+func provesNotStarted(k fault.Kind) bool {
+	switch k {
+	case fault.Leaving, fault.Overloaded, fault.WrongIncarnation, fault.Cancelled,
+		fault.NotReady, fault.StaleConfig, fault.Deadline, fault.NoCapacity:
+		return true
+	}
+	return false
+}
+
+func (o *Owner) refused(ctx context.Context, j *job, gate wire.Hop, e *fault.Error) {
+	o.Events.Add(j.key(), events.GateRefused, gate.Address+" "+e.Error())
+	switch e.Kind {
+	case fault.Overloaded, fault.NoCapacity:
+		o.Table.Backoff(gate.Address, e.After())
+	case fault.Leaving:
+		o.Table.SeenLoad(gate.Address, 0, 0, true)
+	case fault.WrongIncarnation, fault.NotReady:
+		o.Table.Backoff(gate.Address, e.After())
+	case fault.StaleConfig:
+		_ = o.Refresh(ctx, gate.Address)
+	}
+}
+
+// settle finds out what became of a dispatch whose answer was lost: the gate's
+// tombstone or its memory is the proof. A backend server that failed the call
+// may have run it.
+func (o *Owner) settle(ctx context.Context, j *job, gate wire.Hop, e *fault.Error) ([]byte, bool, error) {
+	if e.Kind != fault.Unreachable {
+		return nil, true, e
+	}
+	for {
+		rep, err := o.cancel(ctx, j, gate)
+		switch {
+		case err != nil:
+			return nil, true, fault.New(fault.BackendLost, "gate %s gives no answer: %s", gate.Address, e.Msg)
+		case rep.Verdict == wire.NeverStarted:
+			o.Events.Add(j.key(), events.Tombstoned, gate.Address)
+			return nil, false, fault.New(fault.BackendLost, "gate %s never started it", gate.Address)
+		case rep.Verdict == wire.WasFinished && rep.Body != nil:
+			return rep.Body, true, nil
+		case rep.Verdict == wire.WasFinished:
+			return nil, true, fault.New(fault.BackendFailed, "backend server at %s failed", gate.Address)
+		}
+		if !sleep(ctx, o.Timing.Poll) {
+			return nil, true, fault.New(fault.Deadline, "still running at %s at the deadline", gate.Address)
+		}
+	}
+}
+
+// cancel asks a gate to keep a request from starting. It goes on a little past
+// the deadline, as its answer decides what the caller is told.
+func (o *Owner) cancel(ctx context.Context, j *job, gate wire.Hop) (wire.CancelReply, error) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), 2*o.Timing.Call)
+	defer stop()
+	var rep wire.CancelReply
+	err := o.callTwice(ctx, gate.Address, wire.MethodCancel, wire.Cancel{
+		Key:         j.runKey(),
+		Incarnation: gate.Incarnation,
+		Deadline:    j.req.Deadline,
+	}, &rep)
+	return rep, err
+}
+
+func hopOf(m membership.Member, r model.LayerRange) wire.Hop {
+	return wire.Hop{Address: m.Instance.Address, Incarnation: m.Incarnation, Range: r}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/protocol/sidecar/sidecar.go
@@ -0,0 +1,265 @@
+// Package sidecar is the process beside one backend server: its gate, its
+// stages of pipelines, its calls of a plain service.
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/stage"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/state/shard"
+)
+
+// ownerSilence is how long an entry may be silent before its stages are ended
+// here: heartbeats come every half second, and work for an entry that is gone
+// only takes places from others.
+const ownerSilence = 5 * time.Second
+
+// Backend is the backend server beside the sidecar: one of the two is set.
+type Backend struct {
+	Engine platform.Engine
+	Plain  platform.Plain
+	Fence  int64
+}
+
+// Sidecar is one incarnation.
+type Sidecar struct {
+	address string
+	gate    *gate.Gate
+	backend Backend
+	send    stage.Sender
+	events  *events.Log
+	now     func() time.Time
+
+	mu       sync.Mutex // guards opening and ending sessions
+	sessions *shard.Map[*session]
+	heard    *shard.Map[time.Time] // by entry address
+}
+
+// session is an open stage and its place at the gate.
+type session struct {
+	*stage.Session
+	open   wire.Open
+	ticket *gate.Ticket
+	cancel context.CancelFunc
+	name   string // at the engine
+}
+
+// New makes a sidecar reached at a link address.
+func New(address string, g *gate.Gate, b Backend, send stage.Sender, log *events.Log, now func() time.Time) *Sidecar {
+	return &Sidecar{
+		address:  address,
+		gate:     g,
+		backend:  b,
+		send:     send,
+		events:   log,
+		now:      now,
+		sessions: shard.New[*session](),
+		heard:    shard.New[time.Time](),
+	}
+}
+
+// Gate gives the sidecar's gate.
+func (s *Sidecar) Gate() *gate.Gate { return s.gate }
+
+// Heard notes that an entry is alive.
+func (s *Sidecar) Heard(entry string) { s.heard.Put(entry, s.now()) }
+
+// Open opens a stage or moves an open one to a higher epoch.
+func (s *Sidecar) Open(_ context.Context, from string, o wire.Open) (wire.OpenReply, error) {
+	s.Heard(from)
+	if o.Index < 0 || o.Index >= len(o.Chain) || o.Prompt < 1 {
+		return wire.OpenReply{}, fault.New(fault.InvalidRequest, "stage %d of %d", o.Index, len(o.Chain))
+	}
+	if s.backend.Engine == nil {
+		return wire.OpenReply{}, fault.New(fault.InvalidRequest, "no engine here")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ses, ok := s.sessions.Get(o.Key.String()); ok {
+		next, err := ses.Reopen(o)
+		return wire.OpenReply{Next: next, Load: s.gate.Load()}, err
+	}
+	ticket, err := s.gate.Reserve(gate.Request{
+		Key:           o.Key,
+		Attempt:       o.Epoch,
+		Incarnation:   o.Chain[o.Index].Incarnation,
+		Deadline:      o.Deadline,
+		Priority:      o.Priority,
+		NotRepeatable: o.Key.Run == "",
+	}, false)
+	if err != nil {
+		return wire.OpenReply{}, err
+	}
+	s.begin(o, ticket)
+	return wire.OpenReply{Load: s.gate.Load()}, nil
+}
+
+func (s *Sidecar) begin(o wire.Open, ticket *gate.Ticket) {
+	ctx, cancel := context.WithDeadline(context.Background(), o.Deadline)
+	ses := &session{open: o, ticket: ticket, cancel: cancel}
+	// The name is this session's alone: a stage opened again for the same run
+	// starts from nothing at the engine.
+	ses.name = fmt.Sprintf("%s/%d", o.Key, o.Epoch)
+	ses.Session = stage.New(o, s.engineFor(ses), s.send)
+	s.sessions.Put(o.Key.String(), ses)
+	s.events.Add(o.Key.RequestKey, events.GateOpened, o.Chain[o.Index].Range.String())
+	go func() {
+		ses.Run(ctx)
+		cancel()
+		s.end(ses)
+	}()
+}
+
+// engineFor is the one way from a stage to the engine: through the gate's word.
+func (s *Sidecar) engineFor(ses *session) stage.Engine {
+	started := false
+	hop := ses.open.Chain[ses.open.Index]
+	return func(ctx context.Context, pos int64, inputs [][]byte) ([][]byte, error) {
+		if !started {
+			if !ses.ticket.Start() {
+				return nil, fault.New(fault.Cancelled, "cancelled before it started")
+			}
+			started = true
+			s.events.Add(ses.open.Key.RequestKey, events.Started, "layers "+hop.Range.String())
+		}
+		return s.backend.Engine.Step(ctx, platform.Step{
+			Session:  ses.name,
+			Range:    hop.Range,
+			Position: pos,
+			Inputs:   inputs,
+			Priority: ses.open.Priority,
+			Fence:    s.backend.Fence,
+		})
+	}
+}
+
+// endTimeout bounds telling the engine that a session is over.
+const endTimeout = 2 * time.Second
+
+func (s *Sidecar) end(ses *session) {
+	s.mu.Lock()
+	if cur, ok := s.sessions.Get(ses.open.Key.String()); ok && cur == ses {
+		s.sessions.Delete(ses.open.Key.String())
+	}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	_ = s.backend.Engine.EndSession(ctx, ses.name, s.backend.Fence)
+	ses.ticket.Finish(nil)
+	_, ran := ses.Positions()
+	s.events.Add(ses.open.Key.RequestKey, events.SessionEnded, fmt.Sprintf("%d positions ran", ran))
+}
+
+// Resume lets a stage send.
+func (s *Sidecar) Resume(_ context.Context, from string, r wire.Resume) (struct{}, error) {
+	s.Heard(from)
+	ses, ok := s.sessions.Get(r.Key.String())
+	if !ok {
+		return struct{}{}, fault.New(fault.NotFound, "no stage is open for %s", r.Key)
+	}
+	return struct{}{}, ses.Resume(r)
+}
+
+// Forward takes inputs in. Those for a stage that is not open are dropped: the
+// owner resumes from the positions that stages report.
+func (s *Sidecar) Forward(_ context.Context, _ string, f wire.Forward) (struct{}, error) {
+	ses, ok := s.sessions.Get(f.Key.String())
+	if !ok {
+		return struct{}{}, fault.New(fault.NotFound, "no stage is open for %s", f.Key)
+	}
+	return struct{}{}, ses.Accept(f)
+}
+
+// Close ends a stage, unless a later epoch has it.
+func (s *Sidecar) Close(_ context.Context, _ string, c wire.Close) (struct{}, error) {
+	if ses, ok := s.sessions.Get(c.Key.String()); ok {
+		ses.cancel()
+	}
+	return struct{}{}, nil
+}
+
+// Call carries out one call of the plain service.
+func (s *Sidecar) Call(ctx context.Context, from string, c wire.Call) (wire.CallReply, error) {
+	s.Heard(from)
+	if s.backend.Plain == nil {
+		return wire.CallReply{}, fault.New(fault.InvalidRequest, "no plain service here")
+	}
+	ticket, err := s.gate.Reserve(gate.Request{
+		Key:           c.Key,
+		Attempt:       c.Attempt,
+		Incarnation:   c.Incarnation,
+		Deadline:      c.Deadline,
+		Priority:      c.Priority,
+		NotRepeatable: c.NotRepeatable,
+	}, true)
+	if err != nil {
+		return wire.CallReply{}, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	select {
+	case <-ticket.Ready():
+	case <-ctx.Done():
+		ticket.Finish(nil)
+		return wire.CallReply{}, fault.New(fault.Deadline, "deadline passed while waiting at the gate")
+	}
+	if !ticket.Start() {
+		ticket.Finish(nil)
+		return wire.CallReply{}, fault.New(fault.Cancelled, "cancelled before it started")
+	}
+	return s.handOver(c, ticket)
+}
+
+// handOver calls the backend server. The call outlives the entry's connection:
+// what became of it is asked for later, over another one.
+func (s *Sidecar) handOver(c wire.Call, ticket *gate.Ticket) (wire.CallReply, error) {
+	s.events.Add(c.Key.RequestKey, events.Started, "plain call")
+	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
+	defer cancel()
+	body, err := s.backend.Plain.Call(ctx, c.Key.RequestKey.String(), c.Body)
+	if err != nil {
+		ticket.Finish(nil)
+		s.events.Add(c.Key.RequestKey, events.Finished, err.Error())
+		return wire.CallReply{}, fault.New(fault.BackendFailed, "backend server: %v", err)
+	}
+	ticket.Finish(body)
+	s.events.Add(c.Key.RequestKey, events.Finished, "ran")
+	return wire.CallReply{Body: body, Load: s.gate.Load()}, nil
+}
+
+// Cancel keeps a request from starting and tells what the gate knows of it.
+func (s *Sidecar) Cancel(_ context.Context, _ string, c wire.Cancel) (wire.CancelReply, error) {
+	rep, err := s.gate.Cancel(c)
+	if err == nil && rep.Verdict == wire.NeverStarted {
+		s.events.Add(c.Key.RequestKey, events.Tombstoned, "")
+	}
+	return rep, err
+}
+
+// Sweep ends stages whose owner has been silent and forgets old requests.
+func (s *Sidecar) Sweep() {
+	s.gate.Sweep()
+	limit := s.now().Add(-ownerSilence)
+	for _, ses := range s.sessions.Values() {
+		if at, ok := s.heard.Get(ses.open.Owner); ok && at.Before(limit) {
+			ses.cancel()
+		}
+	}
+}
+
+// Describe tells a hello what this sidecar's backend server holds.
+func Describe(kind model.ServiceKind, load platform.EngineLoad) (model.LayerRange, int64) {
+	if kind != model.KindPipeline {
+		return model.LayerRange{}, 0
+	}
+	return load.Range, load.StepTime.Microseconds()
+}
--- /dev/null
+++ b/internal/protocol/stage/send.go
@@ -0,0 +1,86 @@
+package stage
+
+import (
+	"context"
+
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+)
+
+// outgoing is what one flush sends, taken under the lock and sent outside it.
+type outgoing struct {
+	epoch   int64
+	owner   string
+	next    string
+	forward *wire.Forward
+	tokens  *wire.Tokens
+}
+
+// flush sends what the receivers lack. What is lost on the way is found by the
+// owner, which raises the epoch and resumes from the receivers' positions.
+func (s *Session) flush(ctx context.Context) {
+	out := s.take()
+	if out.tokens != nil {
+		_ = s.send.Tokens(ctx, out.owner, *out.tokens)
+	}
+	if out.forward == nil {
+		return
+	}
+	err := s.send.Forward(ctx, out.next, *out.forward)
+	if err != nil && ctx.Err() == nil {
+		_ = s.send.Failed(ctx, out.owner, wire.StageFailed{
+			Key:     s.key,
+			Epoch:   out.epoch,
+			Address: out.next,
+			Cause:   err.Error(),
+		})
+	}
+}
+
+func (s *Session) take() outgoing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := outgoing{epoch: s.open.Epoch, owner: s.open.Owner}
+	if !s.resumed {
+		return out
+	}
+	if s.last() {
+		s.takeTokens(&out)
+		return out
+	}
+	out.next = s.open.Chain[s.open.Index+1].Address
+	out.forward = s.slice(s.toNext, int64(len(s.outputs)), 0)
+	s.toNext = max(s.toNext, int64(len(s.outputs)))
+	return out
+}
+
+// takeTokens: the output at position p is the input at p+1 of the first stage;
+// from the last prompt position on it is also a token for the owner.
+func (s *Session) takeTokens(out *outgoing) {
+	firstToken := s.open.Prompt - 1 // position whose output is token 0
+	end := min(int64(len(s.outputs)), firstToken+s.open.Tokens)
+	if f := s.slice(firstToken+s.toOwner, end, 0); f != nil {
+		out.tokens = &wire.Tokens{Key: s.key, Epoch: f.Epoch, Position: s.toOwner, Data: f.Data}
+		s.toOwner = end - firstToken
+	}
+	// The last token wanted is nobody's input.
+	from := max(s.toFirst, s.open.Prompt)
+	out.next = s.open.Chain[0].Address
+	out.forward = s.slice(from-1, min(end, firstToken+s.open.Tokens-1), 1)
+	if out.forward != nil {
+		s.toFirst = out.forward.Position + int64(len(out.forward.Data))
+	}
+}
+
+// slice makes a message of the outputs of positions [from, to), to be taken as
+// inputs of positions shifted by shift.
+func (s *Session) slice(from, to, shift int64) *wire.Forward {
+	if from >= to || from < 0 {
+		return nil
+	}
+	return &wire.Forward{
+		Key:      s.key,
+		Epoch:    s.open.Epoch,
+		Position: from + shift,
+		Data:     s.outputs[from:to:to],
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,209 @@
+// Package settings reads and checks the start-up settings of the daemon. What
+// operators change while it runs is not here but in the templates.
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// Settings is one daemon's settings file.
+type Settings struct {
+	Role          model.Role `toml:"role"`
+	Instance      string     `toml:"instance"`
+	FailureDomain string     `toml:"failure_domain"`
+	Region        string     `toml:"region"`
+	Listen        Listen     `toml:"listen"`
+	Platform      Platform   `toml:"platform"`
+	Entry         Entry      `toml:"entry"`
+	Sidecar       Sidecar    `toml:"sidecar"`
+	Links         []Link     `toml:"links"`
+	Events        Events     `toml:"events"`
+}
+
+// Listen holds the addresses the daemon listens on, each host:port.
+type Listen struct {
+	Link string `toml:"link"`
+	HTTP string `toml:"http"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	KeyValue  string `toml:"key_value"`
+	Instances string `toml:"instances"`
+}
+
+// Entry holds what only an entry needs.
+type Entry struct {
+	// DrainDelay is how long the balancer takes to stop sending callers.
+	DrainDelay Duration `toml:"drain_delay"`
+	// KeepOutcomes is how long outcomes are told after a request's deadline.
+	KeepOutcomes Duration `toml:"keep_outcomes"`
+	// LedgerWrites is this entry's share of the key-value service's write rate,
+	// in writes a second.
+	LedgerWrites float64 `toml:"ledger_writes"`
+}
+
+// Sidecar holds what only a sidecar needs.
+type Sidecar struct {
+	Service string            `toml:"service"`
+	Kind    model.ServiceKind `toml:"kind"`
+	Backend string            `toml:"backend"`
+	// Layers is how many layers the whole model has.
+	Layers   int `toml:"layers"`
+	Capacity int `toml:"capacity"`
+	Queue    int `toml:"queue"`
+}
+
+// Link gives the one-way time between two failure domains.
+type Link struct {
+	Between []string `toml:"between"`
+	OneWay  Duration `toml:"one_way"`
+}
+
+// Events bounds the ring of events kept for the time line.
+type Events struct {
+	Keep int `toml:"keep"`
+}
+
+// Duration is a time.Duration written as in "1.5s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Default gives the settings that a file leaves out.
+func Default() Settings {
+	return Settings{
+		Entry: Entry{
+			DrainDelay:   Duration(2 * time.Second),
+			KeepOutcomes: Duration(5 * time.Minute),
+			LedgerWrites: 50,
+		},
+		Sidecar: Sidecar{Kind: model.KindPipeline, Capacity: 16, Queue: 64},
+		Events:  Events{Keep: 16384},
+	}
+}
+
+// Load reads and checks a file. The error names the file, the key and the
+// reason.
+func Load(path string) (Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings")
+	}
+	s, err := Parse(raw)
+	return s, errors.Wrap(err, path)
+}
+
+// Parse reads and checks the content of a file.
+func Parse(raw []byte) (Settings, error) {
+	s := Default()
+	dec := toml.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return s, Explain(err)
+	}
+	return s, s.Check()
+}
+
+// Explain makes one line of a TOML decoder's error: the key and the reason.
+func Explain(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		e := strict.Errors[0]
+		row, _ := e.Position()
+		return errors.Errorf("%s: unknown key (line %d)", strings.Join(e.Key(), "."), row)
+	}
+	var dec *toml.DecodeError
+	if errors.As(err, &dec) {
+		row, col := dec.Position()
+		return errors.Errorf("%s: line %d column %d: %s", strings.Join(dec.Key(), "."), row, col, dec.Error())
+	}
+	return err
+}
+
+// check is one key and what must hold for it.
+type check struct {
+	key    string
+	ok     bool
+	reason string
+}
+
+// Check tells the first setting that cannot be worked with.
+func (s *Settings) Check() error {
+	checks := []check{
+		{"role", s.Role == model.RoleEntry || s.Role == model.RoleSidecar, `must be "entry" or "sidecar"`},
+		{"instance", s.Instance != "", "must not be empty"},
+		{"failure_domain", s.FailureDomain != "", "must not be empty"},
+		{"region", s.Region != "", "must not be empty"},
+		{"listen.link", isAddress(s.Listen.Link), "must be an IP number and a port, as 127.0.0.1:7401"},
+		{"listen.http", isAddress(s.Listen.HTTP), "must be an IP number and a port, as 127.0.0.1:7400"},
+		{"listen.http", s.Listen.HTTP != s.Listen.Link, "must differ from listen.link"},
+		{"platform.key_value", isURL(s.Platform.KeyValue), "must be an http URL"},
+		{"platform.instances", isURL(s.Platform.Instances), "must be an http URL"},
+		{"events.keep", s.Events.Keep >= 1, "must be at least 1"},
+	}
+	checks = append(checks, s.roleChecks()...)
+	for i, l := range s.Links {
+		key := fmt.Sprintf("links[%d]", i)
+		checks = append(checks,
+			check{key + ".between", len(l.Between) == 2, "must name two failure domains"},
+			check{key + ".one_way", l.OneWay > 0, "must be longer than 0"})
+	}
+	for _, c := range checks {
+		if !c.ok {
+			return errors.Errorf("%s: %s", c.key, c.reason)
+		}
+	}
+	return nil
+}
+
+func (s *Settings) roleChecks() []check {
+	if s.Role == model.RoleEntry {
+		return []check{
+			{"entry.drain_delay", s.Entry.DrainDelay >= 0, "must not be negative"},
+			{"entry.keep_outcomes", s.Entry.KeepOutcomes > 0, "must be longer than 0"},
+			{"entry.ledger_writes", s.Entry.LedgerWrites > 0, "must be above 0"},
+		}
+	}
+	c := s.Sidecar
+	pipeline := c.Kind == model.KindPipeline
+	return []check{
+		{"sidecar.service", c.Service != "", "must not be empty"},
+		{"sidecar.kind", pipeline || c.Kind == model.KindPlain, `must be "pipeline" or "plain"`},
+		{"sidecar.backend", isURL(c.Backend), "must be an http URL"},
+		{"sidecar.layers", !pipeline || c.Layers > 0, "must be the model's number of layers"},
+		{"sidecar.capacity", c.Capacity > 0, "must be at least 1"},
+		{"sidecar.queue", c.Queue >= 0, "must not be negative"},
+	}
+}
+
+func isAddress(a string) bool {
+	host, port, err := net.SplitHostPort(a)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func isURL(u string) bool {
+	p, err := url.Parse(u)
+	return err == nil && (p.Scheme == "http" || p.Scheme == "https") && p.Host != ""
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,325 @@
+package standin
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	platformv1 "github.com/skylarkwood/skylarkwood/api/platform/v1"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+)
+
+// EngineConfig describes one stand-in engine.
+type EngineConfig struct {
+	Range  model.LayerRange
+	Layers int // of the whole model
+	// StepTime is the time one layer takes for one batch.
+	StepTime time.Duration
+	// PositionTime is added per layer for each position in the batch.
+	PositionTime time.Duration
+	// Batch is how many positions run together.
+	Batch    int
+	Capacity int
+	// IgnoreFence lets orders with an old fencing number through, as the
+	// engines of some deployments do.
+	IgnoreFence bool
+	// LoadLag is how old the load report is.
+	LoadLag time.Duration
+}
+
+// Errors of the engine.
+var (
+	errFenced   = errors.New("fencing number is old")
+	errSequence = errors.New("position is not the session's next")
+	errRange    = errors.New("layers are not held")
+	errEnded    = errors.New("session ended")
+)
+
+// Engine is a model engine that batches continuously: steps that arrive while a
+// batch runs go into the next one together.
+type Engine struct {
+	cfg  EngineConfig
+	work chan struct{} // signals that steps wait; buffered by one
+	stop context.CancelFunc
+
+	mu       sync.Mutex
+	waiting  []*engineStep
+	sessions map[string]*engineSession
+	fence    int64
+	runs     map[string]int64 // positions run, by session, all layers of the range
+	reported platform.EngineLoad
+	reportAt time.Time
+}
+
+type engineSession struct {
+	layers []layerState
+	first  int // layer of layers[0]
+	next   int64
+	ended  bool
+}
+
+type engineStep struct {
+	platform.Step
+	out  [][]byte
+	err  error
+	done chan struct{}
+}
+
+// NewEngine starts an engine; Close stops it.
+func NewEngine(cfg EngineConfig) *Engine {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Engine{
+		cfg:      cfg,
+		work:     make(chan struct{}, 1),
+		stop:     cancel,
+		sessions: map[string]*engineSession{},
+		runs:     map[string]int64{},
+	}
+	go e.loop(ctx)
+	return e
+}
+
+// Close stops the engine; steps that wait are never answered.
+func (e *Engine) Close() { e.stop() }
+
+// Runs tells how many positions the engine has run for a session, by its own
+// count: the judge from outside.
+func (e *Engine) Runs(session string) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[session]
+}
+
+// Range tells which layers the engine holds.
+func (e *Engine) Range() model.LayerRange { return e.cfg.Range }
+
+// Sessions counts the sessions that are not ended.
+func (e *Engine) Sessions() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.sessions)
+}
+
+// Step implements platform.Engine.
+func (e *Engine) Step(ctx context.Context, s platform.Step) ([][]byte, error) {
+	if !e.cfg.Range.Contains(s.Range) {
+		return nil, errRange
+	}
+	st := &engineStep{Step: s, done: make(chan struct{})}
+	e.mu.Lock()
+	if err := e.checkFence(s.Fence); err != nil {
+		e.mu.Unlock()
+		return nil, err
+	}
+	e.waiting = append(e.waiting, st)
+	e.mu.Unlock()
+	select {
+	case e.work <- struct{}{}:
+	default:
+	}
+	select {
+	case <-st.done:
+		return st.out, st.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (e *Engine) checkFence(fence int64) error {
+	if fence > e.fence {
+		e.fence = fence
+	}
+	if fence < e.fence && !e.cfg.IgnoreFence {
+		return errFenced
+	}
+	return nil
+}
+
+func (e *Engine) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.work:
+		}
+		for {
+			batch, cost := e.take()
+			if len(batch) == 0 {
+				break
+			}
+			if !pause(ctx, cost) {
+				return
+			}
+			e.run(batch)
+		}
+	}
+}
+
+// pause waits and tells whether the engine still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// take forms a batch of the waiting steps, higher priority first.
+func (e *Engine) take() ([]*engineStep, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sort.SliceStable(e.waiting, func(i, j int) bool {
+		return e.waiting[i].Priority > e.waiting[j].Priority
+	})
+	n, positions, layers := 0, 0, 0
+	for n < len(e.waiting) && (n == 0 || positions+len(e.waiting[n].Inputs) <= e.cfg.Batch) {
+		positions += len(e.waiting[n].Inputs)
+		layers = max(layers, e.waiting[n].Range.Len())
+		n++
+	}
+	batch := e.waiting[:n]
+	e.waiting = append([]*engineStep(nil), e.waiting[n:]...)
+	cost := e.cfg.StepTime + time.Duration(positions)*e.cfg.PositionTime
+	return batch, cost * time.Duration(layers)
+}
+
+func (e *Engine) run(batch []*engineStep) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, st := range batch {
+		st.out, st.err = e.runStep(st.Step)
+		close(st.done)
+	}
+}
+
+func (e *Engine) runStep(s platform.Step) ([][]byte, error) {
+	ses, ok := e.sessions[s.Session]
+	if !ok {
+		ses = &engineSession{layers: make([]layerState, s.Range.Len()), first: s.Range.From}
+		e.sessions[s.Session] = ses
+	}
+	if ses.ended {
+		return nil, errEnded
+	}
+	if s.Position != ses.next || s.Range.From != ses.first || s.Range.Len() != len(ses.layers) {
+		return nil, errors.Wrapf(errSequence, "position %d of %s, next %d", s.Position, s.Session, ses.next)
+	}
+	out := make([][]byte, 0, len(s.Inputs))
+	for _, in := range s.Inputs {
+		a := activation(s.Range.From, in)
+		for i := range ses.layers {
+			a = ses.layers[i].step(ses.first+i, a)
+		}
+		out = append(out, e.output(s.Range, a))
+	}
+	ses.next += int64(len(s.Inputs))
+	e.runs[s.Session] += int64(len(s.Inputs))
+	return out, nil
+}
+
+func (e *Engine) output(r model.LayerRange, a uint64) []byte {
+	if r.To == e.cfg.Layers {
+		return tokenOf(a)
+	}
+	return encode(a)
+}
+
+// EndSession implements platform.Engine.
+func (e *Engine) EndSession(_ context.Context, session string, fence int64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.checkFence(fence); err != nil {
+		return err
+	}
+	delete(e.sessions, session)
+	return nil
+}
+
+// EndAll implements platform.Engine.
+func (e *Engine) EndAll(_ context.Context, fence int64) (int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.checkFence(fence); err != nil {
+		return 0, err
+	}
+	n := len(e.sessions)
+	for _, ses := range e.sessions {
+		ses.ended = true
+	}
+	e.sessions = map[string]*engineSession{}
+	for _, st := range e.waiting {
+		st.err = errEnded
+		close(st.done)
+	}
+	e.waiting = nil
+	return n, nil
+}
+
+// Load implements platform.Engine; the report lags.
+func (e *Engine) Load(context.Context) (platform.EngineLoad, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now := time.Now(); now.Sub(e.reportAt) >= e.cfg.LoadLag {
+		e.reportAt = now
+		e.reported = platform.EngineLoad{
+			Active:   len(e.sessions),
+			Capacity: e.cfg.Capacity,
+			Range:    e.cfg.Range,
+			StepTime: e.cfg.StepTime,
+		}
+	}
+	return e.reported, nil
+}
+
+// engineServer speaks the platform's protocol for an Engine.
+type engineServer struct{ e *Engine }
+
+func (s engineServer) Step(ctx context.Context, r *connect.Request[platformv1.StepRequest]) (*connect.Response[platformv1.StepResponse], error) {
+	out, err := s.e.Step(ctx, platform.Step{
+		Session:  r.Msg.Session,
+		Range:    model.LayerRange{From: int(r.Msg.FromLayer), To: int(r.Msg.ToLayer)},
+		Position: r.Msg.Position,
+		Inputs:   r.Msg.Inputs,
+		Priority: int(r.Msg.Priority),
+		Fence:    r.Msg.Fence,
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(&platformv1.StepResponse{Outputs: out}), nil
+}
+
+func (s engineServer) EndSession(ctx context.Context, r *connect.Request[platformv1.EndSessionRequest]) (*connect.Response[platformv1.EndSessionResponse], error) {
+	if err := s.e.EndSession(ctx, r.Msg.Session, r.Msg.Fence); err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(&platformv1.EndSessionResponse{}), nil
+}
+
+func (s engineServer) EndAll(ctx context.Context, r *connect.Request[platformv1.EndAllRequest]) (*connect.Response[platformv1.EndAllResponse], error) {
+	n, err := s.e.EndAll(ctx, r.Msg.Fence)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(&platformv1.EndAllResponse{Ended: int32(n)}), nil
+}
+
+func (s engineServer) GetLoad(ctx context.Context, _ *connect.Request[platformv1.GetLoadRequest]) (*connect.Response[platformv1.GetLoadResponse], error) {
+	l, err := s.e.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&platformv1.GetLoadResponse{
+		Active:     int32(l.Active),
+		Capacity:   int32(l.Capacity),
+		FromLayer:  int32(l.Range.From),
+		ToLayer:    int32(l.Range.To),
+		StepMicros: l.StepTime.Microseconds(),
+	}), nil
+}
--- /dev/null
+++ b/internal/standin/model.go
@@ -0,0 +1,72 @@
+package standin
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The stand-in model: an activation is eight bytes, and each layer mixes its
+// input with everything that the layer has seen before. A layer skipped, run
+// twice or run out of order therefore changes every later token, so that the
+// answer itself proves the promise.
+
+// words are what the stand-in model says.
+var words = []string{
+	"ladder", "north", "façade", "school", "morning", "crew", "window", "clinic",
+	"sluice", "pump", "two", "before", "basin", "check", "gate", "hall",
+	"library", "rinse", "aerate", "shift", "noon", "roof", "key", "handover",
+}
+
+// layerState is what one layer remembers of one session.
+type layerState uint64
+
+// step runs one layer on one input.
+func (s *layerState) step(layer int, in uint64) uint64 {
+	var buf [24]byte
+	binary.LittleEndian.PutUint64(buf[0:], uint64(*s))
+	binary.LittleEndian.PutUint64(buf[8:], in)
+	binary.LittleEndian.PutUint64(buf[16:], uint64(layer)+1)
+	out := xxhash.Sum64(buf[:])
+	*s = layerState(out)
+	return out
+}
+
+// activation reads what a stage was given: a token of any length at the first
+// layer, eight bytes after it.
+func activation(layer int, in []byte) uint64 {
+	if layer > 0 && len(in) == 8 {
+		return binary.LittleEndian.Uint64(in)
+	}
+	return xxhash.Sum64(in)
+}
+
+func encode(a uint64) []byte {
+	return binary.LittleEndian.AppendUint64(nil, a)
+}
+
+func tokenOf(a uint64) []byte {
+	return fmt.Appendf(nil, "%s ", words[a%uint64(len(words))])
+}
+
+// ReferenceAnswer computes the answer that a model of so many layers gives when
+// every layer runs exactly once and in order.
+func ReferenceAnswer(prompt [][]byte, layers, tokens int) [][]byte {
+	states := make([]layerState, layers)
+	var out [][]byte
+	input := prompt
+	for len(out) < tokens {
+		var last uint64
+		for _, in := range input {
+			last = activation(0, in)
+			for l := range states {
+				last = states[l].step(l, last)
+			}
+		}
+		token := tokenOf(last)
+		out = append(out, token)
+		input = [][]byte{token}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/transport/api/operators.go
@@ -0,0 +1,230 @@
+package api
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "github.com/skylarkwood/skylarkwood/api/skylarkwood/v1"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/config"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/transport/mesh"
+)
+
+// Limits on templates.
+const (
+	maxPriority   = 9
+	maxRules      = 64
+	maxParameters = 64
+	maxWait       = time.Minute
+	setTimeout    = 5 * time.Second
+	confirmPoll   = 50 * time.Millisecond
+)
+
+// Operators implements the OperatorService.
+type Operators struct {
+	Node *mesh.Node
+}
+
+// GetTemplate implements the OperatorService.
+func (s *Operators) GetTemplate(_ context.Context, r *connect.Request[v1.GetTemplateRequest]) (*connect.Response[v1.GetTemplateResponse], error) {
+	rec, ok := s.Node.Config.Current().Record(r.Msg.Customer)
+	if !ok {
+		return nil, connectError(fault.New(fault.NotFound, "customer %q has no template", r.Msg.Customer))
+	}
+	return connect.NewResponse(&v1.GetTemplateResponse{Change: changeMessage(rec.Current)}), nil
+}
+
+// ListTemplates implements the OperatorService.
+func (s *Operators) ListTemplates(context.Context, *connect.Request[v1.ListTemplatesRequest]) (*connect.Response[v1.ListTemplatesResponse], error) {
+	cur := s.Node.Config.Current()
+	out := &v1.ListTemplatesResponse{ConfigRevision: cur.Head.Revision}
+	for _, b := range cur.Buckets {
+		for _, rec := range b {
+			out.Changes = append(out.Changes, changeMessage(rec.Current))
+		}
+	}
+	sort.Slice(out.Changes, func(i, j int) bool {
+		return out.Changes[i].Template.Customer < out.Changes[j].Template.Customer
+	})
+	return connect.NewResponse(out), nil
+}
+
+// GetTemplateHistory implements the OperatorService.
+func (s *Operators) GetTemplateHistory(_ context.Context, r *connect.Request[v1.GetTemplateHistoryRequest]) (*connect.Response[v1.GetTemplateHistoryResponse], error) {
+	rec, ok := s.Node.Config.Current().Record(r.Msg.Customer)
+	if !ok {
+		return nil, connectError(fault.New(fault.NotFound, "customer %q has no template", r.Msg.Customer))
+	}
+	out := &v1.GetTemplateHistoryResponse{Changes: []*v1.TemplateChange{changeMessage(rec.Current)}}
+	for _, c := range rec.Earlier {
+		out.Changes = append(out.Changes, changeMessage(c))
+	}
+	return connect.NewResponse(out), nil
+}
+
+// SetTemplate implements the OperatorService. Accepted and in force everywhere
+// are two answers: the second names who has not confirmed.
+func (s *Operators) SetTemplate(ctx context.Context, r *connect.Request[v1.SetTemplateRequest]) (*connect.Response[v1.SetTemplateResponse], error) {
+	t, err := templateOf(r.Msg.Template)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	setCtx, cancel := context.WithTimeout(ctx, setTimeout)
+	defer cancel()
+	change, err := s.Node.Config.Set(setCtx, t, r.Msg.ExpectedRevision, r.Msg.Author)
+	if fault.Is(err, fault.RevisionConflict) {
+		return nil, conflictError(err, change)
+	}
+	if err != nil {
+		return nil, connectError(err)
+	}
+	wait := min(time.Duration(r.Msg.WaitMs)*time.Millisecond, maxWait)
+	missing := s.confirm(ctx, change.Config, wait)
+	return connect.NewResponse(&v1.SetTemplateResponse{
+		Change:            changeMessage(change),
+		InForceEverywhere: len(missing) == 0,
+		Missing:           missing,
+	}), nil
+}
+
+// conflictError shows the racing operator's change in the error's details.
+func conflictError(err error, other config.Change) error {
+	out := connectError(err)
+	ce, _ := out.(*connect.Error)
+	if d, derr := connect.NewErrorDetail(changeMessage(other)); derr == nil && other.Revision > 0 {
+		ce.AddDetail(d)
+	}
+	return ce
+}
+
+// confirm waits until every member has applied a revision; it names the others.
+// A member that is down counts as missing while the platform lists it: it may
+// be frozen and come back.
+func (s *Operators) confirm(ctx context.Context, revision int64, wait time.Duration) []string {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		var missing []string
+		for _, m := range s.Node.Table.All() {
+			if confirmed(m, revision) || !m.Listed {
+				continue
+			}
+			missing = append(missing, nameOf(m.Instance))
+		}
+		if len(missing) == 0 {
+			return nil
+		}
+		select {
+		case <-deadline.C:
+			return missing
+		case <-ctx.Done():
+			return missing
+		case <-time.After(confirmPoll):
+			s.probeLaggards(ctx, revision)
+		}
+	}
+}
+
+func confirmed(m membership.Member, revision int64) bool { return m.Revision >= revision }
+
+func (s *Operators) probeLaggards(ctx context.Context, revision int64) {
+	for _, m := range s.Node.Table.All() {
+		if !confirmed(m, revision) && !m.Down() {
+			s.Node.Probe(ctx, m.Instance.Address)
+		}
+	}
+}
+
+// GetStatus implements the OperatorService.
+func (s *Operators) GetStatus(context.Context, *connect.Request[v1.GetStatusRequest]) (*connect.Response[v1.GetStatusResponse], error) {
+	n := s.Node
+	out := &v1.GetStatusResponse{ConfigRevision: n.Config.Revision()}
+	out.Instances = append(out.Instances, &v1.InstanceStatus{
+		Instance:       n.Self.ID,
+		Role:           string(n.Self.Role),
+		FailureDomain:  n.Self.FailureDomain,
+		Address:        n.Self.Address,
+		Incarnation:    n.Incarnation,
+		Reachable:      true,
+		ConfigRevision: n.Config.Revision(),
+	})
+	for _, m := range n.Table.All() {
+		out.Instances = append(out.Instances, &v1.InstanceStatus{
+			Instance:       m.Instance.ID,
+			Role:           string(m.Instance.Role),
+			FailureDomain:  m.Instance.FailureDomain,
+			Address:        m.Instance.Address,
+			Incarnation:    m.Incarnation,
+			Service:        m.Backend.Service,
+			FromLayer:      int32(m.Backend.Range.From),
+			ToLayer:        int32(m.Backend.Range.To),
+			Leaving:        m.Leaving(),
+			Reachable:      !m.Down() && !m.SeenAt.IsZero(),
+			ConfigRevision: m.Revision,
+			Active:         int32(m.Backend.Active),
+			Capacity:       int32(m.Backend.Capacity),
+		})
+	}
+	return connect.NewResponse(out), nil
+}
+
+func changeMessage(c config.Change) *v1.TemplateChange {
+	t := &v1.Template{Customer: c.Template.Customer, Parameters: c.Template.Parameters}
+	for _, r := range c.Template.Rules {
+		t.Rules = append(t.Rules, &v1.ServiceRule{
+			Service:          r.Service,
+			Priority:         int32(r.Priority),
+			NotRepeatable:    r.NotRepeatable,
+			Rate:             r.Rate,
+			Burst:            int32(r.Burst),
+			DefaultTimeoutMs: r.DefaultTimeout.Milliseconds(),
+		})
+	}
+	return &v1.TemplateChange{
+		Template:       t,
+		Revision:       c.Revision,
+		Author:         c.Author,
+		ChangedAtMs:    c.At.UnixMilli(),
+		ConfigRevision: c.Config,
+	}
+}
+
+func templateOf(m *v1.Template) (config.Template, error) {
+	if m == nil || m.Customer == "" {
+		return config.Template{}, fault.New(fault.InvalidRequest, "template.customer is missing")
+	}
+	if len(m.Rules) > maxRules || len(m.Parameters) > maxParameters {
+		return config.Template{}, fault.New(fault.InvalidRequest, "a template has at most %d rules and %d parameters", maxRules, maxParameters)
+	}
+	t := config.Template{Customer: m.Customer, Parameters: m.Parameters}
+	for _, r := range m.Rules {
+		if err := checkRule(r); err != nil {
+			return t, err
+		}
+		t.Rules = append(t.Rules, config.Rule{
+			Service:        r.Service,
+			Priority:       int(r.Priority),
+			NotRepeatable:  r.NotRepeatable,
+			Rate:           r.Rate,
+			Burst:          int(r.Burst),
+			DefaultTimeout: time.Duration(r.DefaultTimeoutMs) * time.Millisecond,
+		})
+	}
+	return t, nil
+}
+
+func checkRule(r *v1.ServiceRule) error {
+	switch {
+	case r.Service == "":
+		return fault.New(fault.InvalidRequest, "rule has no service")
+	case r.Priority < 0 || r.Priority > maxPriority:
+		return fault.New(fault.InvalidRequest, "priority of %s must be between 0 and %d", r.Service, maxPriority)
+	case !(r.Rate >= 0) || r.Burst < 0 || r.DefaultTimeoutMs < 0:
+		return fault.New(fault.InvalidRequest, "rate, burst and timeout of %s must not be negative", r.Service)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/api/requests.go
@@ -0,0 +1,161 @@
+// Package api answers callers, support engineers and operators over Connect.
+package api
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "github.com/skylarkwood/skylarkwood/api/skylarkwood/v1"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/owner"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/transport/mesh"
+)
+
+// Names of the error metadata that callers may read.
+const (
+	MetaKind       = "skylarkwood-kind"
+	MetaRetryAfter = "retry-after-ms"
+	MetaOutcome    = "skylarkwood-outcome"
+)
+
+// Requests implements the RequestService.
+type Requests struct {
+	Node  *mesh.Node
+	Owner *owner.Owner
+}
+
+// connectError answers an error by the table of kinds. It is used only where
+// nothing was accepted, so the outcome is always "not run".
+func connectError(err error) error {
+	f := fault.From(err)
+	out := connect.NewError(f.Kind.Answer().Code, f)
+	out.Meta().Set(MetaKind, string(f.Kind))
+	out.Meta().Set(MetaOutcome, string(model.NotRun))
+	if after := f.After(); after > 0 {
+		out.Meta().Set(MetaRetryAfter, strconv.FormatInt(after.Milliseconds(), 10))
+	}
+	return out
+}
+
+// Submit implements the RequestService.
+func (s *Requests) Submit(ctx context.Context, r *connect.Request[v1.SubmitRequest], stream *connect.ServerStream[v1.SubmitResponse]) error {
+	if err := s.Node.Serving(); err != nil {
+		return connectError(err)
+	}
+	m := r.Msg
+	req, err := s.Owner.Submit(owner.Ask{
+		Customer:      m.Customer,
+		ID:            m.RequestId,
+		Service:       m.Service,
+		Body:          m.Body,
+		MaxTokens:     int(m.MaxTokens),
+		Timeout:       time.Duration(m.TimeoutMs) * time.Millisecond,
+		NotRepeatable: m.NotRepeatable,
+	})
+	if err != nil {
+		return connectError(err)
+	}
+	if err := stream.Send(&v1.SubmitResponse{RequestId: req.Key.ID}); err != nil {
+		return err
+	}
+	for pos := int64(0); ; {
+		parts, outcome, err := req.Next(ctx, pos)
+		if err != nil {
+			return err // the caller went away; the request goes on
+		}
+		if outcome.Final() {
+			return stream.Send(&v1.SubmitResponse{Position: pos, Outcome: outcomeMessage(outcome)})
+		}
+		if err := stream.Send(&v1.SubmitResponse{Position: pos, Data: join(parts)}); err != nil {
+			return err
+		}
+		pos += int64(len(parts))
+	}
+}
+
+func join(parts [][]byte) []byte {
+	if len(parts) == 1 {
+		return parts[0]
+	}
+	var out []byte
+	for _, p := range parts {
+		out = append(out, p...)
+	}
+	return out
+}
+
+var states = map[model.State]v1.OutcomeState{
+	model.InProgress: v1.OutcomeState_OUTCOME_STATE_IN_PROGRESS,
+	model.Ran:        v1.OutcomeState_OUTCOME_STATE_RAN,
+	model.NotRun:     v1.OutcomeState_OUTCOME_STATE_NOT_RUN,
+	model.CutOff:     v1.OutcomeState_OUTCOME_STATE_CUT_OFF,
+}
+
+func outcomeMessage(o model.Outcome) *v1.Outcome {
+	return &v1.Outcome{
+		State:        states[o.State],
+		MayHaveRun:   o.MayHaveRun,
+		Kind:         o.Kind,
+		Cause:        o.Cause,
+		RetryAfterMs: o.RetryAfter.Milliseconds(),
+		Evidence:     o.Evidence,
+		Entry:        o.Entry,
+	}
+}
+
+// GetOutcome implements the RequestService.
+func (s *Requests) GetOutcome(ctx context.Context, r *connect.Request[v1.GetOutcomeRequest]) (*connect.Response[v1.GetOutcomeResponse], error) {
+	key := model.RequestKey{Customer: r.Msg.Customer, ID: r.Msg.RequestId}
+	o, unreachable, err := s.Owner.Outcome(ctx, key)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return connect.NewResponse(&v1.GetOutcomeResponse{Outcome: outcomeMessage(o), Unreachable: unreachable}), nil
+}
+
+// timelineWait bounds asking one process for its events.
+const timelineWait = time.Second
+
+// GetTimeline implements the RequestService.
+func (s *Requests) GetTimeline(ctx context.Context, r *connect.Request[v1.GetTimelineRequest]) (*connect.Response[v1.GetTimelineResponse], error) {
+	key := model.RequestKey{Customer: r.Msg.Customer, ID: r.Msg.RequestId}
+	all := s.Node.Events.Of(key)
+	out := &v1.GetTimelineResponse{}
+	for _, m := range s.Node.Table.All() {
+		var rep wire.EventsReply
+		ctx, cancel := context.WithTimeout(ctx, timelineWait)
+		err := s.Node.Pool.Call(ctx, m.Instance.Address, wire.MethodEvents, wire.EventsQuery{Key: key}, &rep)
+		cancel()
+		if err != nil {
+			out.Unreachable = append(out.Unreachable, nameOf(m.Instance))
+			continue
+		}
+		all = append(all, rep.Events...)
+	}
+	events.Sort(all)
+	for _, e := range all {
+		out.Events = append(out.Events, &v1.Event{
+			WallMs:      e.At.Wall,
+			Logical:     e.At.Logical,
+			Instance:    e.Instance,
+			Role:        string(e.Role),
+			Incarnation: e.Incarnation,
+			Kind:        string(e.Kind),
+			Detail:      e.Detail,
+		})
+	}
+	return connect.NewResponse(out), nil
+}
+
+func nameOf(in model.Instance) string {
+	if in.ID != "" {
+		return in.ID
+	}
+	return in.Address
+}
--- /dev/null
+++ b/internal/transport/link/link.go
@@ -0,0 +1,172 @@
+// Package link carries calls and notifications between processes of the
+// system: jsonrpc2 over long-lived TCP connections. It never resends by itself;
+// whether a message may be sent twice is for the layers above to decide.
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/hlc"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+)
+
+// faultCode marks a jsonrpc2 error whose data is a wire.Fault.
+const faultCode = 1000
+
+// Handler answers one method. The body is the JSON of the method's message; the
+// result is its reply, ignored for notifications.
+type Handler func(ctx context.Context, from string, body json.RawMessage) (any, error)
+
+// Handle makes a Handler of a function on typed messages.
+func Handle[Req, Rep any](f func(ctx context.Context, from string, req Req) (Rep, error)) Handler {
+	return func(ctx context.Context, from string, body json.RawMessage) (any, error) {
+		var req Req
+		if err := json.Unmarshal(body, &req); err != nil {
+			return nil, fault.New(fault.InvalidRequest, "message cannot be read: %v", err)
+		}
+		return f(ctx, from, req)
+	}
+}
+
+// Stamp supplies and takes in what rides on every message.
+type Stamp struct {
+	Clock *hlc.Clock
+	// Revision reads the process's configuration revision.
+	Revision func() int64
+	// Seen is told a peer's revision; it must not block.
+	Seen func(from string, revision int64)
+	// Self is this process's link address.
+	Self string
+}
+
+func (s *Stamp) wrap(v any) (*wire.Envelope, error) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	return &wire.Envelope{
+		Clock:    s.Clock.Now(),
+		Revision: s.Revision(),
+		From:     s.Self,
+		Body:     body,
+	}, nil
+}
+
+func (s *Stamp) take(raw *json.RawMessage) (wire.Envelope, error) {
+	var env wire.Envelope
+	if raw == nil {
+		return env, fault.New(fault.InvalidRequest, "message has no body")
+	}
+	if err := json.Unmarshal(*raw, &env); err != nil {
+		return env, fault.New(fault.InvalidRequest, "envelope cannot be read: %v", err)
+	}
+	s.Clock.Observe(env.Clock)
+	s.Seen(env.From, env.Revision)
+	return env, nil
+}
+
+// Server answers the methods of one process. Handlers are registered before
+// Serve. Calls run each on its own goroutine; notifications run in the order
+// of arrival on the connection's reader and must not block.
+type Server struct {
+	stamp    *Stamp
+	handlers map[wire.Method]Handler
+}
+
+// NewServer makes a server without methods.
+func NewServer(stamp *Stamp) *Server {
+	return &Server{stamp: stamp, handlers: map[wire.Method]Handler{}}
+}
+
+// Register sets the handler of a method.
+func (s *Server) Register(m wire.Method, h Handler) {
+	s.handlers[m] = h
+}
+
+// Serve answers connections until the listener closes or ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "accept link")
+		}
+		conn := jsonrpc2.NewConn(ctx, stream(c), s)
+		context.AfterFunc(ctx, func() { conn.Close() })
+	}
+}
+
+// Handle implements jsonrpc2.Handler.
+func (s *Server) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	env, err := s.stamp.take(req.Params)
+	if err != nil {
+		s.reply(ctx, conn, req, nil, err)
+		return
+	}
+	h, ok := s.handlers[wire.Method(req.Method)]
+	if !ok {
+		s.reply(ctx, conn, req, nil, fault.New(fault.NotFound, "no method %q", req.Method))
+		return
+	}
+	if req.Notif {
+		_, _ = h(ctx, env.From, env.Body)
+		return
+	}
+	go func() {
+		v, err := h(ctx, env.From, env.Body)
+		s.reply(ctx, conn, req, v, err)
+	}()
+}
+
+func (s *Server) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, v any, err error) {
+	if req.Notif {
+		return
+	}
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, encodeFault(err))
+		return
+	}
+	env, err := s.stamp.wrap(v)
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, encodeFault(err))
+		return
+	}
+	_ = conn.Reply(ctx, req.ID, env)
+}
+
+func stream(c net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+}
+
+func encodeFault(err error) *jsonrpc2.Error {
+	f := fault.From(err)
+	out := &jsonrpc2.Error{Code: faultCode, Message: f.Msg}
+	out.SetError(wire.Fault{Kind: string(f.Kind), Msg: f.Msg, RetryAfter: f.RetryAfter})
+	return out
+}
+
+func decodeFault(err error) error {
+	var rpc *jsonrpc2.Error
+	if !errors.As(err, &rpc) || rpc.Code != faultCode || rpc.Data == nil {
+		return fault.New(fault.Unreachable, "link: %v", err)
+	}
+	var f wire.Fault
+	if json.Unmarshal(*rpc.Data, &f) != nil {
+		return fault.New(fault.Internal, "link: %v", err)
+	}
+	return &fault.Error{Kind: fault.Kind(f.Kind), Msg: f.Msg, RetryAfter: f.RetryAfter}
+}
+
+// dialTimeout bounds a new connection; peers are one region's round trip away.
+const dialTimeout = 500 * time.Millisecond
--- /dev/null
+++ b/internal/transport/link/pool.go
@@ -0,0 +1,150 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sys/unix"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/shard"
+)
+
+// userTimeout is how long written data may stay unacknowledged by the peer's
+// kernel before the connection is dropped. Without it a peer that vanished
+// keeps a writer waiting for the kernel's retransmissions, many minutes (see
+// docs/design/silence.md).
+const userTimeout = 2 * time.Second
+
+// Pool keeps one connection per peer address, dialled when first needed.
+type Pool struct {
+	stamp *Stamp
+	peers *shard.Map[*peer]
+}
+
+type peer struct {
+	addr string
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+// NewPool makes an empty pool.
+func NewPool(stamp *Stamp) *Pool {
+	return &Pool{stamp: stamp, peers: shard.New[*peer]()}
+}
+
+// Call sends a message and waits for its reply. An error of kind Unreachable
+// leaves open whether the peer acted on the message.
+func (p *Pool) Call(ctx context.Context, addr string, m wire.Method, req, rep any) error {
+	conn, err := p.get(ctx, addr)
+	if err != nil {
+		return err
+	}
+	env, err := p.stamp.wrap(req)
+	if err != nil {
+		return err
+	}
+	var back wire.Envelope
+	if err := conn.Call(ctx, string(m), env, &back); err != nil {
+		if ctx.Err() != nil {
+			return fault.New(fault.Unreachable, "%s to %s: no answer in time", m, addr)
+		}
+		return decodeFault(err)
+	}
+	p.stamp.Clock.Observe(back.Clock)
+	p.stamp.Seen(addr, back.Revision)
+	if rep == nil {
+		return nil
+	}
+	return errors.Wrapf(unmarshal(back.Body, rep), "reply to %s", m)
+}
+
+// Notify sends a message that has no reply. Success means only that it was
+// handed to the kernel.
+func (p *Pool) Notify(ctx context.Context, addr string, m wire.Method, msg any) error {
+	conn, err := p.get(ctx, addr)
+	if err != nil {
+		return err
+	}
+	env, err := p.stamp.wrap(msg)
+	if err != nil {
+		return err
+	}
+	if err := conn.Notify(ctx, string(m), env); err != nil {
+		return fault.New(fault.Unreachable, "%s to %s: %v", m, addr, err)
+	}
+	return nil
+}
+
+// Reset drops the connection to a peer, so that the next message dials anew. A
+// connection can go silent for good while new ones work; only a new one tells
+// whether the peer itself is gone.
+func (p *Pool) Reset(addr string) {
+	pr, ok := p.peers.Get(addr)
+	if !ok {
+		return
+	}
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if pr.conn != nil {
+		pr.conn.Close()
+		pr.conn = nil
+	}
+}
+
+// Close drops every connection.
+func (p *Pool) Close() {
+	for _, pr := range p.peers.Values() {
+		p.Reset(pr.addr)
+	}
+}
+
+func (p *Pool) get(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+	pr, _ := p.peers.GetOrPut(addr, func() *peer { return &peer{addr: addr} })
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if pr.conn != nil && !closed(pr.conn) {
+		return pr.conn, nil
+	}
+	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fault.New(fault.Unreachable, "dial %s: %v", addr, err)
+	}
+	pr.conn = jsonrpc2.NewConn(context.Background(), stream(c), NewServer(p.stamp))
+	return pr.conn, nil
+}
+
+func closed(c *jsonrpc2.Conn) bool {
+	select {
+	case <-c.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var opt error
+	err := raw.Control(func(fd uintptr) {
+		opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return opt
+}
+
+func unmarshal(body []byte, v any) error {
+	if len(body) == 0 {
+		return nil
+	}
+	return json.Unmarshal(body, v)
+}
--- /dev/null
+++ b/internal/transport/mesh/mesh.go
@@ -0,0 +1,204 @@
+// Package mesh joins one process to the others: it answers the methods that
+// every process has, keeps the membership table fresh and spreads the
+// configuration.
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/config"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
+	"github.com/skylarkwood/skylarkwood/internal/hlc"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/transport/link"
+)
+
+const (
+	listEvery      = time.Second
+	heartbeatEvery = 500 * time.Millisecond
+	// heartbeatWait bounds one heartbeat. Two misses in a row, the second over
+	// a new connection, are found within about two seconds.
+	heartbeatWait = 700 * time.Millisecond
+	// confirmWithin is how long a process may go without hearing a peer or the
+	// key-value service before it doubts that its configuration is in force.
+	confirmWithin = 3 * time.Second
+	// helloParallel bounds heartbeats under way at once.
+	helloParallel = 32
+)
+
+// Node is one process among the others.
+type Node struct {
+	Self        model.Instance
+	Incarnation string
+	Clock       *hlc.Clock
+	Events      *events.Log
+	Table       *membership.Table
+	Config      *config.Store
+	Server      *link.Server
+	Pool        *link.Pool
+
+	instances platform.Instances
+	now       func() time.Time
+	describe  func() wire.HelloReply
+
+	revision  atomic.Int64
+	confirmed atomic.Int64 // unix nanoseconds of the last contact
+	loaded    atomic.Bool  // a configuration was read
+	seenMax   atomic.Int64 // highest revision seen on any message
+	newer     chan string  // peers that have a newer configuration
+	pushes    sync.WaitGroup
+}
+
+// Options is what a node is made of.
+type Options struct {
+	Self        model.Instance
+	Incarnation string
+	KV          platform.KV
+	Instances   platform.Instances
+	Now         func() time.Time
+	NewID       func() string
+	EventLimit  int
+	// Describe fills in the service and load of a hello; nil for entries.
+	Describe func() wire.HelloReply
+}
+
+// New makes a node; Run starts it.
+func New(o Options) *Node {
+	n := &Node{
+		Self:        o.Self,
+		Incarnation: o.Incarnation,
+		Clock:       hlc.New(o.Now),
+		Table:       membership.New(o.Self.Address, o.Now),
+		instances:   o.Instances,
+		now:         o.Now,
+		describe:    o.Describe,
+		newer:       make(chan string, 16),
+	}
+	n.Events = events.New(o.Self.ID, o.Self.Role, o.Incarnation, n.Clock, o.EventLimit)
+	n.Config = config.NewStore(o.KV, o.Now, o.NewID, n.applied)
+	stamp := &link.Stamp{Clock: n.Clock, Revision: n.revision.Load, Seen: n.seen, Self: o.Self.Address}
+	n.Server = link.NewServer(stamp)
+	n.Pool = link.NewPool(stamp)
+	n.register()
+	return n
+}
+
+func (n *Node) register() {
+	n.Server.Register(wire.MethodHello, link.Handle(n.hello))
+	n.Server.Register(wire.MethodEvents, link.Handle(n.eventsOf))
+	n.Server.Register(wire.MethodConfigFetch, link.Handle(n.configFetch))
+	n.Server.Register(wire.MethodConfigPush, link.Handle(n.configPush))
+}
+
+// Run joins the others until ctx ends.
+func (n *Node) Run(ctx context.Context, l net.Listener) error {
+	n.Events.Add(model.RequestKey{}, events.ProcessStart, n.Incarnation)
+	var g errgroup.Group
+	g.Go(func() error { return n.Server.Serve(ctx, l) })
+	g.Go(func() error { n.every(ctx, listEvery, n.readList); return nil })
+	g.Go(func() error { n.every(ctx, heartbeatEvery, n.heartbeats); return nil })
+	g.Go(func() error { n.loadConfig(ctx); n.fetchLoop(ctx); return nil })
+	g.Go(func() error { n.watchLoop(ctx); return nil })
+	err := g.Wait()
+	n.Pool.Close()
+	return err
+}
+
+func (n *Node) every(ctx context.Context, d time.Duration, f func(context.Context)) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) hello(_ context.Context, _ string, _ wire.Hello) (wire.HelloReply, error) {
+	var rep wire.HelloReply
+	if n.describe != nil {
+		rep = n.describe()
+	}
+	rep.Instance = n.Self
+	rep.Incarnation = n.Incarnation
+	return rep, nil
+}
+
+func (n *Node) eventsOf(_ context.Context, _ string, q wire.EventsQuery) (wire.EventsReply, error) {
+	return wire.EventsReply{Events: n.Events.Of(q.Key)}, nil
+}
+
+func (n *Node) readList(ctx context.Context) {
+	list, err := n.instances.List(ctx)
+	if err != nil {
+		klog.V(1).InfoS("Instance list gives no answer", "err", err)
+		return
+	}
+	n.Table.UpdateList(list)
+}
+
+// heartbeats asks every member for its state. Entries ask all; a sidecar asks
+// the entries only, which is enough to learn of newer configurations.
+func (n *Node) heartbeats(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(helloParallel)
+	for _, m := range n.Table.All() {
+		if n.Self.Role == model.RoleSidecar && m.Instance.Role != model.RoleEntry {
+			continue
+		}
+		g.Go(func() error { n.Probe(ctx, m.Instance.Address); return nil })
+	}
+	_ = g.Wait()
+}
+
+// Probe asks one member for its state and takes the answer, or its lack, as
+// evidence. The next contact after a miss goes over a new connection.
+func (n *Node) Probe(ctx context.Context, addr string) bool {
+	began := n.now()
+	ctx, cancel := context.WithTimeout(ctx, heartbeatWait)
+	defer cancel()
+	var rep wire.HelloReply
+	if err := n.Pool.Call(ctx, addr, wire.MethodHello, wire.Hello{}, &rep); err != nil {
+		n.Pool.Reset(addr)
+		if n.Table.Missed(addr) {
+			klog.V(1).InfoS("Member does not answer", "address", addr, "err", err)
+		}
+		return false
+	}
+	n.Table.Seen(rep.Instance, rep.Incarnation, backendOf(rep), n.now().Sub(began))
+	return true
+}
+
+func backendOf(rep wire.HelloReply) membership.Backend {
+	return membership.Backend{
+		Service:  rep.Service,
+		Kind:     rep.Kind,
+		Range:    rep.Range,
+		Layers:   rep.Layers,
+		StepTime: time.Duration(rep.StepMicros) * time.Microsecond,
+		Active:   rep.Load.Active,
+		Queued:   rep.Load.Queued,
+		Capacity: rep.Load.Capacity,
+		Leaving:  rep.Load.Leaving,
+	}
+}
+
+// pick gives up to k members at random.
+func pick(all []membership.Member, k int) []membership.Member {
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(k, len(all))]
+}
--- /dev/null
+++ b/test/integration/path_test.go
@@ -0,0 +1,134 @@
+package integration
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	v1 "github.com/skylarkwood/skylarkwood/api/skylarkwood/v1"
+)
+
+const prompt = "Draft the round sheet for the school on Manus before the inspection"
+
+func sheet(id string, tokens int) *v1.SubmitRequest {
+	return &v1.SubmitRequest{
+		Customer:  customer,
+		RequestId: id,
+		Service:   sheets,
+		Body:      []byte(prompt),
+		MaxTokens: int32(tokens),
+	}
+}
+
+func (c *cluster) timeline(entry int, id string) ([]*v1.Event, []string) {
+	c.t.Helper()
+	rep, err := c.client(entry).Requests.GetTimeline(context.Background(),
+		connect.NewRequest(&v1.GetTimelineRequest{Customer: customer, RequestId: id}))
+	assert.NilError(c.t, err)
+	return rep.Msg.Events, rep.Msg.Unreachable
+}
+
+// A caller sends a sheet to one entry. Its answer is the one that a model gives
+// whose layers run once and in order; the time line names entry and all three
+// stages; the other entry tells the outcome too.
+func TestSheetThroughThreeStages(t *testing.T) {
+	c := newCluster(t, 2, stages(1), 1)
+	res, err := c.client(0).Submit(context.Background(), sheet("sheet-1", 40), io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN, res.Outcome.Cause)
+	assert.Equal(t, string(res.Answer), reference(prompt, 40))
+
+	events, unreachable := c.timeline(1, "sheet-1")
+	assert.Equal(t, len(unreachable), 0)
+	seen := map[string]bool{}
+	for _, e := range events {
+		seen[e.Instance] = true
+	}
+	assert.Equal(t, len(seen), 4, "instances in the time line: %v", seen)
+	assert.Equal(t, events[0].Kind, "accepted")
+
+	rep, err := c.client(1).Requests.GetOutcome(context.Background(),
+		connect.NewRequest(&v1.GetOutcomeRequest{Customer: customer, RequestId: "sheet-1"}))
+	assert.NilError(t, err)
+	assert.Equal(t, rep.Msg.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN)
+}
+
+// A caller reads a sheet. In the middle of it the sidecar of a stage is killed.
+// The owner raises the epoch, another instance rebuilds the lost layers, and
+// the caller gets the whole answer, each token once.
+func TestStageKilledInTheMiddle(t *testing.T) {
+	c := newCluster(t, 1, stages(2), 0)
+	for i, name := range []string{"first", "middle", "last"} {
+		t.Run(name, func(t *testing.T) {
+			var hit *unit
+			w := &onWrite{after: 200, do: func() { hit = c.killStage(name, i) }}
+			res, err := c.client(0).Submit(context.Background(), sheet(name, 200), w)
+			assert.NilError(t, err)
+			assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN, res.Outcome.Cause)
+			assert.Equal(t, string(res.Answer), reference(prompt, 200))
+			assert.Assert(t, hit != nil, "no stage was killed")
+			c.boot(hit)
+			c.waitReady()
+		})
+	}
+}
+
+// killStage kills the sidecar at a place of a request's chain.
+func (c *cluster) killStage(id string, place int) *unit {
+	u := c.chainUnit(id, place)
+	u.kill()
+	return u
+}
+
+// chainUnit finds the sidecar at a place of a request's first chain.
+func (c *cluster) chainUnit(id string, place int) *unit {
+	c.t.Helper()
+	events, _ := c.timeline(0, id)
+	for _, e := range events {
+		if e.Kind != "epoch_raised" {
+			continue
+		}
+		_, chain, _ := strings.Cut(e.Detail, ": ")
+		hop := strings.Split(chain, " > ")[place]
+		for _, u := range c.sidecars {
+			if strings.HasPrefix(hop, u.link+"[") {
+				return u
+			}
+		}
+	}
+	c.t.Fatalf("no chain of %s in its time line", id)
+	return nil
+}
+
+// A caller sends a notice that must not be repeated, then sends it again
+// through the other entry. The second answer is the first one's; the plain
+// service has carried it out once.
+func TestNoticeSentAgainThroughOtherEntry(t *testing.T) {
+	c := newCluster(t, 2, nil, 2)
+	id := newID()
+	ask := &v1.SubmitRequest{Customer: customer, RequestId: id, Service: notices, Body: []byte("crew two to the library"), NotRepeatable: true}
+	var answers []string
+	for i := range c.entries {
+		res, err := c.client(i).Submit(context.Background(), ask, io.Discard)
+		assert.NilError(t, err)
+		assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN, res.Outcome.Cause)
+		answers = append(answers, string(res.Answer))
+	}
+	assert.Equal(t, answers[0], answers[1])
+	assert.Equal(t, c.plainCount(id), 1)
+}
+
+// plainCount sums what the plain services themselves counted of a request.
+func (c *cluster) plainCount(id string) int {
+	n := 0
+	for _, addr := range c.plains {
+		counts := map[string]int{}
+		c.read(addr, "", &counts)
+		n += counts[customer+"/"+id]
+	}
+	return n
+}
--- /dev/null
+++ b/test/integration/stop_test.go
@@ -0,0 +1,234 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/oklog/ulid/v2"
+	"gotest.tools/v3/assert"
+
+	v1 "github.com/skylarkwood/skylarkwood/api/skylarkwood/v1"
+	"github.com/skylarkwood/skylarkwood/internal/ctl"
+	"github.com/skylarkwood/skylarkwood/internal/standin"
+)
+
+func oldID(age time.Duration) string {
+	return ulid.MustNew(ulid.Timestamp(time.Now().Add(-age)), ulid.DefaultEntropy()).String()
+}
+
+func ready(u *unit) bool {
+	rep, err := http.Get("http://" + u.http + "/readyz")
+	if err != nil {
+		return false
+	}
+	rep.Body.Close()
+	return rep.StatusCode == http.StatusOK
+}
+
+// A stage is frozen, not killed: its connections stay open and nothing answers.
+// The caller's sheet stalls, the owner finds the silence, replaces the stage,
+// and the caller gets the whole answer. Thawed, the stage's late messages carry
+// an old epoch and change nothing.
+func TestStageFrozenInTheMiddle(t *testing.T) {
+	c := newCluster(t, 1, stages(2), 0)
+	var frozen *unit
+	w := &onWrite{after: 200, do: func() {
+		frozen = c.chainUnit("frozen", 1)
+		frozen.signal(syscall.SIGSTOP)
+	}}
+	res, err := c.client(0).Submit(context.Background(), sheet("frozen", 200), w)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN, res.Outcome.Cause)
+	assert.Equal(t, string(res.Answer), reference(prompt, 200))
+	frozen.signal(syscall.SIGCONT)
+	c.waitReady()
+	res, err = c.client(0).Submit(context.Background(), sheet("after", 30), io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, string(res.Answer), reference(prompt, 30))
+}
+
+// The only chain is lost in the middle of a sheet, and no other engine holds
+// those layers. The caller is told at once that it was cut off and may have
+// run, with when to come back.
+func TestSheetCutOffWithoutReplacement(t *testing.T) {
+	c := newCluster(t, 1, stages(1), 0)
+	w := &onWrite{after: 100, do: func() { c.killStage("doomed", 1) }}
+	res, err := c.client(0).Submit(context.Background(), sheet("doomed", 300), w)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_CUT_OFF)
+	assert.Assert(t, res.Outcome.MayHaveRun)
+	assert.Assert(t, res.Outcome.RetryAfterMs > 0)
+
+	res, err = c.client(0).Submit(context.Background(), sheet("too-late", 10), io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_NOT_RUN)
+	assert.Assert(t, res.Outcome.RetryAfterMs > 0)
+}
+
+// Every sidecar of one chain and an entry are told to stop in the middle of a
+// burst. Callers in progress get their whole answers, later ones go to the rest
+// or are refused "not run"; none is cut off, and every process ends by itself
+// with exit code 0.
+func TestPlannedStopsDuringBurst(t *testing.T) {
+	c := newCluster(t, 2, stages(2), 0)
+	var wg sync.WaitGroup
+	stopped := make(chan struct{})
+	for i := 0; i < 24; i++ {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if i >= 12 {
+				<-stopped
+			}
+			res, err := c.client(1).Submit(context.Background(), sheet(fmt.Sprint("burst-", i), 60), io.Discard)
+			if !assert.Check(t, err) {
+				return
+			}
+			assert.Check(t, res.Outcome.State == v1.OutcomeState_OUTCOME_STATE_RAN, "%d: %s", i, res.Outcome.Cause)
+			assert.Check(t, string(res.Answer) == reference(prompt, 60))
+		}()
+	}
+	first := make(chan struct{})
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		w := &onWrite{after: 1, do: func() { close(first) }}
+		res, err := c.client(0).Submit(context.Background(), sheet("at-leaving-entry", 300), w)
+		if assert.Check(t, err) {
+			assert.Check(t, string(res.Answer) == reference(prompt, 300))
+		}
+	}()
+	<-first
+	leaving := append([]*unit{c.entries[0]}, c.sidecars[:3]...)
+	for _, u := range leaving {
+		u.signal(syscall.SIGTERM)
+	}
+	close(stopped)
+	wg.Wait()
+	for _, u := range leaving {
+		<-u.done
+		assert.Equal(t, u.code, 0, u.name)
+	}
+}
+
+// A sidecar that leaves is still in the instance list, which lags. Its gate
+// refuses, and no sheet accepted after the word spread starts there.
+func TestLeavingSidecarGetsNoNewWork(t *testing.T) {
+	c := newCluster(t, 1, stages(2), 0)
+	// A long sheet keeps the leaving process alive.
+	hold := make(chan struct{})
+	go func() {
+		w := &onWrite{after: 1, do: func() { close(hold) }}
+		_, _ = c.client(0).Submit(context.Background(), sheet("hold", 2000), w)
+	}()
+	<-hold
+	leaving := c.chainUnit("hold", 0)
+	leaving.signal(syscall.SIGTERM)
+	c.eventually("leaving is known", func() bool {
+		rep, err := c.client(0).Operators.GetStatus(context.Background(), connect.NewRequest(&v1.GetStatusRequest{}))
+		if err != nil {
+			return false
+		}
+		for _, in := range rep.Msg.Instances {
+			if in.Instance == leaving.name {
+				return in.Leaving
+			}
+		}
+		return false
+	})
+	for i := 0; i < 10; i++ {
+		id := fmt.Sprint("after-", i)
+		res, err := c.client(0).Submit(context.Background(), sheet(id, 5), io.Discard)
+		assert.NilError(t, err)
+		assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN, res.Outcome.Cause)
+		events, _ := c.timeline(0, id)
+		for _, e := range events {
+			assert.Assert(t, e.Instance != leaving.name, "%s at %s", e.Kind, e.Instance)
+		}
+	}
+}
+
+// Two operators change the same template on the same revision. One wins, the
+// other gets a conflict that shows the winner's change.
+func TestOperatorsRace(t *testing.T) {
+	c := newCluster(t, 2, nil, 1)
+	results := make([]error, 2)
+	var wg sync.WaitGroup
+	for i := range results {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, results[i] = c.client(i).Operators.SetTemplate(context.Background(), connect.NewRequest(&v1.SetTemplateRequest{
+				Template:         &v1.Template{Customer: customer, Parameters: map[string]string{"by": fmt.Sprint(i)}},
+				ExpectedRevision: 1,
+				Author:           fmt.Sprint("operator-", i),
+			}))
+		}()
+	}
+	wg.Wait()
+	won := 0
+	for _, err := range results {
+		if err == nil {
+			won++
+			continue
+		}
+		assert.Equal(t, connect.CodeOf(err), connect.CodeAborted)
+	}
+	assert.Equal(t, won, 1)
+}
+
+// An operator's change is accepted though the answers of the service are lost,
+// and is in force everywhere; a frozen entry is named as missing, and once
+// thawed it never serves by the old template.
+func TestTemplateChangeWithFrozenEntry(t *testing.T) {
+	c := newCluster(t, 2, nil, 1)
+	c.faults(standin.KVFaults{LoseAnswers: 2})
+	rep := c.set(&v1.SetTemplateRequest{
+		Template: &v1.Template{Customer: customer, Rules: []*v1.ServiceRule{
+			{Service: notices, DefaultTimeoutMs: patience.Milliseconds()}}},
+		ExpectedRevision: 1,
+		Author:           "first",
+	})
+	assert.Assert(t, rep.InForceEverywhere, "missing: %v", rep.Missing)
+
+	c.entries[1].signal(syscall.SIGSTOP)
+	second, err := c.client(0).Operators.SetTemplate(context.Background(), connect.NewRequest(&v1.SetTemplateRequest{
+		Template:         &v1.Template{Customer: customer},
+		ExpectedRevision: 2,
+		Author:           "second",
+		WaitMs:           300,
+	}))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, second.Msg.Missing, []string{c.entries[1].name})
+
+	c.entries[1].signal(syscall.SIGCONT)
+	c.eventually("refusal by the thawed entry", func() bool {
+		res, err := ctl.NewClient("http://"+c.entries[1].http).Submit(context.Background(), notice(newID()), io.Discard)
+		if err == nil {
+			assert.Check(t, res.Outcome.State == v1.OutcomeState_OUTCOME_STATE_NOT_RUN, "served by the old template")
+			return false
+		}
+		return connect.CodeOf(err) == connect.CodePermissionDenied
+	})
+}
+
+// An entry starts while the key-value service is out. It takes the templates
+// from its peers and serves.
+func TestEntryStartsDuringOutage(t *testing.T) {
+	c := newCluster(t, 1, stages(1), 0)
+	c.faults(standin.KVFaults{Outage: true})
+	c.addEntry()
+	c.publish()
+	c.waitReady()
+	c.eventually("new entry is ready", func() bool { return ready(c.entries[1]) })
+	res, err := c.client(1).Submit(context.Background(), sheet("fresh", 10), io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN, res.Outcome.Cause)
+}
