"Not run" is final and true: gates remember long enough and run only ids younger than themselves

Cause: a soak in virtual time (kills, freezes, cuts, loss, store outages, at random and two at once) found callers told "not run" of a notice that had run: 1. a gate forgot a notice at its own short deadline; its entry died; the caller sent it again within the id's three minutes, and the gate answered "never started"; 2. in an outage of the store an entry said "not run" because no entry it knew of knew the id; entries come and go unseen; 3. tombstones died with a gate's incarnation, and the next one ran the id.

Change: gates keep what became of an id as long as it may be sent anywhere; a gate runs only ids made three seconds or more after its start, so that each incarnation's word is complete; without the ledger "not run" is said only with tombstones at every gate of the service, all listed sidecars met, the list fresh; otherwise "cut off, may have run". A refusal without a gate stores an intent that names none. Outcomes are asked of all entries, the surest wins. Cost: notices are refused by a gate for its first three seconds.

Conclusion: left unproved: a gate that left the instance list between the run and the question, with the store out at the same time.

--- a/internal/coordination/ledger/ledger.go
+++ b/internal/coordination/ledger/ledger.go
@@ -34,8 +34,8 @@
 	// Window is how old an id may be. Older ones are refused, so that pages
 	// past it can be deleted without an intent being granted a second time.
 	Window = 3 * time.Minute
-	// MaxAhead is how far a caller's clock may be ahead.
-	MaxAhead = 10 * time.Second
+	// MaxAhead is how far a caller's clock may be ahead of an entry's.
+	MaxAhead = 2 * time.Second
 	// pageKept is how much longer than Window a page stays, for entries whose
 	// clock is behind.
 	pageKept = 30 * time.Second
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -60,6 +60,7 @@
 
 	mu      sync.Mutex
 	members map[string]*Member
+	readAt  time.Time // when the list was last read
 }
 
 // New makes a table for the process at link address self.
@@ -73,6 +74,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
+	t.readAt = now
 	for _, m := range t.members {
 		m.Listed = false
 	}
@@ -182,6 +184,27 @@
 	})
 }
 
+// Service copies every member known to offer a service, whatever its state.
+// It is complete only if each sidecar of the list was met: one that was not may
+// offer the service too.
+func (t *Table) Service(service string) (members []Member, complete bool) {
+	complete = true
+	members = t.filter(func(m *Member) bool {
+		if m.Instance.Role != model.RoleEntry && m.Backend.Service == "" {
+			complete = false
+		}
+		return m.Backend.Service == service
+	})
+	return members, complete
+}
+
+// ListAge is how long ago the instance list was last read.
+func (t *Table) ListAge() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.now().Sub(t.readAt)
+}
+
 // Get copies one member.
 func (t *Table) Get(addr string) (Member, bool) {
 	t.mu.Lock()
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -120,6 +120,11 @@
 	return e.Kind.Answer().RetryAfter
 }
 
+// WithKind gives the same message under another kind.
+func (e *Error) WithKind(k Kind) *Error {
+	return &Error{Kind: k, Msg: e.Msg, RetryAfter: e.RetryAfter}
+}
+
 // New makes an error of a kind.
 func New(k Kind, format string, args ...any) *Error {
 	return &Error{Kind: k, Msg: fmt.Sprintf(format, args...)}
--- a/internal/protocol/gate/gate.go
+++ b/internal/protocol/gate/gate.go
@@ -12,10 +12,16 @@
 )
 
 const (
-	// clockSkew is how far the clocks of two instances may differ. Tombstones
-	// stand that much longer than the deadline: a late dispatch from an entry
+	// ClockSkew is how far the clocks of two instances may differ. What a gate
+	// must remember it keeps that much longer: a late dispatch from an entry
 	// whose clock is behind would otherwise start after "not run" was said.
-	clockSkew = 5 * time.Second
+	ClockSkew = 5 * time.Second
+	// Youth is how much older than a request that is not repeatable a gate's
+	// incarnation must be to run it. A gate tells truly that such a request
+	// never ran only if its predecessor cannot have met it; so each incarnation
+	// runs only ids made after its start, allowing for a caller's clock that is
+	// ahead of an entry's by two seconds, and an entry's by one.
+	Youth = 3 * time.Second
 	// ewmaWeight is the weight of the newest service time.
 	ewmaWeight = 0.1
 )
@@ -29,7 +35,7 @@
 	tombstone
 )
 
-// record is what the gate remembers of a request until its deadline is over.
+// record is what the gate remembers of a request.
 type record struct {
 	phase         phase
 	attempt       int64
@@ -44,13 +50,16 @@
 	Attempt       int64
 	Incarnation   string
 	Deadline      time.Time
+	Remember      time.Time // until when the gate must know what became of it
 	Priority      int
 	NotRepeatable bool
+	Made          time.Time // time in the id of a request that is not repeatable
 }
 
 // Gate is the gate of one sidecar incarnation.
 type Gate struct {
 	incarnation string
+	startedAt   time.Time
 	capacity    int
 	queueLimit  int
 	now         func() time.Time
@@ -72,6 +81,7 @@
 func New(incarnation string, capacity, queueLimit int, now func() time.Time) *Gate {
 	return &Gate{
 		incarnation: incarnation,
+		startedAt:   now(),
 		capacity:    capacity,
 		queueLimit:  queueLimit,
 		now:         now,
@@ -108,7 +118,7 @@
 		phase:         reserved,
 		attempt:       r.Attempt,
 		notRepeatable: r.NotRepeatable,
-		keepUntil:     r.Deadline.Add(clockSkew),
+		keepUntil:     r.Remember.Add(ClockSkew),
 	}
 	g.records[r.Key] = rec
 	g.seq++
@@ -133,6 +143,11 @@
 	if g.leaving {
 		return fault.New(fault.Leaving, "backend server is leaving")
 	}
+	if r.NotRepeatable && r.Made.Before(g.startedAt.Add(Youth)) {
+		e := fault.New(fault.NotReady, "request may be older than this incarnation")
+		e.RetryAfter = Youth
+		return e
+	}
 	rec, known := g.records[r.Key]
 	if !known {
 		return nil
@@ -206,8 +221,8 @@
 	return true
 }
 
-// Finish gives the place back. The answer is kept until the deadline, for a
-// caller that comes back; nil keeps none.
+// Finish gives the place back. The answer is kept as long as the request is
+// remembered, for a caller that comes back; nil keeps none.
 func (t *Ticket) Finish(answer []byte) {
 	g := t.gate
 	g.mu.Lock()
@@ -304,7 +319,7 @@
 		g.records[c.Key] = rec
 	}
 	rec.phase = tombstone
-	rec.keepUntil = c.Deadline.Add(clockSkew)
+	rec.keepUntil = c.Remember.Add(ClockSkew)
 	return wire.CancelReply{Verdict: wire.NeverStarted}, nil
 }
 
@@ -337,7 +352,7 @@
 	}
 }
 
-// Sweep forgets requests whose deadline is over; it tells how many are left.
+// Sweep forgets requests that need not be remembered; it tells how many are left.
 func (g *Gate) Sweep() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/protocol/owner/once.go
+++ b/internal/protocol/owner/once.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"crypto/rand"
+	"slices"
 
 	"github.com/oklog/ulid/v2"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ledger"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/state/events"
 )
@@ -21,10 +25,9 @@
 // before the hand-over and names the gates; a caller that resends through
 // another entry finds it there.
 func (o *Owner) serveOnce(ctx context.Context, j *job) model.Outcome {
-	plan, err := o.plan(j)
-	if err != nil {
-		return fault.NotRun(fault.From(err), "never handed over: no gate")
-	}
+	// Without a gate the intent is stored all the same, naming none: it keeps
+	// the request from running through another entry after "not run" was said.
+	plan, planErr := o.plan(j)
 	in := ledger.Intent{
 		Key:     j.key().String(),
 		Content: j.req.Content,
@@ -36,12 +39,15 @@
 	}
 	stored, err := o.Grant(ctx, in, j.ask.ID)
 	if err != nil {
-		return fault.NotRun(fault.From(err), "never handed over: no grant from the ledger")
+		return o.withoutLedger(ctx, j, fault.From(err))
 	}
 	o.Events.Add(j.key(), events.IntentStored, "granted to "+stored.Owner)
 	if stored.Grant != in.Grant {
 		return o.settleOther(ctx, j, stored)
 	}
+	if planErr != nil {
+		return fault.NotRun(fault.From(planErr), "never handed over: the ledger's intent names no gate")
+	}
 	if j.kind == model.KindPipeline {
 		return o.servePipeline(ctx, j, plan)
 	}
@@ -66,10 +72,15 @@
 			return nil, err
 		}
 		if err != nil {
-			return plan, nil
+			break
 		}
 		avoid[m.Instance.Address] = true
-		plan = append(plan, hopOf(m, model.LayerRange{}))
+		if mayRunOnce(m, j) {
+			plan = append(plan, hopOf(m, model.LayerRange{}))
+		}
+	}
+	if len(plan) == 0 {
+		return nil, fault.New(fault.NotReady, "every gate of %s was started only now", j.ask.Service)
 	}
 	return plan, nil
 }
@@ -94,6 +105,89 @@
 	return fault.NotRun(last, "every gate proved that it never started")
 }
 
+// maxWitnesses bounds how many processes are asked about one request while the
+// ledger cannot be.
+const maxWitnesses = 16
+
+// withoutLedger answers a request that the ledger could not vouch for. It does
+// not run here; but it may be a request sent again that ran through another
+// entry, and "not run" would have the caller send it under a new id. Entries
+// may come and go unseen, so they prove nothing; but every hand-over passes a
+// gate, and a gate runs only ids made after its start. If each gate of the
+// service was up before, never started it and now holds a tombstone, it neither
+// ran nor will: "not run" is proven.
+func (o *Owner) withoutLedger(ctx context.Context, j *job, e *fault.Error) model.Outcome {
+	if addr, ok := o.findOwner(ctx, j.key()); ok {
+		return o.follow(ctx, j, addr)
+	}
+	gates, complete := o.Table.Service(j.ask.Service)
+	if !complete || len(gates) == 0 || len(gates) > maxWitnesses || o.Table.ListAge() > gate.Youth {
+		return fault.CutOff(e, "not handed over here; whether it ran before cannot be told without the ledger")
+	}
+	unknown := ""
+	for _, m := range gates {
+		body, ran, err := o.settle(ctx, j, hopOf(m, model.LayerRange{}), e.WithKind(fault.Unreachable))
+		if err == nil {
+			return o.complete(j, hopOf(m, model.LayerRange{}), body)
+		}
+		if ran || !mayRunOnce(m, j) {
+			unknown = m.Instance.Address
+		}
+	}
+	if unknown != "" {
+		return fault.CutOff(e, "not handed over here; gate "+unknown+" cannot tell whether it ran before")
+	}
+	return fault.NotRun(e, "never handed over: no grant from the ledger, and tombstones at all gates of the service")
+}
+
+// mayRunOnce tells whether a gate's incarnation is old enough to run a request
+// that is not repeatable. It goes by the time in the incarnation, a ULID.
+func mayRunOnce(m membership.Member, j *job) bool {
+	u, err := ulid.ParseStrict(m.Incarnation)
+	return err == nil && !j.made.Before(ulid.Time(u.Time()).Add(gate.Youth))
+}
+
+// findOwner asks the other entries for one that knows a request.
+func (o *Owner) findOwner(ctx context.Context, key model.RequestKey) (string, bool) {
+	entries := o.Table.Entries()
+	found := make([]bool, min(len(entries), maxWitnesses))
+	var g errgroup.Group
+	for i := range found {
+		g.Go(func() error {
+			rep, err := o.askEntry(ctx, entries[i].Instance.Address, key)
+			found[i] = err == nil && rep.Known
+			return nil
+		})
+	}
+	_ = g.Wait()
+	if i := slices.Index(found, true); i >= 0 {
+		return entries[i].Instance.Address, true
+	}
+	return "", false
+}
+
+func (o *Owner) askEntry(ctx context.Context, addr string, key model.RequestKey) (wire.OutcomeReply, error) {
+	var rep wire.OutcomeReply
+	err := o.callTwice(ctx, addr, wire.MethodOutcome, wire.OutcomeQuery{Key: key}, &rep)
+	return rep, err
+}
+
+// follow waits for the outcome that another entry comes to.
+func (o *Owner) follow(ctx context.Context, j *job, addr string) model.Outcome {
+	for {
+		rep, err := o.askEntry(ctx, addr, j.key())
+		if err != nil || !rep.Known {
+			return fault.CutOff(fault.New(fault.BackendLost, "entry %s that had the request is gone", addr), "entry "+addr)
+		}
+		if rep.Outcome.Final() {
+			return adopt(j, rep)
+		}
+		if !sleep(ctx, o.Timing.Poll) {
+			return fault.CutOff(fault.New(fault.Deadline, "still in progress at entry %s", addr), "entry "+addr)
+		}
+	}
+}
+
 // settleOther finds the truth about a request whose hand-over was granted to
 // another entry: from that entry if it lives, else from the gates.
 func (o *Owner) settleOther(ctx context.Context, j *job, in ledger.Intent) model.Outcome {
@@ -102,8 +196,7 @@
 			"never handed over: the ledger holds another request under this id")
 	}
 	for in.Owner != o.Address {
-		var rep wire.OutcomeReply
-		err := o.callTwice(ctx, in.Owner, wire.MethodOutcome, wire.OutcomeQuery{Key: j.key()}, &rep)
+		rep, err := o.askEntry(ctx, in.Owner, j.key())
 		if err != nil || !rep.Known {
 			break
 		}
@@ -143,6 +236,6 @@
 	if unknown != "" {
 		return fault.CutOff(fault.New(fault.BackendLost, "entry %s that handed it over is gone", in.Owner), unknown)
 	}
-	e := fault.New(fault.Cancelled, "entry %s died before the hand-over; send it again under a new id", in.Owner)
+	e := fault.New(fault.Cancelled, "entry %s ended before the hand-over; send it again under a new id", in.Owner)
 	return fault.NotRun(e, "tombstones at all gates of the intent")
 }
--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -30,6 +30,9 @@
 	MaxTokens   = 8192
 	MaxIDLength = 64
 	maxTimeout  = 10 * time.Minute
+	// MaxOnceTimeout bounds the time of a request that is not repeatable, as
+	// gates must remember it that much longer than its id is accepted.
+	MaxOnceTimeout = 2 * time.Minute
 )
 
 // Peers sends messages to other processes. A link.Pool is one.
@@ -115,7 +118,12 @@
 	layers        int
 	notRepeatable bool
 	began         time.Time
-	run           string // empty for a request that is not repeatable
+	run           string    // empty for a request that is not repeatable
+	made          time.Time // time in the id of a request that is not repeatable
+	// remember is until when gates must know what became of the request: past
+	// its deadline, and for one that is not repeatable as long as the same id
+	// may still be sent to another entry and settled there.
+	remember time.Time
 }
 
 func (j *job) key() model.RequestKey { return j.req.Key }
@@ -144,12 +152,15 @@
 	if err := o.admit(j); err != nil {
 		return nil, o.reject(ask, err)
 	}
-	r, joined := o.Requests.Begin(key, content(ask), j.began.Add(o.timeout(ask, rule)))
+	r, joined := o.Requests.Begin(key, content(ask), j.began.Add(j.timeout()))
 	if joined {
 		return r, o.join(ask, r)
 	}
 	j.req = r
-	if !j.notRepeatable {
+	j.remember = r.Deadline
+	if j.notRepeatable {
+		j.remember = j.made.Add(ledger.Window + MaxOnceTimeout)
+	} else {
 		j.run = ulid.MustNew(ulid.Timestamp(j.began), rand.Reader).String()
 	}
 	o.Events.Add(key, events.Accepted, ask.Service)
@@ -202,7 +213,8 @@
 		return fault.New(fault.InvalidRequest, "prompt is empty")
 	}
 	if j.notRepeatable {
-		if _, err := ledger.CheckID(j.ask.ID, o.Now()); err != nil {
+		var err error
+		if j.made, err = ledger.CheckID(j.ask.ID, o.Now()); err != nil {
 			return err
 		}
 	}
@@ -215,15 +227,19 @@
 	return nil
 }
 
-func (o *Owner) timeout(ask Ask, rule config.Rule) time.Duration {
+func (j *job) timeout() time.Duration {
 	const fallback = 30 * time.Second
-	switch {
-	case ask.Timeout > 0:
-		return ask.Timeout
-	case rule.DefaultTimeout > 0:
-		return rule.DefaultTimeout
+	d := fallback
+	if j.rule.DefaultTimeout > 0 {
+		d = j.rule.DefaultTimeout
+	}
+	if j.ask.Timeout > 0 {
+		d = j.ask.Timeout
+	}
+	if j.notRepeatable {
+		d = min(d, MaxOnceTimeout)
 	}
-	return fallback
+	return d
 }
 
 func (o *Owner) join(ask Ask, r *requests.Request) error {
@@ -305,23 +321,29 @@
 	return rep
 }
 
-// Outcome finds what became of a request, here or at the other entries.
+// certainty orders what entries tell of one request: that it ran outweighs that
+// it did not, as it may have been sent through several.
+var certainty = map[model.State]int{
+	model.NotRun:     1,
+	model.InProgress: 2,
+	model.CutOff:     3,
+	model.Ran:        4,
+}
+
+// Outcome finds what became of a request, over all entries.
 func (o *Owner) Outcome(ctx context.Context, key model.RequestKey) (model.Outcome, []string, error) {
 	best := o.KnownOutcome(key)
-	if best.Known && best.Outcome.Final() {
-		return best.Outcome, nil, nil
-	}
 	var unreachable []string
 	for _, m := range o.Table.All() {
 		if m.Instance.Role != model.RoleEntry {
 			continue
 		}
-		var rep wire.OutcomeReply
-		if err := o.call(ctx, m.Instance.Address, wire.MethodOutcome, wire.OutcomeQuery{Key: key}, &rep); err != nil {
+		rep, err := o.askEntry(ctx, m.Instance.Address, key)
+		if err != nil {
 			unreachable = append(unreachable, m.Instance.ID)
 			continue
 		}
-		if rep.Known && (!best.Known || rep.Outcome.Final()) {
+		if rep.Known && certainty[rep.Outcome.State] > certainty[best.Outcome.State] {
 			best = rep
 		}
 	}
--- a/internal/protocol/owner/pipeline.go
+++ b/internal/protocol/owner/pipeline.go
@@ -325,6 +325,7 @@
 		Prompt:   int64(len(r.prompt)),
 		Tokens:   int64(r.ask.MaxTokens),
 		Deadline: r.req.Deadline,
+		Remember: r.remember,
 		Priority: r.rule.Priority,
 	}
 }
--- a/internal/protocol/owner/plain.go
+++ b/internal/protocol/owner/plain.go
@@ -81,6 +81,7 @@
 		Incarnation:   gate.Incarnation,
 		Body:          j.ask.Body,
 		Deadline:      j.req.Deadline,
+		Remember:      j.remember,
 		Priority:      j.rule.Priority,
 		NotRepeatable: j.notRepeatable,
 	}, &rep)
@@ -155,7 +156,7 @@
 	err := o.callTwice(ctx, gate.Address, wire.MethodCancel, wire.Cancel{
 		Key:         j.runKey(),
 		Incarnation: gate.Incarnation,
-		Deadline:    j.req.Deadline,
+		Remember:    j.remember,
 	}, &rep)
 	return rep, err
 }
--- a/internal/protocol/sidecar/sidecar.go
+++ b/internal/protocol/sidecar/sidecar.go
@@ -8,8 +8,9 @@
 	"sync"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"github.com/skylarkwood/skylarkwood/internal/fault"
-	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/stage"
@@ -93,8 +94,10 @@
 		Attempt:       o.Epoch,
 		Incarnation:   o.Chain[o.Index].Incarnation,
 		Deadline:      o.Deadline,
+		Remember:      o.Remember,
 		Priority:      o.Priority,
 		NotRepeatable: o.Key.Run == "",
+		Made:          madeAt(o.Key.ID),
 	}, false)
 	if err != nil {
 		return wire.OpenReply{}, err
@@ -198,8 +201,10 @@
 		Attempt:       c.Attempt,
 		Incarnation:   c.Incarnation,
 		Deadline:      c.Deadline,
+		Remember:      c.Remember,
 		Priority:      c.Priority,
 		NotRepeatable: c.NotRepeatable,
+		Made:          madeAt(c.Key.ID),
 	}, true)
 	if err != nil {
 		return wire.CallReply{}, err
@@ -256,10 +261,12 @@
 	}
 }
 
-// Describe tells a hello what this sidecar's backend server holds.
-func Describe(kind model.ServiceKind, load platform.EngineLoad) (model.LayerRange, int64) {
-	if kind != model.KindPipeline {
-		return model.LayerRange{}, 0
+// madeAt reads the time in a ULID; another id counts as made at the beginning
+// of time, which the gate refuses where it matters.
+func madeAt(id string) time.Time {
+	u, err := ulid.ParseStrict(id)
+	if err != nil {
+		return time.Time{}
 	}
-	return load.Range, load.StepTime.Microseconds()
+	return ulid.Time(u.Time())
 }
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -114,6 +114,8 @@
 	Prompt   int64     `json:"prompt"`
 	Tokens   int64     `json:"tokens"` // to generate
 	Deadline time.Time `json:"deadline"`
+	// Remember is until when the gate must know what became of the request.
+	Remember time.Time `json:"keep"`
 	Priority int       `json:"prio"`
 }
 
@@ -172,6 +174,8 @@
 	Body        []byte    `json:"body"`
 	Deadline    time.Time `json:"deadline"`
 	Priority    int       `json:"prio"`
+	// Remember is until when the gate must know what became of the request.
+	Remember time.Time `json:"keep"`
 	// NotRepeatable allows one hand-over to the backend server, ever.
 	NotRepeatable bool `json:"nr,omitempty"`
 }
@@ -183,11 +187,11 @@
 }
 
 // Cancel asks a gate to let a request not start; it also asks what the gate
-// remembers of it. The tombstone stands until Deadline.
+// remembers of it. The tombstone stands until Remember.
 type Cancel struct {
 	Key         RunKey    `json:"key"`
 	Incarnation string    `json:"inc"`
-	Deadline    time.Time `json:"deadline"`
+	Remember    time.Time `json:"keep"`
 }
 
 // Verdict is what a gate knows of a request. It is the gate's word for its own
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -95,6 +96,19 @@
 	return e.runs[session]
 }
 
+// RunsOf sums the positions run for all sessions whose name has a prefix.
+func (e *Engine) RunsOf(prefix string) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := int64(0)
+	for name, runs := range e.runs {
+		if strings.HasPrefix(name, prefix) {
+			n += runs
+		}
+	}
+	return n
+}
+
 // Range tells which layers the engine holds.
 func (e *Engine) Range() model.LayerRange { return e.cfg.Range }
 
--- a/internal/transport/api/requests.go
+++ b/internal/transport/api/requests.go
@@ -30,13 +30,16 @@
 	Owner *owner.Owner
 }
 
-// connectError answers an error by the table of kinds. It is used only where
-// nothing was accepted, so the outcome is always "not run".
+// notAccepted is the outcome of a submission that was refused: nothing of it
+// ran. It says nothing of an earlier submission under the same id.
+const notAccepted = "not_accepted"
+
+// connectError answers an error by the table of kinds.
 func connectError(err error) error {
 	f := fault.From(err)
 	out := connect.NewError(f.Kind.Answer().Code, f)
 	out.Meta().Set(MetaKind, string(f.Kind))
-	out.Meta().Set(MetaOutcome, string(model.NotRun))
+	out.Meta().Set(MetaOutcome, notAccepted)
 	if after := f.After(); after > 0 {
 		out.Meta().Set(MetaRetryAfter, strconv.FormatInt(after.Milliseconds(), 10))
 	}
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -160,9 +161,21 @@
 	c.publish()
 	c.waitReady()
 	c.seed()
+	if plains > 0 {
+		c.waitOnce()
+	}
 	return c
 }
 
+// waitOnce waits until the gates are old enough for notices.
+func (c *cluster) waitOnce() {
+	c.t.Helper()
+	c.eventually("gates take notices", func() bool {
+		res, err := c.client(0).Submit(context.Background(), notice(newID()), io.Discard)
+		return err == nil && res.Outcome.State == v1.OutcomeState_OUTCOME_STATE_RAN
+	})
+}
+
 func stages(copies int) []model.LayerRange {
 	var out []model.LayerRange
 	for i := 0; i < copies; i++ {
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,258 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/daemon"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/owner"
+	"github.com/skylarkwood/skylarkwood/internal/standin"
+)
+
+var (
+	seedFlag     = flag.Uint64("seed", 0, "first seed of the soak; 0 takes the usual ones")
+	runsFlag     = flag.Int("runs", 3, "how many seeds the soak goes through")
+	durationFlag = flag.Duration("virtual", 2*time.Minute, "virtual time of each run under failure")
+)
+
+const (
+	prompt      = "check the basin before the shift "
+	settleTime  = 90 * time.Second // after the last failure, longer than any deadline
+	tokensWant  = 40
+	promptParts = 6
+)
+
+// told is what one caller was told of one submission.
+type told struct {
+	key     model.RequestKey
+	service string
+	once    bool
+	outcome model.Outcome
+	answer  []byte
+	entry   string
+}
+
+// record collects what callers were told.
+type record struct {
+	mu   sync.Mutex
+	all  []told
+	lost int // callers whose entry died with no answer
+	none int // submissions refused before acceptance
+}
+
+// Entries and sidecars are killed, frozen, cut off and replaced at random while
+// the store is out, slow or loses answers, twice and together. Whatever callers
+// were told is true by the backends' own counts: whole answers, "not run" only
+// where nothing ran, at most one run where repeating is forbidden; and every
+// request that kept its entry has one final outcome.
+func TestSoak(t *testing.T) {
+	first := *seedFlag
+	if first == 0 {
+		first = 1
+	}
+	for seed := first; seed < first+uint64(*runsFlag); seed++ {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { soak(t, seed) })
+		})
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	w := newWorld(ctx, t, seed, 3, 3, 3)
+	time.Sleep(2*heartbeat + gate.Youth)
+	rec := &record{}
+	var callers sync.WaitGroup
+	end := time.Now().Add(*durationFlag)
+	var chaos sync.WaitGroup
+	chaos.Go(func() { w.chaos(rand.New(rand.NewPCG(seed, 3)), end) })
+	for n := 0; time.Now().Before(end); n++ {
+		time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
+		kind, at, pause, hurry := rnd.IntN(4), rnd.IntN(3), resendPause(rnd), rnd.IntN(2) == 0
+		callers.Go(func() { w.call(rec, n, kind, at, pause, hurry) })
+	}
+	chaos.Wait()
+	callers.Wait()
+	time.Sleep(settleTime)
+	rec.check(t, w)
+	stop()
+	w.close()
+	w.wg.Wait()
+	time.Sleep(settleTime) // let what waits for deadlines end
+}
+
+// resendPause is how long a caller waits before it sends a notice again: a
+// moment, or long after its own deadline.
+func resendPause(rnd *rand.Rand) time.Duration {
+	const moment, long = 3 * time.Second, 60 * time.Second
+	if rnd.IntN(2) == 0 {
+		return time.Duration(rnd.Int64N(int64(moment)))
+	}
+	return time.Duration(rnd.Int64N(int64(long)))
+}
+
+// call is one caller: a sheet, a plain call, or a notice that must not be
+// repeated and is sent twice, through two entries.
+func (w *world) call(rec *record, n, kind, at int, pause time.Duration, hurry bool) {
+	ask := owner.Ask{Customer: customer, ID: daemon.NewID(), Service: notices, Body: fmt.Appendf(nil, "body %d", n)}
+	switch kind {
+	case 0, 1:
+		ask.Service = sheets
+		ask.Body = []byte(prompt)
+		ask.MaxTokens = tokensWant
+		w.submit(rec, ask, at)
+	case 2:
+		w.submit(rec, ask, at)
+	default:
+		ask.NotRepeatable = true
+		if hurry {
+			ask.Timeout = time.Second
+		}
+		var both sync.WaitGroup
+		both.Go(func() { w.submit(rec, ask, at) })
+		time.Sleep(pause)
+		both.Go(func() { w.submit(rec, ask, at+1) })
+		both.Wait()
+	}
+}
+
+func (w *world) submit(rec *record, ask owner.Ask, at int) {
+	e := w.entry(at)
+	req, err := e.owner.Submit(ask)
+	if err != nil {
+		rec.mu.Lock()
+		defer rec.mu.Unlock()
+		rec.none++
+		return
+	}
+	var answer []byte
+	for pos := int64(0); ; {
+		parts, outcome, err := req.Next(e.dead, pos)
+		if err != nil {
+			rec.mu.Lock()
+			defer rec.mu.Unlock()
+			rec.lost++
+			return
+		}
+		if outcome.Final() {
+			rec.mu.Lock()
+			defer rec.mu.Unlock()
+			rec.all = append(rec.all, told{req.Key, ask.Service, ask.NotRepeatable, outcome, answer, e.addr})
+			return
+		}
+		answer = append(answer, bytes.Join(parts, nil)...)
+		pos += int64(len(parts))
+	}
+}
+
+// chaos brings failures about until the end, then mends all.
+func (w *world) chaos(rnd *rand.Rand, end time.Time) {
+	for n := 0; time.Now().Before(end); n++ {
+		time.Sleep(time.Duration(rnd.IntN(1500)) * time.Millisecond)
+		u := w.sidecars[rnd.IntN(len(w.sidecars))]
+		other := w.sidecars[rnd.IntN(len(w.sidecars))]
+		for both := rnd.IntN(2); both >= 0; both-- {
+			w.fail(rnd, n, u, other)
+		}
+	}
+	w.kv.SetFaults(standin.KVFaults{})
+	w.net.setLoss(0)
+	for _, a := range w.addresses() {
+		for _, b := range w.addresses() {
+			w.net.setCut(a, b, false)
+		}
+	}
+}
+
+func (w *world) fail(rnd *rand.Rand, n int, u, other *sidecarUnit) {
+	d := time.Duration(rnd.IntN(8000)) * time.Millisecond
+	e := w.entry(rnd.IntN(3))
+	switch rnd.IntN(9) {
+	case 0:
+		w.killSidecar(u)
+	case 1:
+		w.killEntry(rnd.IntN(3), fmt.Sprintf("entry-%d-%d", n, rnd.IntN(1<<30)))
+	case 2:
+		w.net.freeze(u.addr, d)
+	case 3:
+		w.net.freeze(e.addr, d)
+	case 4:
+		w.net.setCut(u.addr, other.addr, true)
+		time.AfterFunc(d, func() { w.net.setCut(u.addr, other.addr, false) })
+	case 5:
+		w.net.setCut(e.addr, u.addr, true)
+		time.AfterFunc(d, func() { w.net.setCut(e.addr, u.addr, false) })
+	case 6:
+		w.net.setLoss(20 + rnd.IntN(100))
+		time.AfterFunc(d, func() { w.net.setLoss(0) })
+	case 7:
+		w.kv.SetFaults(standin.KVFaults{
+			Outage:      rnd.IntN(2) == 0,
+			Delay:       time.Duration(rnd.IntN(300)) * time.Millisecond,
+			LoseAnswers: rnd.IntN(5),
+		})
+		time.AfterFunc(d, func() { w.kv.SetFaults(standin.KVFaults{}) })
+	case 8: // planned stop: drain, then replace
+		g := u.gate
+		w.wg.Go(func() {
+			<-g.Drain()
+			if u.gate == g {
+				w.killSidecar(u)
+			}
+		})
+	}
+}
+
+// ran is the backends' own count of a request.
+func (w *world) ran(key model.RequestKey) int64 {
+	n := int64(0)
+	for _, u := range w.sidecars {
+		if u.engine != nil {
+			n += u.engine.RunsOf(key.String() + "#")
+		} else {
+			n += int64(u.plain.Count(key.String()))
+		}
+	}
+	return n
+}
+
+func (r *record) check(t *testing.T, w *world) {
+	in := bytes.SplitAfter([]byte(prompt), []byte(" "))
+	want := bytes.Join(standin.ReferenceAnswer(in[:promptParts], layers, tokensWant), nil)
+	counts := map[model.State]int{}
+	for _, c := range r.all {
+		n := w.ran(c.key)
+		counts[c.outcome.State]++
+		switch c.outcome.State {
+		case model.Ran:
+			assert.Check(t, n > 0, "%v told ran, nothing ran: %+v", c.key, c.outcome)
+			if c.service == sheets {
+				assert.Check(t, bytes.Equal(c.answer, want), "%v: answer is not the whole answer", c.key)
+			}
+		case model.NotRun:
+			assert.Check(t, n == 0, "%v told not run by %s, ran %d: %+v", c.key, c.entry, n, c.outcome)
+		case model.CutOff:
+		default:
+			t.Errorf("%v: outcome %q is not final", c.key, c.outcome.State)
+		}
+		if c.once {
+			assert.Check(t, n <= 1, "%v ran %d times", c.key, n)
+		}
+	}
+	t.Logf("told %d: ran %d, not run %d, cut off %d; entry died %d; refused %d; messages %d; store calls %+v",
+		len(r.all), counts[model.Ran], counts[model.NotRun], counts[model.CutOff], r.lost, r.none, w.net.sent, w.kv.Calls())
+	assert.Check(t, counts[model.Ran] > len(r.all)/2, "most requests ran")
+}
