--- /dev/null
+++ b/internal/coordination/config/config_test.go
@@ -0,0 +1,137 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/standin"
+)
+
+// inBubble hides the test's deadline, which may not be asked for in a bubble of
+// virtual time.
+type inBubble struct{ rapid.TB }
+
+type counter struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (c *counter) id() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+	return fmt.Sprint("id-", c.n)
+}
+
+// Operators change the same few templates through several entries, each on the
+// revision it read, while the store is slow, out and loses answers. No accepted
+// change is lost: each accepted revision of a template is accepted once, and the
+// template ends at least at the highest. No entry ever goes back.
+func TestRacingOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(inBubble{t}, func(rt *rapid.T) {
+			kv := standin.NewKV()
+			ids := &counter{}
+			stores := []*Store{}
+			for i := 0; i < 3; i++ {
+				last := int64(0)
+				stores = append(stores, NewStore(kv, time.Now, ids.id, func(r int64) {
+					assert.Check(rt, r > last, "revision went from %d to %d", last, r)
+					last = r
+				}))
+			}
+			customers := []string{"luka", "solin"}
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			accepted := map[string]map[int64]string{"luka": {}, "solin": {}}
+			for n := rapid.IntRange(1, 25).Draw(rt, "changes"); n > 0; n-- {
+				kv.SetFaults(standin.KVFaults{
+					Outage:      rapid.IntRange(0, 9).Draw(rt, "outage") == 0,
+					Delay:       time.Duration(rapid.IntRange(0, 60).Draw(rt, "delay")) * time.Millisecond,
+					LoseAnswers: rapid.IntRange(0, 2).Draw(rt, "lost"),
+				})
+				s := rapid.SampledFrom(stores).Draw(rt, "entry")
+				customer := rapid.SampledFrom(customers).Draw(rt, "customer")
+				author := fmt.Sprint("operator-", n)
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+					defer cancel()
+					_ = s.Refresh(ctx)
+					rec, _ := s.Current().Record(customer)
+					c, err := s.Set(ctx, Template{Customer: customer}, rec.Current.Revision, author)
+					if err != nil {
+						return
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					other, taken := accepted[customer][c.Revision]
+					assert.Check(rt, !taken, "revision %d accepted for %s and %s", c.Revision, other, author)
+					accepted[customer][c.Revision] = author
+				})
+				time.Sleep(time.Duration(rapid.IntRange(0, 100).Draw(rt, "pause")) * time.Millisecond)
+			}
+			wg.Wait()
+			kv.SetFaults(standin.KVFaults{})
+			assert.NilError(rt, stores[0].Refresh(context.Background()))
+			for customer, revisions := range accepted {
+				rec, _ := stores[0].Current().Record(customer)
+				for rev, author := range revisions {
+					assert.Assert(rt, rec.Current.Revision >= rev, "%s: change %d by %s is lost", customer, rev, author)
+					if rec.Current.Revision == rev {
+						assert.Equal(rt, rec.Current.Author, author)
+					}
+				}
+			}
+		})
+	})
+}
+
+// Heads come late and out of order from several peers. A process applies only a
+// higher one.
+func TestApplyNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := NewStore(standin.NewKV(), time.Now, (&counter{}).id, func(int64) {})
+		high := int64(0)
+		for n := rapid.IntRange(1, 20).Draw(rt, "heads"); n > 0; n-- {
+			rev := int64(rapid.IntRange(0, 10).Draw(rt, "revision"))
+			key := fmt.Sprint("bucket-", rev)
+			applied, err := s.Apply(Head{Revision: rev, Keys: map[int]string{0: key}}, map[int]Bucket{0: {}})
+			assert.NilError(rt, err)
+			assert.Equal(rt, applied, rev > high)
+			high = max(high, rev)
+			assert.Equal(rt, s.Revision(), high)
+		}
+	})
+}
+
+// A head that names a bucket the process lacks is not applied by half.
+func TestApplyNeedsEveryBucket(t *testing.T) {
+	s := NewStore(standin.NewKV(), time.Now, (&counter{}).id, func(int64) {})
+	_, err := s.Apply(Head{Revision: 1, Keys: map[int]string{3: "unknown"}}, nil)
+	assert.ErrorContains(t, err, "missing")
+	assert.Equal(t, s.Revision(), int64(0))
+}
+
+// The answer to the swap of the head is lost, and another operator changes the
+// template before the first one reads back. The first is told that its change
+// was accepted, since it was; it does not write again.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	kv := standin.NewKV()
+	ids := &counter{}
+	a := NewStore(kv, time.Now, ids.id, func(int64) {})
+	kv.SetFaults(standin.KVFaults{LoseAnswers: 2})
+	c, err := a.Set(context.Background(), Template{Customer: "luka"}, 0, "first")
+	assert.NilError(t, err)
+	assert.Equal(t, c.Revision, int64(1))
+	assert.Equal(t, a.Revision(), int64(1))
+	_, err = a.Set(context.Background(), Template{Customer: "luka"}, 0, "second")
+	assert.Assert(t, fault.Is(err, fault.RevisionConflict))
+}
--- /dev/null
+++ b/internal/coordination/ledger/ledger_test.go
@@ -0,0 +1,135 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"golang.org/x/time/rate"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/standin"
+)
+
+// inBubble hides the test's deadline, which may not be asked for in a bubble of
+// virtual time.
+type inBubble struct{ rapid.TB }
+
+func idAt(at time.Time) string {
+	return ulid.MustNew(ulid.Timestamp(at), ulid.DefaultEntropy()).String()
+}
+
+func unlimited() *rate.Limiter { return rate.NewLimiter(rate.Inf, 1) }
+
+// Several entries act for the same shard at once, as after a freeze, while the
+// store is slow, out, or loses the answers of writes that took effect. Each key
+// is granted to one asker at most; and an asker that is told of another's grant
+// is told of the same one as everybody.
+func TestOneGrantPerKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(inBubble{t}, func(rt *rapid.T) {
+			kv := standin.NewKV()
+			ledgers := []*Ledger{}
+			for i := 0; i < 3; i++ {
+				ledgers = append(ledgers, New(kv, time.Now, unlimited()))
+			}
+			ids := []string{idAt(time.Now()), idAt(time.Now()), idAt(time.Now())}
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			granted := map[string]string{}
+			told := map[string]string{}
+			for n := rapid.IntRange(1, 30).Draw(rt, "asks"); n > 0; n-- {
+				kv.SetFaults(standin.KVFaults{
+					Outage:      rapid.IntRange(0, 9).Draw(rt, "outage") == 0,
+					Delay:       time.Duration(rapid.IntRange(0, 900).Draw(rt, "delay")) * time.Millisecond,
+					LoseAnswers: rapid.IntRange(0, 2).Draw(rt, "lost"),
+				})
+				id := rapid.SampledFrom(ids).Draw(rt, "id")
+				l := rapid.SampledFrom(ledgers).Draw(rt, "actor")
+				grant := fmt.Sprint("grant-", n)
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+					defer cancel()
+					stored, err := l.Record(ctx, Intent{Key: "c/" + id, Grant: grant}, id)
+					if err != nil {
+						return
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if stored.Grant == grant {
+						assert.Check(rt, granted[id] == "", "granted twice")
+						granted[id] = grant
+					}
+					assert.Check(rt, told[id] == "" || told[id] == stored.Grant, "two truths: %s and %s", told[id], stored.Grant)
+					told[id] = stored.Grant
+				})
+				time.Sleep(time.Duration(rapid.IntRange(0, 500).Draw(rt, "pause")) * time.Millisecond)
+			}
+			wg.Wait()
+		})
+	})
+}
+
+// Many callers at once cost a few writes: intents that wait are stored together.
+func TestIntentsShareWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		kv.SetFaults(standin.KVFaults{Delay: 5 * time.Millisecond})
+		l := New(kv, time.Now, unlimited())
+		var wg sync.WaitGroup
+		const asks = 200
+		key := "c/k"
+		for i := 0; i < asks; i++ {
+			id := idAt(time.Now())
+			wg.Go(func() {
+				// One shard: the same hash for all is not needed, only the page.
+				_, err := l.Record(context.Background(), Intent{Key: fmt.Sprint(key, i), Grant: fmt.Sprint(i)}, id)
+				assert.Check(t, err)
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, kv.Calls().Swaps <= 2*Shards, "%d writes for %d intents", kv.Calls().Swaps, asks)
+	})
+}
+
+func TestCheckID(t *testing.T) {
+	now := time.Now()
+	for _, tc := range []struct {
+		name string
+		id   string
+		want fault.Kind
+	}{
+		{"no ULID", "sheet-1", fault.InvalidRequest},
+		{"too old", idAt(now.Add(-Window - time.Second)), fault.ExpiredID},
+		{"from the future", idAt(now.Add(MaxAhead + time.Second)), fault.InvalidRequest},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := CheckID(tc.id, now)
+			assert.Assert(t, fault.Is(err, tc.want), "%v", err)
+		})
+	}
+	_, err := CheckID(idAt(now), now)
+	assert.NilError(t, err)
+}
+
+// Pages past the window are deleted from the store; the ledger stays small.
+func TestSweepDeletesOldPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := standin.NewKV()
+		l := New(kv, time.Now, unlimited())
+		id := idAt(time.Now())
+		_, err := l.Record(context.Background(), Intent{Key: "c/" + id, Grant: "g"}, id)
+		assert.NilError(t, err)
+		l.Sweep(context.Background())
+		assert.Equal(t, len(kv.Keys("ledger/")), 1)
+		time.Sleep(Window + time.Minute)
+		l.Sweep(context.Background())
+		assert.Equal(t, len(kv.Keys("ledger/")), 0)
+	})
+}
--- /dev/null
+++ b/internal/coordination/routing/routing_test.go
@@ -0,0 +1,97 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+func near(_, _ model.Instance) time.Duration { return time.Millisecond }
+
+func addEngine(tb *membership.Table, name string, r model.LayerRange, active, capacity int, leaving bool) {
+	tb.Seen(model.Instance{ID: name, Role: model.RoleSidecar, Address: name}, "inc", membership.Backend{
+		Service:  "s",
+		Kind:     model.KindPipeline,
+		Range:    r,
+		Layers:   12,
+		StepTime: time.Millisecond,
+		Active:   active,
+		Capacity: capacity,
+		Leaving:  leaving,
+	}, time.Millisecond)
+}
+
+// Engines hold any ranges, overlapping or not; some are full, leave or are to
+// be avoided. A chain, if there is one, runs each layer exactly once, in order,
+// each at an engine that holds it and takes work.
+func TestChainCoversEachLayerOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tb := membership.New("self", time.Now)
+		avoid := map[string]bool{}
+		usable := map[string]bool{}
+		covered := make([]bool, 12)
+		for i := rapid.IntRange(1, 12).Draw(rt, "engines"); i > 0; i-- {
+			from := rapid.IntRange(0, 11).Draw(rt, "from")
+			r := model.LayerRange{From: from, To: rapid.IntRange(from+1, 12).Draw(rt, "to")}
+			name := fmt.Sprint("e", i)
+			leaving := rapid.IntRange(0, 5).Draw(rt, "leaving") == 0
+			active := rapid.IntRange(0, 4).Draw(rt, "active")
+			avoid[name] = rapid.IntRange(0, 5).Draw(rt, "avoid") == 0
+			addEngine(tb, name, r, active, 4, leaving)
+			usable[name] = !leaving && !avoid[name] && active < 4
+			for l := r.From; usable[name] && l < r.To; l++ {
+				covered[l] = true
+			}
+		}
+		need := model.LayerRange{To: 12}
+		chain, err := New(tb, near, time.Now, nil).Chain("s", need, avoid)
+		possible := true
+		for _, c := range covered {
+			possible = possible && c
+		}
+		assert.Equal(rt, err == nil, possible, "%v", err)
+		next := 0
+		for _, s := range chain {
+			assert.Equal(rt, s.Range.From, next)
+			assert.Assert(rt, s.Member.Backend.Range.Contains(s.Range))
+			assert.Assert(rt, usable[s.Member.Instance.Address])
+			next = s.Range.To
+		}
+		assert.Assert(rt, err != nil || next == 12)
+	})
+}
+
+// More than half of a service seems down at once, which is likelier a fault of
+// the network here. The members are still tried, after those that answer.
+func TestEjectingIsBounded(t *testing.T) {
+	tb := membership.New("self", time.Now)
+	for i := 0; i < 4; i++ {
+		name := fmt.Sprint("e", i)
+		addEngine(tb, name, model.LayerRange{To: 12}, 0, 4, false)
+		if i > 0 {
+			tb.Missed(name)
+			tb.Missed(name)
+		}
+	}
+	r := New(tb, near, time.Now, nil)
+	chain, err := r.Chain("s", model.LayerRange{To: 12}, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, chain[0].Member.Instance.Address, "e0")
+	_, err = r.Chain("s", model.LayerRange{To: 12}, map[string]bool{"e0": true})
+	assert.NilError(t, err)
+}
+
+func TestNothingUpIsNoCapacity(t *testing.T) {
+	r := New(membership.New("self", time.Now), near, time.Now, nil)
+	_, err := r.Chain("s", model.LayerRange{To: 12}, nil)
+	assert.Assert(t, fault.Is(err, fault.NoCapacity))
+	_, err = r.Plain("s", nil)
+	assert.Assert(t, fault.Is(err, fault.NoCapacity))
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,95 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const good = `
+role = "sidecar"
+instance = "s1"
+failure_domain = "hala-luka"
+region = "juzna-regija"
+[listen]
+link = "127.0.0.1:7501"
+http = "127.0.0.1:7500"
+[platform]
+key_value = "http://127.0.0.1:9000"
+instances = "http://127.0.0.1:9001"
+[sidecar]
+service = "planer-rundi"
+backend = "http://127.0.0.1:9100"
+layers = 24
+`
+
+func TestGood(t *testing.T) {
+	s, err := Parse([]byte(good))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Sidecar.Capacity, Default().Sidecar.Capacity)
+}
+
+// Each bad setting gives one line that names the key and the reason.
+func TestBad(t *testing.T) {
+	for _, tc := range []struct{ name, old, new, want string }{
+		{"unknown key", `layers = 24`, "layers = 24\nlayer = 3", "sidecar.layer: unknown key"},
+		{"role", `"sidecar"`, `"boss"`, "role: must be"},
+		{"address with a name", `127.0.0.1:7501`, `localhost:7501`, "listen.link: must be an IP number"},
+		{"same address twice", `127.0.0.1:7501`, `127.0.0.1:7500`, "listen.http: must differ"},
+		{"no URL", `http://127.0.0.1:9000`, `127.0.0.1:9000`, "platform.key_value: must be an http URL"},
+		{"no layers", `layers = 24`, ``, "sidecar.layers: must be"},
+		{"impossible limit", `layers = 24`, "layers = 24\ncapacity = 0", "sidecar.capacity: must be at least 1"},
+		{"wrong type", `layers = 24`, `layers = "many"`, "sidecar.layers: line"},
+		{"bad duration", `[sidecar]`, "[entry]\ndrain_delay = \"soon\"\n[sidecar]", "drain_delay"},
+		{"link of one end", `[sidecar]`, "[[links]]\nbetween = [\"a\"]\none_way = \"1ms\"\n[sidecar]", "links[0].between: must name two"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(good, tc.old, tc.new, 1)))
+			assert.ErrorContains(t, err, tc.want)
+			assert.Assert(t, !strings.Contains(err.Error(), "\n"), "one line: %v", err)
+		})
+	}
+}
+
+// The examples that the docs name can be started as they are.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/*.toml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) >= 6, "%d examples", len(files))
+	for _, f := range files {
+		if strings.HasPrefix(filepath.Base(f), "template-") {
+			continue
+		}
+		_, err := Load(f)
+		assert.NilError(t, err)
+	}
+}
+
+func TestMissingFile(t *testing.T) {
+	_, err := Load(filepath.Join(t.TempDir(), "none.toml"))
+	assert.Assert(t, os.IsNotExist(unwrap(err)), "%v", err)
+}
+
+func unwrap(err error) error {
+	for {
+		u, ok := err.(interface{ Unwrap() error })
+		if !ok || u.Unwrap() == nil {
+			return err
+		}
+		err = u.Unwrap()
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("role = 1"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s, err := Parse(raw)
+		if err == nil {
+			assert.NilError(t, s.Check())
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/link/link_test.go
@@ -0,0 +1,184 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/hlc"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+)
+
+func newStamp(self string) *Stamp {
+	return &Stamp{
+		Clock:    hlc.New(time.Now),
+		Revision: func() int64 { return 7 },
+		Seen:     func(string, int64) {},
+		Self:     self,
+	}
+}
+
+type echo struct {
+	Text string `json:"text"`
+}
+
+func serve(t *testing.T, register func(*Server)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	srv := NewServer(newStamp(l.Addr().String()))
+	register(srv)
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return l.Addr().String()
+}
+
+func TestCallAndFault(t *testing.T) {
+	addr := serve(t, func(s *Server) {
+		s.Register("echo", Handle(func(_ context.Context, from string, e echo) (echo, error) {
+			if e.Text == "" {
+				return e, &fault.Error{Kind: fault.Overloaded, Msg: "full", RetryAfter: time.Second}
+			}
+			return echo{from + ":" + e.Text}, nil
+		}))
+	})
+	p := NewPool(newStamp("me"))
+	defer p.Close()
+	var got echo
+	assert.NilError(t, p.Call(context.Background(), addr, "echo", echo{"hello"}, &got))
+	assert.Equal(t, got.Text, "me:hello")
+	err := p.Call(context.Background(), addr, "echo", echo{}, &got)
+	assert.DeepEqual(t, fault.From(err), &fault.Error{Kind: fault.Overloaded, Msg: "full", RetryAfter: time.Second})
+	err = p.Call(context.Background(), addr, "unknown", echo{}, &got)
+	assert.Assert(t, fault.Is(err, fault.NotFound))
+}
+
+// A peer takes a call and drops the connection without an answer. The link must
+// not send the call again by itself: the caller gets "unreachable" and decides.
+func TestCallIsOnTheWireOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	var conns, bytes atomic.Int64
+	closed := make(chan struct{}, 8)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			buf := make([]byte, 4096)
+			n, _ := c.Read(buf)
+			bytes.Add(int64(n))
+			c.Close()
+			closed <- struct{}{}
+		}
+	}()
+	p := NewPool(newStamp("me"))
+	defer p.Close()
+	err = p.Call(context.Background(), l.Addr().String(), "echo", echo{"once"}, nil)
+	assert.Assert(t, fault.Is(err, fault.Unreachable))
+	<-closed
+	assert.Equal(t, conns.Load(), int64(1))
+	assert.Assert(t, bytes.Load() > 0)
+}
+
+// A peer's connection goes silent: it stays open and nothing answers, as when
+// something between the two has lost track of it. The call ends at its time;
+// after Reset the next one goes over a new connection and works.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	addr := serve(t, func(s *Server) {
+		s.Register("echo", Handle(func(_ context.Context, _ string, e echo) (echo, error) { return e, nil }))
+	})
+	proxy, cut := silentProxy(t, addr)
+	p := NewPool(newStamp("me"))
+	defer p.Close()
+	var got echo
+	assert.NilError(t, p.Call(context.Background(), proxy, "echo", echo{"1"}, &got))
+	cut()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, fault.Is(p.Call(ctx, proxy, "echo", echo{"2"}, &got), fault.Unreachable))
+	p.Reset(proxy)
+	assert.NilError(t, p.Call(context.Background(), proxy, "echo", echo{"3"}, &got))
+	assert.Equal(t, got.Text, "3")
+}
+
+// silentProxy passes bytes on until cut; connections open by then stay open and
+// carry nothing more, later ones work.
+func silentProxy(t *testing.T, to string) (addr string, cut func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	var generation atomic.Int64
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				in.Close()
+				return
+			}
+			born := generation.Load()
+			alive := func() bool { return generation.Load() == born }
+			go pass(out, in, alive)
+			go pass(in, out, alive)
+		}
+	}()
+	return l.Addr().String(), func() { generation.Add(1) }
+}
+
+func pass(to io.Writer, from io.Reader, alive func() bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if !alive() {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// Whatever bytes a peer sends as a message, the server answers or drops it and
+// lives on.
+func FuzzEnvelope(f *testing.F) {
+	f.Add([]byte(`{"h":{"w":1,"l":2},"v":3,"f":"a","b":{"text":"x"}}`))
+	f.Add([]byte(`{"b":null}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s := newStamp("me")
+		msg := json.RawMessage(raw)
+		env, err := s.take(&msg)
+		if err != nil {
+			return
+		}
+		for _, h := range []Handler{
+			Handle(func(context.Context, string, wire.Open) (struct{}, error) { return struct{}{}, nil }),
+			Handle(func(context.Context, string, wire.Forward) (struct{}, error) { return struct{}{}, nil }),
+			Handle(func(context.Context, string, wire.Call) (struct{}, error) { return struct{}{}, nil }),
+		} {
+			_, _ = h(context.Background(), env.From, env.Body)
+		}
+	})
+}
