World: the soak's small fakes as a package, with link delays and rates

Cause: experiments on throughput and recovery need the same scaffolding as the soak, and links that differ.

Change: internal/standin/world; the owner takes its router by an interface.

--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -42,6 +42,16 @@
 	Reset(addr string)
 }
 
+// Router chooses where work goes; see package routing.
+type Router interface {
+	// Chain covers layers with stages, avoiding members by address.
+	Chain(service string, need model.LayerRange, avoid map[string]bool) ([]routing.Stage, error)
+	// Plain chooses a backend server of a plain service.
+	Plain(service string, avoid map[string]bool) (membership.Member, error)
+	// Describe tells a service's kind and the layers of its model.
+	Describe(service string) (model.ServiceKind, int, bool)
+}
+
 // Granter asks the ledger for the one hand-over of a request; see package
 // ledger.
 type Granter func(ctx context.Context, in ledger.Intent, id string) (ledger.Intent, error)
@@ -52,7 +62,7 @@
 	Address  string // its link address
 	Peers    Peers
 	Table    *membership.Table
-	Router   *routing.Router
+	Router   Router
 	Config   *config.Store
 	Rates    *limits.Rates
 	Retries  *limits.RetryBudget
--- a/test/soak/network_test.go
+++ b/internal/standin/world/network.go
@@ -1,8 +1,4 @@
-// Package soak drives the decisions of entries and sidecars through long
-// randomised schedules of failures, in virtual time and without sockets. The
-// programs' own invariants are on; what callers were told is compared with what
-// the backends counted.
-package soak
+package world
 
 import (
 	"context"
@@ -16,16 +12,26 @@
 	"github.com/skylarkwood/skylarkwood/internal/transport/link"
 )
 
-// network stands in for the links: it delays, loses messages and answers, cuts
+// Link is the way between two failure domains.
+type Link struct {
+	// Delay is the one-way time of a small message.
+	Delay time.Duration
+	// Rate is how many positions it carries a second; 0 is no limit.
+	Rate float64
+}
+
+// Network stands in for the links: it delays, loses messages and answers, cuts
 // pairs of processes off, and lets processes freeze and die.
-type network struct {
-	mu     sync.Mutex
-	rnd    *rand.Rand
-	nodes  map[string]*node
-	cuts   map[[2]string]bool
-	lossIn int // one message in so many is lost; 0 for none
-	delay  time.Duration
-	sent   int
+type Network struct {
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	nodes   map[string]*node
+	domains map[string]string
+	cuts    map[[2]string]bool
+	lossIn  int // one message in so many is lost; 0 for none
+	link    func(from, to string) Link
+	free    map[[2]string]time.Time // when the link between two domains is free
+	sent    int
 }
 
 type node struct {
@@ -33,34 +39,37 @@
 	thawed   chan struct{} // closed while the node runs
 }
 
-func newNetwork(seed uint64) *network {
-	return &network{
-		rnd:   rand.New(rand.NewPCG(seed, 1)),
-		nodes: map[string]*node{},
-		cuts:  map[[2]string]bool{},
-		delay: 2 * time.Millisecond,
+func newNetwork(seed uint64, between func(from, to string) Link) *Network {
+	return &Network{
+		rnd:     rand.New(rand.NewPCG(seed, 1)),
+		nodes:   map[string]*node{},
+		domains: map[string]string{},
+		cuts:    map[[2]string]bool{},
+		free:    map[[2]string]time.Time{},
+		link:    between,
 	}
 }
 
 // join adds a process, or its next incarnation, under an address.
-func (n *network) join(addr string, handlers map[wire.Method]link.Handler) {
+func (n *Network) join(addr, domain string, handlers map[wire.Method]link.Handler) {
 	running := make(chan struct{})
 	close(running)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.nodes[addr] = &node{handlers: handlers, thawed: running}
+	n.domains[addr] = domain
 }
 
 // leave is the death of a process.
-func (n *network) leave(addr string) {
+func (n *Network) leave(addr string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.nodes, addr)
 }
 
-// freeze stops a process for a while: nothing it is asked is answered, and it
+// Freeze stops a process for a while: nothing it is asked is answered, and it
 // carries on afterwards as if no time had passed.
-func (n *network) freeze(addr string, d time.Duration) {
+func (n *Network) Freeze(addr string, d time.Duration) {
 	n.mu.Lock()
 	nd, ok := n.nodes[addr]
 	if ok {
@@ -74,33 +83,66 @@
 	time.AfterFunc(d, func() { close(thawed) })
 }
 
-func (n *network) setCut(a, b string, cut bool) {
+// SetCut cuts two processes off from each other, silently, or joins them again.
+func (n *Network) SetCut(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cuts[[2]string{a, b}] = cut
 	n.cuts[[2]string{b, a}] = cut
 }
 
-func (n *network) setLoss(oneIn int) {
+// SetLoss loses one message in so many; 0 loses none.
+func (n *Network) SetLoss(oneIn int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lossIn = oneIn
 }
 
-// fate decides on one message.
-func (n *network) fate(from, to string) (nd *node, wait time.Duration, lost, answerLost bool) {
+// Sent counts the messages so far.
+func (n *Network) Sent() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent
+}
+
+// fate is what becomes of one message.
+type fate struct {
+	to         *node
+	arrives    time.Time
+	lost       bool
+	answerLost bool
+}
+
+// send decides on a message that carries so many positions.
+func (n *Network) send(from, to string, positions int) fate {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sent++
+	f := fate{to: n.nodes[to], lost: n.cuts[[2]string{from, to}]}
 	if n.lossIn > 0 {
-		lost = n.rnd.IntN(n.lossIn) == 0
-		answerLost = n.rnd.IntN(n.lossIn) == 0
+		f.lost = f.lost || n.rnd.IntN(n.lossIn) == 0
+		f.answerLost = n.rnd.IntN(n.lossIn) == 0
+	}
+	f.arrives = n.arrival(n.domains[from], n.domains[to], positions)
+	return f
+}
+
+func (n *Network) arrival(from, to string, positions int) time.Time {
+	l := n.link(from, to)
+	leaves := time.Now()
+	if l.Rate > 0 && positions > 0 {
+		pair := [2]string{from, to}
+		if n.free[pair].After(leaves) {
+			leaves = n.free[pair]
+		}
+		leaves = leaves.Add(time.Duration(float64(positions) / l.Rate * float64(time.Second)))
+		n.free[pair] = leaves
 	}
-	wait = time.Duration(n.rnd.Int64N(int64(n.delay)) + 1)
-	return n.nodes[to], wait, lost || n.cuts[[2]string{from, to}], answerLost
+	jitter := time.Duration(n.rnd.Int64N(int64(l.Delay) + 1))
+	return leaves.Add(l.Delay/2 + jitter)
 }
 
-func (n *network) frozen(addr string) <-chan struct{} {
+func (n *Network) frozen(addr string) <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if nd, ok := n.nodes[addr]; ok {
@@ -114,7 +156,7 @@
 // peers is one process's way into the network. Messages from one process to
 // another keep their order, as on a connection.
 type peers struct {
-	net  *network
+	net  *Network
 	self string
 
 	mu     sync.Mutex
@@ -122,7 +164,7 @@
 	ctx    context.Context // ends with the process
 }
 
-func newPeers(ctx context.Context, n *network, self string) *peers {
+func newPeers(ctx context.Context, n *Network, self string) *peers {
 	return &peers{net: n, self: self, queues: map[string]chan func(){}, ctx: ctx}
 }
 
@@ -143,22 +185,24 @@
 		err error
 	}
 	got := make(chan answer, 1)
-	nd, wait, lost, answerLost := p.net.fate(p.self, addr)
-	if nd == nil {
+	f := p.net.send(p.self, addr, 0)
+	if f.to == nil {
 		return errGone
 	}
 	go func() {
-		time.Sleep(wait)
-		if lost {
+		time.Sleep(time.Until(f.arrives))
+		if f.lost {
 			return
 		}
-		<-nd.thawed
-		if p.net.node(addr) != nd {
+		<-f.to.thawed
+		if p.net.node(addr) != f.to {
 			return // died meanwhile
 		}
-		v, err := handle(context.WithoutCancel(p.ctx), nd, p.self, m, body)
+		v, err := handle(context.WithoutCancel(p.ctx), f.to, p.self, m, body)
 		raw, _ := json.Marshal(v)
-		if !answerLost {
+		back := p.net.send(addr, p.self, 0)
+		time.Sleep(time.Until(back.arrives))
+		if !f.answerLost && !back.lost {
 			got <- answer{raw, err}
 		}
 	}()
@@ -178,7 +222,13 @@
 	}
 }
 
-func (n *network) node(addr string) *node {
+func (n *Network) domainOf(addr string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.domains[addr]
+}
+
+func (n *Network) node(addr string) *node {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.nodes[addr]
@@ -202,18 +252,18 @@
 	if err != nil {
 		return err
 	}
-	nd, wait, lost, _ := p.net.fate(p.self, addr)
-	if nd == nil {
+	f := p.net.send(p.self, addr, positionsIn(msg))
+	if f.to == nil {
 		return errGone
 	}
-	if lost {
+	if f.lost {
 		return nil
 	}
 	deliver := func() {
-		time.Sleep(wait)
-		<-nd.thawed
-		if p.net.node(addr) == nd {
-			_, _ = handle(context.WithoutCancel(p.ctx), nd, p.self, m, body)
+		time.Sleep(time.Until(f.arrives))
+		<-f.to.thawed
+		if p.net.node(addr) == f.to {
+			_, _ = handle(context.WithoutCancel(p.ctx), f.to, p.self, m, body)
 		}
 	}
 	select {
@@ -223,6 +273,16 @@
 	return nil
 }
 
+func positionsIn(msg any) int {
+	switch m := msg.(type) {
+	case wire.Forward:
+		return len(m.Data)
+	case wire.Tokens:
+		return len(m.Data)
+	}
+	return 0
+}
+
 func (p *peers) queue(addr string) chan func() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,3 +1,5 @@
+// Package soak drives the decisions through long randomised schedules of
+// failures and compares what callers were told with what the backends counted.
 package soak
 
 import (
@@ -18,6 +20,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/owner"
 	"github.com/skylarkwood/skylarkwood/internal/standin"
+	"github.com/skylarkwood/skylarkwood/internal/standin/world"
 )
 
 var (
@@ -27,6 +30,9 @@
 )
 
 const (
+	layers      = 9
+	perEngine   = 3
+	copies      = 3
 	prompt      = "check the basin before the shift "
 	settleTime  = 90 * time.Second // after the last failure, longer than any deadline
 	tokensWant  = 40
@@ -72,28 +78,53 @@
 	rnd := rand.New(rand.NewPCG(seed, 2))
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	w := newWorld(ctx, t, seed, 3, 3, 3)
-	time.Sleep(2*heartbeat + gate.Youth)
+	w := newWorld(ctx, t, seed)
+	time.Sleep(2*world.Heartbeat + gate.Youth)
 	rec := &record{}
 	var callers sync.WaitGroup
 	end := time.Now().Add(*durationFlag)
-	var chaos sync.WaitGroup
-	chaos.Go(func() { w.chaos(rand.New(rand.NewPCG(seed, 3)), end) })
+	var failures sync.WaitGroup
+	failures.Go(func() { chaos(w, rand.New(rand.NewPCG(seed, 3)), end) })
 	for n := 0; time.Now().Before(end); n++ {
 		time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
 		kind, at, pause, hurry := rnd.IntN(4), rnd.IntN(3), resendPause(rnd), rnd.IntN(2) == 0
-		callers.Go(func() { w.call(rec, n, kind, at, pause, hurry) })
+		callers.Go(func() { call(w, rec, n, kind, at, pause, hurry) })
 	}
-	chaos.Wait()
+	failures.Wait()
 	callers.Wait()
 	time.Sleep(settleTime)
 	rec.check(t, w)
 	stop()
-	w.close()
-	w.wg.Wait()
+	w.Close()
 	time.Sleep(settleTime) // let what waits for deadlines end
 }
 
+// newWorld lays out three entries, three engines for each range of layers and
+// three plain services.
+func newWorld(ctx context.Context, t *testing.T, seed uint64) *world.World {
+	cfg := world.Config{
+		Seed:    seed,
+		Layers:  layers,
+		Entries: []string{"a", "b", "c"},
+		Link:    func(_, _ string) world.Link { return world.Link{Delay: time.Millisecond} },
+	}
+	for i := 0; i < copies*layers/perEngine; i++ {
+		from := i % (layers / perEngine) * perEngine
+		cfg.Engines = append(cfg.Engines, world.EngineSpec{
+			Range:    model.LayerRange{From: from, To: from + perEngine},
+			StepTime: time.Millisecond,
+			Batch:    64,
+			Sessions: 16,
+		})
+	}
+	for i := 0; i < copies; i++ {
+		cfg.Plains = append(cfg.Plains, world.PlainSpec{Time: 30 * time.Millisecond, Places: 16})
+	}
+	w, err := world.New(ctx, cfg)
+	assert.NilError(t, err)
+	return w
+}
+
 // resendPause is how long a caller waits before it sends a notice again: a
 // moment, or long after its own deadline.
 func resendPause(rnd *rand.Rand) time.Duration {
@@ -106,32 +137,32 @@
 
 // call is one caller: a sheet, a plain call, or a notice that must not be
 // repeated and is sent twice, through two entries.
-func (w *world) call(rec *record, n, kind, at int, pause time.Duration, hurry bool) {
-	ask := owner.Ask{Customer: customer, ID: daemon.NewID(), Service: notices, Body: fmt.Appendf(nil, "body %d", n)}
+func call(w *world.World, rec *record, n, kind, at int, pause time.Duration, hurry bool) {
+	ask := owner.Ask{Customer: world.Customer, ID: daemon.NewID(), Service: world.Notices, Body: fmt.Appendf(nil, "body %d", n)}
 	switch kind {
 	case 0, 1:
-		ask.Service = sheets
+		ask.Service = world.Sheets
 		ask.Body = []byte(prompt)
 		ask.MaxTokens = tokensWant
-		w.submit(rec, ask, at)
+		submit(w, rec, ask, at)
 	case 2:
-		w.submit(rec, ask, at)
+		submit(w, rec, ask, at)
 	default:
 		ask.NotRepeatable = true
 		if hurry {
 			ask.Timeout = time.Second
 		}
 		var both sync.WaitGroup
-		both.Go(func() { w.submit(rec, ask, at) })
+		both.Go(func() { submit(w, rec, ask, at) })
 		time.Sleep(pause)
-		both.Go(func() { w.submit(rec, ask, at+1) })
+		both.Go(func() { submit(w, rec, ask, at+1) })
 		both.Wait()
 	}
 }
 
-func (w *world) submit(rec *record, ask owner.Ask, at int) {
-	e := w.entry(at)
-	req, err := e.owner.Submit(ask)
+func submit(w *world.World, rec *record, ask owner.Ask, at int) {
+	e := w.Entry(at)
+	req, err := e.Owner.Submit(ask)
 	if err != nil {
 		rec.mu.Lock()
 		defer rec.mu.Unlock()
@@ -140,7 +171,7 @@
 	}
 	var answer []byte
 	for pos := int64(0); ; {
-		parts, outcome, err := req.Next(e.dead, pos)
+		parts, outcome, err := req.Next(e.Dead, pos)
 		if err != nil {
 			rec.mu.Lock()
 			defer rec.mu.Unlock()
@@ -150,7 +181,7 @@
 		if outcome.Final() {
 			rec.mu.Lock()
 			defer rec.mu.Unlock()
-			rec.all = append(rec.all, told{req.Key, ask.Service, ask.NotRepeatable, outcome, answer, e.addr})
+			rec.all = append(rec.all, told{req.Key, ask.Service, ask.NotRepeatable, outcome, answer, e.Addr})
 			return
 		}
 		answer = append(answer, bytes.Join(parts, nil)...)
@@ -159,87 +190,89 @@
 }
 
 // chaos brings failures about until the end, then mends all.
-func (w *world) chaos(rnd *rand.Rand, end time.Time) {
+func chaos(w *world.World, rnd *rand.Rand, end time.Time) {
+	var stops sync.WaitGroup
+	defer stops.Wait()
 	for n := 0; time.Now().Before(end); n++ {
 		time.Sleep(time.Duration(rnd.IntN(1500)) * time.Millisecond)
-		u := w.sidecars[rnd.IntN(len(w.sidecars))]
-		other := w.sidecars[rnd.IntN(len(w.sidecars))]
+		u := w.Sidecars[rnd.IntN(len(w.Sidecars))]
+		other := w.Sidecars[rnd.IntN(len(w.Sidecars))]
 		for both := rnd.IntN(2); both >= 0; both-- {
-			w.fail(rnd, n, u, other)
+			fail(w, &stops, rnd, n, u, other)
 		}
 	}
-	w.kv.SetFaults(standin.KVFaults{})
-	w.net.setLoss(0)
-	for _, a := range w.addresses() {
-		for _, b := range w.addresses() {
-			w.net.setCut(a, b, false)
+	w.KV.SetFaults(standin.KVFaults{})
+	w.Net.SetLoss(0)
+	for _, a := range w.Addresses() {
+		for _, b := range w.Addresses() {
+			w.Net.SetCut(a, b, false)
 		}
 	}
 }
 
-func (w *world) fail(rnd *rand.Rand, n int, u, other *sidecarUnit) {
+func fail(w *world.World, stops *sync.WaitGroup, rnd *rand.Rand, n int, u, other *world.Sidecar) {
 	d := time.Duration(rnd.IntN(8000)) * time.Millisecond
-	e := w.entry(rnd.IntN(3))
+	e := w.Entry(rnd.IntN(3))
 	switch rnd.IntN(9) {
 	case 0:
-		w.killSidecar(u)
+		w.KillSidecar(u)
 	case 1:
-		w.killEntry(rnd.IntN(3), fmt.Sprintf("entry-%d-%d", n, rnd.IntN(1<<30)))
+		w.KillEntry(rnd.IntN(3), fmt.Sprintf("entry-%d-%d", n, rnd.IntN(1<<30)))
 	case 2:
-		w.net.freeze(u.addr, d)
+		w.Net.Freeze(u.Addr, d)
 	case 3:
-		w.net.freeze(e.addr, d)
+		w.Net.Freeze(e.Addr, d)
 	case 4:
-		w.net.setCut(u.addr, other.addr, true)
-		time.AfterFunc(d, func() { w.net.setCut(u.addr, other.addr, false) })
+		w.Net.SetCut(u.Addr, other.Addr, true)
+		time.AfterFunc(d, func() { w.Net.SetCut(u.Addr, other.Addr, false) })
 	case 5:
-		w.net.setCut(e.addr, u.addr, true)
-		time.AfterFunc(d, func() { w.net.setCut(e.addr, u.addr, false) })
+		w.Net.SetCut(e.Addr, u.Addr, true)
+		time.AfterFunc(d, func() { w.Net.SetCut(e.Addr, u.Addr, false) })
 	case 6:
-		w.net.setLoss(20 + rnd.IntN(100))
-		time.AfterFunc(d, func() { w.net.setLoss(0) })
+		w.Net.SetLoss(20 + rnd.IntN(100))
+		time.AfterFunc(d, func() { w.Net.SetLoss(0) })
 	case 7:
-		w.kv.SetFaults(standin.KVFaults{
+		w.KV.SetFaults(standin.KVFaults{
 			Outage:      rnd.IntN(2) == 0,
 			Delay:       time.Duration(rnd.IntN(300)) * time.Millisecond,
 			LoseAnswers: rnd.IntN(5),
 		})
-		time.AfterFunc(d, func() { w.kv.SetFaults(standin.KVFaults{}) })
+		time.AfterFunc(d, func() { w.KV.SetFaults(standin.KVFaults{}) })
 	case 8: // planned stop: drain, then replace
-		g := u.gate
-		w.wg.Go(func() {
+		g := u.Gate()
+		stops.Go(func() {
 			<-g.Drain()
-			if u.gate == g {
-				w.killSidecar(u)
+			if u.Gate() == g {
+				w.KillSidecar(u)
 			}
 		})
 	}
 }
 
 // ran is the backends' own count of a request.
-func (w *world) ran(key model.RequestKey) int64 {
+func ran(w *world.World, key model.RequestKey) int64 {
 	n := int64(0)
-	for _, u := range w.sidecars {
-		if u.engine != nil {
-			n += u.engine.RunsOf(key.String() + "#")
+	for _, u := range w.Sidecars {
+		if u.Engine != nil {
+			n += u.Engine.RunsOf(key.String() + "#")
 		} else {
-			n += int64(u.plain.Count(key.String()))
+			n += int64(u.Plain.Count(key.String()))
 		}
 	}
 	return n
 }
 
-func (r *record) check(t *testing.T, w *world) {
+func (r *record) check(t *testing.T, w *world.World) {
 	in := bytes.SplitAfter([]byte(prompt), []byte(" "))
 	want := bytes.Join(standin.ReferenceAnswer(in[:promptParts], layers, tokensWant), nil)
 	counts := map[model.State]int{}
 	for _, c := range r.all {
-		n := w.ran(c.key)
+		n := ran(w, c.key)
 		counts[c.outcome.State]++
 		switch c.outcome.State {
 		case model.Ran:
 			assert.Check(t, n > 0, "%v told ran, nothing ran: %+v", c.key, c.outcome)
-			if c.service == sheets {
+			if c.service == world.Sheets {
 				assert.Check(t, bytes.Equal(c.answer, want), "%v: answer is not the whole answer", c.key)
 			}
 		case model.NotRun:
@@ -253,6 +286,6 @@
 		}
 	}
 	t.Logf("told %d: ran %d, not run %d, cut off %d; entry died %d; refused %d; messages %d; store calls %+v",
-		len(r.all), counts[model.Ran], counts[model.NotRun], counts[model.CutOff], r.lost, r.none, w.net.sent, w.kv.Calls())
+		len(r.all), counts[model.Ran], counts[model.NotRun], counts[model.CutOff], r.lost, r.none, w.Net.Sent(), w.KV.Calls())
 	assert.Check(t, counts[model.Ran] > len(r.all)/2, "most requests ran")
 }
