--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -118,6 +119,45 @@
 	}
 }
 
+// A sidecar of the only chain is told to stop in the middle of a long sheet. No
+// other engine holds its layers, so a stop that did not wait would cut the
+// sheet off. The caller gets the whole answer, on the first epoch, and then the
+// process ends.
+func TestPlannedStopOfTheOnlyChain(t *testing.T) {
+	c := newCluster(t, 1, stages(1), 0)
+	var leaving *unit
+	w := &onWrite{after: 100, do: func() {
+		leaving = c.chainUnit("long", 1)
+		leaving.signal(syscall.SIGTERM)
+	}}
+	const long = 1000
+	res, err := c.client(0).Submit(context.Background(), sheet("long", long), w)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN, res.Outcome.Cause)
+	assert.Equal(t, string(res.Answer), reference(prompt, long))
+	assert.Assert(t, strings.HasSuffix(res.Outcome.Evidence, "epoch 1"), res.Outcome.Evidence)
+	<-leaving.done
+	assert.Equal(t, leaving.code, 0)
+}
+
+// A caller hangs up and its entry is told to stop. The entry finishes the
+// request all the same before it ends: another entry can tell that it ran.
+func TestPlannedStopAfterCallerHungUp(t *testing.T) {
+	c := newCluster(t, 2, stages(1), 0)
+	ctx, hangUp := context.WithCancel(context.Background())
+	w := &onWrite{after: 100, do: func() {
+		c.entries[0].signal(syscall.SIGTERM)
+		hangUp()
+	}}
+	_, err := c.client(0).Submit(ctx, sheet("left", 500), w)
+	assert.Assert(t, err != nil)
+	<-c.entries[0].done
+	rep, err := c.client(1).Requests.GetOutcome(context.Background(),
+		connect.NewRequest(&v1.GetOutcomeRequest{Customer: customer, RequestId: "left"}))
+	assert.NilError(t, err)
+	assert.Equal(t, rep.Msg.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN)
+}
+
 // A sidecar that leaves is still in the instance list, which lags. Its gate
 // refuses, and no sheet accepted after the word spread starts there.
 func TestLeavingSidecarGetsNoNewWork(t *testing.T) {
