Admission by what engines and links serve well, not by a fixed number of places

Cause: at 1.3 times the bound up to half the requests were cut off by their deadlines: 256 places an engine let in far more sessions than keep its batches full, and nobody stood at the links, where positions queued without end. The stand-in engine also closed a batch at the first step that did not fit.

Ruled out: fewer places by setting alone (differs by engine and model, and leaves the links); admission by predicted total time at the gate (each newcomer slows those let in before).

Change: a gate's places follow the time of the engine's steps (limits.Pace: at most 2.5 times a full batch's time); entries give out positions on limited links from a share of 0.9 of their rate; a plan without room refuses at once; fair.Queue orders and sheds what waits, by priority and customer; closing a stage tells the load.

--- a/bench/baseline_test.go
+++ b/bench/baseline_test.go
@@ -8,7 +8,6 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routing"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
-	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/owner"
 )
 
@@ -21,13 +20,13 @@
 	pick choose
 }
 
-func (b baseline) Chain(service string, need model.LayerRange, avoid map[string]bool) ([]routing.Stage, error) {
+func (b baseline) Chain(ask routing.Ask) ([]routing.Stage, error) {
 	var chain []routing.Stage
-	all := b.Candidates(service)
+	all, need := b.Candidates(ask.Service), ask.Need
 	for at := need.From; at < need.To; {
 		var fit []membership.Member
 		for _, m := range all {
-			if m.Backend.Range.From == at && m.Backend.Range.To <= need.To && !avoid[m.Instance.Address] {
+			if m.Backend.Range.From == at && m.Backend.Range.To <= need.To && !ask.Avoid[m.Instance.Address] {
 				fit = append(fit, m)
 			}
 		}
--- a/bench/throughput_test.go
+++ b/bench/throughput_test.go
@@ -23,6 +23,7 @@
 var (
 	warmFlag    = flag.Duration("warm", 6*time.Second, "virtual time before counting")
 	measureFlag = flag.Duration("measure", 8*time.Second, "virtual time counted")
+	debugFlag   = flag.Bool("debug", false, "print how much each engine group and link was used")
 	loadsFlag   = flag.String("loads", "0.5 1.3", "offered loads as parts of the bound")
 )
 
@@ -135,6 +136,9 @@
 		assert.NilError(t, err)
 		time.Sleep(2 * world.Heartbeat)
 		from := time.Now().Add(*warmFlag)
+		if *debugFlag {
+			go debug(t, w, p, from)
+		}
 		out = newTally(from, from.Add(*measureFlag))
 		arrivals(w, load*limit/positions, rand.New(rand.NewPCG(1, 1)), out.end, out)
 		stop()
@@ -184,3 +188,32 @@
 	}
 	return out
 }
+
+// debug prints the use of engine groups and links in the counted time.
+func debug(t *testing.T, w *world.World, p policy, from time.Time) {
+	time.Sleep(time.Until(from))
+	runs := func() []int64 {
+		var out []int64
+		for _, u := range w.Sidecars {
+			out = append(out, u.Engine.RunsOf(""))
+		}
+		return out
+	}
+	before, links := runs(), w.Net.Carried()
+	time.Sleep(*measureFlag)
+	after, links2 := runs(), w.Net.Carried()
+	used, rate := map[string]float64{}, map[string]float64{}
+	for i, u := range w.Sidecars {
+		key := u.Domain + u.Engine.Range().String()
+		used[key] += float64(after[i]-before[i]) / measureFlag.Seconds()
+		rate[key] += u.Engine.Rate()
+	}
+	for k := range rate {
+		t.Logf("%s: %-24s %6.0f of %6.0f positions/s", p.name, k, used[k], rate[k])
+	}
+	for k, n := range links2 {
+		if r := between(k[0], k[1]).Rate; n > 0 {
+			t.Logf("%s: %-24s %6.0f of %6.0f positions/s", p.name, k[0]+">"+k[1], float64(n-links[k])/measureFlag.Seconds(), r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/limits/pace.go
@@ -0,0 +1,75 @@
+package limits
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// maxStretch is how much slower than unloaded a step may grow before fewer
+	// sessions are let in. An engine is full once a batch waits while one runs,
+	// which doubles a step's time; beyond that, sessions add delay and no
+	// throughput.
+	maxStretch = 2.5
+	// paceWeight is the weight of the newest step in the smoothed time.
+	paceWeight = 0.02
+	// adjustEvery is how often the limit moves.
+	adjustEvery = 250 * time.Millisecond
+	// shrink is what the limit is multiplied by when steps are too slow.
+	shrink = 0.93
+)
+
+// Pace finds how many sessions an engine serves well, from how long its steps
+// take. The engine's load reports lag; its steps do not.
+type Pace struct {
+	now   func() time.Time
+	floor time.Duration // a step's time unloaded; 0 until known
+	least float64
+	most  float64
+
+	mu       sync.Mutex
+	smoothed time.Duration
+	limit    float64
+	moved    time.Time
+}
+
+// NewPace starts at least sessions, enough to fill the engine's batches, and
+// never goes beyond most. floor is a step's time unloaded.
+func NewPace(least, most int, floor time.Duration, now func() time.Time) *Pace {
+	least = min(least, most)
+	return &Pace{
+		now:   now,
+		floor: floor,
+		least: float64(least),
+		most:  float64(most),
+		limit: float64(min(2*least, most)),
+		moved: now(),
+	}
+}
+
+// Step takes in one step's time, with how many sessions are active.
+func (p *Pace) Step(d time.Duration, active int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.smoothed == 0 {
+		p.smoothed = d
+	}
+	p.smoothed += time.Duration(paceWeight * float64(d-p.smoothed))
+	if p.now().Sub(p.moved) < adjustEvery {
+		return
+	}
+	p.moved = p.now()
+	switch {
+	case float64(p.smoothed) > maxStretch*float64(p.floor):
+		p.limit = max(p.least, p.limit*shrink)
+	case float64(active) >= 0.9*p.limit:
+		p.limit = min(p.most, p.limit+max(1, p.least/8))
+	}
+}
+
+// Limit is how many sessions may be active now.
+func (p *Pace) Limit() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int(p.limit)
+}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -34,6 +34,12 @@
 	Leaving  bool
 }
 
+// Load is what a gate says of itself.
+type Load struct {
+	Active, Queued, Capacity int
+	Leaving                  bool
+}
+
 // Member is one process and the evidence about it.
 type Member struct {
 	Instance    model.Instance
@@ -125,16 +131,17 @@
 }
 
 // SeenLoad takes in the load that came with a gate's reply.
-func (t *Table) SeenLoad(addr string, active, queued int, leaving bool) {
+func (t *Table) SeenLoad(addr string, l Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.members[addr]
 	if !ok {
 		return
 	}
-	m.Backend.Active = active
-	m.Backend.Queued = queued
-	m.Backend.Leaving = leaving
+	m.Backend.Active = l.Active
+	m.Backend.Queued = l.Queued
+	m.Backend.Capacity = l.Capacity
+	m.Backend.Leaving = l.Leaving
 	m.Misses = 0
 	m.SeenAt = t.now()
 }
@@ -151,6 +158,15 @@
 	m.Revision = max(m.Revision, revision)
 }
 
+// SeenLeaving takes in a gate's word that it leaves.
+func (t *Table) SeenLeaving(addr string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m, ok := t.members[addr]; ok {
+		m.Backend.Leaving = true
+	}
+}
+
 // Missed records a contact that failed; it tells whether the member is now
 // taken to be down.
 func (t *Table) Missed(addr string) bool {
--- a/internal/coordination/routing/flow.go
+++ b/internal/coordination/routing/flow.go
@@ -108,22 +108,25 @@
 }
 
 // byFlow draws a few chains along the plan and gives the one with the least
-// load; nil if the plan has none with room.
-func (r *Router) byFlow(service string, all []candidate, layers int) []Stage {
-	pl := r.planner.planFor(service, func() []candidate { return r.everybody(service) }, layers, r.now())
+// load; none if the plan has none with room. It tells whether there is a plan.
+func (r *Router) byFlow(ask Ask, all []candidate) (chain []Stage, planned bool) {
+	everybody := func() []candidate { return r.everybody(ask.Service) }
+	pl := r.planner.planFor(ask.Service, everybody, ask.Need.To, r.now())
 	if pl.Rate <= 0 {
-		return nil
+		return nil, false
 	}
 	room := roomOf(all)
-	var best []Stage
 	bestCost := math.Inf(1)
 	for try := 0; try < flowTries; try++ {
-		chain := r.draw(pl, room)
-		if cost := loadOf(chain); chain != nil && cost < bestCost {
-			best, bestCost = chain, cost
+		next := r.draw(pl, room, ask.Positions)
+		if cost := loadOf(next); next != nil && cost < bestCost {
+			chain, bestCost = next, cost
 		}
 	}
-	return best
+	if chain != nil {
+		r.budget.take(chain, ask.Positions, r.now())
+	}
+	return chain, true
 }
 
 // roomOf puts those with room into groups, without those that seem down.
@@ -139,12 +142,12 @@
 }
 
 // draw takes a chain at random, each with the weight of its rate, among those
-// that have room at every group.
-func (r *Router) draw(pl *plan, room map[groupKey][]candidate) []Stage {
+// that have room at every group and link.
+func (r *Router) draw(pl *plan, room map[groupKey][]candidate, positions int) []Stage {
 	weights := make([]float64, len(pl.Chains))
 	total := 0.0
 	for i, c := range pl.Chains {
-		if pl.hasRoom(c, room) {
+		if pl.hasRoom(c, room) && r.budget.allows(pl, c, positions, r.now()) {
 			weights[i] = c.Rate
 			total += c.Rate
 		}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -41,12 +41,27 @@
 	now     func() time.Time
 	rnd     func(n int) int
 	planner *planner
+	budget  *linkBudget
 }
 
-// Links is what a router knows of the links. Rate may be nil for no limits.
+// Links is what a router knows of the links.
 type Links struct {
 	Time LinkTime
+	// Rate may be nil for no limits.
 	Rate LinkRate
+	// Sharers tells how many entries share the links; nil for one.
+	Sharers func() int
+}
+
+// Ask is what a chain is wanted for.
+type Ask struct {
+	Service string
+	// Need is the layers to cover.
+	Need model.LayerRange
+	// Avoid names members by address that must not take part.
+	Avoid map[string]bool
+	// Positions is how many the request will run; 0 for a repair.
+	Positions int
 }
 
 // New makes a router. rnd gives a number below n; nil takes the usual source.
@@ -54,14 +69,18 @@
 	if rnd == nil {
 		rnd = rand.IntN
 	}
+	if links.Sharers == nil {
+		links.Sharers = func() int { return 1 }
+	}
 	if links.Rate == nil {
 		links.Rate = func(_, _ string) float64 { return math.Inf(1) }
 	}
 	return &Router{
-		table: table,
-		link:  links.Time,
-		now:   now,
-		rnd:   rnd,
+		table:  table,
+		link:   links.Time,
+		now:    now,
+		rnd:    rnd,
+		budget: newLinkBudget(links),
 		planner: &planner{
 			link: links.Rate,
 			at:   map[string]time.Time{},
@@ -78,19 +97,25 @@
 	penalty  time.Duration
 }
 
-// Chain chooses stages that cover the layers of r, for one of the service's
-// models, avoiding members by address.
-func (r *Router) Chain(service string, need model.LayerRange, avoid map[string]bool) ([]Stage, error) {
-	all, err := r.candidates(service, avoid)
+// Chain chooses stages that cover the wanted layers. A whole model goes by the
+// plan; what the plan has no room for is refused, as any other chain would only
+// queue up on the links. A repair takes the nearest stages.
+func (r *Router) Chain(ask Ask) ([]Stage, error) {
+	all, err := r.candidates(ask.Service, ask.Avoid)
 	if err != nil {
 		return nil, err
 	}
-	if need.From == 0 && len(avoid) == 0 {
-		if chain := r.byFlow(service, all, need.To); chain != nil {
-			return chain, nil
-		}
+	if ask.Positions == 0 || ask.Need.From != 0 {
+		return r.nearest(ask.Service, all, ask.Need)
+	}
+	chain, planned := r.byFlow(ask, all)
+	if !planned {
+		return r.nearest(ask.Service, all, ask.Need)
+	}
+	if chain == nil {
+		return nil, fault.New(fault.Overloaded, "no chain of %s has room at its engines and links", ask.Service)
 	}
-	return r.nearest(service, all, need)
+	return chain, nil
 }
 
 // nearest chooses the chain of least time per token among a sample. It serves
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -106,9 +106,9 @@
 		Address:  s.Listen.Link,
 		Peers:    e.node.Pool,
 		Table:    e.node.Table,
-		Router:   routing.New(e.node.Table, linksOf(s.Links), time.Now, nil),
+		Router:   routing.New(e.node.Table, e.links(), time.Now, nil),
 		Config:   e.node.Config,
-		Rates:    limits.NewRates(func() int { return 1 + len(e.node.Table.Entries()) }),
+		Rates:    limits.NewRates(e.sharers),
 		Retries:  limits.NewRetryBudget(),
 		Grant:    e.grant,
 		Requests: e.store,
@@ -122,6 +122,9 @@
 	return e
 }
 
+// sharers counts the entries that share what has no counter of its own.
+func (e *Entry) sharers() int { return 1 + len(e.node.Table.Entries()) }
+
 func instanceOf(s settings.Settings) model.Instance {
 	return model.Instance{
 		ID:            s.Instance,
@@ -276,8 +279,9 @@
 // defaultLink is the one-way time between failure domains that no link names.
 const defaultLink = 500 * time.Microsecond
 
-// linksOf reads the links of the settings.
-func linksOf(links []settings.Link) routing.Links {
+// links reads the links of the settings.
+func (e *Entry) links() routing.Links {
+	links := e.settings.Links
 	known := map[[2]string]settings.Link{}
 	for _, l := range links {
 		a, b := l.Between[0], l.Between[1]
@@ -285,6 +289,7 @@
 		known[[2]string{b, a}] = l
 	}
 	return routing.Links{
+		Sharers: e.sharers,
 		Time: func(a, b model.Instance) time.Duration {
 			if l, ok := known[[2]string{a.FailureDomain, b.FailureDomain}]; ok {
 				return time.Duration(l.OneWay)
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
@@ -94,6 +95,10 @@
 			return ctx.Err()
 		}
 	}
+	b.Pace = limits.NewPace(d.load.Batch, d.settings.Sidecar.Capacity, d.load.BatchTime(), time.Now)
+	if b.Engine != nil {
+		d.gate.SetPace(b.Pace)
+	}
 	d.sidecar = sidecar.New(d.settings.Listen.Link, d.gate, b, sender{d.node.Pool}, d.node.Events, time.Now)
 	d.register()
 	return nil
--- a/internal/protocol/gate/gate.go
+++ b/internal/protocol/gate/gate.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/fair"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 )
@@ -64,17 +66,15 @@
 	queueLimit  int
 	now         func() time.Time
 
-	mu       sync.Mutex
-	records  map[wire.RunKey]*record
-	active   int
-	running  map[string]int // active requests by customer
-	queue    []*Ticket
-	seq      int64
-	service  time.Duration // smoothed time that a request holds its place
-	leaving  bool
-	drained  chan struct{}
-	settled  bool // drained is closed
-	admitted int64
+	mu      sync.Mutex
+	records map[wire.RunKey]*record
+	active  int
+	queue   *fair.Queue[*Ticket]
+	pace    *limits.Pace  // nil where the number of places is fixed
+	service time.Duration // smoothed time that a request holds its place
+	leaving bool
+	drained chan struct{}
+	settled bool // drained is closed
 }
 
 // New makes a gate that lets capacity requests run and queueLimit more wait.
@@ -86,18 +86,30 @@
 		queueLimit:  queueLimit,
 		now:         now,
 		records:     map[wire.RunKey]*record{},
-		running:     map[string]int{},
+		queue:       fair.New[*Ticket](),
 		drained:     make(chan struct{}),
 	}
 }
 
+// SetPace lets the number of places follow what the engine serves well, up to
+// the gate's capacity. It is called before the gate is used.
+func (g *Gate) SetPace(p *limits.Pace) { g.pace = p }
+
+// places is how many requests may run now.
+func (g *Gate) places() int {
+	if g.pace == nil {
+		return g.capacity
+	}
+	return min(g.capacity, g.pace.Limit())
+}
+
 // Ticket is a request's place at the gate.
 type Ticket struct {
 	gate  *Gate
 	req   Request
 	rec   *record
-	seq   int64
 	ready chan struct{} // closed when the ticket holds a place
+	shed  chan struct{} // closed when the ticket is given up for another
 	held  bool
 	gone  bool
 	since time.Time
@@ -121,13 +133,11 @@
 		keepUntil:     r.Remember.Add(ClockSkew),
 	}
 	g.records[r.Key] = rec
-	g.seq++
-	g.admitted++
-	t := &Ticket{gate: g, req: r, rec: rec, seq: g.seq, ready: make(chan struct{})}
-	if g.active < g.capacity {
+	t := &Ticket{gate: g, req: r, rec: rec, ready: make(chan struct{}), shed: make(chan struct{})}
+	if g.active < g.places() {
 		g.grant(t)
 	} else {
-		g.queue = append(g.queue, t)
+		g.queue.Push(t, r.Key.Customer, r.Priority)
 	}
 	return t, nil
 }
@@ -169,27 +179,40 @@
 	return fault.New(fault.AlreadyHandedOff, "attempt %d is still here", rec.attempt)
 }
 
+// room refuses what would wait too long. A full queue gives up what is worth
+// least, by priority and by customer, for a newcomer that is worth more.
 func (g *Gate) room(r Request, canWait bool) error {
-	if g.active < g.capacity {
+	if g.active < g.places() {
 		return nil
 	}
 	wait := g.predictedWait()
-	if !canWait || len(g.queue) >= g.queueLimit {
-		e := fault.New(fault.Overloaded, "%d running, %d waiting", g.active, len(g.queue))
-		e.RetryAfter = wait
-		return e
+	if !canWait {
+		return g.overloaded(wait)
 	}
 	if g.now().Add(wait).After(r.Deadline) {
-		e := fault.New(fault.Overloaded, "predicted wait of %v exceeds the deadline", wait.Round(time.Millisecond))
-		e.RetryAfter = wait
-		return e
+		return g.overloaded(wait)
 	}
+	if g.queue.Len() < g.queueLimit {
+		return nil
+	}
+	victim, ok := g.queue.Shed(r.Key.Customer, r.Priority)
+	if !ok {
+		return g.overloaded(wait)
+	}
+	close(victim.shed)
 	return nil
 }
 
+func (g *Gate) overloaded(wait time.Duration) error {
+	e := fault.New(fault.Overloaded, "%d running, %d waiting, predicted wait %v",
+		g.active, g.queue.Len(), wait.Round(time.Millisecond))
+	e.RetryAfter = wait
+	return e
+}
+
 // predictedWait is how long a request that came now would wait for its place.
 func (g *Gate) predictedWait() time.Duration {
-	rounds := float64(len(g.queue)+1) / float64(g.capacity)
+	rounds := float64(g.queue.Len()+1) / float64(max(g.places(), 1))
 	return max(time.Duration(rounds*float64(g.service)), time.Millisecond)
 }
 
@@ -197,13 +220,17 @@
 	t.held = true
 	t.since = g.now()
 	g.active++
-	g.running[t.req.Key.Customer]++
+	g.queue.Hold(t.req.Key.Customer)
 	close(t.ready)
 }
 
 // Ready is closed when the ticket holds a place.
 func (t *Ticket) Ready() <-chan struct{} { return t.ready }
 
+// Shed is closed when the ticket was given up for a request worth more; nothing
+// of it ran.
+func (t *Ticket) Shed() <-chan struct{} { return t.shed }
+
 // Start is the hand-over: after true the backend server may be called, and the
 // gate says "started". False means that a cancel came first.
 func (t *Ticket) Start() bool {
@@ -243,17 +270,18 @@
 	}
 	t.gone = true
 	if !t.held {
-		g.unqueue(t)
+		g.queue.Remove(t)
+		g.settle()
 		return
 	}
 	g.active--
-	g.running[t.req.Key.Customer]--
-	if g.running[t.req.Key.Customer] == 0 {
-		delete(g.running, t.req.Key.Customer)
-	}
+	g.queue.Free(t.req.Key.Customer)
 	g.observe(g.now().Sub(t.since))
-	if next := g.pick(); next != nil {
-		g.unqueue(next)
+	for g.active < g.places() {
+		next, ok := g.queue.Pop()
+		if !ok {
+			break
+		}
 		g.grant(next)
 	}
 	g.settle()
@@ -267,38 +295,6 @@
 	g.service += time.Duration(ewmaWeight * float64(d-g.service))
 }
 
-// pick chooses who runs next: the highest priority, within it the customer with
-// the least running, so that a flood by one does not starve the others.
-func (g *Gate) pick() *Ticket {
-	var best *Ticket
-	for _, t := range g.queue {
-		if best == nil || g.goesBefore(t, best) {
-			best = t
-		}
-	}
-	return best
-}
-
-func (g *Gate) goesBefore(a, b *Ticket) bool {
-	if a.req.Priority != b.req.Priority {
-		return a.req.Priority > b.req.Priority
-	}
-	ra, rb := g.running[a.req.Key.Customer], g.running[b.req.Key.Customer]
-	if ra != rb {
-		return ra < rb
-	}
-	return a.seq < b.seq
-}
-
-func (g *Gate) unqueue(t *Ticket) {
-	for i, q := range g.queue {
-		if q == t {
-			g.queue = append(g.queue[:i], g.queue[i+1:]...)
-			return
-		}
-	}
-}
-
 // Cancel keeps a request from starting, now and later, and tells what the gate
 // knows of it. Asked about another incarnation's dispatch it knows nothing.
 func (g *Gate) Cancel(c wire.Cancel) (wire.CancelReply, error) {
@@ -329,8 +325,8 @@
 	defer g.mu.Unlock()
 	return wire.Load{
 		Active:   g.active,
-		Queued:   len(g.queue),
-		Capacity: g.capacity,
+		Queued:   g.queue.Len(),
+		Capacity: g.places(),
 		Leaving:  g.leaving,
 	}
 }
@@ -346,7 +342,7 @@
 }
 
 func (g *Gate) settle() {
-	if g.leaving && g.active == 0 && len(g.queue) == 0 && !g.settled {
+	if g.leaving && g.active == 0 && g.queue.Len() == 0 && !g.settled {
 		g.settled = true
 		close(g.drained)
 	}
--- a/internal/protocol/owner/once.go
+++ b/internal/protocol/owner/once.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ledger"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routing"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
@@ -58,7 +59,7 @@
 // chain for a pipeline.
 func (o *Owner) plan(j *job) ([]wire.Hop, error) {
 	if j.kind == model.KindPipeline {
-		chain, err := o.Router.Chain(j.ask.Service, model.LayerRange{To: j.layers}, nil)
+		chain, err := o.Router.Chain(routing.Ask{Service: j.ask.Service, Need: model.LayerRange{To: j.layers}, Positions: j.positions()})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -45,8 +45,8 @@
 
 // Router chooses where work goes; see package routing.
 type Router interface {
-	// Chain covers layers with stages, avoiding members by address.
-	Chain(service string, need model.LayerRange, avoid map[string]bool) ([]routing.Stage, error)
+	// Chain covers layers with stages.
+	Chain(ask routing.Ask) ([]routing.Stage, error)
 	// Plain chooses a backend server of a plain service.
 	Plain(service string, avoid map[string]bool) (membership.Member, error)
 	// Describe tells a service's kind and the layers of its model.
@@ -138,6 +138,11 @@
 	remember time.Time
 }
 
+// positions is how many a pipeline request runs.
+func (j *job) positions() int {
+	return len(splitPrompt(j.ask.Body)) + j.ask.MaxTokens - 1
+}
+
 func (j *job) key() model.RequestKey { return j.req.Key }
 
 // runKey names the job's run at the gates.
--- a/internal/protocol/owner/pipeline.go
+++ b/internal/protocol/owner/pipeline.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routing"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -309,7 +310,12 @@
 		return nil
 	}
 	if len(r.chain) == 0 {
-		chain, err := r.o.Router.Chain(r.ask.Service, model.LayerRange{To: r.layers}, r.avoid)
+		chain, err := r.o.Router.Chain(routing.Ask{
+			Service:   r.ask.Service,
+			Need:      model.LayerRange{To: r.layers},
+			Avoid:     r.avoid,
+			Positions: r.positions(),
+		})
 		if err != nil {
 			return err
 		}
@@ -322,7 +328,7 @@
 			next = append(next, h)
 			continue
 		}
-		part, err := r.o.Router.Chain(r.ask.Service, h.Range, r.without(r.chain))
+		part, err := r.o.Router.Chain(routing.Ask{Service: r.ask.Service, Need: h.Range, Avoid: r.without(r.chain)})
 		if err != nil {
 			return err
 		}
@@ -362,7 +368,7 @@
 			errs[i] = r.o.callTwice(ctx, h.Address, wire.MethodOpen, r.openMessage(i), &rep)
 			if errs[i] == nil {
 				next[i] = rep.Next
-				r.o.Table.SeenLoad(h.Address, rep.Load.Active, rep.Load.Queued, rep.Load.Leaving)
+				r.o.Table.SeenLoad(h.Address, membership.Load(rep.Load))
 			}
 			return nil
 		})
@@ -462,7 +468,11 @@
 	var g errgroup.Group
 	for addr := range r.used {
 		g.Go(func() error {
-			_ = r.o.callTwice(ctx, addr, wire.MethodClose, wire.Close{Key: r.runKey(), Epoch: r.epoch}, nil)
+			var rep wire.CloseReply
+			err := r.o.callTwice(ctx, addr, wire.MethodClose, wire.Close{Key: r.runKey(), Epoch: r.epoch}, &rep)
+			if err == nil {
+				r.o.Table.SeenLoad(addr, membership.Load(rep.Load))
+			}
 			return nil
 		})
 	}
--- a/internal/protocol/owner/plain.go
+++ b/internal/protocol/owner/plain.go
@@ -86,7 +86,7 @@
 		NotRepeatable: j.notRepeatable,
 	}, &rep)
 	if err == nil {
-		o.Table.SeenLoad(gate.Address, rep.Load.Active, rep.Load.Queued, rep.Load.Leaving)
+		o.Table.SeenLoad(gate.Address, membership.Load(rep.Load))
 		return rep.Body, true, nil
 	}
 	e := fault.From(err)
@@ -113,7 +113,7 @@
 	case fault.Overloaded, fault.NoCapacity:
 		o.Table.Backoff(gate.Address, e.After())
 	case fault.Leaving:
-		o.Table.SeenLoad(gate.Address, 0, 0, true)
+		o.Table.SeenLeaving(gate.Address)
 	case fault.WrongIncarnation, fault.NotReady:
 		o.Table.Backoff(gate.Address, e.After())
 	case fault.StaleConfig:
--- a/internal/protocol/sidecar/sidecar.go
+++ b/internal/protocol/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
@@ -29,6 +30,8 @@
 	Engine platform.Engine
 	Plain  platform.Plain
 	Fence  int64
+	// Pace learns from the engine's steps how many sessions it serves well.
+	Pace *limits.Pace
 }
 
 // Sidecar is one incarnation.
@@ -51,7 +54,8 @@
 	open   wire.Open
 	ticket *gate.Ticket
 	cancel context.CancelFunc
-	name   string // at the engine
+	ended  chan struct{} // closed when the place was given back
+	name   string        // at the engine
 }
 
 // New makes a sidecar reached at a link address.
@@ -109,7 +113,7 @@
 
 func (s *Sidecar) begin(o wire.Open, ticket *gate.Ticket) {
 	ctx, cancel := context.WithDeadline(context.Background(), o.Deadline)
-	ses := &session{open: o, ticket: ticket, cancel: cancel}
+	ses := &session{open: o, ticket: ticket, cancel: cancel, ended: make(chan struct{})}
 	// The name is this session's alone: a stage opened again for the same run
 	// starts from nothing at the engine.
 	ses.name = fmt.Sprintf("%s/%d", o.Key, o.Epoch)
@@ -135,7 +139,8 @@
 			started = true
 			s.events.Add(ses.open.Key.RequestKey, events.Started, "layers "+hop.Range.String())
 		}
-		return s.backend.Engine.Step(ctx, platform.Step{
+		began := s.now()
+		out, err := s.backend.Engine.Step(ctx, platform.Step{
 			Session:  ses.name,
 			Range:    hop.Range,
 			Position: pos,
@@ -143,6 +148,11 @@
 			Priority: ses.open.Priority,
 			Fence:    s.backend.Fence,
 		})
+		// Prompts take longer by their length; single positions tell the load.
+		if err == nil && len(inputs) == 1 {
+			s.backend.Pace.Step(s.now().Sub(began), s.gate.Load().Active)
+		}
+		return out, err
 	}
 }
 
@@ -159,6 +169,7 @@
 	defer cancel()
 	_ = s.backend.Engine.EndSession(ctx, ses.name, s.backend.Fence)
 	ses.ticket.Finish(nil)
+	close(ses.ended)
 	_, ran := ses.Positions()
 	s.events.Add(ses.open.Key.RequestKey, events.SessionEnded, fmt.Sprintf("%d positions ran", ran))
 }
@@ -183,12 +194,16 @@
 	return struct{}{}, ses.Accept(f)
 }
 
-// Close ends a stage, unless a later epoch has it.
-func (s *Sidecar) Close(_ context.Context, _ string, c wire.Close) (struct{}, error) {
+// Close ends a stage. The reply tells the load without it.
+func (s *Sidecar) Close(ctx context.Context, _ string, c wire.Close) (wire.CloseReply, error) {
 	if ses, ok := s.sessions.Get(c.Key.String()); ok {
 		ses.cancel()
+		select {
+		case <-ses.ended:
+		case <-ctx.Done():
+		}
 	}
-	return struct{}{}, nil
+	return wire.CloseReply{Load: s.gate.Load()}, nil
 }
 
 // Call carries out one call of the plain service.
@@ -214,6 +229,9 @@
 	defer cancel()
 	select {
 	case <-ticket.Ready():
+	case <-ticket.Shed():
+		ticket.Finish(nil)
+		return wire.CallReply{}, fault.New(fault.Overloaded, "given up for a request worth more")
 	case <-ctx.Done():
 		ticket.Finish(nil)
 		return wire.CallReply{}, fault.New(fault.Deadline, "deadline passed while waiting at the gate")
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -168,6 +168,11 @@
 	Epoch int64  `json:"epoch"`
 }
 
+// CloseReply tells the load after it.
+type CloseReply struct {
+	Load Load `json:"load"`
+}
+
 // Call asks a gate to carry out one call of a plain service.
 type Call struct {
 	Key         RunKey    `json:"key"`
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -193,21 +193,26 @@
 	}
 }
 
-// take forms a batch of the waiting steps, higher priority first.
+// take forms a batch of the waiting steps, higher priority first; steps that do
+// not fit are passed over for smaller ones.
 func (e *Engine) take() ([]*engineStep, time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	sort.SliceStable(e.waiting, func(i, j int) bool {
 		return e.waiting[i].Priority > e.waiting[j].Priority
 	})
-	n, positions, layers := 0, 0, 0
-	for n < len(e.waiting) && (n == 0 || positions+len(e.waiting[n].Inputs) <= e.cfg.Batch) {
-		positions += len(e.waiting[n].Inputs)
-		layers = max(layers, e.waiting[n].Range.Len())
-		n++
+	var batch, rest []*engineStep
+	positions, layers := 0, 0
+	for _, st := range e.waiting {
+		if len(batch) > 0 && positions+len(st.Inputs) > e.cfg.Batch {
+			rest = append(rest, st)
+			continue
+		}
+		batch = append(batch, st)
+		positions += len(st.Inputs)
+		layers = max(layers, st.Range.Len())
 	}
-	batch := e.waiting[:n]
-	e.waiting = append([]*engineStep(nil), e.waiting[n:]...)
+	e.waiting = rest
 	cost := e.cfg.StepTime + time.Duration(positions)*e.cfg.PositionTime
 	return batch, cost * time.Duration(layers)
 }
@@ -296,6 +301,7 @@
 			Range:    e.cfg.Range,
 			StepTime: e.cfg.StepTime,
 			Rate:     e.cfg.Rate(),
+			Batch:    e.cfg.Batch,
 		}
 	}
 	return e.reported, nil
@@ -347,5 +353,6 @@
 		StepMicros: l.StepTime.Microseconds(),
 
 		PositionsPerSecond: l.Rate,
+		Batch:              int32(l.Batch),
 	}), nil
 }
--- a/internal/standin/world/network.go
+++ b/internal/standin/world/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,6 +33,7 @@
 	link    func(from, to string) Link
 	free    map[[2]string]time.Time // when the link between two domains is free
 	sent    int
+	carried map[[2]string]int // positions by link
 }
 
 type node struct {
@@ -46,6 +48,7 @@
 		domains: map[string]string{},
 		cuts:    map[[2]string]bool{},
 		free:    map[[2]string]time.Time{},
+		carried: map[[2]string]int{},
 		link:    between,
 	}
 }
@@ -105,6 +108,13 @@
 	return n.sent
 }
 
+// Carried tells how many positions each link between two domains has carried.
+func (n *Network) Carried() map[[2]string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.carried)
+}
+
 // fate is what becomes of one message.
 type fate struct {
 	to         *node
@@ -137,6 +147,7 @@
 		}
 		leaves = leaves.Add(time.Duration(float64(positions) / l.Rate * float64(time.Second)))
 		n.free[pair] = leaves
+		n.carried[pair] += positions
 	}
 	jitter := time.Duration(n.rnd.Int64N(int64(l.Delay) + 1))
 	return leaves.Add(l.Delay/2 + jitter)
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -100,6 +100,10 @@
 	stop   context.CancelFunc
 }
 
+func (u *Sidecar) batchTime() time.Duration {
+	return time.Duration(float64(u.spec.Batch) / u.Engine.Rate() * float64(time.Second))
+}
+
 // Gate gives the gate of the sidecar's present incarnation.
 func (u *Sidecar) Gate() *gate.Gate { return u.gate }
 
@@ -193,6 +197,8 @@
 	m := mortal{Engine: u.Engine, Plain: u.Plain, ctx: ctx}
 	if u.Engine != nil {
 		b.Engine = m
+		b.Pace = limits.NewPace(u.spec.Batch, u.places, u.batchTime(), time.Now)
+		u.gate.SetPace(b.Pace)
 		if _, err := u.Engine.EndAll(ctx, b.Fence); err != nil {
 			panic(err) // the stand-in honours the number just taken
 		}
@@ -345,7 +351,11 @@
 }
 
 func (w *World) router(table *membership.Table) owner.Router {
-	links := routing.Links{Time: w.LinkTime, Rate: w.LinkRate}
+	links := routing.Links{
+		Time:    w.LinkTime,
+		Rate:    w.LinkRate,
+		Sharers: func() int { return len(w.cfg.Entries) },
+	}
 	if w.cfg.Router != nil {
 		return w.cfg.Router(table, links)
 	}
