Admission queue, fairness, recovery time: measured and pushed

Cause, one by one: 1. a flooding customer cost the others their places: nothing ordered who went on; 2. two stages cut off from each other, both reachable from the entry: the epoch rose over the same chain eight times and the request was cut off (found by the recovery experiment); 3. a stage killed and replaced at once was noticed by the next heartbeat only; 4. a silent stage cost a second of stall and was tried once more by the repair.

Change: admission.Room (a window that grows without refusals and shrinks by them, a short queue by priority and customer, refusals at once with spread come-back times); the link that lost positions is found from where the stages stand, and one end is replaced at its second loss; a sidecar that does not know a stage says so to the sender; silence is told from slowness by the usual time between tokens.

--- /dev/null
+++ b/bench/recovery_test.go
@@ -0,0 +1,189 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/daemon"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/owner"
+	"github.com/skylarkwood/skylarkwood/internal/standin/world"
+)
+
+// blow is one way to lose a stage in the middle of a request.
+type blow struct {
+	name string
+	hit  func(w *world.World, u, next *world.Sidecar)
+}
+
+func blows() []blow {
+	return []blow{
+		{"kill", func(w *world.World, u, _ *world.Sidecar) { w.KillSidecar(u) }},
+		{"freeze", func(w *world.World, u, _ *world.Sidecar) { w.Net.Freeze(u.Addr, time.Minute) }},
+		{"cut", func(w *world.World, u, next *world.Sidecar) { w.Net.SetCut(u.Addr, next.Addr, true) }},
+	}
+}
+
+// recovery is one run's figures.
+type recovery struct {
+	gaps    *hdrhistogram.Histogram // the longest wait for a token after the blow
+	fresh   time.Duration           // first token of a request as long as what was done
+	rebuilt int64                   // positions that replacements ran
+	rerun   int64                   // positions that survivors ran a second time
+}
+
+const (
+	runs       = 12
+	recoverLen = 40 // tokens of each request
+	hitAt      = 20
+)
+
+// recoverRuns sends one request after the other over two engines for each range
+// of layers, and strikes a stage of each in the middle.
+func recoverRuns(t *testing.T, b blow, prompt int) recovery {
+	out := recovery{gaps: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		cfg := world.Config{Seed: 1, Layers: layers, Entries: places[:2], Link: between}
+		for i := 0; i < 9; i++ {
+			cfg.Engines = append(cfg.Engines, world.EngineSpec{
+				Domain:       places[i/3],
+				Range:        model.LayerRange{From: i % 3 * 4, To: i%3*4 + 4},
+				StepTime:     2500 * time.Microsecond,
+				PositionTime: 50 * time.Microsecond,
+				Batch:        batch,
+				Sessions:     sessions,
+			})
+		}
+		w, err := world.New(ctx, cfg)
+		assert.NilError(t, err)
+		time.Sleep(settle)
+		rnd := rand.New(rand.NewPCG(1, 1))
+		for n := 0; n < runs; n++ {
+			out.one(t, w, b, prompt, rnd.IntN(3))
+			time.Sleep(2 * time.Minute) // the struck stage comes back
+			for _, u := range w.Sidecars {
+				for _, v := range w.Sidecars {
+					w.Net.SetCut(u.Addr, v.Addr, false)
+				}
+			}
+			time.Sleep(settle)
+		}
+		out.fresh = firstToken(t, w, prompt+hitAt)
+		stop()
+		w.Close()
+		time.Sleep(2 * time.Minute)
+	})
+	return out
+}
+
+func ask(prompt, tokens int) owner.Ask {
+	body := bytes.Repeat([]byte("word "), prompt)
+	return owner.Ask{
+		Customer:  world.Customer,
+		ID:        daemon.NewID(),
+		Service:   world.Sheets,
+		Body:      body[:len(body)-1],
+		MaxTokens: tokens,
+		Timeout:   2 * time.Minute,
+	}
+}
+
+// one sends a request, strikes a stage at a token, and takes the longest wait
+// for a token after that.
+func (r *recovery) one(t *testing.T, w *world.World, b blow, prompt, place int) {
+	req, err := w.Entry(0).Owner.Submit(ask(prompt, recoverLen))
+	assert.NilError(t, err)
+	var last time.Time
+	longest := time.Duration(0)
+	for pos := int64(0); ; {
+		parts, o, err := req.Next(context.Background(), pos)
+		assert.NilError(t, err)
+		if o.Final() {
+			assert.Equal(t, o.State, model.Ran, o.Cause)
+			break
+		}
+		pos += int64(len(parts))
+		if !last.IsZero() {
+			longest = max(longest, time.Since(last))
+			last = time.Now()
+		}
+		if last.IsZero() && pos >= hitAt {
+			chain := chainOf(w, req.Key)
+			assert.Equal(t, len(chain), 3)
+			b.hit(w, chain[place], chain[(place+1)%3])
+			last = time.Now()
+		}
+	}
+	_ = r.gaps.RecordValue(max(longest.Microseconds(), 1))
+	r.count(w, req.Key, prompt)
+}
+
+// chainOf finds the sidecars that have run a request, in layer order.
+func chainOf(w *world.World, key model.RequestKey) []*world.Sidecar {
+	chain := make([]*world.Sidecar, 0, 3)
+	for from := 0; from < layers; from += 4 {
+		for _, u := range w.Sidecars {
+			if u.Engine.Range().From == from && u.Engine.RunsOf(key.String()+"#") > 0 {
+				chain = append(chain, u)
+			}
+		}
+	}
+	return chain
+}
+
+// count compares what the engines ran with what one run of each layer takes.
+func (r *recovery) count(w *world.World, key model.RequestKey, prompt int) {
+	once := int64(prompt + recoverLen - 1)
+	for from := 0; from < layers; from += 4 {
+		total, most := int64(0), int64(0)
+		for _, u := range w.Sidecars {
+			if u.Engine.Range().From != from {
+				continue
+			}
+			n := u.Engine.RunsOf(key.String() + "#")
+			total += n
+			most = max(most, n)
+		}
+		r.rebuilt += total - once
+		r.rerun += max(0, most-once)
+	}
+}
+
+// firstToken is what starting the chain anew would cost at the same length.
+func firstToken(t *testing.T, w *world.World, prompt int) time.Duration {
+	began := time.Now()
+	req, err := w.Entry(0).Owner.Submit(ask(prompt, 1))
+	assert.NilError(t, err)
+	_, _, err = req.Next(context.Background(), 0)
+	assert.NilError(t, err)
+	return time.Since(began)
+}
+
+// TestRecovery prints the time from the loss of a stage to the next token, for
+// short and long contexts, beside the first token of a request of the same
+// length: a chain started anew, which runs every layer again. It asserts that no
+// surviving engine ran a position twice.
+func TestRecovery(t *testing.T) {
+	t.Run("runs", func(t *testing.T) {
+		for _, b := range blows() {
+			for _, prompt := range []int{16, 1024} {
+				t.Run(fmt.Sprintf("%s-%d", b.name, prompt), func(t *testing.T) {
+					t.Parallel()
+					r := recoverRuns(t, b, prompt)
+					assert.Equal(t, r.rerun, int64(0), "survivors ran positions again")
+					t.Logf("%-6s context %4d: next token p50 %.0f p95 %.0f max %.0f ms; anew %.0f ms; replacements ran %d positions over %d losses",
+						b.name, prompt, ms(r.gaps, 50), ms(r.gaps, 95), ms(r.gaps, 100), float64(r.fresh.Microseconds())/1000, r.rebuilt, runs)
+				})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/admission/admission.go
@@ -0,0 +1,217 @@
+// Package admission decides at an entry which requests go on to the engines,
+// which wait a moment, and which are refused at once.
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/fair"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+)
+
+const (
+	// maxWait bounds how long a request may be expected to wait here; a longer
+	// wait is answered at once with when to come back. One that was overtaken
+	// and has waited twice as long is given up.
+	maxWait = 400 * time.Millisecond
+	// blindQueue bounds the queue while nothing is known of how fast it moves.
+	blindQueue = 16
+	// calm is how long after the last refusal the limit binds. Without refusals
+	// there is room for whatever comes.
+	calm = time.Second
+	// backOff is what the limit is multiplied by when the engines are full.
+	backOff = 0.97
+	// backOffEvery keeps one full moment from being counted for each request
+	// that met it.
+	backOffEvery = 50 * time.Millisecond
+	// rateWeight is the weight of the newest interval between two leavings.
+	rateWeight = 0.05
+)
+
+// Room holds the requests that an entry has at the engines. How many it may
+// have, it learns from the gates' and the router's refusals: it grows while none
+// comes and shrinks when one does, as a TCP window does.
+type Room struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	limit    float64
+	inside   int
+	queue    *fair.Queue[*place]
+	interval time.Duration // smoothed time between two leavings
+	leftAt   time.Time
+	fullAt   time.Time
+}
+
+// place is a request's wait for room.
+type place struct {
+	in   chan struct{} // closed when it may go on
+	shed chan struct{} // closed when it was given up
+}
+
+// New makes an empty room.
+func New(now func() time.Time) *Room {
+	return &Room{now: now, queue: fair.New[*place]()}
+}
+
+// Request is what the room needs to know.
+type Request struct {
+	Customer string
+	Priority int
+	Deadline time.Time
+}
+
+// Enter waits for room. An error is the final answer: nothing of the request
+// went on. After nil, Leave must be called.
+func (r *Room) Enter(ctx context.Context, q Request) error {
+	p, err := r.join(q)
+	if err != nil || p == nil {
+		return err
+	}
+	patience := time.NewTimer(2 * maxWait)
+	defer patience.Stop()
+	select {
+	case <-p.in:
+		return nil
+	case <-p.shed:
+		return r.refusal("given up for a request worth more")
+	case <-patience.C:
+	case <-ctx.Done():
+	}
+	return r.abandon(p, q)
+}
+
+// join goes in at once, or into the queue, or is refused.
+func (r *Room) join(q Request) (*place, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.now().Sub(r.fullAt) > calm {
+		r.limit = max(r.limit, float64(r.inside+r.queue.Len()+1))
+		r.admit()
+	}
+	if r.queue.Len() == 0 && float64(r.inside+1) <= r.limit {
+		r.inside++
+		r.queue.Hold(q.Customer)
+		return nil, nil
+	}
+	if r.tooLong(q) {
+		victim, ok := r.queue.Shed(q.Customer, q.Priority)
+		if !ok {
+			return nil, r.refusalLocked("too many requests wait already")
+		}
+		close(victim.shed)
+	}
+	p := &place{in: make(chan struct{}), shed: make(chan struct{})}
+	r.queue.Push(p, q.Customer, q.Priority)
+	r.admit()
+	return p, nil
+}
+
+// tooLong tells whether one more would wait longer than it may.
+func (r *Room) tooLong(q Request) bool {
+	wait := r.wait()
+	half := q.Deadline.Sub(r.now()) / 2
+	if r.interval == 0 {
+		return r.queue.Len() >= blindQueue
+	}
+	return wait > min(maxWait, half)
+}
+
+// wait predicts how long the last in the queue waits.
+func (r *Room) wait() time.Duration {
+	return time.Duration(r.queue.Len()+1) * r.interval
+}
+
+func (r *Room) refusal(msg string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refusalLocked(msg)
+}
+
+// refusalLocked says when to come back: when the present queue will be gone,
+// spread so that a burst does not come back as one.
+func (r *Room) refusalLocked(msg string) error {
+	e := fault.New(fault.Overloaded, "%s: %d at the engines, %d waiting", msg, r.inside, r.queue.Len())
+	e.RetryAfter = limits.Jitter(max(2*r.wait(), time.Second))
+	return e
+}
+
+// abandon gives up a wait whose caller's time is over.
+func (r *Room) abandon(p *place, q Request) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.queue.Remove(p) {
+		select {
+		case <-p.in:
+			r.leave(q.Customer)
+		default:
+		}
+	}
+	return r.refusalLocked("waited in vain")
+}
+
+// admit lets in what there is room for. The queue counts the places by
+// customer, so a popped place is held by its own.
+func (r *Room) admit() {
+	for float64(r.inside+1) <= r.limit {
+		p, customer, ok := r.queue.PopOf()
+		if !ok {
+			return
+		}
+		r.inside++
+		r.queue.Hold(customer)
+		close(p.in)
+	}
+}
+
+// Leave gives a place back. full tells that the engines had no room for it.
+func (r *Room) Leave(customer string, full bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !full {
+		r.measure()
+		if float64(r.inside) >= r.limit-1 {
+			r.limit += 1 / r.limit
+		}
+	}
+	r.leave(customer)
+}
+
+func (r *Room) leave(customer string) {
+	r.inside--
+	r.queue.Free(customer)
+	r.admit()
+}
+
+func (r *Room) measure() {
+	now := r.now()
+	if !r.leftAt.IsZero() {
+		d := now.Sub(r.leftAt)
+		if r.interval == 0 {
+			r.interval = d
+		}
+		r.interval += time.Duration(rateWeight * float64(d-r.interval))
+	}
+	r.leftAt = now
+}
+
+// Full takes in that a gate or the router refused for lack of room.
+func (r *Room) Full() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.now().Sub(r.fullAt) < backOffEvery {
+		return
+	}
+	r.fullAt = r.now()
+	r.limit = max(1, min(r.limit, float64(r.inside))*backOff)
+}
+
+// Limit is how many requests may be inside now.
+func (r *Room) Limit() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return int(r.limit)
+}
--- /dev/null
+++ b/internal/coordination/admission/admission_test.go
@@ -0,0 +1,128 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+)
+
+func ask(customer string, priority int) Request {
+	return Request{Customer: customer, Priority: priority, Deadline: time.Now().Add(time.Minute)}
+}
+
+// fill lets n requests in, then says that the engines are full.
+func fill(t *testing.T, r *Room, customer string, n int) {
+	for i := 0; i < n; i++ {
+		assert.NilError(t, r.Enter(context.Background(), ask(customer, 3)))
+	}
+	r.Full()
+}
+
+// While nobody refuses, whatever comes goes in at once.
+func TestNoLimitWithoutRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(time.Now)
+		for i := 0; i < 1000; i++ {
+			assert.NilError(t, r.Enter(context.Background(), ask("c", 0)))
+		}
+	})
+}
+
+// The engines are full and a flood waits. Its queue is short; what does not fit
+// is refused at once, and each refusal says when to come back, not all the same.
+func TestFloodIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(time.Now)
+		fill(t, r, "flood", 10)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		after := map[time.Duration]bool{}
+		atOnce := 0
+		for i := 0; i < 100; i++ {
+			wg.Go(func() {
+				began := time.Now()
+				err := r.Enter(context.Background(), ask("flood", 3))
+				assert.Check(t, fault.Is(err, fault.Overloaded))
+				mu.Lock()
+				defer mu.Unlock()
+				after[fault.From(err).RetryAfter] = true
+				if time.Since(began) == 0 {
+					atOnce++
+				}
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, atOnce >= 80, "%d of 100 refused at once", atOnce)
+		assert.Assert(t, len(after) > 50, "come-back times are spread: %d differ", len(after))
+	})
+}
+
+// A flood fills the room and the queue. A small customer's request comes last
+// and goes in first.
+func TestSmallCustomerGoesBeforeTheFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(time.Now)
+		fill(t, r, "flood", 10)
+		order := make(chan string, 32)
+		enter := func(customer string) {
+			if r.Enter(context.Background(), ask(customer, 3)) == nil {
+				order <- customer
+			}
+		}
+		for i := 0; i < 30; i++ {
+			go enter("flood")
+		}
+		synctest.Wait()
+		go enter("small")
+		synctest.Wait()
+		r.Leave("flood", false)
+		synctest.Wait()
+		r.Leave("flood", false)
+		synctest.Wait()
+		assert.Equal(t, <-order, "small")
+		time.Sleep(2 * maxWait)
+	})
+}
+
+// A higher priority takes the place of a lower one in a full queue; the lower
+// one gets its final answer at that moment.
+func TestLowPriorityIsShedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(time.Now)
+		fill(t, r, "c", 4)
+		low := make(chan time.Duration, blindQueue)
+		for i := 0; i < blindQueue; i++ {
+			go func() {
+				began := time.Now()
+				assert.Check(t, fault.Is(r.Enter(context.Background(), ask("c", 1)), fault.Overloaded))
+				low <- time.Since(began)
+			}()
+		}
+		synctest.Wait()
+		high := make(chan error, 1)
+		go func() { high <- r.Enter(context.Background(), ask("c", 9)) }()
+		assert.Equal(t, <-low, time.Duration(0))
+		r.Leave("c", false)
+		assert.NilError(t, <-high)
+		time.Sleep(2 * maxWait)
+	})
+}
+
+// A caller's time ends while its request waits: it is answered then, and its
+// place in the queue is gone.
+func TestDeadlineWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(time.Now)
+		fill(t, r, "c", 4)
+		ctx, cancel := context.WithTimeout(context.Background(), maxWait/4)
+		defer cancel()
+		assert.Assert(t, r.Enter(ctx, ask("c", 1)) != nil)
+		assert.Equal(t, r.queue.Len(), 0)
+	})
+}
--- a/internal/coordination/fair/fair.go
+++ b/internal/coordination/fair/fair.go
@@ -63,6 +63,12 @@
 // Pop takes out what goes next: the highest priority, within it the customer
 // with the fewest places, within it the longest wait.
 func (q *Queue[T]) Pop() (item T, ok bool) {
+	item, _, ok = q.PopOf()
+	return item, ok
+}
+
+// PopOf is Pop that also tells whose it is.
+func (q *Queue[T]) PopOf() (item T, customer string, ok bool) {
 	best := -1
 	for i, e := range q.waiting {
 		if best < 0 || q.before(e, q.waiting[best]) {
@@ -70,9 +76,10 @@
 		}
 	}
 	if best < 0 {
-		return item, false
+		return item, "", false
 	}
-	return q.removeAt(best).item, true
+	e := q.removeAt(best)
+	return e.item, e.customer, true
 }
 
 func (q *Queue[T]) before(a, b entry[T]) bool {
--- a/internal/coordination/limits/pace.go
+++ b/internal/coordination/limits/pace.go
@@ -7,10 +7,11 @@
 
 const (
 	// maxStretch is how much slower than unloaded a step may grow before fewer
-	// sessions are let in. An engine is full once a batch waits while one runs,
-	// which doubles a step's time; beyond that, sessions add delay and no
-	// throughput.
-	maxStretch = 2.5
+	// sessions are let in. An engine is full once a batch always waits while one
+	// runs, which doubles a step's time; arrivals at random leave gaps, which
+	// two more batches fill. Measured: 2.5 gave 0.87 of the bound at overload, 3
+	// gave 0.92, 4 gave 0.95; between tokens p95 went from 190 to 220 ms.
+	maxStretch = 4.0
 	// paceWeight is the weight of the newest step in the smoothed time.
 	paceWeight = 0.02
 	// adjustEvery is how often the limit moves.
--- a/internal/coordination/routing/budget.go
+++ b/internal/coordination/routing/budget.go
@@ -13,7 +13,7 @@
 const (
 	// linkHeadroom is how much of a link's rate is given out. A link driven to
 	// its full rate by arrivals at random builds a queue without end.
-	linkHeadroom = 0.9
+	linkHeadroom = 0.95
 	// linkBurst is how many seconds' worth may be given out at once.
 	linkBurst = 2.0
 )
@@ -43,13 +43,14 @@
 	share := limit * linkHeadroom / float64(max(b.links.Sharers(), 1))
 	key := [2]string{from, to}
 	l, ok := b.buys[key]
+	burst := int(math.Ceil(share*linkBurst)) + 1
 	if !ok {
-		l = rate.NewLimiter(rate.Limit(share), 1)
+		l = rate.NewLimiter(rate.Limit(share), burst)
 		b.buys[key] = l
 	}
-	if l.Limit() != rate.Limit(share) || l.Burst() == 1 {
+	if l.Limit() != rate.Limit(share) {
 		l.SetLimitAt(now, rate.Limit(share))
-		l.SetBurstAt(now, int(math.Ceil(share*linkBurst))+1)
+		l.SetBurstAt(now, burst)
 	}
 	return l
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -121,8 +121,10 @@
 // nearest chooses the chain of least time per token among a sample. It serves
 // repairs, where the plan says nothing.
 func (r *Router) nearest(service string, all []candidate, need model.LayerRange) ([]Stage, error) {
-	if chain := cheapest(r.sample(all), need, r.link); chain != nil {
-		return chain, nil
+	for _, some := range [][]candidate{r.sample(withoutDoubt(all)), r.sample(all)} {
+		if chain := cheapest(some, need, r.link); chain != nil {
+			return chain, nil
+		}
 	}
 	if chain := cheapest(all, need, r.link); chain != nil {
 		return chain, nil
@@ -194,6 +196,10 @@
 	return time.Duration(float64(b.StepTime) * (1 + loadWeight*load))
 }
 
+func withoutDoubt(all []candidate) []candidate {
+	return slices.DeleteFunc(slices.Clone(all), func(c candidate) bool { return c.penalty > 0 })
+}
+
 // sample takes a few members of each layer range at random.
 func (r *Router) sample(all []candidate) []candidate {
 	groups := map[model.LayerRange][]candidate{}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/api/skylarkwood/v1/skylarkwoodv1connect"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ledger"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
@@ -110,6 +111,7 @@
 		Config:   e.node.Config,
 		Rates:    limits.NewRates(e.sharers),
 		Retries:  limits.NewRetryBudget(),
+		Room:     admission.New(time.Now),
 		Grant:    e.grant,
 		Requests: e.store,
 		Events:   e.node.Events,
@@ -145,6 +147,10 @@
 		e.owner.StageFailed(f)
 		return struct{}{}, nil
 	}))
+	srv.Register(wire.MethodNoStage, link.Handle(func(_ context.Context, from string, n wire.NoStage) (struct{}, error) {
+		e.owner.NoStage(from, n)
+		return struct{}{}, nil
+	}))
 	srv.Register(wire.MethodOutcome, link.Handle(func(_ context.Context, _ string, q wire.OutcomeQuery) (wire.OutcomeReply, error) {
 		return e.owner.KnownOutcome(q.Key), nil
 	}))
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -149,6 +149,7 @@
 	srv.Register(wire.MethodCall, link.Handle(checked(d, s.Call)))
 	srv.Register(wire.MethodResume, link.Handle(s.Resume))
 	srv.Register(wire.MethodForward, link.Handle(s.Forward))
+	srv.Register(wire.MethodNoStage, link.Handle(s.NoStage))
 	srv.Register(wire.MethodClose, link.Handle(s.Close))
 	srv.Register(wire.MethodCancel, link.Handle(s.Cancel))
 	srv.Register(wire.MethodHello, heardHello(d))
@@ -186,6 +187,10 @@
 	return s.pool.Notify(ctx, addr, wire.MethodTokens, t)
 }
 
+func (s sender) NoStage(ctx context.Context, addr string, n wire.NoStage) error {
+	return s.pool.Notify(ctx, addr, wire.MethodNoStage, n)
+}
+
 func (s sender) Failed(ctx context.Context, addr string, f wire.StageFailed) error {
 	return s.pool.Notify(ctx, addr, wire.MethodStageFailed, f)
 }
--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/config"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ledger"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
@@ -67,6 +68,7 @@
 	Config   *config.Store
 	Rates    *limits.Rates
 	Retries  *limits.RetryBudget
+	Room     *admission.Room
 	Grant    Granter
 	Requests *requests.Store
 	Events   *events.Log
@@ -299,7 +301,7 @@
 	case j.notRepeatable:
 		out = o.serveOnce(ctx, j)
 	case j.kind == model.KindPipeline:
-		out = o.servePipeline(ctx, j, nil)
+		out = o.serveAdmitted(ctx, j)
 	default:
 		out = o.servePlain(ctx, j)
 	}
@@ -310,6 +312,21 @@
 	o.copyOutcome(j.key(), out)
 }
 
+// serveAdmitted runs a pipeline request once there is room for it.
+func (o *Owner) serveAdmitted(ctx context.Context, j *job) model.Outcome {
+	err := o.Room.Enter(ctx, admission.Request{
+		Customer: j.ask.Customer,
+		Priority: j.rule.Priority,
+		Deadline: j.req.Deadline,
+	})
+	if err != nil {
+		return fault.NotRun(fault.From(err), "never handed over: refused at admission")
+	}
+	out := o.servePipeline(ctx, j, nil)
+	o.Room.Leave(j.ask.Customer, out.State == model.NotRun)
+	return out
+}
+
 // outcomeCopies is at how many other entries a final outcome is left, so that
 // it can be told after this entry is gone.
 const outcomeCopies = 2
--- a/internal/protocol/owner/pipeline.go
+++ b/internal/protocol/owner/pipeline.go
@@ -26,8 +26,10 @@
 	// maxOpenTries bounds attempts to open a first chain. All of them end
 	// before anything ran.
 	maxOpenTries = 6
-	firstPause   = 10 * time.Millisecond
-	maxPause     = 200 * time.Millisecond
+	// fullAfter is after how many refusals the engines are taken to be full.
+	fullAfter  = 3
+	firstPause = 10 * time.Millisecond
+	maxPause   = 200 * time.Millisecond
 	// watchEvery is how often the membership is compared with the chain.
 	watchEvery = 50 * time.Millisecond
 )
@@ -44,6 +46,7 @@
 	// avoid are stages that failed this request.
 	avoid    map[string]bool
 	reported map[string]int // failure reports by stage address
+	cuts     map[string]int // losses on links by the address at either end
 	started  bool           // the first stage was fed: it may have run
 	sentOnce bool           // first token was seen
 	probed   []stageAt      // where the stages stood at the last look
@@ -64,6 +67,7 @@
 		used:     map[string]bool{},
 		avoid:    map[string]bool{},
 		reported: map[string]int{},
+		cuts:     map[string]int{},
 		arrived:  make(chan struct{}, 1),
 		failed:   make(chan wire.StageFailed, 16),
 	}
@@ -104,6 +108,10 @@
 			return nil
 		}
 		e := fault.From(err)
+		// One refusal is chance: loads lag. Several in a row mean that it is full.
+		if e.Kind == fault.Overloaded && try >= fullAfter {
+			r.o.Room.Full()
+		}
 		if r.notRepeatable || try == maxOpenTries || !e.Kind.Answer().Retryable {
 			return err
 		}
@@ -122,12 +130,12 @@
 	watch := time.NewTicker(watchEvery)
 	defer watch.Stop()
 	repairs, have := 0, r.req.Len()
-	stall := r.o.Timing.Stall
-	progressAt := r.o.Now()
+	beat := pulse{at: r.o.Now()}
 	for {
 		if n := r.req.Len(); n > have {
 			r.firstToken(n)
-			repairs, have, progressAt = 0, n, r.o.Now()
+			repairs, have = 0, n
+			beat.beat(r.o.Now())
 		}
 		if have == int64(r.ask.MaxTokens) {
 			return model.Outcome{State: model.Ran, Evidence: fmt.Sprintf("all %d tokens, epoch %d", have, r.epoch)}
@@ -141,9 +149,10 @@
 		case f := <-r.failed:
 			broken = r.judge(f)
 		case <-watch.C:
-			if broken = r.lostMember(); broken == "" && r.o.Now().Sub(progressAt) > stall {
+			wait := beat.patience(r.o.Timing.Stall, have, repairs)
+			if broken = r.lostMember(); broken == "" && r.o.Now().Sub(beat.at) > wait {
 				broken = r.look(ctx)
-				progressAt = r.o.Now()
+				beat.at = r.o.Now()
 			}
 		}
 		if broken == "" {
@@ -155,8 +164,43 @@
 		if err := r.repair(ctx, broken); err != nil {
 			return r.ended(ctx, err)
 		}
-		progressAt = r.o.Now()
+		beat.at = r.o.Now()
+	}
+}
+
+// pulse follows the time between tokens, to tell silence from slowness.
+type pulse struct {
+	at       time.Time
+	smoothed time.Duration
+}
+
+func (p *pulse) beat(now time.Time) {
+	d := now.Sub(p.at)
+	p.at = now
+	if p.smoothed == 0 {
+		p.smoothed = d
+	}
+	p.smoothed += (d - p.smoothed) / 8
+}
+
+const (
+	// silentAfter is how many usual intervals without a token call for a look.
+	silentAfter = 8
+	// minSilence keeps looks rare where tokens come fast.
+	minSilence = 300 * time.Millisecond
+)
+
+// patience is how long to wait for a token before looking at the stages. A look
+// that finds a slow chain costs a message to each stage and changes nothing.
+// After a repair a token should come soon, or the repair was the wrong one.
+func (p *pulse) patience(most time.Duration, tokens int64, repairs int) time.Duration {
+	if repairs > 0 {
+		return minSilence
 	}
+	if tokens < 2 {
+		return most // the prompt may take long
+	}
+	return min(max(silentAfter*p.smoothed, minSilence), most)
 }
 
 func (r *run) firstToken(n int64) {
@@ -219,15 +263,17 @@
 // look asks the stages how far they are when no token has come for a while, and
 // gives what is broken, if anything. Under load a chain is slow, not lost:
 // raising the epoch then would replay positions and make it slower. Only a
-// stage that does not answer, or positions lost on a link (no stage has work
-// left, and none has moved), call for a repair.
+// stage that does not answer, an engine that hangs, or positions lost on a link
+// call for a repair.
 func (r *run) look(ctx context.Context) string {
 	now := make([]stageAt, len(r.chain))
+	silent := make([]bool, len(r.chain))
 	var g errgroup.Group
 	for i, h := range r.chain {
 		g.Go(func() error {
 			var rep wire.OpenReply
 			if err := r.o.callTwice(ctx, h.Address, wire.MethodOpen, r.openMessage(i), &rep); err != nil {
+				silent[i] = true
 				return errors.Wrap(err, h.Address)
 			}
 			now[i] = stageAt{rep.Next, rep.Ran}
@@ -235,19 +281,71 @@
 		})
 	}
 	if err := g.Wait(); err != nil {
+		r.leaveOut(silent)
 		return err.Error()
 	}
 	moved := !slices.Equal(now, r.probed)
 	r.probed = now
-	if moved {
-		r.idle = 0
-		return ""
-	}
-	r.idle++
 	if i := slices.IndexFunc(now, func(s stageAt) bool { return s.ran < s.accepted }); i >= 0 {
+		if moved {
+			r.idle = 0
+			return ""
+		}
+		r.idle++
 		return r.hanging(i)
 	}
-	return "no stage has moved: positions were lost on a link"
+	return r.lostOnLink(now)
+}
+
+// leaveOut keeps the next chain from the stages that gave no good answer.
+func (r *run) leaveOut(silent []bool) {
+	for i, h := range r.chain {
+		if silent[i] {
+			r.avoid[h.Address] = true
+			r.o.Table.Missed(h.Address)
+		}
+	}
+}
+
+// lostOnLink finds the link on which positions were lost: what a stage ran, the
+// next has not taken, and nobody has work. A lost message is mended by the next
+// epoch. A link that loses again is cut for good, though both ends answer this
+// entry: the end it leads to is replaced, and if that does not help the other.
+func (r *run) lostOnLink(now []stageAt) string {
+	for i := range now {
+		next := (i + 1) % len(now)
+		if now[next].accepted >= r.wanted(i, now[i].ran) {
+			continue
+		}
+		from, to := r.chain[i].Address, r.chain[next].Address
+		r.cuts[from]++
+		r.cuts[to]++
+		switch {
+		case r.cuts[from] > suspectSender:
+			r.avoid[from] = true
+		case r.cuts[to] > 1:
+			r.avoid[to] = true
+		}
+		return from + " to " + to + ": positions were lost"
+	}
+	return "tokens were lost on the way here"
+}
+
+// suspectSender is after how many losses the sending end is replaced.
+const suspectSender = 2
+
+// wanted is what the stage after i should have taken when i has run so many
+// positions. The last stage's outputs are the first one's inputs, one position
+// on, from the end of the prompt to the last token but one.
+func (r *run) wanted(i int, ran int64) int64 {
+	if i < len(r.chain)-1 {
+		return ran
+	}
+	prompt := int64(len(r.prompt))
+	if ran < prompt {
+		return 0
+	}
+	return min(ran+1, prompt+int64(r.ask.MaxTokens)-1)
 }
 
 // hanging gives up on a stage whose engine has had work for long and done none.
@@ -495,6 +593,11 @@
 	}
 }
 
+// NoStage takes in that the first stage does not know a request that was fed.
+func (o *Owner) NoStage(from string, n wire.NoStage) {
+	o.StageFailed(wire.StageFailed{Key: n.Key, Epoch: n.Epoch, Address: from, Cause: "no stage is open there"})
+}
+
 // StageFailed takes in a stage's report; a flood of them is cut, as one is
 // enough to look.
 func (o *Owner) StageFailed(f wire.StageFailed) {
--- a/internal/protocol/sidecar/sidecar.go
+++ b/internal/protocol/sidecar/sidecar.go
@@ -184,16 +184,26 @@
 	return struct{}{}, ses.Resume(r)
 }
 
-// Forward takes inputs in. Those for a stage that is not open are dropped: the
-// owner resumes from the positions that stages report.
-func (s *Sidecar) Forward(_ context.Context, _ string, f wire.Forward) (struct{}, error) {
+// Forward takes inputs in. Those for a stage that is not open are dropped and
+// the sender is told: this sidecar may have been replaced under the request, and
+// the owner would notice only by the tokens that fail to come.
+func (s *Sidecar) Forward(ctx context.Context, from string, f wire.Forward) (struct{}, error) {
 	ses, ok := s.sessions.Get(f.Key.String())
 	if !ok {
+		go func() { _ = s.send.NoStage(ctx, from, wire.NoStage{Key: f.Key, Epoch: f.Epoch}) }()
 		return struct{}{}, fault.New(fault.NotFound, "no stage is open for %s", f.Key)
 	}
 	return struct{}{}, ses.Accept(f)
 }
 
+// NoStage takes in that another stage does not know a request.
+func (s *Sidecar) NoStage(ctx context.Context, from string, n wire.NoStage) (struct{}, error) {
+	if ses, ok := s.sessions.Get(n.Key.String()); ok {
+		go ses.NextLost(ctx, from, n.Epoch)
+	}
+	return struct{}{}, nil
+}
+
 // Close ends a stage. The reply tells the load without it.
 func (s *Sidecar) Close(ctx context.Context, _ string, c wire.Close) (wire.CloseReply, error) {
 	if ses, ok := s.sessions.Get(c.Key.String()); ok {
--- a/internal/protocol/stage/stage.go
+++ b/internal/protocol/stage/stage.go
@@ -29,6 +29,8 @@
 	Forward(ctx context.Context, addr string, f wire.Forward) error
 	// Tokens sends generated tokens to the owner at addr.
 	Tokens(ctx context.Context, addr string, t wire.Tokens) error
+	// NoStage tells the process at addr that what it forwarded has no stage.
+	NoStage(ctx context.Context, addr string, n wire.NoStage) error
 	// Failed tells the owner at addr that a stage cannot go on.
 	Failed(ctx context.Context, addr string, f wire.StageFailed) error
 }
@@ -208,6 +210,16 @@
 	_ = s.send.Failed(ctx, owner, f)
 }
 
+// NextLost takes in that the stage at addr does not know this request, and tells
+// the owner.
+func (s *Session) NextLost(ctx context.Context, addr string, epoch int64) {
+	s.mu.Lock()
+	owner := s.open.Owner
+	f := wire.StageFailed{Key: s.key, Epoch: epoch, Address: addr, Cause: "no stage is open there"}
+	s.mu.Unlock()
+	_ = s.send.Failed(ctx, owner, f)
+}
+
 func (s *Session) hop() wire.Hop { return s.open.Chain[s.open.Index] }
 
 func (s *Session) last() bool { return s.open.Index == len(s.open.Chain)-1 }
--- a/internal/protocol/stage/stage_test.go
+++ b/internal/protocol/stage/stage_test.go
@@ -87,6 +87,8 @@
 	return nil
 }
 
+func (c *chain) NoStage(context.Context, string, wire.NoStage) error { return nil }
+
 func (c *chain) Failed(context.Context, string, wire.StageFailed) error {
 	c.rt.Fatalf("a stage failed")
 	return nil
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -27,6 +27,7 @@
 	MethodOpen    Method = "stage.open"
 	MethodResume  Method = "stage.resume"
 	MethodForward Method = "stage.forward" // notification
+	MethodNoStage Method = "stage.none"    // notification, answered by entries too
 	MethodClose   Method = "stage.close"
 	MethodCall    Method = "plain.call"
 	MethodCancel  Method = "gate.cancel"
@@ -144,6 +145,13 @@
 	Data     [][]byte `json:"data"`
 }
 
+// NoStage tells the sender of a Forward that no stage is open here for it: the
+// sidecar was replaced meanwhile.
+type NoStage struct {
+	Key   RunKey `json:"key"`
+	Epoch int64  `json:"epoch"`
+}
+
 // Tokens carries generated tokens to the owner. Position counts tokens from 0.
 type Tokens struct {
 	Key      RunKey   `json:"key"`
--- a/internal/standin/world/network.go
+++ b/internal/standin/world/network.go
@@ -334,6 +334,11 @@
 	return p.Notify(ctx, addr, wire.MethodTokens, t)
 }
 
+// NoStage implements stage.Sender.
+func (p *peers) NoStage(ctx context.Context, addr string, n wire.NoStage) error {
+	return p.Notify(ctx, addr, wire.MethodNoStage, n)
+}
+
 // Failed implements stage.Sender.
 func (p *peers) Failed(ctx context.Context, addr string, f wire.StageFailed) error {
 	return p.Notify(ctx, addr, wire.MethodStageFailed, f)
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/config"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ledger"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
@@ -73,6 +74,8 @@
 	Engines []EngineSpec
 	Plains  []PlainSpec
 	Link    func(from, to string) Link
+	// Customers are given the same template as Customer.
+	Customers []string
 	// Router makes an entry's router; nil takes the product's.
 	Router func(*membership.Table, routing.Links) owner.Router
 }
@@ -124,12 +127,14 @@
 func New(ctx context.Context, cfg Config) (*World, error) {
 	w := &World{cfg: cfg, Net: newNetwork(cfg.Seed, cfg.Link), KV: standin.NewKV(), ctx: ctx}
 	store := config.NewStore(w.KV, time.Now, daemon.NewID, func(int64) {})
-	_, err := store.Set(ctx, config.Template{Customer: Customer, Rules: []config.Rule{
-		{Service: Sheets, Priority: 3, DefaultTimeout: timeout},
-		{Service: Notices, Priority: 7, DefaultTimeout: timeout},
-	}}, 0, "world")
-	if err != nil {
-		return nil, err
+	for _, customer := range append([]string{Customer}, cfg.Customers...) {
+		_, err := store.Set(ctx, config.Template{Customer: customer, Rules: []config.Rule{
+			{Service: Sheets, Priority: 3, DefaultTimeout: timeout},
+			{Service: Notices, Priority: 7, DefaultTimeout: timeout},
+		}}, 0, "world")
+		if err != nil {
+			return nil, err
+		}
 	}
 	for _, spec := range cfg.Engines {
 		w.addSidecar(&Sidecar{
@@ -211,6 +216,7 @@
 		wire.MethodOpen:    link.Handle(s.Open),
 		wire.MethodResume:  link.Handle(s.Resume),
 		wire.MethodForward: link.Handle(s.Forward),
+		wire.MethodNoStage: link.Handle(s.NoStage),
 		wire.MethodClose:   link.Handle(s.Close),
 		wire.MethodCall:    link.Handle(s.Call),
 		wire.MethodCancel:  link.Handle(s.Cancel),
@@ -263,6 +269,7 @@
 		Config:   cfg,
 		Rates:    limits.NewRates(func() int { return 1 }),
 		Retries:  limits.NewRetryBudget(),
+		Room:     admission.New(time.Now),
 		Grant:    led.Record,
 		Requests: e.Store,
 		Events:   log,
@@ -287,6 +294,10 @@
 			e.Owner.StageFailed(f)
 			return struct{}{}, nil
 		}),
+		wire.MethodNoStage: link.Handle(func(_ context.Context, from string, n wire.NoStage) (struct{}, error) {
+			e.Owner.NoStage(from, n)
+			return struct{}{}, nil
+		}),
 		wire.MethodOutcome: link.Handle(func(_ context.Context, _ string, q wire.OutcomeQuery) (wire.OutcomeReply, error) {
 			return e.Owner.KnownOutcome(q.Key), nil
 		}),
