Two looks before positions count as lost; longer waits after each repair

Change: positions count as lost only if nothing moved between two looks; the wait after a repair doubles.

--- a/internal/protocol/owner/pipeline.go
+++ b/internal/protocol/owner/pipeline.go
@@ -152,7 +152,7 @@
 			wait := beat.patience(r.o.Timing.Stall, have, repairs)
 			if broken = r.lostMember(); broken == "" && r.o.Now().Sub(beat.at) > wait {
 				broken = r.look(ctx)
-				beat.at = r.o.Now()
+				beat.at = r.o.Now().Add(minSilence - wait) // look again soon
 			}
 		}
 		if broken == "" {
@@ -192,10 +192,11 @@
 
 // patience is how long to wait for a token before looking at the stages. A look
 // that finds a slow chain costs a message to each stage and changes nothing.
-// After a repair a token should come soon, or the repair was the wrong one.
+// After a repair a token should come soon, or the repair was the wrong one; but
+// over a slow link it takes a while, and each further repair sends more over it.
 func (p *pulse) patience(most time.Duration, tokens int64, repairs int) time.Duration {
 	if repairs > 0 {
-		return minSilence
+		return min(minSilence<<(repairs-1), 2*most)
 	}
 	if tokens < 2 {
 		return most // the prompt may take long
@@ -286,11 +287,11 @@
 	}
 	moved := !slices.Equal(now, r.probed)
 	r.probed = now
+	if moved {
+		r.idle = 0
+		return ""
+	}
 	if i := slices.IndexFunc(now, func(s stageAt) bool { return s.ran < s.accepted }); i >= 0 {
-		if moved {
-			r.idle = 0
-			return ""
-		}
 		r.idle++
 		return r.hanging(i)
 	}
