Heartbeats within a byte budget; no connection is proof of not run; link bytes counted

Cause: each entry asked every member twice a second with the whole description: at 64 members far beyond the 4 KB/s that control may cost; and a refused dial was treated as if the call might have been sent.

Change: hellos tell only the load to who knows the incarnation; members are asked in turn within 3,000 bytes a second, at least twice a second in a small fleet; sidecars no longer ask; a failed dial is its own kind, with proof. Stages whose entry is silent end after 20 s (was 5 s), as hellos come seldom in large fleets.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -211,7 +211,11 @@
 	go func() { done <- e.node.Run(running, linkL) }()
 	srv := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 10 * time.Second}
 	go func() { done <- srv.Serve(httpL) }()
-	go every(running, sweepEvery, func() { e.store.Sweep(); e.ledger.Sweep(running) })
+	go every(running, sweepEvery, func() {
+		e.store.Sweep()
+		e.ledger.Sweep(running)
+		e.metrics.links(e.node.Bytes())
+	})
 	klog.InfoS("Entry serves", "instance", e.settings.Instance, "incarnation", e.node.Incarnation,
 		"http", e.settings.Listen.HTTP, "link", e.settings.Listen.Link)
 	select {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -41,4 +41,9 @@
 	tagged.Timer("request_time").Record(took)
 }
 
+// links tells how many bytes went over the process's links.
+func (m *metrics) links(total int64) {
+	m.scope.Gauge("link_bytes").Update(float64(total))
+}
+
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -39,12 +38,11 @@
 	gate     *gate.Gate
 	metrics  *metrics
 	load     platform.EngineLoad
-	prepared chan struct{}
 }
 
 // NewSidecar puts a sidecar together.
 func NewSidecar(s settings.Settings, out Outside) *Sidecar {
-	d := &Sidecar{settings: s, out: out, metrics: newMetrics(s), prepared: make(chan struct{})}
+	d := &Sidecar{settings: s, out: out, metrics: newMetrics(s)}
 	incarnation := NewID()
 	d.gate = gate.New(incarnation, s.Sidecar.Capacity, s.Sidecar.Queue, time.Now)
 	d.node = mesh.New(mesh.Options{
@@ -55,19 +53,12 @@
 		Now:         time.Now,
 		NewID:       NewID,
 		EventLimit:  s.Events.Keep,
-		Describe:    d.describe,
 	})
 	return d
 }
 
-// describe tells nothing of the backend server before it is prepared, so that
-// no entry sends work yet.
+// describe is what entries are told of the backend server.
 func (d *Sidecar) describe() wire.HelloReply {
-	select {
-	case <-d.prepared:
-	default:
-		return wire.HelloReply{}
-	}
 	return wire.HelloReply{
 		Service:    d.settings.Sidecar.Service,
 		Kind:       d.settings.Sidecar.Kind,
@@ -75,7 +66,6 @@
 		Layers:     d.settings.Sidecar.Layers,
 		StepMicros: d.load.StepTime.Microseconds(),
 		Rate:       d.load.Rate,
-		Load:       d.gate.Load(),
 	}
 }
 
@@ -100,6 +90,7 @@
 		d.gate.SetPace(b.Pace)
 	}
 	d.sidecar = sidecar.New(d.settings.Listen.Link, d.gate, b, sender{d.node.Pool}, d.node.Events, time.Now)
+	d.node.Serve(d.describe(), d.gate.Load, d.sidecar.Heard)
 	d.register()
 	return nil
 }
@@ -152,7 +143,6 @@
 	srv.Register(wire.MethodNoStage, link.Handle(s.NoStage))
 	srv.Register(wire.MethodClose, link.Handle(s.Close))
 	srv.Register(wire.MethodCancel, link.Handle(s.Cancel))
-	srv.Register(wire.MethodHello, heardHello(d))
 }
 
 // checked refuses work from an entry that acts on an older configuration.
@@ -166,16 +156,6 @@
 	}
 }
 
-func heardHello(d *Sidecar) link.Handler {
-	return func(_ context.Context, from string, _ json.RawMessage) (any, error) {
-		d.sidecar.Heard(from)
-		rep := d.describe()
-		rep.Instance = d.node.Self
-		rep.Incarnation = d.node.Incarnation
-		return rep, nil
-	}
-}
-
 // sender passes a stage's results on over the links.
 type sender struct{ pool *link.Pool }
 
@@ -207,12 +187,11 @@
 	if err := d.prepare(ctx); err != nil {
 		return nil // told to stop before it had begun
 	}
-	close(d.prepared)
 	done := make(chan error, 2)
 	go func() { done <- d.node.Run(running, linkL) }()
 	srv := &http.Server{Handler: d.handler(), ReadHeaderTimeout: 10 * time.Second}
 	go func() { done <- srv.Serve(httpL) }()
-	go every(running, sweepEvery/5, d.sidecar.Sweep)
+	go every(running, sweepEvery/5, func() { d.sidecar.Sweep(); d.metrics.links(d.node.Bytes()) })
 	klog.InfoS("Sidecar serves", "instance", d.settings.Instance, "incarnation", d.node.Incarnation,
 		"service", d.settings.Sidecar.Service, "link", d.settings.Listen.Link)
 	select {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -38,9 +38,12 @@
 	AlreadyHandedOff Kind = "already_handed_over"
 	RevisionConflict Kind = "revision_conflict"
 	NotFound         Kind = "not_found"
-	Unreachable      Kind = "unreachable"
-	StaleConfig      Kind = "stale_configuration"
-	Internal         Kind = "internal"
+	// Unreachable leaves open whether the peer acted on a message.
+	Unreachable Kind = "unreachable"
+	// NotConnected is proof that nothing was sent: there was no connection.
+	NotConnected Kind = "not_connected"
+	StaleConfig  Kind = "stale_configuration"
+	Internal     Kind = "internal"
 )
 
 // Answer is a row of the table from kind to answer.
@@ -78,6 +81,7 @@
 	NotFound:         {Code: connect.CodeNotFound},
 	Unreachable:      {Code: connect.CodeUnavailable, RetryAfter: time.Second, Retryable: true},
 	StaleConfig:      {Code: connect.CodeUnavailable, RetryAfter: time.Second, Retryable: true},
+	NotConnected:     {Code: connect.CodeUnavailable, RetryAfter: time.Second, Retryable: true},
 	Internal:         {Code: connect.CodeInternal},
 }
 
--- a/internal/protocol/owner/plain.go
+++ b/internal/protocol/owner/plain.go
@@ -101,7 +101,7 @@
 func provesNotStarted(k fault.Kind) bool {
 	switch k {
 	case fault.Leaving, fault.Overloaded, fault.WrongIncarnation, fault.Cancelled,
-		fault.NotReady, fault.StaleConfig, fault.Deadline, fault.NoCapacity:
+		fault.NotReady, fault.NotConnected, fault.StaleConfig, fault.Deadline, fault.NoCapacity:
 		return true
 	}
 	return false
@@ -114,6 +114,8 @@
 		o.Table.Backoff(gate.Address, e.After())
 	case fault.Leaving:
 		o.Table.SeenLeaving(gate.Address)
+	case fault.NotConnected:
+		o.Table.Missed(gate.Address)
 	case fault.WrongIncarnation, fault.NotReady:
 		o.Table.Backoff(gate.Address, e.After())
 	case fault.StaleConfig:
--- a/internal/protocol/sidecar/sidecar.go
+++ b/internal/protocol/sidecar/sidecar.go
@@ -21,9 +21,9 @@
 )
 
 // ownerSilence is how long an entry may be silent before its stages are ended
-// here: heartbeats come every half second, and work for an entry that is gone
-// only takes places from others.
-const ownerSilence = 5 * time.Second
+// here: work for an entry that is gone only takes places from others. Heartbeats
+// come every half second in a small fleet, every eight in a large one.
+const ownerSilence = 20 * time.Second
 
 // Backend is the backend server beside the sidecar: one of the two is set.
 type Backend struct {
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -60,12 +60,15 @@
 	RetryAfter time.Duration `json:"after,omitempty"`
 }
 
-// Hello asks a process who it is; it doubles as the heartbeat.
-type Hello struct{}
+// Hello asks a process who it is; it doubles as the heartbeat. Known is the
+// incarnation that the asker has met; to it only the load is told again.
+type Hello struct {
+	Known string `json:"k,omitempty"`
+}
 
 // HelloReply tells who a process is and how loaded.
 type HelloReply struct {
-	Instance    model.Instance    `json:"instance"`
+	Instance    *model.Instance   `json:"instance,omitempty"` // nil where known
 	Incarnation string            `json:"inc"`
 	Service     string            `json:"service,omitempty"`
 	Kind        model.ServiceKind `json:"kind,omitempty"`
--- a/internal/standin/world/network.go
+++ b/internal/standin/world/network.go
@@ -182,7 +182,7 @@
 	return &peers{net: n, self: self, small: small, queues: map[string]chan func(){}, ctx: ctx}
 }
 
-var errGone = fault.New(fault.Unreachable, "no such process")
+var errGone = fault.New(fault.NotConnected, "no such process")
 
 // Call implements owner.Peers.
 func (p *peers) Call(ctx context.Context, addr string, m wire.Method, req, rep any) error {
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -230,7 +230,7 @@
 
 func (u *Sidecar) hello(layers int, inc string, g *gate.Gate) wire.HelloReply {
 	rep := wire.HelloReply{
-		Instance:    instance(u.Addr, u.Domain, model.RoleSidecar),
+		Instance:    told(u.Addr, u.Domain, model.RoleSidecar),
 		Incarnation: inc,
 		Service:     Notices,
 		Kind:        model.KindPlain,
@@ -306,7 +306,7 @@
 			return struct{}{}, nil
 		}),
 		wire.MethodHello: link.Handle(func(context.Context, string, wire.Hello) (wire.HelloReply, error) {
-			return wire.HelloReply{Instance: instance(e.Addr, e.domain, model.RoleEntry), Incarnation: e.Addr}, nil
+			return wire.HelloReply{Instance: told(e.Addr, e.domain, model.RoleEntry), Incarnation: e.Addr}, nil
 		}),
 	}
 }
@@ -327,7 +327,7 @@
 				table.Missed(addr)
 				return
 			}
-			table.Seen(rep.Instance, rep.Incarnation, membership.Backend{
+			table.Seen(*rep.Instance, rep.Incarnation, membership.Backend{
 				Service:  rep.Service,
 				Kind:     rep.Kind,
 				Range:    rep.Range,
@@ -348,6 +348,11 @@
 	return model.Instance{ID: addr, Role: role, Address: addr, FailureDomain: domain}
 }
 
+func told(addr, domain string, role model.Role) *model.Instance {
+	in := instance(addr, domain, role)
+	return &in
+}
+
 // LinkTime is what routers go by.
 func (w *World) LinkTime(a, b model.Instance) time.Duration {
 	return w.cfg.Link(a.FailureDomain, b.FailureDomain).Delay
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,6 +45,31 @@
 	Seen func(from string, revision int64)
 	// Self is this process's link address.
 	Self string
+
+	bytes atomic.Int64
+}
+
+// Bytes is how much went over the process's links so far, both ways.
+func (s *Stamp) Bytes() int64 { return s.bytes.Load() }
+
+// countedConn counts what passes.
+type countedConn struct {
+	net.Conn
+	total *atomic.Int64
+}
+
+func (s *Stamp) counted(c net.Conn) net.Conn { return countedConn{c, &s.bytes} }
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.total.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.total.Add(int64(n))
+	return n, err
 }
 
 func (s *Stamp) wrap(v any) (*wire.Envelope, error) {
@@ -102,7 +128,7 @@
 			}
 			return errors.Wrap(err, "accept link")
 		}
-		conn := jsonrpc2.NewConn(ctx, stream(c), s)
+		conn := jsonrpc2.NewConn(ctx, stream(s.stamp.counted(c)), s)
 		context.AfterFunc(ctx, func() { conn.Close() })
 	}
 }
--- a/internal/transport/link/pool.go
+++ b/internal/transport/link/pool.go
@@ -116,9 +116,9 @@
 	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, fault.New(fault.Unreachable, "dial %s: %v", addr, err)
+		return nil, fault.New(fault.NotConnected, "dial %s: %v", addr, err)
 	}
-	pr.conn = jsonrpc2.NewConn(context.Background(), stream(c), NewServer(p.stamp))
+	pr.conn = jsonrpc2.NewConn(context.Background(), stream(p.stamp.counted(c)), NewServer(p.stamp))
 	return pr.conn, nil
 }
 
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -25,8 +25,17 @@
 )
 
 const (
-	listEvery      = time.Second
+	listEvery = time.Second
+	// heartbeatTick is how often it is looked who is due; heartbeatEvery is how
+	// often a member is asked in a small fleet.
+	heartbeatTick  = 100 * time.Millisecond
 	heartbeatEvery = 500 * time.Millisecond
+	// helloBytes is what one heartbeat costs on the link, both ways, as measured
+	// (docs/CAPACITY.md); controlBudget is what an entry may spend on them, in
+	// bytes a second.
+	helloBytes    = 380
+	controlBudget = 3000
+	askedSlack    = 64
 	// heartbeatWait bounds one heartbeat. Two misses in a row, the second over
 	// a new connection, are found within about two seconds.
 	heartbeatWait = 700 * time.Millisecond
@@ -50,13 +59,17 @@
 
 	instances platform.Instances
 	now       func() time.Time
-	describe  func() wire.HelloReply
+	backend   wire.HelloReply
+	load      func() wire.Load
+	heard     func(from string)
+	stamp     *link.Stamp
 
 	revision  atomic.Int64
-	confirmed atomic.Int64 // unix nanoseconds of the last contact
-	loaded    atomic.Bool  // a configuration was read
-	seenMax   atomic.Int64 // highest revision seen on any message
-	newer     chan string  // peers that have a newer configuration
+	confirmed atomic.Int64         // unix nanoseconds of the last contact
+	loaded    atomic.Bool          // a configuration was read
+	seenMax   atomic.Int64         // highest revision seen on any message
+	newer     chan string          // peers that have a newer configuration
+	asked     map[string]time.Time // by the heartbeat loop only
 	pushes    sync.WaitGroup
 }
 
@@ -69,10 +82,19 @@
 	Now         func() time.Time
 	NewID       func() string
 	EventLimit  int
-	// Describe fills in the service and load of a hello; nil for entries.
-	Describe func() wire.HelloReply
 }
 
+// Serve tells the node what it offers to the others: a sidecar's backend server,
+// its load, and who is to be told of a heartbeat. It is called before Run.
+func (n *Node) Serve(backend wire.HelloReply, load func() wire.Load, heard func(from string)) {
+	n.backend = backend
+	n.load = load
+	n.heard = heard
+}
+
+// Bytes is how much went over the node's links so far, both ways.
+func (n *Node) Bytes() int64 { return n.stamp.Bytes() }
+
 // New makes a node; Run starts it.
 func New(o Options) *Node {
 	n := &Node{
@@ -82,14 +104,16 @@
 		Table:       membership.New(o.Self.Address, o.Now),
 		instances:   o.Instances,
 		now:         o.Now,
-		describe:    o.Describe,
+		load:        func() wire.Load { return wire.Load{} },
+		heard:       func(string) {},
 		newer:       make(chan string, 16),
+		asked:       map[string]time.Time{},
 	}
 	n.Events = events.New(o.Self.ID, o.Self.Role, o.Incarnation, n.Clock, o.EventLimit)
 	n.Config = config.NewStore(o.KV, o.Now, o.NewID, n.applied)
-	stamp := &link.Stamp{Clock: n.Clock, Revision: n.revision.Load, Seen: n.seen, Self: o.Self.Address}
-	n.Server = link.NewServer(stamp)
-	n.Pool = link.NewPool(stamp)
+	n.stamp = &link.Stamp{Clock: n.Clock, Revision: n.revision.Load, Seen: n.seen, Self: o.Self.Address}
+	n.Server = link.NewServer(n.stamp)
+	n.Pool = link.NewPool(n.stamp)
 	n.register()
 	return n
 }
@@ -107,7 +131,9 @@
 	var g errgroup.Group
 	g.Go(func() error { return n.Server.Serve(ctx, l) })
 	g.Go(func() error { n.every(ctx, listEvery, n.readList); return nil })
-	g.Go(func() error { n.every(ctx, heartbeatEvery, n.heartbeats); return nil })
+	if n.Self.Role == model.RoleEntry {
+		g.Go(func() error { n.every(ctx, heartbeatTick, n.heartbeats); return nil })
+	}
 	g.Go(func() error { n.loadConfig(ctx); n.fetchLoop(ctx); return nil })
 	g.Go(func() error { n.watchLoop(ctx); return nil })
 	err := g.Wait()
@@ -128,13 +154,15 @@
 	}
 }
 
-func (n *Node) hello(_ context.Context, _ string, _ wire.Hello) (wire.HelloReply, error) {
-	var rep wire.HelloReply
-	if n.describe != nil {
-		rep = n.describe()
+func (n *Node) hello(_ context.Context, from string, h wire.Hello) (wire.HelloReply, error) {
+	n.heard(from)
+	rep := wire.HelloReply{}
+	if h.Known != n.Incarnation {
+		rep = n.backend
+		rep.Instance = &n.Self
 	}
-	rep.Instance = n.Self
 	rep.Incarnation = n.Incarnation
+	rep.Load = n.load()
 	return rep, nil
 }
 
@@ -151,35 +179,67 @@
 	n.Table.UpdateList(list)
 }
 
-// heartbeats asks every member for its state. Entries ask all; a sidecar asks
-// the entries only, which is enough to learn of newer configurations.
+// heartbeats asks the members that are due. Only entries ask: a sidecar hears
+// of newer configurations by what entries send it.
 func (n *Node) heartbeats(ctx context.Context) {
 	var g errgroup.Group
 	g.SetLimit(helloParallel)
-	for _, m := range n.Table.All() {
-		if n.Self.Role == model.RoleSidecar && m.Instance.Role != model.RoleEntry {
-			continue
-		}
-		g.Go(func() error { n.Probe(ctx, m.Instance.Address); return nil })
+	for _, addr := range n.due(n.Table.All()) {
+		g.Go(func() error { n.Probe(ctx, addr); return nil })
 	}
 	_ = g.Wait()
 }
 
+// due picks whom to ask in this tick: at once who was never met or missed the
+// last time, the others in turn, each as often as the byte budget allows. What
+// a member carries for this entry shows much sooner whether it lives.
+func (n *Node) due(all []membership.Member) []string {
+	var out []string
+	interval := heartbeatInterval(len(all))
+	now := n.now()
+	for _, m := range all {
+		since := now.Sub(n.asked[m.Instance.Address])
+		urgent := m.SeenAt.IsZero() || m.Misses > 0
+		if since >= interval || (urgent && since >= heartbeatEvery) {
+			out = append(out, m.Instance.Address)
+			n.asked[m.Instance.Address] = now
+		}
+	}
+	if len(n.asked) > 2*len(all)+askedSlack {
+		clear(n.asked)
+	}
+	return out
+}
+
+// heartbeatInterval is how often each of so many members is asked.
+func heartbeatInterval(members int) time.Duration {
+	spread := time.Duration(float64(members) * helloBytes / controlBudget * float64(time.Second))
+	return max(heartbeatEvery, spread)
+}
+
 // Probe asks one member for its state and takes the answer, or its lack, as
 // evidence. The next contact after a miss goes over a new connection.
 func (n *Node) Probe(ctx context.Context, addr string) bool {
 	began := n.now()
 	ctx, cancel := context.WithTimeout(ctx, heartbeatWait)
 	defer cancel()
+	var hello wire.Hello
+	if m, ok := n.Table.Get(addr); ok && !m.SeenAt.IsZero() {
+		hello.Known = m.Incarnation
+	}
 	var rep wire.HelloReply
-	if err := n.Pool.Call(ctx, addr, wire.MethodHello, wire.Hello{}, &rep); err != nil {
+	if err := n.Pool.Call(ctx, addr, wire.MethodHello, hello, &rep); err != nil {
 		n.Pool.Reset(addr)
 		if n.Table.Missed(addr) {
 			klog.V(1).InfoS("Member does not answer", "address", addr, "err", err)
 		}
 		return false
 	}
-	n.Table.Seen(rep.Instance, rep.Incarnation, backendOf(rep), n.now().Sub(began))
+	if rep.Instance == nil {
+		n.Table.SeenLoad(addr, membership.Load(rep.Load))
+		return true
+	}
+	n.Table.Seen(*rep.Instance, rep.Incarnation, backendOf(rep), n.now().Sub(began))
 	return true
 }
 
