--- /dev/null
+++ b/internal/ctl/load.go
@@ -0,0 +1,109 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/skylarkwood/skylarkwood/internal/load"
+	"github.com/skylarkwood/skylarkwood/internal/settings"
+)
+
+// mixFile is a recorded mix as it stands in a TOML file.
+type mixFile struct {
+	Mix []struct {
+		Customer      string  `toml:"customer"`
+		Service       string  `toml:"service"`
+		Weight        float64 `toml:"weight"`
+		Tokens        int32   `toml:"tokens"`
+		Body          string  `toml:"body"`
+		NotRepeatable bool    `toml:"not_repeatable"`
+	} `toml:"mix"`
+}
+
+func (a *app) newLoad() *cobra.Command {
+	var cfg load.Config
+	var mix, report, entries string
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send an open-loop load and account for every request",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := a.loadMix(mix, &cfg); err != nil {
+				return err
+			}
+			cfg.Entries = []string{a.entry}
+			if entries != "" {
+				cfg.Entries = strings.Split(entries, ",")
+			}
+			if cfg.Rate <= 0 || cfg.Duration <= 0 {
+				return &exitError{exitUsage, "--rate and --duration must be above 0"}
+			}
+			return a.showLoad(load.Run(cmd.Context(), cfg), report)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&mix, "mix", "", "TOML file with the mix of requests")
+	f.StringVar(&entries, "entries", "", "base URLs of several entries, with commas between")
+	f.Float64Var(&cfg.Rate, "rate", 10, "requests a second")
+	f.DurationVar(&cfg.Duration, "duration", 10*time.Second, "how long to send")
+	f.Float64Var(&cfg.Burst, "burst", 1, "how many times the rate a burst has")
+	f.DurationVar(&cfg.Period, "period", 10*time.Second, "from one burst to the next")
+	f.DurationVar(&cfg.Timeout, "timeout", 0, "time limit of each request; 0 takes the template's")
+	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the arrivals")
+	f.StringVar(&report, "report", "", "HTML file to write the report to")
+	_ = cmd.MarkFlagRequired("mix")
+	return cmd
+}
+
+func (a *app) loadMix(path string, cfg *load.Config) error {
+	raw, err := a.file(path)
+	if err != nil {
+		return err
+	}
+	var m mixFile
+	if err := toml.NewDecoder(strings.NewReader(string(raw))).DisallowUnknownFields().Decode(&m); err != nil {
+		return errors.Wrap(settings.Explain(err), path)
+	}
+	if len(m.Mix) == 0 {
+		return errors.Errorf("%s: mix: is empty", path)
+	}
+	for i, k := range m.Mix {
+		if k.Weight <= 0 {
+			return errors.Errorf("%s: mix[%d].weight: must be above 0", path, i)
+		}
+		cfg.Mix = append(cfg.Mix, load.Kind(k))
+	}
+	return nil
+}
+
+func (a *app) showLoad(r load.Report, path string) error {
+	if a.output == "json" {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(r); err != nil {
+			return err
+		}
+	} else {
+		r.Text(a.out)
+	}
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := r.HTML(f); err != nil {
+		f.Close()
+		return err
+	}
+	fmt.Fprintln(a.err, "report in", path)
+	return f.Close()
+}
