Positions and tokens by Connect streams; jsonrpc2 keeps what is seldom

Ruled out: another JSON codec (the library decodes each message several times by itself); collecting several positions into one notification (helps under load only).

Change: package data, one long stream for each peer; hops carry the address where data streams end; a leaving entry waits at most two seconds for the last answers to be read, as data streams never end by themselves. Test addresses take a host number of their own: a port chosen on 127.0.0.1 was taken twice.

--- a/bench/transport_test.go
+++ b/bench/transport_test.go
@@ -39,7 +39,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	got := make(chan struct{}, 1024)
 	srv := link.NewServer(newStamp(l.Addr().String()))
-	srv.Register(wire.MethodForward, link.Handle(func(context.Context, string, wire.Forward) (struct{}, error) {
+	srv.Register("bench.forward", link.Handle(func(context.Context, string, wire.Forward) (struct{}, error) {
 		got <- struct{}{}
 		return struct{}{}, nil
 	}))
@@ -50,7 +50,7 @@
 	msg := oneForward()
 	go func() {
 		for i := 0; i < b.N; i++ {
-			_ = pool.Notify(ctx, l.Addr().String(), wire.MethodForward, msg)
+			_ = pool.Notify(ctx, l.Addr().String(), "bench.forward", msg)
 		}
 	}()
 	for i := 0; i < b.N; i++ {
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -22,6 +22,7 @@
 
 // Backend is what a sidecar tells of the backend server beside it.
 type Backend struct {
+	Data     string // where its data streams end
 	Service  string
 	Kind     model.ServiceKind
 	Range    model.LayerRange
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -183,19 +183,17 @@
 	return rep.StatusCode == http.StatusOK
 }
 
-// Ports below the range from which the kernel takes the source ports of
-// connections: one of those, free when it was chosen, may be taken by any
-// connection before it is listened on.
-const (
-	firstPort = 10_000
-	lastPort  = 32_000
-	portTries = 100
-)
+// addressTries bounds the search for a free address.
+const addressTries = 100
 
-// FreeAddress finds a loopback address that nothing listens on.
+// FreeAddress finds a loopback address that nothing listens on. It takes a host
+// number of its own: connections take their source ports on 127.0.0.1, and one
+// of those would now and then be taken before it is listened on.
 func FreeAddress() (string, error) {
-	for try := 0; try < portTries; try++ {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+	const firstPort, ports = 10_000, 20_000
+	for try := 0; try < addressTries; try++ {
+		host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+		addr := fmt.Sprintf("%s:%d", host, firstPort+rand.IntN(ports))
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -32,6 +32,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/state/events"
 	"github.com/skylarkwood/skylarkwood/internal/state/requests"
 	"github.com/skylarkwood/skylarkwood/internal/transport/api"
+	"github.com/skylarkwood/skylarkwood/internal/transport/data"
 	"github.com/skylarkwood/skylarkwood/internal/transport/link"
 	"github.com/skylarkwood/skylarkwood/internal/transport/mesh"
 )
@@ -80,6 +81,7 @@
 type Entry struct {
 	settings settings.Settings
 	node     *mesh.Node
+	data     *data.Pool
 	owner    *owner.Owner
 	store    *requests.Store
 	ledger   *ledger.Ledger
@@ -105,10 +107,13 @@
 		NewID:       NewID,
 		EventLimit:  s.Events.Keep,
 	})
+	e.data = data.NewPool(e.node.Stamp())
 	e.owner = owner.New(owner.Deps{
 		Instance: s.Instance,
 		Address:  s.Listen.Link,
+		Data:     s.Listen.HTTP,
 		Peers:    e.node.Pool,
+		Feeder:   sender{e.node.Pool, e.data},
 		Table:    e.node.Table,
 		Router:   routing.New(e.node.Table, e.links(), time.Now, nil),
 		Config:   e.node.Config,
@@ -142,10 +147,6 @@
 
 func (e *Entry) register() {
 	srv := e.node.Server
-	srv.Register(wire.MethodTokens, link.Handle(func(_ context.Context, _ string, t wire.Tokens) (struct{}, error) {
-		e.owner.Tokens(t)
-		return struct{}{}, nil
-	}))
 	srv.Register(wire.MethodStageFailed, link.Handle(func(_ context.Context, _ string, f wire.StageFailed) (struct{}, error) {
 		e.owner.StageFailed(f)
 		return struct{}{}, nil
@@ -227,9 +228,20 @@
 	case <-ctx.Done():
 	}
 	e.drain()
-	err = srv.Shutdown(context.Background())
-	stop()
-	return err
+	return e.closeHTTP(srv)
+}
+
+// closeHTTP lets callers read their last answers. Sidecars' data streams never
+// end by themselves, so the wait is bounded; nothing of a request is on them any
+// more.
+func (e *Entry) closeHTTP(srv *http.Server) error {
+	const lastAnswers = 2 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		return srv.Close()
+	}
+	return nil
 }
 
 func (e *Entry) drain() {
@@ -249,6 +261,8 @@
 	small := connect.WithCompressMinBytes(compressFrom)
 	mux.Handle(skylarkwoodv1connect.NewRequestServiceHandler(&api.Requests{Node: e.node, Owner: e.owner}, small))
 	mux.Handle(skylarkwoodv1connect.NewOperatorServiceHandler(&api.Operators{Node: e.node}, small))
+	in := &data.Server{Stamp: e.node.Stamp(), Tokens: e.owner.Tokens}
+	mux.Handle(in.Handler())
 	mux.Handle("GET /metrics", e.metrics.handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/settings"
 	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/transport/data"
 	"github.com/skylarkwood/skylarkwood/internal/transport/link"
 	"github.com/skylarkwood/skylarkwood/internal/transport/mesh"
 )
@@ -34,6 +35,7 @@
 	settings settings.Settings
 	out      Outside
 	node     *mesh.Node
+	data     *data.Pool
 	sidecar  *sidecar.Sidecar
 	gate     *gate.Gate
 	metrics  *metrics
@@ -54,12 +56,14 @@
 		NewID:       NewID,
 		EventLimit:  s.Events.Keep,
 	})
+	d.data = data.NewPool(d.node.Stamp())
 	return d
 }
 
 // describe is what entries are told of the backend server.
 func (d *Sidecar) describe() wire.HelloReply {
 	return wire.HelloReply{
+		Data:       d.settings.Listen.HTTP,
 		Service:    d.settings.Sidecar.Service,
 		Kind:       d.settings.Sidecar.Kind,
 		Range:      d.load.Range,
@@ -89,7 +93,7 @@
 	if b.Engine != nil {
 		d.gate.SetPace(b.Pace)
 	}
-	d.sidecar = sidecar.New(d.settings.Listen.Link, d.gate, b, sender{d.node.Pool}, d.node.Events, time.Now)
+	d.sidecar = sidecar.New(d.settings.Listen.Link, d.gate, b, sender{d.node.Pool, d.data}, d.node.Events, time.Now)
 	d.node.Serve(d.describe(), d.gate.Load, d.sidecar.Heard)
 	d.register()
 	return nil
@@ -139,7 +143,6 @@
 	srv.Register(wire.MethodOpen, link.Handle(checked(d, s.Open)))
 	srv.Register(wire.MethodCall, link.Handle(checked(d, s.Call)))
 	srv.Register(wire.MethodResume, link.Handle(s.Resume))
-	srv.Register(wire.MethodForward, link.Handle(s.Forward))
 	srv.Register(wire.MethodNoStage, link.Handle(s.NoStage))
 	srv.Register(wire.MethodClose, link.Handle(s.Close))
 	srv.Register(wire.MethodCancel, link.Handle(s.Cancel))
@@ -156,15 +159,19 @@
 	}
 }
 
-// sender passes a stage's results on over the links.
-type sender struct{ pool *link.Pool }
+// sender passes a stage's results on: in bulk by data streams, what is seldom by
+// links.
+type sender struct {
+	pool *link.Pool
+	data *data.Pool
+}
 
-func (s sender) Forward(ctx context.Context, addr string, f wire.Forward) error {
-	return s.pool.Notify(ctx, addr, wire.MethodForward, f)
+func (s sender) Forward(_ context.Context, to wire.Hop, f wire.Forward) error {
+	return s.data.Forward(to.Data, f)
 }
 
-func (s sender) Tokens(ctx context.Context, addr string, t wire.Tokens) error {
-	return s.pool.Notify(ctx, addr, wire.MethodTokens, t)
+func (s sender) Tokens(_ context.Context, owner wire.Hop, t wire.Tokens) error {
+	return s.data.Tokens(owner.Data, t)
 }
 
 func (s sender) NoStage(ctx context.Context, addr string, n wire.NoStage) error {
@@ -203,11 +210,14 @@
 	klog.InfoS("Sidecar drains", "instance", d.settings.Instance, "active", d.gate.Load().Active)
 	<-d.gate.Drain()
 	time.Sleep(leaveGrace)
+	d.data.Close()
 	return srv.Close()
 }
 
 func (d *Sidecar) handler() http.Handler {
 	mux := http.NewServeMux()
+	in := &data.Server{Stamp: d.node.Stamp(), Forward: d.sidecar.Forward}
+	mux.Handle(in.Handler())
 	mux.Handle("GET /metrics", d.metrics.handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -44,6 +44,11 @@
 	Reset(addr string)
 }
 
+// Feeder sends inputs to a chain's first stage.
+type Feeder interface {
+	Forward(ctx context.Context, to wire.Hop, f wire.Forward) error
+}
+
 // Router chooses where work goes; see package routing.
 type Router interface {
 	// Chain covers layers with stages.
@@ -62,7 +67,9 @@
 type Deps struct {
 	Instance string // id of this entry
 	Address  string // its link address
+	Data     string // where its data streams end
 	Peers    Peers
+	Feeder   Feeder
 	Table    *membership.Table
 	Router   Router
 	Config   *config.Store
--- a/internal/protocol/owner/pipeline.go
+++ b/internal/protocol/owner/pipeline.go
@@ -478,16 +478,17 @@
 
 func (r *run) openMessage(i int) wire.Open {
 	return wire.Open{
-		Key:      r.runKey(),
-		Epoch:    r.epoch,
-		Chain:    r.chain,
-		Index:    i,
-		Owner:    r.o.Address,
-		Prompt:   int64(len(r.prompt)),
-		Tokens:   int64(r.ask.MaxTokens),
-		Deadline: r.req.Deadline,
-		Remember: r.remember,
-		Priority: r.rule.Priority,
+		Key:       r.runKey(),
+		Epoch:     r.epoch,
+		Chain:     r.chain,
+		Index:     i,
+		Owner:     r.o.Address,
+		OwnerData: r.o.Data,
+		Prompt:    int64(len(r.prompt)),
+		Tokens:    int64(r.ask.MaxTokens),
+		Deadline:  r.req.Deadline,
+		Remember:  r.remember,
+		Priority:  r.rule.Priority,
 	}
 }
 
@@ -546,7 +547,7 @@
 	}
 	for from < int64(len(inputs)) {
 		to := min(from+feedBatch, int64(len(inputs)))
-		err := r.o.Peers.Notify(ctx, r.chain[0].Address, wire.MethodForward, wire.Forward{
+		err := r.o.Feeder.Forward(ctx, r.chain[0], wire.Forward{
 			Key:      r.runKey(),
 			Epoch:    r.epoch,
 			Position: from,
--- a/internal/protocol/owner/plain.go
+++ b/internal/protocol/owner/plain.go
@@ -164,7 +164,7 @@
 }
 
 func hopOf(m membership.Member, r model.LayerRange) wire.Hop {
-	return wire.Hop{Address: m.Instance.Address, Incarnation: m.Incarnation, Range: r}
+	return wire.Hop{Address: m.Instance.Address, Data: m.Backend.Data, Incarnation: m.Incarnation, Range: r}
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/protocol/sidecar/sidecar.go
+++ b/internal/protocol/sidecar/sidecar.go
@@ -187,13 +187,14 @@
 // Forward takes inputs in. Those for a stage that is not open are dropped and
 // the sender is told: this sidecar may have been replaced under the request, and
 // the owner would notice only by the tokens that fail to come.
-func (s *Sidecar) Forward(ctx context.Context, from string, f wire.Forward) (struct{}, error) {
+func (s *Sidecar) Forward(ctx context.Context, from string, f wire.Forward) {
 	ses, ok := s.sessions.Get(f.Key.String())
 	if !ok {
 		go func() { _ = s.send.NoStage(ctx, from, wire.NoStage{Key: f.Key, Epoch: f.Epoch}) }()
-		return struct{}{}, fault.New(fault.NotFound, "no stage is open for %s", f.Key)
+		return
 	}
-	return struct{}{}, ses.Accept(f)
+	// An old epoch's inputs are refused; nobody waits for the answer.
+	_ = ses.Accept(f)
 }
 
 // NoStage takes in that another stage does not know a request.
--- a/internal/protocol/stage/send.go
+++ b/internal/protocol/stage/send.go
@@ -9,8 +9,8 @@
 // outgoing is what one flush sends, taken under the lock and sent outside it.
 type outgoing struct {
 	epoch   int64
-	owner   string
-	next    string
+	owner   wire.Hop
+	next    wire.Hop
 	forward *wire.Forward
 	tokens  *wire.Tokens
 }
@@ -27,10 +27,10 @@
 	}
 	err := s.send.Forward(ctx, out.next, *out.forward)
 	if err != nil && ctx.Err() == nil {
-		_ = s.send.Failed(ctx, out.owner, wire.StageFailed{
+		_ = s.send.Failed(ctx, out.owner.Address, wire.StageFailed{
 			Key:     s.key,
 			Epoch:   out.epoch,
-			Address: out.next,
+			Address: out.next.Address,
 			Cause:   err.Error(),
 		})
 	}
@@ -39,7 +39,7 @@
 func (s *Session) take() outgoing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := outgoing{epoch: s.open.Epoch, owner: s.open.Owner}
+	out := outgoing{epoch: s.open.Epoch, owner: wire.Hop{Address: s.open.Owner, Data: s.open.OwnerData}}
 	if !s.resumed {
 		return out
 	}
@@ -47,7 +47,7 @@
 		s.takeTokens(&out)
 		return out
 	}
-	out.next = s.open.Chain[s.open.Index+1].Address
+	out.next = s.open.Chain[s.open.Index+1]
 	out.forward = s.slice(s.toNext, int64(len(s.outputs)), 0)
 	s.toNext = max(s.toNext, int64(len(s.outputs)))
 	return out
@@ -64,7 +64,7 @@
 	}
 	// The last token wanted is nobody's input.
 	from := max(s.toFirst, s.open.Prompt)
-	out.next = s.open.Chain[0].Address
+	out.next = s.open.Chain[0]
 	out.forward = s.slice(from-1, min(end, firstToken+s.open.Tokens-1), 1)
 	if out.forward != nil {
 		s.toFirst = out.forward.Position + int64(len(out.forward.Data))
--- a/internal/protocol/stage/stage.go
+++ b/internal/protocol/stage/stage.go
@@ -25,10 +25,10 @@
 
 // Sender passes results on.
 type Sender interface {
-	// Forward sends inputs to the stage at addr.
-	Forward(ctx context.Context, addr string, f wire.Forward) error
-	// Tokens sends generated tokens to the owner at addr.
-	Tokens(ctx context.Context, addr string, t wire.Tokens) error
+	// Forward sends inputs to a stage.
+	Forward(ctx context.Context, to wire.Hop, f wire.Forward) error
+	// Tokens sends generated tokens to the owner of a request.
+	Tokens(ctx context.Context, owner wire.Hop, t wire.Tokens) error
 	// NoStage tells the process at addr that what it forwarded has no stage.
 	NoStage(ctx context.Context, addr string, n wire.NoStage) error
 	// Failed tells the owner at addr that a stage cannot go on.
--- a/internal/protocol/stage/stage_test.go
+++ b/internal/protocol/stage/stage_test.go
@@ -76,13 +76,13 @@
 	answer   *requests.Request
 }
 
-func (c *chain) Forward(_ context.Context, addr string, f wire.Forward) error {
-	c.flying = append(c.flying, message{to: addr, forward: &f})
+func (c *chain) Forward(_ context.Context, to wire.Hop, f wire.Forward) error {
+	c.flying = append(c.flying, message{to: to.Address, forward: &f})
 	return nil
 }
 
-func (c *chain) Tokens(_ context.Context, addr string, t wire.Tokens) error {
-	c.flying = append(c.flying, message{to: addr, tokens: &t})
+func (c *chain) Tokens(_ context.Context, to wire.Hop, t wire.Tokens) error {
+	c.flying = append(c.flying, message{to: to.Address, tokens: &t})
 	return nil
 }
 
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -26,8 +26,7 @@
 const (
 	MethodOpen    Method = "stage.open"
 	MethodResume  Method = "stage.resume"
-	MethodForward Method = "stage.forward" // notification
-	MethodNoStage Method = "stage.none"    // notification, answered by entries too
+	MethodNoStage Method = "stage.none" // notification, answered by entries too
 	MethodClose   Method = "stage.close"
 	MethodCall    Method = "plain.call"
 	MethodCancel  Method = "gate.cancel"
@@ -36,7 +35,6 @@
 
 // Methods answered by entries.
 const (
-	MethodTokens      Method = "owner.tokens"       // notification
 	MethodStageFailed Method = "owner.stage_failed" // notification
 	MethodIntent      Method = "ledger.intent"
 	MethodOutcome     Method = "owner.outcome"
@@ -70,6 +68,7 @@
 type HelloReply struct {
 	Instance    *model.Instance   `json:"instance,omitempty"` // nil where known
 	Incarnation string            `json:"inc"`
+	Data        string            `json:"data,omitempty"` // where its data streams end
 	Service     string            `json:"service,omitempty"`
 	Kind        model.ServiceKind `json:"kind,omitempty"`
 	Range       model.LayerRange  `json:"range,omitzero"`
@@ -104,6 +103,7 @@
 // Hop is one stage of a chain.
 type Hop struct {
 	Address     string           `json:"addr"`
+	Data        string           `json:"data,omitempty"` // where its data streams end
 	Incarnation string           `json:"inc"`
 	Range       model.LayerRange `json:"range"`
 }
@@ -111,14 +111,16 @@
 // Open asks a gate for a place in a chain, or moves an open stage to a higher
 // epoch.
 type Open struct {
-	Key      RunKey    `json:"key"`
-	Epoch    int64     `json:"epoch"`
-	Chain    []Hop     `json:"chain"`
-	Index    int       `json:"i"`
-	Owner    string    `json:"owner"` // link address of the entry
-	Prompt   int64     `json:"prompt"`
-	Tokens   int64     `json:"tokens"` // to generate
-	Deadline time.Time `json:"deadline"`
+	Key   RunKey `json:"key"`
+	Epoch int64  `json:"epoch"`
+	Chain []Hop  `json:"chain"`
+	Index int    `json:"i"`
+	Owner string `json:"owner"` // link address of the entry
+	// OwnerData is where the entry's data streams end.
+	OwnerData string    `json:"odata"`
+	Prompt    int64     `json:"prompt"`
+	Tokens    int64     `json:"tokens"` // to generate
+	Deadline  time.Time `json:"deadline"`
 	// Remember is until when the gate must know what became of the request.
 	Remember time.Time `json:"keep"`
 	Priority int       `json:"prio"`
--- a/internal/standin/world/network.go
+++ b/internal/standin/world/network.go
@@ -13,6 +13,12 @@
 	"github.com/skylarkwood/skylarkwood/internal/transport/link"
 )
 
+// Methods for what goes by data streams in the real program.
+const (
+	methodForward wire.Method = "data.forward"
+	methodTokens  wire.Method = "data.tokens"
+)
+
 // Link is the way between two failure domains.
 type Link struct {
 	// Delay is the one-way time of a small message.
@@ -325,13 +331,13 @@
 func (p *peers) Reset(string) {}
 
 // Forward, Tokens and Failed implement stage.Sender.
-func (p *peers) Forward(ctx context.Context, addr string, f wire.Forward) error {
-	return p.Notify(ctx, addr, wire.MethodForward, f)
+func (p *peers) Forward(ctx context.Context, to wire.Hop, f wire.Forward) error {
+	return p.Notify(ctx, to.Address, methodForward, f)
 }
 
 // Tokens implements stage.Sender.
-func (p *peers) Tokens(ctx context.Context, addr string, t wire.Tokens) error {
-	return p.Notify(ctx, addr, wire.MethodTokens, t)
+func (p *peers) Tokens(ctx context.Context, owner wire.Hop, t wire.Tokens) error {
+	return p.Notify(ctx, owner.Address, methodTokens, t)
 }
 
 // NoStage implements stage.Sender.
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -213,9 +213,12 @@
 	s := sidecar.New(u.Addr, u.gate, b, newPeers(ctx, w.Net, u.Addr, u.spec.Range.To == w.cfg.Layers), log, time.Now)
 	g := u.gate
 	w.Net.join(u.Addr, u.Domain, map[wire.Method]link.Handler{
-		wire.MethodOpen:    link.Handle(s.Open),
-		wire.MethodResume:  link.Handle(s.Resume),
-		wire.MethodForward: link.Handle(s.Forward),
+		wire.MethodOpen:   link.Handle(s.Open),
+		wire.MethodResume: link.Handle(s.Resume),
+		methodForward: link.Handle(func(ctx context.Context, from string, f wire.Forward) (struct{}, error) {
+			s.Forward(ctx, from, f)
+			return struct{}{}, nil
+		}),
 		wire.MethodNoStage: link.Handle(s.NoStage),
 		wire.MethodClose:   link.Handle(s.Close),
 		wire.MethodCall:    link.Handle(s.Call),
@@ -264,6 +267,7 @@
 		Instance: addr,
 		Address:  addr,
 		Peers:    p,
+		Feeder:   p,
 		Table:    table,
 		Router:   w.router(table),
 		Config:   cfg,
@@ -286,7 +290,7 @@
 
 func (e *Entry) handlers() map[wire.Method]link.Handler {
 	return map[wire.Method]link.Handler{
-		wire.MethodTokens: link.Handle(func(_ context.Context, _ string, t wire.Tokens) (struct{}, error) {
+		methodTokens: link.Handle(func(_ context.Context, _ string, t wire.Tokens) (struct{}, error) {
 			e.Owner.Tokens(t)
 			return struct{}{}, nil
 		}),
--- /dev/null
+++ b/internal/transport/data/data.go
@@ -0,0 +1,143 @@
+// Package data carries positions and tokens between processes: one long Connect
+// stream for each peer, in order, never sent again by itself. A jsonrpc2
+// notification costs eleven times the processor time (docs/design/transport.md).
+package data
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	meshv1 "github.com/skylarkwood/skylarkwood/api/mesh/v1"
+	"github.com/skylarkwood/skylarkwood/api/mesh/v1/meshv1connect"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/hlc"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/shard"
+	"github.com/skylarkwood/skylarkwood/internal/transport/link"
+)
+
+const dialTimeout = 500 * time.Millisecond
+
+// Pool keeps one stream for each peer, opened when first needed.
+type Pool struct {
+	stamp   *link.Stamp
+	client  *http.Client
+	streams *shard.Map[*stream]
+}
+
+type stream struct {
+	mu     sync.Mutex
+	open   *connect.ClientStreamForClient[meshv1.Parcel, meshv1.CarryResponse]
+	cancel context.CancelFunc
+}
+
+// NewPool makes an empty pool.
+func NewPool(stamp *link.Stamp) *Pool {
+	d := net.Dialer{Timeout: dialTimeout, Control: link.SetUserTimeout}
+	return &Pool{
+		stamp:   stamp,
+		client:  &http.Client{Transport: &http.Transport{DialContext: d.DialContext}},
+		streams: shard.New[*stream](),
+	}
+}
+
+// Forward sends inputs to the process at a data address.
+func (p *Pool) Forward(addr string, f wire.Forward) error {
+	return p.send(addr, p.parcel(f.Key, f.Epoch, f.Position, f.Data, false))
+}
+
+// Tokens sends generated tokens to the entry at a data address.
+func (p *Pool) Tokens(addr string, t wire.Tokens) error {
+	return p.send(addr, p.parcel(t.Key, t.Epoch, t.Position, t.Data, true))
+}
+
+func (p *Pool) parcel(k wire.RunKey, epoch, position int64, data [][]byte, tokens bool) *meshv1.Parcel {
+	now := p.stamp.Clock.Now()
+	return &meshv1.Parcel{
+		From:      p.stamp.Self,
+		Wall:      now.Wall,
+		Logical:   now.Logical,
+		Revision:  p.stamp.Revision(),
+		Customer:  k.Customer,
+		RequestId: k.ID,
+		Run:       k.Run,
+		Epoch:     epoch,
+		Position:  position,
+		Data:      data,
+		Tokens:    tokens,
+	}
+}
+
+// send hands a parcel to the stream. Success means only that it was handed to
+// the kernel. A broken stream is dropped, and the next parcel opens another.
+func (p *Pool) send(addr string, m *meshv1.Parcel) error {
+	s, _ := p.streams.GetOrPut(addr, func() *stream { return &stream{} })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := meshv1connect.NewDataServiceClient(p.client, "http://"+addr)
+		s.open, s.cancel = c.Carry(ctx), cancel
+	}
+	if err := s.open.Send(m); err != nil {
+		s.drop()
+		return fault.New(fault.Unreachable, "data stream to %s: %v", addr, err)
+	}
+	return nil
+}
+
+func (s *stream) drop() {
+	if s.open != nil {
+		s.cancel()
+		s.open = nil
+	}
+}
+
+// Close drops every stream.
+func (p *Pool) Close() {
+	for _, s := range p.streams.Values() {
+		s.mu.Lock()
+		s.drop()
+		s.mu.Unlock()
+	}
+	p.client.CloseIdleConnections()
+}
+
+// Server takes parcels in. Its functions are called in the order in which a peer
+// sent, and must not block; nil refuses what it would take.
+type Server struct {
+	Stamp   *link.Stamp
+	Forward func(ctx context.Context, from string, f wire.Forward)
+	Tokens  func(t wire.Tokens)
+}
+
+// Handler gives the path and handler of the service.
+func (s *Server) Handler() (string, http.Handler) {
+	return meshv1connect.NewDataServiceHandler(s)
+}
+
+// Carry implements the DataService.
+func (s *Server) Carry(ctx context.Context, in *connect.ClientStream[meshv1.Parcel]) (*connect.Response[meshv1.CarryResponse], error) {
+	for in.Receive() {
+		s.take(ctx, in.Msg())
+	}
+	return connect.NewResponse(&meshv1.CarryResponse{}), in.Err()
+}
+
+func (s *Server) take(ctx context.Context, m *meshv1.Parcel) {
+	s.Stamp.Clock.Observe(hlc.Timestamp{Wall: m.Wall, Logical: m.Logical})
+	s.Stamp.Seen(m.From, m.Revision)
+	key := wire.RunKey{RequestKey: model.RequestKey{Customer: m.Customer, ID: m.RequestId}, Run: m.Run}
+	switch {
+	case m.Tokens && s.Tokens != nil:
+		s.Tokens(wire.Tokens{Key: key, Epoch: m.Epoch, Position: m.Position, Data: m.Data})
+	case !m.Tokens && s.Forward != nil:
+		s.Forward(ctx, m.From, wire.Forward{Key: key, Epoch: m.Epoch, Position: m.Position, Data: m.Data})
+	}
+}
--- a/internal/transport/link/pool.go
+++ b/internal/transport/link/pool.go
@@ -113,7 +113,7 @@
 	if pr.conn != nil && !closed(pr.conn) {
 		return pr.conn, nil
 	}
-	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	d := net.Dialer{Timeout: dialTimeout, Control: SetUserTimeout}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fault.New(fault.NotConnected, "dial %s: %v", addr, err)
@@ -131,7 +131,9 @@
 	}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// SetUserTimeout bounds how long a connection's written data may go without the
+// peer's word; it is a net.Dialer's Control.
+func SetUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var opt error
 	err := raw.Control(func(fd uintptr) {
 		opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -95,6 +95,9 @@
 // Bytes is how much went over the node's links so far, both ways.
 func (n *Node) Bytes() int64 { return n.stamp.Bytes() }
 
+// Stamp is what rides on every message of this node.
+func (n *Node) Stamp() *link.Stamp { return n.stamp }
+
 // New makes a node; Run starts it.
 func New(o Options) *Node {
 	n := &Node{
@@ -245,6 +248,7 @@
 
 func backendOf(rep wire.HelloReply) membership.Backend {
 	return membership.Backend{
+		Data:     rep.Data,
 		Service:  rep.Service,
 		Kind:     rep.Kind,
 		Range:    rep.Range,
