--- a/internal/protocol/owner/pipeline.go
+++ b/internal/protocol/owner/pipeline.go
@@ -131,6 +131,7 @@
 	defer watch.Stop()
 	repairs, have := 0, r.req.Len()
 	beat := pulse{at: r.o.Now()}
+	told := r.o.Now()
 	for {
 		if n := r.req.Len(); n > have {
 			r.firstToken(n)
@@ -149,6 +150,10 @@
 		case f := <-r.failed:
 			broken = r.judge(f)
 		case <-watch.C:
+			if r.o.Now().Sub(told) > tellEvery {
+				told = r.o.Now()
+				go r.tellAlive(ctx, r.chain)
+			}
 			wait := beat.patience(r.o.Timing.Stall, have, repairs)
 			if broken = r.lostMember(); broken == "" && r.o.Now().Sub(beat.at) > wait {
 				broken = r.look(ctx)
@@ -254,6 +259,20 @@
 	return ""
 }
 
+// tellEvery is how often the stages of a long request are told that its owner
+// lives: in a large fleet heartbeats alone come too seldom for them.
+const tellEvery = 5 * time.Second
+
+// tellAlive sends a heartbeat to each stage of a chain.
+func (r *run) tellAlive(ctx context.Context, chain []wire.Hop) {
+	for _, h := range chain {
+		var rep wire.HelloReply
+		if r.o.call(ctx, h.Address, wire.MethodHello, wire.Hello{Known: h.Incarnation}, &rep) == nil {
+			r.o.Table.SeenLoad(h.Address, membership.Load(rep.Load))
+		}
+	}
+}
+
 // stageAt is how far a stage has come.
 type stageAt struct{ accepted, ran int64 }
 
--- a/internal/transport/mesh/config.go
+++ b/internal/transport/mesh/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,8 +24,9 @@
 	watchers = 3
 	// watchWait is how long one watch waits.
 	watchWait = 5 * time.Second
-	// fanOut is to how many members a process passes a new revision on at once.
-	// Those it misses learn from the next message or heartbeat.
+	// perSidecar is how many entries tell each sidecar of a new revision.
+	perSidecar = 2
+	// fanOut is how many members are asked for a first configuration.
 	fanOut       = 4
 	fetchTimeout = 2 * time.Second
 	loadRetry    = 300 * time.Millisecond
@@ -74,18 +76,52 @@
 func (n *Node) applied(revision int64) {
 	n.revision.Store(revision)
 	n.Events.Add(model.RequestKey{}, events.ConfigApplied, strconv.FormatInt(revision, 10))
-	targets := pick(n.Table.All(), fanOut)
-	n.pushes.Add(1)
+	targets := n.toTell()
 	go func() {
-		defer n.pushes.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), heartbeatWait)
 		defer cancel()
-		for _, m := range targets {
-			_ = n.Pool.Notify(ctx, m.Instance.Address, wire.MethodConfigPush, notice{})
+		for _, addr := range targets {
+			_ = n.Pool.Notify(ctx, addr, wire.MethodConfigPush, notice{})
 		}
 	}()
 }
 
+// toTell lists whom this process tells of a new revision. The watchers tell
+// every entry of the region, and each entry its part of the sidecars, two for
+// each. Nobody is left to chance: heartbeats come too seldom in a large fleet
+// to bring a change into force within seconds. What is lost all the same, the
+// next message or heartbeat brings.
+func (n *Node) toTell() []string {
+	if n.Self.Role != model.RoleEntry {
+		return nil
+	}
+	entries := n.entryAddresses()
+	watcher := n.isWatcher()
+	var out []string
+	for _, m := range n.Table.All() {
+		addr := m.Instance.Address
+		if m.Instance.Role == model.RoleEntry {
+			if watcher {
+				out = append(out, addr)
+			}
+			continue
+		}
+		tellers := membership.Rendezvous(addr, entries)
+		if slices.Contains(tellers[:min(perSidecar, len(tellers))], n.Self.Address) {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+func (n *Node) entryAddresses() []string {
+	addrs := []string{n.Self.Address}
+	for _, m := range n.Table.Entries() {
+		addrs = append(addrs, m.Instance.Address)
+	}
+	return addrs
+}
+
 // FetchConfig brings the configuration up to that of a peer.
 func (n *Node) FetchConfig(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -179,10 +215,7 @@
 	if n.Self.Role != model.RoleEntry {
 		return false
 	}
-	addrs := []string{n.Self.Address}
-	for _, m := range n.Table.Entries() {
-		addrs = append(addrs, m.Instance.Address)
-	}
+	addrs := n.entryAddresses()
 	for _, a := range membership.Rendezvous("config-watch", addrs)[:min(watchers, len(addrs))] {
 		if a == n.Self.Address {
 			return true
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -7,7 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"sync"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -70,7 +70,6 @@
 	seenMax   atomic.Int64         // highest revision seen on any message
 	newer     chan string          // peers that have a newer configuration
 	asked     map[string]time.Time // by the heartbeat loop only
-	pushes    sync.WaitGroup
 }
 
 // Options is what a node is made of.
@@ -179,7 +178,14 @@
 		klog.V(1).InfoS("Instance list gives no answer", "err", err)
 		return
 	}
-	n.Table.UpdateList(list)
+	n.Table.UpdateList(n.inRegion(list))
+}
+
+// inRegion leaves out what lies in other regions. Each member that is met costs
+// a connection and some 80 KB; the whole target fleet would not fit into an
+// instance, and a chain across regions would be too slow.
+func (n *Node) inRegion(list []model.Instance) []model.Instance {
+	return slices.DeleteFunc(list, func(in model.Instance) bool { return in.Region != n.Self.Region })
 }
 
 // heartbeats asks the members that are due. Only entries ask: a sidecar hears
