--- a/internal/coordination/config/store.go
+++ b/internal/coordination/config/store.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
 const (
@@ -132,7 +133,7 @@
 			return c, err
 		}
 		maybe = maybe || errors.Is(err, platform.ErrUnknown)
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			break
 		}
 		pause = min(2*pause, maxPause)
@@ -266,14 +267,3 @@
 	err = json.Unmarshal(v.Data, &b)
 	return b, errors.Wrapf(err, "bucket %s", key)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/protocol/owner/chain.go
@@ -0,0 +1,256 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routing"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
+)
+
+// repair raises the epoch over a chain in which lost stages are replaced. A
+// request that is not repeatable keeps its chain or is cut off: a replacement
+// would run layers a second time.
+func (r *run) repair(ctx context.Context, broken string) error {
+	r.o.Events.Add(r.key(), events.StageLost, broken)
+	pause := firstPause
+	for try := 1; ; try++ {
+		err := r.establish(ctx)
+		if err == nil {
+			return nil
+		}
+		e := fault.From(err)
+		if r.notRepeatable {
+			return fault.New(fault.BackendLost, "a stage was lost and the request is not repeatable: %s", e.Msg)
+		}
+		if try == maxRepairs {
+			return fault.New(fault.BackendLost, "no replacement for a lost stage: %s", e.Msg)
+		}
+		if !wait.For(ctx, limits.Jitter(pause)) {
+			return fault.New(fault.Deadline, "deadline passed during repair: %s", e.Msg)
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// establish opens a chain under a new epoch, replacing stages that refuse, and
+// lets it run from where each stage stands.
+func (r *run) establish(ctx context.Context) error {
+	if err := r.choose(); err != nil {
+		return err
+	}
+	r.epoch++
+	r.o.Events.Add(r.key(), events.EpochRaised, fmt.Sprintf("%d: %s", r.epoch, describe(r.chain)))
+	next, err := r.openAll(ctx)
+	if err != nil {
+		return err
+	}
+	r.started = true
+	if err := r.resumeAll(ctx, next); err != nil {
+		return err
+	}
+	return r.feed(ctx, next[0])
+}
+
+// choose keeps the stages that still stand and finds others for the rest.
+func (r *run) choose() error {
+	if r.notRepeatable {
+		return nil
+	}
+	if len(r.chain) == 0 {
+		chain, err := r.o.Router.Chain(routing.Ask{
+			Service:   r.ask.Service,
+			Need:      model.LayerRange{To: r.layers},
+			Avoid:     r.avoid,
+			Positions: r.positions(),
+		})
+		if err != nil {
+			return err
+		}
+		r.chain = hopsOf(chain)
+		return nil
+	}
+	var next []wire.Hop
+	for _, h := range r.chain {
+		if r.stands(h) {
+			next = append(next, h)
+			continue
+		}
+		part, err := r.o.Router.Chain(routing.Ask{Service: r.ask.Service, Need: h.Range, Avoid: r.without(r.chain)})
+		if err != nil {
+			return err
+		}
+		next = append(next, hopsOf(part)...)
+	}
+	r.chain = next
+	return nil
+}
+
+// without is avoid with the members of the chain added: a member takes part
+// once, as a session has one range.
+func (r *run) without(chain []wire.Hop) map[string]bool {
+	out := map[string]bool{}
+	for a, bad := range r.avoid {
+		out[a] = bad
+	}
+	for _, h := range chain {
+		out[h.Address] = true
+	}
+	return out
+}
+
+func (r *run) stands(h wire.Hop) bool {
+	m, ok := r.o.Table.Get(h.Address)
+	return ok && !r.avoid[h.Address] && !m.Down() && m.Incarnation == h.Incarnation
+}
+
+// openAll opens every stage at once; it gives the next position of each.
+func (r *run) openAll(ctx context.Context) ([]int64, error) {
+	next := make([]int64, len(r.chain))
+	errs := make([]error, len(r.chain))
+	var g errgroup.Group
+	for i, h := range r.chain {
+		r.used[h.Address] = true
+		g.Go(func() error {
+			var rep wire.OpenReply
+			errs[i] = r.o.callTwice(ctx, h.Address, wire.MethodOpen, r.openMessage(i), &rep)
+			if errs[i] == nil {
+				next[i] = rep.Next
+				r.o.Table.SeenLoad(h.Address, membership.Load(rep.Load))
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return next, r.refusals(ctx, errs)
+}
+
+func (r *run) openMessage(i int) wire.Open {
+	return wire.Open{
+		Key:       r.runKey(),
+		Epoch:     r.epoch,
+		Chain:     r.chain,
+		Index:     i,
+		Owner:     r.o.Address,
+		OwnerData: r.o.Data,
+		Prompt:    int64(len(r.prompt)),
+		Tokens:    int64(r.ask.MaxTokens),
+		Deadline:  r.req.Deadline,
+		Remember:  r.remember,
+		Priority:  r.rule.Priority,
+	}
+}
+
+// refusals notes which stages did not open. Those that did stay open for the
+// next epoch.
+func (r *run) refusals(ctx context.Context, errs []error) error {
+	var worst error
+	for i, err := range errs {
+		if err == nil {
+			continue
+		}
+		h := r.chain[i]
+		r.avoid[h.Address] = true
+		worst = err
+		e := fault.From(err)
+		if e.Kind == fault.Unreachable {
+			r.o.Table.Missed(h.Address)
+		}
+		r.o.refused(ctx, r.job, h, e)
+	}
+	if worst != nil && !r.started {
+		r.chain = nil // nothing has run: any other chain will do
+	}
+	return worst
+}
+
+// resumeAll tells each stage what the one after it lacks.
+func (r *run) resumeAll(ctx context.Context, next []int64) error {
+	last := len(r.chain) - 1
+	var g errgroup.Group
+	for i, h := range r.chain {
+		msg := wire.Resume{Key: r.runKey(), Epoch: r.epoch}
+		if i < last {
+			msg.NextInput = next[i+1]
+		} else {
+			msg.NextToken = r.req.Len()
+			msg.FirstNext = next[0]
+		}
+		g.Go(func() error {
+			err := r.o.callTwice(ctx, h.Address, wire.MethodResume, msg, nil)
+			if fault.Is(err, fault.Unreachable) {
+				r.o.Table.Missed(h.Address)
+			}
+			return err
+		})
+	}
+	return g.Wait()
+}
+
+// feed gives the first stage what it lacks of the prompt and of the tokens that
+// came: it may be a replacement that has seen none of them.
+func (r *run) feed(ctx context.Context, from int64) error {
+	inputs := append(append([][]byte(nil), r.prompt...), r.req.Answer()...)
+	if from > 0 && from < int64(len(inputs)) {
+		r.o.Events.Add(r.key(), events.Replayed, fmt.Sprintf("positions %d to %d", from, len(inputs)))
+	}
+	for from < int64(len(inputs)) {
+		to := min(from+feedBatch, int64(len(inputs)))
+		err := r.o.Feeder.Forward(ctx, r.chain[0], wire.Forward{
+			Key:      r.runKey(),
+			Epoch:    r.epoch,
+			Position: from,
+			Data:     inputs[from:to],
+		})
+		if err != nil {
+			return err
+		}
+		from = to
+	}
+	return nil
+}
+
+// closeAll ends the request at every stage it was opened at.
+func (r *run) closeAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), r.o.Timing.Call)
+	defer cancel()
+	var g errgroup.Group
+	for addr := range r.used {
+		g.Go(func() error {
+			var rep wire.CloseReply
+			err := r.o.callTwice(ctx, addr, wire.MethodClose, wire.Close{Key: r.runKey(), Epoch: r.epoch}, &rep)
+			if err == nil {
+				r.o.Table.SeenLoad(addr, membership.Load(rep.Load))
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+func hopsOf(chain []routing.Stage) []wire.Hop {
+	out := make([]wire.Hop, 0, len(chain))
+	for _, s := range chain {
+		out = append(out, hopOf(s.Member, s.Range))
+	}
+	return out
+}
+
+func describe(chain []wire.Hop) string {
+	s := ""
+	for i, h := range chain {
+		if i > 0 {
+			s += " > "
+		}
+		s += h.Address + h.Range.String()
+	}
+	return s
+}
--- a/internal/protocol/owner/once.go
+++ b/internal/protocol/owner/once.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/protocol/gate"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
 // gatesPerIntent is how many gates an intent names. Only these may hand the
@@ -183,7 +184,7 @@
 		if rep.Outcome.Final() {
 			return adopt(j, rep)
 		}
-		if !sleep(ctx, o.Timing.Poll) {
+		if !wait.For(ctx, o.Timing.Poll) {
 			return fault.CutOff(fault.New(fault.Deadline, "still in progress at entry %s", addr), "entry "+addr)
 		}
 	}
@@ -204,7 +205,7 @@
 		if rep.Outcome.Final() {
 			return adopt(j, rep)
 		}
-		if !sleep(ctx, o.Timing.Poll) {
+		if !wait.For(ctx, o.Timing.Poll) {
 			return fault.CutOff(fault.New(fault.Deadline, "still in progress at entry %s", in.Owner), "entry "+in.Owner)
 		}
 	}
--- a/internal/protocol/owner/pipeline.go
+++ b/internal/protocol/owner/pipeline.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
-
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
-	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
-	"github.com/skylarkwood/skylarkwood/internal/coordination/routing"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
 const (
@@ -115,7 +110,7 @@
 		if r.notRepeatable || try == maxOpenTries || !e.Kind.Answer().Retryable {
 			return err
 		}
-		if !sleep(ctx, limits.Jitter(pause)) {
+		if !wait.For(ctx, limits.Jitter(pause)) {
 			return fault.New(fault.Deadline, "no chain opened before the deadline: %s", e.Msg)
 		}
 		pause = min(2*pause, maxPause)
@@ -154,10 +149,10 @@
 				told = r.o.Now()
 				go r.tellAlive(ctx, r.chain)
 			}
-			wait := beat.patience(r.o.Timing.Stall, have, repairs)
-			if broken = r.lostMember(); broken == "" && r.o.Now().Sub(beat.at) > wait {
+			patience := beat.patience(r.o.Timing.Stall, have, repairs)
+			if broken = r.lostMember(); broken == "" && r.o.Now().Sub(beat.at) > patience {
 				broken = r.look(ctx)
-				beat.at = r.o.Now().Add(minSilence - wait) // look again soon
+				beat.at = r.o.Now().Add(minSilence - patience) // look again soon
 			}
 		}
 		if broken == "" {
@@ -173,21 +168,6 @@
 	}
 }
 
-// pulse follows the time between tokens, to tell silence from slowness.
-type pulse struct {
-	at       time.Time
-	smoothed time.Duration
-}
-
-func (p *pulse) beat(now time.Time) {
-	d := now.Sub(p.at)
-	p.at = now
-	if p.smoothed == 0 {
-		p.smoothed = d
-	}
-	p.smoothed += (d - p.smoothed) / 8
-}
-
 const (
 	// silentAfter is how many usual intervals without a token call for a look.
 	silentAfter = 8
@@ -195,20 +175,6 @@
 	minSilence = 300 * time.Millisecond
 )
 
-// patience is how long to wait for a token before looking at the stages. A look
-// that finds a slow chain costs a message to each stage and changes nothing.
-// After a repair a token should come soon, or the repair was the wrong one; but
-// over a slow link it takes a while, and each further repair sends more over it.
-func (p *pulse) patience(most time.Duration, tokens int64, repairs int) time.Duration {
-	if repairs > 0 {
-		return min(minSilence<<(repairs-1), 2*most)
-	}
-	if tokens < 2 {
-		return most // the prompt may take long
-	}
-	return min(max(silentAfter*p.smoothed, minSilence), most)
-}
-
 func (r *run) firstToken(n int64) {
 	if r.sentOnce {
 		return
@@ -230,374 +196,6 @@
 	return fault.CutOff(e, fmt.Sprintf("%d of %d tokens came, epoch %d", r.req.Len(), r.ask.MaxTokens, r.epoch))
 }
 
-// judge decides on a stage's report; it gives what is broken, if anything. A
-// stage that two reports call unreachable is left out even if this entry still
-// reaches it: the link that counts is the one between the stages.
-func (r *run) judge(f wire.StageFailed) string {
-	if f.Epoch != r.epoch {
-		return ""
-	}
-	r.reported[f.Address]++
-	if r.reported[f.Address] > 1 {
-		r.avoid[f.Address] = true
-	}
-	return f.Address + ": " + f.Cause
-}
-
-// lostMember compares the chain with the membership.
-func (r *run) lostMember() string {
-	for _, h := range r.chain {
-		m, ok := r.o.Table.Get(h.Address)
-		if ok && m.Down() {
-			return h.Address + ": does not answer"
-		}
-		if ok && m.Incarnation != h.Incarnation {
-			r.avoid[h.Address] = false
-			return h.Address + ": was replaced"
-		}
-	}
-	return ""
-}
-
-// tellEvery is how often the stages of a long request are told that its owner
-// lives: in a large fleet heartbeats alone come too seldom for them.
-const tellEvery = 5 * time.Second
-
-// tellAlive sends a heartbeat to each stage of a chain.
-func (r *run) tellAlive(ctx context.Context, chain []wire.Hop) {
-	for _, h := range chain {
-		var rep wire.HelloReply
-		if r.o.call(ctx, h.Address, wire.MethodHello, wire.Hello{Known: h.Incarnation}, &rep) == nil {
-			r.o.Table.SeenLoad(h.Address, membership.Load(rep.Load))
-		}
-	}
-}
-
-// stageAt is how far a stage has come.
-type stageAt struct{ accepted, ran int64 }
-
-// maxIdle is how many looks in a row may find a stage with work and no
-// progress before its engine is taken to hang.
-const maxIdle = 10
-
-// look asks the stages how far they are when no token has come for a while, and
-// gives what is broken, if anything. Under load a chain is slow, not lost:
-// raising the epoch then would replay positions and make it slower. Only a
-// stage that does not answer, an engine that hangs, or positions lost on a link
-// call for a repair.
-func (r *run) look(ctx context.Context) string {
-	now := make([]stageAt, len(r.chain))
-	silent := make([]bool, len(r.chain))
-	var g errgroup.Group
-	for i, h := range r.chain {
-		g.Go(func() error {
-			var rep wire.OpenReply
-			if err := r.o.callTwice(ctx, h.Address, wire.MethodOpen, r.openMessage(i), &rep); err != nil {
-				silent[i] = true
-				return errors.Wrap(err, h.Address)
-			}
-			now[i] = stageAt{rep.Next, rep.Ran}
-			return nil
-		})
-	}
-	if err := g.Wait(); err != nil {
-		r.leaveOut(silent)
-		return err.Error()
-	}
-	moved := !slices.Equal(now, r.probed)
-	r.probed = now
-	if moved {
-		r.idle = 0
-		return ""
-	}
-	if i := slices.IndexFunc(now, func(s stageAt) bool { return s.ran < s.accepted }); i >= 0 {
-		r.idle++
-		return r.hanging(i)
-	}
-	return r.lostOnLink(now)
-}
-
-// leaveOut keeps the next chain from the stages that gave no good answer.
-func (r *run) leaveOut(silent []bool) {
-	for i, h := range r.chain {
-		if silent[i] {
-			r.avoid[h.Address] = true
-			r.o.Table.Missed(h.Address)
-		}
-	}
-}
-
-// lostOnLink finds the link on which positions were lost: what a stage ran, the
-// next has not taken, and nobody has work. A lost message is mended by the next
-// epoch. A link that loses again is cut for good, though both ends answer this
-// entry: the end it leads to is replaced, and if that does not help the other.
-func (r *run) lostOnLink(now []stageAt) string {
-	for i := range now {
-		next := (i + 1) % len(now)
-		if now[next].accepted >= r.wanted(i, now[i].ran) {
-			continue
-		}
-		from, to := r.chain[i].Address, r.chain[next].Address
-		r.cuts[from]++
-		r.cuts[to]++
-		switch {
-		case r.cuts[from] > suspectSender:
-			r.avoid[from] = true
-		case r.cuts[to] > 1:
-			r.avoid[to] = true
-		}
-		return from + " to " + to + ": positions were lost"
-	}
-	return "tokens were lost on the way here"
-}
-
-// suspectSender is after how many losses the sending end is replaced.
-const suspectSender = 2
-
-// wanted is what the stage after i should have taken when i has run so many
-// positions. The last stage's outputs are the first one's inputs, one position
-// on, from the end of the prompt to the last token but one.
-func (r *run) wanted(i int, ran int64) int64 {
-	if i < len(r.chain)-1 {
-		return ran
-	}
-	prompt := int64(len(r.prompt))
-	if ran < prompt {
-		return 0
-	}
-	return min(ran+1, prompt+int64(r.ask.MaxTokens)-1)
-}
-
-// hanging gives up on a stage whose engine has had work for long and done none.
-func (r *run) hanging(i int) string {
-	if r.idle < maxIdle {
-		return ""
-	}
-	r.idle = 0
-	r.avoid[r.chain[i].Address] = true
-	return r.chain[i].Address + ": engine hangs"
-}
-
-// repair raises the epoch over a chain in which lost stages are replaced. A
-// request that is not repeatable keeps its chain or is cut off: a replacement
-// would run layers a second time.
-func (r *run) repair(ctx context.Context, broken string) error {
-	r.o.Events.Add(r.key(), events.StageLost, broken)
-	pause := firstPause
-	for try := 1; ; try++ {
-		err := r.establish(ctx)
-		if err == nil {
-			return nil
-		}
-		e := fault.From(err)
-		if r.notRepeatable {
-			return fault.New(fault.BackendLost, "a stage was lost and the request is not repeatable: %s", e.Msg)
-		}
-		if try == maxRepairs {
-			return fault.New(fault.BackendLost, "no replacement for a lost stage: %s", e.Msg)
-		}
-		if !sleep(ctx, limits.Jitter(pause)) {
-			return fault.New(fault.Deadline, "deadline passed during repair: %s", e.Msg)
-		}
-		pause = min(2*pause, maxPause)
-	}
-}
-
-// establish opens a chain under a new epoch, replacing stages that refuse, and
-// lets it run from where each stage stands.
-func (r *run) establish(ctx context.Context) error {
-	if err := r.choose(); err != nil {
-		return err
-	}
-	r.epoch++
-	r.o.Events.Add(r.key(), events.EpochRaised, fmt.Sprintf("%d: %s", r.epoch, describe(r.chain)))
-	next, err := r.openAll(ctx)
-	if err != nil {
-		return err
-	}
-	r.started = true
-	if err := r.resumeAll(ctx, next); err != nil {
-		return err
-	}
-	return r.feed(ctx, next[0])
-}
-
-// choose keeps the stages that still stand and finds others for the rest.
-func (r *run) choose() error {
-	if r.notRepeatable {
-		return nil
-	}
-	if len(r.chain) == 0 {
-		chain, err := r.o.Router.Chain(routing.Ask{
-			Service:   r.ask.Service,
-			Need:      model.LayerRange{To: r.layers},
-			Avoid:     r.avoid,
-			Positions: r.positions(),
-		})
-		if err != nil {
-			return err
-		}
-		r.chain = hopsOf(chain)
-		return nil
-	}
-	var next []wire.Hop
-	for _, h := range r.chain {
-		if r.stands(h) {
-			next = append(next, h)
-			continue
-		}
-		part, err := r.o.Router.Chain(routing.Ask{Service: r.ask.Service, Need: h.Range, Avoid: r.without(r.chain)})
-		if err != nil {
-			return err
-		}
-		next = append(next, hopsOf(part)...)
-	}
-	r.chain = next
-	return nil
-}
-
-// without is avoid with the members of the chain added: a member takes part
-// once, as a session has one range.
-func (r *run) without(chain []wire.Hop) map[string]bool {
-	out := map[string]bool{}
-	for a, bad := range r.avoid {
-		out[a] = bad
-	}
-	for _, h := range chain {
-		out[h.Address] = true
-	}
-	return out
-}
-
-func (r *run) stands(h wire.Hop) bool {
-	m, ok := r.o.Table.Get(h.Address)
-	return ok && !r.avoid[h.Address] && !m.Down() && m.Incarnation == h.Incarnation
-}
-
-// openAll opens every stage at once; it gives the next position of each.
-func (r *run) openAll(ctx context.Context) ([]int64, error) {
-	next := make([]int64, len(r.chain))
-	errs := make([]error, len(r.chain))
-	var g errgroup.Group
-	for i, h := range r.chain {
-		r.used[h.Address] = true
-		g.Go(func() error {
-			var rep wire.OpenReply
-			errs[i] = r.o.callTwice(ctx, h.Address, wire.MethodOpen, r.openMessage(i), &rep)
-			if errs[i] == nil {
-				next[i] = rep.Next
-				r.o.Table.SeenLoad(h.Address, membership.Load(rep.Load))
-			}
-			return nil
-		})
-	}
-	_ = g.Wait()
-	return next, r.refusals(ctx, errs)
-}
-
-func (r *run) openMessage(i int) wire.Open {
-	return wire.Open{
-		Key:       r.runKey(),
-		Epoch:     r.epoch,
-		Chain:     r.chain,
-		Index:     i,
-		Owner:     r.o.Address,
-		OwnerData: r.o.Data,
-		Prompt:    int64(len(r.prompt)),
-		Tokens:    int64(r.ask.MaxTokens),
-		Deadline:  r.req.Deadline,
-		Remember:  r.remember,
-		Priority:  r.rule.Priority,
-	}
-}
-
-// refusals notes which stages did not open. Those that did stay open for the
-// next epoch.
-func (r *run) refusals(ctx context.Context, errs []error) error {
-	var worst error
-	for i, err := range errs {
-		if err == nil {
-			continue
-		}
-		h := r.chain[i]
-		r.avoid[h.Address] = true
-		worst = err
-		e := fault.From(err)
-		if e.Kind == fault.Unreachable {
-			r.o.Table.Missed(h.Address)
-		}
-		r.o.refused(ctx, r.job, h, e)
-	}
-	if worst != nil && !r.started {
-		r.chain = nil // nothing has run: any other chain will do
-	}
-	return worst
-}
-
-// resumeAll tells each stage what the one after it lacks.
-func (r *run) resumeAll(ctx context.Context, next []int64) error {
-	last := len(r.chain) - 1
-	var g errgroup.Group
-	for i, h := range r.chain {
-		msg := wire.Resume{Key: r.runKey(), Epoch: r.epoch}
-		if i < last {
-			msg.NextInput = next[i+1]
-		} else {
-			msg.NextToken = r.req.Len()
-			msg.FirstNext = next[0]
-		}
-		g.Go(func() error {
-			err := r.o.callTwice(ctx, h.Address, wire.MethodResume, msg, nil)
-			if fault.Is(err, fault.Unreachable) {
-				r.o.Table.Missed(h.Address)
-			}
-			return err
-		})
-	}
-	return g.Wait()
-}
-
-// feed gives the first stage what it lacks of the prompt and of the tokens that
-// came: it may be a replacement that has seen none of them.
-func (r *run) feed(ctx context.Context, from int64) error {
-	inputs := append(append([][]byte(nil), r.prompt...), r.req.Answer()...)
-	if from > 0 && from < int64(len(inputs)) {
-		r.o.Events.Add(r.key(), events.Replayed, fmt.Sprintf("positions %d to %d", from, len(inputs)))
-	}
-	for from < int64(len(inputs)) {
-		to := min(from+feedBatch, int64(len(inputs)))
-		err := r.o.Feeder.Forward(ctx, r.chain[0], wire.Forward{
-			Key:      r.runKey(),
-			Epoch:    r.epoch,
-			Position: from,
-			Data:     inputs[from:to],
-		})
-		if err != nil {
-			return err
-		}
-		from = to
-	}
-	return nil
-}
-
-// closeAll ends the request at every stage it was opened at.
-func (r *run) closeAll() {
-	ctx, cancel := context.WithTimeout(context.Background(), r.o.Timing.Call)
-	defer cancel()
-	var g errgroup.Group
-	for addr := range r.used {
-		g.Go(func() error {
-			var rep wire.CloseReply
-			err := r.o.callTwice(ctx, addr, wire.MethodClose, wire.Close{Key: r.runKey(), Epoch: r.epoch}, &rep)
-			if err == nil {
-				r.o.Table.SeenLoad(addr, membership.Load(rep.Load))
-			}
-			return nil
-		})
-	}
-	_ = g.Wait()
-}
-
 // Tokens takes in generated tokens. Tokens of another epoch still count, as the
 // position tells where they belong and each position has one token.
 func (o *Owner) Tokens(t wire.Tokens) {
@@ -631,22 +229,3 @@
 	default:
 	}
 }
-
-func hopsOf(chain []routing.Stage) []wire.Hop {
-	out := make([]wire.Hop, 0, len(chain))
-	for _, s := range chain {
-		out = append(out, hopOf(s.Member, s.Range))
-	}
-	return out
-}
-
-func describe(chain []wire.Hop) string {
-	s := ""
-	for i, h := range chain {
-		if i > 0 {
-			s += " > "
-		}
-		s += h.Address + h.Range.String()
-	}
-	return s
-}
--- a/internal/protocol/owner/plain.go
+++ b/internal/protocol/owner/plain.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
 // maxRefusals bounds how many gates may refuse one request before it is given
@@ -143,7 +143,7 @@
 		case rep.Verdict == wire.WasFinished:
 			return nil, true, fault.New(fault.BackendFailed, "backend server at %s failed", gate.Address)
 		}
-		if !sleep(ctx, o.Timing.Poll) {
+		if !wait.For(ctx, o.Timing.Poll) {
 			return nil, true, fault.New(fault.Deadline, "still running at %s at the deadline", gate.Address)
 		}
 	}
@@ -166,14 +166,3 @@
 func hopOf(m membership.Member, r model.LayerRange) wire.Hop {
 	return wire.Hop{Address: m.Instance.Address, Data: m.Backend.Data, Incarnation: m.Incarnation, Range: r}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/standin/world/entry.go
@@ -0,0 +1,155 @@
+package world
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/config"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/ledger"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
+	"github.com/skylarkwood/skylarkwood/internal/daemon"
+	"github.com/skylarkwood/skylarkwood/internal/hlc"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/owner"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/state/requests"
+	"github.com/skylarkwood/skylarkwood/internal/transport/link"
+)
+
+// Entry is one incarnation of an entry.
+type Entry struct {
+	Addr  string
+	Owner *owner.Owner
+	Store *requests.Store
+	// Dead ends with the entry.
+	Dead   context.Context
+	domain string
+	stop   context.CancelFunc
+}
+
+func (w *World) startEntry(addr, domain string) *Entry {
+	ctx, stop := context.WithCancel(w.ctx)
+	e := &Entry{Addr: addr, domain: domain, stop: stop, Dead: ctx}
+	p := newPeers(ctx, w.Net, addr, true)
+	table := membership.New(addr, time.Now)
+	clock := hlc.New(time.Now)
+	log := events.New(addr, model.RoleEntry, daemon.NewID(), clock, 1000)
+	cfg := config.NewStore(w.KV, time.Now, daemon.NewID, func(int64) {})
+	for cfg.Refresh(ctx) != nil { // an outage: peers are asked in the real program
+		time.Sleep(Heartbeat)
+	}
+	led := ledger.New(w.KV, time.Now, rate.NewLimiter(50, 5))
+	e.Store = requests.NewStore(time.Now, time.Minute)
+	e.Owner = owner.New(owner.Deps{
+		Instance: addr,
+		Address:  addr,
+		Peers:    p,
+		Feeder:   p,
+		Table:    table,
+		Router:   w.router(table),
+		Config:   cfg,
+		Rates:    limits.NewRates(func() int { return 1 }),
+		Retries:  limits.NewRetryBudget(),
+		Room:     admission.New(time.Now),
+		Grant:    led.Record,
+		Requests: e.Store,
+		Events:   log,
+		Now:      time.Now,
+		Refresh:  func(context.Context, string) error { return nil },
+		Observe:  func(string, model.Outcome, time.Duration) {},
+		Timing:   owner.DefaultTiming(),
+	})
+	w.Net.join(addr, domain, e.handlers())
+	w.every(ctx, Heartbeat, func() { w.heartbeats(ctx, e, p, table) })
+	w.every(ctx, 5*time.Second, func() { e.Store.Sweep(); led.Sweep(ctx) })
+	return e
+}
+
+func (e *Entry) handlers() map[wire.Method]link.Handler {
+	return map[wire.Method]link.Handler{
+		methodTokens: link.Handle(func(_ context.Context, _ string, t wire.Tokens) (struct{}, error) {
+			e.Owner.Tokens(t)
+			return struct{}{}, nil
+		}),
+		wire.MethodStageFailed: link.Handle(func(_ context.Context, _ string, f wire.StageFailed) (struct{}, error) {
+			e.Owner.StageFailed(f)
+			return struct{}{}, nil
+		}),
+		wire.MethodNoStage: link.Handle(func(_ context.Context, from string, n wire.NoStage) (struct{}, error) {
+			e.Owner.NoStage(from, n)
+			return struct{}{}, nil
+		}),
+		wire.MethodOutcome: link.Handle(func(_ context.Context, _ string, q wire.OutcomeQuery) (wire.OutcomeReply, error) {
+			return e.Owner.KnownOutcome(q.Key), nil
+		}),
+		wire.MethodOutcomeCopy: link.Handle(func(_ context.Context, _ string, c wire.OutcomeCopy) (struct{}, error) {
+			e.Store.KeepCopy(c.Key, c.Outcome)
+			return struct{}{}, nil
+		}),
+		wire.MethodHello: link.Handle(func(context.Context, string, wire.Hello) (wire.HelloReply, error) {
+			return wire.HelloReply{Instance: told(e.Addr, e.domain, model.RoleEntry), Incarnation: e.Addr}, nil
+		}),
+	}
+}
+
+func (w *World) heartbeats(ctx context.Context, e *Entry, p *peers, table *membership.Table) {
+	table.UpdateList(w.list())
+	var wg sync.WaitGroup
+	for _, addr := range w.Addresses() {
+		if addr == e.Addr {
+			continue
+		}
+		wg.Go(func() {
+			call, cancel := context.WithTimeout(ctx, helloWait)
+			defer cancel()
+			began := time.Now()
+			var rep wire.HelloReply
+			if err := p.Call(call, addr, wire.MethodHello, wire.Hello{}, &rep); err != nil {
+				table.Missed(addr)
+				return
+			}
+			table.Seen(*rep.Instance, rep.Incarnation, membership.Backend{
+				Service:  rep.Service,
+				Kind:     rep.Kind,
+				Range:    rep.Range,
+				Layers:   rep.Layers,
+				StepTime: time.Duration(rep.StepMicros) * time.Microsecond,
+				Rate:     rep.Rate,
+				Active:   rep.Load.Active,
+				Queued:   rep.Load.Queued,
+				Capacity: rep.Load.Capacity,
+				Leaving:  rep.Load.Leaving,
+			}, time.Since(began))
+		})
+	}
+	wg.Wait()
+}
+
+// Entry gives one of the living entries.
+func (w *World) Entry(i int) *Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entries[i%len(w.entries)]
+}
+
+// KillEntry ends an entry and starts its replacement at another address, as a
+// platform does.
+func (w *World) KillEntry(i int, name string) {
+	old := w.Entry(i)
+	old.stop()
+	w.Net.leave(old.Addr)
+	next := w.startEntry(name, old.domain)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for j, e := range w.entries {
+		if e == old {
+			w.entries[j] = next
+		}
+	}
+}
--- a/internal/transport/mesh/config.go
+++ b/internal/transport/mesh/config.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/state/events"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
 const (
@@ -138,17 +139,17 @@
 	return err
 }
 
-// loadConfig reads the first configuration: from the key-value service, or from
-// a peer while that is out.
+// loadConfig reads the first configuration: from a peer, and what the peer may
+// lack from the key-value service. Read from the service alone, the instances of
+// a region that comes back together would use up its rate for a minute.
 func (n *Node) loadConfig(ctx context.Context) {
 	for !n.loaded.Load() && ctx.Err() == nil {
-		if n.refresh(ctx) || n.fetchAny(ctx) {
+		n.readList(ctx)
+		fetched := n.fetchAny(ctx)
+		if n.refresh(ctx) || fetched {
 			return
 		}
-		select {
-		case <-time.After(loadRetry):
-		case <-ctx.Done():
-		}
+		wait.For(ctx, loadRetry)
 	}
 }
 
@@ -198,12 +199,12 @@
 	version := int64(0)
 	for ctx.Err() == nil {
 		if !n.isWatcher() {
-			n.pause(ctx, heartbeatEvery)
+			wait.For(ctx, heartbeatEvery)
 			continue
 		}
 		next, err := n.Config.Watch(ctx, version, watchWait)
 		if err != nil && !errors.Is(err, context.Canceled) {
-			n.pause(ctx, loadRetry)
+			wait.For(ctx, loadRetry)
 			continue
 		}
 		version = next
@@ -224,13 +225,6 @@
 	return false
 }
 
-func (n *Node) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // Serving tells whether the configuration held here may be acted on: it was
 // read, no peer is known to hold a newer one, and a peer or the key-value
 // service was heard of lately. A process thawed after a long freeze would
