--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -94,15 +94,8 @@
 // Close stops the engine; steps that wait are never answered.
 func (e *Engine) Close() { e.stop() }
 
-// Runs tells how many positions the engine has run for a session, by its own
-// count: the judge from outside.
-func (e *Engine) Runs(session string) int64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.runs[session]
-}
-
-// RunsOf sums the positions run for all sessions whose name has a prefix.
+// RunsOf sums the positions that the engine has run for all sessions whose name
+// has a prefix, by its own count: the judge from outside.
 func (e *Engine) RunsOf(prefix string) int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -40,12 +40,13 @@
 	return mux
 }
 
-// EngineHandler serves an engine; GET /control?session=S gives its own count.
+// EngineHandler serves an engine; GET /control?prefix=P gives its own count of
+// the sessions whose names begin so.
 func EngineHandler(e *Engine) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(platformv1connect.NewEngineServiceHandler(engineServer{e}))
 	mux.HandleFunc("GET /control", func(w http.ResponseWriter, r *http.Request) {
-		writeJSON(w, e.Runs(r.URL.Query().Get("session")))
+		writeJSON(w, e.RunsOf(r.URL.Query().Get("prefix")))
 	})
 	return mux
 }
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/url"
 	"strings"
 	"testing"
 
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	v1 "github.com/skylarkwood/skylarkwood/api/skylarkwood/v1"
+	"github.com/skylarkwood/skylarkwood/internal/ctl"
 )
 
 const prompt = "Draft the round sheet for the school on Manus before the inspection"
@@ -132,3 +134,54 @@
 	}
 	return n
 }
+
+// A caller reads a sheet and its entry is killed. The caller comes back to
+// another entry with the same id and gets the whole answer; the dead entry's run
+// still stands at the gates and must not mix with the new one.
+func TestEntryKilledInTheMiddle(t *testing.T) {
+	c := newCluster(t, 2, stages(2), 0)
+	w := &onWrite{after: 200, do: func() { c.entries[0].kill() }}
+	_, err := c.client(0).Submit(context.Background(), sheet("orphan", 300), w)
+	assert.Assert(t, err != nil, "the stream broke with the entry")
+	res, err := c.client(1).Submit(context.Background(), sheet("orphan", 300), io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_RAN, res.Outcome.Cause)
+	assert.Equal(t, string(res.Answer), reference(prompt, 300))
+}
+
+// A sheet that must not be repeated loses a stage in the middle. Another engine
+// holds the same layers, but would run them a second time: the caller is told at
+// once that the sheet was cut off, and sending it again runs nothing more.
+func TestSheetNotRepeatableLosesAStage(t *testing.T) {
+	c := newCluster(t, 2, stages(2), 0)
+	var once *v1.SubmitRequest
+	var res ctl.Result
+	// Gates take only what was made after their start.
+	c.eventually("the sheet starts", func() bool {
+		once = sheet(newID(), 300)
+		once.NotRepeatable = true
+		w := &onWrite{after: 200, do: func() { c.killStage(once.RequestId, 1) }}
+		var err error
+		res, err = c.client(0).Submit(context.Background(), once, w)
+		assert.NilError(t, err)
+		return res.Outcome.State != v1.OutcomeState_OUTCOME_STATE_NOT_RUN
+	})
+	assert.Equal(t, res.Outcome.State, v1.OutcomeState_OUTCOME_STATE_CUT_OFF, res.Outcome.Cause)
+	assert.Assert(t, res.Outcome.MayHaveRun)
+	before := c.engineRuns(once.RequestId)
+	again, err := c.client(1).Submit(context.Background(), once, io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, again.Outcome.State, v1.OutcomeState_OUTCOME_STATE_CUT_OFF, again.Outcome.Cause)
+	assert.Equal(t, c.engineRuns(once.RequestId), before)
+}
+
+// engineRuns sums what the engines themselves counted of a request.
+func (c *cluster) engineRuns(id string) int64 {
+	n := int64(0)
+	for _, addr := range c.engines {
+		runs := int64(0)
+		c.read(addr, "?prefix="+url.QueryEscape(customer+"/"+id+"#"), &runs)
+		n += runs
+	}
+	return n
+}
