A call to a frozen gate is given up when the gate is found down

Cause: a call of a plain service to a frozen gate waited until the caller's deadline, with no time left for another gate (found by the domain-loss experiment). Change: the call ends when the membership finds the gate down or replaced, and is settled at the gate as before.

--- /dev/null
+++ b/bench/retry_test.go
@@ -0,0 +1,85 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/daemon"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/owner"
+	"github.com/skylarkwood/skylarkwood/internal/standin/world"
+)
+
+// domainLoss sends calls to a plain service in three failure domains while one
+// of them goes silent, and counts what the service was asked to do.
+func domainLoss(t *testing.T) (sent, executed int, outcomes map[string]int) {
+	const perSecond, seconds, lostAt = 200, 20, 5
+	outcomes = map[string]int{}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		cfg := world.Config{Seed: 1, Layers: 1, Entries: places[:2], Link: between}
+		for i := 0; i < 6; i++ {
+			cfg.Plains = append(cfg.Plains, world.PlainSpec{Domain: places[i%3], Time: 20 * time.Millisecond, Places: 16})
+		}
+		w, err := world.New(ctx, cfg)
+		assert.NilError(t, err)
+		time.Sleep(settle)
+		rnd := rand.New(rand.NewPCG(1, 1))
+		began := time.Now()
+		time.AfterFunc(lostAt*time.Second, func() {
+			for _, u := range w.Sidecars {
+				if u.Domain == places[0] {
+					w.Net.Freeze(u.Addr, time.Minute)
+				}
+			}
+		})
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		for time.Since(began) < seconds*time.Second {
+			time.Sleep(time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)))
+			sent++
+			n := sent
+			all.Go(func() {
+				e := w.Entry(n)
+				req, err := e.Owner.Submit(owner.Ask{Customer: world.Customer, ID: daemon.NewID(), Service: world.Notices, Body: fmt.Append(nil, n), Timeout: 5 * time.Second})
+				assert.NilError(t, err)
+				var o model.Outcome
+				for pos := int64(0); !o.Final(); {
+					var parts [][]byte
+					parts, o, err = req.Next(context.Background(), pos)
+					assert.NilError(t, err)
+					pos += int64(len(parts))
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes[string(o.State)]++
+			})
+		}
+		all.Wait()
+		for _, u := range w.Sidecars {
+			for _, n := range u.Plain.Counts() {
+				executed += n
+			}
+		}
+		stop()
+		w.Close()
+		time.Sleep(2 * time.Minute)
+	})
+	return sent, executed, outcomes
+}
+
+// TestDomainLoss: a third of a plain service goes silent under load. It prints
+// what became of the calls and asserts that the service was asked to do no more
+// than a tenth beyond what callers sent.
+func TestDomainLoss(t *testing.T) {
+	sent, executed, outcomes := domainLoss(t)
+	t.Logf("sent %d, executed %d (%.3f); %v", sent, executed, float64(executed)/float64(sent), outcomes)
+	assert.Assert(t, float64(executed) <= 1.1*float64(sent))
+}
--- a/internal/protocol/owner/plain.go
+++ b/internal/protocol/owner/plain.go
@@ -75,7 +75,9 @@
 // backend server may have run it; false is proof.
 func (o *Owner) dispatch(ctx context.Context, j *job, gate wire.Hop, attempt int64) (body []byte, ran bool, err error) {
 	var rep wire.CallReply
-	err = o.Peers.Call(ctx, gate.Address, wire.MethodCall, wire.Call{
+	call, stop := o.whileUp(ctx, gate)
+	defer stop()
+	err = o.Peers.Call(call, gate.Address, wire.MethodCall, wire.Call{
 		Key:           j.runKey(),
 		Attempt:       attempt,
 		Incarnation:   gate.Incarnation,
@@ -97,6 +99,22 @@
 	return nil, false, e
 }
 
+// whileUp gives a context that ends when the gate is found down or replaced. A
+// frozen gate keeps its connection open, and a call to it would otherwise be
+// waited for until the deadline, with no time left to try another.
+func (o *Owner) whileUp(ctx context.Context, gate wire.Hop) (context.Context, context.CancelFunc) {
+	call, cancel := context.WithCancel(ctx)
+	go func() {
+		for wait.For(call, watchEvery) {
+			m, ok := o.Table.Get(gate.Address)
+			if ok && (m.Down() || m.Incarnation != gate.Incarnation) {
+				cancel()
+			}
+		}
+	}()
+	return call, cancel
+}
+
 // provesNotStarted lists the gate's answers that come before any hand-over.
 func provesNotStarted(k fault.Kind) bool {
 	switch k {
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -12,6 +12,7 @@
 
 	v1 "github.com/skylarkwood/skylarkwood/api/skylarkwood/v1"
 	"github.com/skylarkwood/skylarkwood/internal/ctl"
+	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
 const prompt = "Draft the round sheet for the school on Manus before the inspection"
@@ -185,3 +186,36 @@
 	}
 	return n
 }
+
+// A sheet crosses six stages. Its time line, asked of the other entry, holds all
+// seven processes in causal order: no stage starts before its gate opened, nor
+// before the stage in front of it.
+func TestTimelineOverSevenProcesses(t *testing.T) {
+	var ranges []model.LayerRange
+	for from := 0; from < layers; from += 2 {
+		ranges = append(ranges, model.LayerRange{From: from, To: from + 2})
+	}
+	c := newCluster(t, 2, ranges, 0)
+	res, err := c.client(0).Submit(context.Background(), sheet("long-way", 10), io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, string(res.Answer), reference(prompt, 10))
+	events, _ := c.timeline(1, "long-way")
+	opened, started, processes := map[string]int{}, map[string]int{}, map[string]bool{}
+	for i, e := range events {
+		processes[e.Instance] = true
+		switch e.Kind {
+		case "gate_opened":
+			opened[e.Instance] = i
+		case "started":
+			started[e.Instance] = i
+		}
+	}
+	assert.Equal(t, len(processes), 7, "%v", processes)
+	assert.Equal(t, len(started), 6)
+	for i, u := range c.sidecars {
+		assert.Assert(t, opened[u.name] < started[u.name])
+		if i > 0 {
+			assert.Assert(t, started[c.sidecars[i-1].name] < started[u.name])
+		}
+	}
+}
