--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -9,6 +9,7 @@
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/settings"
 )
 
@@ -46,4 +47,11 @@
 	m.scope.Gauge("link_bytes").Update(float64(total))
 }
 
+// gate tells how full a sidecar's gate is.
+func (m *metrics) gate(l wire.Load) {
+	m.scope.Gauge("gate_active").Update(float64(l.Active))
+	m.scope.Gauge("gate_queued").Update(float64(l.Queued))
+	m.scope.Gauge("gate_places").Update(float64(l.Capacity))
+}
+
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/ulid/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/config"
@@ -66,20 +67,22 @@
 // Deps is what an Owner works with.
 type Deps struct {
 	Instance string // id of this entry
-	Address  string // its link address
-	Data     string // where its data streams end
-	Peers    Peers
-	Feeder   Feeder
-	Table    *membership.Table
-	Router   Router
-	Config   *config.Store
-	Rates    *limits.Rates
-	Retries  *limits.RetryBudget
-	Room     *admission.Room
-	Grant    Granter
-	Requests *requests.Store
-	Events   *events.Log
-	Now      func() time.Time
+	// Incarnation names this start of it, for logs.
+	Incarnation string
+	Address     string // its link address
+	Data        string // where its data streams end
+	Peers       Peers
+	Feeder      Feeder
+	Table       *membership.Table
+	Router      Router
+	Config      *config.Store
+	Rates       *limits.Rates
+	Retries     *limits.RetryBudget
+	Room        *admission.Room
+	Grant       Granter
+	Requests    *requests.Store
+	Events      *events.Log
+	Now         func() time.Time
 	// Refresh brings the configuration up to that of the peer at addr.
 	Refresh func(ctx context.Context, addr string) error
 	// Observe is told of each final outcome.
@@ -281,6 +284,8 @@
 
 func (o *Owner) reject(ask Ask, err error) error {
 	o.Events.Add(model.RequestKey{Customer: ask.Customer, ID: ask.ID}, events.Rejected, err.Error())
+	klog.V(1).InfoS("Submission refused", "request", ask.ID, "customer", ask.Customer, "service", ask.Service,
+		"err", err, "instance", o.Instance, "incarnation", o.Incarnation)
 	return err
 }
 
@@ -314,11 +319,28 @@
 	}
 	out.Entry = o.Instance
 	o.Events.Add(j.key(), events.OutcomeFixed, string(out.State)+" "+out.Kind)
+	o.log(j, out)
 	j.req.Finish(out)
 	o.Observe(j.ask.Service, out, o.Now().Sub(j.began))
 	o.copyOutcome(j.key(), out)
 }
 
+// log writes a line for each request that ended, so that it can be found without
+// asking: always where it was cut off, which an engineer will be asked about;
+// with -v=1 where it did not run, as a burst refuses thousands; with -v=2 all.
+func (o *Owner) log(j *job, out model.Outcome) {
+	level := klog.Level(2)
+	switch out.State {
+	case model.CutOff:
+		level = 0
+	case model.NotRun:
+		level = 1
+	}
+	klog.V(level).InfoS("Request ended", "request", j.ask.ID, "customer", j.ask.Customer, "service", j.ask.Service,
+		"outcome", out.State, "kind", out.Kind, "cause", out.Cause, "evidence", out.Evidence,
+		"instance", o.Instance, "incarnation", o.Incarnation)
+}
+
 // serveAdmitted runs a pipeline request once there is room for it.
 func (o *Owner) serveAdmitted(ctx context.Context, j *job) model.Outcome {
 	err := o.Room.Enter(ctx, admission.Request{
--- a/internal/protocol/sidecar/sidecar.go
+++ b/internal/protocol/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
@@ -138,6 +139,7 @@
 			}
 			started = true
 			s.events.Add(ses.open.Key.RequestKey, events.Started, "layers "+hop.Range.String())
+			s.log(ses.open.Key, hop.Incarnation)
 		}
 		began := s.now()
 		out, err := s.backend.Engine.Step(ctx, platform.Step{
@@ -258,6 +260,7 @@
 // what became of it is asked for later, over another one.
 func (s *Sidecar) handOver(c wire.Call, ticket *gate.Ticket) (wire.CallReply, error) {
 	s.events.Add(c.Key.RequestKey, events.Started, "plain call")
+	s.log(c.Key, c.Incarnation)
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
 	defer cancel()
 	body, err := s.backend.Plain.Call(ctx, c.Key.RequestKey.String(), c.Body)
@@ -271,6 +274,11 @@
 	return wire.CallReply{Body: body, Load: s.gate.Load()}, nil
 }
 
+func (s *Sidecar) log(k wire.RunKey, incarnation string) {
+	klog.V(2).InfoS("Request started", "request", k.ID, "customer", k.Customer, "run", k.Run,
+		"address", s.address, "incarnation", incarnation)
+}
+
 // Cancel keeps a request from starting and tells what the gate knows of it.
 func (s *Sidecar) Cancel(_ context.Context, _ string, c wire.Cancel) (wire.CancelReply, error) {
 	rep, err := s.gate.Cancel(c)
