--- /dev/null
+++ b/internal/fault/fault_test.go
@@ -0,0 +1,53 @@
+package fault
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// Each kind that the list names has its row in the table: without one it would
+// be answered as an internal error.
+func TestEveryKindHasAnAnswer(t *testing.T) {
+	f, err := parser.ParseFile(token.NewFileSet(), "fault.go", nil, 0)
+	assert.NilError(t, err)
+	named := 0
+	ast.Inspect(f, func(n ast.Node) bool {
+		v, ok := n.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		if id, ok := v.Type.(*ast.Ident); !ok || id.Name != "Kind" {
+			return true
+		}
+		kind, err := strconv.Unquote(v.Values[0].(*ast.BasicLit).Value)
+		assert.NilError(t, err)
+		_, ok = table[Kind(kind)]
+		assert.Check(t, ok, "%s has no row", kind)
+		named++
+		return true
+	})
+	assert.Equal(t, named, len(Kinds()))
+}
+
+// What may be tried again says when to come back.
+func TestRetryableSaysWhen(t *testing.T) {
+	for _, k := range Kinds() {
+		a := k.Answer()
+		assert.Check(t, !a.Retryable || a.RetryAfter > 0 || k == BackendFailed, "%s", k)
+	}
+}
+
+func TestFromKeepsTheKind(t *testing.T) {
+	e := &Error{Kind: Overloaded, Msg: "full", RetryAfter: time.Minute}
+	assert.Equal(t, From(errors.Wrap(e, "outer")), e)
+	assert.Equal(t, From(errors.New("plain")).Kind, Internal)
+	assert.Equal(t, e.After(), time.Minute)
+	assert.Equal(t, New(Overloaded, "full").After(), Overloaded.Answer().RetryAfter)
+}
--- a/internal/state/events/events.go
+++ b/internal/state/events/events.go
@@ -19,7 +19,6 @@
 	Rejected      Kind = "rejected"
 	Joined        Kind = "joined"
 	IntentStored  Kind = "intent_stored"
-	ChainChosen   Kind = "chain_chosen"
 	GateOpened    Kind = "gate_opened"
 	GateRefused   Kind = "gate_refused"
 	Tombstoned    Kind = "tombstoned"
--- a/internal/state/requests/requests.go
+++ b/internal/state/requests/requests.go
@@ -148,9 +148,6 @@
 	return s.all.Get(key.String())
 }
 
-// Drop forgets a request, so that its id can be tried afresh.
-func (s *Store) Drop(key model.RequestKey) { s.all.Delete(key.String()) }
-
 // KeepCopy stores another entry's outcome.
 func (s *Store) KeepCopy(key model.RequestKey, o model.Outcome) {
 	s.copies.Put(key.String(), copied{o, s.now()})
@@ -170,6 +167,3 @@
 	})
 	s.copies.DeleteIf(func(_ string, c copied) bool { return c.at.Before(old) })
 }
-
-// Len counts all requests held.
-func (s *Store) Len() int { return s.all.Len() }
