One wait for another entry's outcome, one translation of a hello

Cause: read again, the change held two loops that asked another entry until its outcome was final, two copies of the translation from a hello to a membership record (mesh and world), two equal cases after a refusal, constants away from their use and a parameter that nothing read. Change: Owner.await, HelloReply.Backend; the rest merged or moved.

--- a/internal/protocol/owner/once.go
+++ b/internal/protocol/owner/once.go
@@ -174,22 +174,31 @@
 	return rep, err
 }
 
-// follow waits for the outcome that another entry comes to.
-func (o *Owner) follow(ctx context.Context, j *job, addr string) model.Outcome {
+// await waits for the outcome that another entry comes to; it tells whether that
+// entry knows the request and answers.
+func (o *Owner) await(ctx context.Context, j *job, addr string) (model.Outcome, bool) {
 	for {
 		rep, err := o.askEntry(ctx, addr, j.key())
 		if err != nil || !rep.Known {
-			return fault.CutOff(fault.New(fault.BackendLost, "entry %s that had the request is gone", addr), "entry "+addr)
+			return model.Outcome{}, false
 		}
 		if rep.Outcome.Final() {
-			return adopt(j, rep)
+			return adopt(j, rep), true
 		}
 		if !wait.For(ctx, o.Timing.Poll) {
-			return fault.CutOff(fault.New(fault.Deadline, "still in progress at entry %s", addr), "entry "+addr)
+			return fault.CutOff(fault.New(fault.Deadline, "still in progress at entry %s", addr), "entry "+addr), true
 		}
 	}
 }
 
+// follow gives the outcome that another entry comes to, or that it is gone.
+func (o *Owner) follow(ctx context.Context, j *job, addr string) model.Outcome {
+	if out, ok := o.await(ctx, j, addr); ok {
+		return out
+	}
+	return fault.CutOff(fault.New(fault.BackendLost, "entry %s that had the request is gone", addr), "entry "+addr)
+}
+
 // settleOther finds the truth about a request whose hand-over was granted to
 // another entry: from that entry if it lives, else from the gates.
 func (o *Owner) settleOther(ctx context.Context, j *job, in ledger.Intent) model.Outcome {
@@ -197,16 +206,9 @@
 		return fault.NotRun(fault.New(fault.ConflictingID, "request id was used for another request"),
 			"never handed over: the ledger holds another request under this id")
 	}
-	for in.Owner != o.Address {
-		rep, err := o.askEntry(ctx, in.Owner, j.key())
-		if err != nil || !rep.Known {
-			break
-		}
-		if rep.Outcome.Final() {
-			return adopt(j, rep)
-		}
-		if !wait.For(ctx, o.Timing.Poll) {
-			return fault.CutOff(fault.New(fault.Deadline, "still in progress at entry %s", in.Owner), "entry "+in.Owner)
+	if in.Owner != o.Address {
+		if out, ok := o.await(ctx, j, in.Owner); ok {
+			return out
 		}
 	}
 	return o.askGates(ctx, j, in)
--- a/internal/protocol/owner/pipeline.go
+++ b/internal/protocol/owner/pipeline.go
@@ -71,7 +71,7 @@
 	// The outcome does not wait for the stages to close.
 	defer func() { go r.closeAll() }()
 	if err := r.openFirst(ctx); err != nil {
-		return r.ended(ctx, err)
+		return r.ended(err)
 	}
 	return r.follow(ctx)
 }
@@ -141,7 +141,7 @@
 		case <-r.arrived:
 			continue
 		case <-ctx.Done():
-			return r.ended(ctx, fault.New(fault.Deadline, "deadline passed after %d of %d tokens", have, r.ask.MaxTokens))
+			return r.ended(fault.New(fault.Deadline, "deadline passed after %d of %d tokens", have, r.ask.MaxTokens))
 		case f := <-r.failed:
 			broken = r.judge(f)
 		case <-watch.C:
@@ -159,22 +159,15 @@
 			continue
 		}
 		if repairs++; repairs > maxRepairs {
-			return r.ended(ctx, fault.New(fault.BackendLost, "chain could not be repaired: %s", broken))
+			return r.ended(fault.New(fault.BackendLost, "chain could not be repaired: %s", broken))
 		}
 		if err := r.repair(ctx, broken); err != nil {
-			return r.ended(ctx, err)
+			return r.ended(err)
 		}
 		beat.at = r.o.Now()
 	}
 }
 
-const (
-	// silentAfter is how many usual intervals without a token call for a look.
-	silentAfter = 8
-	// minSilence keeps looks rare where tokens come fast.
-	minSilence = 300 * time.Millisecond
-)
-
 func (r *run) firstToken(n int64) {
 	if r.sentOnce {
 		return
@@ -185,7 +178,7 @@
 
 // ended gives the outcome of a request that got no whole answer. Nothing has
 // run before the first stage was fed.
-func (r *run) ended(_ context.Context, err error) model.Outcome {
+func (r *run) ended(err error) model.Outcome {
 	e := fault.From(err)
 	if e.After() > 0 {
 		e = &fault.Error{Kind: e.Kind, Msg: e.Msg, RetryAfter: limits.Jitter(e.After())}
--- a/internal/protocol/owner/plain.go
+++ b/internal/protocol/owner/plain.go
@@ -128,14 +128,12 @@
 func (o *Owner) refused(ctx context.Context, j *job, gate wire.Hop, e *fault.Error) {
 	o.Events.Add(j.key(), events.GateRefused, gate.Address+" "+e.Error())
 	switch e.Kind {
-	case fault.Overloaded, fault.NoCapacity:
+	case fault.Overloaded, fault.NoCapacity, fault.WrongIncarnation, fault.NotReady:
 		o.Table.Backoff(gate.Address, e.After())
 	case fault.Leaving:
 		o.Table.SeenLeaving(gate.Address)
 	case fault.NotConnected:
 		o.Table.Missed(gate.Address)
-	case fault.WrongIncarnation, fault.NotReady:
-		o.Table.Backoff(gate.Address, e.After())
 	case fault.StaleConfig:
 		_ = o.Refresh(ctx, gate.Address)
 	}
--- a/internal/protocol/owner/watch.go
+++ b/internal/protocol/owner/watch.go
@@ -27,6 +27,13 @@
 	p.smoothed += (d - p.smoothed) / 8
 }
 
+const (
+	// silentAfter is how many usual intervals without a token call for a look.
+	silentAfter = 8
+	// minSilence keeps looks rare where tokens come fast.
+	minSilence = 300 * time.Millisecond
+)
+
 // patience is how long to wait for a token before looking at the stages. A look
 // that finds a slow chain costs a message to each stage and changes nothing.
 // After a repair a token should come soon, or the repair was the wrong one; but
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
 	"github.com/skylarkwood/skylarkwood/internal/hlc"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/state/events"
@@ -78,6 +79,23 @@
 	Load        Load              `json:"load"`
 }
 
+// Backend gives what the reply tells of a backend server in membership's terms.
+func (r HelloReply) Backend() membership.Backend {
+	return membership.Backend{
+		Data:     r.Data,
+		Service:  r.Service,
+		Kind:     r.Kind,
+		Range:    r.Range,
+		Layers:   r.Layers,
+		StepTime: time.Duration(r.StepMicros) * time.Microsecond,
+		Rate:     r.Rate,
+		Active:   r.Load.Active,
+		Queued:   r.Load.Queued,
+		Capacity: r.Load.Capacity,
+		Leaving:  r.Load.Leaving,
+	}
+}
+
 // Load is what a gate says of itself on every reply.
 type Load struct {
 	Active   int  `json:"a"`
--- a/internal/standin/world/entry.go
+++ b/internal/standin/world/entry.go
@@ -114,18 +114,7 @@
 				table.Missed(addr)
 				return
 			}
-			table.Seen(*rep.Instance, rep.Incarnation, membership.Backend{
-				Service:  rep.Service,
-				Kind:     rep.Kind,
-				Range:    rep.Range,
-				Layers:   rep.Layers,
-				StepTime: time.Duration(rep.StepMicros) * time.Microsecond,
-				Rate:     rep.Rate,
-				Active:   rep.Load.Active,
-				Queued:   rep.Load.Queued,
-				Capacity: rep.Load.Capacity,
-				Leaving:  rep.Load.Leaving,
-			}, time.Since(began))
+			table.Seen(*rep.Instance, rep.Incarnation, rep.Backend(), time.Since(began))
 		})
 	}
 	wg.Wait()
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -248,26 +248,10 @@
 		n.Table.SeenLoad(addr, membership.Load(rep.Load))
 		return true
 	}
-	n.Table.Seen(*rep.Instance, rep.Incarnation, backendOf(rep), n.now().Sub(began))
+	n.Table.Seen(*rep.Instance, rep.Incarnation, rep.Backend(), n.now().Sub(began))
 	return true
 }
 
-func backendOf(rep wire.HelloReply) membership.Backend {
-	return membership.Backend{
-		Data:     rep.Data,
-		Service:  rep.Service,
-		Kind:     rep.Kind,
-		Range:    rep.Range,
-		Layers:   rep.Layers,
-		StepTime: time.Duration(rep.StepMicros) * time.Microsecond,
-		Rate:     rep.Rate,
-		Active:   rep.Load.Active,
-		Queued:   rep.Load.Queued,
-		Capacity: rep.Load.Capacity,
-		Leaving:  rep.Load.Leaving,
-	}
-}
-
 // pick gives up to k members at random.
 func pick(all []membership.Member, k int) []membership.Member {
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
