--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -20,6 +20,10 @@
 	// is found within 2.3 s, before the time in which a version must be in
 	// force has passed once more. Each watch is one priced call.
 	watchWait = 1500 * time.Millisecond
+	// gather is how long changes are left to gather after some came: engines
+	// register and load in bunches, and each watch is priced. It delays a
+	// change by this much, a twentieth of the time it may take.
+	gather = 100 * time.Millisecond
 	// firstPause and longestPause are between tries while the store is away;
 	// each try is priced.
 	firstPause   = 100 * time.Millisecond
@@ -116,6 +120,9 @@
 		f.Sink.Change(it, f.grace())
 	}
 	f.Sink.Heard(now)
+	if len(page.Items) > 0 {
+		sleep(ctx, gather)
+	}
 	return max(page.Revision, after), nil
 }
 
