Token memory, not speed, keeps answers in time: no widened chains

Cause: layers held twice took the token memory that absorbs a slow engine or a lost chain. Ruled out: wrong capacities (engines report the same totals, and 0.75 to 0.85 of what is reserved in use); the retry budget; pipes. Change: chains hold each layer once; engines are filled to 1.1 of their memory by reservation; fill weighs in a chain's cost beside streams, reading and slowdown. A run that was moved once is not ended for the engine it left.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -11,10 +11,13 @@
 )
 
 const (
-	// fillLimit is the share of an engine's token memory that is given out.
-	// Answers are longer than guessed about as often as shorter; beyond this
-	// share the sum of a full engine's errors preempts requests.
-	fillLimit = 0.92
+	// fillLimit is how much of an engine's token memory is given out. Streams
+	// reserve their whole answer at the start and hold half of it on average:
+	// engines whose memory was reserved to 1.2 reported 0.75 to 0.85 in use.
+	fillLimit = 1.1
+	// mostFill caps the fill that makes an engine look slower, so that its
+	// cost stays finite.
+	mostFill = 0.9
 	// hopTime is what one more engine in a chain costs a token inside a
 	// failure domain: 0.2 ms one way, and waiting for the pass in progress.
 	hopTime = 400 * time.Microsecond
@@ -24,10 +27,9 @@
 	// awayTime is what it costs to begin in another failure domain than the
 	// caller's router.
 	awayTime = 500 * time.Microsecond
-	// loadFactor is how much slower a full engine looks than an idle one. A
-	// full one has twice as many streams in each pass; memory beyond that is
-	// no reason to send a chain across a pipe.
-	loadFactor = 1.0
+	// mostReading caps the share of an engine's time that goes into reading
+	// prompts, so that its cost stays finite.
+	mostReading = 0.9
 	// doubtFactor makes engines of suspicious record dearer, not forbidden.
 	doubtFactor = 6.0
 	// maxParts is the longest chain that engines take.
@@ -144,19 +146,29 @@
 		}
 		capacity := Capacity(spec, card, b.Holds)
 		used := c.Memory.Used(b.ID)
-		load := math.Min(used/math.Max(capacity, 1), 1)
-		per := spec.StepTime.Seconds() * card.Pace / float64(spec.Layers) * (1 + loadFactor*load*load)
+		per := perLayer(spec, card, used) * c.Memory.Slowdown(b.ID)
+		fill := math.Min(used.TokenLayers/math.Max(capacity*fillLimit, 1), mostFill)
+		per *= 1 / (1 - fill)
 		per *= 1 + doubtFactor*math.Max(view.Failures-0.2, 0)
 		out = append(out, candidate{
 			server:   b,
 			domain:   id,
-			perLayer: per * c.Memory.Slowdown(b.ID),
-			full:     used+float64(d.Tokens)*minRun(spec, b.Holds) > capacity*fillLimit,
+			perLayer: per,
+			full:     used.TokenLayers+float64(d.Tokens)*minRun(spec, b.Holds) > capacity*fillLimit,
 		})
 	}
 	return out
 }
 
+// perLayer is the time that a token takes in one layer of an engine, in
+// seconds: a step of its card, longer for each stream that writes, and longer
+// while prompts are read in between.
+func perLayer(spec *model.EngineSpec, card model.Card, used Use) float64 {
+	step := spec.StepTime.Seconds() + spec.PerRequest.Seconds()*used.Streams
+	reading := math.Min(used.Reading, mostReading)
+	return step * card.Pace / float64(spec.Layers) / (1 - reading)
+}
+
 // minRun is the fewest layers for which an engine is tested for room: an engine
 // rarely runs less than this share of what it holds.
 func minRun(spec *model.EngineSpec, held model.LayerRange) float64 {
@@ -219,13 +231,40 @@
 	return crossTime.Seconds() + transfer/float64(max(spec.UsualAnswer, 1))
 }
 
+// TokenTime is how long a token should take through a chain whose engines are
+// as fast as their cards.
+func (c *Chooser) TokenTime(spec *model.EngineSpec, parts []Part) time.Duration {
+	sum := 0.0
+	for i, p := range parts {
+		card, ok := spec.Card(p.Server.Card)
+		if !ok {
+			continue
+		}
+		sum += perLayer(spec, card, c.Memory.Used(p.Server.ID)) * float64(p.Layers.Len())
+		if i > 0 && p.Server.FailureDomain != parts[i-1].Server.FailureDomain {
+			sum += crossTime.Seconds()
+			continue
+		}
+		sum += hopTime.Seconds()
+	}
+	return time.Duration(sum * float64(time.Second))
+}
+
 // CrossMbit is what a request of so many tokens moves over a pipe, in Mbit.
 func CrossMbit(spec *model.EngineSpec, tokens int) float64 {
 	return float64(tokens) * spec.ActivationBytes * 8 / 1e6
 }
 
-// Count takes in what a chosen chain will move between failure domains.
+// Count takes in the reading of a prompt through a chosen chain, and what that
+// will move between failure domains.
 func (c *Chooser) Count(spec *model.EngineSpec, parts []Part, tokens int) {
+	for _, p := range parts {
+		card, ok := spec.Card(p.Server.Card)
+		if ok && spec.ReadRate > 0 {
+			share := float64(p.Layers.Len()) / float64(spec.Layers)
+			c.Memory.Read(p.Server.ID, float64(tokens)/spec.ReadRate*card.ReadFactor*share)
+		}
+	}
 	for i := 1; i < len(parts); i++ {
 		a, b := parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain
 		if a != b {
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -8,56 +8,150 @@
 // peerExpiry is how long another router's count is believed: a few exchanges.
 const peerExpiry = 2 * time.Second
 
-// Memory counts the token memory that streams hold at engines, in tokens x
-// layers: this router's own streams, and what other routers last told of theirs.
+// slowExpiry is how long an engine's word about its pace is believed; a slow
+// one is asked again every second.
+const slowExpiry = 3 * time.Second
+
+// readMemory is over how long the reading of prompts is averaged.
+const readMemory = time.Second
+
+// Use is what streams take of one engine.
+type Use struct {
+	// TokenLayers is token memory, in tokens x layers.
+	TokenLayers float64 `json:"t"`
+	// Streams is how many run through it.
+	Streams float64 `json:"n"`
+	// Reading is the share of its time that goes into reading prompts.
+	Reading float64 `json:"r"`
+}
+
+func (u *Use) add(o Use) {
+	u.TokenLayers += o.TokenLayers
+	u.Streams += o.Streams
+	u.Reading += o.Reading
+}
+
+// Memory counts what streams take of engines: this router's own, and what
+// other routers last told of theirs.
 type Memory struct {
 	now func() time.Time
 
 	mu    sync.Mutex
-	own   map[string]float64
+	own   map[string]*ownUse
 	peers map[string]peerCount
-	total map[string]float64 // own and peers, kept up to date
-	slow  map[string]float64 // seen slowdown by engine, 1 is none
+	slow  map[string]slowness
+}
+
+type ownUse struct {
+	tokenLayers float64
+	streams     int
+	reading     decaying
 }
 
 type peerCount struct {
-	at   time.Time
-	held map[string]float64
+	at  time.Time
+	use map[string]Use
+}
+
+// slowness is an engine's slowdown as it reported it itself.
+type slowness struct {
+	at     time.Time
+	factor float64
+	own    bool // told to this router
 }
 
 // NewMemory makes an empty count.
 func NewMemory(now func() time.Time) *Memory {
-	return &Memory{
-		now:   now,
-		own:   map[string]float64{},
-		peers: map[string]peerCount{},
-		total: map[string]float64{},
-		slow:  map[string]float64{},
-	}
+	return &Memory{now: now, own: map[string]*ownUse{}, peers: map[string]peerCount{}, slow: map[string]slowness{}}
 }
 
-// Used is what is held at an engine, as far as known here.
-func (m *Memory) Used(id string) float64 {
+// Used is what is taken of an engine, as far as known here.
+func (m *Memory) Used(id string) Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.total[id]
+	now := m.now()
+	var sum Use
+	if o, ok := m.own[id]; ok {
+		sum.add(o.use(now))
+	}
+	for _, c := range m.peers {
+		if now.Sub(c.at) < peerExpiry {
+			sum.add(c.use[id])
+		}
+	}
+	return sum
+}
+
+func (o *ownUse) use(now time.Time) Use {
+	return Use{TokenLayers: o.tokenLayers, Streams: float64(o.streams), Reading: o.reading.read(now)}
 }
 
-// Slowdown is how much slower an engine was seen to be than its card; 1 is none.
+// Slowdown is how much slower than its card an engine last said to be; 1 is as
+// fast.
 func (m *Memory) Slowdown(id string) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s := m.slow[id]; s > 1 {
-		return s
+	if s, ok := m.slow[id]; ok && m.now().Sub(s.at) < slowExpiry {
+		return s.factor
 	}
 	return 1
 }
 
-// SetSlowdown takes in an engine's slowdown.
-func (m *Memory) SetSlowdown(id string, factor float64) {
+// SetSlowdown takes in an engine's own word; it tells whether that is news.
+func (m *Memory) SetSlowdown(id string, factor float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before, known := m.slow[id]
+	if factor <= 1 {
+		delete(m.slow, id)
+		return known
+	}
+	m.slow[id] = slowness{at: m.now(), factor: factor, own: true}
+	return before.factor != factor
+}
+
+// PeerSlowdown takes in what an engine told another router. What it told this
+// one lately goes first.
+func (m *Memory) PeerSlowdown(id string, factor float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.slow[id]; s.own && m.now().Sub(s.at) < slowExpiry {
+		return
+	}
+	m.slow[id] = slowness{at: m.now(), factor: factor}
+}
+
+// Slow lists the engines that told this router that they are slow.
+func (m *Memory) Slow() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for id, s := range m.slow {
+		if s.own {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// OwnSlow copies what engines told this router of their slowdowns.
+func (m *Memory) OwnSlow() map[string]float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.slow[id] = factor
+	out := map[string]float64{}
+	for id, s := range m.slow {
+		if s.own {
+			out[id] = s.factor
+		}
+	}
+	return out
+}
+
+// Forget drops what is known of an engine that is gone.
+func (m *Memory) Forget(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.slow, id)
 }
 
 // Hold is the memory that one stream reserved. Release gives it back, once.
@@ -100,40 +194,52 @@
 	h.count(1)
 }
 
-func (h *Hold) count(sign float64) {
+func (h *Hold) count(sign int) {
 	for _, p := range h.parts {
-		h.memory.add(p.Server.ID, sign*float64(h.tokens*p.Layers.Len()))
+		o := h.memory.owned(p.Server.ID)
+		o.tokenLayers += float64(sign * h.tokens * p.Layers.Len())
+		o.streams += sign
 	}
 }
 
-func (m *Memory) add(id string, n float64) {
-	m.own[id] += n
-	m.total[id] += n
-	if m.own[id] <= 0.5 {
-		delete(m.own, id)
-	}
-	if m.total[id] <= 0.5 {
-		delete(m.total, id)
+// Read counts the reading of a prompt at an engine, in seconds of its time.
+func (m *Memory) Read(id string, seconds float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.owned(id).reading.add(m.now(), seconds/readMemory.Seconds())
+}
+
+func (m *Memory) owned(id string) *ownUse {
+	o, ok := m.own[id]
+	if !ok {
+		o = &ownUse{}
+		m.own[id] = o
 	}
+	return o
 }
 
-// Own copies what this router's streams hold.
-func (m *Memory) Own() map[string]float64 {
+// Own copies what this router's streams take.
+func (m *Memory) Own() map[string]Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make(map[string]float64, len(m.own))
-	for id, n := range m.own {
-		out[id] = n
+	now := m.now()
+	out := make(map[string]Use, len(m.own))
+	for id, o := range m.own {
+		u := o.use(now)
+		if u.Streams > 0 || u.Reading > 0.001 {
+			out[id] = u
+		} else {
+			delete(m.own, id)
+		}
 	}
 	return out
 }
 
-// SeenPeer takes in what another router's streams hold.
-func (m *Memory) SeenPeer(peer string, held map[string]float64) {
+// SeenPeer takes in what another router's streams take.
+func (m *Memory) SeenPeer(peer string, use map[string]Use) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peers[peer] = peerCount{at: m.now(), held: held}
-	m.sum()
+	m.peers[peer] = peerCount{at: m.now(), use: use}
 }
 
 // Expire forgets peers that have not told anything lately.
@@ -145,17 +251,4 @@
 			delete(m.peers, peer)
 		}
 	}
-	m.sum()
-}
-
-func (m *Memory) sum() {
-	clear(m.total)
-	for id, n := range m.own {
-		m.total[id] += n
-	}
-	for _, c := range m.peers {
-		for id, n := range c.held {
-			m.total[id] += n
-		}
-	}
 }
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -18,15 +18,6 @@
 	// have, in models. Below it one longer chain serves more streams, as the
 	// weights are held once.
 	chainFactor = 1.6
-	// chainRoom is the share of a chain's memory that is kept for requests when
-	// its engines hold layers of their neighbours as well. A chain with every
-	// layer held twice in its failure domain goes on without a load when it
-	// loses an engine; three tenths still hold some hundred thousand tokens in
-	// a domain that has memory for two models.
-	chainRoom = 0.3
-	// chainTokens is the least token memory of a widened chain: a third of an
-	// engine's slots at the usual size.
-	chainTokens = 1.0 / 3
 	// spareWeights is the share of its memory that an engine outside of whole
 	// chains fills with weights; the rest holds requests.
 	spareWeights = 0.75
@@ -163,30 +154,13 @@
 		}
 		counts[best]++
 	}
-	extra := widen(spec, chain, counts)
 	from := 0
 	for i, e := range chain {
-		held := model.LayerRange{From: from, To: from + counts[i]}
-		from = held.To
-		held.To = min(held.To+extra[i], spec.Layers)
-		held.From = max(min(held.From, held.To-counts[i]-extra[i]), 0)
-		plan[e.Address] = held
+		plan[e.Address] = model.LayerRange{From: from, To: from + counts[i]}
+		from += counts[i]
 	}
 }
 
-// widen tells how many layers of its neighbours each engine holds as well.
-func widen(spec *model.EngineSpec, chain []Engine, counts []int) []int {
-	extra := make([]int, len(chain))
-	room := chainTokens * float64(spec.Slots) * float64(spec.UsualPrompt+spec.UsualAnswer)
-	for i, e := range chain {
-		perToken := float64(counts[i]) * spec.LayerTokenMB()
-		keep := max(chainRoom*e.Card.MB, room*perToken)
-		spare := e.Card.MB - keep - float64(counts[i])*spec.LayerMB
-		extra[i] = min(max(int(spare/spec.LayerMB), 0), counts[i])
-	}
-	return extra
-}
-
 // tokens is how many tokens an engine has room for with n layers.
 func tokens(spec *model.EngineSpec, card model.Card, n int) float64 {
 	return (card.MB - float64(n)*spec.LayerMB) / (float64(n) * spec.LayerTokenMB())
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -138,6 +138,11 @@
 		Clock:       boottime.Now,
 		Now:         time.Now,
 	}
+	rel.Pacer = relay.NewPacer()
+	rel.Pacer.Memory = r.memory
+	rel.Pacer.Catalog = r.catalog
+	rel.Pacer.Report = rel.Report
+	rel.Pacer.Now = time.Now
 	r.prober.Health = r.health
 	r.prober.Catalog = r.catalog
 	r.prober.Report = rel.Report
@@ -208,6 +213,7 @@
 	go r.prober.Run(background)
 	go r.every(background, controlEvery, func() {
 		r.expire()
+		r.front.Relay.Pacer.Recheck()
 		r.control.Tick(background)
 	})
 	go r.every(background, trimEvery, r.trim)
--- a/internal/model/serving.go
+++ b/internal/model/serving.go
@@ -156,6 +156,9 @@
 	Busy bool
 	// Orders is how many orders it has begun since its start.
 	Orders int64
+	// Active and Queued count the requests that it received as the first
+	// engine of a chain.
+	Active, Queued int
 	// Slowdown is 1 for a healthy engine, more for a slow one.
 	Slowdown float64
 	// UsedTokenLayers and TotalTokenLayers count token memory.
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -303,6 +303,7 @@
 		}
 	}
 	s.suspect(culprit, "refused with status "+strconv.Itoa(status), nil)
+	s.Pacer.Check([]chains.Part{{Server: culprit}}, s.call.Attempt, 0, 0)
 }
 
 // lost takes in that a chain broke off or fell silent. Where an engine was
--- /dev/null
+++ b/internal/protocol/relay/pace.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+const (
+	// paceEvents is over how many events a chain's speed is judged.
+	paceEvents = 10
+	// slowFactor is how much slower than planned a chain must be for its
+	// engines to be asked. Waiting for passes in progress makes a busy chain up
+	// to twice as slow as the sum of its steps.
+	slowFactor = 2.5
+	// askAgain is how long an engine's word about its pace is good for.
+	askAgain = time.Second
+)
+
+// Pacer finds engines that are slower than their cards. An engine knows its own
+// slowdown and says it when asked; it is asked when a chain through it is slow,
+// and while it stays slow.
+type Pacer struct {
+	Memory  *chains.Memory
+	Catalog *catalog.Catalog
+	Report  func(ctx context.Context, b *model.BackendServer) (model.EngineReport, error)
+	Now     func() time.Time
+
+	mu    sync.Mutex
+	asked map[string]time.Time
+}
+
+// NewPacer makes a pacer.
+func NewPacer() *Pacer { return &Pacer{asked: map[string]time.Time{}} }
+
+// Check asks the engines of a chain that is slow.
+func (p *Pacer) Check(parts []chains.Part, request string, seen, planned time.Duration) {
+	for _, part := range parts {
+		if p.due(part.Server.ID) {
+			go p.ask(part.Server, request, seen, planned)
+		}
+	}
+}
+
+// Recheck asks the engines that were slow when they were last asked.
+func (p *Pacer) Recheck() {
+	for _, id := range p.Memory.Slow() {
+		b := p.Catalog.Load().ByID(id)
+		if b == nil {
+			p.Memory.Forget(id)
+			continue
+		}
+		if p.due(id) {
+			go p.ask(b, "", 0, 0)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, at := range p.asked {
+		if p.Now().Sub(at) > askAgain {
+			delete(p.asked, id)
+		}
+	}
+}
+
+func (p *Pacer) due(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at, ok := p.asked[id]; ok && p.Now().Sub(at) < askAgain {
+		return false
+	}
+	p.asked[id] = p.Now()
+	return true
+}
+
+func (p *Pacer) ask(b *model.BackendServer, request string, seen, planned time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportWait)
+	defer cancel()
+	report, err := p.Report(ctx, b)
+	if err != nil {
+		klog.V(1).InfoS("engine did not tell its pace", "server", b.ID, "err", err)
+		return
+	}
+	used := p.Memory.Used(b.ID)
+	klog.InfoS("engine's report", "request", request, "server", b.ID, "usedTokenLayers", report.UsedTokenLayers, "totalTokenLayers", report.TotalTokenLayers,
+		"countedTokenLayers", used.TokenLayers, "countedStreams", used.Streams, "reading", used.Reading, "inFlight", report.Active, "queued", report.Queued, "slowdown", report.Slowdown)
+	if p.Memory.SetSlowdown(b.ID, report.Slowdown) {
+		klog.InfoS("engine's slowdown", "request", request, "server", b.ID, "factor", report.Slowdown, "eventGap", seen, "planned", planned)
+	}
+}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -98,6 +98,7 @@
 	Running *Running
 	// Suspicions is told of engines that do not answer.
 	Suspicions Suspicions
+	Pacer      *Pacer
 	Domain     string
 	// ConfigTrust is how long ago the configuration may have been confirmed
 	// for a refusal that rests on it.
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -51,6 +51,9 @@
 	culprit string // id of the engine at fault
 	moving  bool
 	silent  bool
+	// paceFrom is when the events began that are counted in paceCount.
+	paceFrom  time.Time
+	paceCount int
 }
 
 func (q *request) watch(parts []chains.Part, hold *chains.Hold, cancel context.CancelFunc) *chainWatch {
@@ -71,6 +74,28 @@
 	if !w.stopped {
 		w.timer.Reset(nextSilence)
 	}
+	w.pace()
+}
+
+// pace has the engines asked when the last events came much slower than the
+// chain should give them. The caller holds the lock.
+func (w *chainWatch) pace() {
+	now := w.q.Now()
+	if w.paceFrom.IsZero() {
+		w.paceFrom = now
+		return
+	}
+	if w.paceCount++; w.paceCount < paceEvents {
+		return
+	}
+	seen := now.Sub(w.paceFrom) / paceEvents
+	spec := w.q.ticket.Service.Engine
+	planned := w.q.Chooser.TokenTime(spec, w.parts) * time.Duration(spec.Stride)
+	w.paceFrom = now
+	w.paceCount = 0
+	if float64(seen) > slowFactor*float64(planned) {
+		w.q.Pacer.Check(w.parts, w.q.call.Attempt, seen, planned)
+	}
 }
 
 func (w *chainWatch) stop() {
@@ -162,10 +187,11 @@
 	w.end("", n, nil)
 }
 
-// leave moves the run away from an engine.
+// leave moves the run away from an engine. Several streams may find the same
+// engine at fault; a run that was moved already stays.
 func (w *chainWatch) leave(b *model.BackendServer) {
 	w.mu.Lock()
-	if w.stopped || w.moving {
+	if w.stopped || w.moving || !uses(w.parts, b) {
 		w.mu.Unlock()
 		return
 	}
@@ -246,12 +272,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for w := range r.runs {
-		parts, _ := w.state()
-		for _, p := range parts {
-			if p.Server.ID == b.ID {
-				go w.leave(b)
-				break
-			}
+		go w.leave(b)
+	}
+}
+
+func uses(parts []chains.Part, b *model.BackendServer) bool {
+	for _, p := range parts {
+		if p.Server.ID == b.ID {
+			return true
 		}
 	}
+	return false
 }
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -12,8 +12,10 @@
 	// newest.
 	Config      int64 `json:"cfg"`
 	ConfigAgeMS int64 `json:"age"`
-	// Held is the token memory of its streams by engine, in tokens x layers.
-	Held map[string]int64 `json:"held,omitempty"`
+	// Uses are what its streams take, by engine.
+	Uses map[string]RouterUse `json:"use,omitempty"`
+	// Slow are engines that said to be slower than their cards, by how much.
+	Slow map[string]float64 `json:"slow,omitempty"`
 	// Pipes is what its streams move between failure domains.
 	Pipes []RouterPipe `json:"pipes,omitempty"`
 	// Suspects are engines that do not do their work, with the milliseconds
@@ -35,3 +37,10 @@
 	B    string  `json:"b"`
 	Rate float64 `json:"r"`
 }
+
+// RouterUse is what a router's streams take of one engine.
+type RouterUse struct {
+	TokenLayers int64   `json:"t"`
+	Streams     int     `json:"n"`
+	Reading     float64 `json:"r,omitempty"`
+}
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	beatTimeout = 700 * time.Millisecond
 	// fetchTimeout bounds fetching a configuration from a peer.
 	fetchTimeout = time.Second
+	// readingDigits rounds shares for a shorter message.
+	readingDigits = 1000
 	// peerAlive is how long a peer is counted after its last message.
 	peerAlive = 10 * time.Second
 )
@@ -170,9 +173,9 @@
 }
 
 func (x *Exchange) compose() wire.RouterBeat {
-	held := map[string]int64{}
-	for id, n := range x.Memory.Own() {
-		held[id] = int64(n)
+	uses := map[string]wire.RouterUse{}
+	for id, u := range x.Memory.Own() {
+		uses[id] = wire.RouterUse{TokenLayers: int64(u.TokenLayers), Streams: int(u.Streams), Reading: math.Round(u.Reading*readingDigits) / readingDigits}
 	}
 	var pipes []wire.RouterPipe
 	for pair, rate := range x.Pipes.Own() {
@@ -192,8 +195,9 @@
 	return wire.RouterBeat{
 		Config:      x.Config.Version(),
 		ConfigAgeMS: x.Config.Age(x.Clock()).Milliseconds(),
-		Held:        held,
+		Uses:        uses,
 		Pipes:       pipes,
+		Slow:        x.Memory.OwnSlow(),
 		Suspects:    suspects,
 		Traffic:     x.Traffic(),
 	}
@@ -205,16 +209,19 @@
 	x.seen[from] = x.Now()
 	x.traffic = x.traffic || b.Traffic
 	x.mu.Unlock()
-	held := make(map[string]float64, len(b.Held))
-	for id, n := range b.Held {
-		held[id] = float64(n)
+	uses := make(map[string]chains.Use, len(b.Uses))
+	for id, u := range b.Uses {
+		uses[id] = chains.Use{TokenLayers: float64(u.TokenLayers), Streams: float64(u.Streams), Reading: u.Reading}
 	}
-	x.Memory.SeenPeer(from, held)
+	x.Memory.SeenPeer(from, uses)
 	pipes := make(map[chains.Pair]float64, len(b.Pipes))
 	for _, p := range b.Pipes {
 		pipes[chains.Pair{A: p.A, B: p.B}] = p.Rate
 	}
 	x.Pipes.SeenPeer(from, pipes)
+	for id, factor := range b.Slow {
+		x.Memory.PeerSlowdown(id, factor)
+	}
 	for id := range b.Suspects {
 		x.Hint(id)
 	}
