--- /dev/null
+++ b/internal/coordination/chains/chains_test.go
@@ -0,0 +1,253 @@
+package chains
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// The published figures of a mid-size site: 80 layers of 1,750 MB, three cards.
+func service() *model.Service {
+	return &model.Service{Name: "s", Engine: &model.EngineSpec{
+		Slots: 192, Layers: 80, LayerMB: 1750, KVTokenBytes: 918000,
+		StepTime: 1020 * time.Microsecond, PerRequest: 7140 * time.Nanosecond, Stride: 3,
+		ReadRate: 105000, UsualPrompt: 774, UsualAnswer: 200, ActivationBytes: 45900, PipeMbps: 26000,
+		Cards: []model.Card{{Name: "a100", MB: 72000, Pace: 2.4, ReadFactor: 3.2}, {Name: "l40s", MB: 43200, Pace: 5.6, ReadFactor: 2.7}, {Name: "l4", MB: 21600, Pace: 16, ReadFactor: 8.2}},
+	}}
+}
+
+type world struct {
+	now     time.Time
+	svc     *model.Service
+	catalog *catalog.Catalog
+	health  *catalog.Health
+	chooser *Chooser
+}
+
+func newWorld() *world {
+	w := &world{now: time.Unix(1000, 0), svc: service()}
+	now := func() time.Time { return w.now }
+	w.catalog = catalog.New(now)
+	w.health = catalog.NewHealth(now)
+	w.chooser = &Chooser{Catalog: w.catalog, Health: w.health, Memory: NewMemory(now), Pipes: NewPipes(now)}
+	return w
+}
+
+func (w *world) add(id, domain, card string, from, to int) {
+	w.catalog.Put(model.BackendServer{ID: id, Service: "s", Address: id + ":1", FailureDomain: domain, Card: card, Holds: model.LayerRange{From: from, To: to}})
+}
+
+// twoDomains has a chain of fast cards in each of two domains.
+func twoDomains() *world {
+	w := newWorld()
+	for _, d := range []string{"a", "b"} {
+		w.add(d+"1", d, "a100", 0, 40)
+		w.add(d+"2", d, "l40s", 40, 60)
+		w.add(d+"3", d, "l40s", 60, 80)
+	}
+	return w
+}
+
+func covers(t assert.TestingT, parts []Part, need model.LayerRange) {
+	at := need.From
+	seen := map[string]bool{}
+	for _, p := range parts {
+		assert.Equal(t, p.Layers.From, at)
+		assert.Assert(t, p.Layers.Len() > 0 && p.Server.Holds.Contains(p.Layers), "%s runs %s of %s", p.Server.ID, p.Layers, p.Server.Holds)
+		assert.Assert(t, !seen[p.Server.ID], "%s comes twice", p.Server.ID)
+		seen[p.Server.ID] = true
+		at = p.Layers.To
+	}
+	assert.Equal(t, at, need.To)
+}
+
+func TestChainStaysInItsDomain(t *testing.T) {
+	w := twoDomains()
+	for _, d := range []string{"a", "b"} {
+		parts, v := w.chooser.Choose(w.svc, Demand{Domain: d, Tokens: 1000})
+		assert.Equal(t, v, Found)
+		for _, p := range parts {
+			assert.Equal(t, p.Server.FailureDomain, d)
+		}
+	}
+}
+
+// A token must run each layer once and in order, and engines refuse a chain
+// that names one of them twice. Whatever the ranges, cards, loads and
+// suspicions are, a chain that is found obeys that.
+func TestChainCoversEachLayerOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld()
+		n := rapid.IntRange(1, 30).Draw(rt, "engines")
+		for i := range n {
+			from := rapid.IntRange(0, 79).Draw(rt, "from")
+			to := rapid.IntRange(from, min(from+24, 80)).Draw(rt, "to")
+			card := rapid.SampledFrom([]string{"a100", "l40s", "l4", "unknown"}).Draw(rt, "card")
+			w.add(fmt.Sprintf("e%d", i), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain"), card, from, to)
+			if rapid.IntRange(0, 9).Draw(rt, "suspected") == 0 {
+				w.health.Suspect(fmt.Sprintf("e%d", i))
+			}
+		}
+		parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+		if v != Found {
+			assert.Equal(rt, len(parts), 0)
+			return
+		}
+		covers(rt, parts, model.LayerRange{To: 80})
+		for _, p := range parts {
+			assert.Assert(rt, !w.health.Suspected(p.Server.ID))
+		}
+	})
+}
+
+// One domain's chain loses an engine that nobody there stands in for. Its
+// requests go through the other domain, not half through each: every prompt
+// that crosses takes 11 ms of a pipe that all share.
+func TestLostEngineSendsRequestsToOtherDomain(t *testing.T) {
+	w := twoDomains()
+	w.catalog.Remove("a2", 0)
+	parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+	assert.Equal(t, v, Found)
+	crossings := 0
+	for i := 1; i < len(parts); i++ {
+		if parts[i].Server.FailureDomain != parts[i-1].Server.FailureDomain {
+			crossings++
+		}
+	}
+	assert.Assert(t, crossings <= 1, "%d crossings", crossings)
+}
+
+// The pipe between the domains is used up, here and by other routers. A chain
+// that needs it would only wait in it.
+func TestFullPipeIsNotCrossed(t *testing.T) {
+	w := newWorld()
+	w.add("a1", "a", "a100", 0, 40)
+	w.add("b1", "b", "a100", 40, 80)
+	_, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+	assert.Equal(t, v, Found, "an idle pipe is crossed")
+	w.chooser.Pipes.SeenPeer("peer", map[Pair]float64{{A: "a", B: "b"}: 20000})
+	_, v = w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+	assert.Equal(t, v, NoChain)
+	w.now = w.now.Add(peerExpiry)
+	_, v = w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+	assert.Equal(t, v, Found, "what the peer told is old")
+}
+
+// Streams fill one domain. The next ones go to the other while it has room;
+// when both are full nothing is sent, as an engine that runs out of memory
+// preempts the streams that it has.
+func TestFullDomainIsLeftThenRefused(t *testing.T) {
+	w := twoDomains()
+	used := map[string]int{}
+	for range 1000 {
+		parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+		if v == NoRoom {
+			break
+		}
+		covers(t, parts, model.LayerRange{To: 80})
+		w.chooser.Memory.Reserve(parts, 1000)
+		used[parts[0].Server.FailureDomain]++
+	}
+	assert.Assert(t, used["a"] > 0 && used["b"] > used["a"]/2, "%v", used)
+	assert.Assert(t, used["a"]+used["b"] < 1000, "nothing was refused: %v", used)
+	for _, b := range w.catalog.Load().Service("s") {
+		card, _ := w.svc.Engine.Card(b.Card)
+		most := Capacity(w.svc.Engine, card, b.Holds) * fillLimit
+		assert.Assert(t, w.chooser.Memory.Used(b.ID).TokenLayers <= most, "%s is over its memory", b.ID)
+	}
+}
+
+// A running stream loses a part. Only that part is replaced: the others keep
+// their memory and read nothing again, and the first part stays.
+func TestReplaceKeepsTheOtherParts(t *testing.T) {
+	w := twoDomains()
+	w.add("spare", "a", "l4", 38, 62)
+	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+	covers(t, parts, model.LayerRange{To: 80})
+	next := w.chooser.Replace(w.svc, parts, "a2", 1000)
+	covers(t, next, model.LayerRange{To: 80})
+	assert.Equal(t, next[0], parts[0])
+	assert.Equal(t, next[len(next)-1], parts[len(parts)-1])
+	for _, p := range next {
+		assert.Assert(t, p.Server.ID != "a2")
+	}
+	assert.Assert(t, w.chooser.Replace(w.svc, parts, "a1", 1000) == nil, "the first part cannot be replaced")
+}
+
+func TestSlowEngineIsAvoided(t *testing.T) {
+	w := twoDomains()
+	w.add("a4", "a", "l40s", 40, 60)
+	w.chooser.Memory.SetSlowdown("a2", 3)
+	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+	for _, p := range parts {
+		assert.Assert(t, p.Server.ID != "a2")
+	}
+}
+
+func TestHoldIsGivenBackOnce(t *testing.T) {
+	w := twoDomains()
+	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+	other, _ := w.chooser.Choose(w.svc, Demand{Domain: "b", Tokens: 1000})
+	h := w.chooser.Memory.Reserve(parts, 1000)
+	assert.Equal(t, w.chooser.Memory.Used("a1").TokenLayers, 40000.0)
+	h.Move(other)
+	assert.Equal(t, w.chooser.Memory.Used("a1").TokenLayers, 0.0)
+	assert.Equal(t, w.chooser.Memory.Used("b1").TokenLayers, 40000.0)
+	h.Release()
+	h.Release()
+	h.Move(parts)
+	assert.Equal(t, w.chooser.Memory.Used("a1"), Use{})
+	assert.Equal(t, w.chooser.Memory.Used("b1"), Use{})
+}
+
+// Another router's streams count until it has been silent for a while: without
+// them each router would fill an engine by itself.
+func TestPeersCountUntilTheyAreSilent(t *testing.T) {
+	w := twoDomains()
+	w.chooser.Memory.SeenPeer("p", map[string]Use{"a1": {TokenLayers: 500, Streams: 2}})
+	assert.Equal(t, w.chooser.Memory.Used("a1").Streams, 2.0)
+	w.now = w.now.Add(peerExpiry)
+	assert.Equal(t, w.chooser.Memory.Used("a1").Streams, 0.0)
+}
+
+func TestReadingFades(t *testing.T) {
+	w := twoDomains()
+	w.chooser.Memory.Read("a1", 0.5)
+	assert.Assert(t, w.chooser.Memory.Used("a1").Reading > 0.4)
+	w.now = w.now.Add(5 * time.Second)
+	assert.Assert(t, w.chooser.Memory.Used("a1").Reading < 0.01)
+}
+
+// An engine's word about its pace goes to the peers; what it told this router
+// goes before what it told them, and an old word is forgotten.
+func TestSlowdownIsBelievedForAWhile(t *testing.T) {
+	w := twoDomains()
+	m := w.chooser.Memory
+	m.PeerSlowdown("a1", 4)
+	assert.Equal(t, m.Slowdown("a1"), 4.0)
+	assert.Assert(t, m.SetSlowdown("a1", 2))
+	m.PeerSlowdown("a1", 4)
+	assert.Equal(t, m.Slowdown("a1"), 2.0)
+	assert.DeepEqual(t, m.OwnSlow(), map[string]float64{"a1": 2})
+	w.now = w.now.Add(slowExpiry)
+	assert.Equal(t, m.Slowdown("a1"), 1.0)
+	assert.Assert(t, m.SetSlowdown("a1", 1), "healthy again is news")
+}
+
+func BenchmarkChoose(b *testing.B) {
+	w := newWorld()
+	for i := range 52 {
+		from := (i * 7) % 70
+		w.add(fmt.Sprintf("e%d", i), string(rune('a'+i%4)), "l4", from, from+10)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+	}
+}
--- /dev/null
+++ b/internal/coordination/limits/retries_test.go
@@ -0,0 +1,62 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// A third of the engines is gone and every request fails at once, at several
+// routers that do not hear of each other. In no window may the repeats of all
+// of them exceed ratio x requests + slack.
+func TestSharedRetriesHoldInEachWindow(t *testing.T) {
+	const ratio, slack, window = 0.2, 196, 10 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		routers := rapid.IntRange(1, 8).Draw(rt, "routers")
+		now := time.Unix(5000, 0)
+		var all []*SharedRetries
+		for range routers {
+			all = append(all, NewSharedRetries(ratio, slack, window, func() int { return routers }, func() time.Time { return now }))
+		}
+		var requests, repeats []time.Time
+		for range rapid.IntRange(10, 400).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(rt, "ms")) * time.Millisecond)
+			b := all[rapid.IntRange(0, routers-1).Draw(rt, "router")]
+			b.Request("s")
+			requests = append(requests, now)
+			for b.Take("s") {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			sent := within(requests, end, window)
+			again := within(repeats, end, window)
+			assert.Assert(rt, float64(again) <= ratio*float64(sent)+slack, "%d repeats for %d requests", again, sent)
+		}
+	})
+}
+
+func within(times []time.Time, end time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.After(end) && at.After(end.Add(-window)) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestSharedRetriesComeBack(t *testing.T) {
+	now := time.Unix(5000, 0)
+	b := NewSharedRetries(0.2, 20, 10*time.Second, func() int { return 1 }, func() time.Time { return now })
+	taken := 0
+	for b.Take("s") {
+		taken++
+	}
+	assert.Equal(t, taken, 16, "four fifths of the slack")
+	assert.Assert(t, b.Take("other"), "each service has its own budget")
+	now = now.Add(12 * time.Second)
+	assert.Assert(t, b.Take("s"))
+}
--- /dev/null
+++ b/internal/coordination/placement/plan_test.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+var cards = map[string]model.Card{
+	"a100": {Name: "a100", MB: 72000, Pace: 2.4, ReadFactor: 3.2},
+	"l40s": {Name: "l40s", MB: 43200, Pace: 5.6, ReadFactor: 2.7},
+	"l4":   {Name: "l4", MB: 21600, Pace: 16, ReadFactor: 8.2},
+}
+
+func spec() *model.EngineSpec {
+	s := &model.EngineSpec{Slots: 192, Layers: 80, LayerMB: 1750, KVTokenBytes: 918000, UsualPrompt: 774, UsualAnswer: 200}
+	for _, c := range cards {
+		s.Cards = append(s.Cards, c)
+	}
+	return s
+}
+
+// engines makes so many engines of a card in a domain.
+func engines(domain, card string, n int) []Engine {
+	var out []Engine
+	for i := range n {
+		out = append(out, Engine{Address: fmt.Sprintf("%s-%s-%d", domain, card, i), Domain: domain, Card: cards[card]})
+	}
+	return out
+}
+
+// site is a mid-size site: three domains of different strength.
+func site() []Engine {
+	var all []Engine
+	for _, g := range []struct {
+		domain         string
+		a100, l40s, l4 int
+	}{{"luka", 1, 3, 8}, {"solin", 1, 6, 5}, {"kastela", 2, 2, 5}} {
+		all = append(all, engines(g.domain, "a100", g.a100)...)
+		all = append(all, engines(g.domain, "l40s", g.l40s)...)
+		all = append(all, engines(g.domain, "l4", g.l4)...)
+	}
+	return all
+}
+
+func holders(plan Plan, all []Engine, keep func(Engine) bool) []int {
+	counts := make([]int, 80)
+	for _, e := range all {
+		if !keep(e) {
+			continue
+		}
+		held := plan[e.Address]
+		for l := held.From; l < held.To; l++ {
+			counts[l]++
+		}
+	}
+	return counts
+}
+
+func least(counts []int) int {
+	m := counts[0]
+	for _, n := range counts {
+		m = min(m, n)
+	}
+	return m
+}
+
+// Each domain's fast cards make up a whole chain without its slow ones, which
+// would set the pace of each token.
+func TestFastCardsMakeWholeChains(t *testing.T) {
+	all := site()
+	plan := Make(spec(), all)
+	for _, d := range []string{"luka", "solin", "kastela"} {
+		fast := holders(plan, all, func(e Engine) bool { return e.Domain == d && e.Card.Name != "l4" })
+		assert.Equal(t, least(fast), 1, "%s: %v", d, fast)
+	}
+	slow := holders(plan, all, func(e Engine) bool { return e.Card.Name == "l4" })
+	assert.Assert(t, least(slow) >= 2, "slow cards stand in for every layer twice: %v", slow)
+}
+
+// The thinnest engine bounds its chain: in a chain nobody has less than three
+// quarters of the token memory of the best.
+func TestChainIsEven(t *testing.T) {
+	s := spec()
+	all := append(engines("d", "a100", 1), engines("d", "l40s", 3)...)
+	plan := Make(s, all)
+	lo, hi := 1e18, 0.0
+	for _, e := range all {
+		n := tokens(s, e.Card, plan[e.Address].Len())
+		lo = min(lo, n)
+		hi = max(hi, n)
+	}
+	assert.Assert(t, lo >= 0.75*hi, "%.0f to %.0f tokens", lo, hi)
+}
+
+func TestLargeDomainGetsSeveralChains(t *testing.T) {
+	all := engines("d", "l40s", 14)
+	plan := Make(spec(), all)
+	counts := holders(plan, all, func(Engine) bool { return true })
+	assert.Equal(t, least(counts), 2)
+}
+
+// Whatever comes together, no engine is ever planned to hold more layers than
+// its memory has: an order for more crashes it.
+func TestPlansFitTheMemory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := spec()
+		all := drawEngines(rt)
+		plan := Make(s, all)
+		fits(rt, s, plan, all)
+		// Some go, some come.
+		keep := all[:rapid.IntRange(0, len(all)).Draw(rt, "kept")]
+		now := append(append([]Engine(nil), keep...), engines("new", "l4", rapid.IntRange(0, 4).Draw(rt, "new"))...)
+		next, _ := Extend(s, plan, now)
+		fits(rt, s, next, now)
+		for _, e := range keep {
+			assert.Equal(rt, next[e.Address], plan[e.Address], "%s was moved", e.Address)
+		}
+	})
+}
+
+func drawEngines(rt *rapid.T) []Engine {
+	var all []Engine
+	for _, d := range []string{"a", "b", "c"} {
+		for card := range cards {
+			all = append(all, engines(d, card, rapid.IntRange(0, 7).Draw(rt, d+card))...)
+		}
+	}
+	return all
+}
+
+func fits(t assert.TestingT, s *model.EngineSpec, plan Plan, all []Engine) {
+	for _, e := range all {
+		held := plan[e.Address]
+		assert.Assert(t, held.From >= 0 && held.Len() >= 0 && held.To <= s.Layers, "%s holds %s", e.Address, held)
+		assert.Assert(t, float64(held.Len())*s.LayerMB <= e.Card.MB, "%s holds %s", e.Address, held)
+	}
+}
+
+// An engine that is gone for good is followed by another at a new address. The
+// new one takes its place, and nothing else is loaded again.
+func TestNewcomerTakesTheVacantRange(t *testing.T) {
+	s := spec()
+	all := site()
+	plan := Make(s, all)
+	lost := "luka-l40s-1"
+	var now []Engine
+	for _, e := range all {
+		if e.Address != lost {
+			now = append(now, e)
+		}
+	}
+	now = append(now, Engine{Address: "fresh", Domain: "luka", Card: cards["l40s"]})
+	next, changed := Extend(s, plan, now)
+	assert.Assert(t, changed)
+	assert.Equal(t, next["fresh"], plan[lost])
+	again, changed := Extend(s, next, now)
+	assert.Assert(t, !changed)
+	assert.Assert(t, same(next, again))
+}
+
+// A newcomer with nobody to follow covers what is held least in its domain.
+func TestNewcomerCoversTheLeastHeldLayers(t *testing.T) {
+	s := spec()
+	all := append(engines("d", "a100", 2), engines("d", "l40s", 1)...)
+	plan := Make(s, all)
+	now := append(append([]Engine(nil), all...), Engine{Address: "x", Domain: "d", Card: cards["l4"]}, Engine{Address: "y", Domain: "d", Card: cards["l4"]})
+	next, _ := Extend(s, plan, now)
+	assert.Assert(t, next["x"].Len() > 0 && next["y"].Len() > 0)
+	assert.Assert(t, next["x"].To <= next["y"].From || next["y"].To <= next["x"].From, "%s and %s overlap", next["x"], next["y"])
+}
