--- /dev/null
+++ b/internal/coordination/follow/follow_test.go
@@ -0,0 +1,163 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/platform/standin"
+)
+
+// picture keeps what a follower tells it, as a process does.
+type picture struct {
+	mu     sync.Mutex
+	items  map[string]string
+	grace  map[string]time.Duration // by removed key
+	resets int
+	heard  int
+}
+
+func newPicture() *picture {
+	return &picture{items: map[string]string{}, grace: map[string]time.Duration{}}
+}
+
+func (p *picture) Reset(page platform.Page, grace time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resets++
+	for k := range p.items {
+		p.grace[k] = grace
+	}
+	p.items = map[string]string{}
+	for _, it := range page.Items {
+		p.items[it.Key] = string(it.Value)
+		delete(p.grace, it.Key)
+	}
+}
+
+func (p *picture) Change(it platform.Item, grace time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if it.Removed {
+		delete(p.items, it.Key)
+		p.grace[it.Key] = grace
+		return
+	}
+	p.items[it.Key] = string(it.Value)
+}
+
+func (p *picture) Heard(time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard++
+}
+
+func (p *picture) has(key, value string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.items[key] == value
+}
+
+func (p *picture) graceOf(key string) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g, ok := p.grace[key]
+	return g, ok
+}
+
+// follow runs a follower in virtual time.
+func follow(t *testing.T, f func(store *standin.Store, p *picture, fl *Follower)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		began := time.Now()
+		store := standin.NewStore()
+		p := newPicture()
+		fl := &Follower{Store: store, Sink: p, Clock: func() time.Duration { return time.Since(began) + time.Hour }}
+		done := make(chan struct{})
+		go func() { fl.Run(ctx); close(done) }()
+		defer func() { stop(); <-done }()
+		time.Sleep(time.Second)
+		f(store, p, fl)
+	})
+}
+
+func TestFollowTellsChanges(t *testing.T) {
+	follow(t, func(store *standin.Store, p *picture, _ *Follower) {
+		store.Put("k", []byte("1"))
+		time.Sleep(300 * time.Millisecond)
+		assert.Assert(t, p.has("k", "1"))
+		store.Remove("k")
+		time.Sleep(300 * time.Millisecond)
+		g, gone := p.graceOf("k")
+		assert.Assert(t, gone)
+		assert.Equal(t, g, time.Duration(0), "the store was there: what is removed is gone")
+	})
+}
+
+// The store drops its history while the watch waits, and a key goes in the gap.
+// Without a new read of everything the key would live on here for good.
+func TestFollowReadsAllAfterCompaction(t *testing.T) {
+	follow(t, func(store *standin.Store, p *picture, _ *Follower) {
+		store.Put("goes", []byte("1"))
+		store.Put("stays", []byte("1"))
+		time.Sleep(300 * time.Millisecond)
+		store.SetFaults(standin.StoreFaults{Refuse: true})
+		time.Sleep(2 * time.Second)
+		store.Remove("goes")
+		store.Compact()
+		store.SetFaults(standin.StoreFaults{})
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, p.has("stays", "1"))
+		assert.Assert(t, p.has("goes", ""))
+		assert.Equal(t, p.resets, 2)
+	})
+}
+
+// The store is silent for some seconds and leases lapse meanwhile. What is gone
+// at its return gets time to register again.
+func TestFollowGivesGraceAfterAnOutage(t *testing.T) {
+	follow(t, func(store *standin.Store, p *picture, _ *Follower) {
+		store.Put("server", []byte("1"))
+		time.Sleep(300 * time.Millisecond)
+		store.SetFaults(standin.StoreFaults{Silent: true})
+		time.Sleep(5 * time.Second)
+		store.Remove("server")
+		store.SetFaults(standin.StoreFaults{})
+		time.Sleep(3 * time.Second)
+		g, gone := p.graceOf("server")
+		assert.Assert(t, gone)
+		assert.Assert(t, g > 0 && g <= comeBack, "%v", g)
+	})
+}
+
+// Only this process was cut off; a peer heard from the store all the time. What
+// was removed meanwhile has left, and must get no work for even a moment.
+func TestFollowGivesNoGraceWhereAPeerWasConnected(t *testing.T) {
+	follow(t, func(store *standin.Store, p *picture, fl *Follower) {
+		fl.Elsewhere = func() time.Duration { return fl.Clock() - 200*time.Millisecond }
+		store.Put("server", []byte("1"))
+		time.Sleep(300 * time.Millisecond)
+		store.SetFaults(standin.StoreFaults{Refuse: true})
+		time.Sleep(5 * time.Second)
+		store.Remove("server")
+		store.SetFaults(standin.StoreFaults{})
+		time.Sleep(3 * time.Second)
+		g, gone := p.graceOf("server")
+		assert.Assert(t, gone)
+		assert.Equal(t, g, time.Duration(0))
+	})
+}
+
+// An idle store costs one call for each wait of a watch: each is priced.
+func TestFollowIsCheapWhenNothingChanges(t *testing.T) {
+	follow(t, func(store *standin.Store, _ *picture, _ *Follower) {
+		before := store.Calls().Watches
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, store.Calls().Watches-before <= 21)
+	})
+}
--- /dev/null
+++ b/internal/coordination/leader/leader_test.go
@@ -0,0 +1,184 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/platform/standin"
+)
+
+// candidate is an elector with a watch of the leadership key, and a clock that
+// can be stopped and thawed like that of a suspended instance.
+type candidate struct {
+	e    *Elector
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+func start(store *standin.Store, name string) *candidate {
+	ctx, cancel := context.WithCancel(context.Background())
+	began := time.Now()
+	c := &candidate{stop: cancel}
+	c.e = &Elector{
+		Store:       store,
+		Self:        Member{Instance: name, Address: name + ":1"},
+		Incarnation: name + "-1",
+		Clock:       func() time.Duration { return time.Since(began) + time.Hour },
+		Eligible:    func() bool { return true },
+	}
+	c.done.Go(func() { c.e.Run(ctx) })
+	c.done.Go(func() { c.watch(ctx, store) })
+	return c
+}
+
+func (c *candidate) watch(ctx context.Context, store *standin.Store) {
+	after := int64(0)
+	for ctx.Err() == nil {
+		bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
+		page, err := store.Watch(bounded, Key, after, time.Second)
+		cancel()
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		for _, it := range page.Items {
+			c.e.Seen(it.Value, it.Revision)
+		}
+		after = page.Revision
+	}
+}
+
+func (c *candidate) end() {
+	c.stop()
+	c.done.Wait()
+}
+
+func leaders(cs ...*candidate) int {
+	n := 0
+	for _, c := range cs {
+		if c.e.Token() != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOneLeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		a, b, c := start(store, "a"), start(store, "b"), start(store, "c")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, leaders(a, b, c), 1)
+		assert.Equal(t, len(store.Keys(MemberPrefix)), 3)
+		a.end()
+		b.end()
+		c.end()
+	})
+}
+
+// A planned stop gives the lease back: another leads within a second or two,
+// under a higher token.
+func TestLeadershipIsHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		a := start(store, "a")
+		time.Sleep(2 * time.Second)
+		first := a.e.Token()
+		assert.Assert(t, first != 0)
+		b := start(store, "b")
+		time.Sleep(2 * time.Second)
+		a.end()
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, b.e.Token() > first)
+		b.end()
+	})
+}
+
+// The leader is cut from the store. It stops leading when its own lease must
+// have run out, before another can have won, and stays out of it afterwards.
+func TestCutOffLeaderStepsDownFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := standin.NewStore()
+		a := start(mem, "a")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, leaders(a), 1)
+		mem.SetFaults(standin.StoreFaults{Silent: true})
+		time.Sleep(ttl + callTimeout)
+		assert.Equal(t, leaders(a), 0)
+		mem.SetFaults(standin.StoreFaults{})
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, leaders(a), 1, "it stands again")
+		a.end()
+	})
+}
+
+// The answer to the winning claim is lost. The watch shows the claim, so that
+// the winner knows; a leader that does not know of itself would block everybody.
+func TestLostAnswerToTheClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		// The first write is the registration, the second the claim.
+		lossy := &losing{Store: store, skip: 1, lose: 1}
+		a := start(store, "a")
+		a.end()
+		b := &candidate{}
+		ctx, cancel := context.WithCancel(context.Background())
+		b.stop = cancel
+		began := time.Now()
+		b.e = &Elector{Store: lossy, Self: Member{Instance: "b"}, Incarnation: "b-1",
+			Clock: func() time.Duration { return time.Since(began) + time.Hour }, Eligible: func() bool { return true }}
+		b.done.Go(func() { b.e.Run(ctx) })
+		b.done.Go(func() { b.watch(ctx, store) })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, lossy.lost, 1)
+		assert.Equal(t, leaders(b), 1)
+		b.end()
+	})
+}
+
+// An engine has seen a higher token. The leader resigns instead of calling on
+// with the old one, and does not take the same token up again.
+func TestRefusedTokenIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		a := start(store, "a")
+		time.Sleep(2 * time.Second)
+		token := a.e.Token()
+		a.e.Refused(token)
+		assert.Equal(t, a.e.Token(), int64(0))
+		it, err := store.Get(context.Background(), Key)
+		assert.NilError(t, err)
+		a.e.Seen(it.Value, it.Revision)
+		assert.Equal(t, a.e.Token(), int64(0))
+		a.end()
+	})
+}
+
+// losing loses the answers of some commits that took effect.
+type losing struct {
+	*standin.Store
+	skip, lose, lost int
+}
+
+func (l *losing) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+	revision, err := l.Store.Commit(ctx, txn)
+	if err != nil {
+		return revision, err
+	}
+	if l.skip > 0 {
+		l.skip--
+		return revision, nil
+	}
+	if l.lose > 0 {
+		l.lose--
+		l.lost++
+		return 0, platform.ErrUnknown
+	}
+	return revision, nil
+}
