--- /dev/null
+++ b/test/fleet/harness_test.go
@@ -0,0 +1,326 @@
+// Package fleet runs routers of the users' platform against its stand-ins, in
+// one process, and brings about what callers must not notice or must be told
+// truly.
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/daemon"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/settings"
+	"github.com/skylarkwood/skylarkwood/platform"
+	"github.com/skylarkwood/skylarkwood/platform/standin"
+)
+
+const (
+	sheets   = "sheets"  // service of model engines
+	notices  = "notices" // plain service
+	patience = 20 * time.Second
+	layers   = 12
+)
+
+// site is a small site: engines in two domains, two plain servers, routers.
+type site struct {
+	t       *testing.T
+	store   *standin.Store
+	http    *http.Server
+	addr    string // of the store
+	fleet   *standin.Fleet
+	engines []*standin.Engine
+	plain   []*standin.Engine
+	routers []*router
+	version int64
+	config  map[string]any
+}
+
+type router struct {
+	settings settings.Settings
+	r        *daemon.Router
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func spec() *model.EngineSpec {
+	return &model.EngineSpec{
+		Slots: 64, Layers: layers, LayerMB: 1000, KVTokenBytes: 1e6, StepTime: time.Millisecond, Stride: 3, ReadRate: 1e5,
+		UsualPrompt: 100, UsualAnswer: 60, LoadTime: time.Second, LoadsAtOnce: 4,
+		Cards: []model.Card{{Name: "fast", MB: 8000, Pace: 2, ReadFactor: 2}, {Name: "slow", MB: 8000, Pace: 9, ReadFactor: 9}},
+	}
+}
+
+func newSite(t *testing.T, routers int) *site {
+	t.Parallel()
+	s := &site{t: t, store: standin.NewStore()}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.addr = l.Addr().String()
+	s.http = &http.Server{Handler: &standin.StoreServer{Store: s.store}}
+	go func() { _ = s.http.Serve(l) }()
+	s.fleet = standin.NewFleet(s.store, spec())
+	t.Cleanup(func() {
+		s.stopAll()
+		s.fleet.Close()
+		s.http.Close()
+		for _, v := range s.fleet.Violations() {
+			t.Errorf("violation: %s", v)
+		}
+	})
+	s.configure(nil)
+	for _, domain := range []string{"a", "b"} {
+		for _, card := range []string{"fast", "fast", "slow", "slow"} {
+			s.engines = append(s.engines, s.add(sheets, domain, card))
+		}
+		s.plain = append(s.plain, s.add(notices, domain, ""))
+	}
+	for i := range routers {
+		s.start(fmt.Sprintf("r%d", i), []string{"a", "b"}[i%2])
+	}
+	s.waitServing()
+	return s
+}
+
+func (s *site) add(service, domain, card string) *standin.Engine {
+	e, err := s.fleet.Add(service, domain, card, nil)
+	assert.NilError(s.t, err)
+	return e
+}
+
+// nextPort hands out ports below the ephemeral range, so that no listener or
+// connection of a test that runs beside takes one before its router does.
+var nextPort atomic.Int64
+
+func free(t *testing.T) string {
+	const first, span = 20000, 10000
+	for range span {
+		port := first + nextPort.Add(1)%span
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// configure publishes the operator's next configuration, changed by f.
+func (s *site) configure(f func(cfg map[string]any)) {
+	s.version += 2
+	route := func(name, prefix, kind, service string) map[string]any {
+		return map[string]any{"name": name, "host": "h.example", "prefix": prefix, "type": kind, "service": service, "timeout_ms": 8000,
+			"target_latency_ms": 500, "target_gap_ms": 200, "max_attempts": 2, "resume_streams": kind == "streaming"}
+	}
+	cfg := map[string]any{
+		"version": s.version,
+		"routes": []any{
+			route("sheet", "/sheet/", "streaming", sheets),
+			route("notice", "/notice/", "non_idempotent", notices),
+			route("lookup", "/lookup/", "idempotent", notices),
+		},
+		"services": []any{
+			map[string]any{"name": sheets, "engine": map[string]any{"slots": 64, "kv_token_bytes": 1e6, "stride": 3, "models": []any{map[string]any{"load_s": 1}},
+				"step_ms": 1, "read_per_s": 1e5, "loads_at_once": 4, "usual": map[string]any{"prompt": 100, "answer": 60}, "layers": layers, "layer_mb": 1000,
+				"kinds": []any{map[string]any{"name": "fast", "mb": 8000, "pace": 2, "read_factor": 2}, map[string]any{"name": "slow", "mb": 8000, "pace": 9, "read_factor": 9}}}},
+			map[string]any{"name": notices},
+		},
+		"limits":  map[string]any{"max_header_bytes": 8192, "max_body_bytes": 65536, "header_timeout_ms": 400, "idle_timeout_ms": 4000},
+		"tenants": []any{map[string]any{"name": "school", "api_keys": []any{"key-1"}}, map[string]any{"name": "clinic", "api_keys": []any{"key-2"}}},
+	}
+	if f != nil {
+		f(cfg)
+	}
+	raw, err := json.Marshal(cfg)
+	assert.NilError(s.t, err)
+	s.config = cfg
+	s.store.Put(platform.ConfigKey, raw)
+}
+
+func (s *site) start(name, domain string) *router {
+	set := settings.Default()
+	set.Role = model.RoleRouter
+	set.Instance = name
+	set.FailureDomain = domain
+	set.Router.Callers = free(s.t)
+	set.Router.Ready = free(s.t)
+	set.Router.Peers = free(s.t)
+	set.Router.Store = s.addr
+	set.Router.FirstStart = true
+	set.Router.RetrySlack = 200
+	set.Router.Grace = settings.Duration(3 * time.Second)
+	for _, r := range s.routers {
+		set.Router.Seeds = append(set.Router.Seeds, r.settings.Router.Peers)
+	}
+	assert.NilError(s.t, set.Check())
+	r := &router{settings: set}
+	s.run(r)
+	s.routers = append(s.routers, r)
+	return r
+}
+
+func (s *site) run(r *router) {
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	r.done = make(chan error, 1)
+	r.r = daemon.NewRouter(r.settings, platform.NewStoreClient(r.settings.Router.Store))
+	go func() { r.done <- r.r.Run(ctx) }()
+}
+
+func (s *site) stopAll() {
+	for _, r := range s.routers {
+		r.stop()
+	}
+	for _, r := range s.routers {
+		select {
+		case <-r.done:
+		case <-time.After(patience):
+			s.t.Error("a router did not stop")
+		}
+	}
+	s.routers = nil
+}
+
+// eventually waits for a state; how long it takes is not what is tested.
+func (s *site) eventually(what string, ok func() bool) {
+	s.t.Helper()
+	end := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(end) {
+			s.t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// waitServing waits until each router answers a sheet and a lookup.
+func (s *site) waitServing() {
+	for _, r := range s.routers {
+		s.eventually("router serves", func() bool {
+			return s.call(r, ask{path: "/sheet/x"}).status == http.StatusOK && s.call(r, ask{path: "/lookup/x", method: http.MethodGet}).status == http.StatusOK
+		})
+	}
+}
+
+var attempts atomic.Int64
+
+func newAttempt() string { return fmt.Sprintf("at-%d", attempts.Add(1)) }
+
+// ask is a request of a caller; fields left out get usual values.
+type ask struct {
+	path, method, key, attempt string
+	deadline                   time.Duration
+	body                       string
+	header                     http.Header
+}
+
+// reply is what a caller got.
+type reply struct {
+	attempt   string
+	status    int
+	body      string
+	signature string
+	after     string
+	err       error // the answer was not whole
+}
+
+func (s *site) call(r *router, a ask) reply {
+	return s.callCtx(context.Background(), r, a)
+}
+
+func (s *site) callCtx(ctx context.Context, r *router, a ask) reply {
+	if a.attempt == "" {
+		a.attempt = newAttempt()
+	}
+	if a.method == "" {
+		a.method = http.MethodPost
+	}
+	if a.key == "" {
+		a.key = "key-1"
+	}
+	req := a.request(ctx, r.settings.Router.Callers)
+	c, err := net.Dial("tcp", r.settings.Router.Callers)
+	if err != nil {
+		return reply{attempt: a.attempt, err: err}
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	if err := req.Write(c); err != nil {
+		return reply{attempt: a.attempt, err: err}
+	}
+	return readReply(a.attempt, bufio.NewReader(c), req)
+}
+
+func (a ask) request(ctx context.Context, addr string) *http.Request {
+	var body io.Reader
+	if a.body != "" {
+		body = io.NopCloser(newReader(a.body))
+	}
+	req, err := http.NewRequestWithContext(ctx, a.method, "http://"+addr+a.path, body)
+	if err != nil {
+		panic(err)
+	}
+	req.ContentLength = int64(len(a.body))
+	req.Host = "h.example"
+	for k, v := range a.header {
+		req.Header[k] = v
+	}
+	req.Header.Set("Attempt-Id", a.attempt)
+	req.Header.Set("Credential", a.key)
+	req.Header.Set("Token-Usage", "100,60")
+	if a.deadline > 0 {
+		req.Header.Set("Deadline-Ms", fmt.Sprint(a.deadline.Milliseconds()))
+	}
+	return req
+}
+
+func newReader(s string) io.Reader { return &stringReader{s} }
+
+type stringReader struct{ s string }
+
+func (r *stringReader) Read(p []byte) (int, error) {
+	if r.s == "" {
+		return 0, io.EOF
+	}
+	n := copy(p, r.s)
+	r.s = r.s[n:]
+	return n, nil
+}
+
+func readReply(attempt string, br *bufio.Reader, req *http.Request) reply {
+	resp, err := http.ReadResponse(br, req)
+	if err != nil {
+		return reply{attempt: attempt, err: err}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return reply{
+		attempt:   attempt,
+		status:    resp.StatusCode,
+		body:      string(body),
+		signature: resp.Header.Get("Response-Signature"),
+		after:     resp.Header.Get("Retry-After"),
+		err:       err,
+	}
+}
+
+// whole asserts that a sheet was answered completely, each event once and in
+// order.
+func (s *site) whole(rep reply) {
+	s.t.Helper()
+	assert.NilError(s.t, rep.err)
+	assert.Equal(s.t, rep.status, http.StatusOK)
+	assert.Equal(s.t, rep.body, standin.Answer(rep.attempt, s.fleet.Events))
+	assert.Equal(s.t, rep.signature, "sig-"+rep.attempt)
+}
