Slots of first engines are counted

Each domain's one first engine held 192 streams and queued 78 more; p50 of the first event was 1.2 s with two thirds of the token memory free. Ruled out: token memory (0.3 in use by the engine's own report), reading (0.19 of its time), pipes. Change: routers count and tell each other the chains that begin at an engine; a first engine gets no more than 0.92 of its slots. Slow cards that hold the first layers then begin chains which fast ones finish.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -15,6 +15,11 @@
 	// reserve their whole answer at the start and hold half of it on average:
 	// engines whose memory was reserved to 1.2 reported 0.75 to 0.85 in use.
 	fillLimit = 1.1
+	// slotLimit is how much of an engine's slots is given out. They count what
+	// it receives as the first engine of a chain; beyond them it queues, for as
+	// long as a whole answer takes. Other routers' streams are known a quarter
+	// of a second late.
+	slotLimit = 0.92
 	// mostFill caps the fill that makes an engine look slower, so that its
 	// cost stays finite.
 	mostFill = 0.9
@@ -70,6 +75,8 @@
 	domain   int
 	perLayer float64 // seconds
 	full     bool
+	// noSlot says that it can take no more chains that begin with it.
+	noSlot bool
 }
 
 // Chooser chooses chains.
@@ -154,6 +161,7 @@
 			server:   b,
 			domain:   id,
 			perLayer: per,
+			noSlot:   b.Slots > 0 && used.Firsts+1 > float64(b.Slots)*slotLimit,
 			full:     used.TokenLayers+float64(d.Tokens)*minRun(spec, b.Holds) > capacity*fillLimit,
 		})
 	}
@@ -318,7 +326,8 @@
 	for e := range w.cands {
 		c := &w.cands[e]
 		row[e] = way{cost: math.Inf(1), from: nobody}
-		if w.usable(c, 0) {
+		slot := !(w.room && w.need.From == 0 && c.noSlot)
+		if slot && w.usable(c, 0) {
 			row[e].cost = c.perLayer + start(c, w.home)
 		}
 	}
--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -163,6 +163,32 @@
 	}
 }
 
+// Hundreds of streams begin in one domain. The slots of its first engine bound
+// what begins there; beyond them a slow card that holds the first layers begins
+// the chain, and the fast ones go on.
+func TestSlotsOfTheFirstEngine(t *testing.T) {
+	w := twoDomains()
+	w.catalog.Remove("b1", 0)
+	w.add("front", "a", "l4", 0, 4)
+	for id, slots := range map[string]int{"a1": 20, "front": 20} {
+		b := *w.catalog.Load().ByID(id)
+		b.Slots = slots
+		w.catalog.Put(b)
+	}
+	firsts := map[string]int{}
+	for {
+		parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10})
+		if v != Found {
+			assert.Equal(t, v, NoRoom)
+			break
+		}
+		covers(t, parts, model.LayerRange{To: 80})
+		w.chooser.Memory.Reserve(parts, 10)
+		firsts[parts[0].Server.ID]++
+	}
+	assert.DeepEqual(t, firsts, map[string]int{"a1": 18, "front": 18})
+}
+
 // A running stream loses a part. Only that part is replaced: the others keep
 // their memory and read nothing again, and the first part stays.
 func TestReplaceKeepsTheOtherParts(t *testing.T) {
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -19,8 +19,10 @@
 type Use struct {
 	// TokenLayers is token memory, in tokens x layers.
 	TokenLayers float64 `json:"t"`
-	// Streams is how many run through it.
+	// Streams is how many run through it, Firsts how many it received as the
+	// first engine of their chain.
 	Streams float64 `json:"n"`
+	Firsts  float64 `json:"f"`
 	// Reading is the share of its time that goes into reading prompts.
 	Reading float64 `json:"r"`
 }
@@ -28,6 +30,7 @@
 func (u *Use) add(o Use) {
 	u.TokenLayers += o.TokenLayers
 	u.Streams += o.Streams
+	u.Firsts += o.Firsts
 	u.Reading += o.Reading
 }
 
@@ -45,6 +48,7 @@
 type ownUse struct {
 	tokenLayers float64
 	streams     int
+	firsts      int
 	reading     decaying
 }
 
@@ -83,7 +87,7 @@
 }
 
 func (o *ownUse) use(now time.Time) Use {
-	return Use{TokenLayers: o.tokenLayers, Streams: float64(o.streams), Reading: o.reading.read(now)}
+	return Use{TokenLayers: o.tokenLayers, Streams: float64(o.streams), Firsts: float64(o.firsts), Reading: o.reading.read(now)}
 }
 
 // Slowdown is how much slower than its card an engine last said to be; 1 is as
@@ -195,10 +199,13 @@
 }
 
 func (h *Hold) count(sign int) {
-	for _, p := range h.parts {
+	for i, p := range h.parts {
 		o := h.memory.owned(p.Server.ID)
 		o.tokenLayers += float64(sign * h.tokens * p.Layers.Len())
 		o.streams += sign
+		if i == 0 {
+			o.firsts += sign
+		}
 	}
 }
 
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -42,5 +42,6 @@
 type RouterUse struct {
 	TokenLayers int64   `json:"t"`
 	Streams     int     `json:"n"`
+	Firsts      int     `json:"f,omitempty"`
 	Reading     float64 `json:"r,omitempty"`
 }
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -175,7 +175,7 @@
 func (x *Exchange) compose() wire.RouterBeat {
 	uses := map[string]wire.RouterUse{}
 	for id, u := range x.Memory.Own() {
-		uses[id] = wire.RouterUse{TokenLayers: int64(u.TokenLayers), Streams: int(u.Streams), Reading: math.Round(u.Reading*readingDigits) / readingDigits}
+		uses[id] = wire.RouterUse{TokenLayers: int64(u.TokenLayers), Streams: int(u.Streams), Firsts: int(u.Firsts), Reading: math.Round(u.Reading*readingDigits) / readingDigits}
 	}
 	var pipes []wire.RouterPipe
 	for pair, rate := range x.Pipes.Own() {
@@ -211,7 +211,7 @@
 	x.mu.Unlock()
 	uses := make(map[string]chains.Use, len(b.Uses))
 	for id, u := range b.Uses {
-		uses[id] = chains.Use{TokenLayers: float64(u.TokenLayers), Streams: float64(u.Streams), Reading: u.Reading}
+		uses[id] = chains.Use{TokenLayers: float64(u.TokenLayers), Streams: float64(u.Streams), Firsts: float64(u.Firsts), Reading: u.Reading}
 	}
 	x.Memory.SeenPeer(from, uses)
 	pipes := make(map[chains.Pair]float64, len(b.Pipes))
