A stream runs on no more first engines than its route allows

Change: once the attempts are used up a stream goes on only at an engine that ran it before; an engine that is gone is no attempt.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -55,6 +55,8 @@
 	Tokens int
 	// Avoid are ids that must not take part.
 	Avoid map[string]bool
+	// FirstAmong are the ids that the chain may begin with; nil for any.
+	FirstAmong map[string]bool
 }
 
 // Verdict says why there is no chain.
@@ -77,6 +79,8 @@
 	full     bool
 	// noSlot says that it can take no more chains that begin with it.
 	noSlot bool
+	// notFirst says that the chain must not begin with it.
+	notFirst bool
 }
 
 // Chooser chooses chains.
@@ -161,6 +165,7 @@
 			server:   b,
 			domain:   id,
 			perLayer: per,
+			notFirst: d.FirstAmong != nil && !d.FirstAmong[b.ID],
 			noSlot:   b.Slots > 0 && used.Firsts+1 > float64(b.Slots)*slotLimit,
 			full:     used.TokenLayers+float64(d.Tokens)*minRun(spec, b.Holds) > capacity*fillLimit,
 		})
@@ -326,8 +331,8 @@
 	for e := range w.cands {
 		c := &w.cands[e]
 		row[e] = way{cost: math.Inf(1), from: nobody}
-		slot := !(w.room && w.need.From == 0 && c.noSlot)
-		if slot && w.usable(c, 0) {
+		begins := !c.notFirst && !(w.room && w.need.From == 0 && c.noSlot)
+		if begins && w.usable(c, 0) {
 			row[e].cost = c.perLayer + start(c, w.home)
 		}
 	}
--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -189,6 +189,16 @@
 	assert.DeepEqual(t, firsts, map[string]int{"a1": 18, "front": 18})
 }
 
+// A stream has used up its attempts. It may only begin where it ran before.
+func TestChainBeginsAmongTheGiven(t *testing.T) {
+	w := twoDomains()
+	parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10, FirstAmong: map[string]bool{"b1": true}})
+	assert.Equal(t, v, Found)
+	assert.Equal(t, parts[0].Server.ID, "b1")
+	_, v = w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10, FirstAmong: map[string]bool{"gone": true}})
+	assert.Equal(t, v, NoChain)
+}
+
 // A running stream loses a part. Only that part is replaced: the others keep
 // their memory and read nothing again, and the first part stays.
 func TestReplaceKeepsTheOtherParts(t *testing.T) {
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -40,12 +40,14 @@
 	lastID    int64 // last event that the caller has
 	hasLast   bool
 	events    int
+	// ranOn are the first engines that ran it.
+	ranOn     map[string]bool
 	delivered error // why the caller could not be written to
 }
 
 // generate runs a request through chains of engines.
 func (q *request) generate(ctx context.Context) bool {
-	s := &stream{request: q, tokens: q.size()}
+	s := &stream{request: q, tokens: q.size(), ranOn: map[string]bool{}}
 	if id, err := strconv.ParseInt(q.call.ResumeAfter, 10, 64); err == nil {
 		s.lastID = id
 		s.hasLast = true
@@ -125,7 +127,7 @@
 // acquire chooses a chain and reserves its memory, waiting a moment for room.
 func (s *stream) acquire(ctx context.Context) ([]chains.Part, *chains.Hold, *fault.Error) {
 	q := s.request
-	demand := chains.Demand{Domain: q.Domain, Tokens: s.tokens, Avoid: q.avoid}
+	demand := chains.Demand{Domain: q.Domain, Tokens: s.tokens, Avoid: q.avoid, FirstAmong: s.firstAmong()}
 	var parts []chains.Part
 	var hold *chains.Hold
 	verdict := chains.Found
@@ -162,6 +164,23 @@
 	return nil, nil, f
 }
 
+// firstAmong bounds the engines that run a request as the first of a chain to
+// the route's attempts: once they are used up, the stream goes on only where it
+// ran before. An engine that is gone is no attempt.
+func (s *stream) firstAmong() map[string]bool {
+	known := s.Catalog.Load()
+	alive := map[string]bool{}
+	for id := range s.ranOn {
+		if known.ByID(id) != nil {
+			alive[id] = true
+		}
+	}
+	if len(alive) < s.ticket.Route.MaxAttempts {
+		return nil
+	}
+	return alive
+}
+
 // run sends the request through one chain and passes its events on. done says
 // that the caller has a final answer; whole that it is complete.
 func (s *stream) run(ctx context.Context, parts []chains.Part, hold *chains.Hold) (done, whole bool, err error) {
@@ -187,6 +206,7 @@
 	}
 	if err != nil {
 		q.runs++
+		s.ranOn[first.ID] = true
 		if w.ended() || ctx.Err() == nil {
 			s.lost(w, err)
 		}
@@ -204,6 +224,7 @@
 		return false, false, fault.New(fault.Overloaded, "an engine refused with status %d", ans.Status)
 	}
 	q.runs++
+	s.ranOn[first.ID] = true
 	if ans.Status != http.StatusOK || v.Signature == "" {
 		return s.failed(ans, v)
 	}
