Pipes shared by routers, fewer watches, reading weighs with slowdown

Ruled out: token memory, slots (counted before). Change: each router may take four shares of what a pipe gives out; repaths are counted too. Watches wait 1.5 to 8 s by the number of routers, drawn at random; a peer's higher revision cuts a silent one.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -89,6 +89,8 @@
 	Health  *catalog.Health
 	Memory  *Memory
 	Pipes   *Pipes
+	// Routers counts the routers that share the pipes.
+	Routers func() int
 }
 
 // Choose finds the chain of least time per token that has room, with the load
@@ -134,7 +136,25 @@
 	}
 	next := append([]Part(nil), parts[:at]...)
 	next = append(next, with...)
-	return append(next, parts[at+1:]...)
+	next = append(next, parts[at+1:]...)
+	joint := next[at-1 : min(at+len(with)+1, len(next))]
+	if !c.roomToCross(svc.Engine, joint, tokens) {
+		return nil
+	}
+	c.read(svc.Engine, joint[1:1+len(with)], tokens)
+	c.crossed(svc.Engine, joint, tokens)
+	return next
+}
+
+// roomToCross tells whether the pipes between neighbouring parts have room for
+// a stream of so many tokens.
+func (c *Chooser) roomToCross(spec *model.EngineSpec, parts []Part, tokens int) bool {
+	for i := 1; i < len(parts); i++ {
+		if math.IsInf(c.crossing(spec, parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain, tokens), 1) {
+			return false
+		}
+	}
+	return true
 }
 
 func (c *Chooser) candidates(svc *model.Service, d Demand) []candidate {
@@ -157,7 +177,7 @@
 		}
 		capacity := Capacity(spec, card, b.Holds)
 		used := c.Memory.Used(b.ID)
-		per := perLayer(spec, card, used) * c.Memory.Slowdown(b.ID)
+		per := perLayer(spec, card, used, c.Memory.Slowdown(b.ID))
 		fill := math.Min(used.TokenLayers/math.Max(capacity*fillLimit, 1), mostFill)
 		per *= 1 / (1 - fill)
 		per *= 1 + doubtFactor*math.Max(view.Failures-0.2, 0)
@@ -175,11 +195,11 @@
 
 // perLayer is the time that a token takes in one layer of an engine, in
 // seconds: a step of its card, longer for each stream that writes, and longer
-// while prompts are read in between.
-func perLayer(spec *model.EngineSpec, card model.Card, used Use) float64 {
+// while prompts are read in between. A slow engine takes longer for all of it.
+func perLayer(spec *model.EngineSpec, card model.Card, used Use, slowdown float64) float64 {
 	step := spec.StepTime.Seconds() + spec.PerRequest.Seconds()*used.Streams
-	reading := math.Min(used.Reading, mostReading)
-	return step * card.Pace / float64(spec.Layers) / (1 - reading)
+	reading := math.Min(used.Reading*slowdown, mostReading)
+	return step * card.Pace * slowdown / float64(spec.Layers) / (1 - reading)
 }
 
 // minRun is the fewest layers for which an engine is tested for room: an engine
@@ -234,10 +254,10 @@
 		return crossTime.Seconds()
 	}
 	mbit := CrossMbit(spec, tokens)
-	used := (c.Pipes.Rate(a, b) + mbit) / spec.PipeMbps
-	if used > pipeLimit && c.Pipes.Rate(a, b) > 0 {
+	if !c.Pipes.Allows(a, b, mbit, spec.PipeMbps, c.Routers()) {
 		return math.Inf(1)
 	}
+	used := (c.Pipes.Rate(a, b) + mbit) / spec.PipeMbps
 	// The prompt's transfer delays the first event; spread over the tokens of
 	// a usual answer it compares with times a token.
 	transfer := mbit / spec.PipeMbps / (1 - math.Min(used, pipeLimit))
@@ -253,7 +273,7 @@
 		if !ok {
 			continue
 		}
-		sum += perLayer(spec, card, c.Memory.Used(p.Server.ID)) * float64(p.Layers.Len())
+		sum += perLayer(spec, card, c.Memory.Used(p.Server.ID), 1) * float64(p.Layers.Len())
 		if i > 0 && p.Server.FailureDomain != parts[i-1].Server.FailureDomain {
 			sum += crossTime.Seconds()
 			continue
@@ -268,9 +288,14 @@
 	return float64(tokens) * spec.ActivationBytes * 8 / 1e6
 }
 
-// Count takes in the reading of a prompt through a chosen chain, and what that
-// will move between failure domains.
-func (c *Chooser) Count(spec *model.EngineSpec, parts []Part, tokens int) {
+// Begin takes in that a prompt goes through a chosen chain.
+func (c *Chooser) Begin(spec *model.EngineSpec, parts []Part, tokens int) {
+	c.read(spec, parts, tokens)
+	c.crossed(spec, parts, tokens)
+}
+
+// read takes in the reading of so many tokens by each part.
+func (c *Chooser) read(spec *model.EngineSpec, parts []Part, tokens int) {
 	for _, p := range parts {
 		card, ok := spec.Card(p.Server.Card)
 		if ok && spec.ReadRate > 0 {
@@ -278,6 +303,10 @@
 			c.Memory.Read(p.Server.ID, float64(tokens)/spec.ReadRate*card.ReadFactor*share)
 		}
 	}
+}
+
+// crossed takes in what neighbouring parts will move between failure domains.
+func (c *Chooser) crossed(spec *model.EngineSpec, parts []Part, tokens int) {
 	for i := 1; i < len(parts); i++ {
 		a, b := parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain
 		if a != b {
--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -35,7 +35,7 @@
 	now := func() time.Time { return w.now }
 	w.catalog = catalog.New(now)
 	w.health = catalog.NewHealth(now)
-	w.chooser = &Chooser{Catalog: w.catalog, Health: w.health, Memory: NewMemory(now), Pipes: NewPipes(now)}
+	w.chooser = &Chooser{Catalog: w.catalog, Health: w.health, Memory: NewMemory(now), Pipes: NewPipes(now), Routers: func() int { return 4 }}
 	return w
 }
 
@@ -139,6 +139,24 @@
 	assert.Equal(t, v, Found, "what the peer told is old")
 }
 
+// A domain loses an engine and two dozen routers turn to the pipe at the same
+// moment, before they hear of each other. Together they must not fill it: a
+// prompt of 800 tokens takes 46 ms there, one after another, and every stream
+// that crosses waits behind it.
+func TestRoutersTogetherDoNotFillAPipe(t *testing.T) {
+	const routers, pipe, prompt = 24, 6400.0, 294.0
+	now := time.Unix(1000, 0)
+	crossed := 0
+	for range routers {
+		p := NewPipes(func() time.Time { return now })
+		for p.Allows("a", "b", prompt, pipe, routers) {
+			p.Use("a", "b", prompt)
+			crossed++
+		}
+	}
+	assert.Assert(t, crossed <= 2*routers, "%d prompts cross at once", crossed)
+}
+
 // Streams fill one domain. The next ones go to the other while it has room;
 // when both are full nothing is sent, as an engine that runs out of memory
 // preempts the streams that it has.
--- a/internal/coordination/chains/pipes.go
+++ b/internal/coordination/chains/pipes.go
@@ -16,6 +16,12 @@
 	pipeLimit = 0.5
 )
 
+// ownShares is how many equal shares of what a pipe gives out one router may
+// take. When a domain loses an engine all routers turn to the pipes within the
+// quarter of a second before they hear of each other; four shares are for the
+// few routers of that domain.
+const ownShares = 4
+
 // Pair names two failure domains in alphabetical order.
 type Pair struct{ A, B string }
 
@@ -74,6 +80,27 @@
 	d.add(p.now(), mbit/pipeMemory.Seconds())
 }
 
+// Allows tells whether there is room for so many megabits more between two
+// domains, on a pipe of so many Mbit/s that some routers share.
+func (p *Pipes) Allows(a, b string, mbit, pipe float64, routers int) bool {
+	if p.Rate(a, b)+mbit > pipe*pipeLimit {
+		return false
+	}
+	share := pipe * pipeLimit * ownShares / float64(max(routers, ownShares))
+	own := p.ownRate(a, b)
+	// One request passes even where it is larger than the share.
+	return own+mbit <= share || own < 1
+}
+
+func (p *Pipes) ownRate(a, b string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d, ok := p.own[pairOf(a, b)]; ok {
+		return d.read(p.now())
+	}
+	return 0
+}
+
 // Rate is what passes between two domains, in Mbit/s, as far as known here.
 func (p *Pipes) Rate(a, b string) float64 {
 	p.mu.Lock()
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,11 +17,17 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. It bounds how long a
-	// connection may be silent unnoticed: with the client's slack a silent one
-	// is found within 2.3 s, before the time in which a version must be in
-	// force has passed once more. Each watch is one priced call.
-	watchWait = 1500 * time.Millisecond
+	// shortestWait and longestWait bound how long a watch waits for a change.
+	// Each watch is one priced call. Its end finds a connection that is silent;
+	// with several routers some watch ends every waitShare, and the revision
+	// that peers tell shows the others that theirs missed something. A router
+	// on its own finds it within 2.3 s.
+	shortestWait = 1500 * time.Millisecond
+	longestWait  = 8 * time.Second
+	waitShare    = 750 * time.Millisecond
+	// behindTime is how long a peer's higher revision may stand before the
+	// watch is taken for silent: changes reach the routers at different times.
+	behindTime = 400 * time.Millisecond
 	// gather is how long changes are left to gather after some came: engines
 	// register and load in bunches, and each watch is priced. It delays a
 	// change by this much, a twentieth of the time it may take.
@@ -61,6 +69,13 @@
 	// Elsewhere is when, as far as known here, anybody last heard from the
 	// store; nil where nobody else is asked.
 	Elsewhere func() time.Duration
+	// Routers counts the processes that follow the store; nil for one.
+	Routers func() int
+
+	revision  atomic.Int64 // up to which the picture is complete
+	mu        sync.Mutex
+	cut       context.CancelFunc // ends the watch in progress
+	behindFor time.Duration      // since when a peer is ahead; 0 for not
 
 	lastHeard  atomic.Int64
 	graceUntil time.Duration
@@ -73,6 +88,41 @@
 	return f.Clock() - time.Duration(f.lastHeard.Load())
 }
 
+// Revision is up to which the picture is complete.
+func (f *Follower) Revision() int64 { return f.revision.Load() }
+
+// PeerAt takes in the revision of a peer's picture. Where it stays ahead, the
+// watch here is silent: it is cut, and the next one begins from there.
+func (f *Follower) PeerAt(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock()
+	switch {
+	case revision <= f.revision.Load():
+		f.behindFor = 0
+	case f.behindFor == 0:
+		f.behindFor = now
+	case now-f.behindFor > behindTime && f.cut != nil:
+		klog.InfoS("watch is behind a peer and is begun anew", "revision", f.revision.Load(), "peer", revision, "for", now-f.behindFor)
+		f.cut()
+		f.behindFor = 0
+	}
+}
+
+// wait draws how long the next watch waits. A change ends the watches of all
+// routers at once; were the next ones equally long, they would go silent
+// together unnoticed until their end.
+func (f *Follower) wait() time.Duration {
+	if f.Routers == nil {
+		return shortestWait
+	}
+	most := min(time.Duration(f.Routers())*waitShare, longestWait)
+	if most <= shortestWait {
+		return shortestWait
+	}
+	return shortestWait + rand.N(most-shortestWait)
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.lastHeard.Store(int64(f.Clock()))
@@ -91,6 +141,8 @@
 		case err == nil:
 			pause = firstPause
 			continue
+		case errors.Is(err, errCut):
+			continue
 		case errors.Is(err, platform.ErrCompacted):
 			klog.InfoS("store history compacted, reading the whole range", "prefix", f.Prefix, "revision", revision)
 			synced = false
@@ -116,11 +168,28 @@
 	f.noteHeard(began)
 	f.Sink.Reset(page, f.grace())
 	f.Sink.Heard(began)
+	f.revision.Store(page.Revision)
 	return page.Revision, nil
 }
 
+// errCut says that PeerAt ended a watch.
+var errCut = errors.New("watch was cut")
+
+func (f *Follower) setCut(cut context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
 func (f *Follower) watch(ctx context.Context, after int64) (int64, error) {
-	page, err := f.Store.Watch(ctx, f.Prefix, after, watchWait)
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.setCut(cancel)
+	page, err := f.Store.Watch(watching, f.Prefix, after, f.wait())
+	f.setCut(nil)
+	if err != nil && watching.Err() != nil && ctx.Err() == nil {
+		return after, errCut
+	}
 	if err != nil {
 		return after, err
 	}
@@ -130,6 +199,7 @@
 		f.Sink.Change(it, f.grace())
 	}
 	f.Sink.Heard(now)
+	f.revision.Store(max(page.Revision, after))
 	if len(page.Items) > 0 {
 		sleep(ctx, gather)
 	}
@@ -138,7 +208,7 @@
 
 func (f *Follower) noteHeard(at time.Duration) {
 	silent := f.Silence()
-	if f.lost || silent > watchWait+outageAfter {
+	if f.lost || silent > longestWait+outageAfter {
 		if f.outage(at) > outageAfter {
 			f.graceUntil = at + comeBack
 		}
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -153,6 +153,39 @@
 	})
 }
 
+// The connection of this router's watch is silent while a peer's is not. The
+// peer's higher revision shows it, and the change is taken in without waiting
+// for the watch's end. Peers that are merely a little ahead change nothing.
+func TestFollowNoticesThatAPeerIsAhead(t *testing.T) {
+	follow(t, func(store *standin.Store, p *picture, fl *Follower) {
+		fl.Routers = func() int { return 20 }
+		time.Sleep(2 * time.Second)
+		revision := store.PutUnseen("k", []byte("1"))
+		fl.PeerAt(revision)
+		time.Sleep(behindTime / 2)
+		fl.PeerAt(revision)
+		assert.Assert(t, !p.has("k", "1"))
+		time.Sleep(behindTime)
+		fl.PeerAt(revision)
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, p.has("k", "1"))
+	})
+}
+
+// A change ends the watches of all routers at once, and then they go silent
+// together. The next ones end at different times, so that one of them notices.
+func TestWaitsAreSpread(t *testing.T) {
+	f := &Follower{Routers: func() int { return 20 }}
+	shortest, longest := longestWait, time.Duration(0)
+	for range 200 {
+		w := f.wait()
+		assert.Assert(t, w >= shortestWait && w <= longestWait)
+		shortest = min(shortest, w)
+		longest = max(longest, w)
+	}
+	assert.Assert(t, longest-shortest > time.Second)
+}
+
 // An idle store costs one call for each wait of a watch: each is priced.
 func TestFollowIsCheapWhenNothingChanges(t *testing.T) {
 	follow(t, func(store *standin.Store, _ *picture, _ *Follower) {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -91,7 +91,7 @@
 	r.linkPeers()
 	r.buildRelay()
 	r.buildControl()
-	r.follower = &follow.Follower{Store: store, Prefix: "", Sink: (*routerSink)(r), Clock: boottime.Now, Elsewhere: r.config.Heard}
+	r.follower = &follow.Follower{Store: store, Prefix: "", Sink: (*routerSink)(r), Clock: boottime.Now, Elsewhere: r.config.Heard, Routers: r.exchange.Routers}
 	return r
 }
 
@@ -103,17 +103,19 @@
 		Self:     r.settings.Router.Peers,
 	}
 	r.exchange = &peers.Exchange{
-		Self:    r.settings.Router.Peers,
-		Seeds:   r.settings.Router.Seeds,
-		Pool:    link.NewPool(stamp),
-		Config:  r.config,
-		Decode:  platform.DecodeConfig,
-		Memory:  r.memory,
-		Pipes:   r.pipes,
-		Hint:    func(id string) { r.prober.Hint(id) },
-		Clock:   boottime.Now,
-		Now:     time.Now,
-		Traffic: r.traffic.Load,
+		Self:     r.settings.Router.Peers,
+		Seeds:    r.settings.Router.Seeds,
+		Pool:     link.NewPool(stamp),
+		Config:   r.config,
+		Decode:   platform.DecodeConfig,
+		Memory:   r.memory,
+		Pipes:    r.pipes,
+		Revision: func() int64 { return r.follower.Revision() },
+		PeerAt:   func(revision int64) { r.follower.PeerAt(revision) },
+		Hint:     func(id string) { r.prober.Hint(id) },
+		Clock:    boottime.Now,
+		Now:      time.Now,
+		Traffic:  r.traffic.Load,
 	}
 	r.links = link.NewServer(stamp)
 	r.exchange.Register(r.links)
@@ -125,7 +127,7 @@
 		Config:      r.config,
 		Catalog:     r.catalog,
 		Health:      r.health,
-		Chooser:     &chains.Chooser{Catalog: r.catalog, Health: r.health, Memory: r.memory, Pipes: r.pipes},
+		Chooser:     &chains.Chooser{Catalog: r.catalog, Health: r.health, Memory: r.memory, Pipes: r.pipes, Routers: r.exchange.Routers},
 		Memory:      r.memory,
 		Retries:     limits.NewSharedRetries(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.Routers, time.Now),
 		Line:        admission.NewLine(),
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -36,13 +36,14 @@
 // stream is a request that generates, through one chain after another.
 type stream struct {
 	*request
-	tokens    int
-	lastID    int64 // last event that the caller has
-	hasLast   bool
-	events    int
+	tokens  int
+	lastID  int64 // last event that the caller has
+	hasLast bool
+	events  int
 	// ranOn are the first engines that ran it.
 	ranOn     map[string]bool
-	delivered error // why the caller could not be written to
+	lastEvent time.Time // when the caller got the last event
+	delivered error     // why the caller could not be written to
 }
 
 // generate runs a request through chains of engines.
@@ -135,7 +136,7 @@
 		parts, verdict = q.Chooser.Choose(q.ticket.Service, demand)
 		if verdict == chains.Found {
 			hold = q.Memory.Reserve(parts, s.tokens)
-			q.Chooser.Count(q.ticket.Service.Engine, parts, q.promptTokens())
+			q.Chooser.Begin(q.ticket.Service.Engine, parts, q.promptTokens())
 		}
 		return verdict != chains.NoRoom
 	}
@@ -278,8 +279,10 @@
 		}
 		if !q.began {
 			s.begin(ans)
-			q.Observer.FirstEvent(q.ticket.Service.Name, q.Now().Sub(q.since))
+			q.firstEvent = q.Now().Sub(q.since)
+			q.Observer.FirstEvent(q.ticket.Service.Name, q.firstEvent)
 		}
+		s.timeEvent()
 		if err := q.out.Write(ev.raw); err != nil {
 			s.delivered = err
 			return err
@@ -292,6 +295,15 @@
 	}
 }
 
+// timeEvent notes the pause before an event.
+func (s *stream) timeEvent() {
+	now := s.Now()
+	if !s.lastEvent.IsZero() {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastEvent))
+	}
+	s.lastEvent = now
+}
+
 // begin sends the head of the first engine's answer. Streams that are resumed
 // keep it, its signature included.
 func (s *stream) begin(ans *Answer) {
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -120,6 +120,9 @@
 	began       bool // the caller has the head of the answer
 	avoid       map[string]bool
 	chain       string // for the log
+	// firstEvent and longestGap describe a stream as its caller saw it; 0
+	// where there was none.
+	firstEvent, longestGap time.Duration
 }
 
 // Serve answers one request. whole is false where the caller's connection must
@@ -213,7 +216,7 @@
 	q.Observer.Request(route, service, outcome, kind, took)
 	klog.InfoS("request ended", "request", q.call.Attempt, "outcome", outcome, "kind", kind, "cause", msg,
 		"status", status, "route", route, "service", service, "customer", q.ticket.Customer,
-		"ms", took.Milliseconds(), "sends", q.sends, "mayHaveRun", q.runs, "chain", q.chain,
+		"ms", took.Milliseconds(), "firstEventMs", q.firstEvent.Milliseconds(), "longestGapMs", q.longestGap.Milliseconds(), "sends", q.sends, "mayHaveRun", q.runs, "chain", q.chain,
 		"configVersion", q.ticket.Version, "configAgeMs", q.Config.Age(q.Clock()).Milliseconds())
 }
 
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -12,6 +12,8 @@
 	// newest.
 	Config      int64 `json:"cfg"`
 	ConfigAgeMS int64 `json:"age"`
+	// Revision is that of the store up to which its picture is complete.
+	Revision int64 `json:"rev"`
 	// Uses are what its streams take, by engine.
 	Uses map[string]RouterUse `json:"use,omitempty"`
 	// Slow are engines that said to be slower than their cards, by how much.
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -44,6 +44,10 @@
 	Decode func([]byte) (*model.RouteConfig, error)
 	Memory *chains.Memory
 	Pipes  *chains.Pipes
+	// Revision is that of the store up to which this router's picture is
+	// complete; PeerAt is told a peer's.
+	Revision func() int64
+	PeerAt   func(revision int64)
 	// Hint is told of engines that a peer suspects.
 	Hint  func(id string)
 	Clock func() time.Duration
@@ -195,6 +199,7 @@
 	return wire.RouterBeat{
 		Config:      x.Config.Version(),
 		ConfigAgeMS: x.Config.Age(x.Clock()).Milliseconds(),
+		Revision:    x.Revision(),
 		Uses:        uses,
 		Pipes:       pipes,
 		Slow:        x.Memory.OwnSlow(),
@@ -225,6 +230,7 @@
 	for id := range b.Suspects {
 		x.Hint(id)
 	}
+	x.PeerAt(b.Revision)
 	mine := x.Config.Version()
 	switch {
 	case b.Config == mine && mine > 0:
