Pipes are given out by the wait that they cause

A pipe was given out to half; a prompt takes 46 ms there, and a token waits for those before it once for each of an event's tokens. Change: the share given out follows from the mean wait of a queue with steady service and a tenth of the pause that is in time: 0.18 there, 0.54 on the base sites.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -53,6 +53,8 @@
 	Domain string
 	// Tokens is prompt and expected answer.
 	Tokens int
+	// Gap is the longest pause between events that is in time; 0 for the usual.
+	Gap time.Duration
 	// Avoid are ids that must not take part.
 	Avoid map[string]bool
 	// FirstAmong are the ids that the chain may begin with; nil for any.
@@ -71,18 +73,6 @@
 	NoChain
 )
 
-// candidate is an engine that may take part, with its cost per layer.
-type candidate struct {
-	server   *model.BackendServer
-	domain   int
-	perLayer float64 // seconds
-	full     bool
-	// noSlot says that it can take no more chains that begin with it.
-	noSlot bool
-	// notFirst says that the chain must not begin with it.
-	notFirst bool
-}
-
 // Chooser chooses chains.
 type Chooser struct {
 	Catalog *catalog.Catalog
@@ -98,7 +88,7 @@
 func (c *Chooser) Choose(svc *model.Service, d Demand) ([]Part, Verdict) {
 	cands := c.candidates(svc, d)
 	walk := walk{spec: svc.Engine, cands: cands, need: model.LayerRange{To: svc.Engine.Layers}, home: d.Domain}
-	walk.cross = c.crossings(svc.Engine, cands, d.Tokens)
+	walk.cross = c.crossings(svc.Engine, cands, d.Tokens, d.Gap)
 	walk.room = true
 	if chain := walk.shortest(); chain != nil {
 		return chain, Found
@@ -112,7 +102,7 @@
 
 // Replace finds a chain that differs from a running one only in the part of
 // one engine; nil if there is none. The first part stays, as engines demand.
-func (c *Chooser) Replace(svc *model.Service, parts []Part, lost string, tokens int) []Part {
+func (c *Chooser) Replace(svc *model.Service, parts []Part, lost string, tokens int, gap time.Duration) []Part {
 	avoid := map[string]bool{}
 	for _, p := range parts {
 		avoid[p.Server.ID] = true
@@ -129,7 +119,7 @@
 	before := parts[at-1].Server.FailureDomain
 	cands := c.candidates(svc, Demand{Domain: before, Tokens: tokens, Avoid: avoid})
 	walk := walk{spec: svc.Engine, cands: cands, need: parts[at].Layers, home: before, room: true}
-	walk.cross = c.crossings(svc.Engine, cands, tokens)
+	walk.cross = c.crossings(svc.Engine, cands, tokens, gap)
 	with := walk.shortest()
 	if with == nil || len(parts)-1+len(with) > maxParts {
 		return nil
@@ -138,7 +128,7 @@
 	next = append(next, with...)
 	next = append(next, parts[at+1:]...)
 	joint := next[at-1 : min(at+len(with)+1, len(next))]
-	if !c.roomToCross(svc.Engine, joint, tokens) {
+	if !c.roomToCross(svc.Engine, joint, tokens, gap) {
 		return nil
 	}
 	c.read(svc.Engine, joint[1:1+len(with)], tokens)
@@ -148,9 +138,9 @@
 
 // roomToCross tells whether the pipes between neighbouring parts have room for
 // a stream of so many tokens.
-func (c *Chooser) roomToCross(spec *model.EngineSpec, parts []Part, tokens int) bool {
+func (c *Chooser) roomToCross(spec *model.EngineSpec, parts []Part, tokens int, gap time.Duration) bool {
 	for i := 1; i < len(parts); i++ {
-		if math.IsInf(c.crossing(spec, parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain, tokens), 1) {
+		if math.IsInf(c.crossing(spec, parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain, tokens, gap), 1) {
 			return false
 		}
 	}
@@ -193,15 +183,6 @@
 	return out
 }
 
-// perLayer is the time that a token takes in one layer of an engine, in
-// seconds: a step of its card, longer for each stream that writes, and longer
-// while prompts are read in between. A slow engine takes longer for all of it.
-func perLayer(spec *model.EngineSpec, card model.Card, used Use, slowdown float64) float64 {
-	step := spec.StepTime.Seconds() + spec.PerRequest.Seconds()*used.Streams
-	reading := math.Min(used.Reading*slowdown, mostReading)
-	return step * card.Pace * slowdown / float64(spec.Layers) / (1 - reading)
-}
-
 // minRun is the fewest layers for which an engine is tested for room: an engine
 // rarely runs less than this share of what it holds.
 func minRun(spec *model.EngineSpec, held model.LayerRange) float64 {
@@ -217,246 +198,3 @@
 	}
 	return math.Max(free/per, 0)
 }
-
-// way is the best way to have run the layers so far with the last one at a
-// candidate; from is the candidate that ran the layer before.
-type way struct {
-	cost float64
-	from int
-}
-
-const nobody = -1
-
-// crossings gives the cost of going from one domain to another, by the domains'
-// indices, infinite where the pipe between them is used up.
-func (c *Chooser) crossings(spec *model.EngineSpec, cands []candidate, tokens int) [][]float64 {
-	names := []string{}
-	for _, cand := range cands {
-		if cand.domain == len(names) {
-			names = append(names, cand.server.FailureDomain)
-		}
-	}
-	cost := make([][]float64, len(names))
-	for i := range names {
-		cost[i] = make([]float64, len(names))
-		for j := range names {
-			cost[i][j] = c.crossing(spec, names[i], names[j], tokens)
-		}
-	}
-	return cost
-}
-
-func (c *Chooser) crossing(spec *model.EngineSpec, a, b string, tokens int) float64 {
-	if a == b {
-		return hopTime.Seconds()
-	}
-	if spec.PipeMbps <= 0 {
-		return crossTime.Seconds()
-	}
-	mbit := CrossMbit(spec, tokens)
-	if !c.Pipes.Allows(a, b, mbit, spec.PipeMbps, c.Routers()) {
-		return math.Inf(1)
-	}
-	used := (c.Pipes.Rate(a, b) + mbit) / spec.PipeMbps
-	// The prompt's transfer delays the first event; spread over the tokens of
-	// a usual answer it compares with times a token.
-	transfer := mbit / spec.PipeMbps / (1 - math.Min(used, pipeLimit))
-	return crossTime.Seconds() + transfer/float64(max(spec.UsualAnswer, 1))
-}
-
-// TokenTime is how long a token should take through a chain whose engines are
-// as fast as their cards.
-func (c *Chooser) TokenTime(spec *model.EngineSpec, parts []Part) time.Duration {
-	sum := 0.0
-	for i, p := range parts {
-		card, ok := spec.Card(p.Server.Card)
-		if !ok {
-			continue
-		}
-		sum += perLayer(spec, card, c.Memory.Used(p.Server.ID), 1) * float64(p.Layers.Len())
-		if i > 0 && p.Server.FailureDomain != parts[i-1].Server.FailureDomain {
-			sum += crossTime.Seconds()
-			continue
-		}
-		sum += hopTime.Seconds()
-	}
-	return time.Duration(sum * float64(time.Second))
-}
-
-// CrossMbit is what a request of so many tokens moves over a pipe, in Mbit.
-func CrossMbit(spec *model.EngineSpec, tokens int) float64 {
-	return float64(tokens) * spec.ActivationBytes * 8 / 1e6
-}
-
-// Begin takes in that a prompt goes through a chosen chain.
-func (c *Chooser) Begin(spec *model.EngineSpec, parts []Part, tokens int) {
-	c.read(spec, parts, tokens)
-	c.crossed(spec, parts, tokens)
-}
-
-// read takes in the reading of so many tokens by each part.
-func (c *Chooser) read(spec *model.EngineSpec, parts []Part, tokens int) {
-	for _, p := range parts {
-		card, ok := spec.Card(p.Server.Card)
-		if ok && spec.ReadRate > 0 {
-			share := float64(p.Layers.Len()) / float64(spec.Layers)
-			c.Memory.Read(p.Server.ID, float64(tokens)/spec.ReadRate*card.ReadFactor*share)
-		}
-	}
-}
-
-// crossed takes in what neighbouring parts will move between failure domains.
-func (c *Chooser) crossed(spec *model.EngineSpec, parts []Part, tokens int) {
-	for i := 1; i < len(parts); i++ {
-		a, b := parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain
-		if a != b {
-			c.Pipes.Use(a, b, CrossMbit(spec, tokens))
-		}
-	}
-}
-
-// walk is one search for a chain.
-type walk struct {
-	spec  *model.EngineSpec
-	cands []candidate
-	need  model.LayerRange
-	home  string
-	cross [][]float64
-	// room demands that every engine has token memory left.
-	room bool
-}
-
-// shortest walks the layers in order. At each layer an engine either goes on
-// from the layer before, or takes over from the best engine of some domain. It
-// costs layers x engines x domains steps.
-func (w *walk) shortest() []Part {
-	n := len(w.cands)
-	layers := w.need.Len()
-	if n == 0 || layers == 0 {
-		return nil
-	}
-	table := make([]way, layers*n)
-	domainBest := make([]int, len(w.cross))
-	for layer := 0; layer < layers; layer++ {
-		row := table[layer*n : (layer+1)*n]
-		if layer == 0 {
-			w.first(row)
-			continue
-		}
-		before := table[(layer-1)*n : layer*n]
-		if !w.bests(before, domainBest) {
-			return nil
-		}
-		w.next(row, before, domainBest, layer)
-	}
-	return trace(w.cands, table, w.need)
-}
-
-func (w *walk) usable(c *candidate, layer int) bool {
-	return !(w.room && c.full) && c.holds(w.need.From+layer)
-}
-
-func (w *walk) first(row []way) {
-	for e := range w.cands {
-		c := &w.cands[e]
-		row[e] = way{cost: math.Inf(1), from: nobody}
-		begins := !c.notFirst && !(w.room && w.need.From == 0 && c.noSlot)
-		if begins && w.usable(c, 0) {
-			row[e].cost = c.perLayer + start(c, w.home)
-		}
-	}
-}
-
-func (w *walk) next(row, before []way, domainBest []int, layer int) {
-	for e := range w.cands {
-		c := &w.cands[e]
-		row[e] = way{cost: math.Inf(1), from: nobody}
-		if !w.usable(c, layer) {
-			continue
-		}
-		best := before[e].cost
-		from := e
-		for d, near := range domainBest {
-			if near == nobody || near == e {
-				continue
-			}
-			if cost := before[near].cost + w.cross[d][c.domain]; cost < best {
-				best = cost
-				from = near
-			}
-		}
-		row[e] = way{cost: best + c.perLayer, from: from}
-	}
-}
-
-// bests finds the cheapest candidate of each domain; false if there is none.
-func (w *walk) bests(row []way, domainBest []int) bool {
-	for i := range domainBest {
-		domainBest[i] = nobody
-	}
-	any := false
-	for e := range w.cands {
-		if math.IsInf(row[e].cost, 1) {
-			continue
-		}
-		any = true
-		d := w.cands[e].domain
-		if domainBest[d] == nobody || row[e].cost < row[domainBest[d]].cost {
-			domainBest[d] = e
-		}
-	}
-	return any
-}
-
-func (c *candidate) holds(layer int) bool {
-	return c.server.Holds.From <= layer && layer < c.server.Holds.To
-}
-
-func start(c *candidate, home string) float64 {
-	if c.server.FailureDomain == home {
-		return 0
-	}
-	return awayTime.Seconds()
-}
-
-func trace(cands []candidate, table []way, need model.LayerRange) []Part {
-	n := len(cands)
-	layers := need.Len()
-	last := nobody
-	end := table[(layers-1)*n:]
-	for e := range cands {
-		if !math.IsInf(end[e].cost, 1) && (last == nobody || end[e].cost < end[last].cost) {
-			last = e
-		}
-	}
-	if last == nobody {
-		return nil
-	}
-	who := make([]int, layers)
-	for layer, e := layers-1, last; layer >= 0; layer-- {
-		who[layer] = e
-		e = table[layer*n+e].from
-	}
-	return merge(cands, who, need.From)
-}
-
-// merge makes parts of the engine chosen for each layer. An engine that comes
-// twice takes what lies between as well: it holds a contiguous range, and
-// engines refuse a chain that names one of them twice.
-func merge(cands []candidate, who []int, from int) []Part {
-	lastOf := map[int]int{}
-	for layer, e := range who {
-		lastOf[e] = layer
-	}
-	var parts []Part
-	for layer := 0; layer < len(who); {
-		e := who[layer]
-		end := lastOf[e] + 1
-		parts = append(parts, Part{Server: cands[e].server, Layers: model.LayerRange{From: from + layer, To: from + end}})
-		layer = end
-	}
-	if len(parts) > maxParts {
-		return nil
-	}
-	return parts
-}
--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -149,7 +149,8 @@
 	crossed := 0
 	for range routers {
 		p := NewPipes(func() time.Time { return now })
-		for p.Allows("a", "b", prompt, pipe, routers) {
+		limit := pipeLimit(46*time.Millisecond, 0, 4)
+		for p.Allows("a", "b", prompt, pipe*limit, routers) {
 			p.Use("a", "b", prompt)
 			crossed++
 		}
@@ -224,14 +225,14 @@
 	w.add("spare", "a", "l4", 38, 62)
 	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	covers(t, parts, model.LayerRange{To: 80})
-	next := w.chooser.Replace(w.svc, parts, "a2", 1000)
+	next := w.chooser.Replace(w.svc, parts, "a2", 1000, 0)
 	covers(t, next, model.LayerRange{To: 80})
 	assert.Equal(t, next[0], parts[0])
 	assert.Equal(t, next[len(next)-1], parts[len(parts)-1])
 	for _, p := range next {
 		assert.Assert(t, p.Server.ID != "a2")
 	}
-	assert.Assert(t, w.chooser.Replace(w.svc, parts, "a1", 1000) == nil, "the first part cannot be replaced")
+	assert.Assert(t, w.chooser.Replace(w.svc, parts, "a1", 1000, 0) == nil, "the first part cannot be replaced")
 }
 
 func TestSlowEngineIsAvoided(t *testing.T) {
--- /dev/null
+++ b/internal/coordination/chains/cost.go
@@ -0,0 +1,108 @@
+package chains
+
+import (
+	"math"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// perLayer is the time that a token takes in one layer of an engine, in
+// seconds: a step of its card, longer for each stream that writes, and longer
+// while prompts are read in between. A slow engine takes longer for all of it.
+func perLayer(spec *model.EngineSpec, card model.Card, used Use, slowdown float64) float64 {
+	step := spec.StepTime.Seconds() + spec.PerRequest.Seconds()*used.Streams
+	reading := math.Min(used.Reading*slowdown, mostReading)
+	return step * card.Pace * slowdown / float64(spec.Layers) / (1 - reading)
+}
+
+// TokenTime is how long a token should take through a chain whose engines are
+// as fast as their cards.
+func (c *Chooser) TokenTime(spec *model.EngineSpec, parts []Part) time.Duration {
+	sum := 0.0
+	for i, p := range parts {
+		card, ok := spec.Card(p.Server.Card)
+		if !ok {
+			continue
+		}
+		sum += perLayer(spec, card, c.Memory.Used(p.Server.ID), 1) * float64(p.Layers.Len())
+		if i > 0 && p.Server.FailureDomain != parts[i-1].Server.FailureDomain {
+			sum += crossTime.Seconds()
+			continue
+		}
+		sum += hopTime.Seconds()
+	}
+	return time.Duration(sum * float64(time.Second))
+}
+
+// CrossMbit is what a request of so many tokens moves over a pipe, in Mbit.
+func CrossMbit(spec *model.EngineSpec, tokens int) float64 {
+	return float64(tokens) * spec.ActivationBytes * 8 / 1e6
+}
+
+// crossings gives the cost of going from one domain to another, by the domains'
+// indices, infinite where the pipe between them is used up.
+func (c *Chooser) crossings(spec *model.EngineSpec, cands []candidate, tokens int, gap time.Duration) [][]float64 {
+	names := []string{}
+	for _, cand := range cands {
+		if cand.domain == len(names) {
+			names = append(names, cand.server.FailureDomain)
+		}
+	}
+	cost := make([][]float64, len(names))
+	for i := range names {
+		cost[i] = make([]float64, len(names))
+		for j := range names {
+			cost[i][j] = c.crossing(spec, names[i], names[j], tokens, gap)
+		}
+	}
+	return cost
+}
+
+func (c *Chooser) crossing(spec *model.EngineSpec, a, b string, tokens int, gap time.Duration) float64 {
+	if a == b {
+		return hopTime.Seconds()
+	}
+	if spec.PipeMbps <= 0 {
+		return crossTime.Seconds()
+	}
+	mbit := CrossMbit(spec, tokens)
+	transfer := mbit / spec.PipeMbps
+	limit := pipeLimit(time.Duration(transfer*float64(time.Second)), gap, spec.Stride)
+	if !c.Pipes.Allows(a, b, mbit, limit*spec.PipeMbps, c.Routers()) {
+		return math.Inf(1)
+	}
+	// The prompt's transfer delays the first event; spread over the tokens of
+	// a usual answer it compares with times a token. A token itself waits for
+	// the transfers of others.
+	load := math.Min(c.Pipes.Rate(a, b)/spec.PipeMbps, limit)
+	wait := load / (2 * (1 - load)) * transfer
+	return crossTime.Seconds() + wait + transfer/float64(max(spec.UsualAnswer, 1))
+}
+
+// Begin takes in that a prompt goes through a chosen chain.
+func (c *Chooser) Begin(spec *model.EngineSpec, parts []Part, tokens int) {
+	c.read(spec, parts, tokens)
+	c.crossed(spec, parts, tokens)
+}
+
+// read takes in the reading of so many tokens by each part.
+func (c *Chooser) read(spec *model.EngineSpec, parts []Part, tokens int) {
+	for _, p := range parts {
+		card, ok := spec.Card(p.Server.Card)
+		if ok && spec.ReadRate > 0 {
+			share := float64(p.Layers.Len()) / float64(spec.Layers)
+			c.Memory.Read(p.Server.ID, float64(tokens)/spec.ReadRate*card.ReadFactor*share)
+		}
+	}
+}
+
+// crossed takes in what neighbouring parts will move between failure domains.
+func (c *Chooser) crossed(spec *model.EngineSpec, parts []Part, tokens int) {
+	for i := 1; i < len(parts); i++ {
+		a, b := parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain
+		if a != b {
+			c.Pipes.Use(a, b, CrossMbit(spec, tokens))
+		}
+	}
+}
--- a/internal/coordination/chains/pipes.go
+++ b/internal/coordination/chains/pipes.go
@@ -10,10 +10,11 @@
 	// pipeMemory is over how long the traffic of a pipe is averaged: prompts
 	// arrive at random, some tens a second.
 	pipeMemory = time.Second
-	// pipeLimit is the share of a pipe's rate that is given out. Transfers go
-	// one after another, so that the wait grows without bound towards 1; each
-	// router sees the others' share with a delay.
-	pipeLimit = 0.5
+	// gapShare is the part of the longest pause between events that waiting at a
+	// pipe may take on average; waits ten times the average are then in time.
+	gapShare = 0.1
+	// usualGap is that pause for routes that name none.
+	usualGap = 200 * time.Millisecond
 )
 
 // ownShares is how many equal shares of what a pipe gives out one router may
@@ -80,15 +81,26 @@
 	d.add(p.now(), mbit/pipeMemory.Seconds())
 }
 
+// pipeLimit is the share of a pipe's rate that is given out. Transfers go one
+// after another: a token waits on average load/(2(1-load)) of a prompt's
+// transfer time (a queue with steady service), once for each token of an event.
+func pipeLimit(transfer, gap time.Duration, stride int) float64 {
+	if gap <= 0 {
+		gap = usualGap
+	}
+	wait := gapShare * gap.Seconds() / float64(max(stride, 1))
+	return 2 * wait / (transfer.Seconds() + 2*wait)
+}
+
 // Allows tells whether there is room for so many megabits more between two
-// domains, on a pipe of so many Mbit/s that some routers share.
-func (p *Pipes) Allows(a, b string, mbit, pipe float64, routers int) bool {
-	if p.Rate(a, b)+mbit > pipe*pipeLimit {
+// domains, where so many Mbit/s are given out to some routers.
+func (p *Pipes) Allows(a, b string, mbit, given float64, routers int) bool {
+	// One request passes an idle pipe even where it is more than is given.
+	if rate := p.Rate(a, b); rate >= 1 && rate+mbit > given {
 		return false
 	}
-	share := pipe * pipeLimit * ownShares / float64(max(routers, ownShares))
+	share := given * ownShares / float64(max(routers, ownShares))
 	own := p.ownRate(a, b)
-	// One request passes even where it is larger than the share.
 	return own+mbit <= share || own < 1
 }
 
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -128,7 +128,7 @@
 // acquire chooses a chain and reserves its memory, waiting a moment for room.
 func (s *stream) acquire(ctx context.Context) ([]chains.Part, *chains.Hold, *fault.Error) {
 	q := s.request
-	demand := chains.Demand{Domain: q.Domain, Tokens: s.tokens, Avoid: q.avoid, FirstAmong: s.firstAmong()}
+	demand := chains.Demand{Domain: q.Domain, Tokens: s.tokens, Gap: q.ticket.Route.TargetGap, Avoid: q.avoid, FirstAmong: s.firstAmong()}
 	var parts []chains.Part
 	var hold *chains.Hold
 	verdict := chains.Found
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -219,7 +219,7 @@
 	if parts[0].Server.ID == b.ID || !q.ticket.Idempotent() {
 		return nil
 	}
-	next := q.Chooser.Replace(q.ticket.Service, parts, b.ID, w.hold.Tokens())
+	next := q.Chooser.Replace(q.ticket.Service, parts, b.ID, w.hold.Tokens(), q.ticket.Route.TargetGap)
 	if next == nil {
 		return nil
 	}
