--- a/internal/coordination/routes/routes.go
+++ b/internal/coordination/routes/routes.go
@@ -84,7 +84,7 @@
 func (t *Table) Admit(c *model.Call, now time.Time) (Ticket, *fault.Error) {
 	r := t.Route(c.Host, c.Path)
 	if r == nil {
-		return Ticket{}, fault.New(fault.NotFound, "no route for host %q and this path", c.Host)
+		return Ticket{Version: t.Config.Version}, fault.New(fault.NotFound, "no route for host %q and this path", c.Host)
 	}
 	k := Ticket{Version: t.Config.Version, Route: r, Priority: r.Priority}
 	if len(t.Config.Customers) > 0 {
