A fault soak: router processes, proxies, signals, a store and engines that misbehave

Faults come in series and overlap; callers keep their connections until the process is gone. Not injected: clocks that jump.

--- /dev/null
+++ b/test/faultsoak/proxy_test.go
@@ -0,0 +1,122 @@
+package faultsoak
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// mode is what a proxy does with the connections through it.
+type mode int32
+
+const (
+	pass    mode = iota
+	delay        // holds each piece back for a while
+	silent       // passes nothing, and closes nothing
+	deafIn       // passes nothing towards the target
+	deafOut      // passes nothing back
+	modes
+)
+
+const heldBack = 60 * time.Millisecond
+
+// proxy stands before one address on loopback.
+type proxy struct {
+	l      net.Listener
+	target string
+	mode   atomic.Int32
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{l: l, target: target, conns: map[net.Conn]bool{}}
+	go p.run()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.l.Addr().String() }
+
+func (p *proxy) set(m mode) { p.mode.Store(int32(m)) }
+
+func (p *proxy) run() {
+	for {
+		c, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	t, err := net.Dial("tcp", p.target)
+	if err != nil {
+		c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[c] = true
+	p.conns[t] = true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.pump(t, c, deafIn) })
+	both.Go(func() { p.pump(c, t, deafOut) })
+	both.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+	delete(p.conns, t)
+	c.Close()
+	t.Close()
+}
+
+// pump copies one way until an end closes. What comes while its way is cut is
+// held, and passed on when the way is open again, as by a network.
+func (p *proxy) pump(to, from net.Conn, cut mode) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		for m := mode(p.mode.Load()); n > 0 && (m == silent || m == cut); m = mode(p.mode.Load()) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if mode(p.mode.Load()) == delay {
+			time.Sleep(heldBack)
+		}
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	// Passes an end on as an end, and a reset as a reset.
+	to.Close()
+	from.Close()
+}
+
+// reset breaks every connection through the proxy.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	p.l.Close()
+	p.set(pass)
+	p.reset()
+}
--- /dev/null
+++ b/test/faultsoak/site_test.go
@@ -0,0 +1,338 @@
+package faultsoak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/settings"
+	"github.com/skylarkwood/skylarkwood/platform"
+	"github.com/skylarkwood/skylarkwood/platform/standin"
+)
+
+const layers = 12
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "faultsoak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "skylarkwoodd")
+	build := exec.Command("go", "build", "-o", binary, "github.com/skylarkwood/skylarkwood/cmd/skylarkwoodd")
+	build.Stderr = os.Stderr
+	code := 1
+	if err := build.Run(); err == nil {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one router, started again whenever it ends.
+type process struct {
+	name     string
+	settings settings.Settings
+	file     string
+	log      *os.File
+	store    *proxy
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	paused bool
+	over   bool
+}
+
+type site struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	dir     string
+	store   *standin.Store
+	http    *http.Server
+	fleet   *standin.Fleet
+	engines []*standin.Engine
+	plain   []*standin.Engine
+	links   []*proxy // before the engines and plain servers
+	routers []*process
+	version int64
+	key     int // number of the extra key in force
+	later   sync.WaitGroup
+	mu      sync.Mutex
+	sent    []sent
+}
+
+// sent is what a caller was told of one attempt.
+type sent struct {
+	attempt string
+	kind    string
+	status  int
+}
+
+func spec() *model.EngineSpec {
+	return &model.EngineSpec{Layers: layers, LayerMB: 1000, KVTokenBytes: 1e6,
+		Cards: []model.Card{{Name: "fast", MB: 8000, Pace: 2, ReadFactor: 2}, {Name: "slow", MB: 8000, Pace: 9, ReadFactor: 9}}}
+}
+
+func newSite(t *testing.T, rnd *rand.Rand) *site {
+	dir, err := os.MkdirTemp("", "faultsoak-site")
+	assert.NilError(t, err)
+	s := &site{t: t, rnd: rnd, dir: dir, store: standin.NewStore()}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.http = &http.Server{Handler: &standin.StoreServer{Store: s.store}}
+	go func() { _ = s.http.Serve(l) }()
+	s.fleet = standin.NewFleet(s.store, spec())
+	s.publish()
+	for _, domain := range []string{"a", "b"} {
+		for _, card := range []string{"fast", "fast", "slow", "slow"} {
+			s.engines = append(s.engines, s.add("sheets", domain, card))
+		}
+		s.plain = append(s.plain, s.add("notices", domain, ""))
+	}
+	for i := range *routers {
+		s.router(fmt.Sprintf("r%d", i), []string{"a", "b"}[i%2], l.Addr().String())
+	}
+	s.recovered()
+	return s
+}
+
+func (s *site) add(service, domain, card string) *standin.Engine {
+	e, err := s.fleet.Add(service, domain, card, func(addr string) string {
+		p, err := newProxy(addr)
+		assert.NilError(s.t, err)
+		s.links = append(s.links, p)
+		return p.addr()
+	})
+	assert.NilError(s.t, err)
+	return e
+}
+
+var nextPort atomic.Int64
+
+// free finds a port below the ephemeral range, which nothing else takes while a
+// router restarts.
+func free(t *testing.T) string {
+	for range 5000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+nextPort.Add(1)%5000)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func (s *site) router(name, domain, store string) {
+	p, err := newProxy(store)
+	assert.NilError(s.t, err)
+	set := settings.Default()
+	set.Role = model.RoleRouter
+	set.Instance = name
+	set.FailureDomain = domain
+	set.Region = "r"
+	set.Router.Callers = free(s.t)
+	set.Router.Ready = free(s.t)
+	set.Router.Peers = free(s.t)
+	set.Router.Store = p.addr()
+	set.Router.RetrySlack = 200
+	set.Router.Grace = settings.Duration(3 * time.Second)
+	for _, r := range s.routers {
+		set.Router.Seeds = append(set.Router.Seeds, r.settings.Router.Peers)
+	}
+	raw, err := toml.Marshal(set)
+	assert.NilError(s.t, err)
+	r := &process{name: name, settings: set, store: p, file: filepath.Join(s.dir, name+".toml")}
+	assert.NilError(s.t, os.WriteFile(r.file, raw, 0o600))
+	r.log, err = os.Create(filepath.Join(s.dir, name+".log"))
+	assert.NilError(s.t, err)
+	s.routers = append(s.routers, r)
+	s.later.Go(func() { s.keepRunning(r) })
+}
+
+// keepRunning starts a router again whenever its process ends, as the platform
+// does.
+func (s *site) keepRunning(r *process) {
+	for {
+		cmd := exec.Command(binary, "--settings", r.file)
+		cmd.Stdout = r.log
+		cmd.Stderr = r.log
+		r.mu.Lock()
+		if r.over {
+			r.mu.Unlock()
+			return
+		}
+		err := cmd.Start()
+		r.cmd = cmd
+		r.mu.Unlock()
+		if err != nil {
+			s.t.Errorf("router %s: %v", r.name, err)
+			return
+		}
+		_ = cmd.Wait() // killed ones end with an error
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (r *process) signal(sig syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cmd != nil && r.cmd.Process != nil {
+		_ = r.cmd.Process.Signal(sig) // it may have ended by itself
+	}
+}
+
+// publish writes the operator's next configuration, with a new extra key.
+func (s *site) publish() {
+	s.version += 1 + int64(s.rnd.IntN(3))
+	s.key++
+	route := func(name, kind, service string) map[string]any {
+		return map[string]any{"name": name, "host": "h", "prefix": "/" + name + "/", "type": kind, "service": service,
+			"timeout_ms": 6000, "target_latency_ms": 500, "target_gap_ms": 200, "max_attempts": 2, "resume_streams": kind == "streaming"}
+	}
+	raw, err := json.Marshal(map[string]any{
+		"version": s.version,
+		"routes":  []any{route("sheet", "streaming", "sheets"), route("notice", "non_idempotent", "notices"), route("lookup", "idempotent", "notices")},
+		"services": []any{map[string]any{"name": "sheets", "engine": map[string]any{"slots": 64, "kv_token_bytes": 1e6, "stride": 3,
+			"models": []any{map[string]any{"load_s": 1}}, "step_ms": 1, "read_per_s": 1e5, "loads_at_once": 4, "usual": map[string]any{"prompt": 100, "answer": 60},
+			"layers": layers, "layer_mb": 1000, "kinds": []any{map[string]any{"name": "fast", "mb": 8000, "pace": 2}, map[string]any{"name": "slow", "mb": 8000, "pace": 9}}}},
+			map[string]any{"name": "notices"}},
+		"limits":  map[string]any{"max_body_bytes": 65536, "header_timeout_ms": 2000, "idle_timeout_ms": 4000},
+		"tenants": []any{map[string]any{"name": "school", "api_keys": []any{"key", extraKey(s.key)}}},
+	})
+	assert.NilError(s.t, err)
+	s.store.Put(platform.ConfigKey, raw)
+}
+
+func extraKey(n int) string { return fmt.Sprintf("extra-%d", n) }
+
+// after undoes a fault when it is over.
+func (s *site) after(d time.Duration, undo func()) {
+	s.later.Go(func() {
+		time.Sleep(d)
+		undo()
+	})
+}
+
+func (s *site) anyLink() *proxy {
+	all := append([]*proxy(nil), s.links...)
+	for _, r := range s.routers {
+		all = append(all, r.store, r.store) // the store's are fewer and matter more
+	}
+	return all[s.rnd.IntN(len(all))]
+}
+
+func (s *site) anyRouter() *process { return s.routers[s.rnd.IntN(len(s.routers))] }
+
+func (s *site) breakLink(d time.Duration) {
+	p := s.anyLink()
+	p.set(mode(1 + s.rnd.IntN(int(modes)-1)))
+	s.after(d, func() { p.set(pass) })
+}
+
+func (s *site) resetLink(time.Duration) { s.anyLink().reset() }
+
+func (s *site) breakStore(d time.Duration) {
+	faults := []standin.StoreFaults{{Refuse: true}, {Silent: true}, {Delay: 150 * time.Millisecond}}
+	s.store.SetFaults(faults[s.rnd.IntN(len(faults))])
+	s.after(d, func() { s.store.SetFaults(standin.StoreFaults{}) })
+}
+
+func (s *site) loseWrites(time.Duration) {
+	s.store.SetFaults(standin.StoreFaults{LoseWrites: s.rnd.IntN(3), LateWrites: s.rnd.IntN(3), LateBy: time.Second})
+}
+
+func (s *site) compact(time.Duration) { s.store.Compact() }
+
+func (s *site) killEngine(d time.Duration) {
+	e := s.engines[s.rnd.IntN(len(s.engines))]
+	e.Die()
+	s.after(d, e.Restart)
+}
+
+func (s *site) leaveEngine(d time.Duration) {
+	e := s.engines[s.rnd.IntN(len(s.engines))]
+	e.Drain()
+	s.after(d, e.Restart)
+}
+
+func (s *site) confuse(e *standin.Engine, d time.Duration) {
+	n := s.rnd.IntN(4)
+	e.SetFaults(standin.EngineFaults{
+		Fail: s.rnd.IntN(4), Truncate: s.rnd.IntN(3), LoseAnswers: s.rnd.IntN(3), Surplus: s.rnd.IntN(3), WrongAttempt: s.rnd.IntN(2),
+		Refuse: n == 0, Hang: n == 1, FailReports: n == 2,
+	})
+	s.after(d, func() { e.SetFaults(standin.EngineFaults{}) })
+}
+
+func (s *site) confuseEngine(d time.Duration) { s.confuse(s.engines[s.rnd.IntN(len(s.engines))], d) }
+
+func (s *site) confusePlain(d time.Duration) { s.confuse(s.plain[s.rnd.IntN(len(s.plain))], d) }
+
+func (s *site) killRouter(time.Duration) { s.anyRouter().signal(syscall.SIGKILL) }
+
+func (s *site) stopRouter(time.Duration) { s.anyRouter().signal(syscall.SIGTERM) }
+
+func (s *site) hangUp(time.Duration) { s.anyRouter().signal(syscall.SIGHUP) }
+
+func (s *site) pauseRouter(d time.Duration) {
+	r := s.anyRouter()
+	r.signal(syscall.SIGSTOP)
+	s.after(d, func() { r.signal(syscall.SIGCONT) })
+}
+
+func (s *site) reconfigure(time.Duration) { s.publish() }
+
+// heal ends every fault.
+func (s *site) heal() {
+	s.store.SetFaults(standin.StoreFaults{})
+	time.Sleep(2 * time.Second) // the longest fault
+	for _, p := range s.links {
+		p.set(pass)
+	}
+	for _, e := range append(append([]*standin.Engine(nil), s.engines...), s.plain...) {
+		e.SetFaults(standin.EngineFaults{})
+	}
+	for _, r := range s.routers {
+		r.store.set(pass)
+		r.signal(syscall.SIGCONT)
+	}
+}
+
+func (s *site) close() {
+	for _, r := range s.routers {
+		r.mu.Lock()
+		r.over = true
+		r.mu.Unlock()
+		r.signal(syscall.SIGCONT)
+		r.signal(syscall.SIGKILL)
+		r.store.close()
+	}
+	s.later.Wait()
+	for _, p := range s.links {
+		p.close()
+	}
+	s.fleet.Close()
+	s.http.Close()
+	if !s.t.Failed() {
+		os.RemoveAll(s.dir)
+	}
+}
+
+func (s *site) keepLogs() string { return s.dir }
