--- /dev/null
+++ b/internal/protocol/relay/events_test.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func readAll(r io.Reader) (events []string, ids []int64, err error) {
+	er := eventReader{src: r}
+	for {
+		ev, err := er.next()
+		if err != nil {
+			return events, ids, err
+		}
+		events = append(events, string(ev.raw))
+		if ev.hasID {
+			ids = append(ids, ev.id)
+		}
+	}
+}
+
+func TestEventsAreCutAtBlankLines(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nweight-versions: 3\nid: 2\ndata: b\n\nid:3\r\ndata: c\r\n\r\n"
+	events, ids, err := readAll(iotest.OneByteReader(strings.NewReader(stream)))
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, strings.Join(events, ""), stream)
+	assert.DeepEqual(t, ids, []int64{1, 2, 3})
+}
+
+// An engine crashes in the middle of an event. What it left of it must not
+// reach the caller: the next engine sends that event whole, and the caller
+// would get a piece of it twice.
+func TestHalfAnEventIsNotPassedOn(t *testing.T) {
+	events, _, err := readAll(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+	assert.Equal(t, err, errHalfEvent)
+	assert.Equal(t, len(events), 1)
+	reset := errors.New("connection reset")
+	events, _, err = readAll(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\n"), iotest.ErrReader(reset)))
+	assert.Equal(t, err, reset)
+	assert.Equal(t, len(events), 1)
+}
+
+func TestEndlessEventIsRefused(t *testing.T) {
+	_, _, err := readAll(io.LimitReader(endless{}, 3*maxEvent))
+	assert.Equal(t, err, errLongEvent)
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+// However the network cuts a stream into pieces, the events are the same.
+func TestEventsDoNotDependOnPieces(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		lines := rapid.SliceOfN(rapid.StringMatching(`[a-z: ]{0,12}`), 0, 30).Draw(rt, "lines")
+		stream := strings.Join(lines, "\n") + "\n\n"
+		whole, _, err := readAll(strings.NewReader(stream))
+		assert.Equal(rt, err, io.EOF)
+		assert.Equal(rt, strings.TrimRight(strings.Join(whole, ""), "\n"), strings.TrimRight(stream, "\n"))
+		pieces, _, err := readAll(iotest.OneByteReader(strings.NewReader(stream)))
+		assert.Equal(rt, err, io.EOF)
+		assert.DeepEqual(rt, pieces, whole)
+	})
+}
+
+func FuzzEventID(f *testing.F) {
+	f.Add([]byte("id: 12\ndata: x\n\n"))
+	f.Fuzz(func(_ *testing.T, raw []byte) { eventID(raw) })
+}
--- /dev/null
+++ b/internal/protocol/relay/prober_test.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// asked is an engine that answers reports, or does not.
+type asked struct {
+	mu     sync.Mutex
+	dead   bool
+	slow   float64
+	asked  int
+	server *model.BackendServer
+}
+
+func (a *asked) report(context.Context, *model.BackendServer) (model.EngineReport, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asked++
+	if a.dead {
+		return model.EngineReport{}, errors.New("no answer")
+	}
+	return model.EngineReport{Slowdown: a.slow}, nil
+}
+
+func (a *asked) set(dead bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dead = dead
+}
+
+// probing runs a prober over one engine in virtual time.
+func probing(t *testing.T, f func(p *Prober, a *asked, told *[]string)) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &asked{server: &model.BackendServer{ID: "e", Service: "s", Address: "1:1", Revision: 1}}
+		var told []string
+		p := NewProber()
+		p.Now = time.Now
+		p.Health = catalog.NewHealth(time.Now)
+		p.Catalog = catalog.New(time.Now)
+		p.Catalog.Put(*a.server)
+		p.Report = a.report
+		p.Tell = func(id string, _ time.Time) { told = append(told, id) }
+		ctx, stop := context.WithCancel(context.Background())
+		var done sync.WaitGroup
+		done.Go(func() { p.Run(ctx) })
+		f(p, a, &told)
+		stop()
+		done.Wait()
+	})
+}
+
+// An engine dies and comes back under the same id. It gets nothing while it
+// does not answer, however long that is, and work again once it does.
+func TestDeadEngineStaysSuspectedUntilItAnswers(t *testing.T) {
+	probing(t, func(p *Prober, a *asked, told *[]string) {
+		a.set(true)
+		p.Unreachable(a.server, "r", nil)
+		for range 40 {
+			time.Sleep(250 * time.Millisecond)
+			assert.Assert(t, p.Health.Suspected("e"))
+		}
+		assert.Assert(t, len(*told) > 2, "peers are told as long as it lasts")
+		a.set(false)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !p.Health.Suspected("e"))
+	})
+}
+
+// A chain waited for an engine that answers its reports. The suspicion lasts
+// its first second all the same: the engine did not do its work.
+func TestAnsweringEngineIsSuspectedForAWhile(t *testing.T) {
+	probing(t, func(p *Prober, a *asked, _ *[]string) {
+		p.Unreachable(a.server, "r", nil)
+		time.Sleep(800 * time.Millisecond)
+		assert.Assert(t, p.Health.Suspected("e"))
+		time.Sleep(time.Second)
+		assert.Assert(t, !p.Health.Suspected("e"))
+	})
+}
+
+// A peer cut off from an engine suspects it. Here it answers: it keeps getting
+// work, and the peer's next words about it are not worth a probe each.
+func TestPeersSuspicionIsChecked(t *testing.T) {
+	probing(t, func(p *Prober, a *asked, told *[]string) {
+		p.Hint("e")
+		time.Sleep(50 * time.Millisecond)
+		assert.Assert(t, !p.Health.Suspected("e"))
+		for range 8 {
+			p.Hint("e")
+			time.Sleep(250 * time.Millisecond)
+		}
+		assert.Equal(t, a.asked, 1)
+		assert.Equal(t, len(*told), 0, "what a peer told is not passed on as one's own")
+		p.Hint("unknown")
+	})
+}
+
+func TestGoneEngineIsForgotten(t *testing.T) {
+	probing(t, func(p *Prober, a *asked, _ *[]string) {
+		a.set(true)
+		p.Unreachable(a.server, "r", nil)
+		time.Sleep(time.Second)
+		p.Catalog.Remove("e", 0)
+		time.Sleep(time.Second)
+		before := a.asked
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, a.asked, before)
+	})
+}
+
+// A chain is slow. Its engine says that it runs three times slower; it is asked
+// again each second, and forgotten when it is well.
+func TestSlowEngineIsAskedUntilItIsWell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &asked{slow: 3, server: &model.BackendServer{ID: "e", Service: "s", Address: "1:1", Revision: 1}}
+		c := catalog.New(time.Now)
+		c.Put(*a.server)
+		p := NewPacer()
+		p.Memory = chains.NewMemory(time.Now)
+		p.Catalog = c
+		p.Report = a.report
+		p.Now = time.Now
+		parts := []chains.Part{{Server: a.server}}
+		p.Check(parts, "r", time.Second, time.Millisecond)
+		p.Check(parts, "r", time.Second, time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, a.asked, 1, "many streams through one engine ask once")
+		assert.Equal(t, p.Memory.Slowdown("e"), 3.0)
+		a.mu.Lock()
+		a.slow = 1
+		a.mu.Unlock()
+		time.Sleep(askAgain)
+		p.Recheck()
+		synctest.Wait()
+		assert.Equal(t, p.Memory.Slowdown("e"), 1.0)
+		time.Sleep(askAgain)
+		p.Recheck()
+		synctest.Wait()
+		assert.Equal(t, a.asked, 2)
+	})
+}
