--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,80 +51,33 @@
 	active   atomic.Int64
 }
 
-type connKey struct{}
-
-// connTimers bounds a connection's idle time and the time of a head. The
-// standard server's own bounds are fixed when it starts; the operator's change.
-type connTimers struct {
-	conn  net.Conn
-	mu    sync.Mutex
-	timer *time.Timer
-}
-
-func (t *connTimers) arm(d time.Duration, f func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.disarm()
-	t.timer = time.AfterFunc(d, f)
-}
-
-func (t *connTimers) stop() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.disarm()
-}
-
-func (t *connTimers) disarm() {
-	if t.timer != nil {
-		t.timer.Stop()
-		t.timer = nil
-	}
-}
-
 // Serve answers connections until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	timers := &sync.Map{}
 	s.http.Handler = http.HandlerFunc(s.handle)
 	s.http.MaxHeaderBytes = headerCeiling
 	s.http.ErrorLog = klogLogger()
 	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		t := &connTimers{conn: c}
-		timers.Store(c, t)
-		// The head of the first request is due from the start.
-		t.arm(s.limits().IdleTime+idleMargin, func() { c.Close() })
-		return context.WithValue(ctx, connKey{}, t)
+		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.http.ConnState = func(c net.Conn, state http.ConnState) {
-		v, ok := timers.Load(c)
+		t, ok := c.(*timedConn)
 		if !ok {
 			return
 		}
-		t := v.(*connTimers)
 		switch state {
-		case http.StateActive:
-			t.arm(s.limits().HeaderTime, t.headTooSlow)
-		case http.StateIdle:
-			t.arm(s.limits().IdleTime+idleMargin, func() { c.Close() })
+		case http.StateNew, http.StateIdle:
+			t.awaitHead()
 		case http.StateClosed, http.StateHijacked:
 			t.stop()
-			timers.Delete(c)
 		}
 	}
-	err := s.http.Serve(l)
+	err := s.http.Serve(timedListener{l, s.limits})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "serve callers")
 }
 
-// headTooSlow answers a head that does not end; nothing of it was handled.
-func (t *connTimers) headTooSlow() {
-	_ = t.conn.SetWriteDeadline(time.Now().Add(time.Second))
-	_, err := io.WriteString(t.conn, "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-	klog.InfoS("head of a request took too long", "caller", t.conn.RemoteAddr(), "err", err)
-	t.conn.Close()
-}
-
 func (s *Server) limits() model.CallerLimits {
 	l := model.CallerLimits{HeaderBytes: headerCeiling, BodyBytes: defaultBody, HeaderTime: defaultHeaderTime, IdleTime: defaultIdle}
 	table := s.Config.Load()
@@ -161,7 +113,7 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	if t, ok := r.Context().Value(connKey{}).(*connTimers); ok {
+	if t, ok := r.Context().Value(connKey{}).(*timedConn); ok {
 		t.stop()
 	}
 	if s.OnRequest != nil {
--- /dev/null
+++ b/internal/transport/front/front_test.go
@@ -0,0 +1,191 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/relay"
+)
+
+type nobody struct{}
+
+func (nobody) Request(_, _, _, _ string, _ time.Duration) {}
+func (nobody) FirstEvent(string, time.Duration)           {}
+func (nobody) Repeat(_, _ string)                         {}
+
+// upstream answers every request by a script.
+type upstream func(ctx context.Context, r *relay.Request) (*relay.Answer, error)
+
+func (u upstream) Do(ctx context.Context, _ string, r *relay.Request) (*relay.Answer, error) {
+	return u(ctx, r)
+}
+
+type body struct{ io.Reader }
+
+func (body) Length() int64 { return -1 }
+func (body) Abort()        {}
+func (body) Discard()      {}
+func (body) Done()         {}
+
+func answer(text string) *relay.Answer {
+	h := http.Header{}
+	h.Set("Response-Signature", "sig")
+	return &relay.Answer{Status: 200, Header: h, Body: body{strings.NewReader(text)}}
+}
+
+// serve starts a front before one plain service.
+func serve(t *testing.T, u upstream) (*Server, string) {
+	current := &routes.Current{}
+	current.Apply(&model.RouteConfig{
+		Version:  1,
+		Routes:   []model.Route{{Name: "r", Host: "h", Prefix: "/", Kind: model.RouteNotRepeatable, MaxAttempts: 1, Split: []model.ServiceShare{{Service: "s", Weight: 1}}}},
+		Services: []model.Service{{Name: "s"}},
+		Limits:   model.CallerLimits{HeaderBytes: 2000, BodyBytes: 100, HeaderTime: 300 * time.Millisecond, IdleTime: 300 * time.Millisecond},
+	}, nil)
+	cat := catalog.New(time.Now)
+	cat.Put(model.BackendServer{ID: "b", Service: "s", Address: "1:1"})
+	rel := &relay.Relay{
+		Config: current, Catalog: cat, Health: catalog.NewHealth(time.Now), Backends: u, Observer: nobody{}, Line: admission.NewLine(),
+		Retries: limits.NewSharedRetries(0.2, 10, time.Second, func() int { return 1 }, time.Now),
+		Clock:   func() time.Duration { return 0 }, Now: time.Now, ConfigTrust: time.Hour,
+	}
+	s := &Server{Config: current, Relay: rel}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		assert.Check(t, s.Shutdown(ctx) == nil)
+		assert.Check(t, <-done == nil)
+	})
+	return s, l.Addr().String()
+}
+
+func echo(_ context.Context, r *relay.Request) (*relay.Answer, error) {
+	return answer(r.Method + " " + r.Target + " " + string(r.Body)), nil
+}
+
+// talk writes raw bytes and reads what comes until the connection ends.
+func talk(t *testing.T, addr, raw string) string {
+	c, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	_, err = io.WriteString(c, raw)
+	assert.NilError(t, err)
+	got, _ := io.ReadAll(c) // a reset ends it as well
+	return string(got)
+}
+
+const lastHead = "Host: h\r\nConnection: close\r\n"
+
+func TestBodiesWithLengthAndInChunks(t *testing.T) {
+	_, addr := serve(t, echo)
+	for _, raw := range []string{
+		"POST /a?b=c HTTP/1.1\r\n" + lastHead + "Content-Length: 5\r\n\r\nhello",
+		"POST /a?b=c HTTP/1.1\r\n" + lastHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+	} {
+		got := talk(t, addr, raw)
+		assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 200"), got)
+		assert.Assert(t, strings.HasSuffix(got, "POST /a?b=c hello"), got)
+	}
+}
+
+// What a caller must not send gets its status, reaches no backend server, and
+// disturbs no other caller.
+func TestBadRequests(t *testing.T) {
+	reached := false
+	_, addr := serve(t, func(context.Context, *relay.Request) (*relay.Answer, error) {
+		reached = true
+		return answer(""), nil
+	})
+	for name, want := range map[string]struct{ raw, status string }{
+		"head too large":     {"GET / HTTP/1.1\r\n" + lastHead + "X: " + strings.Repeat("x", 3000) + "\r\n\r\n", "431"},
+		"head far too large": {"GET / HTTP/1.1\r\n" + lastHead + "X: " + strings.Repeat("x", 1<<20) + "\r\n\r\n", "431"},
+		"body too large":     {"POST / HTTP/1.1\r\n" + lastHead + "Content-Length: 101\r\n\r\n" + strings.Repeat("x", 101), "413"},
+		"chunks too large":   {"POST / HTTP/1.1\r\n" + lastHead + "Transfer-Encoding: chunked\r\n\r\n80\r\n" + strings.Repeat("x", 128) + "\r\n0\r\n\r\n", "413"},
+		"two lengths":        {"POST / HTTP/1.1\r\n" + lastHead + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx", "400"},
+		"length and chunks":  {"POST / HTTP/1.1\r\n" + lastHead + "Content-Length: nine\r\n\r\n", "400"},
+		"malformed line":     {"GET / HTTP/1.1\r\n" + lastHead + "no colon\r\n\r\n", "400"},
+		"bad chunk":          {"POST / HTTP/1.1\r\n" + lastHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+		"head never ends":    {"GET / HTTP/1.1\r\nHost: h\r\nX: ", "408"},
+		"body stops":         {"POST / HTTP/1.1\r\n" + lastHead + "Content-Length: 9\r\n\r\nxx", "408"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got := talk(t, addr, want.raw)
+			assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 "+want.status), "%s: %.60q", name, got)
+		})
+	}
+	assert.Assert(t, !reached)
+}
+
+// A caller uses a connection within the operator's idle time and finds it open.
+func TestConnectionIsKeptForItsIdleTime(t *testing.T) {
+	_, addr := serve(t, echo)
+	c, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for i := range 4 {
+		_, err := fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		raw, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(raw), fmt.Sprintf("GET /%d ", i))
+		time.Sleep(240 * time.Millisecond)
+	}
+	// It is closed some time after the idle time, so that it does not leak.
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, err = br.ReadByte()
+	assert.Equal(t, err, io.EOF)
+}
+
+// During a planned stop callers are served, and asked to use another connection.
+func TestDrainAsksForAnotherConnection(t *testing.T) {
+	s, addr := serve(t, echo)
+	s.Drain()
+	got := talk(t, addr, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 200"), got)
+	assert.Assert(t, strings.Contains(got, "Connection: close"), got)
+}
+
+// A caller closes its connection while its request is in progress. The relay is
+// told, so that the backend server's work ends.
+func TestCallerThatLeavesIsNoticed(t *testing.T) {
+	left := make(chan struct{})
+	_, addr := serve(t, func(ctx context.Context, _ *relay.Request) (*relay.Answer, error) {
+		<-ctx.Done()
+		close(left)
+		return nil, ctx.Err()
+	})
+	c, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	c.Close()
+	select {
+	case <-left:
+	case <-time.After(10 * time.Second):
+		t.Fatal("nobody noticed")
+	}
+}
