An engine that refused its part is probed before it gets more

Change: a refusal hands the engine to the prober, as silence does: nothing until a report comes, at least for the first second.

--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -14,7 +14,6 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
-	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/platform"
 )
 
@@ -319,14 +318,6 @@
 	}
 }
 
-func (s *stream) suspect(b *model.BackendServer, why string, err error) {
-	s.avoid[b.ID] = true
-	until, news := s.Health.Suspect(b.ID)
-	if news {
-		klog.InfoS("engine suspected", "request", s.call.Attempt, "server", b.ID, "address", b.Address, "why", why, "err", err, "until", until)
-	}
-}
-
 // refused takes in which engine would not run its part.
 func (s *stream) refused(parts []chains.Part, v platform.Verdict, status int) {
 	culprit := parts[0].Server
@@ -335,7 +326,8 @@
 			culprit = p.Server
 		}
 	}
-	s.suspect(culprit, "refused with status "+strconv.Itoa(status), nil)
+	s.avoid[culprit.ID] = true
+	s.Suspicions.Unreachable(culprit, s.call.Attempt, errors.Errorf("refused its part with status %d", status))
 	s.Pacer.Check([]chains.Part{{Server: culprit}}, s.call.Attempt, 0, 0)
 }
 
