--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -25,7 +25,9 @@
 	// repathWait bounds the order that replaces a part of a chain.
 	repathWait = 300 * time.Millisecond
 	// mostSilences is how many silences in a row a chain is allowed if its
-	// first engine answers and names nobody.
+	// first engine answers and names nobody; one less before the first event.
+	// Both end after 1.35 s, so that another chain has time for its first event
+	// before the caller leaves at 2 s.
 	mostSilences = 3
 )
 
@@ -145,7 +147,13 @@
 		w.blame(addr, n)
 		return
 	}
-	if n >= mostSilences {
+	w.mu.Lock()
+	patience := mostSilences
+	if !w.begun {
+		patience--
+	}
+	w.mu.Unlock()
+	if n >= patience {
 		w.end("", n, nil)
 		return
 	}
