Layers that nobody holds any more are loaded elsewhere

Change: after 2 s without a holder the leader moves slow cards whose layers others hold as well (a pure function, tested to uncover nothing and to fit every memory); an engine that refused as misdirected is suspected by time, doubling.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -26,6 +26,10 @@
 	// newcomerTime is how long an engine that appears later is left empty: a
 	// replacement registers shortly before its predecessor leaves.
 	newcomerTime = 1200 * time.Millisecond
+	// gapTime is how long layers may be held by nobody before other engines are
+	// moved there: an engine that restarts is back within some three seconds
+	// and takes its own range again, at the price of one load instead of two.
+	gapTime = 2 * time.Second
 	// orderTimeout bounds an order's answer, which only says that it began.
 	orderTimeout = time.Second
 	// loadSlack is added to the time a load should take before the order is
@@ -73,6 +77,8 @@
 	appeared map[string]time.Time
 	began    time.Time
 	newest   time.Time // when the last engine appeared
+	// gapSince is since when some layer of a service is held by nobody.
+	gapSince map[string]time.Time
 }
 
 // stored is a plan and the store's revision of it.
@@ -106,6 +112,7 @@
 		c.plans = map[string]stored{}
 		c.pending = map[string]order{}
 		c.appeared = map[string]time.Time{}
+		c.gapSince = map[string]time.Time{}
 		c.began = c.Now()
 		c.newest = c.began
 	}
@@ -198,11 +205,31 @@
 		}
 		return Make(svc.Engine, c.engineList(svc, servers, now, 0))
 	}
-	next, changed := Extend(svc.Engine, old.plan, c.engineList(svc, servers, now, newcomerTime))
-	if !changed {
-		return old.plan
+	settled := c.engineList(svc, servers, now, newcomerTime)
+	next, _ := Extend(svc.Engine, old.plan, settled)
+	if !c.gapLasts(svc, next, settled, now) {
+		return next
 	}
-	return next
+	repaired, changed := Repair(svc.Engine, next, settled)
+	if changed {
+		klog.InfoS("plan repaired: layers were held by nobody", "service", svc.Name, "layers", Uncovered(svc.Engine, next, settled))
+		delete(c.gapSince, svc.Name)
+	}
+	return repaired
+}
+
+// gapLasts tells whether some layer has been held by nobody for a while.
+func (c *Controller) gapLasts(svc *model.Service, plan Plan, engines []Engine, now time.Time) bool {
+	if len(Uncovered(svc.Engine, plan, engines)) == 0 {
+		delete(c.gapSince, svc.Name)
+		return false
+	}
+	since, ok := c.gapSince[svc.Name]
+	if !ok {
+		c.gapSince[svc.Name] = now
+		return false
+	}
+	return now.Sub(since) >= gapTime
 }
 
 // lacks tells whether an engine is not in the plan.
--- a/internal/coordination/placement/controller_test.go
+++ b/internal/coordination/placement/controller_test.go
@@ -288,6 +288,39 @@
 	})
 }
 
+// Both engines that hold some layers are gone for good and nobody comes. For a
+// while no token is made anywhere; then a slow card whose layers others hold as
+// well is moved there, and nothing else is loaded.
+func TestControllerRepairsAGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newShop(t)
+		all := append(engines("a", "a100", 3), engines("a", "l4", 9)...)
+		s.add(all)
+		s.run(12 * time.Second)
+		s.traffic = true
+		before := s.ordersGiven()
+		lost := model.LayerRange{}
+		for _, e := range all {
+			if s.held(e.Address).Contains(model.LayerRange{From: 10, To: 11}) {
+				s.catalog.Remove(e.Address, 0)
+				lost = s.held(e.Address)
+			}
+		}
+		assert.Assert(t, lost.Len() > 0)
+		s.run(15 * time.Second)
+		var live []Engine
+		plan := Plan{}
+		for _, e := range all {
+			if s.catalog.Load().ByID(e.Address) != nil {
+				live = append(live, e)
+				plan[e.Address] = s.held(e.Address)
+			}
+		}
+		assert.Equal(t, len(Uncovered(spec(), plan, live)), 0)
+		assert.Assert(t, s.ordersGiven()-before <= 4, "%d orders", s.ordersGiven()-before)
+	})
+}
+
 // Entries with an unknown card, or layers outside of the model, are not counted
 // on, and disturb nobody else.
 func TestControllerPassesOverOddEntries(t *testing.T) {
--- a/internal/coordination/placement/plan_test.go
+++ b/internal/coordination/placement/plan_test.go
@@ -173,3 +173,23 @@
 	assert.Assert(t, next["x"].Len() > 0 && next["y"].Len() > 0)
 	assert.Assert(t, next["x"].To <= next["y"].From || next["y"].To <= next["x"].From, "%s and %s overlap", next["x"], next["y"])
 }
+
+// Whatever is lost, a repair leaves no layer that was held without a holder,
+// fits every memory, and covers the gaps if enough engines can be spared.
+func TestRepairNeverUncovers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := spec()
+		all := drawEngines(rt)
+		plan := Make(s, all)
+		left := all[:rapid.IntRange(0, len(all)).Draw(rt, "left")]
+		before := map[int]bool{}
+		for _, l := range Uncovered(s, plan, left) {
+			before[l] = true
+		}
+		next, _ := Repair(s, plan, left)
+		fits(rt, s, next, left)
+		for _, l := range Uncovered(s, next, left) {
+			assert.Assert(rt, before[l], "layer %d was held before the repair", l)
+		}
+	})
+}
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -327,7 +327,14 @@
 		}
 	}
 	s.avoid[culprit.ID] = true
-	s.Suspicions.Unreachable(culprit, s.call.Attempt, errors.Errorf("refused its part with status %d", status))
+	if v.Misdirected {
+		// It answers reports, but is another incarnation or holds other layers:
+		// only its entry will tell. Each further refusal doubles the time.
+		until, _ := s.Health.Suspect(culprit.ID)
+		klog.InfoS("engine suspected: it does not hold its part", "request", s.call.Attempt, "server", culprit.ID, "until", until)
+	} else {
+		s.Suspicions.Unreachable(culprit, s.call.Attempt, errors.Errorf("refused its part with status %d", status))
+	}
 	s.Pacer.Check([]chains.Part{{Server: culprit}}, s.call.Attempt, 0, 0)
 }
 
