The exchange between routers is bounded in messages a second

Change: the interval grows with the number of routers beyond 24, so that one tells and hears 96 messages a second at most; counts are believed for four intervals. Not measured yet at 300 on this code.

--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -131,10 +131,10 @@
 	w.add("b1", "b", "a100", 40, 80)
 	_, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	assert.Equal(t, v, Found, "an idle pipe is crossed")
-	w.chooser.Pipes.SeenPeer("peer", map[Pair]float64{{A: "a", B: "b"}: 20000})
+	w.chooser.Pipes.SeenPeer("peer", map[Pair]float64{{A: "a", B: "b"}: 20000}, 2*time.Second)
 	_, v = w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	assert.Equal(t, v, NoChain)
-	w.now = w.now.Add(peerExpiry)
+	w.now = w.now.Add(2 * time.Second)
 	_, v = w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	assert.Equal(t, v, Found, "what the peer told is old")
 }
@@ -265,9 +265,9 @@
 // them each router would fill an engine by itself.
 func TestPeersCountUntilTheyAreSilent(t *testing.T) {
 	w := twoDomains()
-	w.chooser.Memory.SeenPeer("p", map[string]Use{"a1": {TokenLayers: 500, Streams: 2}})
+	w.chooser.Memory.SeenPeer("p", map[string]Use{"a1": {TokenLayers: 500, Streams: 2}}, 2*time.Second)
 	assert.Equal(t, w.chooser.Memory.Used("a1").Streams, 2.0)
-	w.now = w.now.Add(peerExpiry)
+	w.now = w.now.Add(2 * time.Second)
 	assert.Equal(t, w.chooser.Memory.Used("a1").Streams, 0.0)
 }
 
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// peerExpiry is how long another router's count is believed: a few exchanges.
-const peerExpiry = 2 * time.Second
-
 // slowExpiry is how long an engine's word about its pace is believed; a slow
 // one is asked again every second.
 const slowExpiry = 3 * time.Second
@@ -53,8 +50,8 @@
 }
 
 type peerCount struct {
-	at  time.Time
-	use map[string]Use
+	until time.Time // believed so long
+	use   map[string]Use
 }
 
 // slowness is an engine's slowdown as it reported it itself.
@@ -79,7 +76,7 @@
 		sum.add(o.use(now))
 	}
 	for _, c := range m.peers {
-		if now.Sub(c.at) < peerExpiry {
+		if now.Before(c.until) {
 			sum.add(c.use[id])
 		}
 	}
@@ -242,11 +239,12 @@
 	return out
 }
 
-// SeenPeer takes in what another router's streams take.
-func (m *Memory) SeenPeer(peer string, use map[string]Use) {
+// SeenPeer takes in what another router's streams take, and how long that is to
+// be believed: a few exchanges.
+func (m *Memory) SeenPeer(peer string, use map[string]Use, good time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peers[peer] = peerCount{at: m.now(), use: use}
+	m.peers[peer] = peerCount{until: m.now().Add(good), use: use}
 }
 
 // Expire forgets peers that have not told anything lately.
@@ -254,7 +252,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for peer, c := range m.peers {
-		if m.now().Sub(c.at) > peerExpiry {
+		if m.now().After(c.until) {
 			delete(m.peers, peer)
 		}
 	}
--- a/internal/coordination/chains/pipes.go
+++ b/internal/coordination/chains/pipes.go
@@ -44,8 +44,8 @@
 }
 
 type pipeCount struct {
-	at   time.Time
-	rate map[Pair]float64
+	until time.Time // believed so long
+	rate  map[Pair]float64
 }
 
 // decaying is a sum whose parts fade.
@@ -124,7 +124,7 @@
 		sum = d.read(now)
 	}
 	for _, c := range p.peers {
-		if now.Sub(c.at) < peerExpiry {
+		if now.Before(c.until) {
 			sum += c.rate[pair]
 		}
 	}
@@ -144,9 +144,10 @@
 	return out
 }
 
-// SeenPeer takes in what another router's streams move.
-func (p *Pipes) SeenPeer(peer string, rate map[Pair]float64) {
+// SeenPeer takes in what another router's streams move, and how long that is to
+// be believed.
+func (p *Pipes) SeenPeer(peer string, rate map[Pair]float64, good time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peers[peer] = pipeCount{at: p.now(), rate: rate}
+	p.peers[peer] = pipeCount{until: p.now().Add(good), rate: rate}
 }
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -10,6 +10,8 @@
 
 // RouterBeat is what a router tells its peers a few times a second.
 type RouterBeat struct {
+	// EveryMS is how long until the next message.
+	EveryMS int64 `json:"every"`
 	// Config is the version in force, and how long ago it was known to be the
 	// newest.
 	Config      int64 `json:"cfg"`
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -23,9 +23,17 @@
 )
 
 const (
-	// beatEvery is between two messages to a peer. A stream holds memory for a
-	// second or more, so a count is a quarter of that old at most.
+	// beatEvery is between two messages to a peer, while they are few. A stream
+	// holds memory for a second or more, so a count is a quarter of that old.
 	beatEvery = 250 * time.Millisecond
+	// beatShare is what each router adds to that time: however many there are,
+	// a router sends and receives at most 96 messages a second. With 300 routers
+	// each carries so little that older counts do no harm; without the bound
+	// they spent three quarters of their processor on the exchange.
+	beatShare = time.Second / 96
+	// believeBeats and believeSlack give how long a peer's counts are believed.
+	believeBeats = 4
+	believeSlack = time.Second
 	// beatTimeout bounds handing a message over; a silent peer costs no more.
 	beatTimeout = 700 * time.Millisecond
 	// fetchTimeout bounds fetching a configuration from a peer.
@@ -33,7 +41,7 @@
 	// readingDigits rounds shares for a shorter message.
 	readingDigits = 1000
 	// peerAlive is how long a peer is counted after its last message.
-	peerAlive = 10 * time.Second
+	peerAlive = 20 * time.Second
 )
 
 // Exchange keeps routers informed of each other.
@@ -116,20 +124,25 @@
 
 // Run tells the peers until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
-	tick := time.NewTicker(beatEvery)
-	defer tick.Stop()
 	for {
+		every := x.interval()
 		select {
-		case <-tick.C:
-			x.tell(ctx)
+		case <-time.After(every):
+			x.tell(ctx, every)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (x *Exchange) tell(ctx context.Context) {
+// interval is the time between two messages to a peer.
+func (x *Exchange) interval() time.Duration {
+	return max(beatEvery, time.Duration(x.Routers())*beatShare)
+}
+
+func (x *Exchange) tell(ctx context.Context, every time.Duration) {
 	beat := x.compose()
+	beat.EveryMS = every.Milliseconds()
 	for _, addr := range x.targets() {
 		go func() {
 			defer x.free(addr)
@@ -220,12 +233,13 @@
 	for id, u := range b.Uses {
 		uses[id] = chains.Use{TokenLayers: float64(u.TokenLayers), Streams: float64(u.Streams), Firsts: float64(u.Firsts), Reading: u.Reading}
 	}
-	x.Memory.SeenPeer(from, uses)
+	good := believeBeats*time.Duration(b.EveryMS)*time.Millisecond + believeSlack
+	x.Memory.SeenPeer(from, uses, good)
 	pipes := make(map[chains.Pair]float64, len(b.Pipes))
 	for _, p := range b.Pipes {
 		pipes[chains.Pair{A: p.A, B: p.B}] = p.Rate
 	}
-	x.Pipes.SeenPeer(from, pipes)
+	x.Pipes.SeenPeer(from, pipes, good)
 	for id, factor := range b.Slow {
 		x.Memory.PeerSlowdown(id, factor)
 	}
@@ -246,7 +260,7 @@
 // confirm takes in that a peer knows of no newer version either.
 func (x *Exchange) confirm(b wire.RouterBeat) {
 	now := x.Clock()
-	age := time.Duration(b.ConfigAgeMS)*time.Millisecond + beatEvery
+	age := time.Duration(b.ConfigAgeMS)*time.Millisecond + beatTimeout
 	if age < x.Config.Age(now) {
 		x.Config.Confirm(now - age)
 	}
