A call is admitted by the configuration that is in force when it is sent

The message carried the new revision, so that the gate could not tell. Ruled out: the moved TCP_USER_TIMEOUT (same function); a gate with the old template (it had confirmed). Change: a call whose configuration changed is admitted once more before it is sent, and names the revision that admitted it; gates refuse an older one. Sheets are not covered: a later epoch of a running one must not be refused (docs/PROOFS.md).

--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -151,7 +151,11 @@
 // checked refuses work from an entry that acts on an older configuration.
 func checked[Req, Rep any](d *Sidecar, f func(context.Context, string, Req) (Rep, error)) func(context.Context, string, Req) (Rep, error) {
 	return func(ctx context.Context, from string, req Req) (Rep, error) {
-		if err := d.node.Refuse(from); err != nil {
+		admitted := int64(0)
+		if a, ok := any(req).(interface{ AdmittedBy() int64 }); ok {
+			admitted = a.AdmittedBy()
+		}
+		if err := d.node.Refuse(from, admitted); err != nil {
 			var none Rep
 			return none, err
 		}
--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -138,6 +138,7 @@
 	ask           Ask
 	req           *requests.Request
 	rule          config.Rule
+	revision      int64 // of the configuration that gave the rule
 	kind          model.ServiceKind
 	layers        int
 	notRepeatable bool
@@ -169,11 +170,11 @@
 	if err := validate(ask); err != nil {
 		return nil, o.reject(ask, err)
 	}
-	rule, err := o.rule(ask)
+	revision, rule, err := o.rule(ask)
 	if err != nil {
 		return nil, o.reject(ask, err)
 	}
-	j := &job{ask: ask, rule: rule, began: o.Now(), notRepeatable: ask.NotRepeatable || rule.NotRepeatable}
+	j := &job{ask: ask, rule: rule, revision: revision, began: o.Now(), notRepeatable: ask.NotRepeatable || rule.NotRepeatable}
 	key := model.RequestKey{Customer: ask.Customer, ID: ask.ID}
 	if r, ok := o.Requests.Get(key); ok {
 		return r, o.join(ask, r)
@@ -218,16 +219,35 @@
 	return nil
 }
 
-func (o *Owner) rule(ask Ask) (config.Rule, error) {
-	t, ok := o.Config.Current().Template(ask.Customer)
+// rule gives what the customer's template says, and the revision it is of.
+func (o *Owner) rule(ask Ask) (int64, config.Rule, error) {
+	current := o.Config.Current()
+	t, ok := current.Template(ask.Customer)
 	if !ok {
-		return config.Rule{}, fault.New(fault.UnknownCustomer, "customer %q has no template", ask.Customer)
+		return 0, config.Rule{}, fault.New(fault.UnknownCustomer, "customer %q has no template", ask.Customer)
 	}
 	rule, ok := t.Rule(ask.Service)
 	if !ok {
-		return rule, fault.New(fault.Forbidden, "customer %q may not reach service %q", ask.Customer, ask.Service)
+		return 0, rule, fault.New(fault.Forbidden, "customer %q may not reach service %q", ask.Customer, ask.Service)
 	}
-	return rule, nil
+	return current.Head.Revision, rule, nil
+}
+
+// readmit checks a call once more if the configuration changed since it was
+// admitted. An entry thawed after a freeze admits by the old template and takes
+// in the new one before it calls the gate: the message then carries the new
+// revision, and the gate could not tell.
+func (o *Owner) readmit(j *job) error {
+	if o.Config.Revision() == j.revision {
+		return nil
+	}
+	revision, rule, err := o.rule(j.ask)
+	if err != nil {
+		return err
+	}
+	j.revision = revision
+	j.rule = rule
+	return nil
 }
 
 // admit checks what does not depend on the request's id being new.
--- a/internal/protocol/owner/plain.go
+++ b/internal/protocol/owner/plain.go
@@ -74,6 +74,9 @@
 // dispatch makes one attempt at one gate. With an error, ran tells whether the
 // backend server may have run it; false is proof.
 func (o *Owner) dispatch(ctx context.Context, j *job, gate wire.Hop, attempt int64) (body []byte, ran bool, err error) {
+	if err := o.readmit(j); err != nil {
+		return nil, false, err
+	}
 	var rep wire.CallReply
 	call, stop := o.whileUp(ctx, gate)
 	defer stop()
@@ -86,6 +89,7 @@
 		Remember:      j.remember,
 		Priority:      j.rule.Priority,
 		NotRepeatable: j.notRepeatable,
+		Revision:      j.revision,
 	}, &rep)
 	if err == nil {
 		o.Table.SeenLoad(gate.Address, membership.Load(rep.Load))
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -216,8 +216,14 @@
 	Remember time.Time `json:"keep"`
 	// NotRepeatable allows one hand-over to the backend server, ever.
 	NotRepeatable bool `json:"nr,omitempty"`
+	// Revision is that of the configuration by which the call was admitted. The
+	// sender may have a newer one by now, which rides on the message.
+	Revision int64 `json:"rev,omitempty"`
 }
 
+// AdmittedBy gives the revision by which the call was admitted.
+func (c Call) AdmittedBy() int64 { return c.Revision }
+
 // CallReply is the backend server's answer.
 type CallReply struct {
 	Body []byte `json:"body"`
--- a/internal/transport/mesh/config.go
+++ b/internal/transport/mesh/config.go
@@ -243,11 +243,15 @@
 }
 
 // Refuse tells a gate whether an entry that sent a message acts on an older
-// configuration than is in force here.
-func (n *Node) Refuse(from string) error {
-	m, ok := n.Table.Get(from)
-	if ok && m.Revision < n.Config.Revision() {
-		return fault.New(fault.StaleConfig, "entry %s acts on configuration %d, %d is in force", from, m.Revision, n.Config.Revision())
+// configuration than is in force here. admitted is the revision by which the
+// entry let the work in; 0 where the message does not tell.
+func (n *Node) Refuse(from string, admitted int64) error {
+	here := n.Config.Revision()
+	if m, ok := n.Table.Get(from); ok && m.Revision < here {
+		return fault.New(fault.StaleConfig, "entry %s acts on configuration %d, %d is in force", from, m.Revision, here)
+	}
+	if admitted > 0 && admitted < here {
+		return fault.New(fault.StaleConfig, "entry %s admitted this by configuration %d, %d is in force", from, admitted, here)
 	}
 	return nil
 }
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -252,7 +252,7 @@
 	c.eventually("refusal by the thawed entry", func() bool {
 		res, err := ctl.NewClient("http://"+c.entries[1].http).Submit(context.Background(), notice(newID()), io.Discard)
 		if err == nil {
-			assert.Check(t, res.Outcome.State == v1.OutcomeState_OUTCOME_STATE_NOT_RUN, "served by the old template")
+			assert.Check(t, res.Outcome.State == v1.OutcomeState_OUTCOME_STATE_NOT_RUN, "served by the old template: %v", res.Outcome)
 			return false
 		}
 		return connect.CodeOf(err) == connect.CodePermissionDenied
