--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -71,13 +71,16 @@
 }
 
 // follow runs a follower in virtual time.
-func follow(t *testing.T, f func(store *standin.Store, p *picture, fl *Follower)) {
+func follow(t *testing.T, f func(store *standin.Store, p *picture, fl *Follower), setup ...func(*Follower)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		began := time.Now()
 		store := standin.NewStore()
 		p := newPicture()
 		fl := &Follower{Store: store, Sink: p, Clock: func() time.Duration { return time.Since(began) + time.Hour }}
+		for _, set := range setup {
+			set(fl)
+		}
 		done := make(chan struct{})
 		go func() { fl.Run(ctx); close(done) }()
 		defer func() { stop(); <-done }()
@@ -138,8 +141,10 @@
 // Only this process was cut off; a peer heard from the store all the time. What
 // was removed meanwhile has left, and must get no work for even a moment.
 func TestFollowGivesNoGraceWhereAPeerWasConnected(t *testing.T) {
-	follow(t, func(store *standin.Store, p *picture, fl *Follower) {
+	connected := func(fl *Follower) {
 		fl.Elsewhere = func() time.Duration { return fl.Clock() - 200*time.Millisecond }
+	}
+	follow(t, func(store *standin.Store, p *picture, _ *Follower) {
 		store.Put("server", []byte("1"))
 		time.Sleep(300 * time.Millisecond)
 		store.SetFaults(standin.StoreFaults{Refuse: true})
@@ -150,7 +155,7 @@
 		g, gone := p.graceOf("server")
 		assert.Assert(t, gone)
 		assert.Equal(t, g, time.Duration(0))
-	})
+	}, connected)
 }
 
 // The connection of this router's watch is silent while a peer's is not. The
@@ -158,7 +163,6 @@
 // for the watch's end. Peers that are merely a little ahead change nothing.
 func TestFollowNoticesThatAPeerIsAhead(t *testing.T) {
 	follow(t, func(store *standin.Store, p *picture, fl *Follower) {
-		fl.Routers = func() int { return 20 }
 		time.Sleep(2 * time.Second)
 		revision := store.PutUnseen("k", []byte("1"))
 		fl.PeerAt(revision)
@@ -169,7 +173,7 @@
 		fl.PeerAt(revision)
 		time.Sleep(100 * time.Millisecond)
 		assert.Assert(t, p.has("k", "1"))
-	})
+	}, func(fl *Follower) { fl.Routers = func() int { return 20 } })
 }
 
 // A change ends the watches of all routers at once, and then they go silent
--- a/internal/coordination/leader/leader_test.go
+++ b/internal/coordination/leader/leader_test.go
@@ -136,7 +136,7 @@
 		b.done.Go(func() { b.e.Run(ctx) })
 		b.done.Go(func() { b.watch(ctx, store) })
 		time.Sleep(3 * time.Second)
-		assert.Equal(t, lossy.lost, 1)
+		assert.Equal(t, lossy.losses(), 1)
 		assert.Equal(t, leaders(b), 1)
 		b.end()
 	})
@@ -163,14 +163,23 @@
 // losing loses the answers of some commits that took effect.
 type losing struct {
 	*standin.Store
+	mu               sync.Mutex
 	skip, lose, lost int
 }
 
+func (l *losing) losses() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
 func (l *losing) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
 	revision, err := l.Store.Commit(ctx, txn)
 	if err != nil {
 		return revision, err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.skip > 0 {
 		l.skip--
 		return revision, nil
--- a/internal/coordination/placement/controller_test.go
+++ b/internal/coordination/placement/controller_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,8 +26,8 @@
 	c       *Controller
 	catalog *catalog.Catalog
 	store   *standin.Store
-	token   int64
-	traffic bool
+	token   atomic.Int64
+	traffic atomic.Bool
 
 	mu       sync.Mutex
 	revision int64
@@ -46,12 +47,12 @@
 	sp.LoadsAtOnce = 5
 	current := &routes.Current{}
 	current.Apply(&model.RouteConfig{Version: 1, Services: []model.Service{{Name: "s", Engine: sp}, {Name: "plain"}}}, nil)
-	s.token = s.store.Put(leader.Key, []byte(`{}`))
+	s.token.Store(s.store.Put(leader.Key, []byte(`{}`)))
 	s.c = &Controller{
 		Config: current, Catalog: s.catalog, Store: s.store, Engines: s, Now: time.Now,
-		Token:   func() int64 { return s.token },
-		Fenced:  func(int64) { s.token = 0 },
-		Traffic: func() bool { return s.traffic },
+		Token:   s.token.Load,
+		Fenced:  func(int64) { s.token.Store(0) },
+		Traffic: s.traffic.Load,
 	}
 	return s
 }
@@ -180,7 +181,7 @@
 func TestControllerLoadsChainsFirstUnderTraffic(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newShop(t)
-		s.traffic = true
+		s.traffic.Store(true)
 		all := append(site(), engines("luka", "l4", 2)...)
 		s.add(all)
 		s.run(4 * time.Second)
@@ -204,7 +205,7 @@
 		all := site()
 		s.add(all)
 		s.run(12 * time.Second)
-		s.traffic = true
+		s.traffic.Store(true)
 		before := s.ordersGiven()
 		e := all[3]
 		want := s.held(e.Address)
@@ -253,10 +254,10 @@
 func TestControllerResignsWhenFenced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newShop(t)
-		s.fenced = s.token + 1
+		s.fenced = s.token.Load() + 1
 		s.add(site())
 		s.run(12 * time.Second)
-		assert.Equal(t, s.token, int64(0))
+		assert.Equal(t, s.token.Load(), int64(0))
 		assert.Equal(t, s.ordersGiven(), int64(0))
 	})
 }
@@ -266,7 +267,7 @@
 func TestControllerAdoptsWhatEnginesHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newShop(t)
-		s.traffic = true
+		s.traffic.Store(true)
 		all := site()
 		plan := Make(spec(), all)
 		for i, e := range all {
@@ -297,7 +298,7 @@
 		all := append(engines("a", "a100", 3), engines("a", "l4", 9)...)
 		s.add(all)
 		s.run(12 * time.Second)
-		s.traffic = true
+		s.traffic.Store(true)
 		before := s.ordersGiven()
 		lost := model.LayerRange{}
 		for _, e := range all {
--- a/internal/protocol/relay/prober_test.go
+++ b/internal/protocol/relay/prober_test.go
@@ -21,6 +21,7 @@
 	dead   bool
 	slow   float64
 	asked  int
+	told   int // suspicions passed on to peers
 	server *model.BackendServer
 }
 
@@ -34,6 +35,24 @@
 	return model.EngineReport{Slowdown: a.slow}, nil
 }
 
+func (a *asked) tell(string, time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.told++
+}
+
+func (a *asked) toldTimes() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.told
+}
+
+func (a *asked) askedTimes() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.asked
+}
+
 func (a *asked) set(dead bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -41,21 +60,20 @@
 }
 
 // probing runs a prober over one engine in virtual time.
-func probing(t *testing.T, f func(p *Prober, a *asked, told *[]string)) {
+func probing(t *testing.T, f func(p *Prober, a *asked)) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &asked{server: &model.BackendServer{ID: "e", Service: "s", Address: "1:1", Revision: 1}}
-		var told []string
 		p := NewProber()
 		p.Now = time.Now
 		p.Health = catalog.NewHealth(time.Now)
 		p.Catalog = catalog.New(time.Now)
 		p.Catalog.Put(*a.server)
 		p.Report = a.report
-		p.Tell = func(id string, _ time.Time) { told = append(told, id) }
+		p.Tell = a.tell
 		ctx, stop := context.WithCancel(context.Background())
 		var done sync.WaitGroup
 		done.Go(func() { p.Run(ctx) })
-		f(p, a, &told)
+		f(p, a)
 		stop()
 		done.Wait()
 	})
@@ -64,14 +82,14 @@
 // An engine dies and comes back under the same id. It gets nothing while it
 // does not answer, however long that is, and work again once it does.
 func TestDeadEngineStaysSuspectedUntilItAnswers(t *testing.T) {
-	probing(t, func(p *Prober, a *asked, told *[]string) {
+	probing(t, func(p *Prober, a *asked) {
 		a.set(true)
 		p.Unreachable(a.server, "r", nil)
 		for range 40 {
 			time.Sleep(250 * time.Millisecond)
 			assert.Assert(t, p.Health.Suspected("e"))
 		}
-		assert.Assert(t, len(*told) > 2, "peers are told as long as it lasts")
+		assert.Assert(t, a.toldTimes() > 2, "peers are told as long as it lasts")
 		a.set(false)
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, !p.Health.Suspected("e"))
@@ -81,7 +99,7 @@
 // A chain waited for an engine that answers its reports. The suspicion lasts
 // its first second all the same: the engine did not do its work.
 func TestAnsweringEngineIsSuspectedForAWhile(t *testing.T) {
-	probing(t, func(p *Prober, a *asked, _ *[]string) {
+	probing(t, func(p *Prober, a *asked) {
 		p.Unreachable(a.server, "r", nil)
 		time.Sleep(800 * time.Millisecond)
 		assert.Assert(t, p.Health.Suspected("e"))
@@ -93,7 +111,7 @@
 // A peer cut off from an engine suspects it. Here it answers: it keeps getting
 // work, and the peer's next words about it are not worth a probe each.
 func TestPeersSuspicionIsChecked(t *testing.T) {
-	probing(t, func(p *Prober, a *asked, told *[]string) {
+	probing(t, func(p *Prober, a *asked) {
 		p.Hint("e")
 		time.Sleep(50 * time.Millisecond)
 		assert.Assert(t, !p.Health.Suspected("e"))
@@ -101,22 +119,22 @@
 			p.Hint("e")
 			time.Sleep(250 * time.Millisecond)
 		}
-		assert.Equal(t, a.asked, 1)
-		assert.Equal(t, len(*told), 0, "what a peer told is not passed on as one's own")
+		assert.Equal(t, a.askedTimes(), 1)
+		assert.Equal(t, a.toldTimes(), 0, "what a peer told is not passed on as one's own")
 		p.Hint("unknown")
 	})
 }
 
 func TestGoneEngineIsForgotten(t *testing.T) {
-	probing(t, func(p *Prober, a *asked, _ *[]string) {
+	probing(t, func(p *Prober, a *asked) {
 		a.set(true)
 		p.Unreachable(a.server, "r", nil)
 		time.Sleep(time.Second)
 		p.Catalog.Remove("e", 0)
 		time.Sleep(time.Second)
-		before := a.asked
+		before := a.askedTimes()
 		time.Sleep(5 * time.Second)
-		assert.Equal(t, a.asked, before)
+		assert.Equal(t, a.askedTimes(), before)
 	})
 }
 
@@ -136,7 +154,7 @@
 		p.Check(parts, "r", time.Second, time.Millisecond)
 		p.Check(parts, "r", time.Second, time.Millisecond)
 		synctest.Wait()
-		assert.Equal(t, a.asked, 1, "many streams through one engine ask once")
+		assert.Equal(t, a.askedTimes(), 1, "many streams through one engine ask once")
 		assert.Equal(t, p.Memory.Slowdown("e"), 3.0)
 		a.mu.Lock()
 		a.slow = 1
@@ -148,6 +166,6 @@
 		time.Sleep(askAgain)
 		p.Recheck()
 		synctest.Wait()
-		assert.Equal(t, a.asked, 2)
+		assert.Equal(t, a.askedTimes(), 2)
 	})
 }
