An answer is ended once; streams without numbers are not resumed

Cause (found in reading): an engine's own failure of a stream was ended twice; the second time closed a connection that served the next request by then. A stream whose events carry no numbers would have come twice after a resume, and an answer of a model service that is no stream was cut into events. Change: the second end does nothing (TestSecondDoneDoesNothing failed first); no resume without numbers; other answers are passed on whole.

--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/platform"
 )
 
@@ -68,7 +69,7 @@
 			return q.refuse(q.ended(ctx))
 		}
 		last = fault.From(err)
-		if !q.mayResume(err) {
+		if !s.resumable() || !q.mayResume(err) {
 			return q.refuse(last)
 		}
 		klog.InfoS("stream goes on at another chain", "request", q.call.Attempt, "after", s.lastID, "events", s.events,
@@ -76,6 +77,10 @@
 	}
 }
 
+// resumable tells whether another engine can go on where the caller is: events
+// without numbers do not tell where that is, and would come twice.
+func (s *stream) resumable() bool { return s.events == 0 || s.hasLast }
+
 // keepFirst prefers the failure of an engine to the later lack of a chain.
 func keepFirst(first, then *fault.Error) *fault.Error {
 	if first != nil && then.Kind == fault.NoCapacity && first.Kind != fault.Internal {
@@ -228,6 +233,9 @@
 	if ans.Status != http.StatusOK || v.Signature == "" {
 		return s.failed(ans, v)
 	}
+	if q.ticket.Route.Kind != model.RouteStreaming {
+		return s.single(ans)
+	}
 	end := s.pass(ans, w)
 	if end == io.EOF {
 		s.succeed(parts)
@@ -243,6 +251,15 @@
 	return false, false, fault.New(fault.BackendLost, "a chain broke off after %d events", s.events)
 }
 
+// single passes on an answer that is not a stream of events.
+func (s *stream) single(ans *Answer) (done, whole bool, err error) {
+	read, err := s.readWhole(ans)
+	if err != nil {
+		return false, false, fault.New(fault.BackendLost, "%v", err)
+	}
+	return true, s.deliver(read), nil
+}
+
 // failed handles an engine's own failure: a stream that has not begun may be
 // tried elsewhere, else the failure is the answer.
 func (s *stream) failed(ans *Answer, v platform.Verdict) (done, whole bool, err error) {
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -43,7 +43,7 @@
 }
 
 // AnswerBody reads an answer's body. Read gives io.EOF only where the answer is
-// whole. Done must be called once.
+// whole. Done must be called; further calls do nothing.
 type AnswerBody interface {
 	io.Reader
 	// Length is the answer's length; -1 if it was not told.
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -145,6 +145,7 @@
 	reuse  bool
 	stop   func() bool
 	closed atomic.Bool
+	done   atomic.Bool
 }
 
 // Do sends a request and reads the head of its answer. The connection is
@@ -238,8 +239,12 @@
 }
 
 // Done ends the use of the answer: the connection is kept where the answer was
-// read to its end and nothing stands behind it, else closed.
+// read to its end and nothing stands behind it, else closed. Only the first call
+// counts: the connection may serve another request by the second one.
 func (b *Body) Done() {
+	if b.done.Swap(true) {
+		return
+	}
 	intact := b.stop() && b.whole && b.reuse && !b.closed.Load()
 	if !intact || b.conn.br.Buffered() > 0 {
 		b.conn.Close()
--- a/internal/transport/backend/pool_test.go
+++ b/internal/transport/backend/pool_test.go
@@ -115,6 +115,31 @@
 	assert.Equal(t, requests, 5)
 }
 
+// An answer is ended twice. The connection serves the next request by then, and
+// must not be closed under it.
+func TestSecondDoneDoesNothing(t *testing.T) {
+	s := newServer(t, reply(ok))
+	p := NewPool()
+	ask := func() *relay.Answer {
+		ans, err := p.Do(context.Background(), s.l.Addr().String(), &relay.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		assert.NilError(t, err)
+		return ans
+	}
+	first := ask()
+	_, err := io.ReadAll(first.Body)
+	assert.NilError(t, err)
+	first.Body.Done()
+	second := ask()
+	first.Body.Done()
+	raw, err := io.ReadAll(second.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(raw), "body")
+	second.Body.Done()
+	ask().Body.Done()
+	conns, _ := s.counts()
+	assert.Equal(t, conns, 1)
+}
+
 // A server sends a second answer behind the first one. The next request must
 // not get it: it goes over another connection.
 func TestSurplusAnswerIsNotTheNextOnes(t *testing.T) {
