First chains are loaded first by their ranges; settings that nothing read are gone

Cause (in reading): the order of loads rested on a pace that fitted the cards of the sites; four settings and two methods were read by nothing. Change: the first chain of each domain is found from the plan; gauges of requests, connections and version; an example of a router's settings, checked by a test.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -336,7 +336,8 @@
 		}
 		due = append(due, b)
 	}
-	sort.SliceStable(due, func(i, j int) bool { return c.before(svc, plan, due[i], due[j]) })
+	first := firstWave(svc.Engine, plan, c.engineList(svc, servers, now, 0))
+	sort.SliceStable(due, func(i, j int) bool { return before(svc.Engine, plan, first, due[i], due[j]) })
 	due = due[:max(min(len(due), most-loading), 0)]
 	for _, b := range due {
 		want := plan[b.Address]
@@ -348,26 +349,43 @@
 	return due
 }
 
-// before orders engines by card, failure domain and layer.
-func (c *Controller) before(svc *model.Service, plan Plan, a, b *model.BackendServer) bool {
-	ca, _ := svc.Engine.Card(a.Card)
-	cb, _ := svc.Engine.Card(b.Card)
-	if a.FailureDomain != b.FailureDomain && ca.Pace <= chainPace && cb.Pace <= chainPace {
-		return a.FailureDomain < b.FailureDomain
+// firstWave names the engines, by address, that make up the first whole chain of
+// each failure domain: the fastest cards until every layer is held.
+func firstWave(spec *model.EngineSpec, plan Plan, engines []Engine) map[string]bool {
+	wave := map[string]bool{}
+	for _, group := range byDomain(engines) {
+		for i, e := range group {
+			wave[e.Address] = true
+			classEnds := i+1 == len(group) || group[i+1].Card.Pace != e.Card.Pace
+			if classEnds && len(Uncovered(spec, plan, group[:i+1])) == 0 {
+				break
+			}
+		}
 	}
-	if ca.Pace != cb.Pace {
+	return wave
+}
+
+// before orders engines for loading: first the first chains, one failure domain
+// after the other, so that requests are served before all loads are done; then
+// the rest by card, failure domain and layer.
+func before(spec *model.EngineSpec, plan Plan, first map[string]bool, a, b *model.BackendServer) bool {
+	if first[a.Address] != first[b.Address] {
+		return first[a.Address]
+	}
+	ca, _ := spec.Card(a.Card)
+	cb, _ := spec.Card(b.Card)
+	if !first[a.Address] && ca.Pace != cb.Pace {
 		return ca.Pace < cb.Pace
 	}
 	if a.FailureDomain != b.FailureDomain {
 		return a.FailureDomain < b.FailureDomain
 	}
+	if ca.Pace != cb.Pace {
+		return ca.Pace < cb.Pace
+	}
 	return plan[a.Address].From < plan[b.Address].From
 }
 
-// chainPace is up to which pace cards are loaded domain by domain: those make
-// up the fast chains.
-const chainPace = 8.0
-
 // place gives one order. The report before it tells the number of orders that
 // the engine has begun: an order that arrives late, after a newer one, then no
 // longer fits.
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -58,6 +58,15 @@
 	m.scope.Gauge("gate_places").Update(float64(l.Capacity))
 }
 
+// router tells how a router stands: requests in progress, requests that wait for
+// room, connections opened to backend servers so far, and the version in force.
+func (m *metrics) router(active int64, waiting int, opened, version int64) {
+	m.scope.Gauge("requests_active").Update(float64(active))
+	m.scope.Gauge("requests_waiting").Update(float64(waiting))
+	m.scope.Gauge("backend_connections_opened").Update(float64(opened))
+	m.scope.Gauge("config_version").Update(float64(version))
+}
+
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
 
 // Request implements relay.Observer.
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -264,6 +264,7 @@
 func (r *Router) trim() {
 	r.backends.Trim()
 	r.memory.Expire()
+	r.metrics.router(r.front.Active(), r.front.Relay.Line.Len(), r.backends.Dialed(), r.config.Version())
 }
 
 // expire drops backend servers whose entries did not come back in time.
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -46,11 +46,6 @@
 // whole. Done must be called; further calls do nothing.
 type AnswerBody interface {
 	io.Reader
-	// Length is the answer's length; -1 if it was not told.
-	Length() int64
-	// Abort closes the connection, so that the server stops its work. Any
-	// goroutine may call it.
-	Abort()
 	// Discard marks the connection as unfit for another request.
 	Discard()
 	Done()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,14 +84,8 @@
 	FirstStart bool `toml:"first_start"`
 	// Grace is how long a planned stop may take.
 	Grace Duration `toml:"grace"`
-	// EngineDrain is how long after an engine's leaving work may still reach it.
-	EngineDrain Duration `toml:"engine_drain"`
 	// ConfigApply is how soon a configuration must be in force.
 	ConfigApply Duration `toml:"config_apply"`
-	// Stall is how long an engine waits for a dead part of its chain.
-	Stall Duration `toml:"stall"`
-	// LeaseMin is the shortest lease that the store grants.
-	LeaseMin Duration `toml:"lease_min"`
 	// RetryRatio, RetrySlack and RetryWindow bound repeated sends over all
 	// routers: in any window at most ratio x requests + slack for a service.
 	RetryRatio  float64  `toml:"retry_ratio"`
@@ -99,8 +93,6 @@
 	RetryWindow Duration `toml:"retry_window"`
 	// MemoryMB bounds the process's memory; 0 for no bound.
 	MemoryMB int `toml:"memory_mb"`
-	// MaxFiles is how many descriptors the process may hold; 0 for no bound.
-	MaxFiles int `toml:"max_files"`
 }
 
 // Link gives the one-way time between two failure domains.
@@ -144,10 +136,7 @@
 		Events:  Events{Keep: 16384},
 		Router: Router{
 			Grace:       Duration(8 * time.Second),
-			EngineDrain: Duration(2 * time.Second),
 			ConfigApply: Duration(2 * time.Second),
-			Stall:       Duration(3 * time.Second),
-			LeaseMin:    Duration(time.Second),
 			RetryRatio:  0.2,
 			RetryWindow: Duration(10 * time.Second),
 		},
@@ -249,7 +238,6 @@
 		{"router.store", isAddress(r.Store), address},
 		{"router.grace", r.Grace > 0, "must be longer than 0"},
 		{"router.config_apply", r.ConfigApply > 0, "must be longer than 0"},
-		{"router.stall", r.Stall > 0, "must be longer than 0"},
 		{"router.retry_ratio", r.RetryRatio >= 0, "must not be negative"},
 		{"router.retry_slack", r.RetrySlack >= 0, "must not be negative"},
 		{"router.retry_window", r.RetryWindow > 0, "must be longer than 0"},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -93,3 +93,24 @@
 		}
 	})
 }
+
+// The example of a router is good, and what is wrong with one is named.
+func TestRouterSettings(t *testing.T) {
+	raw, err := os.ReadFile("../../examples/router.toml")
+	assert.NilError(t, err)
+	s, err := Parse(raw)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Router.RetrySlack, 196)
+	for _, wrong := range [][2]string{
+		{`callers = "10.1.0.40:8227"`, `callers = "somewhere"`},
+		{`store = "10.200.1.7:8223"`, `store = ""`},
+		{`grace = "8s"`, `grace = "0s"`},
+		{`seeds = ["10.2.0.29:8229"]`, `seeds = ["x"]`},
+		{`instance = "edge-hala-luka-1"`, `instance = ""`},
+		{`retry_ratio = 0.2`, `retry_ratio = -1.0`},
+	} {
+		key, _, _ := strings.Cut(wrong[1], " ")
+		_, err := Parse([]byte(strings.Replace(string(raw), wrong[0], wrong[1], 1)))
+		assert.ErrorContains(t, err, key)
+	}
+}
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -137,15 +137,14 @@
 // whole: a length reached, a last chunk, or a clean close where there is no
 // length.
 type Body struct {
-	pool   *Pool
-	addr   string
-	conn   *conn
-	resp   *http.Response
-	whole  bool
-	reuse  bool
-	stop   func() bool
-	closed atomic.Bool
-	done   atomic.Bool
+	pool  *Pool
+	addr  string
+	conn  *conn
+	resp  *http.Response
+	whole bool
+	reuse bool
+	stop  func() bool
+	done  atomic.Bool
 }
 
 // Do sends a request and reads the head of its answer. The connection is
@@ -228,16 +227,6 @@
 	return n, err
 }
 
-// Length is the answer's length; -1 if it was not told.
-func (b *Body) Length() int64 { return b.resp.ContentLength }
-
-// Abort closes the connection, so that the server stops its work. It may be
-// called at any time, from any goroutine.
-func (b *Body) Abort() {
-	b.closed.Store(true)
-	b.conn.Close()
-}
-
 // Done ends the use of the answer: the connection is kept where the answer was
 // read to its end and nothing stands behind it, else closed. Only the first call
 // counts: the connection may serve another request by the second one.
@@ -245,7 +234,7 @@
 	if b.done.Swap(true) {
 		return
 	}
-	intact := b.stop() && b.whole && b.reuse && !b.closed.Load()
+	intact := b.stop() && b.whole && b.reuse
 	if !intact || b.conn.br.Buffered() > 0 {
 		b.conn.Close()
 		return
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -36,10 +36,8 @@
 
 type body struct{ io.Reader }
 
-func (body) Length() int64 { return -1 }
-func (body) Abort()        {}
-func (body) Discard()      {}
-func (body) Done()         {}
+func (body) Discard() {}
+func (body) Done()    {}
 
 func answer(text string) *relay.Answer {
 	h := http.Header{}
