--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -27,9 +27,9 @@
 	// holds memory for a second or more, so a count is a quarter of that old.
 	beatEvery = 250 * time.Millisecond
 	// beatShare is what each router adds to that time: however many there are,
-	// a router sends and receives at most 96 messages a second. With 300 routers
-	// each carries so little that older counts do no harm; without the bound
-	// they spent three quarters of their processor on the exchange.
+	// a router sends and receives at most 96 messages a second, instead of four
+	// times their number. Where there are hundreds each carries so little that
+	// older counts do no harm.
 	beatShare = time.Second / 96
 	// believeBeats and believeSlack give how long a peer's counts are believed.
 	believeBeats = 4
--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -11,8 +11,8 @@
 )
 
 // However many routers there are, one tells and hears a bounded number of
-// messages a second: at 300 a fixed interval took most of their processors, and
-// configurations came into force ten seconds late.
+// messages a second: with a fixed interval the cost of control would grow with
+// their number, and over all routers with its square.
 func TestExchangeIsBounded(t *testing.T) {
 	for _, routers := range []int{1, 4, 21, 100, 380} {
 		x := &Exchange{Self: "self:1", Now: time.Now}
