Peers' counts are added up when they come, not for each choice

Change: sums by engine, changed as messages come and made anew when one expires; same counts (TestPeersAddUp). The follower uses wait.For instead of a sleep of its own; a test of room without effect, minRun, and unused tags are gone.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -177,18 +177,12 @@
 			perLayer: per,
 			notFirst: d.FirstAmong != nil && !d.FirstAmong[b.ID],
 			noSlot:   b.Slots > 0 && used.Firsts+1 > float64(b.Slots)*slotLimit,
-			full:     used.TokenLayers+float64(d.Tokens)*minRun(spec, b.Holds) > capacity*fillLimit,
+			full:     used.TokenLayers+float64(d.Tokens*b.Holds.Len()) > capacity*fillLimit,
 		})
 	}
 	return out
 }
 
-// minRun is the fewest layers for which an engine is tested for room: an engine
-// rarely runs less than this share of what it holds.
-func minRun(spec *model.EngineSpec, held model.LayerRange) float64 {
-	return math.Min(float64(held.Len()), float64(spec.Layers))
-}
-
 // Capacity is the token memory of an engine, in tokens x layers.
 func Capacity(spec *model.EngineSpec, card model.Card, held model.LayerRange) float64 {
 	free := card.MB - float64(held.Len())*spec.LayerMB
--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -271,6 +271,33 @@
 	assert.Equal(t, w.chooser.Memory.Used("a1").Streams, 0.0)
 }
 
+// A peer's new count takes the place of its old one, peers add up, and one that
+// falls silent takes only its own with it.
+func TestPeersAddUp(t *testing.T) {
+	w := twoDomains()
+	m := w.chooser.Memory
+	m.SeenPeer("p", map[string]Use{"a1": {Streams: 2}, "a2": {Streams: 9}}, 2*time.Second)
+	m.SeenPeer("q", map[string]Use{"a1": {Streams: 3}}, 4*time.Second)
+	assert.Equal(t, m.Used("a1").Streams, 5.0)
+	m.SeenPeer("p", map[string]Use{"a1": {Streams: 1}}, 2*time.Second)
+	assert.Equal(t, m.Used("a1").Streams, 4.0)
+	assert.Equal(t, m.Used("a2").Streams, 0.0)
+	w.now = w.now.Add(3 * time.Second)
+	assert.Equal(t, m.Used("a1").Streams, 3.0)
+	m.Expire()
+	assert.Equal(t, m.Used("a1").Streams, 3.0)
+}
+
+func BenchmarkUsedWithPeers(b *testing.B) {
+	w := twoDomains()
+	for i := range 300 {
+		w.chooser.Memory.SeenPeer(fmt.Sprint(i), map[string]Use{"a1": {Streams: 1}}, time.Hour)
+	}
+	for b.Loop() {
+		w.chooser.Memory.Used("a1")
+	}
+}
+
 func TestReadingFades(t *testing.T) {
 	w := twoDomains()
 	w.chooser.Memory.Read("a1", 0.5)
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -15,20 +15,20 @@
 // Use is what streams take of one engine.
 type Use struct {
 	// TokenLayers is token memory, in tokens x layers.
-	TokenLayers float64 `json:"t"`
+	TokenLayers float64
 	// Streams is how many run through it, Firsts how many it received as the
 	// first engine of their chain.
-	Streams float64 `json:"n"`
-	Firsts  float64 `json:"f"`
+	Streams float64
+	Firsts  float64
 	// Reading is the share of its time that goes into reading prompts.
-	Reading float64 `json:"r"`
+	Reading float64
 }
 
-func (u *Use) add(o Use) {
-	u.TokenLayers += o.TokenLayers
-	u.Streams += o.Streams
-	u.Firsts += o.Firsts
-	u.Reading += o.Reading
+func (u *Use) add(o Use, sign float64) {
+	u.TokenLayers += sign * o.TokenLayers
+	u.Streams += sign * o.Streams
+	u.Firsts += sign * o.Firsts
+	u.Reading += sign * o.Reading
 }
 
 // Memory counts what streams take of engines: this router's own, and what
@@ -39,7 +39,12 @@
 	mu    sync.Mutex
 	own   map[string]*ownUse
 	peers map[string]peerCount
-	slow  map[string]slowness
+	// peerSum adds up what the peers told, by engine: each choice of a chain
+	// reads every engine, and would else go through every peer for each.
+	peerSum map[string]Use
+	// peerEnds is when the next peer's count expires.
+	peerEnds time.Time
+	slow     map[string]slowness
 }
 
 type ownUse struct {
@@ -63,7 +68,7 @@
 
 // NewMemory makes an empty count.
 func NewMemory(now func() time.Time) *Memory {
-	return &Memory{now: now, own: map[string]*ownUse{}, peers: map[string]peerCount{}, slow: map[string]slowness{}}
+	return &Memory{now: now, own: map[string]*ownUse{}, peers: map[string]peerCount{}, peerSum: map[string]Use{}, slow: map[string]slowness{}}
 }
 
 // Used is what is taken of an engine, as far as known here.
@@ -71,16 +76,48 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	var sum Use
+	if len(m.peers) > 0 && !now.Before(m.peerEnds) {
+		m.expire(now)
+	}
+	sum := m.peerSum[id]
 	if o, ok := m.own[id]; ok {
-		sum.add(o.use(now))
+		sum.add(o.use(now), 1)
 	}
-	for _, c := range m.peers {
-		if now.Before(c.until) {
-			sum.add(c.use[id])
+	return sum
+}
+
+// count adds a peer's use to the sums, or takes it off. The caller holds the
+// lock.
+func (m *Memory) count(use map[string]Use, sign float64) {
+	for id, u := range use {
+		sum := m.peerSum[id]
+		sum.add(u, sign)
+		m.peerSum[id] = sum
+	}
+}
+
+// expire drops counts whose time is over and finds when the next one ends. The
+// caller holds the lock.
+func (m *Memory) expire(now time.Time) {
+	m.peerEnds = time.Time{}
+	for peer, c := range m.peers {
+		if !now.Before(c.until) {
+			delete(m.peers, peer)
+			continue
 		}
+		m.noteEnd(c.until)
+	}
+	// Added up anew, so that sums hold no engine and no rounding of the past.
+	clear(m.peerSum)
+	for _, c := range m.peers {
+		m.count(c.use, 1)
+	}
+}
+
+func (m *Memory) noteEnd(until time.Time) {
+	if m.peerEnds.IsZero() || until.Before(m.peerEnds) {
+		m.peerEnds = until
 	}
-	return sum
 }
 
 func (o *ownUse) use(now time.Time) Use {
@@ -244,16 +281,16 @@
 func (m *Memory) SeenPeer(peer string, use map[string]Use, good time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peers[peer] = peerCount{until: m.now().Add(good), use: use}
+	m.count(m.peers[peer].use, -1)
+	c := peerCount{until: m.now().Add(good), use: use}
+	m.peers[peer] = c
+	m.count(use, 1)
+	m.noteEnd(c.until)
 }
 
 // Expire forgets peers that have not told anything lately.
 func (m *Memory) Expire() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for peer, c := range m.peers {
-		if m.now().After(c.until) {
-			delete(m.peers, peer)
-		}
-	}
+	m.expire(m.now())
 }
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
 const (
@@ -160,7 +161,7 @@
 			continue
 		}
 		f.noteLost(err)
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 		pause = min(2*pause, longestPause)
 	}
 }
@@ -212,7 +213,7 @@
 	f.Sink.Heard(now)
 	f.revision.Store(max(page.Revision, after))
 	if len(page.Items) > 0 {
-		sleep(ctx, f.gather())
+		wait.For(ctx, f.gather())
 	}
 	return max(page.Revision, after), nil
 }
@@ -253,12 +254,3 @@
 func (f *Follower) grace() time.Duration {
 	return max(f.graceUntil-f.Clock(), 0)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
