Repeated sends are lent between routers; refusals are looked into, shared and tried one at a time

Ruled out: repath orders (they are no sends), a too small budget as such (the sum over the routers was below the bound until the second crash). Change: a router whose part is used up borrows from the peer with most spares (what is lent counts as spent there, so the sum holds through cuts); after a refusal the engine's report and health tell full, leaving or neither; the suspicion runs its time, is shared, and ends for one stream at a time; a part of nine tenths instead of four fifths, without slack right after a start, when the old process's spending is unknown (so the sum holds when all are killed). The assertion of TestSharedRetriesComeBack (16 right after a start) became none at the start and 18 a window later.

--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -111,7 +111,7 @@
 	assert.Assert(t, !h.Suspected("a"))
 	until, _ = h.Suspect("a")
 	assert.Equal(t, until.Sub(*at), 2*firstSuspicion)
-	h.Clear("a")
+	h.Clear("a", *at)
 	assert.Assert(t, !h.Suspected("a"))
 	until, _ = h.Suspect("a")
 	assert.Equal(t, until.Sub(*at), firstSuspicion, "proof of work forgets the strikes")
@@ -130,3 +130,53 @@
 	assert.Equal(t, v.Latency, 40*time.Millisecond)
 	assert.Assert(t, v.Failures > 0 && v.Failures < failureWeight)
 }
+
+// An engine drains while the store is away, so that no entry says so. A stream
+// that it had before ends well there: that proves nothing about new ones.
+func TestOldWorkDoesNotClearASuspicion(t *testing.T) {
+	at, now := clock()
+	h := NewHealth(now)
+	given := *at
+	*at = at.Add(time.Second)
+	h.Refused("a", at.Add(4*time.Second), true)
+	*at = at.Add(time.Second)
+	h.Clear("a", given)
+	assert.Assert(t, h.Suspected("a"))
+	h.Clear("a", *at)
+	assert.Assert(t, !h.Suspected("a"))
+}
+
+// A suspicion runs out while dozens of streams look for a chain. One of them
+// tries the engine; the others go elsewhere until it has shown that it works.
+func TestOneStreamTriesAfterASuspicion(t *testing.T) {
+	at, now := clock()
+	h := NewHealth(now)
+	until, _ := h.Suspect("a")
+	*at = until
+	tried := 0
+	for range 50 {
+		if !h.View("a").Suspected {
+			h.Try("a")
+			tried++
+		}
+	}
+	assert.Equal(t, tried, 1)
+	h.Clear("a", *at)
+	assert.Assert(t, !h.View("a").Suspected)
+	h.Try("a")
+	assert.Assert(t, !h.View("a").Suspected, "an engine without strikes is not rationed")
+}
+
+// Another router tells of a refusal every quarter of a second, as the time that
+// is left of it. That is one strike here, not many.
+func TestPeersWordIsOneStrike(t *testing.T) {
+	at, now := clock()
+	h := NewHealth(now)
+	until := at.Add(time.Second)
+	for range 4 {
+		h.SuspectedElsewhere("a", until)
+		*at = at.Add(250 * time.Millisecond)
+	}
+	assert.Assert(t, !h.Suspected("a"))
+	assert.Equal(t, h.NextSuspicion("a"), 2*firstSuspicion)
+}
--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -14,6 +14,14 @@
 	// off and slow ones wait it out.
 	firstSuspicion   = time.Second
 	longestSuspicion = 8 * time.Second
+	// trialEvery is how often a backend server whose suspicion ran out is tried,
+	// until one piece of work has shown that it works. Without it each request
+	// of the moment is sent there, and what is refused uses up the budget for
+	// repeated sends. A stream shows it with its first event, after 100 ms.
+	trialEvery = 300 * time.Millisecond
+	// sameWord is how much later another router's suspicion must end to be a
+	// new one: it is told again and again, as the time that is left of it.
+	sameWord = 300 * time.Millisecond
 	// failureWeight is the weight of the newest outcome in the failure share:
 	// some ten requests decide.
 	failureWeight = 0.15
@@ -30,6 +38,8 @@
 type record struct {
 	mu       sync.Mutex
 	until    time.Time // suspected until then
+	since    time.Time // when the suspicion was last raised or confirmed
+	trial    time.Time // not tried again before
 	strikes  int
 	failures float64 // smoothed share of failed requests
 	latency  time.Duration
@@ -58,8 +68,9 @@
 			return
 		}
 		news = true
-		d := min(firstSuspicion<<min(r.strikes, 6), longestSuspicion)
+		d := r.nextSuspicion()
 		r.strikes++
+		r.since = now
 		r.until = now.Add(d)
 		until = r.until
 	})
@@ -70,19 +81,87 @@
 func (h *Health) SuspectUntil(id string, until time.Time) {
 	h.with(id, func(r *record) {
 		if until.After(r.until) {
+			r.since = h.now()
 			r.until = until
 		}
 	})
 }
 
-// Clear takes in proof that a backend server works.
-func (h *Health) Clear(id string) {
+// Refused takes in that a backend server refused work of this router and gets
+// none until then. A lasting refusal counts as a strike.
+func (h *Health) Refused(id string, until time.Time, lasting bool) {
 	h.with(id, func(r *record) {
+		r.since = h.now()
+		r.until = until
+		if lasting {
+			r.strikes++
+		}
+		r.strikes = max(r.strikes, 1)
+	})
+}
+
+// NextSuspicion is how long the next suspicion lasts: it doubles with each
+// strike.
+func (h *Health) NextSuspicion(id string) time.Duration {
+	d := firstSuspicion
+	h.with(id, func(r *record) { d = r.nextSuspicion() })
+	return d
+}
+
+func (r *record) nextSuspicion() time.Duration {
+	return min(firstSuspicion<<min(r.strikes, 6), longestSuspicion)
+}
+
+// SuspectedElsewhere takes in that another router's work was refused, and until
+// when nobody should send more. It counts as a strike here as well.
+func (h *Health) SuspectedElsewhere(id string, until time.Time) {
+	now := h.now()
+	h.with(id, func(r *record) {
+		if !until.After(r.until.Add(sameWord)) {
+			return
+		}
+		if !now.Before(r.until) {
+			r.strikes++
+		}
+		r.since = now
+		r.until = until
+	})
+}
+
+// Try takes in that a backend server is given work. One whose suspicion ran out
+// is not tried again for a moment.
+func (h *Health) Try(id string) {
+	r, ok := h.records.Get(id)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.strikes > 0 {
+		r.trial = h.now().Add(trialEvery)
+	}
+}
+
+// Clear takes in proof that a backend server did work that it was given at some
+// time. Work from before a suspicion proves nothing against it.
+func (h *Health) Clear(id string, given time.Time) {
+	h.with(id, func(r *record) {
+		if given.Before(r.since) {
+			return
+		}
 		r.until = time.Time{}
+		r.trial = time.Time{}
 		r.strikes = 0
 	})
 }
 
+// Trust takes in that a backend server answers again. Its strikes stay until it
+// has done work: one that answers and does nothing would else be tried again
+// every second.
+func (h *Health) Trust(id string) {
+	h.with(id, func(r *record) { r.until = time.Time{} })
+}
+
 // Suspected tells whether a backend server should get nothing now.
 func (h *Health) Suspected(id string) bool {
 	r, ok := h.records.Get(id)
@@ -91,7 +170,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return h.now().Before(r.until)
+	return r.suspected(h.now())
+}
+
+func (r *record) suspected(now time.Time) bool {
+	return now.Before(r.until) || r.strikes > 0 && now.Before(r.trial)
 }
 
 // Begin and End bracket a request of this process at a backend server.
@@ -130,7 +213,7 @@
 	var v View
 	now := h.now()
 	h.with(id, func(r *record) {
-		v = View{Suspected: now.Before(r.until), Failures: r.failures, Latency: r.latency, Active: r.active}
+		v = View{Suspected: r.suspected(now), Failures: r.failures, Latency: r.latency, Active: r.active}
 	})
 	return v
 }
--- a/internal/coordination/chains/cost.go
+++ b/internal/coordination/chains/cost.go
@@ -82,6 +82,9 @@
 
 // Begin takes in that a prompt goes through a chosen chain.
 func (c *Chooser) Begin(spec *model.EngineSpec, parts []Part, tokens int) {
+	for _, p := range parts {
+		c.Health.Try(p.Server.ID)
+	}
 	c.read(spec, parts, tokens)
 	c.crossed(spec, parts, tokens)
 }
--- a/internal/coordination/limits/retries.go
+++ b/internal/coordination/limits/retries.go
@@ -10,8 +10,9 @@
 	// count errs on the strict side.
 	retryBuckets = 20
 	// retrySafety is the share of the budget that routers give out. The rest
-	// covers routers that just came and have not been counted by the others.
-	retrySafety = 0.8
+	// covers routers that just came and have not been counted by the others, and
+	// loans that are used up to half a second after their lender counted them.
+	retrySafety = 0.9
 )
 
 // SharedRetries is one router's part of a budget for repeated sends that all
@@ -24,6 +25,7 @@
 	window  time.Duration
 	routers func() int
 	now     func() time.Time
+	began   time.Time
 
 	mu       sync.Mutex
 	services map[string]*retryWindow
@@ -43,6 +45,7 @@
 		window:   window,
 		routers:  routers,
 		now:      now,
+		began:    now(),
 		services: map[string]*retryWindow{},
 	}
 }
@@ -60,18 +63,55 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.turn(service)
+	if b.left(w) < 1 {
+		return false
+	}
+	w.repeats[w.at%retryBuckets]++
+	return true
+}
+
+// lendShare is the part of what a router has left that it lends at once; the
+// rest is for its own requests.
+const lendShare = 0.5
+
+// Lend gives up to want repeated sends to another router and counts them as
+// spent here.
+func (b *SharedRetries) Lend(service string, want int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.turn(service)
+	n := max(min(want, int(lendShare*b.left(w))), 0)
+	w.repeats[w.at%retryBuckets] += n
+	return n
+}
+
+// Spares tells what could be lent, by service.
+func (b *SharedRetries) Spares() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]int{}
+	for service := range b.services {
+		if n := int(lendShare * b.left(b.turn(service))); n > 0 {
+			out[service] = n
+		}
+	}
+	return out
+}
+
+// left is what may still be spent in this window. The caller holds the lock.
+func (b *SharedRetries) left(w *retryWindow) float64 {
 	requests := 0
 	repeats := 0
 	for i := range w.requests {
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	allowed := retrySafety * (b.ratio*float64(requests) + b.slack/float64(max(b.routers(), 1)))
-	if float64(repeats+1) > allowed {
-		return false
-	}
-	w.repeats[w.at%retryBuckets]++
-	return true
+	// A router that starts does not know what it spent before: its share of the
+	// slack is whole only when that has left the window. Where all routers are
+	// killed at once they would else spend the slack twice.
+	age := min(b.now().Sub(b.began).Seconds()/b.window.Seconds(), 1)
+	allowed := retrySafety * (b.ratio*float64(requests) + age*b.slack/float64(max(b.routers(), 1)))
+	return allowed - float64(repeats)
 }
 
 // turn moves a service's window on to now. The caller holds the lock.
--- a/internal/coordination/limits/retries_test.go
+++ b/internal/coordination/limits/retries_test.go
@@ -51,11 +51,13 @@
 func TestSharedRetriesComeBack(t *testing.T) {
 	now := time.Unix(5000, 0)
 	b := NewSharedRetries(0.2, 20, 10*time.Second, func() int { return 1 }, func() time.Time { return now })
+	assert.Assert(t, !b.Take("s"), "a router that starts does not know what it spent before")
+	now = now.Add(10 * time.Second)
 	taken := 0
 	for b.Take("s") {
 		taken++
 	}
-	assert.Equal(t, taken, 16, "four fifths of the slack")
+	assert.Equal(t, taken, 18, "nine tenths of the slack")
 	assert.Assert(t, b.Take("other"), "each service has its own budget")
 	now = now.Add(12 * time.Second)
 	assert.Assert(t, b.Take("s"))
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -59,6 +59,7 @@
 	elector  *leader.Elector
 	control  *placement.Controller
 	exchange *peers.Exchange
+	retries  *limits.SharedRetries
 	follower *follow.Follower
 	prober   *relay.Prober
 	links    *link.Server
@@ -114,10 +115,15 @@
 		Revision: func() int64 { return r.follower.Revision() },
 		PeerAt:   func(revision int64) { r.follower.PeerAt(revision) },
 		Hint:     func(id string) { r.prober.Hint(id) },
+		Refuses:  r.health.SuspectedElsewhere,
 		Clock:    boottime.Now,
 		Now:      time.Now,
 		Traffic:  r.traffic.Load,
 	}
+	rt := r.settings.Router
+	r.retries = limits.NewSharedRetries(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.Routers, time.Now)
+	r.exchange.Retries = r.retries
+	r.exchange.Loans = &limits.Loans{Budget: r.retries, Ask: r.exchange.Borrow, Now: time.Now}
 	r.links = link.NewServer(stamp)
 	r.exchange.Register(r.links)
 }
@@ -130,7 +136,8 @@
 		Health:      r.health,
 		Chooser:     &chains.Chooser{Catalog: r.catalog, Health: r.health, Memory: r.memory, Pipes: r.pipes, Routers: r.exchange.Routers},
 		Memory:      r.memory,
-		Retries:     limits.NewSharedRetries(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.Routers, time.Now),
+		Retries:     r.retries,
+		Loans:       r.exchange.Loans,
 		Line:        admission.NewLine(),
 		Backends:    r.backends,
 		Observer:    r.metrics,
@@ -150,7 +157,9 @@
 	r.prober.Health = r.health
 	r.prober.Catalog = r.catalog
 	r.prober.Report = rel.Report
+	r.prober.Healthy = rel.Healthy
 	r.prober.Tell = r.exchange.Suspect
+	r.prober.TellRefused = r.exchange.Refused
 	r.prober.Now = time.Now
 	r.front = &front.Server{Config: r.config, Relay: rel, OnRequest: func() { r.traffic.Store(true) }}
 }
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -59,7 +59,7 @@
 		if err != nil {
 			reason = "lost"
 		}
-		if !q.mayRepeat(reason) {
+		if !q.mayRepeat(ctx, reason) {
 			break
 		}
 		klog.InfoS("sent again", "request", q.call.Attempt, "reason", reason, "server", server.ID, "err", err, "sends", q.sends)
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -40,6 +40,8 @@
 	lastID  int64 // last event that the caller has
 	hasLast bool
 	events  int
+	// ranEvents are those of the present run, repeated ones included.
+	ranEvents int
 	// ranOn are the first engines that ran it.
 	ranOn     map[string]bool
 	lastEvent time.Time // when the caller got the last event
@@ -69,7 +71,7 @@
 			return q.refuse(q.ended(ctx))
 		}
 		last = fault.From(err)
-		if !s.resumable() || !q.mayResume(err) {
+		if !s.resumable() || !q.mayResume(ctx, err) {
 			return q.refuse(last)
 		}
 		klog.InfoS("stream goes on at another chain", "request", q.call.Attempt, "after", s.lastID, "events", s.events,
@@ -112,16 +114,16 @@
 }
 
 // mayResume decides whether the stream goes on elsewhere.
-func (q *request) mayResume(err error) bool {
+func (q *request) mayResume(ctx context.Context, err error) bool {
 	if q.runs == 0 {
-		return q.mayRepeat("refused")
+		return q.mayRepeat(ctx, "refused")
 	}
 	// An engine that was lost does not count as an attempt, and a stream that
 	// may be resumed is worth more sends than a fresh one.
 	if !q.ticket.Idempotent() || q.sends >= maxSends {
 		return false
 	}
-	if !q.Retries.Take(q.ticket.Service.Name) {
+	if !q.Loans.Take(ctx, q.ticket.Service.Name) {
 		klog.InfoS("not resumed: the retry budget is used up", "request", q.call.Attempt, "err", err)
 		return false
 	}
@@ -231,14 +233,14 @@
 	q.runs++
 	s.ranOn[first.ID] = true
 	if ans.Status != http.StatusOK || v.Signature == "" {
-		return s.failed(ans, v)
+		return s.failed(ctx, ans, v)
 	}
 	if q.ticket.Route.Kind != model.RouteStreaming {
 		return s.single(ans)
 	}
+	s.ranEvents = 0
 	end := s.pass(ans, w)
 	if end == io.EOF {
-		s.succeed(parts)
 		if !q.began {
 			s.begin(ans)
 		}
@@ -262,13 +264,13 @@
 
 // failed handles an engine's own failure: a stream that has not begun may be
 // tried elsewhere, else the failure is the answer.
-func (s *stream) failed(ans *Answer, v platform.Verdict) (done, whole bool, err error) {
+func (s *stream) failed(ctx context.Context, ans *Answer, v platform.Verdict) (done, whole bool, err error) {
 	q := s.request
 	read, err := q.readWhole(ans)
 	if err != nil {
 		return false, false, fault.New(fault.BackendFailed, "%v", err)
 	}
-	if !q.began && (read.status < 500 || !q.mayRepeat("engine failed")) {
+	if !q.began && (read.status < 500 || !q.mayRepeat(ctx, "engine failed")) {
 		return true, q.deliver(read), nil
 	}
 	return false, false, fault.New(fault.BackendFailed, "an engine failed with status %d", ans.Status)
@@ -293,6 +295,11 @@
 				return errOutOfOrder
 			}
 		}
+		if s.ranEvents == 0 {
+			parts, _ := w.state()
+			s.succeed(parts, w.since)
+		}
+		s.ranEvents++
 		if !q.began {
 			s.begin(ans)
 			q.firstEvent = q.Now().Sub(q.since)
@@ -329,9 +336,11 @@
 	s.began = true
 }
 
-func (s *stream) succeed(parts []chains.Part) {
+// succeed takes in that the engines of a chain did their work, as of when it was
+// sent: an engine that drains finishes what it has and takes nothing new.
+func (s *stream) succeed(parts []chains.Part, sent time.Time) {
 	for _, p := range parts {
-		s.Health.Clear(p.Server.ID)
+		s.Health.Clear(p.Server.ID, sent)
 	}
 }
 
@@ -350,9 +359,8 @@
 		until, _ := s.Health.Suspect(culprit.ID)
 		klog.InfoS("engine suspected: it does not hold its part", "request", s.call.Attempt, "server", culprit.ID, "until", until)
 	} else {
-		s.Suspicions.Unreachable(culprit, s.call.Attempt, errors.Errorf("refused its part with status %d", status))
+		s.Suspicions.Refused(culprit, s.call.Attempt, status)
 	}
-	s.Pacer.Check([]chains.Part{{Server: culprit}}, s.call.Attempt, 0, 0)
 }
 
 // lost takes in that a chain broke off or fell silent. Where an engine was
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -20,6 +20,15 @@
 	// trustProbe is for how long a probe's success outweighs the suspicions of
 	// other routers, which may be cut off from the engine themselves.
 	trustProbe = 3 * time.Second
+	// fullShare is the share of its token memory beyond which an engine that
+	// refuses is short of it, and not leaving.
+	fullShare = 0.8
+	// fullPause is how long an engine that is full gets nothing new: a stream
+	// ends there every few milliseconds.
+	fullPause = 300 * time.Millisecond
+	// leavingPause is how long an engine that refuses work and calls itself ill
+	// gets none: it drains, and its entry may say so only when the store is back.
+	leavingPause = 8 * time.Second
 )
 
 // Prober keeps suspected engines from getting work until they answer again. A
@@ -31,6 +40,10 @@
 	Report  func(ctx context.Context, b *model.BackendServer) (model.EngineReport, error)
 	// Tell passes a suspicion on to the other routers.
 	Tell func(id string, until time.Time)
+	// Healthy asks a backend server whether it is well and not leaving.
+	Healthy func(ctx context.Context, b *model.BackendServer) (bool, error)
+	// TellRefused tells the other routers that an engine refuses work.
+	TellRefused func(id string, until time.Time)
 	Now  func() time.Time
 
 	mu       sync.Mutex
@@ -59,6 +72,46 @@
 	p.Tell(b.ID, until)
 }
 
+// Refused implements Suspicions. An engine refuses while it is full, for a
+// moment, or because it drains or gives its part up, for good; its entry may say
+// so only seconds later, or not at all while the store is away. Its report and
+// its health tell which. Probing would clear it at once, as it answers; so the
+// suspicion runs its time, and the peers keep to it too.
+func (p *Prober) Refused(b *model.BackendServer, request string, status int) {
+	if p.Health.Suspected(b.ID) {
+		return
+	}
+	p.Health.SuspectUntil(b.ID, p.Now().Add(fullPause))
+	go p.whyRefused(b, request, status)
+}
+
+func (p *Prober) whyRefused(b *model.BackendServer, request string, status int) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportWait)
+	defer cancel()
+	report, err := p.Report(ctx, b)
+	if err != nil {
+		p.Unreachable(b, request, err)
+		return
+	}
+	full := report.Queued > 0 || report.UsedTokenLayers > fullShare*report.TotalTokenLayers
+	well := true
+	if !full {
+		well, err = p.Healthy(ctx, b)
+	}
+	pause := fullPause
+	switch {
+	case !well:
+		pause = leavingPause
+	case !full:
+		pause = p.Health.NextSuspicion(b.ID)
+	}
+	until := p.Now().Add(pause)
+	p.Health.Refused(b.ID, until, !full)
+	p.TellRefused(b.ID, until)
+	klog.InfoS("engine refuses", "request", request, "server", b.ID, "address", b.Address, "status", status, "full", full, "well", well, "err", err,
+		"usedTokenLayers", report.UsedTokenLayers, "totalTokenLayers", report.TotalTokenLayers, "queued", report.Queued, "until", until)
+}
+
 // Hint takes in another router's suspicion: the engine is asked before it gets
 // more work from here, and what it answers here decides.
 func (p *Prober) Hint(id string) {
@@ -152,7 +205,7 @@
 		delete(p.suspects, b.ID)
 		p.answered[b.ID] = p.Now()
 		p.mu.Unlock()
-		p.Health.Clear(b.ID)
+		p.Health.Trust(b.ID)
 		klog.InfoS("engine trusted again", "server", b.ID, "after", p.Now().Sub(s.since))
 		return
 	}
--- a/internal/protocol/relay/prober_test.go
+++ b/internal/protocol/relay/prober_test.go
@@ -22,6 +22,8 @@
 	slow   float64
 	asked  int
 	told   int // suspicions passed on to peers
+	load   model.EngineReport
+	ill    bool
 	server *model.BackendServer
 }
 
@@ -32,9 +34,13 @@
 	if a.dead {
 		return model.EngineReport{}, errors.New("no answer")
 	}
-	return model.EngineReport{Slowdown: a.slow}, nil
+	out := a.load
+	out.Slowdown = a.slow
+	return out, nil
 }
 
+func (a *asked) healthy(context.Context, *model.BackendServer) (bool, error) { return !a.ill, nil }
+
 func (a *asked) tell(string, time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -70,6 +76,8 @@
 		p.Catalog.Put(*a.server)
 		p.Report = a.report
 		p.Tell = a.tell
+		p.TellRefused = a.tell
+		p.Healthy = a.healthy
 		ctx, stop := context.WithCancel(context.Background())
 		var done sync.WaitGroup
 		done.Go(func() { p.Run(ctx) })
@@ -169,3 +177,52 @@
 		assert.Equal(t, a.askedTimes(), 2)
 	})
 }
+
+// An engine drains: it refuses new work, answers its reports, and calls itself
+// ill. Probes must not bring it back; it gets nothing for seconds, and the peers
+// are told, so that each of their streams need not find out by itself.
+func TestLeavingEngineIsLeftAlone(t *testing.T) {
+	probing(t, func(p *Prober, a *asked) {
+		a.ill = true
+		a.load = model.EngineReport{UsedTokenLayers: 10, TotalTokenLayers: 100}
+		for range 20 {
+			p.Refused(a.server, "r", 503)
+		}
+		time.Sleep(7 * time.Second)
+		assert.Assert(t, p.Health.Suspected("e"))
+		assert.Equal(t, a.askedTimes(), 1, "one stream's refusal is looked into, not each")
+		assert.Equal(t, a.toldTimes(), 1)
+		time.Sleep(time.Second)
+		assert.Assert(t, !p.Health.Suspected("e"))
+	})
+}
+
+// An engine is short of token memory and refuses. A stream ends there soon: it is
+// left alone for a moment only, however often that comes.
+func TestFullEngineIsLeftForAMoment(t *testing.T) {
+	probing(t, func(p *Prober, a *asked) {
+		a.load = model.EngineReport{UsedTokenLayers: 99, TotalTokenLayers: 100}
+		for range 5 {
+			p.Refused(a.server, "r", 503)
+			time.Sleep(fullPause / 2)
+			assert.Assert(t, p.Health.Suspected("e"))
+			time.Sleep(fullPause)
+			assert.Assert(t, !p.Health.Suspected("e"))
+		}
+	})
+}
+
+// An engine refuses, is well and has room: it gives its layers up. Each further
+// refusal doubles the time in which it gets nothing.
+func TestRefusalsDoubleTheSuspicion(t *testing.T) {
+	probing(t, func(p *Prober, a *asked) {
+		a.load = model.EngineReport{TotalTokenLayers: 100}
+		for _, lasts := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+			p.Refused(a.server, "r", 503)
+			time.Sleep(lasts - 10*time.Millisecond)
+			assert.Assert(t, p.Health.Suspected("e"))
+			time.Sleep(20 * time.Millisecond)
+			assert.Assert(t, !p.Health.Suspected("e"))
+		}
+	})
+}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -76,6 +76,8 @@
 // until it has answered again.
 type Suspicions interface {
 	Unreachable(b *model.BackendServer, request string, err error)
+	// Refused takes in that an engine answered and refused its work.
+	Refused(b *model.BackendServer, request string, status int)
 }
 
 // Relay serves callers' requests.
@@ -86,6 +88,7 @@
 	Chooser  *chains.Chooser
 	Memory   *chains.Memory
 	Retries  *limits.SharedRetries
+	Loans    *limits.Loans
 	Line     *admission.Line
 	Backends Backends
 	Observer Observer
@@ -262,14 +265,14 @@
 
 // mayRepeat takes one repeated send from the budget, if the request may be sent
 // again at all.
-func (q *request) mayRepeat(reason string) bool {
+func (q *request) mayRepeat(ctx context.Context, reason string) bool {
 	if q.runs >= q.ticket.Route.MaxAttempts || q.sends >= maxSends {
 		return false
 	}
 	if q.runs > 0 && !q.ticket.Idempotent() {
 		return false
 	}
-	if !q.Retries.Take(q.ticket.Service.Name) {
+	if !q.Loans.Take(ctx, q.ticket.Service.Name) {
 		klog.InfoS("no repeat: the retry budget is used up", "request", q.call.Attempt, "reason", reason)
 		return false
 	}
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -36,6 +36,24 @@
 	return platform.DecodeReport(raw)
 }
 
+// Healthy asks a backend server whether it is well and not leaving. Where the
+// operator gave no way to ask it counts as well.
+func (r *Relay) Healthy(ctx context.Context, b *model.BackendServer) (bool, error) {
+	svc := r.Config.Load().Service(b.Service)
+	if svc == nil || svc.HealthPath == "" {
+		return true, nil
+	}
+	ans, err := r.Backends.Do(ctx, b.Address, &Request{Method: http.MethodGet, Target: svc.HealthPath, Host: b.Address, Header: http.Header{}})
+	if err != nil {
+		return true, err
+	}
+	defer ans.Body.Done()
+	if _, err := io.Copy(io.Discard, ans.Body); err != nil {
+		ans.Body.Discard()
+	}
+	return ans.Status == http.StatusOK, nil
+}
+
 // Repath orders the first engine of a running stream to send it over another
 // path with the same first part.
 func (r *Relay) Repath(ctx context.Context, first *model.BackendServer, attempt string, path []platform.Hop) error {
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -42,6 +42,7 @@
 	q      *request
 	cancel context.CancelFunc
 	hold   *chains.Hold
+	since  time.Time // when the run was sent
 
 	mu      sync.Mutex
 	parts   []chains.Part
@@ -59,7 +60,7 @@
 }
 
 func (q *request) watch(parts []chains.Part, hold *chains.Hold, cancel context.CancelFunc) *chainWatch {
-	w := &chainWatch{q: q, parts: parts, hold: hold, cancel: cancel}
+	w := &chainWatch{q: q, parts: parts, hold: hold, cancel: cancel, since: q.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(firstSilence, w.ask)
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -6,6 +6,7 @@
 const (
 	MethodRouterBeat   Method = "router.beat" // notification
 	MethodRouterConfig Method = "router.config"
+	MethodRouterLend   Method = "router.lend"
 )
 
 // RouterBeat is what a router tells its peers a few times a second.
@@ -27,6 +28,11 @@
 	// Suspects are engines that do not do their work, with the milliseconds
 	// for which the suspicion still holds.
 	Suspects map[string]int64 `json:"sus,omitempty"`
+	// Refusing are engines that answer but refuse work, with the milliseconds
+	// for which they should get none.
+	Refusing map[string]int64 `json:"ref,omitempty"`
+	// Spares are repeated sends that it could lend, by service.
+	Spares map[string]int `json:"spare,omitempty"`
 	// Traffic says that it has seen callers' requests.
 	Traffic bool `json:"traffic,omitempty"`
 }
@@ -53,3 +59,14 @@
 	Firsts      int     `json:"f,omitempty"`
 	Reading     float64 `json:"r,omitempty"`
 }
+
+// RouterLend asks a router to lend repeated sends of its part of the budget.
+type RouterLend struct {
+	Service string `json:"s"`
+	Want    int    `json:"n"`
+}
+
+// RouterLent is how many it lent; they count as spent there.
+type RouterLent struct {
+	Lent int `json:"n"`
+}
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -15,6 +15,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -62,6 +63,13 @@
 	Hint  func(id string)
 	Clock func() time.Duration
 	Now   func() time.Time
+	// Retries is this router's part of the budget for repeated sends, Loans
+	// what it borrows.
+	Retries *limits.SharedRetries
+	Loans   *limits.Loans
+	// Refuses is told of engines that refused work of a peer, until when they
+	// should get none.
+	Refuses func(id string, until time.Time)
 	// Traffic tells whether this router saw callers' requests.
 	Traffic func() bool
 
@@ -72,6 +80,7 @@
 	traffic  bool            // a peer saw callers' requests
 	fetching bool
 	suspects map[string]time.Time // own suspicions to pass on
+	refusing map[string]time.Time // engines that refused this router's work
 }
 
 // Register adds the methods that peers call.
@@ -80,8 +89,10 @@
 	x.seen = map[string]time.Time{}
 	x.busy = map[string]bool{}
 	x.suspects = map[string]time.Time{}
+	x.refusing = map[string]time.Time{}
 	s.Register(wire.MethodRouterBeat, link.Handle(x.beat))
 	s.Register(wire.MethodRouterConfig, link.Handle(x.config))
+	s.Register(wire.MethodRouterLend, link.Handle(x.lend))
 }
 
 // SetMembers takes in the routers that are registered in the store.
@@ -98,6 +109,27 @@
 	x.suspects[id] = until
 }
 
+// Refused tells the peers that an engine refuses work.
+func (x *Exchange) Refused(id string, until time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.refusing[id] = until
+}
+
+// Borrow asks a peer to lend repeated sends.
+func (x *Exchange) Borrow(ctx context.Context, peer, service string, want int) (int, error) {
+	var rep wire.RouterLent
+	err := x.Pool.Call(ctx, peer, wire.MethodRouterLend, wire.RouterLend{Service: service, Want: want}, &rep)
+	return rep.Lent, err
+}
+
+// lend answers a peer's Borrow.
+func (x *Exchange) lend(_ context.Context, from string, l wire.RouterLend) (wire.RouterLent, error) {
+	n := x.Retries.Lend(l.Service, l.Want)
+	klog.InfoS("repeated sends lent", "service", l.Service, "peer", from, "wanted", l.Want, "lent", n)
+	return wire.RouterLent{Lent: n}, nil
+}
+
 // Routers counts the routers that share budgets, this one included: whoever is
 // registered, was heard lately, or is named as a seed.
 func (x *Exchange) Routers() int {
@@ -200,17 +232,12 @@
 	for pair, rate := range x.Pipes.Own() {
 		pipes = append(pipes, wire.RouterPipe{A: pair.A, B: pair.B, Rate: rate})
 	}
+	spares := x.Retries.Spares() // it counts the routers, so before the lock
 	now := x.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	suspects := map[string]int64{}
-	for id, until := range x.suspects {
-		if left := until.Sub(now); left > 0 {
-			suspects[id] = left.Milliseconds()
-		} else {
-			delete(x.suspects, id)
-		}
-	}
+	suspects := remaining(x.suspects, now)
+	refusing := remaining(x.refusing, now)
 	return wire.RouterBeat{
 		Config:      x.Config.Version(),
 		ConfigAgeMS: x.Config.Age(x.Clock()).Milliseconds(),
@@ -219,10 +246,26 @@
 		Pipes:       pipes,
 		Slow:        x.Memory.OwnSlow(),
 		Suspects:    suspects,
+		Refusing:    refusing,
+		Spares:      spares,
 		Traffic:     x.Traffic(),
 	}
 }
 
+// remaining gives the milliseconds left of each time and drops those that are
+// over.
+func remaining(until map[string]time.Time, now time.Time) map[string]int64 {
+	out := map[string]int64{}
+	for id, t := range until {
+		if left := t.Sub(now); left > 0 {
+			out[id] = left.Milliseconds()
+		} else {
+			delete(until, id)
+		}
+	}
+	return out
+}
+
 // beat takes in a peer's message.
 func (x *Exchange) beat(_ context.Context, from string, b wire.RouterBeat) (struct{}, error) {
 	x.mu.Lock()
@@ -246,6 +289,10 @@
 	for id := range b.Suspects {
 		x.Hint(id)
 	}
+	for id, left := range b.Refusing {
+		x.Refuses(id, x.Now().Add(limits.Jitter(time.Duration(left)*time.Millisecond)))
+	}
+	x.Loans.SeenSpares(from, b.Spares, good)
 	x.PeerAt(b.Revision)
 	mine := x.Config.Version()
 	switch {
