Moved streams' new parts are chosen for the pause that they cost

Ruled out: the orders themselves (0 to 20 ms), the time of detection (10 ms). Change: a move minimises the pause: the tokens that the new part reads, what other moved streams are still to read there, and transfers between failure domains, there and back. Moves have a file of their own.

--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -292,6 +292,28 @@
 	}
 }
 
+// A stream of 1,000 tokens loses a part. Slow cards in its failure domain hold the
+// layers, and a fast one in the next. A token would be faster there, but the move
+// takes all tokens over the pipe first, 57 ms, while the slow cards read them in
+// 10: the stream stays.
+func TestMoveIsChosenForItsPause(t *testing.T) {
+	w := newWorld()
+	w.svc.Engine.PipeMbps = 6400
+	w.add("first", "a", "a100", 0, 36)
+	w.add("lost", "a", "l40s", 36, 47)
+	w.add("last", "a", "a100", 47, 80)
+	w.add("slow", "a", "l4", 36, 47)
+	w.add("away", "b", "a100", 36, 47)
+	parts := []Part{
+		{Server: w.catalog.Load().ByID("first"), Layers: model.LayerRange{To: 36}},
+		{Server: w.catalog.Load().ByID("lost"), Layers: model.LayerRange{From: 36, To: 47}},
+		{Server: w.catalog.Load().ByID("last"), Layers: model.LayerRange{From: 47, To: 80}},
+	}
+	next := w.chooser.Replace(w.svc, parts, "lost", 1000, 0)
+	covers(t, next, model.LayerRange{To: 80})
+	assert.Equal(t, next[1].Server.ID, "slow")
+}
+
 func TestSlowEngineIsAvoided(t *testing.T) {
 	w := twoDomains()
 	w.add("a4", "a", "l40s", 40, 60)
--- a/internal/coordination/chains/cost.go
+++ b/internal/coordination/chains/cost.go
@@ -92,27 +92,8 @@
 // read takes in the reading of so many tokens by each part.
 func (c *Chooser) read(spec *model.EngineSpec, parts []Part, tokens int) {
 	for _, p := range parts {
-		card, ok := spec.Card(p.Server.Card)
-		if ok && spec.ReadRate > 0 {
-			share := float64(p.Layers.Len()) / float64(spec.Layers)
-			c.Memory.Read(p.Server.ID, float64(tokens)/spec.ReadRate*card.ReadFactor*share)
-		}
-	}
-}
-
-// rush takes in that a part of a moved stream reads all tokens so far. The
-// routers move their streams at the same moment and hear of each other only
-// later; each counts its own as often as there are routers, so that together
-// they spread over the engines and do not all wait at the cheapest.
-func (c *Chooser) rush(spec *model.EngineSpec, p Part, tokens int) {
-	card, ok := spec.Card(p.Server.Card)
-	if !ok || spec.ReadRate <= 0 {
-		return
+		c.Memory.Read(p.Server.ID, readTime(spec, p.Server, tokens, p.Layers.Len()))
 	}
-	share := float64(p.Layers.Len()) / float64(spec.Layers)
-	seconds := float64(tokens) / spec.ReadRate * card.ReadFactor * share
-	c.Memory.Read(p.Server.ID, seconds)
-	c.Memory.Rush(p.Server.ID, seconds*float64(c.Routers()-1))
 }
 
 // crossed takes in what neighbouring parts will move between failure domains.
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -52,8 +52,8 @@
 	streams     int
 	firsts      int
 	reading     decaying
-	// rush is reading that peers are expected to add at the moment.
-	rush decaying
+	// pending is what moved streams are expected to read there, in seconds.
+	pending decaying
 }
 
 type peerCount struct {
@@ -84,7 +84,6 @@
 	sum := m.peerSum[id]
 	if o, ok := m.own[id]; ok {
 		sum.add(o.use(now), 1)
-		sum.Reading += o.rush.read(now)
 	}
 	return sum
 }
@@ -253,12 +252,22 @@
 	m.owned(id).reading.add(m.now(), seconds/readMemory.Seconds())
 }
 
-// Rush counts reading that other routers are expected to add at this moment, in
-// seconds of the engine's time. They are not told of it.
-func (m *Memory) Rush(id string, seconds float64) {
+// Expect counts reading that streams which are moved now add to an engine, those
+// of other routers included, in seconds of its time. Peers are not told of it.
+func (m *Memory) Expect(id string, seconds float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.owned(id).rush.add(m.now(), seconds/readMemory.Seconds())
+	m.owned(id).pending.add(m.now(), seconds)
+}
+
+// Pending is what is left of that; it fades as it is worked off.
+func (m *Memory) Pending(id string) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o, ok := m.own[id]; ok {
+		return o.pending.read(m.now())
+	}
+	return 0
 }
 
 func (m *Memory) owned(id string) *ownUse {
--- /dev/null
+++ b/internal/coordination/chains/move.go
@@ -0,0 +1,184 @@
+package chains
+
+import (
+	"math"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// Replace finds a chain that a running stream can be moved to without an engine;
+// nil if there is none. The first part stays, as engines demand. Where others can
+// take the lost part's layers only that part differs; else all after the first
+// may, which costs reading the tokens so far again, but no new send.
+//
+// A chain for a new stream is chosen for its time a token. A moved stream stands
+// still until its new parts have read all tokens so far, so these are chosen for
+// that pause: what they read, what is already to be read there, and what has to
+// pass between failure domains.
+func (c *Chooser) Replace(svc *model.Service, parts []Part, lost string, tokens int, gap time.Duration) []Part {
+	at := -1
+	for i, p := range parts {
+		if p.Server.ID == lost {
+			at = i
+		}
+	}
+	if at <= 0 {
+		return nil
+	}
+	m := move{Chooser: c, svc: svc, parts: parts, tokens: tokens, gap: gap}
+	next := m.around(at)
+	if next == nil {
+		next = m.reroute(lost)
+	}
+	if next != nil {
+		m.took(next)
+	}
+	return next
+}
+
+// move is a running stream on its way to another chain.
+type move struct {
+	*Chooser
+	svc    *model.Service
+	parts  []Part
+	tokens int
+	gap    time.Duration
+}
+
+// around covers the layers of one part with engines outside of the chain.
+func (m *move) around(at int) []Part {
+	avoid := map[string]bool{}
+	for _, p := range m.parts {
+		avoid[p.Server.ID] = true
+	}
+	after := ""
+	if at+1 < len(m.parts) {
+		after = m.parts[at+1].Server.FailureDomain
+	}
+	with := m.cover(m.parts[at].Layers, m.parts[at-1].Server.FailureDomain, after, avoid)
+	if with == nil || len(m.parts)-1+len(with) > maxParts {
+		return nil
+	}
+	next := append([]Part(nil), m.parts[:at]...)
+	next = append(next, with...)
+	next = append(next, m.parts[at+1:]...)
+	if !m.roomToCross(m.svc.Engine, next[at-1:min(at+len(with)+1, len(next))], m.tokens, m.gap) {
+		return nil
+	}
+	return next
+}
+
+// reroute covers all layers after the first part anew.
+func (m *move) reroute(lost string) []Part {
+	first := m.parts[0]
+	need := model.LayerRange{From: first.Layers.To, To: m.svc.Engine.Layers}
+	with := m.cover(need, first.Server.FailureDomain, "", map[string]bool{first.Server.ID: true, lost: true})
+	if with == nil || 1+len(with) > maxParts {
+		return nil
+	}
+	next := append([]Part{first}, with...)
+	if !m.roomToCross(m.svc.Engine, next[:2], m.tokens, m.gap) {
+		return nil
+	}
+	return next
+}
+
+// cover finds engines for some layers, between parts in two failure domains, so
+// that the stream's pause is shortest. after is empty where no part follows.
+func (m *move) cover(need model.LayerRange, before, after string, avoid map[string]bool) []Part {
+	spec := m.svc.Engine
+	cross := crossTime.Seconds() * float64(max(spec.Stride, 1))
+	if spec.PipeMbps > 0 {
+		cross += CrossMbit(spec, m.tokens) / spec.PipeMbps
+	}
+	held := map[string]bool{}
+	for _, p := range m.parts {
+		held[p.Server.ID] = true
+	}
+	cands := m.candidates(m.svc, Demand{Domain: before, Tokens: m.tokens, Avoid: avoid})
+	for i := range cands {
+		b := cands[i].server
+		// The pause ends with the next event, which holds a stride of tokens.
+		cands[i].perLayer *= float64(max(spec.Stride, 1))
+		if held[b.ID] {
+			cands[i].full = false // it holds the stream's memory already
+			continue
+		}
+		// Going there and coming back, in shares of the layers: a part of its own
+		// has no place in the search for them.
+		if b.FailureDomain != before {
+			cands[i].perLayer += cross / float64(need.Len())
+		}
+		if after != "" && b.FailureDomain != after {
+			cands[i].perLayer += cross / float64(need.Len())
+		}
+		waits := m.Memory.Pending(b.ID) / float64(b.Holds.Len())
+		cands[i].perLayer += waits + readTime(spec, b, m.tokens, 1)
+	}
+	walk := walk{spec: spec, cands: cands, need: need, home: before, room: true}
+	walk.cross = m.crossings(spec, cands, m.tokens, m.gap)
+	for i, row := range walk.cross {
+		for j := range row {
+			row[j] *= float64(max(spec.Stride, 1))
+			if i != j {
+				row[j] = math.Max(row[j], cross)
+			}
+		}
+	}
+	return walk.shortest()
+}
+
+// readTime is how long an engine reads so many tokens through so many layers, in
+// seconds, if it does nothing else.
+func readTime(spec *model.EngineSpec, b *model.BackendServer, tokens, layers int) float64 {
+	card, ok := spec.Card(b.Card)
+	if !ok || spec.ReadRate <= 0 {
+		return 0
+	}
+	return float64(tokens) / spec.ReadRate * card.ReadFactor * float64(layers) / float64(spec.Layers)
+}
+
+// took takes in what the move costs: parts that the stream did not have read all
+// tokens so far, and pairs that it did not have move them between domains.
+//
+// All routers with streams through the lost engine move them at the same moment
+// and hear of each other only later. Those are mostly the ones of its failure
+// domain; each counts its own moves for all of these, so that together they
+// spread over the engines and do not all wait at the one that looks best.
+func (m *move) took(next []Part) {
+	spec := m.svc.Engine
+	had := map[Part]bool{}
+	for _, p := range m.parts {
+		had[p] = true
+	}
+	together := math.Max(float64(m.Routers())/float64(m.domains()), 1)
+	for i, p := range next {
+		if had[p] {
+			continue
+		}
+		m.read(spec, next[i:i+1], m.tokens)
+		m.Memory.Expect(p.Server.ID, together*readTime(spec, p.Server, m.tokens, p.Layers.Len()))
+		m.crossed(spec, next[i-1:min(i+2, len(next))], m.tokens)
+	}
+}
+
+// domains counts the failure domains that have engines.
+func (m *move) domains() int {
+	seen := map[string]bool{}
+	for _, b := range m.engines(m.svc.Name) {
+		seen[b.FailureDomain] = true
+	}
+	return max(len(seen), 1)
+}
+
+// roomToCross tells whether the pipes between neighbouring parts have room for
+// a stream of so many tokens.
+func (c *Chooser) roomToCross(spec *model.EngineSpec, parts []Part, tokens int, gap time.Duration) bool {
+	for i := 1; i < len(parts); i++ {
+		if math.IsInf(c.crossing(spec, parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain, tokens, gap), 1) {
+			return false
+		}
+	}
+	return true
+}
