--- /dev/null
+++ b/internal/coordination/placement/orders.go
@@ -0,0 +1,167 @@
+package placement
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+const (
+	// loadSlack is added to the time a load should take before the order is
+	// taken for lost and given again.
+	loadSlack = 3 * time.Second
+	// refusedPause is how long an engine that refused an order is left alone.
+	refusedPause = time.Second
+)
+
+// OrderResult is what became of an order.
+type OrderResult int
+
+// Results of an order. Unknown may be carried out, also later.
+const (
+	OrderUnknown OrderResult = iota
+	OrderTaken
+	OrderRefused
+	OrderFenced // a higher fencing token was seen
+)
+
+// Engines gives orders to engines and reads their reports.
+type Engines interface {
+	Report(ctx context.Context, b *model.BackendServer) (model.EngineReport, error)
+	// Place orders an engine to hold a range, if expected orders were begun.
+	Place(ctx context.Context, b *model.BackendServer, held model.LayerRange, fence, expected int64) (OrderResult, error)
+}
+
+type order struct {
+	want  model.LayerRange
+	until time.Time // given up then
+}
+
+// giveOrders orders what differs from the plan: whole chains of fast cards
+// first, so that requests are served before all loads are done, and no more at
+// once than load without slowing each other down, once there is traffic.
+func (c *Controller) giveOrders(ctx context.Context, svc *model.Service, servers []*model.BackendServer, plan Plan, token int64) {
+	due := c.due(svc, servers, plan)
+	for _, b := range due {
+		want := plan[b.Address]
+		go c.place(ctx, svc, b, want, token)
+	}
+}
+
+func (c *Controller) due(svc *model.Service, servers []*model.BackendServer, plan Plan) []*model.BackendServer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	most := len(servers)
+	if c.Traffic() {
+		most = svc.Engine.LoadsAtOnce
+	}
+	loading := 0
+	var due []*model.BackendServer
+	for _, b := range servers {
+		want, ok := plan[b.Address]
+		if !ok || want == b.Holds {
+			delete(c.pending, b.ID)
+			continue
+		}
+		if p, ok := c.pending[b.ID]; ok && now.Before(p.until) {
+			loading++
+			continue
+		}
+		card, _ := svc.Engine.Card(b.Card)
+		if want.Len() > MostLayers(svc.Engine, card) {
+			klog.InfoS("order withheld: more layers than memory", "server", b.ID, "card", b.Card, "layers", want.String())
+			continue
+		}
+		due = append(due, b)
+	}
+	first := firstWave(svc.Engine, plan, c.engineList(svc, servers, now, 0))
+	sort.SliceStable(due, func(i, j int) bool { return before(svc.Engine, plan, first, due[i], due[j]) })
+	due = due[:max(min(len(due), most-loading), 0)]
+	for _, b := range due {
+		want := plan[b.Address]
+		share := float64(want.Len()) / float64(max(svc.Engine.Layers, 1))
+		crowd := max(float64(len(due)+loading)/float64(svc.Engine.LoadsAtOnce), 1)
+		takes := time.Duration(float64(svc.Engine.LoadTime) * share * crowd)
+		c.pending[b.ID] = order{want: want, until: now.Add(takes + loadSlack)}
+	}
+	return due
+}
+
+// firstWave names the engines, by address, that make up the first whole chain of
+// each failure domain: the fastest cards until every layer is held.
+func firstWave(spec *model.EngineSpec, plan Plan, engines []Engine) map[string]bool {
+	wave := map[string]bool{}
+	for _, group := range byDomain(engines) {
+		for i, e := range group {
+			wave[e.Address] = true
+			classEnds := i+1 == len(group) || group[i+1].Card.Pace != e.Card.Pace
+			if classEnds && len(Uncovered(spec, plan, group[:i+1])) == 0 {
+				break
+			}
+		}
+	}
+	return wave
+}
+
+// before orders engines for loading: first the first chains, one failure domain
+// after the other, so that requests are served before all loads are done; then
+// the rest by card, failure domain and layer.
+func before(spec *model.EngineSpec, plan Plan, first map[string]bool, a, b *model.BackendServer) bool {
+	if first[a.Address] != first[b.Address] {
+		return first[a.Address]
+	}
+	ca, _ := spec.Card(a.Card)
+	cb, _ := spec.Card(b.Card)
+	if !first[a.Address] && ca.Pace != cb.Pace {
+		return ca.Pace < cb.Pace
+	}
+	if a.FailureDomain != b.FailureDomain {
+		return a.FailureDomain < b.FailureDomain
+	}
+	if ca.Pace != cb.Pace {
+		return ca.Pace < cb.Pace
+	}
+	return plan[a.Address].From < plan[b.Address].From
+}
+
+// place gives one order. The report before it tells the number of orders that
+// the engine has begun: an order that arrives late, after a newer one, then no
+// longer fits.
+func (c *Controller) place(ctx context.Context, svc *model.Service, b *model.BackendServer, want model.LayerRange, token int64) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := c.Engines.Report(ctx, b)
+	if err != nil {
+		klog.InfoS("no report before an order", "server", b.ID, "err", err)
+		c.pause(b.ID, want, refusedPause)
+		return
+	}
+	if report.Holds == want {
+		c.Catalog.SetHolds(b.ID, want)
+		return
+	}
+	if report.Busy {
+		c.pause(b.ID, want, refusedPause)
+		return
+	}
+	result, err := c.Engines.Place(ctx, b, want, token, report.Orders)
+	klog.InfoS("order given", "server", b.ID, "address", b.Address, "card", b.Card, "from", b.Holds.String(), "to", want.String(),
+		"token", token, "expected", report.Orders, "result", int(result), "err", err)
+	switch result {
+	case OrderFenced:
+		c.Fenced(token)
+	case OrderRefused:
+		c.pause(b.ID, want, refusedPause)
+	}
+}
+
+func (c *Controller) pause(id string, want model.LayerRange, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending[id] = order{want: want, until: c.Now().Add(d)}
+}
--- /dev/null
+++ b/internal/coordination/placement/repair.go
@@ -0,0 +1,146 @@
+package placement
+
+import "github.com/skylarkwood/skylarkwood/internal/model"
+
+// Extend gives ranges to engines that the plan does not know and leaves the
+// others where they are. A new engine takes the place of one that is gone, of
+// its own domain first; else it covers the layers that are held least.
+func Extend(spec *model.EngineSpec, plan Plan, engines []Engine) (next Plan, changed bool) {
+	next = Plan{}
+	known := byAddress(engines)
+	for addr, held := range plan {
+		next[addr] = held
+	}
+	for _, group := range byDomain(engines) {
+		for _, e := range group {
+			if _, ok := next[e.Address]; ok {
+				continue
+			}
+			changed = true
+			if addr := vacancy(spec, next, known, e); addr != "" {
+				next[e.Address] = next[addr]
+				delete(next, addr)
+				continue
+			}
+			placeSpare(spec, e, leastHeld(spec, next, known, e), next)
+		}
+	}
+	return next, changed
+}
+
+// Uncovered lists the layers that none of the engines is planned to hold.
+func Uncovered(spec *model.EngineSpec, plan Plan, engines []Engine) []int {
+	counts := coverage(spec, plan, engines)
+	var out []int
+	for l, n := range counts {
+		if n == 0 {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func coverage(spec *model.EngineSpec, plan Plan, engines []Engine) []int {
+	counts := make([]int, spec.Layers)
+	for _, e := range engines {
+		held := plan[e.Address]
+		for l := held.From; l < min(held.To, spec.Layers); l++ {
+			counts[l]++
+		}
+	}
+	return counts
+}
+
+// Repair moves engines onto layers that nobody holds any more, where no
+// newcomer takes them: without those layers no token is made anywhere. It moves
+// only engines whose own layers others hold as well, the slowest cards first,
+// since they carry the least.
+func Repair(spec *model.EngineSpec, plan Plan, engines []Engine) (next Plan, changed bool) {
+	next = Plan{}
+	for addr, held := range plan {
+		next[addr] = held
+	}
+	groups := byDomain(engines)
+	for {
+		gaps := Uncovered(spec, next, engines)
+		if len(gaps) == 0 {
+			return next, changed
+		}
+		e, ok := dispensable(spec, next, engines, groups)
+		if !ok {
+			return next, changed
+		}
+		placeSpare(spec, e, gaps[0], next)
+		changed = true
+	}
+}
+
+// dispensable finds an engine whose layers are all held by others too.
+func dispensable(spec *model.EngineSpec, plan Plan, engines []Engine, groups [][]Engine) (Engine, bool) {
+	counts := coverage(spec, plan, engines)
+	var best Engine
+	found := false
+	for _, group := range groups {
+		for _, e := range group {
+			if heldTwice(counts, plan[e.Address]) && (!found || e.Card.Pace > best.Card.Pace) {
+				best = e
+				found = true
+			}
+		}
+	}
+	return best, found
+}
+
+func heldTwice(counts []int, held model.LayerRange) bool {
+	for l := held.From; l < min(held.To, len(counts)); l++ {
+		if counts[l] < 2 {
+			return false
+		}
+	}
+	return true
+}
+
+// vacancy finds a planned range whose engine is gone and that fits e's memory
+// best; empty if there is none.
+func vacancy(spec *model.EngineSpec, plan Plan, known map[string]Engine, e Engine) string {
+	best := ""
+	for addr, held := range plan {
+		if _, ok := known[addr]; ok || held.Len() > MostLayers(spec, e.Card) {
+			continue
+		}
+		if tokens(spec, e.Card, held.Len()) < float64(spec.UsualPrompt+spec.UsualAnswer)*4 {
+			continue
+		}
+		if best == "" || held.Len() > plan[best].Len() || held.Len() == plan[best].Len() && addr < best {
+			best = addr
+		}
+	}
+	return best
+}
+
+// leastHeld finds where a spare should begin: the layer that is held least, in
+// its own domain first.
+func leastHeld(spec *model.EngineSpec, plan Plan, known map[string]Engine, e Engine) int {
+	const ownWeight = 2
+	counts := make([]int, spec.Layers)
+	for addr, held := range plan {
+		other, ok := known[addr]
+		if !ok {
+			continue
+		}
+		weight := 1
+		if other.Domain == e.Domain {
+			weight = ownWeight
+		}
+		for l := held.From; l < min(held.To, spec.Layers); l++ {
+			counts[l] += weight
+		}
+	}
+	least := 0
+	for l, n := range counts {
+		if n < counts[least] {
+			least = l
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/internal/protocol/relay/acquire.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+)
+
+const (
+	// roomWait is how long a new stream waits for token memory, as a share of
+	// its target latency: what is left must do for the first event.
+	roomWait = 0.8
+	// resumeWait is how long an interrupted stream waits for another chain; its
+	// caller leaves after a silence of two seconds.
+	resumeWait = time.Second
+	// answerMargin is added to the caller's guess of the answer's length, which
+	// is right in the middle and often far off.
+	answerMargin = 1.25
+)
+
+// size is how many tokens the request will hold: its prompt, and its answer as
+// the caller guesses it or as is usual.
+func (q *request) size() int {
+	spec := q.ticket.Service.Engine
+	answer := float64(q.call.AnswerHint)
+	if answer == 0 {
+		answer = float64(spec.UsualAnswer)
+	}
+	answer *= answerMargin
+	if q.call.MaxAnswer > 0 {
+		answer = min(answer, float64(q.call.MaxAnswer))
+	}
+	return q.promptTokens() + int(answer)
+}
+
+func (q *request) promptTokens() int {
+	if q.call.PromptTokens > 0 {
+		return q.call.PromptTokens
+	}
+	return q.ticket.Service.Engine.UsualPrompt
+}
+
+// mayResume decides whether the stream goes on elsewhere.
+func (q *request) mayResume(ctx context.Context, err error) bool {
+	if q.runs == 0 {
+		return q.mayRepeat(ctx, "refused")
+	}
+	// An engine that was lost does not count as an attempt, and a stream that
+	// may be resumed is worth more sends than a fresh one.
+	if !q.ticket.Idempotent() || q.sends >= maxSends {
+		return false
+	}
+	if !q.Loans.Take(ctx, q.ticket.Service.Name) {
+		klog.InfoS("not resumed: the retry budget is used up", "request", q.call.Attempt, "err", err)
+		return false
+	}
+	q.Observer.Repeat(q.ticket.Service.Name, "resumed")
+	return true
+}
+
+// acquire chooses a chain and reserves its memory, waiting a moment for room.
+func (s *stream) acquire(ctx context.Context) ([]chains.Part, *chains.Hold, *fault.Error) {
+	q := s.request
+	demand := chains.Demand{Domain: q.Domain, Tokens: s.tokens, Gap: q.ticket.Route.TargetGap, Avoid: q.avoid, FirstAmong: s.firstAmong()}
+	var parts []chains.Part
+	var hold *chains.Hold
+	verdict := chains.Found
+	try := func() bool {
+		parts, verdict = q.Chooser.Choose(q.ticket.Service, demand)
+		if verdict == chains.Found {
+			hold = q.Memory.Reserve(parts, s.tokens)
+			q.Chooser.Begin(q.ticket.Service.Engine, parts, q.promptTokens())
+		}
+		return verdict != chains.NoRoom
+	}
+	wait := time.Duration(roomWait * float64(q.ticket.Route.TargetLatency))
+	if s.events > 0 {
+		wait = resumeWait
+	}
+	waiting := admission.Request{Customer: q.ticket.Customer, Priority: -q.ticket.Priority}
+	got := q.Line.Wait(ctx, waiting, wait, try)
+	switch {
+	case hold != nil:
+		return parts, hold, nil
+	case ctx.Err() != nil:
+		return nil, nil, q.ended(ctx)
+	case verdict == chains.NoChain && len(q.avoid) > 0:
+		// Better an engine that failed once than none.
+		clear(q.avoid)
+		if try(); hold != nil {
+			return parts, hold, nil
+		}
+	}
+	if verdict == chains.NoChain {
+		return nil, nil, fault.New(fault.NoCapacity, "the engines in reach do not hold all layers")
+	}
+	f := fault.New(fault.Overloaded, "no chain has room: %d wait, waited %v, admitted %t", q.Line.Len(), wait, got)
+	return nil, nil, f
+}
+
+// firstAmong bounds the engines that run a request as the first of a chain to
+// the route's attempts: once they are used up, the stream goes on only where it
+// ran before. An engine that is gone is no attempt.
+func (s *stream) firstAmong() map[string]bool {
+	known := s.Catalog.Load()
+	alive := map[string]bool{}
+	for id := range s.ranOn {
+		if known.ByID(id) != nil {
+			alive[id] = true
+		}
+	}
+	if len(alive) < s.ticket.Route.MaxAttempts {
+		return nil
+	}
+	return alive
+}
