A router's new streams stand for those that its peers have not told of yet

Routers tell each other four times a second; within that time all of them send to the engine that looks best. Change: what a router began within the last 0.2 s counts for the other routers of a failure domain too, when chains are chosen. The test (eight routers, 240 streams at once) put all 240 on one engine of 100 slots before. Two kinds of fading sums became one.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -17,6 +17,7 @@
 	services  map[string][]*model.BackendServer
 	byAddress map[string]*model.BackendServer
 	byID      map[string]*model.BackendServer
+	domains   map[string]bool
 }
 
 // Service lists the backend servers of a service that may get new work, ordered
@@ -38,6 +39,9 @@
 // ByAddress finds who has an address; nil if nobody is known to.
 func (s *Snapshot) ByAddress(addr string) *model.BackendServer { return s.byAddress[addr] }
 
+// Domains counts the failure domains that have backend servers.
+func (s *Snapshot) Domains() int { return len(s.domains) }
+
 // ByID finds a backend server; nil if it is not known.
 func (s *Snapshot) ByID(id string) *model.BackendServer { return s.byID[id] }
 
@@ -194,10 +198,12 @@
 		services:  map[string][]*model.BackendServer{},
 		byAddress: make(map[string]*model.BackendServer, len(c.entries)),
 		byID:      make(map[string]*model.BackendServer, len(c.entries)),
+		domains:   map[string]bool{},
 	}
 	for id, e := range c.entries {
 		b := e.server
 		s.byID[id] = &b
+		s.domains[b.FailureDomain] = true
 		if other := s.byAddress[b.Address]; other == nil || other.Revision < b.Revision {
 			s.byAddress[b.Address] = &b
 		}
--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -109,6 +109,7 @@
 	spec := svc.Engine
 	var out []candidate
 	domains := map[string]int{}
+	others := c.together() - 1
 	for _, b := range c.engines(svc.Name) {
 		card, ok := spec.Card(b.Card)
 		if !ok || b.Holds.Len() <= 0 || b.Holds.To > spec.Layers || d.Avoid[b.ID] {
@@ -125,6 +126,11 @@
 		}
 		capacity := Capacity(spec, card, b.Holds)
 		used := c.Memory.Used(b.ID)
+		// Peers have begun streams since they last told. Unless they count, routers
+		// that meet the same burst, or start together, all send it to the engine
+		// that looks best, and its requests queue. They do about what this router
+		// does, so its own new streams stand for theirs.
+		used.add(c.Memory.New(b.ID).times(others), 1)
 		per := perLayer(spec, card, used, c.Memory.Slowdown(b.ID))
 		fill := math.Min(used.TokenLayers/math.Max(capacity*fillLimit, 1), mostFill)
 		per *= 1 / (1 - fill)
--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -204,10 +204,38 @@
 		covers(t, parts, model.LayerRange{To: 80})
 		w.chooser.Memory.Reserve(parts, 10)
 		firsts[parts[0].Server.ID]++
+		w.now = w.now.Add(5 * time.Second) // the peers have told since
 	}
 	assert.DeepEqual(t, firsts, map[string]int{"a1": 18, "front": 18})
 }
 
+// Eight routers of a failure domain start at the same moment, and the callers who
+// waited for them come at once: 30 streams each, before any router hears of
+// another. Three engines can begin a chain, with 100 slots each, one of them much
+// faster. Its slots must not be overrun: what queues there waits for a whole answer.
+func TestBurstAtAllRoutersIsSpread(t *testing.T) {
+	const routers, each, slots = 8, 30, 100
+	firsts := map[string]int{}
+	for range routers {
+		w := newWorld()
+		w.chooser.Routers = func() int { return routers }
+		for id, card := range map[string]string{"fast": "a100", "second": "l40s", "third": "l40s"} {
+			w.catalog.Put(model.BackendServer{ID: id, Service: "s", Address: id + ":1", FailureDomain: "a", Card: card, Slots: slots, Holds: model.LayerRange{To: 10}})
+		}
+		w.add("rest", "a", "a100", 10, 40)
+		w.add("end", "a", "a100", 40, 80)
+		for range each {
+			parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10})
+			assert.Equal(t, v, Found)
+			w.chooser.Memory.Reserve(parts, 10)
+			firsts[parts[0].Server.ID]++
+		}
+	}
+	for id, n := range firsts {
+		assert.Assert(t, n <= slots, "%s begins %d: %v", id, n, firsts)
+	}
+}
+
 // A stream has used up its attempts. It may only begin where it ran before.
 func TestChainBeginsAmongTheGiven(t *testing.T) {
 	w := twoDomains()
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -12,6 +12,11 @@
 // readMemory is over how long the reading of prompts is averaged.
 const readMemory = time.Second
 
+// untoldFor is over how long a router's new streams stand for those that its peers
+// have begun and not yet told of: they tell every quarter of a second, and what
+// they tell is on the way a little.
+const untoldFor = 200 * time.Millisecond
+
 // Use is what streams take of one engine.
 type Use struct {
 	// TokenLayers is token memory, in tokens x layers.
@@ -24,6 +29,10 @@
 	Reading float64
 }
 
+func (u Use) times(n float64) Use {
+	return Use{TokenLayers: n * u.TokenLayers, Streams: n * u.Streams, Firsts: n * u.Firsts, Reading: n * u.Reading}
+}
+
 func (u *Use) add(o Use, sign float64) {
 	u.TokenLayers += sign * o.TokenLayers
 	u.Streams += sign * o.Streams
@@ -52,6 +61,9 @@
 	streams     int
 	firsts      int
 	reading     decaying
+	// new are the streams that were reserved of late, the memory they take, and
+	// how many begin here.
+	newStreams, newTokenLayers, newFirsts decaying
 	// pending is what moved streams are expected to read there, in seconds.
 	pending decaying
 }
@@ -123,7 +135,7 @@
 }
 
 func (o *ownUse) use(now time.Time) Use {
-	return Use{TokenLayers: o.tokenLayers, Streams: float64(o.streams), Firsts: float64(o.firsts), Reading: o.reading.read(now)}
+	return Use{TokenLayers: o.tokenLayers, Streams: float64(o.streams), Firsts: float64(o.firsts), Reading: o.reading.read(now, readMemory)}
 }
 
 // Slowdown is how much slower than its card an engine last said to be; 1 is as
@@ -242,6 +254,9 @@
 		if i == 0 {
 			o.firsts += sign
 		}
+		if sign > 0 {
+			o.begun(h.memory.now(), h.tokens*p.Layers.Len(), i == 0)
+		}
 	}
 }
 
@@ -249,7 +264,28 @@
 func (m *Memory) Read(id string, seconds float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.owned(id).reading.add(m.now(), seconds/readMemory.Seconds())
+	m.owned(id).reading.add(m.now(), seconds/readMemory.Seconds(), readMemory)
+}
+
+// begun counts a stream among the new ones.
+func (o *ownUse) begun(now time.Time, tokenLayers int, first bool) {
+	o.newStreams.add(now, 1, untoldFor)
+	o.newTokenLayers.add(now, float64(tokenLayers), untoldFor)
+	if first {
+		o.newFirsts.add(now, 1, untoldFor)
+	}
+}
+
+// New is what this router's streams of the last moment take of an engine.
+func (m *Memory) New(id string) Use {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.own[id]
+	if !ok {
+		return Use{}
+	}
+	now := m.now()
+	return Use{TokenLayers: o.newTokenLayers.read(now, untoldFor), Streams: o.newStreams.read(now, untoldFor), Firsts: o.newFirsts.read(now, untoldFor)}
 }
 
 // Expect counts reading that streams which are moved now add to an engine, those
@@ -257,7 +293,7 @@
 func (m *Memory) Expect(id string, seconds float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.owned(id).pending.add(m.now(), seconds)
+	m.owned(id).pending.add(m.now(), seconds, readMemory)
 }
 
 // Pending is what is left of that; it fades as it is worked off.
@@ -265,7 +301,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if o, ok := m.own[id]; ok {
-		return o.pending.read(m.now())
+		return o.pending.read(m.now(), readMemory)
 	}
 	return 0
 }
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -152,7 +152,7 @@
 	for _, p := range m.parts {
 		had[p] = true
 	}
-	together := math.Max(float64(m.Routers())/float64(m.domains()), 1)
+	together := m.together()
 	for i, p := range next {
 		if had[p] {
 			continue
@@ -163,15 +163,6 @@
 	}
 }
 
-// domains counts the failure domains that have engines.
-func (m *move) domains() int {
-	seen := map[string]bool{}
-	for _, b := range m.engines(m.svc.Name) {
-		seen[b.FailureDomain] = true
-	}
-	return max(len(seen), 1)
-}
-
 // roomToCross tells whether the pipes between neighbouring parts have room for
 // a stream of so many tokens.
 func (c *Chooser) roomToCross(spec *model.EngineSpec, parts []Part, tokens int, gap time.Duration) bool {
--- a/internal/coordination/chains/pipes.go
+++ b/internal/coordination/chains/pipes.go
@@ -48,19 +48,19 @@
 	rate  map[Pair]float64
 }
 
-// decaying is a sum whose parts fade.
+// decaying is a sum whose parts fade over some time.
 type decaying struct {
 	at    time.Time
 	value float64
 }
 
-func (d *decaying) add(now time.Time, n float64) {
-	d.value = d.read(now) + n
+func (d *decaying) add(now time.Time, n float64, over time.Duration) {
+	d.value = d.read(now, over) + n
 	d.at = now
 }
 
-func (d *decaying) read(now time.Time) float64 {
-	return d.value * math.Exp(-now.Sub(d.at).Seconds()/pipeMemory.Seconds())
+func (d *decaying) read(now time.Time, over time.Duration) float64 {
+	return d.value * math.Exp(-now.Sub(d.at).Seconds()/over.Seconds())
 }
 
 // NewPipes makes an empty count.
@@ -78,7 +78,7 @@
 		d = &decaying{}
 		p.own[pair] = d
 	}
-	d.add(p.now(), mbit/pipeMemory.Seconds())
+	d.add(p.now(), mbit/pipeMemory.Seconds(), pipeMemory)
 }
 
 // pipeLimit is the share of a pipe's rate that is given out. Transfers go one
@@ -108,7 +108,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if d, ok := p.own[pairOf(a, b)]; ok {
-		return d.read(p.now())
+		return d.read(p.now(), pipeMemory)
 	}
 	return 0
 }
@@ -121,7 +121,7 @@
 	now := p.now()
 	sum := 0.0
 	if d, ok := p.own[pair]; ok {
-		sum = d.read(now)
+		sum = d.read(now, pipeMemory)
 	}
 	for _, c := range p.peers {
 		if now.Before(c.until) {
@@ -137,7 +137,7 @@
 	defer p.mu.Unlock()
 	out := map[Pair]float64{}
 	for pair, d := range p.own {
-		if rate := d.read(p.now()); rate >= 1 {
+		if rate := d.read(p.now(), pipeMemory); rate >= 1 {
 			out[pair] = rate
 		}
 	}
--- a/internal/coordination/chains/subset.go
+++ b/internal/coordination/chains/subset.go
@@ -1,6 +1,7 @@
 package chains
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -30,6 +31,12 @@
 	kept map[string][]*model.BackendServer
 }
 
+// together is how many routers, this one included, a failure domain has on
+// average: those that send to the same engines in the same situation.
+func (c *Chooser) together() float64 {
+	return math.Max(float64(c.Routers())/float64(max(c.Catalog.Load().Domains(), 1)), 1)
+}
+
 // engines lists the engines that a search for a chain looks at. A search grows
 // with them; at thousands it took 3.5 ms a request, a quarter of a small router's
 // processor. Routers keep different holders of each range, so that together they
