An interrupted stream waits for layers that nobody holds for a moment

Ruled out: the retry budget (not used up), the configuration (only idle limits). Change: a stream that has begun looks on until its caller would leave, 2.1 s after its last event, outside of the line, where it would hold up others. What has not begun is still refused at once. Two tests; the first fails without.

--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -9,15 +9,20 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
 const (
 	// roomWait is how long a new stream waits for token memory, as a share of
 	// its target latency: what is left must do for the first event.
 	roomWait = 0.8
-	// resumeWait is how long an interrupted stream waits for another chain; its
-	// caller leaves after a silence of two seconds.
-	resumeWait = time.Second
+	// callersPatience is the silence after which a stream's caller leaves, and a
+	// little more: an interrupted stream looks for another chain as long. Broken
+	// off sooner, its caller would lose it though a chain may be whole again, as
+	// engines that leave are replaced within that time.
+	callersPatience = 2100 * time.Millisecond
+	// chainPoll is between two looks while layers are held by nobody in reach.
+	chainPoll = 50 * time.Millisecond
 	// answerMargin is added to the caller's guess of the answer's length, which
 	// is right in the middle and often far off.
 	answerMargin = 1.25
@@ -78,12 +83,18 @@
 		}
 		return verdict != chains.NoRoom
 	}
-	wait := time.Duration(roomWait * float64(q.ticket.Route.TargetLatency))
+	most := time.Duration(roomWait * float64(q.ticket.Route.TargetLatency))
 	if s.events > 0 {
-		wait = resumeWait
+		most = max(callersPatience-q.Now().Sub(s.lastEvent), 0)
 	}
+	until := q.Now().Add(most)
 	waiting := admission.Request{Customer: q.ticket.Customer, Priority: -q.ticket.Priority}
-	got := q.Line.Wait(ctx, waiting, wait, try)
+	got := q.Line.Wait(ctx, waiting, most, try)
+	// Not in the line: there a stream that no chain serves would hold up others.
+	for s.events > 0 && verdict == chains.NoChain && q.Now().Before(until) && wait.For(ctx, chainPoll) {
+		clear(q.avoid)
+		try()
+	}
 	switch {
 	case hold != nil:
 		return parts, hold, nil
@@ -99,7 +110,7 @@
 	if verdict == chains.NoChain {
 		return nil, nil, fault.New(fault.NoCapacity, "the engines in reach do not hold all layers")
 	}
-	f := fault.New(fault.Overloaded, "no chain has room: %d wait, waited %v, admitted %t", q.Line.Len(), wait, got)
+	f := fault.New(fault.Overloaded, "no chain has room: %d wait, waited %v, admitted %t", q.Line.Len(), most, got)
 	return nil, nil, f
 }
 
--- /dev/null
+++ b/internal/protocol/relay/acquire_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// half is a stream at a router that knows only engines of the first six layers
+// of twelve; holder is the engine of the others.
+func half() (s *stream, holder model.BackendServer) {
+	c := catalog.New(time.Now)
+	engine := func(id string, held model.LayerRange) model.BackendServer {
+		return model.BackendServer{ID: id, Service: "s", Address: id + ":1", FailureDomain: "a", Card: "fast", Holds: held, Slots: 9}
+	}
+	c.Put(engine("first", model.LayerRange{To: 6}))
+	health := catalog.NewHealth(time.Now)
+	memory := chains.NewMemory(time.Now)
+	chooser := &chains.Chooser{Catalog: c, Health: health, Memory: memory, Pipes: chains.NewPipes(time.Now), Routers: func() int { return 1 }}
+	r := &Relay{Catalog: c, Health: health, Chooser: chooser, Memory: memory, Line: admission.NewLine(), Domain: "a", Now: time.Now}
+	q := &request{Relay: r, call: &model.Call{Attempt: "1"}, since: time.Now(), avoid: map[string]bool{}}
+	q.ticket = routes.Ticket{
+		Route: &model.Route{TargetLatency: 500 * time.Millisecond, MaxAttempts: 2},
+		Service: &model.Service{Name: "s", Engine: &model.EngineSpec{
+			Layers: 12, LayerMB: 1000, KVTokenBytes: 1e6, StepTime: time.Millisecond, ReadRate: 1e5,
+			Cards: []model.Card{{Name: "fast", MB: 8000, Pace: 2, ReadFactor: 2}},
+		}},
+	}
+	return &stream{request: q, tokens: 100, ranOn: map[string]bool{}}, engine("second", model.LayerRange{From: 6, To: 12})
+}
+
+// Engines are replaced one after the other, and for a moment nobody holds some
+// layers. A stream that had its last event 0.3 s ago is not broken off: the
+// replacement is loaded in 0.9 s, and its caller waits two seconds for an event.
+func TestInterruptedStreamWaitsForLayers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, holder := half()
+		s.events = 5
+		s.lastEvent = time.Now().Add(-300 * time.Millisecond)
+		began := time.Now()
+		time.AfterFunc(900*time.Millisecond, func() { s.Catalog.Put(holder) })
+		parts, hold, f := s.acquire(t.Context())
+		assert.Assert(t, f == nil, "%v", f)
+		hold.Release()
+		assert.Equal(t, len(parts), 2)
+		assert.Assert(t, time.Since(began) <= 900*time.Millisecond+chainPoll)
+	})
+}
+
+// Nobody comes. The stream is given up when its caller has left, not later; a
+// request that has not begun is refused at once.
+func TestMissingLayersEndTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := half()
+		began := time.Now()
+		_, _, f := s.acquire(t.Context())
+		assert.Equal(t, f.Kind, fault.NoCapacity)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		s.events = 5
+		s.lastEvent = time.Now()
+		_, _, f = s.acquire(t.Context())
+		assert.Equal(t, f.Kind, fault.NoCapacity)
+		assert.Assert(t, time.Since(began) >= 2*time.Second && time.Since(began) <= callersPatience+chainPoll)
+	})
+}
