--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -91,7 +91,7 @@
 	waiting := admission.Request{Customer: q.ticket.Customer, Priority: -q.ticket.Priority}
 	got := q.Line.Wait(ctx, waiting, most, try)
 	// Not in the line: there a stream that no chain serves would hold up others.
-	for s.events > 0 && verdict == chains.NoChain && q.Now().Before(until) && wait.For(ctx, chainPoll) {
+	for s.events > 0 && hold == nil && q.Now().Before(until) && wait.For(ctx, chainPoll) {
 		clear(q.avoid)
 		try()
 	}
