TestOneGrantPerKey waits for the groups that its askers left behind

The test's askers give up after 3 s, the ledger's group goes on for up to 2 s more; when the last of the hundred drawn cases ended so, the bubble ended with a goroutine in it. It depends on what rapid draws (an outage beside the last ask), not on the machine: time is virtual. All checks of the test had passed. Ruled out: a leak in the ledger (each group ends with groupTimeout). Change: the test waits for two groups' timeouts. No assertion changed.

--- a/internal/coordination/ledger/ledger_test.go
+++ b/internal/coordination/ledger/ledger_test.go
@@ -84,6 +84,9 @@
 				time.Sleep(time.Duration(rapid.IntRange(0, 500).Draw(rt, "pause")) * time.Millisecond)
 			}
 			wg.Wait()
+			// Askers leave after their own time; a group that is being stored then
+			// ends with its timeout, and so does the one that waits behind it.
+			time.Sleep(2*groupTimeout + time.Second)
 		})
 	})
 }
