--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -61,7 +61,6 @@
 	elector  *leader.Elector
 	control  *placement.Controller
 	exchange *peers.Exchange
-	retries  *limits.SharedRetries
 	follower *follow.Follower
 	prober   *relay.Prober
 	sentinel *sentinel.Sentinel
@@ -125,9 +124,8 @@
 		Traffic:  r.traffic.Load,
 	}
 	rt := r.settings.Router
-	r.retries = limits.NewSharedRetries(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.Routers, time.Now)
-	r.exchange.Retries = r.retries
-	r.exchange.Loans = &limits.Loans{Budget: r.retries, Ask: r.exchange.Borrow, Now: time.Now}
+	budget := limits.NewSharedRetries(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.Routers, time.Now)
+	r.exchange.Loans = &limits.Loans{Budget: budget, Ask: r.exchange.Borrow, Now: time.Now}
 	r.links = link.NewServer(stamp)
 	r.links.OwnHostOnly = true
 	r.exchange.Register(r.links)
@@ -141,7 +139,6 @@
 		Health:      r.health,
 		Chooser:     &chains.Chooser{Catalog: r.catalog, Health: r.health, Memory: r.memory, Pipes: r.pipes, Routers: r.exchange.Routers, Self: r.settings.Router.Peers},
 		Memory:      r.memory,
-		Retries:     r.retries,
 		Loans:       r.exchange.Loans,
 		Line:        admission.NewLine(),
 		Backends:    r.backends,
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -21,7 +21,7 @@
 	// off sooner, its caller would lose it though a chain may be whole again, as
 	// engines that leave are replaced within that time.
 	callersPatience = 2100 * time.Millisecond
-	// chainPoll is between two looks while layers are held by nobody in reach.
+	// chainPoll is between two looks of an interrupted stream that no chain took.
 	chainPoll = 50 * time.Millisecond
 	// answerMargin is added to the caller's guess of the answer's length, which
 	// is right in the middle and often far off.
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -82,12 +82,12 @@
 
 // Relay serves callers' requests.
 type Relay struct {
-	Config   *routes.Current
-	Catalog  *catalog.Catalog
-	Health   *catalog.Health
-	Chooser  *chains.Chooser
-	Memory   *chains.Memory
-	Retries  *limits.SharedRetries
+	Config  *routes.Current
+	Catalog *catalog.Catalog
+	Health  *catalog.Health
+	Chooser *chains.Chooser
+	Memory  *chains.Memory
+	// Loans holds the budget for repeated sends, and what is borrowed for it.
 	Loans    *limits.Loans
 	Line     *admission.Line
 	Backends Backends
@@ -138,7 +138,7 @@
 	if denied != nil {
 		return q.deny(denied)
 	}
-	r.Retries.Request(ticket.Service.Name)
+	r.Loans.Budget.Request(ticket.Service.Name)
 	if !ticket.Until.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, ticket.Until)
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -58,8 +58,8 @@
 	cat.Put(model.BackendServer{ID: "b", Service: "s", Address: "1:1"})
 	rel := &relay.Relay{
 		Config: current, Catalog: cat, Health: catalog.NewHealth(time.Now), Backends: u, Observer: nobody{}, Line: admission.NewLine(),
-		Retries: limits.NewSharedRetries(0.2, 10, time.Second, func() int { return 1 }, time.Now),
-		Clock:   func() time.Duration { return 0 }, Now: time.Now, ConfigTrust: time.Hour,
+		Loans: &limits.Loans{Budget: limits.NewSharedRetries(0.2, 10, time.Second, func() int { return 1 }, time.Now), Now: time.Now},
+		Clock: func() time.Duration { return 0 }, Now: time.Now, ConfigTrust: time.Hour,
 	}
 	s := &Server{Config: current, Relay: rel}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -63,10 +63,9 @@
 	Hint  func(id string)
 	Clock func() time.Duration
 	Now   func() time.Time
-	// Retries is this router's part of the budget for repeated sends, Loans
-	// what it borrows.
-	Retries *limits.SharedRetries
-	Loans   *limits.Loans
+	// Loans holds this router's part of the budget for repeated sends, and what
+	// it borrows.
+	Loans *limits.Loans
 	// Refuses is told of engines that refused work of a peer, until when they
 	// should get none.
 	Refuses func(id string, until time.Time)
@@ -149,7 +148,7 @@
 
 // lend answers a peer's Borrow.
 func (x *Exchange) lend(_ context.Context, from string, l wire.RouterLend) (wire.RouterLent, error) {
-	n := x.Retries.Lend(l.Service, l.Want)
+	n := x.Loans.Budget.Lend(l.Service, l.Want)
 	klog.InfoS("repeated sends lent", "service", l.Service, "peer", from, "wanted", l.Want, "lent", n)
 	return wire.RouterLent{Lent: n}, nil
 }
@@ -272,7 +271,7 @@
 	for pair, rate := range x.Pipes.Own() {
 		pipes = append(pipes, wire.RouterPipe{A: pair.A, B: pair.B, Rate: rate})
 	}
-	spares := x.Retries.Spares() // it counts the routers, so before the lock
+	spares := x.Loans.Budget.Spares() // it counts the routers, so before the lock
 	now := x.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
