Fewer calls of the store: leases of their own kind, changes in bunches at the start

Every router renews a lease of a leader's three seconds each second, and during the start each of some hundred entries of engines wakes every router's watch.

Change: a router's entry hangs on a lease of nine seconds; the leadership key on one of its own with three, taken with the claim and renewed only by the leader. A claim whose answer was lost blocks the next one until its lease has run out. Before callers come a router that does not lead lets changes gather for 1.2 s.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -36,6 +36,11 @@
 	// there are many.
 	gatherShare = 25 * time.Millisecond
 	mostGather  = 300 * time.Millisecond
+	// restGather is that pause where no callers have come yet, and this process
+	// gives no orders: engines register and load one after the other then, for some
+	// ten seconds, and half of a calm day's calls were watches that told of it.
+	// What is learnt so late is in force well within its three seconds.
+	restGather = 1200 * time.Millisecond
 	// firstPause and longestPause are between tries while the store is away;
 	// each try is priced.
 	firstPause   = 100 * time.Millisecond
@@ -75,6 +80,8 @@
 	Elsewhere func() time.Duration
 	// Routers counts the processes that follow the store; nil for one.
 	Routers func() int
+	// Resting tells whether nothing here needs changes soon; nil for never.
+	Resting func() bool
 
 	revision  atomic.Int64 // up to which the picture is complete
 	mu        sync.Mutex
@@ -129,7 +136,10 @@
 
 // gather is the pause after changes.
 func (f *Follower) gather() time.Duration {
-	if f.Routers == nil {
+	switch {
+	case f.Resting != nil && f.Resting():
+		return restGather
+	case f.Routers == nil:
 		return gatherShare
 	}
 	return min(time.Duration(f.Routers())*gatherShare, mostGather)
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -198,3 +200,29 @@
 		assert.Assert(t, store.Calls().Watches-before <= 21)
 	})
 }
+
+// The load: before callers come, fifty engines register and load, a change every
+// 150 ms for eight seconds. A router that rests asks for them in bunches; once it
+// serves, each change reaches it within the usual pause.
+func TestChangesGatherWhileNobodyNeedsThem(t *testing.T) {
+	var resting atomic.Bool
+	resting.Store(true)
+	follow(t, func(store *standin.Store, _ *picture, _ *Follower) {
+		change := func(n int) int {
+			before := store.Calls().Watches
+			for i := range n {
+				store.Put(fmt.Sprint("servers/", i), []byte("x"))
+				time.Sleep(150 * time.Millisecond)
+			}
+			return store.Calls().Watches - before
+		}
+		const changes = 54
+		const bunches = int(changes*150*time.Millisecond/restGather) + 1
+		calls := change(changes)
+		assert.Assert(t, calls <= bunches+1, "%d calls", calls)
+		resting.Store(false)
+		time.Sleep(2 * restGather)
+		calls = change(changes)
+		assert.Assert(t, calls >= changes*3/4, "%d calls", calls)
+	}, func(fl *Follower) { fl.Resting = resting.Load })
+}
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -25,10 +25,18 @@
 )
 
 const (
-	// ttl is the lease of a member and of the leader: a leader that died is
-	// replaced after it. A third of it passes between renewals, so that one
-	// lost renewal does not end it.
-	ttl = 3 * time.Second
+	// leaderTTL is the lease of the leadership key: a leader that died is
+	// replaced after it.
+	leaderTTL = 3 * time.Second
+	// memberTTL is the lease of a router's entry. It only tells routers where
+	// others are, whom they hear four times a second; each renewal is a priced call
+	// of every router, and with the leader's TTL they were two calls in three.
+	memberTTL = 9 * time.Second
+	// renewShare of a lease passes between renewals, so that one lost renewal
+	// does not end it.
+	renewShare = 1.0 / 3
+	// turnEvery is between two looks at what is due.
+	turnEvery = leaderTTL / 3
 	// callTimeout bounds one call; the store answers in 4 ms, a slow one in 350.
 	callTimeout = 900 * time.Millisecond
 	// raceDelay spreads candidates, so that one transaction usually decides.
@@ -49,6 +57,17 @@
 	Incarnation string `json:"incarnation"`
 }
 
+// lease is one lease of this process; the zero value is none.
+type lease struct {
+	id    platform.LeaseID
+	until time.Duration // by this process's clock it runs at least so long
+	renew time.Duration // when it is due to be renewed
+}
+
+func granted(id platform.LeaseID, began, ttl time.Duration) lease {
+	return lease{id: id, until: began + ttl, renew: began + time.Duration(renewShare*float64(ttl))}
+}
+
 // Elector keeps this process registered and stands for leadership.
 type Elector struct {
 	Store       platform.Store
@@ -60,32 +79,25 @@
 	// Eligible tells whether this process may lead now.
 	Eligible func() bool
 
-	mu         sync.Mutex
-	lease      platform.LeaseID
-	validUntil time.Duration
-	token      int64 // fencing token; 0 while not leading
-	refused    int64 // token that an engine refused as too old
-	holder     string
-	highest    int64 // highest token heard of
+	mu      sync.Mutex
+	member  lease // of this router's entry
+	claim   lease // of the leadership key, while this router holds or claims it
+	token   int64 // fencing token; 0 while not leading
+	refused int64 // token that an engine refused as too old
+	holder  string
+	highest int64 // highest token heard of
 }
 
 // Token is the fencing token while this process leads; 0 otherwise.
 func (e *Elector) Token() int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.token == 0 || e.token < e.highest || e.Clock() > e.validUntil {
+	if e.token == 0 || e.token < e.highest || e.Clock() > e.claim.until {
 		return 0
 	}
 	return e.token
 }
 
-// Lease is the lease of this process; 0 while it has none.
-func (e *Elector) Lease() platform.LeaseID {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.lease
-}
-
 // Seen takes in the leadership key: who holds it and since which revision. An
 // empty value means that nobody does.
 func (e *Elector) Seen(value []byte, revision int64) {
@@ -129,17 +141,13 @@
 }
 
 // Run registers, renews and stands for leadership until ctx ends; then it gives
-// the lease back, so that another need not wait for it.
+// its leases back, so that another need not wait for them.
 func (e *Elector) Run(ctx context.Context) {
-	tick := time.NewTicker(ttl / 3)
+	tick := time.NewTicker(turnEvery)
 	defer tick.Stop()
 	for {
 		e.turn(ctx)
-		e.mu.Lock()
-		vacant := e.holder == "" && e.lease != 0
-		e.mu.Unlock()
-		wait := tick.C
-		if vacant {
+		if e.vacant() {
 			select {
 			case <-time.After(time.Duration(rand.Int64N(int64(raceDelay)))):
 				e.stand(ctx)
@@ -147,7 +155,7 @@
 			}
 		}
 		select {
-		case <-wait:
+		case <-tick.C:
 		case <-ctx.Done():
 			e.leave()
 			return
@@ -155,37 +163,88 @@
 	}
 }
 
-// turn renews the lease, or takes a new one and registers under it.
+// vacant tells whether nobody leads and this router may stand: it is registered,
+// and no claim of its own is undecided.
+func (e *Elector) vacant() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holder == "" && e.member.id != 0 && e.Clock() >= e.claim.until
+}
+
+// turn renews what is due, and registers where there is no entry.
 func (e *Elector) turn(ctx context.Context) {
+	e.keepClaim(ctx)
+	e.mu.Lock()
+	member := e.member
+	e.mu.Unlock()
+	switch {
+	case member.id == 0:
+		e.register(ctx)
+	case e.Clock() >= member.renew:
+		member = e.keep(ctx, member, memberTTL)
+		e.mu.Lock()
+		e.member = member
+		e.mu.Unlock()
+		if member.id == 0 {
+			e.register(ctx)
+		}
+	}
+}
+
+// keepClaim renews the lease of the leadership key while this router leads. That
+// of a claim which did not win runs out by itself: nothing hangs on it.
+func (e *Elector) keepClaim(ctx context.Context) {
+	e.mu.Lock()
+	claim := e.claim
+	leads := e.token != 0
+	e.mu.Unlock()
+	if claim.id == 0 || !leads {
+		return
+	}
+	claim = e.keep(ctx, claim, leaderTTL)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.claim = claim
+	if claim.id == 0 {
+		e.token = 0
+	}
+}
+
+// keep renews a lease; it gives none where the lease has ended, and the lease as
+// it was where that is not known.
+func (e *Elector) keep(ctx context.Context, l lease, ttl time.Duration) lease {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := e.Clock()
-	lease := e.Lease()
-	if lease != 0 {
-		err := e.Store.KeepAlive(ctx, lease)
-		if err == nil {
-			e.mu.Lock()
-			e.validUntil = began + ttl
-			e.mu.Unlock()
-			return
-		}
-		if !errors.Is(err, platform.ErrLeaseEnded) {
-			klog.V(1).InfoS("lease not renewed", "lease", lease, "err", err)
-			return
-		}
-		klog.InfoS("lease ended", "lease", lease)
-		e.mu.Lock()
-		e.lease = 0
-		e.token = 0
-		e.mu.Unlock()
+	err := e.Store.KeepAlive(ctx, l.id)
+	switch {
+	case err == nil:
+		return granted(l.id, began, ttl)
+	case errors.Is(err, platform.ErrLeaseEnded):
+		klog.InfoS("lease ended", "lease", l.id)
+		return lease{}
 	}
-	e.register(ctx, began)
+	klog.V(1).InfoS("lease not renewed", "lease", l.id, "err", err)
+	return l
 }
 
-func (e *Elector) register(ctx context.Context, began time.Duration) {
-	lease, granted, err := e.Store.Grant(ctx, ttl)
+// grant takes a new lease; the zero value where there is none.
+func (e *Elector) grant(ctx context.Context, ttl time.Duration) lease {
+	began := e.Clock()
+	id, given, err := e.Store.Grant(ctx, ttl)
 	if err != nil {
 		klog.V(1).InfoS("no lease granted", "err", err)
+		return lease{}
+	}
+	return granted(id, began, given)
+}
+
+// register takes a lease and writes this router's entry under it.
+func (e *Elector) register(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	member := e.grant(ctx, memberTTL)
+	if member.id == 0 {
 		return
 	}
 	value, err := json.Marshal(e.Self)
@@ -193,7 +252,7 @@
 		klog.ErrorS(err, "member entry not encoded")
 		return
 	}
-	item := platform.Item{Key: MemberPrefix + e.Self.Instance, Value: value, Lease: lease}
+	item := platform.Item{Key: MemberPrefix + e.Self.Instance, Value: value, Lease: member.id}
 	// Without an answer the entry may stand or not; it only helps peers to find
 	// each other, and the next lease writes it again.
 	if _, err := e.Store.Commit(ctx, platform.Txn{Put: []platform.Item{item}}); err != nil {
@@ -202,18 +261,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lease = lease
-	e.validUntil = began + granted
-	klog.InfoS("registered", "lease", lease, "ttl", granted)
+	e.member = member
+	klog.InfoS("registered", "lease", member.id, "ttl", memberTTL)
 }
 
 // stand tries to become leader: the key must not exist.
 func (e *Elector) stand(ctx context.Context) {
-	e.mu.Lock()
-	lease := e.lease
-	vacant := e.holder == ""
-	e.mu.Unlock()
-	if !vacant || lease == 0 || !e.Eligible() {
+	if !e.vacant() || !e.Eligible() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -223,13 +277,22 @@
 		klog.ErrorS(err, "claim not encoded")
 		return
 	}
+	l := e.grant(ctx, leaderTTL)
+	if l.id == 0 || !e.vacant() {
+		return
+	}
+	// Before the claim is made: the watch may show that it won before its answer
+	// comes, or instead of it.
+	e.mu.Lock()
+	e.claim = l
+	e.mu.Unlock()
 	revision, err := e.Store.Commit(ctx, platform.Txn{
 		If:  []platform.Condition{{Key: Key}},
-		Put: []platform.Item{{Key: Key, Value: value, Lease: lease}},
+		Put: []platform.Item{{Key: Key, Value: value, Lease: l.id}},
 	})
 	if err != nil {
-		// A claim whose answer was lost shows in the watch, or in nothing.
 		klog.InfoS("leadership not won", "err", err)
+		e.notWon(err)
 		return
 	}
 	e.win(revision)
@@ -244,14 +307,35 @@
 	klog.InfoS("leadership won", "token", revision)
 }
 
-func (e *Elector) leave() {
-	lease := e.Lease()
-	if lease == 0 {
+// notWon forgets a claim that surely did not win. One whose answer was lost shows
+// in the watch, or in nothing; until its lease has run out the next one would
+// replace the lease under which it may stand, and a leader that renewed the wrong
+// lease would believe to lead after its key is gone.
+func (e *Elector) notWon(err error) {
+	if !errors.Is(err, platform.ErrConflict) {
 		return
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.claim = lease{}
+}
+
+// leave gives back what this router holds, the leadership first.
+func (e *Elector) leave() {
+	e.mu.Lock()
+	held := []platform.LeaseID{e.member.id}
+	if e.token != 0 {
+		held = []platform.LeaseID{e.claim.id, e.member.id}
+	}
+	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if err := e.Store.Revoke(ctx, lease); err != nil {
-		klog.InfoS("lease not given back; it runs out", "lease", lease, "err", err)
+	for _, id := range held {
+		if id == 0 {
+			continue
+		}
+		if err := e.Store.Revoke(ctx, id); err != nil {
+			klog.InfoS("lease not given back; it runs out", "lease", id, "err", err)
+		}
 	}
 }
--- a/internal/coordination/leader/leader_test.go
+++ b/internal/coordination/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -109,7 +110,7 @@
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, leaders(a), 1)
 		mem.SetFaults(standin.StoreFaults{Silent: true})
-		time.Sleep(ttl + callTimeout)
+		time.Sleep(leaderTTL + callTimeout)
 		assert.Equal(t, leaders(a), 0)
 		mem.SetFaults(standin.StoreFaults{})
 		time.Sleep(5 * time.Second)
@@ -191,3 +192,60 @@
 	}
 	return revision, nil
 }
+
+// The answer to the winning claim is lost and the watch shows the claim only two
+// seconds later. The winner must not claim again meanwhile: it would then renew
+// the second claim's lease, and lead on after its key ended with the first one.
+func TestLeaderHoldsTheLeaseOfItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		lossy := &losing{Store: store, skip: 1, lose: 1}
+		ctx, cancel := context.WithCancel(context.Background())
+		began := time.Now()
+		c := &candidate{stop: cancel}
+		c.e = &Elector{Store: lossy, Self: Member{Instance: "c"}, Incarnation: "c-1",
+			Clock: func() time.Duration { return time.Since(began) + time.Hour }, Eligible: func() bool { return true }}
+		c.done.Go(func() { c.e.Run(ctx) })
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, lossy.losses(), 1)
+		c.done.Go(func() { c.watch(ctx, store) })
+		led := 0
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			if token := c.e.Token(); token != 0 {
+				led++
+				it, err := store.Get(ctx, Key)
+				assert.NilError(t, err, "it believes to lead without the key")
+				assert.Equal(t, it.Revision, token)
+			}
+		}
+		assert.Assert(t, led > 190, "led at %d of 200 looks", led)
+		c.end()
+	})
+}
+
+// The load: two dozen routers, of which one leads, for a minute without trouble;
+// each call of the store is priced. An entry is renewed every three seconds and
+// the leadership every second; before each router renewed for a leader's time,
+// three times as often.
+func TestRegistrationsAreFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const routers, seconds = 24, 60
+		store := standin.NewStore()
+		var all []*candidate
+		for i := range routers {
+			all = append(all, start(store, fmt.Sprint("r", i)))
+		}
+		time.Sleep(seconds * time.Second)
+		calls := store.Calls()
+		assert.Equal(t, leaders(all...), 1)
+		assert.Equal(t, len(store.Keys(MemberPrefix)), routers)
+		mostRenewals := routers*seconds/3 + seconds
+		mostWrites := routers * 4 // a lease and an entry, a lease and a claim
+		assert.Assert(t, calls.KeepAlives <= mostRenewals, "%d renewals", calls.KeepAlives)
+		assert.Assert(t, calls.Writes <= mostWrites, "%d writes", calls.Writes)
+		for _, c := range all {
+			c.end()
+		}
+	})
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -94,10 +94,24 @@
 	r.linkPeers()
 	r.buildRelay()
 	r.buildControl()
-	r.follower = &follow.Follower{Store: store, Prefix: "", Sink: (*routerSink)(r), Clock: boottime.Now, Elsewhere: r.config.Heard, Routers: r.exchange.Routers}
+	r.follower = &follow.Follower{
+		Store:     store,
+		Prefix:    "",
+		Sink:      (*routerSink)(r),
+		Clock:     boottime.Now,
+		Elsewhere: r.config.Heard,
+		Routers:   r.exchange.Routers,
+		Resting:   func() bool { return !r.callersCame() && r.elector.Token() == 0 },
+	}
 	return r
 }
 
+// callersCame tells whether requests came here or at a peer since the system was
+// first started; they did where this is not its first start.
+func (r *Router) callersCame() bool {
+	return !r.settings.Router.FirstStart || r.traffic.Load() || r.exchange.PeerTraffic()
+}
+
 func (r *Router) linkPeers() {
 	stamp := &link.Stamp{
 		Clock:    hlc.New(time.Now),
@@ -206,10 +220,8 @@
 		Engines: relay.Engines{Relay: r.front.Relay},
 		Token:   r.elector.Token,
 		Fenced:  r.elector.Refused,
-		Traffic: func() bool {
-			return !r.settings.Router.FirstStart || r.traffic.Load() || r.exchange.PeerTraffic()
-		},
-		Now: time.Now,
+		Traffic: r.callersCame,
+		Now:     time.Now,
 	}
 }
 
