Newcomers go where their failure domain needs them; uneven domains are evened out

After engines were replaced, luka lacked layers 26 to 32 and kastela had one small card for the first 18 layers, while newcomers held what others held already: a newcomer took the longest vacant range, whichever domain had lost it.

Ruled out: slots (never named), token memory (never named), suspicions.

Change: a range is worth by how much it relieves the shortage of its domain, and of all domains (one over the square of the tokens that have room at a layer); a newcomer takes the vacant range only if it is worth seven tenths of the best one. Where a domain stays uneven for four seconds (its thinnest layer under 0.35 of its mean) the engine is moved whose move helps most. Plans as made need no mending (property test). Refusals say what is short.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -105,6 +105,48 @@
 	return nil, NoChain
 }
 
+// Shortage names what there is too little of where Choose found no room: slots of
+// engines that begin chains, pipes between failure domains, or token memory. It
+// is asked once a refusal, for the log.
+func (c *Chooser) Shortage(svc *model.Service, d Demand) string {
+	cands := c.candidates(svc, d)
+	w := walk{spec: svc.Engine, cands: cands, need: model.LayerRange{To: svc.Engine.Layers}, home: d.Domain, room: true}
+	w.cross = c.crossings(svc.Engine, cands, d.Tokens, d.Gap)
+	if w.shortest() != nil {
+		return "none now"
+	}
+	pipes := w
+	pipes.cross = openPipes(w.cross)
+	if pipes.shortest() != nil {
+		return "pipes"
+	}
+	slots := w
+	slots.cands = make([]candidate, len(cands))
+	for i, cand := range cands {
+		cand.noSlot = false
+		slots.cands[i] = cand
+	}
+	if slots.shortest() != nil {
+		return "slots"
+	}
+	return "token memory"
+}
+
+// openPipes gives the crossings as they were if no pipe were used up.
+func openPipes(cross [][]float64) [][]float64 {
+	open := make([][]float64, len(cross))
+	for i, row := range cross {
+		open[i] = make([]float64, len(row))
+		for j, cost := range row {
+			open[i][j] = cost
+			if math.IsInf(cost, 1) {
+				open[i][j] = crossTime.Seconds()
+			}
+		}
+	}
+	return open
+}
+
 func (c *Chooser) candidates(svc *model.Service, d Demand) []candidate {
 	spec := svc.Engine
 	var out []candidate
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -29,6 +29,9 @@
 	// moved there: an engine that restarts is back within some three seconds
 	// and takes its own range again, at the price of one load instead of two.
 	gapTime = 2 * time.Second
+	// holeTime is the same for layers that only one failure domain lacks: others
+	// serve them meanwhile, so engines that restart are waited for.
+	holeTime = 4 * time.Second
 	// orderTimeout bounds an order's answer, which only says that it began.
 	orderTimeout = time.Second
 )
@@ -55,6 +58,9 @@
 	newest   time.Time // when the last engine appeared
 	// gapSince is since when some layer of a service is held by nobody.
 	gapSince map[string]time.Time
+	// holeSince is since when some failure domain lacks layers that its own engines
+	// could hold.
+	holeSince map[string]time.Time
 }
 
 // stored is a plan and the store's revision of it.
@@ -84,6 +90,7 @@
 		c.pending = map[string]order{}
 		c.appeared = map[string]time.Time{}
 		c.gapSince = map[string]time.Time{}
+		c.holeSince = map[string]time.Time{}
 		c.began = c.Now()
 		c.newest = c.began
 	}
@@ -179,7 +186,7 @@
 	settled := c.engineList(svc, servers, now, newcomerTime)
 	next, _ := Extend(svc.Engine, old.plan, settled)
 	if !c.gapLasts(svc, next, settled, now) {
-		return next
+		return c.mend(svc, next, settled, now)
 	}
 	repaired, changed := Repair(svc.Engine, next, settled)
 	if changed {
@@ -189,6 +196,26 @@
 	return repaired
 }
 
+// mend makes failure domains whole that have lacked layers for a while.
+func (c *Controller) mend(svc *model.Service, plan Plan, engines []Engine, now time.Time) Plan {
+	mended, changed := Mend(svc.Engine, plan, engines)
+	if !changed {
+		delete(c.holeSince, svc.Name)
+		return plan
+	}
+	since, ok := c.holeSince[svc.Name]
+	if !ok {
+		c.holeSince[svc.Name] = now
+		return plan
+	}
+	if now.Sub(since) < holeTime {
+		return plan
+	}
+	klog.InfoS("plan mended: a failure domain lacked layers that others held", "service", svc.Name, "for", now.Sub(since))
+	delete(c.holeSince, svc.Name)
+	return mended
+}
+
 // gapLasts tells whether some layer has been held by nobody for a while.
 func (c *Controller) gapLasts(svc *model.Service, plan Plan, engines []Engine, now time.Time) bool {
 	if len(Uncovered(svc.Engine, plan, engines)) == 0 {
--- a/internal/coordination/placement/plan_test.go
+++ b/internal/coordination/placement/plan_test.go
@@ -193,3 +193,116 @@
 		}
 	})
 }
+
+// Engines of two domains are gone, and a newcomer comes to one of them. It takes
+// the place that its own domain lacks, though the other one's range is longer: the
+// other way round both domains would send their streams through the pipe between
+// them.
+func TestNewcomerServesItsOwnDomain(t *testing.T) {
+	s := spec()
+	all := append(engines("a", "l40s", 4), engines("b", "a100", 3)...)
+	plan := Make(s, all)
+	lostHere, lostThere := "a-l40s-1", "b-a100-1"
+	assert.Assert(t, plan[lostThere].Len() > plan[lostHere].Len())
+	var now []Engine
+	for _, e := range all {
+		if e.Address != lostHere && e.Address != lostThere {
+			now = append(now, e)
+		}
+	}
+	inA := func(e Engine) bool { return e.Domain == "a" }
+	assert.Equal(t, least(holders(plan, now, inA)), 0, "the loss is felt")
+	now = append(now, Engine{Address: "fresh", Domain: "a", Card: cards["a100"]})
+	next, _ := Extend(s, plan, now)
+	assert.Assert(t, least(holders(next, now, inA)) > 0, "fresh holds %s, domain a lacked %s", next["fresh"], plan[lostHere])
+}
+
+// A domain lost one range and no newcomer comes; others of its engines hold theirs
+// together. One of them is moved, so that streams need not leave the domain for a
+// few layers.
+func TestMendMakesADomainWhole(t *testing.T) {
+	s := spec()
+	all := append(engines("a", "a100", 3), engines("a", "l4", 9)...)
+	plan := Make(s, all)
+	var now []Engine
+	for _, e := range all {
+		if plan[e.Address].Contains(model.LayerRange{From: 30, To: 31}) {
+			continue
+		}
+		now = append(now, e)
+	}
+	now = append(now, engines("b", "a100", 3)...)
+	plan, _ = Extend(s, plan, now)
+	for _, e := range now {
+		if e.Domain == "b" {
+			delete(plan, e.Address)
+		}
+	}
+	inA := func(e Engine) bool { return e.Domain == "a" }
+	assert.Equal(t, least(holders(plan, now, inA)), 0)
+	next, changed := Mend(s, plan, now)
+	assert.Assert(t, changed)
+	assert.Assert(t, least(holders(next, now, inA)) > 0)
+	for range 3 {
+		next, changed = Mend(s, next, now)
+	}
+	assert.Assert(t, !changed, "it comes to rest")
+}
+
+// A domain lost its large card and no newcomer comes: its first layers have room
+// for a quarter of the streams that the others could take. Engines whose layers
+// others hold are moved there one by one, until the thinnest layer has room for
+// half as many again, and no further.
+func TestMendEvensADomainOut(t *testing.T) {
+	s := spec()
+	all := append(engines("a", "a100", 4), engines("a", "l4", 9)...)
+	plan := Make(s, all)
+	var now []Engine
+	for _, e := range all {
+		if e.Card.Name != "a100" || !plan[e.Address].Contains(model.LayerRange{To: 1}) {
+			now = append(now, e)
+		}
+	}
+	before := roomOf(s, plan, now)
+	assert.Assert(t, before.thinnest() > 0 && before.thinnest() < thinShare*before.mean(), "thinnest %.0f, mean %.0f", before.thinnest(), before.mean())
+	next, changed := plan, true
+	moves := -1
+	for ; changed; moves++ {
+		next, changed = Mend(s, next, now)
+	}
+	assert.Assert(t, moves > 0 && moves <= 4, "%d moves", moves)
+	after := roomOf(s, next, now)
+	assert.Assert(t, after.thinnest() >= 1.5*before.thinnest(), "%.0f before, %.0f after", before.thinnest(), after.thinnest())
+}
+
+// As planned, no domain needs mending: engines that were placed are not moved on a
+// calm day.
+func TestPlansNeedNoMending(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := spec()
+		all := drawEngines(rt)
+		plan := Make(s, all)
+		_, changed := Mend(s, plan, all)
+		assert.Assert(rt, !changed)
+	})
+}
+
+// Whatever is lost, mending takes no layer from a domain that held it, and fits
+// every memory.
+func TestMendNeverUncovers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := spec()
+		all := drawEngines(rt)
+		plan := Make(s, all)
+		left := all[:rapid.IntRange(0, len(all)).Draw(rt, "left")]
+		next, _ := Mend(s, plan, left)
+		fits(rt, s, next, left)
+		for _, group := range byDomain(left) {
+			in := func(e Engine) bool { return e.Domain == group[0].Domain }
+			was, is := holders(plan, left, in), holders(next, left, in)
+			for l := range is {
+				assert.Assert(rt, is[l] > 0 || was[l] == 0, "layer %d was held in %s", l, group[0].Domain)
+			}
+		}
+	})
+}
--- a/internal/coordination/placement/repair.go
+++ b/internal/coordination/placement/repair.go
@@ -3,31 +3,42 @@
 import "github.com/skylarkwood/skylarkwood/internal/model"
 
 // Extend gives ranges to engines that the plan does not know and leaves the
-// others where they are. A new engine takes the place of one that is gone, of
-// its own domain first; else it covers the layers that are held least.
+// others where they are. A new engine takes the place of one that is gone, unless
+// another range is of much more use to its failure domain.
 func Extend(spec *model.EngineSpec, plan Plan, engines []Engine) (next Plan, changed bool) {
-	next = Plan{}
+	next = copyOf(plan)
 	known := byAddress(engines)
-	for addr, held := range plan {
-		next[addr] = held
-	}
 	for _, group := range byDomain(engines) {
 		for _, e := range group {
 			if _, ok := next[e.Address]; ok {
 				continue
 			}
 			changed = true
-			if addr := vacancy(spec, next, known, e); addr != "" {
-				next[e.Address] = next[addr]
-				delete(next, addr)
-				continue
-			}
-			placeSpare(spec, e, leastHeld(spec, next, known, e), next)
+			extend(spec, next, engines, known, e)
 		}
 	}
 	return next, changed
 }
 
+// extend gives a range to one engine that has none.
+func extend(spec *model.EngineSpec, plan Plan, engines []Engine, known map[string]Engine, e Engine) {
+	n := needOf(spec, plan, engines, e.Domain)
+	best := n.best(e)
+	if addr := vacancy(spec, plan, known, e, n); addr != "" && n.of(e, plan[addr]) >= keepShare*n.of(e, best) {
+		best = plan[addr]
+		delete(plan, addr)
+	}
+	plan[e.Address] = best
+}
+
+func copyOf(plan Plan) Plan {
+	next := make(Plan, len(plan))
+	for addr, held := range plan {
+		next[addr] = held
+	}
+	return next
+}
+
 // Uncovered lists the layers that none of the engines is planned to hold.
 func Uncovered(spec *model.EngineSpec, plan Plan, engines []Engine) []int {
 	counts := coverage(spec, plan, engines)
@@ -56,10 +67,7 @@
 // only engines whose own layers others hold as well, the slowest cards first,
 // since they carry the least.
 func Repair(spec *model.EngineSpec, plan Plan, engines []Engine) (next Plan, changed bool) {
-	next = Plan{}
-	for addr, held := range plan {
-		next[addr] = held
-	}
+	next = copyOf(plan)
 	groups := byDomain(engines)
 	for {
 		gaps := Uncovered(spec, next, engines)
@@ -100,19 +108,22 @@
 	return true
 }
 
-// vacancy finds a planned range whose engine is gone and that fits e's memory
-// best; empty if there is none.
-func vacancy(spec *model.EngineSpec, plan Plan, known map[string]Engine, e Engine) string {
+// vacancy finds a planned range whose engine is gone and that fits e's memory, the
+// one of most use; empty if there is none.
+func vacancy(spec *model.EngineSpec, plan Plan, known map[string]Engine, e Engine, n need) string {
 	best := ""
+	most := 0.0
 	for addr, held := range plan {
 		if _, ok := known[addr]; ok || held.Len() > MostLayers(spec, e.Card) {
 			continue
 		}
-		if tokens(spec, e.Card, held.Len()) < float64(spec.UsualPrompt+spec.UsualAnswer)*4 {
+		if tokens(spec, e.Card, held.Len()) < n.usual()*4 {
 			continue
 		}
-		if best == "" || held.Len() > plan[best].Len() || held.Len() == plan[best].Len() && addr < best {
+		// By address where the use is the same: a plan is a function of the engines.
+		if use := n.of(e, held); best == "" || use > most || use == most && addr < best {
 			best = addr
+			most = use
 		}
 	}
 	return best
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -110,7 +110,8 @@
 	if verdict == chains.NoChain {
 		return nil, nil, fault.New(fault.NoCapacity, "the engines in reach do not hold all layers")
 	}
-	f := fault.New(fault.Overloaded, "no chain has room: %d wait, waited %v, admitted %t", q.Line.Len(), most, got)
+	f := fault.New(fault.Overloaded, "no chain has room: %d wait, waited %v, admitted %t, short of %s", q.Line.Len(), most, got,
+		q.Chooser.Shortage(q.ticket.Service, demand))
 	return nil, nil, f
 }
 
