Only spared engines are moved to make a failure domain whole

An engine that gives up layers waits for the streams that run through it: its entry held nothing for 13 s, its own layers became the next hole, and 486 streams found no chain at all.

Change: mending only fills holes, with engines whose every layer has half of the domain's mean room without them, the slowest cards first.

--- a/internal/coordination/placement/balance.go
+++ b/internal/coordination/placement/balance.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -16,16 +15,12 @@
 	// taken up: its neighbours begin and end where it does, so that chains through
 	// it have fewer parts.
 	keepShare = 0.7
-	// thinShare is the share of a domain's mean room that its thinnest layer has
-	// at least, where the planner placed all; below it the domain is uneven.
-	thinShare = 0.35
-	// worthMove is by how much a domain's shortage must fall for a move: streams
-	// through the engine are interrupted, and its weights loaded again.
-	worthMove = 1.2
+	// spareShare is the share of its domain's mean room that each of an engine's
+	// layers must have without it for the engine to be spared.
+	spareShare = 0.5
 )
 
-// room is how many tokens have room at each layer. That of the thinnest layer
-// bounds how many streams run at once: each stream needs all layers.
+// room is how many tokens have room at each layer; each stream needs all layers.
 type room []float64
 
 func roomOf(spec *model.EngineSpec, plan Plan, engines []Engine) room {
@@ -50,14 +45,6 @@
 	}
 }
 
-func (r room) thinnest() float64 {
-	least := math.Inf(1)
-	for _, t := range r {
-		least = math.Min(least, t)
-	}
-	return least
-}
-
 func (r room) mean() float64 {
 	sum := 0.0
 	for _, t := range r {
@@ -73,25 +60,6 @@
 	return 1 / (t * t)
 }
 
-// shortage adds up that of all layers.
-func (r room) shortage(bare float64) float64 {
-	sum := 0.0
-	for _, t := range r {
-		sum += shortage(bare, t)
-	}
-	return sum
-}
-
-// keeps tells whether each layer that had room before still has some.
-func (r room) keeps(before room) bool {
-	for l, t := range before {
-		if t > 0 && r[l] <= 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // need is what an engine of one failure domain could relieve.
 type need struct {
 	spec *model.EngineSpec
@@ -168,47 +136,47 @@
 	return best
 }
 
-// Mend evens out failure domains that lost engines: where one layer has room for
-// far fewer streams than the others, the domain's streams go over the pipes to
-// other domains for it, and once the pipes are full its engines stand idle while
-// callers are refused. It moves one engine a domain, the one whose move leaves the
-// least shortage, and none whose layers nobody else of the domain would hold.
+// Mend makes failure domains whole that hold as many layers as the model has but
+// not each of them: their streams else go over the pipes to other domains and back
+// for a few layers, and once the pipes are full their engines stand idle while
+// callers are refused.
+//
+// It moves engines that are spared, the slowest cards first. An engine that gives
+// up layers takes nothing new until the last stream has left it, ten seconds and
+// more for a busy one, and only then loads: to move one that carries the domain's
+// streams costs more than the hole.
 func Mend(spec *model.EngineSpec, plan Plan, engines []Engine) (next Plan, changed bool) {
 	next = copyOf(plan)
 	for _, group := range byDomain(engines) {
-		own := roomOf(spec, next, group)
-		if planned(next, group) < spec.Layers || own.thinnest() >= thinShare*own.mean() {
+		if len(Uncovered(spec, next, group)) == 0 || planned(next, group) < spec.Layers {
 			continue
 		}
-		if e, held, ok := move(spec, next, engines, group); ok {
-			next[e.Address] = held
+		if e, ok := spared(spec, next, group); ok {
+			n := needOf(spec, next, engines, e.Domain)
+			n.take(e, next[e.Address], -1)
+			next[e.Address] = n.best(e)
 			changed = true
 		}
 	}
 	return next, changed
 }
 
-// move finds the engine of a domain that is best moved, and where to.
-func move(spec *model.EngineSpec, plan Plan, engines, group []Engine) (who Engine, to model.LayerRange, ok bool) {
-	before := roomOf(spec, plan, group)
-	all := roomOf(spec, plan, engines)
-	least := math.Inf(1)
+// spared finds the slowest engine of a domain whose layers others of it hold with
+// room to spare.
+func spared(spec *model.EngineSpec, plan Plan, group []Engine) (who Engine, ok bool) {
+	own := roomOf(spec, plan, group)
+	least := spareShare * own.mean()
 	for _, e := range group {
-		held, had := plan[e.Address]
-		if !had {
-			continue
+		held := plan[e.Address]
+		enough := held.Len() > 0
+		for l := held.From; l < min(held.To, len(own)); l++ {
+			enough = enough && own[l]-tokensIn(spec, e, held) >= least
 		}
-		n := need{spec: spec, own: slices.Clone(before), all: slices.Clone(all)}
-		n.take(e, held, -1)
-		target := n.best(e)
-		n.take(e, target, 1)
-		left := n.own.shortage(n.bare())
-		if left < least && left*worthMove <= before.shortage(n.bare()) && n.own.keeps(before) {
-			who, to, ok = e, target, true
-			least = left
+		if enough && (!ok || e.Card.Pace > who.Card.Pace) {
+			who, ok = e, true
 		}
 	}
-	return who, to, ok
+	return who, ok
 }
 
 // planned adds up the layers that engines hold, those held twice counted twice.
