Engines that fail what they receive are no longer begun with

From 6 to 12 s, 235 streams were sent again because an engine answered 500, 83 of 84 traced ones at two engines (0, 1) of one layer and more; the budget for repeated sends was used up by them, and at 14 s 100 interrupted streams could not be resumed. The factor that was to make failing engines dearer read a share of failures that only plain services ever reported, and on an engine of one layer it would have weighed nothing. An engine that fails at once has the most room and draws the most streams.

Ruled out: refusals and ends of processes (no such lines before the failures).

Change: a stream's first engine is judged by its own answers; a share of failures costs what a failed chain costs, once, at the beginning of a chain, and fades in 15 s where no outcome comes.

--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// failureWeight is the weight of the newest outcome in the failure share:
 	// some ten requests decide.
 	failureWeight = 0.15
+	// failureMemory is how fast the failure share fades while no outcome comes: a
+	// backend server that is avoided for it would else be avoided for good.
+	failureMemory = 15 * time.Second
 	// latencyWeight is the weight of the newest latency.
 	latencyWeight = 0.1
 )
@@ -41,7 +45,8 @@
 	since    time.Time // when the suspicion was last raised or confirmed
 	trial    time.Time // not tried again before
 	strikes  int
-	failures float64 // smoothed share of failed requests
+	failures float64 // smoothed share of failed requests, as of judged
+	judged   time.Time
 	latency  time.Duration
 	active   int // requests of this process that run there
 }
@@ -184,12 +189,10 @@
 func (h *Health) End(id string, ok bool, latency time.Duration) {
 	h.with(id, func(r *record) {
 		r.active--
-		failed := 1.0
 		if ok {
-			failed = 0
 			r.strikes = 0
 		}
-		r.failures += failureWeight * (failed - r.failures)
+		r.judge(h.now(), ok)
 		if latency <= 0 {
 			return
 		}
@@ -200,6 +203,28 @@
 	})
 }
 
+// Outcome takes in whether a backend server did work that is not bracketed by
+// Begin and End.
+func (h *Health) Outcome(id string, ok bool) {
+	h.with(id, func(r *record) { r.judge(h.now(), ok) })
+}
+
+// judge counts an outcome in the failure share.
+func (r *record) judge(now time.Time, ok bool) {
+	failed := 1.0
+	if ok {
+		failed = 0
+	}
+	share := r.failureShare(now)
+	r.failures = share + failureWeight*(failed-share)
+	r.judged = now
+}
+
+// failureShare is the share of failed requests, faded since the last outcome.
+func (r *record) failureShare(now time.Time) float64 {
+	return r.failures * math.Exp(-now.Sub(r.judged).Seconds()/failureMemory.Seconds())
+}
+
 // View is the evidence about one backend server.
 type View struct {
 	Suspected bool
@@ -213,7 +238,7 @@
 	var v View
 	now := h.now()
 	h.with(id, func(r *record) {
-		v = View{Suspected: r.suspected(now), Failures: r.failures, Latency: r.latency, Active: r.active}
+		v = View{Suspected: r.suspected(now), Failures: r.failureShare(now), Latency: r.latency, Active: r.active}
 	})
 	return v
 }
--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -35,8 +35,13 @@
 	// mostReading caps the share of an engine's time that goes into reading
 	// prompts, so that its cost stays finite.
 	mostReading = 0.9
-	// doubtFactor makes engines of suspicious record dearer, not forbidden.
-	doubtFactor = 6.0
+	// doubtFree is the share of failures that every engine may have, and doubtTime
+	// what all beyond it costs a token. An engine fails what it receives, so the
+	// failure costs a whole chain, however few layers the engine runs; one that
+	// fails at once looks idle and would draw all streams. At half of its requests
+	// failed it costs more than any chain's time a token.
+	doubtFree = 0.1
+	doubtTime = 20 * time.Millisecond
 	// maxParts is the longest chain that engines take.
 	maxParts = 32
 )
@@ -176,11 +181,11 @@
 		per := perLayer(spec, card, used, c.Memory.Slowdown(b.ID))
 		fill := math.Min(used.TokenLayers/math.Max(capacity*fillLimit, 1), mostFill)
 		per *= 1 / (1 - fill)
-		per *= 1 + doubtFactor*math.Max(view.Failures-0.2, 0)
 		out = append(out, candidate{
 			server:   b,
 			domain:   id,
 			perLayer: per,
+			doubt:    doubtTime.Seconds() * math.Max(view.Failures-doubtFree, 0),
 			notFirst: d.FirstAmong != nil && !d.FirstAmong[b.ID],
 			noSlot:   b.Slots > 0 && used.Firsts+1 > float64(b.Slots)*slotLimit,
 			full:     used.TokenLayers+float64(d.Tokens*b.Holds.Len()) > capacity*fillLimit,
--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -486,3 +486,35 @@
 		w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	}
 }
+
+// A caller's streams fail again and again: an engine answers half of what it
+// receives with a failure of its own, at once, so it is always the one with the
+// most room, and its part may be a single layer. Streams begin elsewhere after a few
+// failures, while it still serves as a later part; once it is mended it is tried
+// again.
+func TestFailingEngineIsNotBegunWith(t *testing.T) {
+	w := newWorld()
+	w.add("grey", "a", "a100", 0, 1)
+	w.add("a1", "a", "a100", 1, 40)
+	w.add("other", "a", "l40s", 0, 20)
+	w.add("a2", "a", "a100", 40, 80)
+	first := func() string {
+		parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+		assert.Equal(t, v, Found)
+		return parts[0].Server.ID
+	}
+	assert.Equal(t, first(), "grey", "it costs least")
+	failures := 0
+	for ; first() == "grey" && failures < 50; failures++ {
+		w.health.Outcome("grey", false)
+		w.health.Outcome("grey", true)
+	}
+	assert.Assert(t, failures <= 12, "%d failures", failures)
+	w.now = w.now.Add(time.Minute)
+	assert.Equal(t, first(), "grey")
+	w.health.Outcome("a2", false)
+	w.health.Outcome("a2", false)
+	w.health.Outcome("a2", false)
+	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
+	assert.Equal(t, parts[len(parts)-1].Server.ID, "a2", "as a later part it fails nobody")
+}
--- a/internal/coordination/chains/walk.go
+++ b/internal/coordination/chains/walk.go
@@ -12,6 +12,7 @@
 	server   *model.BackendServer
 	domain   int
 	perLayer float64 // seconds
+	doubt    float64 // what it costs to begin with it, in seconds
 	full     bool
 	// noSlot says that it can take no more chains that begin with it.
 	noSlot bool
@@ -83,7 +84,7 @@
 		row[e] = way{cost: math.Inf(1), from: nobody}
 		begins := !c.notFirst && !(w.room && w.need.From == 0 && c.noSlot)
 		if begins && w.usable(c, 0) {
-			row[e].cost = c.perLayer + start(c, w.home)
+			row[e].cost = c.perLayer + w.start(c)
 		}
 	}
 }
@@ -133,11 +134,17 @@
 	return c.server.Holds.From <= layer && layer < c.server.Holds.To
 }
 
-func start(c *candidate, home string) float64 {
-	if c.server.FailureDomain == home {
-		return 0
+// start is what it costs to begin with a candidate; a running stream that is moved
+// does not send anything to it.
+func (w *walk) start(c *candidate) float64 {
+	cost := 0.0
+	if w.need.From == 0 {
+		cost += c.doubt
 	}
-	return awayTime.Seconds()
+	if c.server.FailureDomain != w.home {
+		cost += awayTime.Seconds()
+	}
+	return cost
 }
 
 func trace(cands []candidate, table []way, need model.LayerRange) []Part {
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -123,6 +123,7 @@
 	q.runs++
 	s.ranOn[first.ID] = true
 	if ans.Status != http.StatusOK || v.Signature == "" {
+		s.Health.Outcome(first.ID, false)
 		return s.failed(ctx, ans, v)
 	}
 	if q.ticket.Route.Kind != model.RouteStreaming {
@@ -232,6 +233,7 @@
 	for _, p := range parts {
 		s.Health.Clear(p.Server.ID, sent)
 	}
+	s.Health.Outcome(parts[0].Server.ID, true)
 }
 
 // refused takes in which engine would not run its part.
--- a/test/fleet/path_test.go
+++ b/test/fleet/path_test.go
@@ -285,3 +285,32 @@
 		return true
 	})
 }
+
+// An engine answers everything that it receives with a failure of its own, at once,
+// and its health check is good. Streams that are sent to it are answered whole all
+// the same, each by another engine, and after a few of them none begins there.
+func TestFailingEngineIsLeftAlone(t *testing.T) {
+	s := newSite(t, 1)
+	const many = 60
+	rep := s.call(s.routers[0], ask{path: "/sheet/x"})
+	s.whole(rep)
+	grey := s.engineByID(s.fleet.Runs(rep.attempt)[0])
+	grey.SetFaults(standin.EngineFaults{Fail: many})
+	for range many {
+		s.whole(s.call(s.routers[0], ask{path: "/sheet/x"}))
+	}
+	assert.Assert(t, grey.Failed() > 0, "it was never begun with")
+	assert.Assert(t, grey.Failed() <= many/6, "%d of %d began there", grey.Failed(), many)
+}
+
+// engineByID finds an engine by its present incarnation.
+func (s *site) engineByID(id string) *standin.Engine {
+	s.t.Helper()
+	for _, e := range s.engines {
+		if e.ID() == id {
+			return e
+		}
+	}
+	s.t.Fatalf("no engine %s", id)
+	return nil
+}
