Mending trusts no engine that may be gone

Change, kept because what it prevents is wrong all the same: a process that does not lead forgets how long a hole has stood, and an engine that somebody suspects is no ground for moving another.

--- a/internal/coordination/placement/balance.go
+++ b/internal/coordination/placement/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -145,13 +146,18 @@
 // up layers takes nothing new until the last stream has left it, ten seconds and
 // more for a busy one, and only then loads: to move one that carries the domain's
 // streams costs more than the hole.
-func Mend(spec *model.EngineSpec, plan Plan, engines []Engine) (next Plan, changed bool) {
+//
+// sure tells, by address, which engines are known to do their work: while the store
+// is away others may be gone and still be listed, and what they seem to hold is no
+// ground for taking an engine away that does hold it.
+func Mend(spec *model.EngineSpec, plan Plan, engines []Engine, sure func(address string) bool) (next Plan, changed bool) {
 	next = copyOf(plan)
 	for _, group := range byDomain(engines) {
 		if len(Uncovered(spec, next, group)) == 0 || planned(next, group) < spec.Layers {
 			continue
 		}
-		if e, ok := spared(spec, next, group); ok {
+		known := slices.DeleteFunc(slices.Clone(group), func(e Engine) bool { return !sure(e.Address) })
+		if e, ok := spared(spec, next, known); ok {
 			n := needOf(spec, next, engines, e.Domain)
 			n.take(e, next[e.Address], -1)
 			next[e.Address] = n.best(e)
@@ -161,8 +167,8 @@
 	return next, changed
 }
 
-// spared finds the slowest engine of a domain whose layers others of it hold with
-// room to spare.
+// spared finds the slowest engine of some of one domain whose layers others of them
+// hold with room to spare.
 func spared(spec *model.EngineSpec, plan Plan, group []Engine) (who Engine, ok bool) {
 	own := roomOf(spec, plan, group)
 	least := spareShare * own.mean()
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -51,7 +51,10 @@
 	Fenced func(token int64)
 	// Traffic tells whether callers' requests were seen by any router.
 	Traffic func() bool
-	Now     func() time.Time
+	// Suspected tells whether there is evidence against an engine, by id; nil for
+	// never.
+	Suspected func(id string) bool
+	Now       func() time.Time
 
 	mu       sync.Mutex
 	plans    map[string]stored // by service
@@ -120,6 +123,7 @@
 	servers := c.engines(svc)
 	token := c.Token()
 	if token == 0 {
+		c.forgetHole(svc.Name)
 		return
 	}
 	plan := c.plan(svc, servers)
@@ -221,7 +225,7 @@
 		return plan
 	}
 	c.holeLook[svc.Name] = now
-	mended, changed := Mend(svc.Engine, plan, engines)
+	mended, changed := Mend(svc.Engine, plan, engines, c.sure(svc))
 	if !changed {
 		delete(c.holeSince, svc.Name)
 		return plan
@@ -239,6 +243,23 @@
 	return mended
 }
 
+// forgetHole has holes wait anew: a process that did not lead, or could not hear from
+// the store, may know engines that are gone.
+func (c *Controller) forgetHole(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.holeSince, service)
+}
+
+// sure tells which engines, by address, nobody suspects.
+func (c *Controller) sure(svc *model.Service) func(address string) bool {
+	suspected := map[string]bool{}
+	for _, b := range c.Catalog.Load().Service(svc.Name) {
+		suspected[b.Address] = c.Suspected != nil && c.Suspected(b.ID)
+	}
+	return func(address string) bool { return !suspected[address] }
+}
+
 // gapLasts tells whether some layer has been held by nobody for a while.
 func (c *Controller) gapLasts(svc *model.Service, plan Plan, engines []Engine, now time.Time) bool {
 	if len(Uncovered(svc.Engine, plan, engines)) == 0 {
--- a/internal/coordination/placement/plan_test.go
+++ b/internal/coordination/placement/plan_test.go
@@ -240,15 +240,33 @@
 	}
 	inA := func(e Engine) bool { return e.Domain == "a" }
 	assert.Equal(t, least(holders(plan, now, inA)), 0)
-	next, changed := Mend(s, plan, now)
+	next, changed := Mend(s, plan, now, allSure)
 	assert.Assert(t, changed)
 	assert.Assert(t, least(holders(next, now, inA)) > 0)
 	for range 3 {
-		next, changed = Mend(s, next, now)
+		next, changed = Mend(s, next, now, allSure)
 	}
 	assert.Assert(t, !changed, "it comes to rest")
 }
 
+func allSure(string) bool { return true }
+
+// The store was away, and an engine that is gone is still listed. What it seems to
+// hold does not count: the one that could be spared beside it is the last that does
+// its work there, and stays.
+func TestMendTrustsNoEngineThatMayBeGone(t *testing.T) {
+	s := spec()
+	all := append(engines("a", "a100", 4), Engine{Address: "low", Domain: "a", Card: cards["l40s"]})
+	plan := Make(s, engines("a", "a100", 4))
+	hole, twice := plan["a-a100-1"], plan["a-a100-2"]
+	plan["low"] = twice
+	now := append(append([]Engine(nil), all[:1]...), all[2:]...)
+	next, changed := Mend(s, plan, now, func(address string) bool { return address != "a-a100-2" })
+	assert.Assert(t, !changed || next["low"] == twice, "low went to %s", next["low"])
+	next, changed = Mend(s, plan, now, allSure)
+	assert.Assert(t, changed && next["low"].From <= hole.From, "low went to %s", next["low"])
+}
+
 // A domain lost a range that nobody else of it holds. Its large engines carry the
 // streams and stay: until one had let go of them and loaded, the domain would lack
 // its layers too. The small one, whose layers a large one holds, takes the place.
@@ -262,7 +280,7 @@
 	plan["low"] = model.LayerRange{From: held.To, To: held.To + held.Len()}
 	inA := func(e Engine) bool { return e.Domain == "a" }
 	assert.Equal(t, least(holders(plan, now, inA)), 0)
-	next, changed := Mend(s, plan, now)
+	next, changed := Mend(s, plan, now, allSure)
 	assert.Assert(t, changed && least(holders(next, now, inA)) > 0, "the spare went to %s", next["low"])
 	for _, e := range now {
 		if e.Card.Name == "a100" {
@@ -278,7 +296,7 @@
 		s := spec()
 		all := drawEngines(rt)
 		plan := Make(s, all)
-		_, changed := Mend(s, plan, all)
+		_, changed := Mend(s, plan, all, allSure)
 		assert.Assert(rt, !changed)
 	})
 }
@@ -291,7 +309,7 @@
 		all := drawEngines(rt)
 		plan := Make(s, all)
 		left := all[:rapid.IntRange(0, len(all)).Draw(rt, "left")]
-		next, _ := Mend(s, plan, left)
+		next, _ := Mend(s, plan, left, allSure)
 		fits(rt, s, next, left)
 		for _, group := range byDomain(left) {
 			in := func(e Engine) bool { return e.Domain == group[0].Domain }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -214,14 +214,15 @@
 		Eligible:    func() bool { return !r.draining.Load() },
 	}
 	r.control = &placement.Controller{
-		Config:  r.config,
-		Catalog: r.catalog,
-		Store:   r.store,
-		Engines: relay.Engines{Relay: r.front.Relay},
-		Token:   r.elector.Token,
-		Fenced:  r.elector.Refused,
-		Traffic: r.callersCame,
-		Now:     time.Now,
+		Config:    r.config,
+		Catalog:   r.catalog,
+		Store:     r.store,
+		Engines:   relay.Engines{Relay: r.front.Relay},
+		Token:     r.elector.Token,
+		Fenced:    r.elector.Refused,
+		Traffic:   r.callersCame,
+		Suspected: r.health.Suspected,
+		Now:       time.Now,
 	}
 }
 
