--- a/internal/coordination/leader/leader_test.go
+++ b/internal/coordination/leader/leader_test.go
@@ -23,6 +23,13 @@
 }
 
 func start(store *standin.Store, name string) *candidate {
+	c, ctx := run(store, name)
+	c.done.Go(func() { c.watch(ctx, store) })
+	return c
+}
+
+// run starts a candidate that does not watch yet; its context ends with end.
+func run(store platform.Store, name string) (*candidate, context.Context) {
 	ctx, cancel := context.WithCancel(context.Background())
 	began := time.Now()
 	c := &candidate{stop: cancel}
@@ -34,8 +41,7 @@
 		Eligible:    func() bool { return true },
 	}
 	c.done.Go(func() { c.e.Run(ctx) })
-	c.done.Go(func() { c.watch(ctx, store) })
-	return c
+	return c, ctx
 }
 
 func (c *candidate) watch(ctx context.Context, store *standin.Store) {
@@ -128,13 +134,7 @@
 		lossy := &losing{Store: store, skip: 1, lose: 1}
 		a := start(store, "a")
 		a.end()
-		b := &candidate{}
-		ctx, cancel := context.WithCancel(context.Background())
-		b.stop = cancel
-		began := time.Now()
-		b.e = &Elector{Store: lossy, Self: Member{Instance: "b"}, Incarnation: "b-1",
-			Clock: func() time.Duration { return time.Since(began) + time.Hour }, Eligible: func() bool { return true }}
-		b.done.Go(func() { b.e.Run(ctx) })
+		b, ctx := run(lossy, "b")
 		b.done.Go(func() { b.watch(ctx, store) })
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, lossy.losses(), 1)
@@ -200,12 +200,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewStore()
 		lossy := &losing{Store: store, skip: 1, lose: 1}
-		ctx, cancel := context.WithCancel(context.Background())
-		began := time.Now()
-		c := &candidate{stop: cancel}
-		c.e = &Elector{Store: lossy, Self: Member{Instance: "c"}, Incarnation: "c-1",
-			Clock: func() time.Duration { return time.Since(began) + time.Hour }, Eligible: func() bool { return true }}
-		c.done.Go(func() { c.e.Run(ctx) })
+		c, ctx := run(lossy, "c")
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, lossy.losses(), 1)
 		c.done.Go(func() { c.watch(ctx, store) })
