--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -30,7 +30,7 @@
 	leaderTTL = 3 * time.Second
 	// memberTTL is the lease of a router's entry. It only tells routers where
 	// others are, whom they hear four times a second; each renewal is a priced call
-	// of every router, and with the leader's TTL they were two calls in three.
+	// of every router, and a ninth of all calls went into them at the leader's TTL.
 	memberTTL = 9 * time.Second
 	// renewShare of a lease passes between renewals, so that one lost renewal
 	// does not end it.
