One way to show a report, one timer of standing trouble, one test for unplanned engines

Read again as a whole: the plans' report was shown by a copy of the load's, which dropped the error of closing its file; gaps and holes timed themselves alike; lacks and unplanned asked the same. Behaviour is as before, but that the plans' page is announced on standard error like the load's.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -183,7 +183,7 @@
 	now := c.Now()
 	old := c.plans[svc.Name]
 	fresh := !c.Traffic()
-	if old.plan == nil || fresh && c.lacks(old.plan, servers) {
+	if old.plan == nil || fresh && unplanned(old.plan, c.engineList(svc, servers, now, 0)) {
 		quiet := now.Sub(c.newest)
 		if len(servers) == 0 || quiet < settleTime && now.Sub(c.began) < settleMost {
 			return old.plan
@@ -230,15 +230,11 @@
 		delete(c.holeSince, svc.Name)
 		return plan
 	}
-	since, ok := c.holeSince[svc.Name]
-	if !ok {
-		c.holeSince[svc.Name] = now
-		return plan
-	}
-	if now.Sub(since) < holeTime {
+	stands := standsFor(c.holeSince, svc.Name, now)
+	if stands < holeTime {
 		return plan
 	}
-	klog.InfoS("plan mended: a failure domain lacked layers that others held", "service", svc.Name, "for", now.Sub(since))
+	klog.InfoS("plan mended: a failure domain lacked layers that others held", "service", svc.Name, "for", stands)
 	delete(c.holeSince, svc.Name)
 	return mended
 }
@@ -266,22 +262,17 @@
 		delete(c.gapSince, svc.Name)
 		return false
 	}
-	since, ok := c.gapSince[svc.Name]
-	if !ok {
-		c.gapSince[svc.Name] = now
-		return false
-	}
-	return now.Sub(since) >= gapTime
+	return standsFor(c.gapSince, svc.Name, now) >= gapTime
 }
 
-// lacks tells whether an engine is not in the plan.
-func (c *Controller) lacks(plan Plan, servers []*model.BackendServer) bool {
-	for _, b := range servers {
-		if _, ok := plan[b.Address]; !ok {
-			return true
-		}
+// standsFor is how long a service's trouble has stood; it begins now if it is new.
+func standsFor(since map[string]time.Time, service string, now time.Time) time.Duration {
+	began, ok := since[service]
+	if !ok {
+		since[service] = now
+		return 0
 	}
-	return false
+	return now.Sub(began)
 }
 
 // engineList gives the planner's view of engines that have been there a while.
--- a/internal/ctl/experiment.go
+++ b/internal/ctl/experiment.go
@@ -1,9 +1,7 @@
 package ctl
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -19,7 +17,7 @@
 }
 
 func (a *app) newExperimentPlan() *cobra.Command {
-	var report string
+	var path string
 	cmd := &cobra.Command{
 		Use:   "plan FILE",
 		Short: "Compare ways to place a model's layers on the engines of a TOML file",
@@ -37,32 +35,9 @@
 				Title:   fmt.Sprintf("Plans for %d engines, %d layers", len(site.Engines), site.Spec.Layers),
 				Results: experiment.Compare(site, experiment.Planners()),
 			}
-			return a.showPlans(r, report)
+			return a.showReport(r, path)
 		},
 	}
-	cmd.Flags().StringVar(&report, "report", "", "HTML file to write the report to")
+	cmd.Flags().StringVar(&path, "report", "", "HTML file to write the report to")
 	return cmd
 }
-
-func (a *app) showPlans(r experiment.Report, path string) error {
-	if path != "" {
-		f, err := os.Create(path)
-		if err != nil {
-			return errors.Wrap(err, "report")
-		}
-		defer f.Close()
-		if err := r.HTML(f); err != nil {
-			return errors.Wrap(err, "report")
-		}
-	}
-	if a.output != "json" {
-		r.Text(a.out)
-		return nil
-	}
-	raw, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return errors.Wrap(err, "encode output")
-	}
-	_, err = fmt.Fprintln(a.out, string(raw))
-	return errors.Wrap(err, "write output")
-}
--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -29,7 +30,7 @@
 
 func (a *app) newLoad() *cobra.Command {
 	var cfg load.Config
-	var mix, report, entries string
+	var mix, path, entries string
 	cmd := &cobra.Command{
 		Use:   "load",
 		Short: "Send an open-loop load and account for every request",
@@ -45,7 +46,7 @@
 			if cfg.Rate <= 0 || cfg.Duration <= 0 {
 				return &exitError{exitUsage, "--rate and --duration must be above 0"}
 			}
-			return a.showLoad(load.Run(cmd.Context(), cfg), report)
+			return a.showReport(load.Run(cmd.Context(), cfg), path)
 		},
 	}
 	f := cmd.Flags()
@@ -57,7 +58,7 @@
 	f.DurationVar(&cfg.Period, "period", 10*time.Second, "from one burst to the next")
 	f.DurationVar(&cfg.Timeout, "timeout", 0, "time limit of each request; 0 takes the template's")
 	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the arrivals")
-	f.StringVar(&report, "report", "", "HTML file to write the report to")
+	f.StringVar(&path, "report", "", "HTML file to write the report to")
 	_ = cmd.MarkFlagRequired("mix")
 	return cmd
 }
@@ -83,7 +84,14 @@
 	return nil
 }
 
-func (a *app) showLoad(r load.Report, path string) error {
+// report is what a measurement shows: tables for people, a page, or its fields.
+type report interface {
+	Text(w io.Writer)
+	HTML(w io.Writer) error
+}
+
+// showReport prints a report, and writes its page to a file if there is a path.
+func (a *app) showReport(r report, path string) error {
 	if a.output == "json" {
 		enc := json.NewEncoder(a.out)
 		enc.SetIndent("", "  ")
