--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -4,7 +4,6 @@
 package catalog
 
 import (
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,42 +11,13 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// Snapshot is the catalogue at one moment. It is never changed in place.
-type Snapshot struct {
-	services  map[string][]*model.BackendServer
-	byAddress map[string]*model.BackendServer
-	byID      map[string]*model.BackendServer
-	domains   map[string]bool
-}
-
-// Service lists the backend servers of a service that may get new work, ordered
-// by id.
-func (s *Snapshot) Service(name string) []*model.BackendServer { return s.services[name] }
-
-// All lists every known backend server of a service, leaving ones included.
-func (s *Snapshot) All(name string) []*model.BackendServer {
-	var out []*model.BackendServer
-	for _, b := range s.byID {
-		if b.Service == name {
-			out = append(out, b)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
-}
-
-// ByAddress finds who has an address; nil if nobody is known to.
-func (s *Snapshot) ByAddress(addr string) *model.BackendServer { return s.byAddress[addr] }
-
-// Domains counts the failure domains that have backend servers.
-func (s *Snapshot) Domains() int { return len(s.domains) }
-
-// ByID finds a backend server; nil if it is not known.
-func (s *Snapshot) ByID(id string) *model.BackendServer { return s.byID[id] }
-
 // entry is a backend server and until when it is kept though its entry is gone.
 type entry struct {
 	server model.BackendServer
+	// first is when the incarnation was first heard of.
+	first sighting
+	// unreadable says that another writer put something in the entry's place.
+	unreadable bool
 	// missing is set while the entry is gone from the store; keepUntil says how
 	// long it is believed in all the same.
 	missing   bool
@@ -58,9 +28,11 @@
 type Catalog struct {
 	now func() time.Time
 
-	mu      sync.Mutex
-	entries map[string]*entry
-	current atomic.Pointer[Snapshot]
+	mu        sync.Mutex
+	entries   map[string]*entry // by id, as in the store
+	newest    map[string]string // id of the newest entry by address
+	sightings sightings
+	current   atomic.Pointer[Snapshot]
 	// stale says that entries changed since the snapshot was made. It is made
 	// anew when somebody asks: engines register in bunches, and a snapshot of
 	// thousands for each of them would cost more than the routing.
@@ -69,7 +41,7 @@
 
 // New makes an empty catalogue.
 func New(now func() time.Time) *Catalog {
-	c := &Catalog{now: now, entries: map[string]*entry{}}
+	c := &Catalog{now: now, entries: map[string]*entry{}, newest: map[string]string{}, sightings: newSightings()}
 	c.publish()
 	return c
 }
@@ -86,15 +58,66 @@
 	return c.current.Load()
 }
 
-// Put takes in a new or changed entry. An older revision is passed over: pages
-// of a range read and the watch that follows it overlap.
-func (c *Catalog) Put(b model.BackendServer) {
+// publish swaps the snapshot. The caller holds the lock.
+func (c *Catalog) publish() {
+	c.stale.Store(false)
+	c.current.Store(newSnapshot(c.entries))
+}
+
+// Put takes in a new or changed entry and tells what follows from it. An older
+// revision is passed over: pages of a range read and the watch that follows it
+// overlap.
+func (c *Catalog) Put(b model.BackendServer) News {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old, ok := c.entries[b.ID]; ok && !old.missing && old.server.Revision > b.Revision {
-		return
+	return c.put(b, 0)
+}
+
+// put takes in an entry; read numbers the read of the whole list that it came
+// with, 0 for a change. The caller holds the lock.
+func (c *Catalog) put(b model.BackendServer, read int64) News {
+	old, ok := c.entries[b.ID]
+	if ok && !old.missing && old.server.Revision > b.Revision {
+		return News{}
+	}
+	switch c.compare(old, &b) {
+	case passOver:
+		return News{}
+	case ask:
+		return News{Disputed: []model.BackendServer{b}}
+	case nobodys:
+		c.spoil(old, b.Revision)
+		return News{}
+	}
+	c.stale.Store(true)
+	e := &entry{server: b, first: c.sightings.note(&b, read, c.now())}
+	c.entries[b.ID] = e
+	news := News{Ended: c.displaced(e)}
+	if ok && old.server.Born != b.Born {
+		news.Ended = append(news.Ended, old.server)
+	}
+	return news
+}
+
+// Spoil takes in that an entry holds something that names no server. What was
+// believed of its server is kept, as work may be running there, but it gets none
+// until its own word stands there again: whoever wrote over it may know that it
+// is gone, and a server that lives writes again within a heartbeat. It tells
+// whether that is news.
+func (c *Catalog) Spoil(id string, revision int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.entries[id]
+	if !ok || e.unreadable || e.server.Revision > revision {
+		return false
 	}
-	c.entries[b.ID] = &entry{server: b}
+	c.spoil(e, revision)
+	return true
+}
+
+func (c *Catalog) spoil(e *entry, revision int64) {
+	e.unreadable = true
+	e.server.Revision = revision
 	c.stale.Store(true)
 }
 
@@ -113,7 +136,7 @@
 	if !ok || e.missing {
 		return
 	}
-	if grace <= 0 || e.server.Draining {
+	if grace <= 0 || e.server.Draining || e.unreadable {
 		delete(c.entries, id)
 		return
 	}
@@ -121,21 +144,29 @@
 	e.keepUntil = c.now().Add(grace)
 }
 
-// Replace takes in the whole list: what it lacks was removed.
-func (c *Catalog) Replace(all []model.BackendServer, grace time.Duration) {
+// Replace takes in the whole list: what it lacks was removed. spoilt are the ids
+// whose entries name no server.
+func (c *Catalog) Replace(all []model.BackendServer, spoilt map[string]int64, grace time.Duration) News {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var news News
 	listed := make(map[string]bool, len(all))
+	c.sightings.reads++
 	for _, b := range all {
 		listed[b.ID] = true
-		c.entries[b.ID] = &entry{server: b}
+		news.add(c.put(b, c.sightings.reads))
 	}
-	for id := range c.entries {
+	for id, e := range c.entries {
+		if revision, ok := spoilt[id]; ok {
+			c.spoil(e, revision)
+			continue
+		}
 		if !listed[id] {
 			c.remove(id, grace)
 		}
 	}
 	c.stale.Store(true)
+	return news
 }
 
 // Empty tells whether no backend server is known.
@@ -151,7 +182,9 @@
 	defer c.mu.Unlock()
 	out := make([]model.BackendServer, 0, len(c.entries))
 	for _, e := range c.entries {
-		out = append(out, e.server)
+		if !e.unreadable {
+			out = append(out, e.server)
+		}
 	}
 	return out
 }
@@ -165,18 +198,19 @@
 	if len(c.entries) > 0 {
 		return false
 	}
+	c.sightings.reads++
 	for _, b := range all {
-		c.entries[b.ID] = &entry{server: b}
+		c.put(b, c.sightings.reads)
 	}
-	c.stale.Store(true)
 	return len(all) > 0
 }
 
 // SetHolds takes in the layers that an engine reported itself.
-func (c *Catalog) SetHolds(id string, held model.LayerRange) {
+func (c *Catalog) SetHolds(inc model.Incarnation, held model.LayerRange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e, ok := c.entries[id]; ok && e.server.Holds != held {
+	e, ok := c.entries[inc.ID]
+	if ok && e.server.Incarnation() == inc && e.server.Holds != held {
 		e.server.Holds = held
 		c.stale.Store(true)
 	}
@@ -198,29 +232,3 @@
 	}
 	return gone
 }
-
-// publish swaps the snapshot. The caller holds the lock.
-func (c *Catalog) publish() {
-	s := &Snapshot{
-		services:  map[string][]*model.BackendServer{},
-		byAddress: make(map[string]*model.BackendServer, len(c.entries)),
-		byID:      make(map[string]*model.BackendServer, len(c.entries)),
-		domains:   map[string]bool{},
-	}
-	for id, e := range c.entries {
-		b := e.server
-		s.byID[id] = &b
-		s.domains[b.FailureDomain] = true
-		if other := s.byAddress[b.Address]; other == nil || other.Revision < b.Revision {
-			s.byAddress[b.Address] = &b
-		}
-		if !b.Draining {
-			s.services[b.Service] = append(s.services[b.Service], &b)
-		}
-	}
-	for _, list := range s.services {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	}
-	c.current.Store(s)
-	c.stale.Store(false)
-}
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -15,6 +15,8 @@
 	return model.BackendServer{ID: id, Service: "s", Address: addr, Revision: revision}
 }
 
+func inc(id string) model.Incarnation { return model.Incarnation{ID: id} }
+
 func clock() (*time.Time, func() time.Time) {
 	now := time.Unix(1000, 0)
 	return &now, func() time.Time { return now }
@@ -41,7 +43,7 @@
 	c := New(now)
 	c.Put(server("a", "1:1", 1))
 	c.Put(server("b", "2:1", 2))
-	c.Replace([]model.BackendServer{server("b", "2:1", 2)}, 0)
+	c.Replace([]model.BackendServer{server("b", "2:1", 2)}, nil, 0)
 	assert.Equal(t, len(c.Load().Service("s")), 1)
 	assert.Assert(t, c.Load().ByID("a") == nil)
 }
@@ -54,7 +56,7 @@
 	c := New(now)
 	c.Put(server("back", "1:1", 1))
 	c.Put(server("dead", "2:1", 2))
-	c.Replace(nil, 2*time.Second)
+	c.Replace(nil, nil, 2*time.Second)
 	assert.Equal(t, len(c.Load().Service("s")), 2)
 	*at = at.Add(time.Second)
 	c.Put(server("back", "1:1", 9))
@@ -103,30 +105,30 @@
 func TestSuspicionGrowsAndEnds(t *testing.T) {
 	at, now := clock()
 	h := NewHealth(now)
-	until, news := h.Suspect("a")
+	until, news := h.Suspect(inc("a"))
 	assert.Assert(t, news)
 	assert.Equal(t, until.Sub(*at), firstSuspicion)
-	_, news = h.Suspect("a")
+	_, news = h.Suspect(inc("a"))
 	assert.Assert(t, !news, "the same suspicion is not news")
 	*at = until
-	assert.Assert(t, !h.Suspected("a"))
-	until, _ = h.Suspect("a")
+	assert.Assert(t, !h.Suspected(inc("a")))
+	until, _ = h.Suspect(inc("a"))
 	assert.Equal(t, until.Sub(*at), 2*firstSuspicion)
-	h.Clear("a", *at)
-	assert.Assert(t, !h.Suspected("a"))
-	until, _ = h.Suspect("a")
+	h.Clear(inc("a"), *at)
+	assert.Assert(t, !h.Suspected(inc("a")))
+	until, _ = h.Suspect(inc("a"))
 	assert.Equal(t, until.Sub(*at), firstSuspicion, "proof of work forgets the strikes")
 }
 
 func TestHealthCounts(t *testing.T) {
 	_, now := clock()
 	h := NewHealth(now)
-	h.Begin("a")
-	h.Begin("a")
-	assert.Equal(t, h.View("a").Active, 2)
-	h.End("a", false, 0)
-	h.End("a", true, 40*time.Millisecond)
-	v := h.View("a")
+	h.Begin(inc("a"))
+	h.Begin(inc("a"))
+	assert.Equal(t, h.View(inc("a")).Active, 2)
+	h.End(inc("a"), false, 0)
+	h.End(inc("a"), true, 40*time.Millisecond)
+	v := h.View(inc("a"))
 	assert.Equal(t, v.Active, 0)
 	assert.Equal(t, v.Latency, 40*time.Millisecond)
 	assert.Assert(t, v.Failures > 0 && v.Failures < failureWeight)
@@ -139,12 +141,12 @@
 	h := NewHealth(now)
 	given := *at
 	*at = at.Add(time.Second)
-	h.Refused("a", at.Add(4*time.Second), true)
+	h.Refused(inc("a"), at.Add(4*time.Second), true)
 	*at = at.Add(time.Second)
-	h.Clear("a", given)
-	assert.Assert(t, h.Suspected("a"))
-	h.Clear("a", *at)
-	assert.Assert(t, !h.Suspected("a"))
+	h.Clear(inc("a"), given)
+	assert.Assert(t, h.Suspected(inc("a")))
+	h.Clear(inc("a"), *at)
+	assert.Assert(t, !h.Suspected(inc("a")))
 }
 
 // A suspicion runs out while dozens of streams look for a chain. One of them
@@ -152,20 +154,20 @@
 func TestOneStreamTriesAfterASuspicion(t *testing.T) {
 	at, now := clock()
 	h := NewHealth(now)
-	until, _ := h.Suspect("a")
+	until, _ := h.Suspect(inc("a"))
 	*at = until
 	tried := 0
 	for range 50 {
-		if !h.View("a").Suspected {
-			h.Try("a")
+		if !h.View(inc("a")).Suspected {
+			h.Try(inc("a"))
 			tried++
 		}
 	}
 	assert.Equal(t, tried, 1)
-	h.Clear("a", *at)
-	assert.Assert(t, !h.View("a").Suspected)
-	h.Try("a")
-	assert.Assert(t, !h.View("a").Suspected, "an engine without strikes is not rationed")
+	h.Clear(inc("a"), *at)
+	assert.Assert(t, !h.View(inc("a")).Suspected)
+	h.Try(inc("a"))
+	assert.Assert(t, !h.View(inc("a")).Suspected, "an engine without strikes is not rationed")
 }
 
 // Another router tells of a refusal every quarter of a second, as the time that
@@ -175,11 +177,11 @@
 	h := NewHealth(now)
 	until := at.Add(time.Second)
 	for range 4 {
-		h.SuspectedElsewhere("a", until)
+		h.SuspectedElsewhere(inc("a"), until)
 		*at = at.Add(250 * time.Millisecond)
 	}
-	assert.Assert(t, !h.Suspected("a"))
-	assert.Equal(t, h.NextSuspicion("a"), 2*firstSuspicion)
+	assert.Assert(t, !h.Suspected(inc("a")))
+	assert.Equal(t, h.NextSuspicion(inc("a")), 2*firstSuspicion)
 }
 
 // Three thousand engines register in a bunch. What is known of them is complete
--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -5,13 +5,14 @@
 	"sync"
 	"time"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/state/shard"
 )
 
 const (
 	// firstSuspicion is how long a backend server gets nothing after direct
 	// evidence against it; it doubles with each further strike up to
-	// longestSuspicion. A restarted engine is back under a new id, so only cut
+	// longestSuspicion. A restarted engine is another incarnation, so only cut
 	// off and slow ones wait it out.
 	firstSuspicion   = time.Second
 	longestSuspicion = 8 * time.Second
@@ -33,10 +34,11 @@
 	latencyWeight = 0.1
 )
 
-// Health is the direct evidence about backend servers, by id.
+// Health is the direct evidence about backend servers, by incarnation: a server that
+// starts again is judged anew.
 type Health struct {
 	now     func() time.Time
-	records *shard.Map[*record]
+	records *shard.Map[model.Incarnation, *record]
 }
 
 type record struct {
@@ -53,11 +55,11 @@
 
 // NewHealth makes an empty record.
 func NewHealth(now func() time.Time) *Health {
-	return &Health{now: now, records: shard.New[*record]()}
+	return &Health{now: now, records: shard.New[model.Incarnation, *record]()}
 }
 
-func (h *Health) with(id string, f func(*record)) {
-	r, _ := h.records.GetOrPut(id, func() *record { return &record{} })
+func (h *Health) with(inc model.Incarnation, f func(*record)) {
+	r, _ := h.records.GetOrPut(inc, func() *record { return &record{} })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f(r)
@@ -65,9 +67,9 @@
 
 // Suspect records evidence that a backend server does not do its work. It tells
 // until when it gets nothing, and whether that is news.
-func (h *Health) Suspect(id string) (until time.Time, news bool) {
+func (h *Health) Suspect(inc model.Incarnation) (until time.Time, news bool) {
 	now := h.now()
-	h.with(id, func(r *record) {
+	h.with(inc, func(r *record) {
 		if now.Before(r.until) {
 			until = r.until
 			return
@@ -83,8 +85,8 @@
 }
 
 // SuspectUntil takes in another router's suspicion.
-func (h *Health) SuspectUntil(id string, until time.Time) {
-	h.with(id, func(r *record) {
+func (h *Health) SuspectUntil(inc model.Incarnation, until time.Time) {
+	h.with(inc, func(r *record) {
 		if until.After(r.until) {
 			r.since = h.now()
 			r.until = until
@@ -94,8 +96,8 @@
 
 // Refused takes in that a backend server refused work of this router and gets
 // none until then. A lasting refusal counts as a strike.
-func (h *Health) Refused(id string, until time.Time, lasting bool) {
-	h.with(id, func(r *record) {
+func (h *Health) Refused(inc model.Incarnation, until time.Time, lasting bool) {
+	h.with(inc, func(r *record) {
 		r.since = h.now()
 		r.until = until
 		if lasting {
@@ -107,9 +109,9 @@
 
 // NextSuspicion is how long the next suspicion lasts: it doubles with each
 // strike.
-func (h *Health) NextSuspicion(id string) time.Duration {
+func (h *Health) NextSuspicion(inc model.Incarnation) time.Duration {
 	d := firstSuspicion
-	h.with(id, func(r *record) { d = r.nextSuspicion() })
+	h.with(inc, func(r *record) { d = r.nextSuspicion() })
 	return d
 }
 
@@ -119,9 +121,9 @@
 
 // SuspectedElsewhere takes in that another router's work was refused, and until
 // when nobody should send more. It counts as a strike here as well.
-func (h *Health) SuspectedElsewhere(id string, until time.Time) {
+func (h *Health) SuspectedElsewhere(inc model.Incarnation, until time.Time) {
 	now := h.now()
-	h.with(id, func(r *record) {
+	h.with(inc, func(r *record) {
 		if !until.After(r.until.Add(sameWord)) {
 			return
 		}
@@ -135,8 +137,8 @@
 
 // Try takes in that a backend server is given work. One whose suspicion ran out
 // is not tried again for a moment.
-func (h *Health) Try(id string) {
-	r, ok := h.records.Get(id)
+func (h *Health) Try(inc model.Incarnation) {
+	r, ok := h.records.Get(inc)
 	if !ok {
 		return
 	}
@@ -149,8 +151,8 @@
 
 // Clear takes in proof that a backend server did work that it was given at some
 // time. Work from before a suspicion proves nothing against it.
-func (h *Health) Clear(id string, given time.Time) {
-	h.with(id, func(r *record) {
+func (h *Health) Clear(inc model.Incarnation, given time.Time) {
+	h.with(inc, func(r *record) {
 		if given.Before(r.since) {
 			return
 		}
@@ -163,13 +165,13 @@
 // Trust takes in that a backend server answers again. Its strikes stay until it
 // has done work: one that answers and does nothing would else be tried again
 // every second.
-func (h *Health) Trust(id string) {
-	h.with(id, func(r *record) { r.until = time.Time{} })
+func (h *Health) Trust(inc model.Incarnation) {
+	h.with(inc, func(r *record) { r.until = time.Time{} })
 }
 
 // Suspected tells whether a backend server should get nothing now.
-func (h *Health) Suspected(id string) bool {
-	r, ok := h.records.Get(id)
+func (h *Health) Suspected(inc model.Incarnation) bool {
+	r, ok := h.records.Get(inc)
 	if !ok {
 		return false
 	}
@@ -183,11 +185,11 @@
 }
 
 // Begin and End bracket a request of this process at a backend server.
-func (h *Health) Begin(id string) { h.with(id, func(r *record) { r.active++ }) }
+func (h *Health) Begin(inc model.Incarnation) { h.with(inc, func(r *record) { r.active++ }) }
 
 // End takes in how a request went. latency is 0 where it says nothing.
-func (h *Health) End(id string, ok bool, latency time.Duration) {
-	h.with(id, func(r *record) {
+func (h *Health) End(inc model.Incarnation, ok bool, latency time.Duration) {
+	h.with(inc, func(r *record) {
 		r.active--
 		if ok {
 			r.strikes = 0
@@ -205,8 +207,8 @@
 
 // Outcome takes in whether a backend server did work that is not bracketed by
 // Begin and End.
-func (h *Health) Outcome(id string, ok bool) {
-	h.with(id, func(r *record) { r.judge(h.now(), ok) })
+func (h *Health) Outcome(inc model.Incarnation, ok bool) {
+	h.with(inc, func(r *record) { r.judge(h.now(), ok) })
 }
 
 // judge counts an outcome in the failure share.
@@ -225,6 +227,15 @@
 	return r.failures * math.Exp(-now.Sub(r.judged).Seconds()/failureMemory.Seconds())
 }
 
+// Retain drops what is known of incarnations that are gone.
+func (h *Health) Retain(known func(model.Incarnation) bool) {
+	h.records.DeleteIf(func(inc model.Incarnation, r *record) bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.active == 0 && !known(inc)
+	})
+}
+
 // View is the evidence about one backend server.
 type View struct {
 	Suspected bool
@@ -234,10 +245,10 @@
 }
 
 // View reads the evidence about one backend server.
-func (h *Health) View(id string) View {
+func (h *Health) View(inc model.Incarnation) View {
 	var v View
 	now := h.now()
-	h.with(id, func(r *record) {
+	h.with(inc, func(r *record) {
 		v = View{Suspected: r.suspected(now), Failures: r.failureShare(now), Latency: r.latency, Active: r.active}
 	})
 	return v
--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -60,10 +60,10 @@
 	Tokens int
 	// Gap is the longest pause between events that is in time; 0 for the usual.
 	Gap time.Duration
-	// Avoid are ids that must not take part.
-	Avoid map[string]bool
-	// FirstAmong are the ids that the chain may begin with; nil for any.
-	FirstAmong map[string]bool
+	// Avoid are engines that must not take part.
+	Avoid map[model.Incarnation]bool
+	// FirstAmong are the engines that the chain may begin with; nil for any.
+	FirstAmong map[model.Incarnation]bool
 }
 
 // Verdict says why there is no chain.
@@ -158,11 +158,12 @@
 	domains := map[string]int{}
 	others := c.together() - 1
 	for _, b := range c.engines(svc.Name) {
+		inc := b.Incarnation()
 		card, ok := spec.Card(b.Card)
-		if !ok || b.Holds.Len() <= 0 || b.Holds.To > spec.Layers || d.Avoid[b.ID] {
+		if !ok || b.Holds.Len() <= 0 || b.Holds.To > spec.Layers || d.Avoid[inc] {
 			continue
 		}
-		view := c.Health.View(b.ID)
+		view := c.Health.View(inc)
 		if view.Suspected {
 			continue
 		}
@@ -172,13 +173,13 @@
 			domains[b.FailureDomain] = id
 		}
 		capacity := Capacity(spec, card, b.Holds)
-		used := c.Memory.Used(b.ID)
+		used := c.Memory.Used(inc)
 		// Peers have begun streams since they last told. Unless they count, routers
 		// that meet the same burst, or start together, all send it to the engine
 		// that looks best, and its requests queue. They do about what this router
 		// does, so its own new streams stand for theirs.
-		used.add(c.Memory.New(b.ID).times(others), 1)
-		per := perLayer(spec, card, used, c.Memory.Slowdown(b.ID))
+		used.add(c.Memory.New(inc).times(others), 1)
+		per := perLayer(spec, card, used, c.Memory.Slowdown(inc))
 		fill := math.Min(used.TokenLayers/math.Max(capacity*fillLimit, 1), mostFill)
 		per *= 1 / (1 - fill)
 		out = append(out, candidate{
@@ -186,7 +187,7 @@
 			domain:   id,
 			perLayer: per,
 			doubt:    doubtTime.Seconds() * math.Max(view.Failures-doubtFree, 0),
-			notFirst: d.FirstAmong != nil && !d.FirstAmong[b.ID],
+			notFirst: d.FirstAmong != nil && !d.FirstAmong[inc],
 			noSlot:   b.Slots > 0 && used.Firsts+1 > float64(b.Slots)*slotLimit,
 			full:     used.TokenLayers+float64(d.Tokens*b.Holds.Len()) > capacity*fillLimit,
 		})
--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -39,6 +39,8 @@
 	return w
 }
 
+func inc(id string) model.Incarnation { return model.Incarnation{ID: id} }
+
 func (w *world) add(id, domain, card string, from, to int) {
 	w.catalog.Put(model.BackendServer{ID: id, Service: "s", Address: id + ":1", FailureDomain: domain, Card: card, Holds: model.LayerRange{From: from, To: to}})
 }
@@ -91,7 +93,7 @@
 			card := rapid.SampledFrom([]string{"a100", "l40s", "l4", "unknown"}).Draw(rt, "card")
 			w.add(fmt.Sprintf("e%d", i), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain"), card, from, to)
 			if rapid.IntRange(0, 9).Draw(rt, "suspected") == 0 {
-				w.health.Suspect(fmt.Sprintf("e%d", i))
+				w.health.Suspect(inc(fmt.Sprintf("e%d", i)))
 			}
 		}
 		parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
@@ -101,7 +103,7 @@
 		}
 		covers(rt, parts, model.LayerRange{To: 80})
 		for _, p := range parts {
-			assert.Assert(rt, !w.health.Suspected(p.Server.ID))
+			assert.Assert(rt, !w.health.Suspected(p.Server.Incarnation()))
 		}
 	})
 }
@@ -178,7 +180,7 @@
 	for _, b := range w.catalog.Load().Service("s") {
 		card, _ := w.svc.Engine.Card(b.Card)
 		most := Capacity(w.svc.Engine, card, b.Holds) * fillLimit
-		assert.Assert(t, w.chooser.Memory.Used(b.ID).TokenLayers <= most, "%s is over its memory", b.ID)
+		assert.Assert(t, w.chooser.Memory.Used(b.Incarnation()).TokenLayers <= most, "%s is over its memory", b.ID)
 	}
 }
 
@@ -239,10 +241,10 @@
 // A stream has used up its attempts. It may only begin where it ran before.
 func TestChainBeginsAmongTheGiven(t *testing.T) {
 	w := twoDomains()
-	parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10, FirstAmong: map[string]bool{"b1": true}})
+	parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10, FirstAmong: map[model.Incarnation]bool{inc("b1"): true}})
 	assert.Equal(t, v, Found)
 	assert.Equal(t, parts[0].Server.ID, "b1")
-	_, v = w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10, FirstAmong: map[string]bool{"gone": true}})
+	_, v = w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10, FirstAmong: map[model.Incarnation]bool{inc("gone"): true}})
 	assert.Equal(t, v, NoChain)
 }
 
@@ -253,14 +255,14 @@
 	w.add("spare", "a", "l4", 38, 62)
 	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	covers(t, parts, model.LayerRange{To: 80})
-	next := w.chooser.Replace(w.svc, parts, "a2", 1000, 0)
+	next := w.chooser.Replace(w.svc, parts, inc("a2"), 1000, 0)
 	covers(t, next, model.LayerRange{To: 80})
 	assert.Equal(t, next[0], parts[0])
 	assert.Equal(t, next[len(next)-1], parts[len(parts)-1])
 	for _, p := range next {
 		assert.Assert(t, p.Server.ID != "a2")
 	}
-	assert.Assert(t, w.chooser.Replace(w.svc, parts, "a1", 1000, 0) == nil, "the first part cannot be replaced")
+	assert.Assert(t, w.chooser.Replace(w.svc, parts, inc("a1"), 1000, 0) == nil, "the first part cannot be replaced")
 }
 
 // An engine's process ends, and nobody outside of the chain holds exactly its
@@ -279,7 +281,7 @@
 		{Server: w.catalog.Load().ByID("right"), Layers: model.LayerRange{From: 40, To: 50}},
 		{Server: w.catalog.Load().ByID("last"), Layers: model.LayerRange{From: 50, To: 80}},
 	}
-	next := w.chooser.Replace(w.svc, parts, "lost", 1000, 0)
+	next := w.chooser.Replace(w.svc, parts, inc("lost"), 1000, 0)
 	covers(t, next, model.LayerRange{To: 80})
 	assert.Equal(t, next[0], parts[0])
 	for _, p := range next {
@@ -310,7 +312,7 @@
 				{Server: w.catalog.Load().ByID("lost"), Layers: model.LayerRange{From: 36, To: 47}},
 				{Server: w.catalog.Load().ByID("last"), Layers: model.LayerRange{From: 47, To: 80}},
 			}
-			next := w.chooser.Replace(w.svc, parts, "lost", 1000, 0)
+			next := w.chooser.Replace(w.svc, parts, inc("lost"), 1000, 0)
 			assert.Equal(t, len(next), 3)
 			moved[next[1].Server.ID]++
 		}
@@ -337,7 +339,7 @@
 		{Server: w.catalog.Load().ByID("lost"), Layers: model.LayerRange{From: 36, To: 47}},
 		{Server: w.catalog.Load().ByID("last"), Layers: model.LayerRange{From: 47, To: 80}},
 	}
-	next := w.chooser.Replace(w.svc, parts, "lost", 1000, 0)
+	next := w.chooser.Replace(w.svc, parts, inc("lost"), 1000, 0)
 	covers(t, next, model.LayerRange{To: 80})
 	assert.Equal(t, next[1].Server.ID, "slow")
 }
@@ -345,7 +347,7 @@
 func TestSlowEngineIsAvoided(t *testing.T) {
 	w := twoDomains()
 	w.add("a4", "a", "l40s", 40, 60)
-	w.chooser.Memory.SetSlowdown("a2", 3)
+	w.chooser.Memory.SetSlowdown(inc("a2"), 3)
 	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	for _, p := range parts {
 		assert.Assert(t, p.Server.ID != "a2")
@@ -357,25 +359,25 @@
 	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	other, _ := w.chooser.Choose(w.svc, Demand{Domain: "b", Tokens: 1000})
 	h := w.chooser.Memory.Reserve(parts, 1000)
-	assert.Equal(t, w.chooser.Memory.Used("a1").TokenLayers, 40000.0)
+	assert.Equal(t, w.chooser.Memory.Used(inc("a1")).TokenLayers, 40000.0)
 	h.Move(other)
-	assert.Equal(t, w.chooser.Memory.Used("a1").TokenLayers, 0.0)
-	assert.Equal(t, w.chooser.Memory.Used("b1").TokenLayers, 40000.0)
+	assert.Equal(t, w.chooser.Memory.Used(inc("a1")).TokenLayers, 0.0)
+	assert.Equal(t, w.chooser.Memory.Used(inc("b1")).TokenLayers, 40000.0)
 	h.Release()
 	h.Release()
 	h.Move(parts)
-	assert.Equal(t, w.chooser.Memory.Used("a1"), Use{})
-	assert.Equal(t, w.chooser.Memory.Used("b1"), Use{})
+	assert.Equal(t, w.chooser.Memory.Used(inc("a1")), Use{})
+	assert.Equal(t, w.chooser.Memory.Used(inc("b1")), Use{})
 }
 
 // Another router's streams count until it has been silent for a while: without
 // them each router would fill an engine by itself.
 func TestPeersCountUntilTheyAreSilent(t *testing.T) {
 	w := twoDomains()
-	w.chooser.Memory.SeenPeer("p", map[string]Use{"a1": {TokenLayers: 500, Streams: 2}}, 2*time.Second)
-	assert.Equal(t, w.chooser.Memory.Used("a1").Streams, 2.0)
+	w.chooser.Memory.SeenPeer("p", map[model.Incarnation]Use{inc("a1"): {TokenLayers: 500, Streams: 2}}, 2*time.Second)
+	assert.Equal(t, w.chooser.Memory.Used(inc("a1")).Streams, 2.0)
 	w.now = w.now.Add(2 * time.Second)
-	assert.Equal(t, w.chooser.Memory.Used("a1").Streams, 0.0)
+	assert.Equal(t, w.chooser.Memory.Used(inc("a1")).Streams, 0.0)
 }
 
 // A peer's new count takes the place of its old one, peers add up, and one that
@@ -383,34 +385,34 @@
 func TestPeersAddUp(t *testing.T) {
 	w := twoDomains()
 	m := w.chooser.Memory
-	m.SeenPeer("p", map[string]Use{"a1": {Streams: 2}, "a2": {Streams: 9}}, 2*time.Second)
-	m.SeenPeer("q", map[string]Use{"a1": {Streams: 3}}, 4*time.Second)
-	assert.Equal(t, m.Used("a1").Streams, 5.0)
-	m.SeenPeer("p", map[string]Use{"a1": {Streams: 1}}, 2*time.Second)
-	assert.Equal(t, m.Used("a1").Streams, 4.0)
-	assert.Equal(t, m.Used("a2").Streams, 0.0)
+	m.SeenPeer("p", map[model.Incarnation]Use{inc("a1"): {Streams: 2}, inc("a2"): {Streams: 9}}, 2*time.Second)
+	m.SeenPeer("q", map[model.Incarnation]Use{inc("a1"): {Streams: 3}}, 4*time.Second)
+	assert.Equal(t, m.Used(inc("a1")).Streams, 5.0)
+	m.SeenPeer("p", map[model.Incarnation]Use{inc("a1"): {Streams: 1}}, 2*time.Second)
+	assert.Equal(t, m.Used(inc("a1")).Streams, 4.0)
+	assert.Equal(t, m.Used(inc("a2")).Streams, 0.0)
 	w.now = w.now.Add(3 * time.Second)
-	assert.Equal(t, m.Used("a1").Streams, 3.0)
+	assert.Equal(t, m.Used(inc("a1")).Streams, 3.0)
 	m.Expire()
-	assert.Equal(t, m.Used("a1").Streams, 3.0)
+	assert.Equal(t, m.Used(inc("a1")).Streams, 3.0)
 }
 
 func BenchmarkUsedWithPeers(b *testing.B) {
 	w := twoDomains()
 	for i := range 300 {
-		w.chooser.Memory.SeenPeer(fmt.Sprint(i), map[string]Use{"a1": {Streams: 1}}, time.Hour)
+		w.chooser.Memory.SeenPeer(fmt.Sprint(i), map[model.Incarnation]Use{inc("a1"): {Streams: 1}}, time.Hour)
 	}
 	for b.Loop() {
-		w.chooser.Memory.Used("a1")
+		w.chooser.Memory.Used(inc("a1"))
 	}
 }
 
 func TestReadingFades(t *testing.T) {
 	w := twoDomains()
-	w.chooser.Memory.Read("a1", 0.5)
-	assert.Assert(t, w.chooser.Memory.Used("a1").Reading > 0.4)
+	w.chooser.Memory.Read(inc("a1"), 0.5)
+	assert.Assert(t, w.chooser.Memory.Used(inc("a1")).Reading > 0.4)
 	w.now = w.now.Add(5 * time.Second)
-	assert.Assert(t, w.chooser.Memory.Used("a1").Reading < 0.01)
+	assert.Assert(t, w.chooser.Memory.Used(inc("a1")).Reading < 0.01)
 }
 
 // An engine's word about its pace goes to the peers; what it told this router
@@ -418,15 +420,15 @@
 func TestSlowdownIsBelievedForAWhile(t *testing.T) {
 	w := twoDomains()
 	m := w.chooser.Memory
-	m.PeerSlowdown("a1", 4)
-	assert.Equal(t, m.Slowdown("a1"), 4.0)
-	assert.Assert(t, m.SetSlowdown("a1", 2))
-	m.PeerSlowdown("a1", 4)
-	assert.Equal(t, m.Slowdown("a1"), 2.0)
-	assert.DeepEqual(t, m.OwnSlow(), map[string]float64{"a1": 2})
+	m.PeerSlowdown(inc("a1"), 4)
+	assert.Equal(t, m.Slowdown(inc("a1")), 4.0)
+	assert.Assert(t, m.SetSlowdown(inc("a1"), 2))
+	m.PeerSlowdown(inc("a1"), 4)
+	assert.Equal(t, m.Slowdown(inc("a1")), 2.0)
+	assert.DeepEqual(t, m.OwnSlow(), map[model.Incarnation]float64{inc("a1"): 2})
 	w.now = w.now.Add(slowExpiry)
-	assert.Equal(t, m.Slowdown("a1"), 1.0)
-	assert.Assert(t, m.SetSlowdown("a1", 1), "healthy again is news")
+	assert.Equal(t, m.Slowdown(inc("a1")), 1.0)
+	assert.Assert(t, m.SetSlowdown(inc("a1"), 1), "healthy again is news")
 }
 
 // Thousands of engines hold the same few ranges. Each router looks at some
@@ -506,15 +508,15 @@
 	assert.Equal(t, first(), "grey", "it costs least")
 	failures := 0
 	for ; first() == "grey" && failures < 50; failures++ {
-		w.health.Outcome("grey", false)
-		w.health.Outcome("grey", true)
+		w.health.Outcome(inc("grey"), false)
+		w.health.Outcome(inc("grey"), true)
 	}
 	assert.Assert(t, failures <= 12, "%d failures", failures)
 	w.now = w.now.Add(time.Minute)
 	assert.Equal(t, first(), "grey")
-	w.health.Outcome("a2", false)
-	w.health.Outcome("a2", false)
-	w.health.Outcome("a2", false)
+	w.health.Outcome(inc("a2"), false)
+	w.health.Outcome(inc("a2"), false)
+	w.health.Outcome(inc("a2"), false)
 	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	assert.Equal(t, parts[len(parts)-1].Server.ID, "a2", "as a later part it fails nobody")
 }
--- a/internal/coordination/chains/cost.go
+++ b/internal/coordination/chains/cost.go
@@ -25,7 +25,7 @@
 		if !ok {
 			continue
 		}
-		sum += perLayer(spec, card, c.Memory.Used(p.Server.ID), 1) * float64(p.Layers.Len())
+		sum += perLayer(spec, card, c.Memory.Used(p.Server.Incarnation()), 1) * float64(p.Layers.Len())
 		if i > 0 && p.Server.FailureDomain != parts[i-1].Server.FailureDomain {
 			sum += crossTime.Seconds()
 			continue
@@ -83,7 +83,7 @@
 // Begin takes in that a prompt goes through a chosen chain.
 func (c *Chooser) Begin(spec *model.EngineSpec, parts []Part, tokens int) {
 	for _, p := range parts {
-		c.Health.Try(p.Server.ID)
+		c.Health.Try(p.Server.Incarnation())
 	}
 	c.read(spec, parts, tokens)
 	c.crossed(spec, parts, tokens)
@@ -92,7 +92,7 @@
 // read takes in the reading of so many tokens by each part.
 func (c *Chooser) read(spec *model.EngineSpec, parts []Part, tokens int) {
 	for _, p := range parts {
-		c.Memory.Read(p.Server.ID, readTime(spec, p.Server, tokens, p.Layers.Len()))
+		c.Memory.Read(p.Server.Incarnation(), readTime(spec, p.Server, tokens, p.Layers.Len()))
 	}
 }
 
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
 // slowExpiry is how long an engine's word about its pace is believed; a slow
@@ -42,19 +44,20 @@
 }
 
 // Memory counts what streams take of engines: this router's own, and what
-// other routers last told of theirs.
+// other routers last told of theirs. It counts by incarnation: streams that ran at
+// an engine which started again take nothing of it, and give nothing back.
 type Memory struct {
 	now func() time.Time
 
 	mu    sync.Mutex
-	own   map[string]*ownUse
+	own   map[model.Incarnation]*ownUse
 	peers map[string]peerCount
-	// peerSum adds up what the peers told, by engine: each choice of a chain
+	// peerSum adds up what the peers told, by incarnation: each choice of a chain
 	// reads every engine, and would else go through every peer for each.
-	peerSum map[string]Use
+	peerSum map[model.Incarnation]Use
 	// peerEnds is when the next peer's count expires.
 	peerEnds time.Time
-	slow     map[string]slowness
+	slow     map[model.Incarnation]slowness
 }
 
 type ownUse struct {
@@ -71,7 +74,7 @@
 
 type peerCount struct {
 	until time.Time // believed so long
-	use   map[string]Use
+	use   map[model.Incarnation]Use
 }
 
 // slowness is an engine's slowdown as it reported it itself.
@@ -83,19 +86,19 @@
 
 // NewMemory makes an empty count.
 func NewMemory(now func() time.Time) *Memory {
-	return &Memory{now: now, own: map[string]*ownUse{}, peers: map[string]peerCount{}, peerSum: map[string]Use{}, slow: map[string]slowness{}}
+	return &Memory{now: now, own: map[model.Incarnation]*ownUse{}, peers: map[string]peerCount{}, peerSum: map[model.Incarnation]Use{}, slow: map[model.Incarnation]slowness{}}
 }
 
 // Used is what is taken of an engine, as far as known here.
-func (m *Memory) Used(id string) Use {
+func (m *Memory) Used(inc model.Incarnation) Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	if len(m.peers) > 0 && !now.Before(m.peerEnds) {
 		m.expire(now)
 	}
-	sum := m.peerSum[id]
-	if o, ok := m.own[id]; ok {
+	sum := m.peerSum[inc]
+	if o, ok := m.own[inc]; ok {
 		sum.add(o.use(now), 1)
 	}
 	return sum
@@ -103,11 +106,11 @@
 
 // count adds a peer's use to the sums, or takes it off. The caller holds the
 // lock.
-func (m *Memory) count(use map[string]Use, sign float64) {
-	for id, u := range use {
-		sum := m.peerSum[id]
+func (m *Memory) count(use map[model.Incarnation]Use, sign float64) {
+	for inc, u := range use {
+		sum := m.peerSum[inc]
 		sum.add(u, sign)
-		m.peerSum[id] = sum
+		m.peerSum[inc] = sum
 	}
 }
 
@@ -141,70 +144,70 @@
 
 // Slowdown is how much slower than its card an engine last said to be; 1 is as
 // fast.
-func (m *Memory) Slowdown(id string) float64 {
+func (m *Memory) Slowdown(inc model.Incarnation) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s, ok := m.slow[id]; ok && m.now().Sub(s.at) < slowExpiry {
+	if s, ok := m.slow[inc]; ok && m.now().Sub(s.at) < slowExpiry {
 		return s.factor
 	}
 	return 1
 }
 
 // SetSlowdown takes in an engine's own word; it tells whether that is news.
-func (m *Memory) SetSlowdown(id string, factor float64) bool {
+func (m *Memory) SetSlowdown(inc model.Incarnation, factor float64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before, known := m.slow[id]
+	before, known := m.slow[inc]
 	if factor <= 1 {
-		delete(m.slow, id)
+		delete(m.slow, inc)
 		return known
 	}
-	m.slow[id] = slowness{at: m.now(), factor: factor, own: true}
+	m.slow[inc] = slowness{at: m.now(), factor: factor, own: true}
 	return before.factor != factor
 }
 
 // PeerSlowdown takes in what an engine told another router. What it told this
 // one lately goes first.
-func (m *Memory) PeerSlowdown(id string, factor float64) {
+func (m *Memory) PeerSlowdown(inc model.Incarnation, factor float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s := m.slow[id]; s.own && m.now().Sub(s.at) < slowExpiry {
+	if s := m.slow[inc]; s.own && m.now().Sub(s.at) < slowExpiry {
 		return
 	}
-	m.slow[id] = slowness{at: m.now(), factor: factor}
+	m.slow[inc] = slowness{at: m.now(), factor: factor}
 }
 
 // Slow lists the engines that told this router that they are slow.
-func (m *Memory) Slow() []string {
+func (m *Memory) Slow() []model.Incarnation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []string
-	for id, s := range m.slow {
+	var out []model.Incarnation
+	for inc, s := range m.slow {
 		if s.own {
-			out = append(out, id)
+			out = append(out, inc)
 		}
 	}
 	return out
 }
 
 // OwnSlow copies what engines told this router of their slowdowns.
-func (m *Memory) OwnSlow() map[string]float64 {
+func (m *Memory) OwnSlow() map[model.Incarnation]float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := map[string]float64{}
-	for id, s := range m.slow {
+	out := map[model.Incarnation]float64{}
+	for inc, s := range m.slow {
 		if s.own {
-			out[id] = s.factor
+			out[inc] = s.factor
 		}
 	}
 	return out
 }
 
 // Forget drops what is known of an engine that is gone.
-func (m *Memory) Forget(id string) {
+func (m *Memory) Forget(inc model.Incarnation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.slow, id)
+	delete(m.slow, inc)
 }
 
 // Hold is the memory that one stream reserved. Release gives it back, once.
@@ -249,7 +252,7 @@
 
 func (h *Hold) count(sign int) {
 	for i, p := range h.parts {
-		o := h.memory.owned(p.Server.ID)
+		o := h.memory.owned(p.Server.Incarnation())
 		o.tokenLayers += float64(sign * h.tokens * p.Layers.Len())
 		o.streams += sign
 		if i == 0 {
@@ -262,10 +265,10 @@
 }
 
 // Read counts the reading of a prompt at an engine, in seconds of its time.
-func (m *Memory) Read(id string, seconds float64) {
+func (m *Memory) Read(inc model.Incarnation, seconds float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.owned(id).reading.add(m.now(), seconds/readMemory.Seconds(), readMemory)
+	m.owned(inc).reading.add(m.now(), seconds/readMemory.Seconds(), readMemory)
 }
 
 // begun counts a stream among the new ones.
@@ -278,10 +281,10 @@
 }
 
 // New is what this router's streams of the last moment take of an engine.
-func (m *Memory) New(id string) Use {
+func (m *Memory) New(inc model.Incarnation) Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	o, ok := m.own[id]
+	o, ok := m.own[inc]
 	if !ok {
 		return Use{}
 	}
@@ -291,43 +294,43 @@
 
 // Expect counts reading that streams which are moved now add to an engine, those
 // of other routers included, in seconds of its time. Peers are not told of it.
-func (m *Memory) Expect(id string, seconds float64) {
+func (m *Memory) Expect(inc model.Incarnation, seconds float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.owned(id).pending.add(m.now(), seconds, readMemory)
+	m.owned(inc).pending.add(m.now(), seconds, readMemory)
 }
 
 // Pending is what is left of that; it fades as it is worked off.
-func (m *Memory) Pending(id string) float64 {
+func (m *Memory) Pending(inc model.Incarnation) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if o, ok := m.own[id]; ok {
+	if o, ok := m.own[inc]; ok {
 		return o.pending.read(m.now(), readMemory)
 	}
 	return 0
 }
 
-func (m *Memory) owned(id string) *ownUse {
-	o, ok := m.own[id]
+func (m *Memory) owned(inc model.Incarnation) *ownUse {
+	o, ok := m.own[inc]
 	if !ok {
 		o = &ownUse{}
-		m.own[id] = o
+		m.own[inc] = o
 	}
 	return o
 }
 
 // Own copies what this router's streams take.
-func (m *Memory) Own() map[string]Use {
+func (m *Memory) Own() map[model.Incarnation]Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	out := make(map[string]Use, len(m.own))
-	for id, o := range m.own {
+	out := make(map[model.Incarnation]Use, len(m.own))
+	for inc, o := range m.own {
 		u := o.use(now)
 		if u.Streams > 0 || u.Reading > 0.001 {
-			out[id] = u
+			out[inc] = u
 		} else {
-			delete(m.own, id)
+			delete(m.own, inc)
 		}
 	}
 	return out
@@ -335,7 +338,7 @@
 
 // SeenPeer takes in what another router's streams take, and how long that is to
 // be believed: a few exchanges.
-func (m *Memory) SeenPeer(peer string, use map[string]Use, good time.Duration) {
+func (m *Memory) SeenPeer(peer string, use map[model.Incarnation]Use, good time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.count(m.peers[peer].use, -1)
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -16,10 +16,10 @@
 // still until its new parts have read all tokens so far, so these are chosen for
 // that pause: what they read, what is already to be read there, and what has to
 // pass between failure domains.
-func (c *Chooser) Replace(svc *model.Service, parts []Part, lost string, tokens int, gap time.Duration) []Part {
+func (c *Chooser) Replace(svc *model.Service, parts []Part, lost model.Incarnation, tokens int, gap time.Duration) []Part {
 	at := -1
 	for i, p := range parts {
-		if p.Server.ID == lost {
+		if p.Server.Incarnation() == lost {
 			at = i
 		}
 	}
@@ -48,9 +48,9 @@
 
 // around covers the layers of one part with engines outside of the chain.
 func (m *move) around(at int) []Part {
-	avoid := map[string]bool{}
+	avoid := map[model.Incarnation]bool{}
 	for _, p := range m.parts {
-		avoid[p.Server.ID] = true
+		avoid[p.Server.Incarnation()] = true
 	}
 	after := ""
 	if at+1 < len(m.parts) {
@@ -70,10 +70,10 @@
 }
 
 // reroute covers all layers after the first part anew.
-func (m *move) reroute(lost string) []Part {
+func (m *move) reroute(lost model.Incarnation) []Part {
 	first := m.parts[0]
 	need := model.LayerRange{From: first.Layers.To, To: m.svc.Engine.Layers}
-	with := m.cover(need, first.Server.FailureDomain, "", map[string]bool{first.Server.ID: true, lost: true})
+	with := m.cover(need, first.Server.FailureDomain, "", map[model.Incarnation]bool{first.Server.Incarnation(): true, lost: true})
 	if with == nil || 1+len(with) > maxParts {
 		return nil
 	}
@@ -86,22 +86,22 @@
 
 // cover finds engines for some layers, between parts in two failure domains, so
 // that the stream's pause is shortest. after is empty where no part follows.
-func (m *move) cover(need model.LayerRange, before, after string, avoid map[string]bool) []Part {
+func (m *move) cover(need model.LayerRange, before, after string, avoid map[model.Incarnation]bool) []Part {
 	spec := m.svc.Engine
 	cross := crossTime.Seconds() * float64(max(spec.Stride, 1))
 	if spec.PipeMbps > 0 {
 		cross += CrossMbit(spec, m.tokens) / spec.PipeMbps
 	}
-	held := map[string]bool{}
+	held := map[model.Incarnation]bool{}
 	for _, p := range m.parts {
-		held[p.Server.ID] = true
+		held[p.Server.Incarnation()] = true
 	}
 	cands := m.candidates(m.svc, Demand{Domain: before, Tokens: m.tokens, Avoid: avoid})
 	for i := range cands {
 		b := cands[i].server
 		// The pause ends with the next event, which holds a stride of tokens.
 		cands[i].perLayer *= float64(max(spec.Stride, 1))
-		if held[b.ID] {
+		if held[b.Incarnation()] {
 			cands[i].full = false // it holds the stream's memory already
 			continue
 		}
@@ -113,7 +113,7 @@
 		if after != "" && b.FailureDomain != after {
 			cands[i].perLayer += cross / float64(need.Len())
 		}
-		waits := m.Memory.Pending(b.ID) / float64(b.Holds.Len())
+		waits := m.Memory.Pending(b.Incarnation()) / float64(b.Holds.Len())
 		cands[i].perLayer += waits + readTime(spec, b, m.tokens, 1)
 	}
 	walk := walk{spec: spec, cands: cands, need: need, home: before, room: true}
@@ -158,7 +158,7 @@
 			continue
 		}
 		m.read(spec, next[i:i+1], m.tokens)
-		m.Memory.Expect(p.Server.ID, together*readTime(spec, p.Server, m.tokens, p.Layers.Len()))
+		m.Memory.Expect(p.Server.Incarnation(), together*readTime(spec, p.Server, m.tokens, p.Layers.Len()))
 		m.crossed(spec, next[i-1:min(i+2, len(next))], m.tokens)
 	}
 }
--- a/internal/coordination/limits/limits.go
+++ b/internal/coordination/limits/limits.go
@@ -17,7 +17,7 @@
 // central counter would cost a call for every request.
 type Rates struct {
 	entries  func() int
-	limiters *shard.Map[*share]
+	limiters *shard.Map[string, *share]
 }
 
 type share struct {
@@ -29,7 +29,7 @@
 
 // NewRates makes the shares of one entry; entries tells how many share.
 func NewRates(entries func() int) *Rates {
-	return &Rates{entries: entries, limiters: shard.New[*share]()}
+	return &Rates{entries: entries, limiters: shard.New[string, *share]()}
 }
 
 // Allow takes one request of a customer's rate (requests a second over all
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -51,15 +51,14 @@
 	Fenced func(token int64)
 	// Traffic tells whether callers' requests were seen by any router.
 	Traffic func() bool
-	// Suspected tells whether there is evidence against an engine, by id; nil for
-	// never.
-	Suspected func(id string) bool
+	// Suspected tells whether there is evidence against an engine; nil for never.
+	Suspected func(engine model.Incarnation) bool
 	Now       func() time.Time
 
 	mu       sync.Mutex
 	plans    map[string]stored // by service
-	pending  map[string]order  // by engine id
-	appeared map[string]time.Time
+	pending  map[model.Incarnation]order
+	appeared map[model.Incarnation]time.Time
 	began    time.Time
 	newest   time.Time // when the last engine appeared
 	// gapSince is since when some layer of a service is held by nobody.
@@ -95,8 +94,8 @@
 func (c *Controller) init() {
 	if c.plans == nil {
 		c.plans = map[string]stored{}
-		c.pending = map[string]order{}
-		c.appeared = map[string]time.Time{}
+		c.pending = map[model.Incarnation]order{}
+		c.appeared = map[model.Incarnation]time.Time{}
 		c.gapSince = map[string]time.Time{}
 		c.holeSince = map[string]time.Time{}
 		c.holeLook = map[string]time.Time{}
@@ -143,9 +142,9 @@
 	c.init()
 	now := c.Now()
 	var out []*model.BackendServer
-	present := map[string]bool{}
+	present := map[model.Incarnation]bool{}
 	for _, b := range c.Catalog.Load().Service(svc.Name) {
-		present[b.ID] = true
+		present[b.Incarnation()] = true
 		if _, ok := svc.Engine.Card(b.Card); !ok {
 			c.noteOnce(b, now, "card is not listed")
 			continue
@@ -156,23 +155,23 @@
 		c.noteOnce(b, now, "")
 		out = append(out, b)
 	}
-	for id := range c.appeared {
-		if !present[id] {
-			delete(c.appeared, id)
-			delete(c.pending, id)
+	for inc := range c.appeared {
+		if !present[inc] {
+			delete(c.appeared, inc)
+			delete(c.pending, inc)
 		}
 	}
 	return out
 }
 
 func (c *Controller) noteOnce(b *model.BackendServer, now time.Time, why string) {
-	if _, ok := c.appeared[b.ID]; ok {
+	if _, ok := c.appeared[b.Incarnation()]; ok {
 		return
 	}
-	c.appeared[b.ID] = now
+	c.appeared[b.Incarnation()] = now
 	c.newest = now
 	if why != "" {
-		klog.InfoS("engine entry is odd", "server", b.ID, "why", why, "card", b.Card, "holds", b.Holds.String())
+		klog.InfoS("engine entry is odd", "server", b.Incarnation(), "why", why, "card", b.Card, "holds", b.Holds.String())
 	}
 }
 
@@ -251,7 +250,7 @@
 func (c *Controller) sure(svc *model.Service) func(address string) bool {
 	suspected := map[string]bool{}
 	for _, b := range c.Catalog.Load().Service(svc.Name) {
-		suspected[b.Address] = c.Suspected != nil && c.Suspected(b.ID)
+		suspected[b.Address] = c.Suspected != nil && c.Suspected(b.Incarnation())
 	}
 	return func(address string) bool { return !suspected[address] }
 }
@@ -279,7 +278,7 @@
 func (c *Controller) engineList(svc *model.Service, servers []*model.BackendServer, now time.Time, age time.Duration) []Engine {
 	var out []Engine
 	for _, b := range servers {
-		if now.Sub(c.appeared[b.ID]) < age {
+		if now.Sub(c.appeared[b.Incarnation()]) < age {
 			continue
 		}
 		card, _ := svc.Engine.Card(b.Card)
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -65,16 +65,16 @@
 	for _, b := range servers {
 		want, ok := plan[b.Address]
 		if !ok || want == b.Holds {
-			delete(c.pending, b.ID)
+			delete(c.pending, b.Incarnation())
 			continue
 		}
-		if p, ok := c.pending[b.ID]; ok && now.Before(p.until) {
+		if p, ok := c.pending[b.Incarnation()]; ok && now.Before(p.until) {
 			loading++
 			continue
 		}
 		card, _ := svc.Engine.Card(b.Card)
 		if want.Len() > MostLayers(svc.Engine, card) {
-			klog.InfoS("order withheld: more layers than memory", "server", b.ID, "card", b.Card, "layers", want.String())
+			klog.InfoS("order withheld: more layers than memory", "server", b.Incarnation(), "card", b.Card, "layers", want.String())
 			continue
 		}
 		due = append(due, b)
@@ -87,7 +87,7 @@
 		share := float64(want.Len()) / float64(max(svc.Engine.Layers, 1))
 		crowd := max(float64(len(due)+loading)/float64(svc.Engine.LoadsAtOnce), 1)
 		takes := time.Duration(float64(svc.Engine.LoadTime) * share * crowd)
-		c.pending[b.ID] = order{want: want, until: now.Add(takes + loadSlack)}
+		c.pending[b.Incarnation()] = order{want: want, until: now.Add(takes + loadSlack)}
 	}
 	return due
 }
@@ -137,31 +137,31 @@
 	defer cancel()
 	report, err := c.Engines.Report(ctx, b)
 	if err != nil {
-		klog.InfoS("no report before an order", "server", b.ID, "err", err)
-		c.pause(b.ID, want, refusedPause)
+		klog.InfoS("no report before an order", "server", b.Incarnation(), "err", err)
+		c.pause(b.Incarnation(), want, refusedPause)
 		return
 	}
 	if report.Holds == want {
-		c.Catalog.SetHolds(b.ID, want)
+		c.Catalog.SetHolds(b.Incarnation(), want)
 		return
 	}
 	if report.Busy {
-		c.pause(b.ID, want, refusedPause)
+		c.pause(b.Incarnation(), want, refusedPause)
 		return
 	}
 	result, err := c.Engines.Place(ctx, b, want, token, report.Orders)
-	klog.InfoS("order given", "server", b.ID, "address", b.Address, "card", b.Card, "from", b.Holds.String(), "to", want.String(),
+	klog.InfoS("order given", "server", b.Incarnation(), "address", b.Address, "card", b.Card, "from", b.Holds.String(), "to", want.String(),
 		"token", token, "expected", report.Orders, "result", int(result), "err", err)
 	switch result {
 	case OrderFenced:
 		c.Fenced(token)
 	case OrderRefused:
-		c.pause(b.ID, want, refusedPause)
+		c.pause(b.Incarnation(), want, refusedPause)
 	}
 }
 
-func (c *Controller) pause(id string, want model.LayerRange, d time.Duration) {
+func (c *Controller) pause(inc model.Incarnation, want model.LayerRange, d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending[id] = order{want: want, until: c.Now().Add(d)}
+	c.pending[inc] = order{want: want, until: c.Now().Add(d)}
 }
--- a/internal/coordination/sentinel/sentinel.go
+++ b/internal/coordination/sentinel/sentinel.go
@@ -48,7 +48,7 @@
 	Gone func(b *model.BackendServer)
 
 	mu      sync.Mutex
-	watched map[string]context.CancelFunc // by engine id
+	watched map[model.Incarnation]context.CancelFunc
 }
 
 // Run watches until ctx ends.
@@ -69,27 +69,27 @@
 // that are not any more.
 func (s *Sentinel) sync(ctx context.Context) {
 	ring := newRing(s.Routers())
-	mine := map[string]*model.BackendServer{}
+	mine := map[model.Incarnation]*model.BackendServer{}
 	for _, b := range s.Engines() {
 		if ring.assigned(s.Self, b.ID) {
-			mine[b.ID] = b
+			mine[b.Incarnation()] = b
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.watched == nil {
-		s.watched = map[string]context.CancelFunc{}
+		s.watched = map[model.Incarnation]context.CancelFunc{}
 	}
-	for id, stop := range s.watched {
-		if mine[id] == nil {
+	for inc, stop := range s.watched {
+		if mine[inc] == nil {
 			stop()
-			delete(s.watched, id)
+			delete(s.watched, inc)
 		}
 	}
-	for id, b := range mine {
-		if s.watched[id] == nil {
+	for inc, b := range mine {
+		if s.watched[inc] == nil {
 			watch, stop := context.WithCancel(ctx)
-			s.watched[id] = stop
+			s.watched[inc] = stop
 			go s.watch(watch, b)
 		}
 	}
@@ -151,7 +151,7 @@
 		conn, err := s.Dial(ctx, b.Address)
 		if err != nil {
 			if seen && ctx.Err() == nil && errors.Is(err, syscall.ECONNREFUSED) {
-				klog.InfoS("engine's process ended", "server", b.ID, "address", b.Address, "evidence", "a kept connection was closed and a new one refused")
+				klog.InfoS("engine's process ended", "server", b.Incarnation(), "address", b.Address, "evidence", "a kept connection was closed and a new one refused")
 				s.Gone(b)
 				return
 			}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -72,6 +72,8 @@
 	traffic  atomic.Bool
 	draining atomic.Bool
 
+	odd oddEntries // used by the follower alone
+
 	mu      sync.Mutex
 	members map[string]string // link address by store key
 }
@@ -90,6 +92,7 @@
 		backends: backend.NewPool(),
 		metrics:  newMetrics(s),
 		members:  map[string]string{},
+		odd:      oddEntries{},
 	}
 	r.linkPeers()
 	r.buildRelay()
@@ -130,9 +133,9 @@
 		Pipes:    r.pipes,
 		Revision: func() int64 { return r.follower.Revision() },
 		PeerAt:   func(revision int64) { r.follower.PeerAt(revision) },
-		Hint:     func(id string) { r.prober.Hint(id) },
+		Hint:     func(engine model.Incarnation) { r.prober.Hint(engine) },
 		Refuses:  r.health.SuspectedElsewhere,
-		Gone:     func(id string) { r.front.Relay.EngineGone(id) },
+		Gone:     func(engine model.Incarnation) { r.front.Relay.EngineGone(engine) },
 		Clock:    boottime.Now,
 		Now:      time.Now,
 		Traffic:  r.traffic.Load,
@@ -183,8 +186,8 @@
 		Engines: r.engines,
 		Dial:    backend.Dial,
 		Gone: func(b *model.BackendServer) {
-			r.exchange.TellGone(b.ID)
-			rel.EngineGone(b.ID)
+			r.exchange.TellGone(b.Incarnation())
+			rel.EngineGone(b.Incarnation())
 		},
 	}
 	r.front = &front.Server{Config: r.config, Relay: rel, OnRequest: func() { r.traffic.Store(true) }}
@@ -314,6 +317,9 @@
 func (r *Router) trim() {
 	r.backends.Trim()
 	r.memory.Expire()
+	r.catalog.Forget()
+	known := r.catalog.Load()
+	r.health.Retain(func(inc model.Incarnation) bool { return known.Find(inc) != nil })
 	r.metrics.router(r.front.Active(), r.front.Relay.Line.Len(), r.backends.Dialed(), r.config.Version())
 }
 
--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	outside "github.com/skylarkwood/skylarkwood/internal/platform"
@@ -22,8 +23,8 @@
 // Backend servers are taken in first: requests that wait for the first
 // configuration are sent as soon as it is in force.
 func (s *routerSink) Reset(page outside.Page, grace time.Duration) {
-	servers := decodeServers(page.Items)
-	s.catalog.Replace(servers, grace)
+	servers, spoilt := decodeServers(page.Items)
+	s.follow(s.catalog.Replace(servers, spoilt, grace))
 	s.mu.Lock()
 	clear(s.members)
 	s.mu.Unlock()
@@ -38,23 +39,33 @@
 		s.elector.Seen(nil, page.Revision)
 	}
 	s.publishMembers()
-	klog.InfoS("store read", "revision", page.Revision, "items", len(page.Items), "servers", len(servers))
+	klog.InfoS("store read", "revision", page.Revision, "items", len(page.Items), "servers", len(servers), "namingNone", len(spoilt))
 }
 
-func decodeServers(items []outside.Item) []model.BackendServer {
-	var servers []model.BackendServer
+// decodeServers reads the entries of backend servers. spoilt holds the revisions
+// of those that name no server, by id.
+func decodeServers(items []outside.Item) (servers []model.BackendServer, spoilt map[string]int64) {
+	spoilt = map[string]int64{}
 	for _, it := range items {
 		if !strings.HasPrefix(it.Key, platform.ServersPrefix) {
 			continue
 		}
 		b, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 		if err != nil {
-			klog.InfoS("entry of a backend server passed over", "key", it.Key, "err", err)
+			spoilt[platform.ServerID(it.Key)] = it.Revision
 			continue
 		}
 		servers = append(servers, b)
 	}
-	return servers
+	return servers, spoilt
+}
+
+// follow carries out what follows from entries.
+func (s *routerSink) follow(news catalog.News) {
+	s.front.Relay.Ended(news.Ended, "its successor's entry")
+	for _, claim := range news.Disputed {
+		go s.front.Relay.Settle(claim)
+	}
 }
 
 // Change implements follow.Sink.
@@ -100,7 +111,7 @@
 }
 
 func (s *routerSink) server(it outside.Item, grace time.Duration) {
-	id := strings.TrimPrefix(it.Key, platform.ServersPrefix)
+	id := platform.ServerID(it.Key)
 	if it.Removed {
 		klog.InfoS("backend server's entry removed", "server", id, "revision", it.Revision, "grace", grace)
 		s.catalog.Remove(id, grace)
@@ -108,12 +119,15 @@
 	}
 	b, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 	if err != nil {
-		klog.InfoS("entry of a backend server passed over", "key", it.Key, "err", err)
+		known := s.catalog.Spoil(id, it.Revision)
+		if known || s.odd.first(id, time.Now()) {
+			klog.InfoS("backend server's entry names no server", "server", id, "known", known, "err", err, "revision", it.Revision)
+		}
 		return
 	}
-	klog.InfoS("backend server's entry", "server", id, "address", b.Address, "failureDomain", b.FailureDomain, "draining", b.Draining,
+	klog.InfoS("backend server's entry", "server", b.Incarnation(), "address", b.Address, "failureDomain", b.FailureDomain, "draining", b.Draining,
 		"card", b.Card, "holds", b.Holds.String(), "revision", it.Revision)
-	s.catalog.Put(b)
+	s.follow(s.catalog.Put(b))
 }
 
 func (s *routerSink) member(it outside.Item) {
--- a/internal/model/serving.go
+++ b/internal/model/serving.go
@@ -132,10 +132,14 @@
 	Priority *int
 }
 
-// BackendServer is one backend server as it registered itself. Each start is a
-// new incarnation with a new ID.
+// BackendServer is one backend server as it registered itself.
 type BackendServer struct {
-	ID            string
+	// ID is the server's name in the store. It may start again under it; see
+	// Incarnation.
+	ID string
+	// Born is when it started, in Unix milliseconds by its own clock; 0 where it
+	// does not tell.
+	Born          int64
 	Service       string
 	Address       string
 	FailureDomain string
@@ -145,12 +149,19 @@
 	Card string
 	// Holds are the layers loaded; empty where none are.
 	Holds LayerRange
+	// Beats counts the heartbeats that it had written by then, since its start.
+	Beats int64
 	// Revision is the store's revision of the entry.
 	Revision int64
 }
 
+// Incarnation tells which start of the server this is.
+func (b *BackendServer) Incarnation() Incarnation { return Incarnation{ID: b.ID, Born: b.Born} }
+
 // EngineReport is an engine's own report, some hundred milliseconds old.
 type EngineReport struct {
+	// Born is when the engine started, as in BackendServer.
+	Born  int64
 	Holds LayerRange
 	// Busy says that an order is in progress.
 	Busy bool
--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -113,13 +113,13 @@
 type Owner struct {
 	Deps
 	started time.Time
-	runs    *shard.Map[*run]
+	runs    *shard.Map[string, *run]
 	serving atomic.Int64
 }
 
 // New makes an owner.
 func New(d Deps) *Owner {
-	return &Owner{Deps: d, started: d.Now(), runs: shard.New[*run]()}
+	return &Owner{Deps: d, started: d.Now(), runs: shard.New[string, *run]()}
 }
 
 // Ask is a caller's request.
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
@@ -118,12 +119,12 @@
 // firstAmong bounds the engines that run a request as the first of a chain to
 // the route's attempts: once they are used up, the stream goes on only where it
 // ran before. An engine that is gone is no attempt.
-func (s *stream) firstAmong() map[string]bool {
+func (s *stream) firstAmong() map[model.Incarnation]bool {
 	known := s.Catalog.Load()
-	alive := map[string]bool{}
-	for id := range s.ranOn {
-		if known.ByID(id) != nil {
-			alive[id] = true
+	alive := map[model.Incarnation]bool{}
+	for inc := range s.ranOn {
+		if known.Find(inc) != nil {
+			alive[inc] = true
 		}
 	}
 	if len(alive) < s.ticket.Route.MaxAttempts {
--- a/internal/protocol/relay/acquire_test.go
+++ b/internal/protocol/relay/acquire_test.go
@@ -27,7 +27,7 @@
 	memory := chains.NewMemory(time.Now)
 	chooser := &chains.Chooser{Catalog: c, Health: health, Memory: memory, Pipes: chains.NewPipes(time.Now), Routers: func() int { return 1 }}
 	r := &Relay{Catalog: c, Health: health, Chooser: chooser, Memory: memory, Line: admission.NewLine(), Domain: "a", Now: time.Now}
-	q := &request{Relay: r, call: &model.Call{Attempt: "1"}, since: time.Now(), avoid: map[string]bool{}}
+	q := &request{Relay: r, call: &model.Call{Attempt: "1"}, since: time.Now(), avoid: map[model.Incarnation]bool{}}
 	q.ticket = routes.Ticket{
 		Route: &model.Route{TargetLatency: 500 * time.Millisecond, MaxAttempts: 2},
 		Service: &model.Service{Name: "s", Engine: &model.EngineSpec{
@@ -35,7 +35,7 @@
 			Cards: []model.Card{{Name: "fast", MB: 8000, Pace: 2, ReadFactor: 2}},
 		}},
 	}
-	return &stream{request: q, tokens: 100, ranOn: map[string]bool{}}, engine("second", model.LayerRange{From: 6, To: 12})
+	return &stream{request: q, tokens: 100, ranOn: map[model.Incarnation]bool{}}, engine("second", model.LayerRange{From: 6, To: 12})
 }
 
 // Engines are replaced one after the other, and for a moment nobody holds some
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -62,7 +62,7 @@
 		if !q.mayRepeat(ctx, reason) {
 			break
 		}
-		klog.InfoS("sent again", "request", q.call.Attempt, "reason", reason, "server", server.ID, "err", err, "sends", q.sends)
+		klog.InfoS("sent again", "request", q.call.Attempt, "reason", reason, "server", server.Incarnation(), "err", err, "sends", q.sends)
 	}
 	return q.giveUp(last)
 }
@@ -89,8 +89,8 @@
 	var lowest float64
 	for _, allowSuspects := range []bool{false, true} {
 		for _, b := range q.Catalog.Load().Service(q.ticket.Service.Name) {
-			view := q.Health.View(b.ID)
-			if q.avoid[b.ID] || view.Suspected && !allowSuspects {
+			view := q.Health.View(b.Incarnation())
+			if q.avoid[b.Incarnation()] || view.Suspected && !allowSuspects {
 				continue
 			}
 			cost := (1 + float64(view.Active)) * (0.01 + view.Latency.Seconds()) * (1 + 8*view.Failures)
@@ -112,17 +112,19 @@
 // try sends the call to one server and reads its whole answer.
 func (q *request) try(ctx context.Context, b *model.BackendServer) (*whole, error) {
 	if q.ticket.Idempotent() && q.runs+1 < q.ticket.Route.MaxAttempts {
-		usual := q.Health.View(b.ID).Latency
+		usual := q.Health.View(b.Incarnation()).Latency
 		most := max(patience*usual, q.ticket.Route.TargetLatency, leastTry)
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, most)
 		defer cancel()
 	}
-	q.avoid[b.ID] = true
+	ctx, stop := q.Running.track(ctx, b.Incarnation())
+	defer stop()
+	q.avoid[b.Incarnation()] = true
 	q.chain = b.ID
 	q.sends++
 	began := q.Now()
-	q.Health.Begin(b.ID)
+	q.Health.Begin(b.Incarnation())
 	ans, err := q.Backends.Do(ctx, b.Address, q.outbound(platform.Send{Instance: b.ID}))
 	if err == nil {
 		var read *whole
@@ -131,15 +133,15 @@
 			return read, nil
 		}
 	}
-	q.Health.End(b.ID, false, 0)
+	q.Health.End(b.Incarnation(), false, 0)
 	if errors.Is(err, ErrNotSent) {
 		q.sends--
-		until, _ := q.Health.Suspect(b.ID)
-		klog.InfoS("backend server suspected: no connection", "request", q.call.Attempt, "server", b.ID, "until", until, "err", err)
+		until, _ := q.Health.Suspect(b.Incarnation())
+		klog.InfoS("backend server suspected: no connection", "request", q.call.Attempt, "server", b.Incarnation(), "until", until, "err", err)
 		return nil, err
 	}
 	q.runs++
-	klog.InfoS("answer lost", "request", q.call.Attempt, "server", b.ID, "err", err, "ms", q.Now().Sub(began).Milliseconds())
+	klog.InfoS("answer lost", "request", q.call.Attempt, "server", b.Incarnation(), "err", err, "ms", q.Now().Sub(began).Milliseconds())
 	return nil, err
 }
 
@@ -147,14 +149,14 @@
 func (q *request) judge(b *model.BackendServer, ans *whole, took time.Duration) {
 	switch {
 	case ans.verdict.Misdirected:
-		q.Health.End(b.ID, false, 0)
-		until, _ := q.Health.Suspect(b.ID)
-		klog.InfoS("backend server suspected: another one has its address", "request", q.call.Attempt, "server", b.ID, "until", until)
+		q.Health.End(b.Incarnation(), false, 0)
+		until, _ := q.Health.Suspect(b.Incarnation())
+		klog.InfoS("backend server suspected: another one has its address", "request", q.call.Attempt, "server", b.Incarnation(), "until", until)
 	case ans.verdict.NotRun:
-		q.Health.End(b.ID, false, 0)
+		q.Health.End(b.Incarnation(), false, 0)
 	default:
 		q.runs++
-		q.Health.End(b.ID, ans.status < 500, took)
+		q.Health.End(b.Incarnation(), ans.status < 500, took)
 	}
 }
 
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -30,14 +30,14 @@
 	// ranEvents are those of the present run, repeated ones included.
 	ranEvents int
 	// ranOn are the first engines that ran it.
-	ranOn     map[string]bool
+	ranOn     map[model.Incarnation]bool
 	lastEvent time.Time // when the caller got the last event
 	delivered error     // why the caller could not be written to
 }
 
 // generate runs a request through chains of engines.
 func (q *request) generate(ctx context.Context) bool {
-	s := &stream{request: q, tokens: q.size(), ranOn: map[string]bool{}}
+	s := &stream{request: q, tokens: q.size(), ranOn: map[model.Incarnation]bool{}}
 	if id, err := strconv.ParseInt(q.call.ResumeAfter, 10, 64); err == nil {
 		s.lastID = id
 		s.hasLast = true
@@ -97,13 +97,13 @@
 	ans, err := q.Backends.Do(ctx, first.Address, q.outbound(send))
 	if errors.Is(err, ErrNotSent) {
 		q.sends--
-		s.avoid[first.ID] = true
+		s.avoid[first.Incarnation()] = true
 		q.Suspicions.Unreachable(first, q.call.Attempt, err)
 		return false, false, fault.New(fault.NotConnected, "no connection to an engine")
 	}
 	if err != nil {
 		q.runs++
-		s.ranOn[first.ID] = true
+		s.ranOn[first.Incarnation()] = true
 		if w.ended() || ctx.Err() == nil {
 			s.lost(w, err)
 		}
@@ -121,9 +121,9 @@
 		return false, false, fault.New(fault.Overloaded, "an engine refused with status %d", ans.Status)
 	}
 	q.runs++
-	s.ranOn[first.ID] = true
+	s.ranOn[first.Incarnation()] = true
 	if ans.Status != http.StatusOK || v.Signature == "" {
-		s.Health.Outcome(first.ID, false)
+		s.Health.Outcome(first.Incarnation(), false)
 		return s.failed(ctx, ans, v)
 	}
 	if q.ticket.Route.Kind != model.RouteStreaming {
@@ -231,9 +231,9 @@
 // sent: an engine that drains finishes what it has and takes nothing new.
 func (s *stream) succeed(parts []chains.Part, sent time.Time) {
 	for _, p := range parts {
-		s.Health.Clear(p.Server.ID, sent)
+		s.Health.Clear(p.Server.Incarnation(), sent)
 	}
-	s.Health.Outcome(parts[0].Server.ID, true)
+	s.Health.Outcome(parts[0].Server.Incarnation(), true)
 }
 
 // refused takes in which engine would not run its part.
@@ -244,12 +244,12 @@
 			culprit = p.Server
 		}
 	}
-	s.avoid[culprit.ID] = true
+	s.avoid[culprit.Incarnation()] = true
 	if v.Misdirected {
 		// It answers reports, but is another incarnation or holds other layers:
 		// only its entry will tell. Each further refusal doubles the time.
-		until, _ := s.Health.Suspect(culprit.ID)
-		klog.InfoS("engine suspected: it does not hold its part", "request", s.call.Attempt, "server", culprit.ID, "until", until)
+		until, _ := s.Health.Suspect(culprit.Incarnation())
+		klog.InfoS("engine suspected: it does not hold its part", "request", s.call.Attempt, "server", culprit.Incarnation(), "until", until)
 	} else {
 		s.Suspicions.Refused(culprit, s.call.Attempt, status)
 	}
@@ -261,12 +261,12 @@
 func (s *stream) lost(w *chainWatch, err error) {
 	parts, culprit := w.state()
 	klog.InfoS("chain lost", "request", s.call.Attempt, "chain", describe(parts), "culprit", culprit, "err", err, "events", s.events)
-	if culprit != "" {
+	if culprit != (model.Incarnation{}) {
 		s.avoid[culprit] = true
 		return
 	}
 	for _, p := range parts {
-		s.avoid[p.Server.ID] = true
+		s.avoid[p.Server.Incarnation()] = true
 	}
 }
 
--- a/internal/protocol/relay/pace.go
+++ b/internal/protocol/relay/pace.go
@@ -33,16 +33,16 @@
 	Now     func() time.Time
 
 	mu    sync.Mutex
-	asked map[string]time.Time
+	asked map[model.Incarnation]time.Time
 }
 
 // NewPacer makes a pacer.
-func NewPacer() *Pacer { return &Pacer{asked: map[string]time.Time{}} }
+func NewPacer() *Pacer { return &Pacer{asked: map[model.Incarnation]time.Time{}} }
 
 // Check asks the engines of a chain that is slow.
 func (p *Pacer) Check(parts []chains.Part, request string, seen, planned time.Duration) {
 	for _, part := range parts {
-		if p.due(part.Server.ID) {
+		if p.due(part.Server.Incarnation()) {
 			go p.ask(part.Server, request, seen, planned)
 		}
 	}
@@ -50,32 +50,32 @@
 
 // Recheck asks the engines that were slow when they were last asked.
 func (p *Pacer) Recheck() {
-	for _, id := range p.Memory.Slow() {
-		b := p.Catalog.Load().ByID(id)
+	for _, inc := range p.Memory.Slow() {
+		b := p.Catalog.Load().Find(inc)
 		if b == nil {
-			p.Memory.Forget(id)
+			p.Memory.Forget(inc)
 			continue
 		}
-		if p.due(id) {
+		if p.due(inc) {
 			go p.ask(b, "", 0, 0)
 		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, at := range p.asked {
+	for inc, at := range p.asked {
 		if p.Now().Sub(at) > askAgain {
-			delete(p.asked, id)
+			delete(p.asked, inc)
 		}
 	}
 }
 
-func (p *Pacer) due(id string) bool {
+func (p *Pacer) due(inc model.Incarnation) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if at, ok := p.asked[id]; ok && p.Now().Sub(at) < askAgain {
+	if at, ok := p.asked[inc]; ok && p.Now().Sub(at) < askAgain {
 		return false
 	}
-	p.asked[id] = p.Now()
+	p.asked[inc] = p.Now()
 	return true
 }
 
@@ -84,13 +84,13 @@
 	defer cancel()
 	report, err := p.Report(ctx, b)
 	if err != nil {
-		klog.V(1).InfoS("engine did not tell its pace", "server", b.ID, "err", err)
+		klog.V(1).InfoS("engine did not tell its pace", "server", b.Incarnation(), "err", err)
 		return
 	}
-	used := p.Memory.Used(b.ID)
-	klog.InfoS("engine's report", "request", request, "server", b.ID, "usedTokenLayers", report.UsedTokenLayers, "totalTokenLayers", report.TotalTokenLayers,
+	used := p.Memory.Used(b.Incarnation())
+	klog.InfoS("engine's report", "request", request, "server", b.Incarnation(), "usedTokenLayers", report.UsedTokenLayers, "totalTokenLayers", report.TotalTokenLayers,
 		"countedTokenLayers", used.TokenLayers, "countedStreams", used.Streams, "reading", used.Reading, "inFlight", report.Active, "queued", report.Queued, "slowdown", report.Slowdown)
-	if p.Memory.SetSlowdown(b.ID, report.Slowdown) {
-		klog.InfoS("engine's slowdown", "request", request, "server", b.ID, "factor", report.Slowdown, "eventGap", seen, "planned", planned)
+	if p.Memory.SetSlowdown(b.Incarnation(), report.Slowdown) {
+		klog.InfoS("engine's slowdown", "request", request, "server", b.Incarnation(), "factor", report.Slowdown, "eventGap", seen, "planned", planned)
 	}
 }
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -39,16 +39,16 @@
 	Catalog *catalog.Catalog
 	Report  func(ctx context.Context, b *model.BackendServer) (model.EngineReport, error)
 	// Tell passes a suspicion on to the other routers.
-	Tell func(id string, until time.Time)
+	Tell func(engine model.Incarnation, until time.Time)
 	// Healthy asks a backend server whether it is well and not leaving.
 	Healthy func(ctx context.Context, b *model.BackendServer) (bool, error)
 	// TellRefused tells the other routers that an engine refuses work.
-	TellRefused func(id string, until time.Time)
+	TellRefused func(engine model.Incarnation, until time.Time)
 	Now         func() time.Time
 
 	mu       sync.Mutex
-	suspects map[string]*suspect
-	answered map[string]time.Time // when a probe last succeeded
+	suspects map[model.Incarnation]*suspect
+	answered map[model.Incarnation]time.Time // when a probe last succeeded
 }
 
 type suspect struct {
@@ -59,17 +59,17 @@
 
 // NewProber makes a prober without suspects.
 func NewProber() *Prober {
-	return &Prober{suspects: map[string]*suspect{}, answered: map[string]time.Time{}}
+	return &Prober{suspects: map[model.Incarnation]*suspect{}, answered: map[model.Incarnation]time.Time{}}
 }
 
 // Unreachable implements Suspicions.
 func (p *Prober) Unreachable(b *model.BackendServer, request string, err error) {
-	until, news := p.Health.Suspect(b.ID)
+	until, news := p.Health.Suspect(b.Incarnation())
 	if news {
-		klog.InfoS("engine suspected", "request", request, "server", b.ID, "address", b.Address, "err", err, "until", until)
+		klog.InfoS("engine suspected", "request", request, "server", b.Incarnation(), "address", b.Address, "err", err, "until", until)
 	}
-	p.add(b.ID, true)
-	p.Tell(b.ID, until)
+	p.add(b.Incarnation(), true)
+	p.Tell(b.Incarnation(), until)
 }
 
 // Refused implements Suspicions. An engine refuses while it is full, for a
@@ -78,10 +78,10 @@
 // its health tell which. Probing would clear it at once, as it answers; so the
 // suspicion runs its time, and the peers keep to it too.
 func (p *Prober) Refused(b *model.BackendServer, request string, status int) {
-	if p.Health.Suspected(b.ID) {
+	if p.Health.Suspected(b.Incarnation()) {
 		return
 	}
-	p.Health.SuspectUntil(b.ID, p.Now().Add(fullPause))
+	p.Health.SuspectUntil(b.Incarnation(), p.Now().Add(fullPause))
 	go p.whyRefused(b, request, status)
 }
 
@@ -103,38 +103,38 @@
 	case !well:
 		pause = leavingPause
 	case !full:
-		pause = p.Health.NextSuspicion(b.ID)
+		pause = p.Health.NextSuspicion(b.Incarnation())
 	}
 	until := p.Now().Add(pause)
-	p.Health.Refused(b.ID, until, !full)
-	p.TellRefused(b.ID, until)
-	klog.InfoS("engine refuses", "request", request, "server", b.ID, "address", b.Address, "status", status, "full", full, "well", well, "err", err,
+	p.Health.Refused(b.Incarnation(), until, !full)
+	p.TellRefused(b.Incarnation(), until)
+	klog.InfoS("engine refuses", "request", request, "server", b.Incarnation(), "address", b.Address, "status", status, "full", full, "well", well, "err", err,
 		"usedTokenLayers", report.UsedTokenLayers, "totalTokenLayers", report.TotalTokenLayers, "queued", report.Queued, "until", until)
 }
 
 // Hint takes in another router's suspicion: the engine is asked before it gets
 // more work from here, and what it answers here decides.
-func (p *Prober) Hint(id string) {
+func (p *Prober) Hint(inc model.Incarnation) {
 	p.mu.Lock()
-	trusted := p.Now().Sub(p.answered[id]) < trustProbe
-	_, known := p.suspects[id]
+	trusted := p.Now().Sub(p.answered[inc]) < trustProbe
+	_, known := p.suspects[inc]
 	p.mu.Unlock()
-	if trusted || known || p.Catalog.Load().ByID(id) == nil {
+	if trusted || known || p.Catalog.Load().Find(inc) == nil {
 		return
 	}
-	klog.InfoS("engine suspected by a peer", "server", id)
-	p.Health.SuspectUntil(id, p.Now().Add(probeHold))
-	p.add(id, false)
-	p.probe(id)
+	klog.InfoS("engine suspected by a peer", "server", inc)
+	p.Health.SuspectUntil(inc, p.Now().Add(probeHold))
+	p.add(inc, false)
+	p.probe(inc)
 }
 
-func (p *Prober) add(id string, own bool) {
+func (p *Prober) add(inc model.Incarnation, own bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.suspects[id]
+	s, ok := p.suspects[inc]
 	if !ok {
 		s = &suspect{since: p.Now()}
-		p.suspects[id] = s
+		p.suspects[inc] = s
 	}
 	s.own = s.own || own
 }
@@ -146,8 +146,8 @@
 	for {
 		select {
 		case <-tick.C:
-			for _, id := range p.due() {
-				p.probe(id)
+			for _, inc := range p.due() {
+				p.probe(inc)
 			}
 		case <-ctx.Done():
 			return
@@ -155,26 +155,26 @@
 	}
 }
 
-func (p *Prober) due() []string {
+func (p *Prober) due() []model.Incarnation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []string
-	for id, s := range p.suspects {
+	var out []model.Incarnation
+	for inc, s := range p.suspects {
 		if !s.probing {
-			out = append(out, id)
+			out = append(out, inc)
 		}
 	}
 	return out
 }
 
 // probe asks one engine without waiting for it.
-func (p *Prober) probe(id string) {
-	b := p.Catalog.Load().ByID(id)
+func (p *Prober) probe(inc model.Incarnation) {
+	b := p.Catalog.Load().Find(inc)
 	p.mu.Lock()
-	s := p.suspects[id]
+	s := p.suspects[inc]
 	if s == nil || b == nil {
-		delete(p.suspects, id)
-		delete(p.answered, id)
+		delete(p.suspects, inc)
+		delete(p.answered, inc)
 		p.mu.Unlock()
 		return
 	}
@@ -190,30 +190,30 @@
 
 func (p *Prober) result(b *model.BackendServer, err error) {
 	p.mu.Lock()
-	s := p.suspects[b.ID]
+	s := p.suspects[b.Incarnation()]
 	if s == nil {
 		p.mu.Unlock()
 		return
 	}
 	s.probing = false
-	if err == nil && s.own && p.Health.Suspected(b.ID) {
+	if err == nil && s.own && p.Health.Suspected(b.Incarnation()) {
 		// It answers, but did not do its work: the first suspicion runs out.
 		p.mu.Unlock()
 		return
 	}
 	if err == nil {
-		delete(p.suspects, b.ID)
-		p.answered[b.ID] = p.Now()
+		delete(p.suspects, b.Incarnation())
+		p.answered[b.Incarnation()] = p.Now()
 		p.mu.Unlock()
-		p.Health.Trust(b.ID)
-		klog.InfoS("engine trusted again", "server", b.ID, "after", p.Now().Sub(s.since))
+		p.Health.Trust(b.Incarnation())
+		klog.InfoS("engine trusted again", "server", b.Incarnation(), "after", p.Now().Sub(s.since))
 		return
 	}
 	own := s.own
 	p.mu.Unlock()
 	until := p.Now().Add(probeHold)
-	p.Health.SuspectUntil(b.ID, until)
+	p.Health.SuspectUntil(b.Incarnation(), until)
 	if own {
-		p.Tell(b.ID, until)
+		p.Tell(b.Incarnation(), until)
 	}
 }
--- a/internal/protocol/relay/prober_test.go
+++ b/internal/protocol/relay/prober_test.go
@@ -41,7 +41,7 @@
 
 func (a *asked) healthy(context.Context, *model.BackendServer) (bool, error) { return !a.ill, nil }
 
-func (a *asked) tell(string, time.Time) {
+func (a *asked) tell(model.Incarnation, time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.told++
@@ -65,6 +65,8 @@
 	a.dead = dead
 }
 
+func inc(id string) model.Incarnation { return model.Incarnation{ID: id} }
+
 // probing runs a prober over one engine in virtual time.
 func probing(t *testing.T, f func(p *Prober, a *asked)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -95,12 +97,12 @@
 		p.Unreachable(a.server, "r", nil)
 		for range 40 {
 			time.Sleep(250 * time.Millisecond)
-			assert.Assert(t, p.Health.Suspected("e"))
+			assert.Assert(t, p.Health.Suspected(inc("e")))
 		}
 		assert.Assert(t, a.toldTimes() > 2, "peers are told as long as it lasts")
 		a.set(false)
 		time.Sleep(2 * time.Second)
-		assert.Assert(t, !p.Health.Suspected("e"))
+		assert.Assert(t, !p.Health.Suspected(inc("e")))
 	})
 }
 
@@ -110,9 +112,9 @@
 	probing(t, func(p *Prober, a *asked) {
 		p.Unreachable(a.server, "r", nil)
 		time.Sleep(800 * time.Millisecond)
-		assert.Assert(t, p.Health.Suspected("e"))
+		assert.Assert(t, p.Health.Suspected(inc("e")))
 		time.Sleep(time.Second)
-		assert.Assert(t, !p.Health.Suspected("e"))
+		assert.Assert(t, !p.Health.Suspected(inc("e")))
 	})
 }
 
@@ -120,16 +122,16 @@
 // work, and the peer's next words about it are not worth a probe each.
 func TestPeersSuspicionIsChecked(t *testing.T) {
 	probing(t, func(p *Prober, a *asked) {
-		p.Hint("e")
+		p.Hint(inc("e"))
 		time.Sleep(50 * time.Millisecond)
-		assert.Assert(t, !p.Health.Suspected("e"))
+		assert.Assert(t, !p.Health.Suspected(inc("e")))
 		for range 8 {
-			p.Hint("e")
+			p.Hint(inc("e"))
 			time.Sleep(250 * time.Millisecond)
 		}
 		assert.Equal(t, a.askedTimes(), 1)
 		assert.Equal(t, a.toldTimes(), 0, "what a peer told is not passed on as one's own")
-		p.Hint("unknown")
+		p.Hint(inc("unknown"))
 	})
 }
 
@@ -163,14 +165,14 @@
 		p.Check(parts, "r", time.Second, time.Millisecond)
 		synctest.Wait()
 		assert.Equal(t, a.askedTimes(), 1, "many streams through one engine ask once")
-		assert.Equal(t, p.Memory.Slowdown("e"), 3.0)
+		assert.Equal(t, p.Memory.Slowdown(inc("e")), 3.0)
 		a.mu.Lock()
 		a.slow = 1
 		a.mu.Unlock()
 		time.Sleep(askAgain)
 		p.Recheck()
 		synctest.Wait()
-		assert.Equal(t, p.Memory.Slowdown("e"), 1.0)
+		assert.Equal(t, p.Memory.Slowdown(inc("e")), 1.0)
 		time.Sleep(askAgain)
 		p.Recheck()
 		synctest.Wait()
@@ -189,11 +191,11 @@
 			p.Refused(a.server, "r", 503)
 		}
 		time.Sleep(7 * time.Second)
-		assert.Assert(t, p.Health.Suspected("e"))
+		assert.Assert(t, p.Health.Suspected(inc("e")))
 		assert.Equal(t, a.askedTimes(), 1, "one stream's refusal is looked into, not each")
 		assert.Equal(t, a.toldTimes(), 1)
 		time.Sleep(time.Second)
-		assert.Assert(t, !p.Health.Suspected("e"))
+		assert.Assert(t, !p.Health.Suspected(inc("e")))
 	})
 }
 
@@ -205,9 +207,9 @@
 		for range 5 {
 			p.Refused(a.server, "r", 503)
 			time.Sleep(fullPause / 2)
-			assert.Assert(t, p.Health.Suspected("e"))
+			assert.Assert(t, p.Health.Suspected(inc("e")))
 			time.Sleep(fullPause)
-			assert.Assert(t, !p.Health.Suspected("e"))
+			assert.Assert(t, !p.Health.Suspected(inc("e")))
 		}
 	})
 }
@@ -220,9 +222,9 @@
 		for _, lasts := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
 			p.Refused(a.server, "r", 503)
 			time.Sleep(lasts - 10*time.Millisecond)
-			assert.Assert(t, p.Health.Suspected("e"))
+			assert.Assert(t, p.Health.Suspected(inc("e")))
 			time.Sleep(20 * time.Millisecond)
-			assert.Assert(t, !p.Health.Suspected("e"))
+			assert.Assert(t, !p.Health.Suspected(inc("e")))
 		}
 	})
 }
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -55,6 +55,9 @@
 // that nothing was sent; after any other error the request may have run.
 type Backends interface {
 	Do(ctx context.Context, addr string, r *Request) (*Answer, error)
+	// Drop closes the idle connections to an address, whose process has ended:
+	// one that is silent would take another request.
+	Drop(addr string)
 }
 
 // Caller is who waits for the answer.
@@ -92,7 +95,7 @@
 	Line     *admission.Line
 	Backends Backends
 	Observer Observer
-	// Running are the streams in progress.
+	// Running is the work in progress at backend servers.
 	Running *Running
 	// Suspicions is told of engines that do not answer.
 	Suspicions Suspicions
@@ -118,7 +121,7 @@
 	// runs counts the sends that may have run; sends counts all.
 	runs, sends int
 	began       bool // the caller has the head of the answer
-	avoid       map[string]bool
+	avoid       map[model.Incarnation]bool
 	chain       string // for the log
 	// firstEvent and longestGap describe a stream as its caller saw it; 0
 	// where there was none.
@@ -128,7 +131,7 @@
 // Serve answers one request. whole is false where the caller's connection must
 // be broken off, because the answer cannot be completed.
 func (r *Relay) Serve(ctx context.Context, c *model.Call, out Caller) (whole bool) {
-	q := &request{Relay: r, call: c, out: out, since: r.Now(), avoid: map[string]bool{}}
+	q := &request{Relay: r, call: c, out: out, since: r.Now(), avoid: map[model.Incarnation]bool{}}
 	table := r.table(ctx)
 	if table == nil {
 		return q.refuse(fault.New(fault.NotReady, "no configuration yet"))
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -33,7 +34,50 @@
 	if ans.Status != http.StatusOK {
 		return model.EngineReport{}, errors.Errorf("report: status %d", ans.Status)
 	}
-	return platform.DecodeReport(raw)
+	report, err := platform.DecodeReport(raw)
+	if err != nil {
+		return model.EngineReport{}, err
+	}
+	return report, r.sameIncarnation(b, report)
+}
+
+// errRestarted says that another incarnation of an engine answered.
+var errRestarted = errors.New("the engine has started again")
+
+// sameIncarnation checks that a report is of the incarnation that was asked. One
+// that started again is known by its report before its entry tells; nothing that
+// is planned or believed of the one before holds for it.
+func (r *Relay) sameIncarnation(b *model.BackendServer, report model.EngineReport) error {
+	if b.Born == 0 || report.Born == 0 || report.Born == b.Born {
+		return nil
+	}
+	news := r.Catalog.Confirm(b.Incarnation(), report.Born, report.Holds)
+	klog.InfoS("engine's report is of another start", "server", b.Incarnation(), "address", b.Address, "born", report.Born, "news", len(news.Ended) > 0)
+	r.Ended(news.Ended, "its report")
+	return errors.Wrapf(errRestarted, "at %d ms instead of %d", report.Born, b.Born)
+}
+
+// Ended takes in that incarnations of engines have surely ended, as others have
+// their place.
+func (r *Relay) Ended(gone []model.BackendServer, evidence string) {
+	for _, b := range gone {
+		klog.InfoS("backend server's process ended", "server", b.Incarnation(), "address", b.Address, "evidence", evidence)
+		r.Backends.Drop(b.Address)
+		r.EngineGone(b.Incarnation())
+	}
+}
+
+// Settle asks a server which of two incarnations it is: the one that is believed
+// in, or another one that an entry names and that may be older.
+func (r *Relay) Settle(claim model.BackendServer) {
+	b := r.Catalog.Load().ByID(claim.ID)
+	if b == nil {
+		return
+	}
+	klog.InfoS("backend server's entry is disputed", "server", claim.Incarnation(), "believed", b.Incarnation(), "revision", claim.Revision)
+	if _, err := r.askReport(b); err != nil {
+		klog.InfoS("disputed entry: the server's word", "server", b.Incarnation(), "err", err)
+	}
 }
 
 // Healthy asks a backend server whether it is well and not leaving. Where the
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
@@ -52,7 +51,7 @@
 	quiet   int  // silences in a row
 	heardNo int  // counts events, to notice one that came meanwhile
 	stopped bool
-	culprit string // id of the engine at fault
+	culprit model.Incarnation // the engine at fault; empty if none was found
 	moving  bool
 	silent  bool
 	// paceFrom is when the events began that are counted in paceCount.
@@ -111,7 +110,7 @@
 }
 
 // state gives the chain as it is now and the engine at fault, if one was found.
-func (w *chainWatch) state() ([]chains.Part, string) {
+func (w *chainWatch) state() ([]chains.Part, model.Incarnation) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.parts, w.culprit
@@ -142,7 +141,7 @@
 	}
 	if err != nil {
 		w.q.Suspicions.Unreachable(first, w.q.call.Attempt, err)
-		w.end(first.ID, n, err)
+		w.end(first.Incarnation(), n, err)
 		return
 	}
 	if addr := stallOf(report, w.q.call.Attempt); addr != "" {
@@ -156,7 +155,7 @@
 	}
 	w.mu.Unlock()
 	if n >= patience {
-		w.end("", n, nil)
+		w.end(model.Incarnation{}, n, nil)
 		return
 	}
 	w.mu.Lock()
@@ -191,17 +190,17 @@
 			continue
 		}
 		w.q.Suspicions.Unreachable(p.Server, w.q.call.Attempt, nil)
-		w.q.Running.leave(p.Server)
+		w.q.Running.leave(p.Server.Incarnation())
 		return
 	}
-	w.end("", n, nil)
+	w.end(model.Incarnation{}, n, nil)
 }
 
 // leave moves the run away from an engine. Several streams may find the same
 // engine at fault; a run that was moved already stays.
-func (w *chainWatch) leave(b *model.BackendServer) {
+func (w *chainWatch) leave(lost model.Incarnation) {
 	w.mu.Lock()
-	if w.stopped || w.moving || !uses(w.parts, b) {
+	if w.stopped || w.moving || !uses(w.parts, lost) {
 		w.mu.Unlock()
 		return
 	}
@@ -209,7 +208,7 @@
 	w.timer.Stop()
 	parts := w.parts
 	w.mu.Unlock()
-	moved := w.replace(parts, b)
+	moved := w.replace(parts, lost)
 	w.mu.Lock()
 	w.moving = false
 	if moved != nil && !w.stopped {
@@ -219,17 +218,17 @@
 		return
 	}
 	w.mu.Unlock()
-	w.end(b.ID, 0, nil)
+	w.end(lost, 0, nil)
 }
 
 // replace orders the first engine to send the stream around an engine; nil if
 // that cannot be done.
-func (w *chainWatch) replace(parts []chains.Part, b *model.BackendServer) []chains.Part {
+func (w *chainWatch) replace(parts []chains.Part, lost model.Incarnation) []chains.Part {
 	q := w.q
-	if parts[0].Server.ID == b.ID || !q.ticket.Idempotent() {
+	if parts[0].Server.Incarnation() == lost || !q.ticket.Idempotent() {
 		return nil
 	}
-	next := q.Chooser.Replace(q.ticket.Service, parts, b.ID, w.hold.Tokens(), q.ticket.Route.TargetGap)
+	next := q.Chooser.Replace(q.ticket.Service, parts, lost, w.hold.Tokens(), q.ticket.Route.TargetGap)
 	if next == nil {
 		return nil
 	}
@@ -237,7 +236,7 @@
 	defer cancel()
 	began := q.Now()
 	err := q.Repath(ctx, next[0].Server, q.call.Attempt, hops(next))
-	klog.InfoS("part of a chain replaced", "request", q.call.Attempt, "lost", b.ID, "chain", describe(next), "ms", q.Now().Sub(began).Milliseconds(), "err", err)
+	klog.InfoS("part of a chain replaced", "request", q.call.Attempt, "lost", lost, "chain", describe(next), "ms", q.Now().Sub(began).Milliseconds(), "err", err)
 	if err != nil {
 		return nil
 	}
@@ -246,7 +245,7 @@
 	return next
 }
 
-func (w *chainWatch) end(culprit string, n int, err error) {
+func (w *chainWatch) end(culprit model.Incarnation, n int, err error) {
 	w.mu.Lock()
 	w.culprit = culprit
 	w.silent = true
@@ -256,53 +255,9 @@
 	w.cancel()
 }
 
-// Running holds the chains that run now.
-type Running struct {
-	mu   sync.Mutex
-	runs map[*chainWatch]bool
-}
-
-// NewRunning makes an empty set.
-func NewRunning() *Running { return &Running{runs: map[*chainWatch]bool{}} }
-
-func (r *Running) add(w *chainWatch) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.runs[w] = true
-}
-
-func (r *Running) remove(w *chainWatch) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.runs, w)
-}
-
-// EngineGone takes in that an engine's process ended: nothing new goes there, and
-// the streams of this router that run through it are moved at once, before they
-// notice.
-func (r *Relay) EngineGone(id string) {
-	b := r.Catalog.Load().ByID(id)
-	if b == nil {
-		return
-	}
-	r.Suspicions.Unreachable(b, "", errEnded)
-	r.Running.leave(b)
-}
-
-var errEnded = errors.New("its process ended")
-
-// leave moves every run through an engine away from it.
-func (r *Running) leave(b *model.BackendServer) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for w := range r.runs {
-		go w.leave(b)
-	}
-}
-
-func uses(parts []chains.Part, b *model.BackendServer) bool {
+func uses(parts []chains.Part, engine model.Incarnation) bool {
 	for _, p := range parts {
-		if p.Server.ID == b.ID {
+		if p.Server.Incarnation() == engine {
 			return true
 		}
 	}
--- a/internal/protocol/sidecar/sidecar.go
+++ b/internal/protocol/sidecar/sidecar.go
@@ -45,8 +45,8 @@
 	now     func() time.Time
 
 	mu       sync.Mutex // guards opening and ending sessions
-	sessions *shard.Map[*session]
-	heard    *shard.Map[time.Time] // by entry address
+	sessions *shard.Map[string, *session]
+	heard    *shard.Map[string, time.Time] // by entry address
 }
 
 // session is an open stage and its place at the gate.
@@ -68,8 +68,8 @@
 		send:     send,
 		events:   log,
 		now:      now,
-		sessions: shard.New[*session](),
-		heard:    shard.New[time.Time](),
+		sessions: shard.New[string, *session](),
+		heard:    shard.New[string, time.Time](),
 	}
 }
 
--- a/internal/protocol/wire/beat.go
+++ b/internal/protocol/wire/beat.go
@@ -1,5 +1,7 @@
 package wire
 
+import "github.com/skylarkwood/skylarkwood/internal/model"
+
 // RouterBeat is what a router tells its peers a few times a second.
 type RouterBeat struct {
 	// EveryMS is how long until the next message.
@@ -13,15 +15,15 @@
 	// Uses are what its streams take.
 	Uses []RouterUse
 	// Slow are engines that said to be slower than their cards, by how much.
-	Slow map[string]float64
+	Slow map[model.Incarnation]float64
 	// Pipes is what its streams move between failure domains.
 	Pipes []RouterPipe
 	// Suspects are engines that do not do their work, with the milliseconds
 	// for which the suspicion still holds.
-	Suspects map[string]int64
+	Suspects map[model.Incarnation]int64
 	// Refusing are engines that answer but refuse work, with the milliseconds
 	// for which they should get none.
-	Refusing map[string]int64
+	Refusing map[model.Incarnation]int64
 	// Spares are repeated sends that it could lend, by service.
 	Spares map[string]int
 	// Traffic says that it has seen callers' requests.
@@ -36,7 +38,7 @@
 
 // RouterUse is what a router's streams take of one engine.
 type RouterUse struct {
-	Server      string
+	Server      model.Incarnation
 	TokenLayers int64
 	Streams     int64
 	Firsts      int64
@@ -54,7 +56,7 @@
 	p.flag(b.Traffic)
 	p.number(int64(len(b.Uses)))
 	for _, u := range b.Uses {
-		p.text(u.Server)
+		p.incarnation(u.Server)
 		p.number(u.TokenLayers)
 		p.number(u.Streams)
 		p.number(u.Firsts)
@@ -66,10 +68,10 @@
 		p.text(l.B)
 		p.fraction(l.Rate)
 	}
-	packEach(p, b.Slow, p.fraction)
-	packEach(p, b.Suspects, p.number)
-	packEach(p, b.Refusing, p.number)
-	packEach(p, b.Spares, func(n int) { p.number(int64(n)) })
+	packEach(p, b.Slow, p.incarnation, p.fraction)
+	packEach(p, b.Suspects, p.incarnation, p.number)
+	packEach(p, b.Refusing, p.incarnation, p.number)
+	packEach(p, b.Spares, p.text, func(n int) { p.number(int64(n)) })
 	return p.b
 }
 
@@ -85,38 +87,38 @@
 	}
 	b.Uses = make([]RouterUse, u.count())
 	for i := range b.Uses {
-		b.Uses[i] = RouterUse{Server: u.text(), TokenLayers: u.number(), Streams: u.number(), Firsts: u.number(), Reading: u.fraction()}
+		b.Uses[i] = RouterUse{Server: u.incarnation(), TokenLayers: u.number(), Streams: u.number(), Firsts: u.number(), Reading: u.fraction()}
 	}
 	b.Pipes = make([]RouterPipe, u.count())
 	for i := range b.Pipes {
 		b.Pipes[i] = RouterPipe{A: u.text(), B: u.text(), Rate: u.fraction()}
 	}
-	b.Slow = unpackEach(u, u.fraction)
-	b.Suspects = unpackEach(u, u.number)
-	b.Refusing = unpackEach(u, u.number)
-	b.Spares = unpackEach(u, func() int { return int(u.number()) })
+	b.Slow = unpackEach(u, u.incarnation, u.fraction)
+	b.Suspects = unpackEach(u, u.incarnation, u.number)
+	b.Refusing = unpackEach(u, u.incarnation, u.number)
+	b.Spares = unpackEach(u, u.text, func() int { return int(u.number()) })
 	return b, u.err
 }
 
-// packEach writes figures by name.
-func packEach[V any](p *packer, figures map[string]V, write func(V)) {
+// packEach writes figures by what they are of.
+func packEach[K comparable, V any](p *packer, figures map[K]V, of func(K), write func(V)) {
 	p.number(int64(len(figures)))
-	for name, v := range figures {
-		p.text(name)
+	for k, v := range figures {
+		of(k)
 		write(v)
 	}
 }
 
 // unpackEach reads what packEach wrote; nil if it is empty.
-func unpackEach[V any](u *unpacker, read func() V) map[string]V {
+func unpackEach[K comparable, V any](u *unpacker, of func() K, read func() V) map[K]V {
 	n := u.count()
 	if n == 0 {
 		return nil
 	}
-	out := make(map[string]V, n)
+	out := make(map[K]V, n)
 	for range n {
-		name := u.text()
-		out[name] = read()
+		k := of()
+		out[k] = read()
 	}
 	return out
 }
--- a/internal/protocol/wire/beat_test.go
+++ b/internal/protocol/wire/beat_test.go
@@ -6,10 +6,12 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-func named[V any](t *rapid.T, label string, figure *rapid.Generator[V]) map[string]V {
-	m := rapid.MapOfN(rapid.StringN(0, 12, 40), figure, 0, 6).Draw(t, label)
+func figures[K comparable, V any](t *rapid.T, label string, of *rapid.Generator[K], figure *rapid.Generator[V]) map[K]V {
+	m := rapid.MapOfN(of, figure, 0, 6).Draw(t, label)
 	if len(m) == 0 {
 		return nil
 	}
@@ -22,17 +24,21 @@
 		number := rapid.Int64Range(0, 1<<50)
 		fraction := rapid.Custom(func(t *rapid.T) float64 { return float64(rapid.Int64Range(0, 1<<30).Draw(t, "n")) / thousandths })
 		text := rapid.StringN(0, 20, 60)
+		engine := rapid.Custom(func(t *rapid.T) model.Incarnation {
+			return model.Incarnation{ID: text.Draw(t, "id"), Born: number.Draw(t, "born")}
+		})
 		b := RouterBeat{
 			EveryMS: number.Draw(t, "every"), Config: number.Draw(t, "config"), ConfigAgeMS: number.Draw(t, "age"),
 			Revision: number.Draw(t, "revision"), Traffic: rapid.Bool().Draw(t, "traffic"),
 			Uses: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) RouterUse {
-				return RouterUse{Server: text.Draw(t, "server"), TokenLayers: number.Draw(t, "tokens"), Streams: number.Draw(t, "streams"),
+				return RouterUse{Server: engine.Draw(t, "server"), TokenLayers: number.Draw(t, "tokens"), Streams: number.Draw(t, "streams"),
 					Firsts: number.Draw(t, "firsts"), Reading: fraction.Draw(t, "reading")}
 			}), 0, 60).Draw(t, "uses"),
 			Pipes: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) RouterPipe {
 				return RouterPipe{A: text.Draw(t, "a"), B: text.Draw(t, "b"), Rate: fraction.Draw(t, "rate")}
 			}), 0, 6).Draw(t, "pipes"),
-			Slow: named(t, "slow", fraction), Suspects: named(t, "suspects", number), Refusing: named(t, "refusing", number), Spares: named(t, "spares", rapid.IntRange(0, 1<<30)),
+			Slow: figures(t, "slow", engine, fraction), Suspects: figures(t, "suspects", engine, number), Refusing: figures(t, "refusing", engine, number),
+			Spares: figures(t, "spares", rapid.StringN(0, 12, 40), rapid.IntRange(0, 1<<30)),
 		}
 		got, err := UnpackRouterBeat(b.Pack())
 		assert.NilError(t, err)
@@ -42,7 +48,7 @@
 
 // A message that stops anywhere is an error, never a shorter truth.
 func TestCutBeatIsRefused(t *testing.T) {
-	b := RouterBeat{EveryMS: 250, Config: 300, Uses: []RouterUse{{Server: "i-1", TokenLayers: 5000, Streams: 2, Reading: 0.25}},
+	b := RouterBeat{EveryMS: 250, Config: 300, Uses: []RouterUse{{Server: model.Incarnation{ID: "i-1", Born: 1700000000000}, TokenLayers: 5000, Streams: 2, Reading: 0.25}},
 		Pipes: []RouterPipe{{A: "a", B: "b", Rate: 12}}, Spares: map[string]int{"s": 300}}
 	raw := b.Pack()
 	for n := range raw {
@@ -76,7 +82,7 @@
 	b := RouterBeat{EveryMS: 250, Config: 300, ConfigAgeMS: 120, Revision: 4711, Traffic: true, Spares: map[string]int{"planner": 5},
 		Pipes: []RouterPipe{{A: "domain-1", B: "domain-2", Rate: 123.456}, {A: "domain-1", B: "domain-3", Rate: 9}}}
 	for i := range engines {
-		b.Uses = append(b.Uses, RouterUse{Server: fmt.Sprintf("i-%010x", 7919*i), TokenLayers: 12345, Streams: 3, Firsts: 1, Reading: 0.02})
+		b.Uses = append(b.Uses, RouterUse{Server: model.Incarnation{ID: fmt.Sprintf("i-%010x", 7919*i), Born: 1700000000000 + int64(i)}, TokenLayers: 12345, Streams: 3, Firsts: 1, Reading: 0.02})
 	}
 	raw := b.Pack()
 	const segment = 1400
--- a/internal/protocol/wire/pack.go
+++ b/internal/protocol/wire/pack.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkwood/skylarkwood/internal/hlc"
+	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
 // thousandths is how finely fractions cross a link: a thousandth of an engine's
@@ -29,6 +30,12 @@
 	p.b = append(p.b, s...)
 }
 
+// incarnation writes an engine's id and start.
+func (p *packer) incarnation(inc model.Incarnation) {
+	p.text(inc.ID)
+	p.number(inc.Born)
+}
+
 // fraction writes a figure in thousandths.
 func (p *packer) fraction(f float64) { p.number(int64(math.Round(f * thousandths))) }
 
@@ -74,6 +81,10 @@
 	return s
 }
 
+func (u *unpacker) incarnation() model.Incarnation {
+	return model.Incarnation{ID: u.text(), Born: u.number()}
+}
+
 func (u *unpacker) fraction() float64 { return float64(u.number()) / thousandths }
 
 func (u *unpacker) flag() bool { return u.number() != 0 }
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -35,7 +35,7 @@
 	Lent int `json:"n"`
 }
 
-// RouterGone names an engine, by id, whose process ended.
+// RouterGone names an engine whose process ended.
 type RouterGone struct {
-	Server string `json:"s"`
+	Server model.Incarnation `json:"s"`
 }
--- a/internal/state/requests/requests.go
+++ b/internal/state/requests/requests.go
@@ -109,9 +109,9 @@
 type Store struct {
 	now  func() time.Time
 	keep time.Duration
-	all  *shard.Map[*Request]
+	all  *shard.Map[string, *Request]
 	// copies are final outcomes that other entries left here.
-	copies *shard.Map[copied]
+	copies *shard.Map[string, copied]
 }
 
 type copied struct {
@@ -125,8 +125,8 @@
 	return &Store{
 		now:    now,
 		keep:   keep,
-		all:    shard.New[*Request](),
-		copies: shard.New[copied](),
+		all:    shard.New[string, *Request](),
+		copies: shard.New[string, copied](),
 	}
 }
 
--- a/internal/state/shard/shard.go
+++ b/internal/state/shard/shard.go
@@ -3,39 +3,39 @@
 package shard
 
 import (
+	"hash/maphash"
 	"sync"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // count is a power of two well above the processors of one instance.
 const count = 32
 
-// Map maps string keys to values. The zero value is not usable; see New.
-type Map[V any] struct {
-	shards [count]bucket[V]
+// Map maps keys to values. The zero value is not usable; see New.
+type Map[K comparable, V any] struct {
+	seed   maphash.Seed
+	shards [count]bucket[K, V]
 }
 
-type bucket[V any] struct {
+type bucket[K comparable, V any] struct {
 	mu sync.Mutex
-	m  map[string]V
+	m  map[K]V
 }
 
 // New makes an empty map.
-func New[V any]() *Map[V] {
-	s := &Map[V]{}
+func New[K comparable, V any]() *Map[K, V] {
+	s := &Map[K, V]{seed: maphash.MakeSeed()}
 	for i := range s.shards {
-		s.shards[i].m = map[string]V{}
+		s.shards[i].m = map[K]V{}
 	}
 	return s
 }
 
-func (s *Map[V]) bucket(key string) *bucket[V] {
-	return &s.shards[xxhash.Sum64String(key)%count]
+func (s *Map[K, V]) bucket(key K) *bucket[K, V] {
+	return &s.shards[maphash.Comparable(s.seed, key)%count]
 }
 
 // Get finds a value.
-func (s *Map[V]) Get(key string) (V, bool) {
+func (s *Map[K, V]) Get(key K) (V, bool) {
 	b := s.bucket(key)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -44,7 +44,7 @@
 }
 
 // Put sets a value.
-func (s *Map[V]) Put(key string, v V) {
+func (s *Map[K, V]) Put(key K, v V) {
 	b := s.bucket(key)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -52,7 +52,7 @@
 }
 
 // GetOrPut finds a value or stores the one that build makes, in one step.
-func (s *Map[V]) GetOrPut(key string, build func() V) (v V, found bool) {
+func (s *Map[K, V]) GetOrPut(key K, build func() V) (v V, found bool) {
 	b := s.bucket(key)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -65,7 +65,7 @@
 }
 
 // Delete removes a key.
-func (s *Map[V]) Delete(key string) {
+func (s *Map[K, V]) Delete(key K) {
 	b := s.bucket(key)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -73,7 +73,7 @@
 }
 
 // DeleteIf removes every entry for which drop is true and tells how many.
-func (s *Map[V]) DeleteIf(drop func(key string, v V) bool) int {
+func (s *Map[K, V]) DeleteIf(drop func(key K, v V) bool) int {
 	n := 0
 	for i := range s.shards {
 		n += s.shards[i].deleteIf(drop)
@@ -81,7 +81,7 @@
 	return n
 }
 
-func (b *bucket[V]) deleteIf(drop func(string, V) bool) int {
+func (b *bucket[K, V]) deleteIf(drop func(K, V) bool) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
@@ -95,7 +95,7 @@
 }
 
 // Values copies all values out, in no order.
-func (s *Map[V]) Values() []V {
+func (s *Map[K, V]) Values() []V {
 	var out []V
 	for i := range s.shards {
 		b := &s.shards[i]
@@ -109,7 +109,7 @@
 }
 
 // Len counts the entries.
-func (s *Map[V]) Len() int {
+func (s *Map[K, V]) Len() int {
 	n := 0
 	for i := range s.shards {
 		b := &s.shards[i]
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -43,7 +43,7 @@
 
 // Pool keeps idle connections by address.
 type Pool struct {
-	hosts  *shard.Map[*host]
+	hosts  *shard.Map[string, *host]
 	dialed atomic.Int64
 }
 
@@ -59,7 +59,7 @@
 }
 
 // NewPool makes an empty pool.
-func NewPool() *Pool { return &Pool{hosts: shard.New[*host]()} }
+func NewPool() *Pool { return &Pool{hosts: shard.New[string, *host]()} }
 
 // Dialed counts the connections opened so far.
 func (p *Pool) Dialed() int64 { return p.dialed.Load() }
--- a/internal/transport/data/data.go
+++ b/internal/transport/data/data.go
@@ -29,7 +29,7 @@
 type Pool struct {
 	stamp   *link.Stamp
 	client  *http.Client
-	streams *shard.Map[*stream]
+	streams *shard.Map[string, *stream]
 }
 
 type stream struct {
@@ -44,7 +44,7 @@
 	return &Pool{
 		stamp:   stamp,
 		client:  &http.Client{Transport: &http.Transport{DialContext: d.DialContext}},
-		streams: shard.New[*stream](),
+		streams: shard.New[string, *stream](),
 	}
 }
 
--- a/internal/transport/link/pool.go
+++ b/internal/transport/link/pool.go
@@ -25,7 +25,7 @@
 // Pool keeps one connection per peer address, dialled when first needed.
 type Pool struct {
 	stamp *Stamp
-	peers *shard.Map[*peer]
+	peers *shard.Map[string, *peer]
 }
 
 type peer struct {
@@ -42,7 +42,7 @@
 
 // NewPool makes an empty pool.
 func NewPool(stamp *Stamp) *Pool {
-	return &Pool{stamp: stamp, peers: shard.New[*peer]()}
+	return &Pool{stamp: stamp, peers: shard.New[string, *peer]()}
 }
 
 // Call sends a message and waits for its reply. An error of kind Unreachable
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -68,7 +68,7 @@
 	Revision func() int64
 	PeerAt   func(revision int64)
 	// Hint is told of engines that a peer suspects.
-	Hint  func(id string)
+	Hint  func(engine model.Incarnation)
 	Clock func() time.Duration
 	Now   func() time.Time
 	// Loans holds this router's part of the budget for repeated sends, and what
@@ -76,9 +76,9 @@
 	Loans *limits.Loans
 	// Refuses is told of engines that refused work of a peer, until when they
 	// should get none.
-	Refuses func(id string, until time.Time)
+	Refuses func(engine model.Incarnation, until time.Time)
 	// Gone is told of engines whose process a peer saw end.
-	Gone func(id string)
+	Gone func(engine model.Incarnation)
 	// Traffic tells whether this router saw callers' requests.
 	Traffic func() bool
 
@@ -88,8 +88,8 @@
 	busy     map[string]bool // a message to the peer is under way
 	traffic  bool            // a peer saw callers' requests
 	fetching bool
-	suspects map[string]time.Time // own suspicions to pass on
-	refusing map[string]time.Time // engines that refused this router's work
+	suspects map[model.Incarnation]time.Time // own suspicions to pass on
+	refusing map[model.Incarnation]time.Time // engines that refused this router's work
 }
 
 // Register adds the methods that peers call.
@@ -97,8 +97,8 @@
 	x.members = map[string]string{}
 	x.seen = map[string]time.Time{}
 	x.busy = map[string]bool{}
-	x.suspects = map[string]time.Time{}
-	x.refusing = map[string]time.Time{}
+	x.suspects = map[model.Incarnation]time.Time{}
+	x.refusing = map[model.Incarnation]time.Time{}
 	s.RegisterNotice(wire.MethodRouterBeat, x.beat)
 	s.Register(wire.MethodRouterConfig, link.Handle(x.config))
 	s.Register(wire.MethodRouterLend, link.Handle(x.lend))
@@ -113,28 +113,28 @@
 }
 
 // Suspect passes a suspicion on to the peers.
-func (x *Exchange) Suspect(id string, until time.Time) {
+func (x *Exchange) Suspect(engine model.Incarnation, until time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.suspects[id] = until
+	x.suspects[engine] = until
 }
 
 // Refused tells the peers that an engine refuses work.
-func (x *Exchange) Refused(id string, until time.Time) {
+func (x *Exchange) Refused(engine model.Incarnation, until time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.refusing[id] = until
+	x.refusing[engine] = until
 }
 
 // TellGone tells the peers at once that an engine's process ended: their streams
 // wait for it, and the next exchange would come too late for them.
-func (x *Exchange) TellGone(id string) {
+func (x *Exchange) TellGone(engine model.Incarnation) {
 	for _, addr := range x.peers() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
 			defer cancel()
-			if err := x.Pool.Notify(ctx, addr, wire.MethodRouterGone, wire.RouterGone{Server: id}); err != nil {
-				klog.V(1).InfoS("peer not told of an engine's end", "peer", addr, "server", id, "err", err)
+			if err := x.Pool.Notify(ctx, addr, wire.MethodRouterGone, wire.RouterGone{Server: engine}); err != nil {
+				klog.V(1).InfoS("peer not told of an engine's end", "peer", addr, "server", engine, "err", err)
 			}
 		}()
 	}
@@ -273,8 +273,8 @@
 
 func (x *Exchange) compose() wire.RouterBeat {
 	var uses []wire.RouterUse
-	for id, u := range x.Memory.Own() {
-		uses = append(uses, wire.RouterUse{Server: id, TokenLayers: int64(u.TokenLayers), Streams: int64(u.Streams), Firsts: int64(u.Firsts), Reading: u.Reading})
+	for inc, u := range x.Memory.Own() {
+		uses = append(uses, wire.RouterUse{Server: inc, TokenLayers: int64(u.TokenLayers), Streams: int64(u.Streams), Firsts: int64(u.Firsts), Reading: u.Reading})
 	}
 	var pipes []wire.RouterPipe
 	for pair, rate := range x.Pipes.Own() {
@@ -302,13 +302,13 @@
 
 // remaining gives the milliseconds left of each time and drops those that are
 // over.
-func remaining(until map[string]time.Time, now time.Time) map[string]int64 {
-	out := map[string]int64{}
-	for id, t := range until {
+func remaining(until map[model.Incarnation]time.Time, now time.Time) map[model.Incarnation]int64 {
+	out := map[model.Incarnation]int64{}
+	for inc, t := range until {
 		if left := t.Sub(now); left > 0 {
-			out[id] = left.Milliseconds()
+			out[inc] = left.Milliseconds()
 		} else {
-			delete(until, id)
+			delete(until, inc)
 		}
 	}
 	return out
@@ -324,7 +324,7 @@
 	x.seen[from] = x.Now()
 	x.traffic = x.traffic || b.Traffic
 	x.mu.Unlock()
-	uses := make(map[string]chains.Use, len(b.Uses))
+	uses := make(map[model.Incarnation]chains.Use, len(b.Uses))
 	for _, u := range b.Uses {
 		uses[u.Server] = chains.Use{TokenLayers: float64(u.TokenLayers), Streams: float64(u.Streams), Firsts: float64(u.Firsts), Reading: u.Reading}
 	}
@@ -335,14 +335,14 @@
 		pipes[chains.Pair{A: p.A, B: p.B}] = p.Rate
 	}
 	x.Pipes.SeenPeer(from, pipes, good)
-	for id, factor := range b.Slow {
-		x.Memory.PeerSlowdown(id, factor)
+	for inc, factor := range b.Slow {
+		x.Memory.PeerSlowdown(inc, factor)
 	}
-	for id := range b.Suspects {
-		x.Hint(id)
+	for inc := range b.Suspects {
+		x.Hint(inc)
 	}
-	for id, left := range b.Refusing {
-		x.Refuses(id, x.Now().Add(limits.Jitter(time.Duration(left)*time.Millisecond)))
+	for inc, left := range b.Refusing {
+		x.Refuses(inc, x.Now().Add(limits.Jitter(time.Duration(left)*time.Millisecond)))
 	}
 	x.Loans.SeenSpares(from, b.Spares, good)
 	x.PeerAt(b.Revision)
