--- a/internal/coordination/placement/controller_test.go
+++ b/internal/coordination/placement/controller_test.go
@@ -33,6 +33,7 @@
 	revision int64
 	holds    map[string]model.LayerRange
 	orders   map[string]int64
+	born     map[string]int64 // by id; 0 where it was not told
 	loading  int
 	most     int // loads at once
 	fenced   int64
@@ -41,7 +42,7 @@
 }
 
 func newShop(t *testing.T) *shop {
-	s := &shop{t: t, store: standin.NewStore(), catalog: catalog.New(time.Now), holds: map[string]model.LayerRange{}, orders: map[string]int64{}, result: OrderTaken}
+	s := &shop{t: t, store: standin.NewStore(), catalog: catalog.New(time.Now), holds: map[string]model.LayerRange{}, orders: map[string]int64{}, born: map[string]int64{}, result: OrderTaken}
 	sp := spec()
 	sp.LoadTime = 14 * time.Second
 	sp.LoadsAtOnce = 5
@@ -68,14 +69,15 @@
 	s.revision++
 	rev := s.revision
 	s.holds[id] = holds
+	born := s.born[id]
 	s.mu.Unlock()
-	s.catalog.Put(model.BackendServer{ID: id, Service: "s", Address: addr, FailureDomain: domain, Card: card, Holds: holds, Revision: rev})
+	s.catalog.Put(model.BackendServer{ID: id, Born: born, Service: "s", Address: addr, FailureDomain: domain, Card: card, Holds: holds, Revision: rev})
 }
 
 func (s *shop) Report(_ context.Context, b *model.BackendServer) (model.EngineReport, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return model.EngineReport{Holds: s.holds[b.ID], Orders: s.orders[b.ID]}, nil
+	return model.EngineReport{Born: s.born[b.ID], Holds: s.holds[b.ID], Orders: s.orders[b.ID]}, nil
 }
 
 func (s *shop) Place(_ context.Context, b *model.BackendServer, held model.LayerRange, fence, expected int64) (OrderResult, error) {
--- /dev/null
+++ b/internal/coordination/placement/incarnation_test.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// again starts an engine anew under its id: empty, its orders counted anew.
+func (s *shop) again(e Engine) {
+	s.mu.Lock()
+	s.born[e.Address]++
+	s.orders[e.Address] = 0
+	s.mu.Unlock()
+	s.register(e.Address, e.Address, e.Domain, e.Card.Name, model.LayerRange{})
+}
+
+// first are site's engines with a start that they tell.
+func (s *shop) tellStarts(all []Engine) {
+	for _, e := range all {
+		s.born[e.Address] = 100
+	}
+}
+
+// An engine takes an order, crashes while it loads and is back under its id. What
+// is awaited of the one before is nothing to the new one: it is ordered at once,
+// and not when the load of the one before should have ended.
+func TestReturnedEngineIsOrderedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newShop(t)
+		all := site()
+		s.tellStarts(all)
+		s.add(all)
+		s.run(12 * time.Second)
+		s.traffic.Store(true)
+		e := all[3]
+		want := s.held(e.Address)
+		s.again(e)
+		s.run(400 * time.Millisecond) // it loads
+		s.again(e)
+		s.run(1600 * time.Millisecond)
+		assert.Equal(t, s.held(e.Address), want)
+	})
+}
+
+// An order to an engine is lost on its way. The engine crashes and is back under
+// its id, and seconds later the order is carried out by the new process, whose
+// count it happens to fit. The layers are those of the plan; the order that the
+// new process was given itself then no longer fits, and it loads once.
+func TestOrderOfBeforeIsCarriedOutByTheNewProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newShop(t)
+		all := site()
+		s.tellStarts(all)
+		s.add(all)
+		s.run(12 * time.Second)
+		s.traffic.Store(true)
+		e := all[3]
+		want := s.held(e.Address)
+		s.mu.Lock()
+		s.late = 5 * time.Second
+		s.mu.Unlock()
+		s.again(e)
+		s.run(time.Second) // ordered, unanswered
+		s.again(e)
+		s.run(time.Second) // ordered again
+		s.mu.Lock()
+		s.late = 0
+		s.mu.Unlock()
+		s.run(20 * time.Second)
+		assert.Equal(t, s.held(e.Address), want)
+		assert.Equal(t, s.orders[e.Address], int64(1))
+	})
+}
+
+// The same while the plan changes in between: the late order brings layers that
+// the plan no longer wants there. The engine ends with those of the plan.
+func TestLateOrderOfAnOlderPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newShop(t)
+		all := site()
+		s.tellStarts(all)
+		s.add(all)
+		s.run(12 * time.Second)
+		s.traffic.Store(true)
+		e := all[len(all)-1]
+		s.mu.Lock()
+		s.late = 6 * time.Second
+		s.mu.Unlock()
+		s.again(e)
+		s.run(time.Second) // ordered to hold what the plan has, unanswered
+		s.mu.Lock()
+		s.late = 0
+		s.mu.Unlock()
+		s.c.mu.Lock()
+		next := copyOf(s.c.plans["s"].plan)
+		want := model.LayerRange{From: 0, To: next[e.Address].Len()}
+		next[e.Address] = want
+		s.c.plans["s"] = stored{plan: next, revision: s.c.plans["s"].revision}
+		s.c.mu.Unlock()
+		s.again(e)
+		s.run(30 * time.Second)
+		assert.Equal(t, s.held(e.Address), want)
+	})
+}
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -246,9 +246,13 @@
 	}
 	s.avoid[culprit.Incarnation()] = true
 	if v.Misdirected {
-		// It answers reports, but is another incarnation or holds other layers:
-		// only its entry will tell. Each further refusal doubles the time.
-		until, _ := s.Health.Suspect(culprit.Incarnation())
+		// It is another incarnation, which its report tells, or holds other
+		// layers: reports lag, so only its entry will tell. Each further refusal
+		// doubles the time.
+		until, news := s.Health.Suspect(culprit.Incarnation())
+		if news && culprit.Born != 0 {
+			go s.Settle(*culprit)
+		}
 		klog.InfoS("engine suspected: it does not hold its part", "request", s.call.Attempt, "server", culprit.Incarnation(), "until", until)
 	} else {
 		s.Suspicions.Refused(culprit, s.call.Attempt, status)
