--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -50,6 +51,18 @@
 	Domain   string `json:"domain"`
 }
 
+// DecodeMember reads a router's entry. One that names no address leads nowhere.
+func DecodeMember(value []byte) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(value, &m); err != nil {
+		return Member{}, err
+	}
+	if _, err := netip.ParseAddrPort(m.Address); err != nil {
+		return Member{}, err
+	}
+	return m, nil
+}
+
 // claim is the value of the leadership key. Incarnation tells a lost answer's
 // write from that of an earlier life of the same instance.
 type claim struct {
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -78,9 +78,9 @@
 
 // SeenPlan takes in a plan from the store.
 func (c *Controller) SeenPlan(service string, value []byte, revision int64) {
-	var plan Plan
-	if err := json.Unmarshal(value, &plan); err != nil {
-		klog.InfoS("stored plan cannot be read", "service", service, "err", err)
+	plan, err := DecodePlan(value)
+	if err != nil {
+		klog.InfoS("stored plan cannot be read", "service", service, "revision", revision, "err", err)
 		return
 	}
 	c.mu.Lock()
@@ -335,7 +335,7 @@
 func Adopt(spec *model.EngineSpec, engines []Engine, servers []*model.BackendServer) Plan {
 	plan := Plan{}
 	for _, b := range servers {
-		if b.Holds.Len() > 0 {
+		if b.Holds.Len() > 0 && b.Holds.To <= spec.Layers {
 			plan[b.Address] = b.Holds
 		}
 	}
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -3,9 +3,12 @@
 package placement
 
 import (
+	"encoding/json"
 	"math"
 	"sort"
 
+	"github.com/pkg/errors"
+
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
@@ -34,6 +37,24 @@
 // is a new incarnation at the same address and takes up its range again.
 type Plan map[string]model.LayerRange
 
+// DecodePlan reads a plan from the store. A plan with a range that is none is
+// nobody's: taken in part it would leave layers uncovered.
+func DecodePlan(value []byte) (Plan, error) {
+	var plan Plan
+	if err := json.Unmarshal(value, &plan); err != nil {
+		return nil, errors.Wrap(err, "plan")
+	}
+	if plan == nil {
+		return nil, errors.New("plan: none")
+	}
+	for addr, held := range plan {
+		if held.From < 0 || held.To < held.From {
+			return nil, errors.Errorf("plan: %.40q holds %s", addr, held)
+		}
+	}
+	return plan, nil
+}
+
 // Make plans for engines that hold nothing yet. Cards of like speed make up
 // whole chains inside a failure domain, the fastest first, since the slowest
 // part sets the pace of each token. What is left over covers the layers once
--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -134,13 +133,10 @@
 	s.mu.Lock()
 	if it.Removed {
 		delete(s.members, it.Key)
+	} else if m, err := leader.DecodeMember(it.Value); err != nil {
+		klog.InfoS("member entry cannot be read", "key", it.Key, "err", err)
 	} else {
-		var m leader.Member
-		if err := json.Unmarshal(it.Value, &m); err != nil {
-			klog.InfoS("member entry cannot be read", "key", it.Key, "err", err)
-		} else {
-			s.members[it.Key] = m.Address
-		}
+		s.members[it.Key] = m.Address
 	}
 	s.mu.Unlock()
 	s.publishMembers()
