Plans count on losses: room as needed, layers held twice, short chains

Cause: chains took every engine of a failure domain, so that the least token memory was as large as possible. On sites of weak cards a chain had 10 to 22 engines, each with three to six times the memory that streams used; any death hit every stream of the domain, and left it without a chain until the engine was back.

Cards of like speed count as one class. Holes of a domain are filled after a second by engines that no stream runs through, several at once; engines that answer nobody for 1.2 s count as lost for that though their entries stand.

--- a/internal/coordination/placement/balance.go
+++ b/internal/coordination/placement/balance.go
@@ -16,6 +16,9 @@
 	// taken up: its neighbours begin and end where it does, so that chains through
 	// it have fewer parts.
 	keepShare = 0.7
+	// mostMoves is how many engines one look moves within a failure domain: two small
+	// ones fill the place of a larger one, and a third what is left of it.
+	mostMoves = 3
 	// spareShare is the share of its domain's mean room that each of an engine's
 	// layers must have without it for the engine to be spared.
 	spareShare = 0.5
@@ -157,7 +160,11 @@
 			continue
 		}
 		known := slices.DeleteFunc(slices.Clone(group), func(e Engine) bool { return !sure(e.Address) })
-		if e, ok := spared(spec, next, known); ok {
+		for range mostMoves {
+			e, ok := spared(spec, next, known)
+			if !ok || len(Uncovered(spec, next, group)) == 0 {
+				break
+			}
 			n := needOf(spec, next, engines, e.Domain)
 			n.take(e, next[e.Address], -1)
 			next[e.Address] = n.best(e)
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,12 @@
 	// holeTime is the same for layers that only one failure domain lacks: others
 	// serve them meanwhile, so engines that restart are waited for.
 	holeTime = 4 * time.Second
+	// idleHoleTime is the same where engines that no streams run through can be
+	// moved: they load at once, and a load costs less than the callers of a second.
+	idleHoleTime = time.Second
+	// mostLost is the share of a service's engines beyond which this router does not
+	// believe that they are lost: it is itself cut off then.
+	mostLost = 0.15
 	// holeEvery is between two looks for such layers: one takes 5 ms at 3,000
 	// engines.
 	holeEvery = time.Second
@@ -53,7 +60,13 @@
 	Traffic func() bool
 	// Suspected tells whether there is evidence against an engine; nil for never.
 	Suspected func(engine model.Incarnation) bool
-	Now       func() time.Time
+	// Lost tells whether an engine has answered nobody here for a while, whatever its
+	// entry says; nil for never.
+	Lost func(engine model.Incarnation) bool
+	// Streams counts the streams that run through an engine, as far as known; nil
+	// where that is not counted.
+	Streams func(engine model.Incarnation) float64
+	Now     func() time.Time
 
 	mu       sync.Mutex
 	plans    map[string]stored // by service
@@ -192,7 +205,7 @@
 		}
 		return Make(svc.Engine, c.engineList(svc, servers, now, 0))
 	}
-	settled := c.engineList(svc, servers, now, newcomerTime)
+	settled := c.engineList(svc, c.withoutLost(servers), now, newcomerTime)
 	next := old.plan
 	if unplanned(next, settled) {
 		next, _ = Extend(svc.Engine, next, settled)
@@ -224,13 +237,19 @@
 		return plan
 	}
 	c.holeLook[svc.Name] = now
-	mended, changed := Mend(svc.Engine, plan, engines, c.sure(svc))
+	sure, idle := c.sure(svc)
+	wait := idleHoleTime
+	mended, changed := Mend(svc.Engine, plan, engines, idle)
+	if !changed {
+		wait = holeTime
+		mended, changed = Mend(svc.Engine, plan, engines, sure)
+	}
 	if !changed {
 		delete(c.holeSince, svc.Name)
 		return plan
 	}
 	stands := standsFor(c.holeSince, svc.Name, now)
-	if stands < holeTime {
+	if stands < wait {
 		return plan
 	}
 	klog.InfoS("plan mended: a failure domain lacked layers that others held", "service", svc.Name, "for", stands)
@@ -246,13 +265,32 @@
 	delete(c.holeSince, service)
 }
 
-// sure tells which engines, by address, nobody suspects.
-func (c *Controller) sure(svc *model.Service) func(address string) bool {
+// sure tells which engines, by address, nobody suspects; idle, which of these no
+// streams run through.
+func (c *Controller) sure(svc *model.Service) (sure, idle func(address string) bool) {
 	suspected := map[string]bool{}
+	busy := map[string]bool{}
 	for _, b := range c.Catalog.Load().Service(svc.Name) {
 		suspected[b.Address] = c.Suspected != nil && c.Suspected(b.Incarnation())
+		busy[b.Address] = c.Streams == nil || c.Streams(b.Incarnation()) >= 1
+	}
+	sure = func(address string) bool { return !suspected[address] }
+	idle = func(address string) bool { return !suspected[address] && !busy[address] }
+	return sure, idle
+}
+
+// withoutLost leaves out engines that answer nobody here though their entries stand:
+// of one that fell silent the entry lapses after several heartbeats, and while the
+// store is away not at all.
+func (c *Controller) withoutLost(servers []*model.BackendServer) []*model.BackendServer {
+	if c.Lost == nil {
+		return servers
+	}
+	kept := slices.DeleteFunc(slices.Clone(servers), func(b *model.BackendServer) bool { return c.Lost(b.Incarnation()) })
+	if lost := len(servers) - len(kept); float64(lost) > max(mostLost*float64(len(servers)), 1) {
+		return servers
 	}
-	return func(address string) bool { return !suspected[address] }
+	return kept
 }
 
 // gapLasts tells whether some layer has been held by nobody for a while.
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -21,6 +21,9 @@
 	// have, in models. Below it one longer chain serves more streams, as the
 	// weights are held once.
 	chainFactor = 1.6
+	// likePace is how much slower a card may be and still count as of like speed: a
+	// chain of both is no slower than one of the slower card.
+	likePace = 1.25
 	// spareWeights is the share of its memory that an engine outside of whole
 	// chains fills with weights; the rest holds requests.
 	spareWeights = 0.75
@@ -55,23 +58,29 @@
 	return plan, nil
 }
 
-// Make plans for engines that hold nothing yet. Cards of like speed make up
-// whole chains inside a failure domain, the fastest first, since the slowest
-// part sets the pace of each token. What is left over covers the layers once
-// more over all domains, to stand in for lost engines.
+// Make plans for engines that hold nothing yet. In each failure domain cards of like
+// speed make up whole chains, the fastest first, since the slowest part sets the
+// pace of each token. The fastest get as many chains as can bear the domain's
+// streams together, and hold layers once more, to stand in for lost engines. What is
+// left over covers the layers once more over all domains.
 func Make(spec *model.EngineSpec, engines []Engine) Plan {
 	plan := Plan{}
 	var rest []Engine
 	for _, group := range byDomain(engines) {
-		for len(group) > 0 {
-			var chain []Engine
-			chain, group = takeFastest(spec, group)
-			if chain == nil {
+		need := needed(spec, group)
+		for first := true; len(group) > 0; first = false {
+			var class []Engine
+			class, group = takeFastest(spec, group)
+			switch {
+			case class == nil:
 				rest = append(rest, group...)
-				break
-			}
-			for _, c := range split(spec, chain) {
-				Chain(spec, c, plan)
+				group = nil
+			case first:
+				serve(spec, plan, class, need)
+			default:
+				for _, c := range split(spec, class) {
+					Chain(spec, c, plan)
+				}
 			}
 		}
 	}
@@ -117,14 +126,14 @@
 	return groups
 }
 
-// takeFastest takes whole classes of cards, the fastest first, until they hold
+// takeFastest takes whole classes of cards of like speed, the fastest first, until they hold
 // a model with room for requests; nil if all of them do not.
 func takeFastest(spec *model.EngineSpec, group []Engine) (chain, left []Engine) {
 	need := wholeFactor * float64(spec.Layers) * spec.LayerMB
 	sum := 0.0
 	for i, e := range group {
 		sum += e.Card.MB
-		classEnds := i+1 == len(group) || group[i+1].Card.Pace != e.Card.Pace
+		classEnds := i+1 == len(group) || group[i+1].Card.Pace > likePace*e.Card.Pace
 		if classEnds && sum >= need {
 			return group[:i+1], group[i+1:]
 		}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -225,6 +225,8 @@
 		Fenced:    r.elector.Refused,
 		Traffic:   r.callersCame,
 		Suspected: r.health.Suspected,
+		Lost:      r.prober.Lost,
+		Streams:   func(engine model.Incarnation) float64 { return r.memory.Used(engine).Streams },
 		Now:       time.Now,
 	}
 }
--- a/internal/model/serving.go
+++ b/internal/model/serving.go
@@ -108,6 +108,9 @@
 	return Card{}, false
 }
 
+// KVTokenMB is the memory of one token over all layers, in megabytes.
+func (s *EngineSpec) KVTokenMB() float64 { return s.KVTokenBytes / 1e6 }
+
 // LayerTokenMB is the memory of one token in one layer, in megabytes.
 func (s *EngineSpec) LayerTokenMB() float64 {
 	if s.Layers == 0 {
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -109,7 +109,7 @@
 		}
 	}
 	if verdict == chains.NoChain {
-		return nil, nil, fault.New(fault.NoCapacity, "the engines in reach do not hold all layers")
+		return nil, nil, fault.New(fault.NoCapacity, "the engines in reach do not hold all layers: %s", q.Chooser.Missing(q.ticket.Service, demand))
 	}
 	f := fault.New(fault.Overloaded, "no chain has room: %d wait, waited %v, admitted %t, short of %s", q.Line.Len(), most, got,
 		q.Chooser.Shortage(q.ticket.Service, demand))
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -53,6 +53,7 @@
 
 type suspect struct {
 	since   time.Time
+	failed  bool // it did not answer the last probe
 	own     bool // this router's own evidence
 	probing bool
 }
@@ -196,6 +197,7 @@
 		return
 	}
 	s.probing = false
+	s.failed = err != nil
 	if err == nil && s.own && p.Health.Suspected(b.Incarnation()) {
 		// It answers, but did not do its work: the first suspicion runs out.
 		p.mu.Unlock()
@@ -217,3 +219,15 @@
 		p.Tell(b.Incarnation(), until)
 	}
 }
+
+// lostAfter is how long an engine must have been suspected, and not answer, to be
+// taken for lost: three probes.
+const lostAfter = 1200 * time.Millisecond
+
+// Lost tells whether an engine has not answered here for a while.
+func (p *Prober) Lost(inc model.Incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.suspects[inc]
+	return ok && s.failed && p.Now().Sub(s.since) >= lostAfter
+}
--- a/internal/protocol/relay/prober_test.go
+++ b/internal/protocol/relay/prober_test.go
@@ -118,6 +118,25 @@
 	})
 }
 
+// An engine falls silent. After three probes without an answer it counts as lost,
+// whatever its entry says; one that answers, or refuses work, does not.
+func TestSilentEngineIsLost(t *testing.T) {
+	probing(t, func(p *Prober, a *asked) {
+		p.Unreachable(a.server, "r", nil)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !p.Lost(inc("e")), "it answers")
+		a.set(true)
+		p.Unreachable(a.server, "r", nil)
+		time.Sleep(700 * time.Millisecond)
+		assert.Assert(t, !p.Lost(inc("e")))
+		time.Sleep(time.Second)
+		assert.Assert(t, p.Lost(inc("e")))
+		a.set(false)
+		time.Sleep(time.Second)
+		assert.Assert(t, !p.Lost(inc("e")))
+	})
+}
+
 // A peer cut off from an engine suspects it. Here it answers: it keeps getting
 // work, and the peer's next words about it are not worth a probe each.
 func TestPeersSuspicionIsChecked(t *testing.T) {
