An engine that is gone from the list is still an attempt

Engines that leave are removed from the list and serve on for many seconds; a stream that ran there counted them as lost, and began at a third one.

Test first: TestLeavingEngineIsStillAnAttempt fails on the code before.

--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -118,12 +118,12 @@
 
 // firstAmong bounds the engines that run a request as the first of a chain to
 // the route's attempts: once they are used up, the stream goes on only where it
-// ran before. An engine that is gone is no attempt.
+// ran before. An engine that was lost is no attempt; one that is only gone from the
+// list leaves, and may serve on for many seconds.
 func (s *stream) firstAmong() map[model.Incarnation]bool {
-	known := s.Catalog.Load()
 	alive := map[model.Incarnation]bool{}
 	for inc := range s.ranOn {
-		if known.Find(inc) != nil {
+		if !s.Suspicions.Lost(inc) {
 			alive[inc] = true
 		}
 	}
--- a/internal/protocol/relay/acquire_test.go
+++ b/internal/protocol/relay/acquire_test.go
@@ -26,7 +26,11 @@
 	health := catalog.NewHealth(time.Now)
 	memory := chains.NewMemory(time.Now)
 	chooser := &chains.Chooser{Catalog: c, Health: health, Memory: memory, Pipes: chains.NewPipes(time.Now), Routers: func() int { return 1 }}
-	r := &Relay{Catalog: c, Health: health, Chooser: chooser, Memory: memory, Line: admission.NewLine(), Domain: "a", Now: time.Now}
+	prober := NewProber()
+	prober.Now = time.Now
+	prober.Health = health
+	prober.Catalog = c
+	r := &Relay{Catalog: c, Health: health, Chooser: chooser, Memory: memory, Line: admission.NewLine(), Suspicions: prober, Domain: "a", Now: time.Now}
 	q := &request{Relay: r, call: &model.Call{Attempt: "1"}, since: time.Now(), avoid: map[model.Incarnation]bool{}}
 	q.ticket = routes.Ticket{
 		Route: &model.Route{TargetLatency: 500 * time.Millisecond, MaxAttempts: 2},
@@ -72,3 +76,19 @@
 		assert.Assert(t, time.Since(began) >= 2*time.Second && time.Since(began) <= callersPatience+chainPoll)
 	})
 }
+
+// A stream ran at two engines, as often as its route allows; a later part of its chain
+// was lost each time. Then the first of them leaves: its entry is removed, and it
+// serves on. A third engine would be one too many, so the stream goes on only where
+// it ran before; once the process has ended, another may take its place.
+func TestLeavingEngineIsStillAnAttempt(t *testing.T) {
+	s, _ := half()
+	one, two := model.Incarnation{ID: "one"}, model.Incarnation{ID: "two"}
+	s.ranOn[one] = true
+	assert.Assert(t, s.firstAmong() == nil, "one attempt is left")
+	s.ranOn[two] = true
+	s.Catalog.Remove("one", 0)
+	assert.DeepEqual(t, s.firstAmong(), map[model.Incarnation]bool{one: true, two: true})
+	s.Suspicions.Ended(one)
+	assert.Assert(t, s.firstAmong() == nil)
+}
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -46,7 +46,10 @@
 	TellRefused func(engine model.Incarnation, until time.Time)
 	Now         func() time.Time
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// ended holds engines whose process surely ended, or that were gone from the
+	// store while they answered nobody here, and when that was noted.
+	ended    map[model.Incarnation]time.Time
 	suspects map[model.Incarnation]*suspect
 	answered map[model.Incarnation]time.Time // when a probe last succeeded
 }
@@ -60,7 +63,7 @@
 
 // NewProber makes a prober without suspects.
 func NewProber() *Prober {
-	return &Prober{suspects: map[model.Incarnation]*suspect{}, answered: map[model.Incarnation]time.Time{}}
+	return &Prober{ended: map[model.Incarnation]time.Time{}, suspects: map[model.Incarnation]*suspect{}, answered: map[model.Incarnation]time.Time{}}
 }
 
 // Unreachable implements Suspicions.
@@ -174,6 +177,9 @@
 	p.mu.Lock()
 	s := p.suspects[inc]
 	if s == nil || b == nil {
+		if s != nil && s.failed {
+			p.note(inc)
+		}
 		delete(p.suspects, inc)
 		delete(p.answered, inc)
 		p.mu.Unlock()
@@ -224,10 +230,36 @@
 // taken for lost: three probes.
 const lostAfter = 1200 * time.Millisecond
 
-// Lost tells whether an engine has not answered here for a while.
+// rememberEnded is how long an engine's end is remembered: beyond the longest stream
+// that may have run there.
+const rememberEnded = time.Minute
+
+// Lost tells whether an engine's process has ended, or has not answered here for a
+// while. An entry that is gone tells neither: engines that leave serve on.
 func (p *Prober) Lost(inc model.Incarnation) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if _, ok := p.ended[inc]; ok {
+		return true
+	}
 	s, ok := p.suspects[inc]
 	return ok && s.failed && p.Now().Sub(s.since) >= lostAfter
 }
+
+// Ended implements Suspicions.
+func (p *Prober) Ended(inc model.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.note(inc)
+}
+
+// note remembers an engine's end. The caller holds the lock.
+func (p *Prober) note(inc model.Incarnation) {
+	now := p.Now()
+	for other, at := range p.ended {
+		if now.Sub(at) > rememberEnded {
+			delete(p.ended, other)
+		}
+	}
+	p.ended[inc] = now
+}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -81,6 +81,10 @@
 	Unreachable(b *model.BackendServer, request string, err error)
 	// Refused takes in that an engine answered and refused its work.
 	Refused(b *model.BackendServer, request string, status int)
+	// Ended takes in that an engine's process ended.
+	Ended(engine model.Incarnation)
+	// Lost tells whether an engine's process ended or has long been silent.
+	Lost(engine model.Incarnation) bool
 }
 
 // Relay serves callers' requests.
--- a/internal/protocol/relay/running.go
+++ b/internal/protocol/relay/running.go
@@ -68,6 +68,7 @@
 	if b := r.Catalog.Load().Find(inc); b != nil {
 		r.Suspicions.Unreachable(b, "", errEnded)
 	}
+	r.Suspicions.Ended(inc)
 	r.Running.leave(inc)
 }
 
