experiment plan: what a loss costs, engines in a chain, layers held twice

For each failure domain the streams it bears without the engine whose loss costs most, the engines of its shortest chain and the share of its layers that two hold.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -4,6 +4,8 @@
 package experiment
 
 import (
+	"math"
+	"slices"
 	"sort"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
@@ -44,6 +46,14 @@
 	// TokenMS is the least time a token takes through the domain's engines, in
 	// ms, unloaded and without the hops between engines; 0 where layers lack.
 	TokenMS float64
+	// Parts is how many engines the domain's shortest chain has; 0 where layers lack.
+	// Each is one whose loss interrupts the streams of that chain.
+	Parts int
+	// Twice is the share of the layers that two engines of the domain hold, or more.
+	Twice float64
+	// AfterLoss is how many streams at once the domain bears without the one engine
+	// whose loss costs most.
+	AfterLoss float64
 }
 
 // Planners are the project's planner and what it is measured against.
@@ -83,11 +93,62 @@
 			Streams: placement.Flow(spec, plan, group, placement.MemorySupply(spec)) / usual(spec),
 			Prompts: placement.Flow(spec, plan, group, placement.ReadingSupply(spec)) / float64(max(spec.UsualPrompt, 1)),
 			TokenMS: tokenMS(spec, plan, group),
+
+			Parts:     parts(spec, plan, group),
+			Twice:     twice(spec, plan, group),
+			AfterLoss: afterLoss(spec, plan, group),
 		})
 	}
 	return r
 }
 
+// parts walks the layers with the engine that leads furthest each time.
+func parts(spec *model.EngineSpec, plan placement.Plan, engines []placement.Engine) int {
+	n := 0
+	for at := 0; at < spec.Layers; n++ {
+		far := at
+		for _, e := range engines {
+			if held := plan[e.Address]; held.From <= at {
+				far = max(far, held.To)
+			}
+		}
+		if far == at {
+			return 0
+		}
+		at = far
+	}
+	return n
+}
+
+func twice(spec *model.EngineSpec, plan placement.Plan, engines []placement.Engine) float64 {
+	n := 0
+	for l := range spec.Layers {
+		held := 0
+		for _, e := range engines {
+			if r := plan[e.Address]; r.From <= l && l < r.To {
+				held++
+			}
+		}
+		if held >= 2 {
+			n++
+		}
+	}
+	return share(float64(n), float64(spec.Layers))
+}
+
+// afterLoss takes the engines out one by one.
+func afterLoss(spec *model.EngineSpec, plan placement.Plan, engines []placement.Engine) float64 {
+	least := math.Inf(1)
+	for i := range engines {
+		left := slices.Delete(slices.Clone(engines), i, i+1)
+		least = math.Min(least, placement.Flow(spec, plan, left, placement.MemorySupply(spec)))
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return least / usual(spec)
+}
+
 // usual is what a usual request holds, in tokens.
 func usual(spec *model.EngineSpec) float64 {
 	return float64(max(spec.UsualPrompt+spec.UsualAnswer, 1))
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -41,6 +41,9 @@
 	for i, d := range ours.Domains {
 		assert.Assert(t, d.Streams > bySize.Domains[i].Streams, "%s: %.0f streams, by size %.0f", d.Name, d.Streams, bySize.Domains[i].Streams)
 		assert.Assert(t, d.TokenMS < even.Domains[i].TokenMS, "%s: %.1f ms a token, even %.1f", d.Name, d.TokenMS, even.Domains[i].TokenMS)
+		assert.Assert(t, d.Parts < even.Domains[i].Parts, "%s: %d engines in a chain, even %d", d.Name, d.Parts, even.Domains[i].Parts)
+		assert.Equal(t, even.Domains[i].AfterLoss, 0.0, "one even chain bears no loss")
+		assert.Assert(t, d.Twice == 1 && d.AfterLoss > 0, "%s: %.2f held twice, %.0f streams after a loss", d.Name, d.Twice, d.AfterLoss)
 	}
 }
 
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -36,8 +36,8 @@
 <h2>Streams at once, over all domains</h2>{{streams .}}
 <h2>Prompts read a second, over all domains</h2>{{prompts .}}
 <h2>Each failure domain with its own engines</h2>
-<table><tr><th>planner</th><th>domain</th><th>streams at once</th><th>prompts/s</th><th>ms a token</th></tr>
-{{range .Results}}{{$p := .Planner}}{{range .Domains}}<tr><td>{{$p}}</td><td>{{.Name}}</td><td>{{printf "%.0f" .Streams}}</td><td>{{printf "%.0f" .Prompts}}</td><td>{{printf "%.1f" .TokenMS}}</td></tr>{{end}}{{end}}</table>
+<table><tr><th>planner</th><th>domain</th><th>streams at once</th><th>after the worst loss</th><th>prompts/s</th><th>ms a token</th><th>engines in a chain</th><th>layers held twice</th></tr>
+{{range .Results}}{{$p := .Planner}}{{range .Domains}}<tr><td>{{$p}}</td><td>{{.Name}}</td><td>{{printf "%.0f" .Streams}}</td><td>{{printf "%.0f" .AfterLoss}}</td><td>{{printf "%.0f" .Prompts}}</td><td>{{printf "%.1f" .TokenMS}}</td><td>{{.Parts}}</td><td>{{percent .Twice}}</td></tr>{{end}}{{end}}</table>
 `))
 
 // HTML writes the report as one page that needs nothing else.
@@ -49,10 +49,10 @@
 	for _, x := range r.Results {
 		fmt.Fprintf(w, "%-20s %15.0f %8.0f%% %10.0f %8.0f%% %5d\n", x.Planner, x.Streams, 100*x.StreamShare, x.Prompts, 100*x.PromptShare, x.Bare)
 	}
-	fmt.Fprintf(w, "\n%-20s %-16s %15s %10s %11s\n", "PLANNER", "FAILURE DOMAIN", "STREAMS AT ONCE", "PROMPTS/S", "MS A TOKEN")
+	fmt.Fprintf(w, "\n%-20s %-16s %15s %10s %10s %11s %8s %10s\n", "PLANNER", "FAILURE DOMAIN", "STREAMS AT ONCE", "AFTER LOSS", "PROMPTS/S", "MS A TOKEN", "ENGINES", "HELD TWICE")
 	for _, x := range r.Results {
 		for _, d := range x.Domains {
-			fmt.Fprintf(w, "%-20s %-16s %15.0f %10.0f %11.1f\n", x.Planner, d.Name, d.Streams, d.Prompts, d.TokenMS)
+			fmt.Fprintf(w, "%-20s %-16s %15.0f %10.0f %10.0f %11.1f %8d %9.0f%%\n", x.Planner, d.Name, d.Streams, d.AfterLoss, d.Prompts, d.TokenMS, d.Parts, 100*d.Twice)
 		}
 	}
 }
