Holds, beats, fetching and holes have files of their own; soak with returning engines

The fault soak has engines that return under their ids, with late entries of the start before, and entries that are written over.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -30,18 +29,6 @@
 	// moved there: an engine that restarts is back within some three seconds
 	// and takes its own range again, at the price of one load instead of two.
 	gapTime = 2 * time.Second
-	// holeTime is the same for layers that only one failure domain lacks: others
-	// serve them meanwhile, so engines that restart are waited for.
-	holeTime = 4 * time.Second
-	// idleHoleTime is the same where engines that no streams run through can be
-	// moved: they load at once, and a load costs less than the callers of a second.
-	idleHoleTime = time.Second
-	// mostLost is the share of a service's engines beyond which this router does not
-	// believe that they are lost: it is itself cut off then.
-	mostLost = 0.15
-	// holeEvery is between two looks for such layers: one takes 5 ms at 3,000
-	// engines.
-	holeEvery = time.Second
 	// orderTimeout bounds an order's answer, which only says that it began.
 	orderTimeout = time.Second
 )
@@ -231,87 +218,6 @@
 	return false
 }
 
-// mend makes failure domains whole that have lacked layers for a while.
-func (c *Controller) mend(svc *model.Service, plan Plan, engines []Engine, now time.Time) Plan {
-	if now.Sub(c.holeLook[svc.Name]) < holeEvery {
-		return plan
-	}
-	c.holeLook[svc.Name] = now
-	sure, idle := c.sure(svc)
-	wait := idleHoleTime
-	mended, changed := Mend(svc.Engine, plan, engines, idle)
-	if !changed {
-		wait = holeTime
-		mended, changed = Mend(svc.Engine, plan, engines, sure)
-	}
-	if !changed {
-		delete(c.holeSince, svc.Name)
-		return plan
-	}
-	stands := standsFor(c.holeSince, svc.Name, now)
-	if stands < wait {
-		return plan
-	}
-	klog.InfoS("plan mended: a failure domain lacked layers that others held", "service", svc.Name, "for", stands)
-	delete(c.holeSince, svc.Name)
-	return mended
-}
-
-// forgetHole has holes wait anew: a process that did not lead, or could not hear from
-// the store, may know engines that are gone.
-func (c *Controller) forgetHole(service string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.holeSince, service)
-}
-
-// sure tells which engines, by address, nobody suspects; idle, which of these no
-// streams run through.
-func (c *Controller) sure(svc *model.Service) (sure, idle func(address string) bool) {
-	suspected := map[string]bool{}
-	busy := map[string]bool{}
-	for _, b := range c.Catalog.Load().Service(svc.Name) {
-		suspected[b.Address] = c.Suspected != nil && c.Suspected(b.Incarnation())
-		busy[b.Address] = c.Streams == nil || c.Streams(b.Incarnation()) >= 1
-	}
-	sure = func(address string) bool { return !suspected[address] }
-	idle = func(address string) bool { return !suspected[address] && !busy[address] }
-	return sure, idle
-}
-
-// withoutLost leaves out engines that answer nobody here though their entries stand:
-// of one that fell silent the entry lapses after several heartbeats, and while the
-// store is away not at all.
-func (c *Controller) withoutLost(servers []*model.BackendServer) []*model.BackendServer {
-	if c.Lost == nil {
-		return servers
-	}
-	kept := slices.DeleteFunc(slices.Clone(servers), func(b *model.BackendServer) bool { return c.Lost(b.Incarnation()) })
-	if lost := len(servers) - len(kept); float64(lost) > max(mostLost*float64(len(servers)), 1) {
-		return servers
-	}
-	return kept
-}
-
-// gapLasts tells whether some layer has been held by nobody for a while.
-func (c *Controller) gapLasts(svc *model.Service, plan Plan, engines []Engine, now time.Time) bool {
-	if len(Uncovered(svc.Engine, plan, engines)) == 0 {
-		delete(c.gapSince, svc.Name)
-		return false
-	}
-	return standsFor(c.gapSince, svc.Name, now) >= gapTime
-}
-
-// standsFor is how long a service's trouble has stood; it begins now if it is new.
-func standsFor(since map[string]time.Time, service string, now time.Time) time.Duration {
-	began, ok := since[service]
-	if !ok {
-		since[service] = now
-		return 0
-	}
-	return now.Sub(began)
-}
-
 // engineList gives the planner's view of engines that have been there a while.
 func (c *Controller) engineList(svc *model.Service, servers []*model.BackendServer, now time.Time, age time.Duration) []Engine {
 	var out []Engine
--- a/internal/coordination/placement/plan_test.go
+++ b/internal/coordination/placement/plan_test.go
@@ -438,3 +438,21 @@
 	assert.Equal(t, len(Uncovered(s, next, left)), 0)
 	fits(t, s, next, left)
 }
+
+// BenchmarkMake plans for 2,950 engines in 18 failure domains: what the leader does
+// once, when the system is first started.
+func BenchmarkMake(b *testing.B) {
+	s := weakSpec()
+	var all []Engine
+	for d := range 18 {
+		for i, card := range s.Cards {
+			for n := range []int{8, 72, 84}[i] {
+				all = append(all, Engine{Address: fmt.Sprintf("%d-%s-%d", d, card.Name, n), Domain: fmt.Sprint(d), Card: card})
+			}
+		}
+	}
+	b.ReportMetric(float64(len(all)), "engines")
+	for b.Loop() {
+		Make(s, all)
+	}
+}
--- a/internal/coordination/placement/whole.go
+++ b/internal/coordination/placement/whole.go
@@ -166,7 +166,7 @@
 	for _, e := range left {
 		n := layersWith(spec, e.Card, room)
 		if n == 0 {
-			n = MostLayers(spec, e.Card)
+			n = min(max(int(spareWeights*e.Card.MB/spec.LayerMB), 1), MostLayers(spec, e.Card))
 		}
 		if n > 0 {
 			plan[e.Address] = leastCovered(coverage(spec, plan, group), n)
--- /dev/null
+++ b/internal/transport/peers/beat.go
@@ -0,0 +1,104 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+)
+
+func (x *Exchange) compose() wire.RouterBeat {
+	var uses []wire.RouterUse
+	for inc, u := range x.Memory.Own() {
+		uses = append(uses, wire.RouterUse{Server: inc, TokenLayers: int64(u.TokenLayers), Streams: int64(u.Streams), Firsts: int64(u.Firsts), Reading: u.Reading})
+	}
+	var pipes []wire.RouterPipe
+	for pair, rate := range x.Pipes.Own() {
+		pipes = append(pipes, wire.RouterPipe{A: pair.A, B: pair.B, Rate: rate})
+	}
+	spares := x.Loans.Budget.Spares() // it counts the routers, so before the lock
+	now := x.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	suspects := remaining(x.suspects, now)
+	refusing := remaining(x.refusing, now)
+	return wire.RouterBeat{
+		Config:      x.Config.Version(),
+		ConfigAgeMS: x.Config.Age(x.Clock()).Milliseconds(),
+		Revision:    x.Revision(),
+		Uses:        uses,
+		Pipes:       pipes,
+		Slow:        x.Memory.OwnSlow(),
+		Suspects:    suspects,
+		Refusing:    refusing,
+		Spares:      spares,
+		Traffic:     x.Traffic(),
+	}
+}
+
+// remaining gives the milliseconds left of each time and drops those that are
+// over.
+func remaining(until map[model.Incarnation]time.Time, now time.Time) map[model.Incarnation]int64 {
+	out := map[model.Incarnation]int64{}
+	for inc, t := range until {
+		if left := t.Sub(now); left > 0 {
+			out[inc] = left.Milliseconds()
+		} else {
+			delete(until, inc)
+		}
+	}
+	return out
+}
+
+// beat takes in a peer's message.
+func (x *Exchange) beat(from string, body []byte) error {
+	b, err := wire.UnpackRouterBeat(body)
+	if err != nil {
+		return err
+	}
+	x.mu.Lock()
+	x.seen[from] = x.Now()
+	x.traffic = x.traffic || b.Traffic
+	x.mu.Unlock()
+	uses := make(map[model.Incarnation]chains.Use, len(b.Uses))
+	for _, u := range b.Uses {
+		uses[u.Server] = chains.Use{TokenLayers: float64(u.TokenLayers), Streams: float64(u.Streams), Firsts: float64(u.Firsts), Reading: u.Reading}
+	}
+	good := believeBeats*time.Duration(b.EveryMS)*time.Millisecond + believeSlack
+	x.Memory.SeenPeer(from, uses, good)
+	pipes := make(map[chains.Pair]float64, len(b.Pipes))
+	for _, p := range b.Pipes {
+		pipes[chains.Pair{A: p.A, B: p.B}] = p.Rate
+	}
+	x.Pipes.SeenPeer(from, pipes, good)
+	for inc, factor := range b.Slow {
+		x.Memory.PeerSlowdown(inc, factor)
+	}
+	for inc := range b.Suspects {
+		x.Hint(inc)
+	}
+	for inc, left := range b.Refusing {
+		x.Refuses(inc, x.Now().Add(limits.Jitter(time.Duration(left)*time.Millisecond)))
+	}
+	x.Loans.SeenSpares(from, b.Spares, good)
+	x.PeerAt(b.Revision)
+	mine := x.Config.Version()
+	switch {
+	case b.Config == mine && mine > 0:
+		x.confirm(b)
+	case b.Config > mine:
+		x.startFetch(from, b)
+	}
+	return nil
+}
+
+// confirm takes in that a peer knows of no newer version either.
+func (x *Exchange) confirm(b wire.RouterBeat) {
+	now := x.Clock()
+	age := time.Duration(b.ConfigAgeMS)*time.Millisecond + beatTimeout
+	if age < x.Config.Age(now) {
+		x.Config.Confirm(now - age)
+	}
+}
--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -265,6 +265,34 @@
 	s.after(d, e.Restart)
 }
 
+// returnEngine has a server start again under its id. What it wrote before may come
+// after its own new entry, which follows a little later.
+func (s *site) returnEngine(d time.Duration) {
+	all := append(append([]*standin.Engine(nil), s.engines...), s.plain...)
+	e := all[s.rnd.IntN(len(all))]
+	key, before := e.Entry()
+	late := s.rnd.IntN(2) == 0
+	e.Return()
+	s.after(d/4, func() {
+		e.Register()
+		if late {
+			e.Write(key, before)
+		}
+	})
+	s.after(d, e.Register)
+}
+
+// overwriteEntry puts something odd in the place of an engine's entry, and beside it.
+func (s *site) overwriteEntry(d time.Duration) {
+	e := s.engines[s.rnd.IntN(len(s.engines))]
+	odd := [][]byte{{}, []byte("\x00\xff"), []byte(`{"state":7}`), []byte(`{"service":"sheets","address":"127.0.0.1:1","zone":"a","state":"resting"}`)}
+	value := odd[s.rnd.IntN(len(odd))]
+	key, _ := e.Entry()
+	e.Write(key, value)
+	e.Write(key+"-odd", value)
+	s.after(d, e.Register)
+}
+
 func (s *site) leaveEngine(d time.Duration) {
 	e := s.engines[s.rnd.IntN(len(s.engines))]
 	e.Drain()
--- a/test/faultsoak/soak_test.go
+++ b/test/faultsoak/soak_test.go
@@ -78,6 +78,7 @@
 		s.breakLink, s.breakLink, s.resetLink, s.resetLink, s.breakStore, s.loseWrites, s.compact,
 		s.killEngine, s.killEngine, s.leaveEngine, s.confuseEngine, s.confuseEngine, s.confusePlain, s.confusePlain,
 		s.killRouter, s.stopRouter, s.pauseRouter, s.hangUp, s.reconfigure,
+		s.returnEngine, s.returnEngine, s.overwriteEntry,
 	}
 	kinds[s.rnd.IntN(len(kinds))](during)
 }
