One way to count holders and parts of a plan, to log odd entries, to load a test's shop

experiment counted the holders of a layer and the parts of a chain again, and so did a test: placement.Coverage and FewestParts serve all three (the test also asks that there is a chain, as 0 now stands for none). Entries that name no server were logged one by one where they changed but only counted where the whole list was read: one function for both, bounded as before. Three tests of the controller share their set-up.

--- a/internal/coordination/placement/bound.go
+++ b/internal/coordination/placement/bound.go
@@ -117,3 +117,22 @@
 	}
 	return sum / float64(max(spec.Layers, 1))
 }
+
+// FewestParts is how many engines the shortest chain through a plan has; 0 where layers
+// lack.
+func FewestParts(spec *model.EngineSpec, plan Plan, engines []Engine) int {
+	n := 0
+	for at := 0; at < spec.Layers; n++ {
+		far := at
+		for _, e := range engines {
+			if held := plan[e.Address]; held.From <= at {
+				far = max(far, held.To)
+			}
+		}
+		if far == at {
+			return 0
+		}
+		at = far
+	}
+	return n
+}
--- a/internal/coordination/placement/incarnation_test.go
+++ b/internal/coordination/placement/incarnation_test.go
@@ -19,11 +19,18 @@
 	s.register(e.Address, e.Address, e.Domain, e.Card.Name, model.LayerRange{})
 }
 
-// first are site's engines with a start that they tell.
-func (s *shop) tellStarts(all []Engine) {
+// loadedShop has site's engines, which tell their starts, loaded and callers before
+// them.
+func loadedShop(t *testing.T) (*shop, []Engine) {
+	s := newShop(t)
+	all := site()
 	for _, e := range all {
 		s.born[e.Address] = 100
 	}
+	s.add(all)
+	s.run(12 * time.Second)
+	s.traffic.Store(true)
+	return s, all
 }
 
 // An engine takes an order, crashes while it loads and is back under its id. What
@@ -31,12 +38,7 @@
 // and not when the load of the one before should have ended.
 func TestReturnedEngineIsOrderedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newShop(t)
-		all := site()
-		s.tellStarts(all)
-		s.add(all)
-		s.run(12 * time.Second)
-		s.traffic.Store(true)
+		s, all := loadedShop(t)
 		e := all[3]
 		want := s.held(e.Address)
 		s.again(e)
@@ -53,12 +55,7 @@
 // new process was given itself then no longer fits, and it loads once.
 func TestOrderOfBeforeIsCarriedOutByTheNewProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newShop(t)
-		all := site()
-		s.tellStarts(all)
-		s.add(all)
-		s.run(12 * time.Second)
-		s.traffic.Store(true)
+		s, all := loadedShop(t)
 		e := all[3]
 		want := s.held(e.Address)
 		s.mu.Lock()
@@ -81,12 +78,7 @@
 // the plan no longer wants there. The engine ends with those of the plan.
 func TestLateOrderOfAnOlderPlan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newShop(t)
-		all := site()
-		s.tellStarts(all)
-		s.add(all)
-		s.run(12 * time.Second)
-		s.traffic.Store(true)
+		s, all := loadedShop(t)
 		e := all[len(all)-1]
 		s.mu.Lock()
 		s.late = 6 * time.Second
--- a/internal/coordination/placement/mend_test.go
+++ b/internal/coordination/placement/mend_test.go
@@ -26,7 +26,7 @@
 
 // aloneHolder finds an engine whose layers nobody else of the domain holds.
 func aloneHolder(plan Plan, all []Engine) Engine {
-	counts := coverage(weakSpec(), plan, all)
+	counts := Coverage(weakSpec(), plan, all)
 	for _, e := range all {
 		held := plan[e.Address]
 		if held.Len() > 0 && counts[held.From] == 1 && counts[held.To-1] == 1 {
--- a/internal/coordination/placement/plan_test.go
+++ b/internal/coordination/placement/plan_test.go
@@ -148,10 +148,10 @@
 		plan := Make(s, group)
 		even := Plan{}
 		Chain(s, group, even)
-		parts := fewestParts(plan, group, s.Layers)
-		assert.Assert(t, parts <= 11 && parts < len(even), "%s: %d engines in a chain, %d in the even one", group[0].Domain, parts, len(even))
+		parts := FewestParts(s, plan, group)
+		assert.Assert(t, parts > 0 && parts <= 11 && parts < len(even), "%s: %d engines in a chain, %d in the even one", group[0].Domain, parts, len(even))
 		twice := 0
-		for _, n := range coverage(s, plan, group) {
+		for _, n := range Coverage(s, plan, group) {
 			if n >= 2 {
 				twice++
 			}
@@ -160,24 +160,6 @@
 	}
 }
 
-// fewestParts is how many engines the shortest chain through a plan has.
-func fewestParts(plan Plan, engines []Engine, layers int) int {
-	parts := 0
-	for at := 0; at < layers; parts++ {
-		far := at
-		for _, e := range engines {
-			if held := plan[e.Address]; held.From <= at {
-				far = max(far, held.To)
-			}
-		}
-		if far == at {
-			return 1 << 30
-		}
-		at = far
-	}
-	return parts
-}
-
 // A plan is a function of the engines: routers that lead one after the other, and
 // list the engines in another order, make the same.
 func TestPlanIsAFunctionOfTheEngines(t *testing.T) {
@@ -422,7 +404,7 @@
 	all := inDomain(weakSite(), "b")
 	plan := Make(s, all)
 	alone := func(e Engine) bool {
-		counts := coverage(s, plan, all)
+		counts := Coverage(s, plan, all)
 		held := plan[e.Address]
 		for l := held.From; l < held.To; l++ {
 			if counts[l] > 1 {
--- a/internal/coordination/placement/repair.go
+++ b/internal/coordination/placement/repair.go
@@ -41,7 +41,7 @@
 
 // Uncovered lists the layers that none of the engines is planned to hold.
 func Uncovered(spec *model.EngineSpec, plan Plan, engines []Engine) []int {
-	counts := coverage(spec, plan, engines)
+	counts := Coverage(spec, plan, engines)
 	var out []int
 	for l, n := range counts {
 		if n == 0 {
@@ -51,7 +51,8 @@
 	return out
 }
 
-func coverage(spec *model.EngineSpec, plan Plan, engines []Engine) []int {
+// Coverage counts the engines that are planned to hold each layer.
+func Coverage(spec *model.EngineSpec, plan Plan, engines []Engine) []int {
 	counts := make([]int, spec.Layers)
 	for _, e := range engines {
 		held := plan[e.Address]
@@ -85,7 +86,7 @@
 
 // dispensable finds an engine whose layers are all held by others too.
 func dispensable(spec *model.EngineSpec, plan Plan, engines []Engine, groups [][]Engine) (Engine, bool) {
-	counts := coverage(spec, plan, engines)
+	counts := Coverage(spec, plan, engines)
 	var best Engine
 	found := false
 	for _, group := range groups {
--- a/internal/coordination/placement/whole.go
+++ b/internal/coordination/placement/whole.go
@@ -169,7 +169,7 @@
 			n = min(max(int(spareWeights*e.Card.MB/spec.LayerMB), 1), MostLayers(spec, e.Card))
 		}
 		if n > 0 {
-			plan[e.Address] = leastCovered(coverage(spec, plan, group), n)
+			plan[e.Address] = leastCovered(Coverage(spec, plan, group), n)
 		}
 	}
 }
--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -22,7 +22,7 @@
 // Backend servers are taken in first: requests that wait for the first
 // configuration are sent as soon as it is in force.
 func (s *routerSink) Reset(page outside.Page, grace time.Duration) {
-	servers, spoilt := decodeServers(page.Items)
+	servers, spoilt := s.decodeServers(page.Items)
 	s.follow(s.catalog.Replace(servers, spoilt, grace))
 	s.mu.Lock()
 	clear(s.members)
@@ -43,7 +43,7 @@
 
 // decodeServers reads the entries of backend servers. spoilt holds the revisions
 // of those that name no server, by id.
-func decodeServers(items []outside.Item) (servers []model.BackendServer, spoilt map[string]int64) {
+func (s *routerSink) decodeServers(items []outside.Item) (servers []model.BackendServer, spoilt map[string]int64) {
 	spoilt = map[string]int64{}
 	for _, it := range items {
 		if !strings.HasPrefix(it.Key, platform.ServersPrefix) {
@@ -51,7 +51,9 @@
 		}
 		b, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 		if err != nil {
-			spoilt[platform.ServerID(it.Key)] = it.Revision
+			id := platform.ServerID(it.Key)
+			spoilt[id] = it.Revision
+			s.noteOdd(id, it.Revision, false, err)
 			continue
 		}
 		servers = append(servers, b)
@@ -59,6 +61,15 @@
 	return servers, spoilt
 }
 
+// noteOdd logs an entry that names no server: where it has just spoilt a good one, and
+// else once in a while for each.
+func (s *routerSink) noteOdd(id string, revision int64, spoilt bool, err error) {
+	if s.odd.first(id, time.Now()) || spoilt {
+		known := s.catalog.Load().ByID(id) != nil
+		klog.InfoS("backend server's entry names no server", "server", id, "known", known, "err", err, "revision", revision)
+	}
+}
+
 // follow carries out what follows from entries.
 func (s *routerSink) follow(news catalog.News) {
 	s.front.Relay.Ended(news.Ended, "its successor's entry")
@@ -118,10 +129,8 @@
 	}
 	b, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 	if err != nil {
-		known := s.catalog.Spoil(id, it.Revision)
-		if known || s.odd.first(id, time.Now()) {
-			klog.InfoS("backend server's entry names no server", "server", id, "known", known, "err", err, "revision", it.Revision)
-		}
+		spoilt := s.catalog.Spoil(id, it.Revision)
+		s.noteOdd(id, it.Revision, spoilt, err)
 		return
 	}
 	klog.InfoS("backend server's entry", "server", b.Incarnation(), "address", b.Address, "failureDomain", b.FailureDomain, "draining", b.Draining,
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -94,7 +94,7 @@
 			Prompts: placement.Flow(spec, plan, group, placement.ReadingSupply(spec)) / float64(max(spec.UsualPrompt, 1)),
 			TokenMS: tokenMS(spec, plan, group),
 
-			Parts:     parts(spec, plan, group),
+			Parts:     placement.FewestParts(spec, plan, group),
 			Twice:     twice(spec, plan, group),
 			AfterLoss: afterLoss(spec, plan, group),
 		})
@@ -102,33 +102,9 @@
 	return r
 }
 
-// parts walks the layers with the engine that leads furthest each time.
-func parts(spec *model.EngineSpec, plan placement.Plan, engines []placement.Engine) int {
-	n := 0
-	for at := 0; at < spec.Layers; n++ {
-		far := at
-		for _, e := range engines {
-			if held := plan[e.Address]; held.From <= at {
-				far = max(far, held.To)
-			}
-		}
-		if far == at {
-			return 0
-		}
-		at = far
-	}
-	return n
-}
-
 func twice(spec *model.EngineSpec, plan placement.Plan, engines []placement.Engine) float64 {
 	n := 0
-	for l := range spec.Layers {
-		held := 0
-		for _, e := range engines {
-			if r := plan[e.Address]; r.From <= l && l < r.To {
-				held++
-			}
-		}
+	for _, held := range placement.Coverage(spec, plan, engines) {
 		if held >= 2 {
 			n++
 		}
