Sight: why a caller's connection ended, and under which request

Cause: nothing was written when a connection ended, and a recovered panic only at verbosity 1, so that a caller who left, the front's own times, a panic and the end of the process could not be told apart. Change: the first reason is kept with the connection; its end is counted by reason, and logged at the usual verbosity where a request was in progress. A handler's panic is logged with its stack. No decision changed. Shown by: TestWhyAConnectionEnded, TestSlowHeadIsTold.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -11,6 +12,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/settings"
+	"github.com/skylarkwood/skylarkwood/internal/transport/front"
 )
 
 // metrics is a process's tally scope and the page that collectors read.
@@ -85,3 +87,8 @@
 func (m *metrics) Repeat(service, reason string) {
 	m.scope.Tagged(map[string]string{"service": service, "reason": reason}).Counter("repeated_sends").Inc(1)
 }
+
+// ConnectionEnded implements front.Observer.
+func (m *metrics) ConnectionEnded(why front.End, under bool) {
+	m.scope.Tagged(map[string]string{"why": string(why), "under_request": strconv.FormatBool(under)}).Counter("caller_connections_ended").Inc(1)
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -190,7 +190,7 @@
 			rel.EngineGone(b.Incarnation())
 		},
 	}
-	r.front = &front.Server{Config: r.config, Relay: rel, OnRequest: func() { r.traffic.Store(true) }}
+	r.front = &front.Server{Config: r.config, Relay: rel, Observer: r.metrics, OnRequest: func() { r.traffic.Store(true) }}
 }
 
 // engines lists the engines of all services that generate, leaving ones included.
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -42,6 +43,9 @@
 	mu       sync.Mutex
 	timer    *time.Timer
 	awaiting bool // no byte of the next head has come
+	why      End  // the first reason to end it; empty while there is none
+	cause    error
+	request  *model.Call // in progress; nil while there is none
 }
 
 // Read implements net.Conn. The first byte of a head starts its time.
@@ -55,15 +59,59 @@
 		}
 		c.mu.Unlock()
 	}
+	var timeout net.Error
+	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		c.endsBy(EndCallerLeft, err)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *timedConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if err != nil {
+		c.endsBy(EndNotWritable, err)
+	}
 	return n, err
 }
 
+// endsBy notes why the connection ends. What shows later follows from the first
+// reason: a read fails because the connection was closed.
+func (c *timedConn) endsBy(why End, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.why == "" {
+		c.why = why
+		c.cause = cause
+	}
+}
+
+// end gives why the connection ends, and the request that it ends under.
+func (c *timedConn) end() (why End, request *model.Call, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.why, c.request, c.cause
+}
+
+// serving notes the request in progress; nil when it has been answered.
+func (c *timedConn) serving(request *model.Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request = request
+}
+
 // awaitHead starts the idle time.
 func (c *timedConn) awaitHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaiting = true
-	c.arm(c.limits().IdleTime+idleMargin, func() { c.Close() })
+	c.arm(c.limits().IdleTime+idleMargin, c.restedTooLong)
+}
+
+// restedTooLong closes a connection on which no next request came.
+func (c *timedConn) restedTooLong() {
+	c.endsBy(EndRested, nil)
+	c.Close()
 }
 
 // stop ends both times: a request is being handled, or the connection is gone.
@@ -88,6 +136,7 @@
 
 // headTooSlow answers a head that does not end; nothing of it was handled.
 func (c *timedConn) headTooSlow() {
+	c.endsBy(EndHeadTooSlow, nil)
 	_ = c.SetWriteDeadline(time.Now().Add(time.Second))
 	_, err := io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 	klog.InfoS("head of a request took too long", "caller", c.RemoteAddr(), "err", err)
--- /dev/null
+++ b/internal/transport/front/end_test.go
@@ -0,0 +1,71 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/protocol/relay"
+)
+
+// A connection ends while a request is in progress on it, or while it rests. Its
+// caller sees the same in each case, no whole answer; whoever looks into it later
+// must be able to tell the causes apart.
+func TestWhyAConnectionEnded(t *testing.T) {
+	const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+	began := make(chan struct{})
+	for name, c := range map[string]struct {
+		u    upstream
+		play func(net.Conn)
+		want ended
+	}{
+		"caller leaves under its request": {
+			u: func(ctx context.Context, _ *relay.Request) (*relay.Answer, error) {
+				close(began)
+				<-ctx.Done()
+				return nil, ctx.Err()
+			},
+			play: func(c net.Conn) { <-began; c.Close() },
+			want: ended{EndCallerLeft, true},
+		},
+		"handler panics": {
+			u:    func(context.Context, *relay.Request) (*relay.Answer, error) { panic("a fault of ours") },
+			want: ended{EndPanic, true},
+		},
+		"rests too long": {u: echo, want: ended{EndRested, false}},
+		"caller leaves at rest": {
+			u: echo,
+			play: func(c net.Conn) {
+				_, err := io.ReadFull(c, make([]byte, 15)) // the answer has come
+				assert.Check(t, err)
+				c.Close()
+			},
+			want: ended{EndCallerLeft, false},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, addr := serve(t, c.u)
+			conn, err := net.Dial("tcp", addr)
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, request)
+			assert.NilError(t, err)
+			if c.play != nil {
+				c.play(conn)
+			}
+			assert.Equal(t, <-s.Observer.(ends), c.want)
+		})
+	}
+}
+
+// A head that does not end is the caller's fault, and told as such.
+func TestSlowHeadIsTold(t *testing.T) {
+	s, addr := serve(t, echo)
+	got := talk(t, addr, "GET / HTTP/1.1\r\nHost: h\r\nX: ")
+	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 408"), got)
+	assert.Equal(t, <-s.Observer.(ends), ended{EndHeadTooSlow, false})
+}
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -45,6 +45,8 @@
 	Relay  *relay.Relay
 	// OnRequest is told of each request; nil for nobody.
 	OnRequest func()
+	// Observer counts the ends of connections; nil for nobody.
+	Observer Observer
 
 	http     http.Server
 	draining atomic.Bool
@@ -69,6 +71,7 @@
 			t.awaitHead()
 		case http.StateClosed, http.StateHijacked:
 			t.stop()
+			s.ended(t)
 		}
 	}
 	err := s.http.Serve(timedListener{l, s.limits})
@@ -113,9 +116,13 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	if t, ok := r.Context().Value(connKey{}).(*timedConn); ok {
-		t.stop()
+	conn, ok := r.Context().Value(connKey{}).(*timedConn)
+	if !ok {
+		klog.ErrorS(nil, "request on a connection that is not the front's", "caller", r.RemoteAddr)
+		panic(http.ErrAbortHandler)
 	}
+	defer note(conn)
+	conn.stop()
 	if s.OnRequest != nil {
 		s.OnRequest()
 	}
@@ -139,11 +146,15 @@
 		out.fail(f.Kind.Answer().Status, f.Error())
 		return
 	}
+	conn.serving(call)
 	if whole := s.Relay.Serve(r.Context(), call, out); !whole {
 		// Breaks the connection off, so that the caller sees that the answer
 		// is not whole.
 		panic(http.ErrAbortHandler)
 	}
+	if r.Context().Err() == nil {
+		conn.serving(nil)
+	}
 }
 
 func headSize(r *http.Request) int {
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -47,15 +47,20 @@
 	return &relay.Answer{Status: 200, Header: h, Body: body{strings.NewReader(text)}}
 }
 
+// config has one route to one plain service.
+func config(version int64, idle time.Duration) *model.RouteConfig {
+	return &model.RouteConfig{
+		Version:  version,
+		Routes:   []model.Route{{Name: "r", Host: "h", Prefix: "/", Kind: model.RouteNotRepeatable, MaxAttempts: 1, Split: []model.ServiceShare{{Service: "s", Weight: 1}}}},
+		Services: []model.Service{{Name: "s"}},
+		Limits:   model.CallerLimits{HeaderBytes: 2000, BodyBytes: 100, HeaderTime: 300 * time.Millisecond, IdleTime: idle},
+	}
+}
+
 // serve starts a front before one plain service.
 func serve(t *testing.T, u upstream) (*Server, string) {
 	current := &routes.Current{}
-	current.Apply(&model.RouteConfig{
-		Version:  1,
-		Routes:   []model.Route{{Name: "r", Host: "h", Prefix: "/", Kind: model.RouteNotRepeatable, MaxAttempts: 1, Split: []model.ServiceShare{{Service: "s", Weight: 1}}}},
-		Services: []model.Service{{Name: "s"}},
-		Limits:   model.CallerLimits{HeaderBytes: 2000, BodyBytes: 100, HeaderTime: 300 * time.Millisecond, IdleTime: 300 * time.Millisecond},
-	}, nil)
+	current.Apply(config(1, 300*time.Millisecond), nil)
 	cat := catalog.New(time.Now)
 	cat.Put(model.BackendServer{ID: "b", Service: "s", Address: "1:1"})
 	rel := &relay.Relay{
@@ -63,7 +68,7 @@
 		Loans: &limits.Loans{Budget: limits.NewSharedRetries(0.2, 10, time.Second, func() int { return 1 }, time.Now), Now: time.Now},
 		Clock: func() time.Duration { return 0 }, Now: time.Now, ConfigTrust: time.Hour,
 	}
-	s := &Server{Config: current, Relay: rel}
+	s := &Server{Config: current, Relay: rel, Observer: make(ends, 64)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	done := make(chan error, 1)
@@ -77,6 +82,21 @@
 	return s, l.Addr().String()
 }
 
+// ends keeps what was told of ended connections.
+type ends chan ended
+
+type ended struct {
+	why   End
+	under bool
+}
+
+func (e ends) ConnectionEnded(why End, under bool) {
+	select {
+	case e <- ended{why, under}:
+	default: // a test that asks for fewer
+	}
+}
+
 func echo(_ context.Context, r *relay.Request) (*relay.Answer, error) {
 	return answer(r.Method + " " + r.Target + " " + string(r.Body)), nil
 }
