A connection is closed only while it rests, by the read that waits for its caller

Cause: the idle time and the time of a head were timers beside the connection, whose functions closed it once they had fired, whatever had been read since. A request that had just been taken over was passed on, its context ended with the connection, and the backend server dropped it as its sender was gone. The class: an end decided on what was true earlier, not asked again where work begins. Two more members at the same place: the time of a resting connection was the one of the configuration in force when it came to rest; and a planned stop took for resting what the standard server takes for it, so that requests which had arrived were read and dropped. Ruled out: a check in the timer's function under the lock only: bytes that have been read but not yet noted, or that wait in the kernel, would still be lost. Change: the times are deadlines of the read that waits (internal/coordination/ keepalive decides, without network); at its end it looks whether bytes have arrived, and by the limits in force now. A stop wakes resting reads in the same way and waits for what has arrived.

--- /dev/null
+++ b/internal/coordination/keepalive/keepalive.go
@@ -0,0 +1,83 @@
+// Package keepalive decides how long a caller's connection may rest and how long a
+// request's head may take. It decides only for connections on which no request is in
+// progress: those are ended by the request's own answer.
+package keepalive
+
+import (
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// Margin is kept beyond the operator's idle time. Callers use a connection until
+// shortly before that time, and a request that crosses the close is lost to them; a
+// second covers the way to the farthest caller, some milliseconds, many times over.
+const Margin = time.Second
+
+// Phase is what a connection is doing.
+type Phase int
+
+// The phases. Only Resting and Reading have a bound here.
+const (
+	Resting Phase = iota // nothing of the next request has been read
+	Reading              // a part of a head has been read
+	Serving              // a request is in progress
+)
+
+// Life is the life of one connection. Its zero value rests since the zero time. Its
+// owner keeps calls apart.
+type Life struct {
+	phase   Phase
+	since   time.Time // when the phase began
+	retired bool
+}
+
+// Rest begins to wait for the next request.
+func (l *Life) Rest(now time.Time) {
+	l.phase = Resting
+	l.since = now
+}
+
+// Heard takes in that bytes were read. The first ones of a head begin its time; later
+// ones don't prolong it, or a caller could hold the connection by single bytes.
+func (l *Life) Heard(now time.Time) {
+	if l.phase == Resting {
+		l.phase = Reading
+		l.since = now
+	}
+}
+
+// Take begins a request.
+func (l *Life) Take() { l.phase = Serving }
+
+// Retire ends the connection as soon as it rests: its router stops.
+func (l *Life) Retire() { l.retired = true }
+
+// Phase gives the present phase.
+func (l *Life) Phase() Phase { return l.phase }
+
+// longAgo is a bound that has passed.
+var longAgo = time.Unix(1, 0)
+
+// Until is when the phase must be over, by the limits that are in force now: a
+// connection that came to rest under a shorter time is used by its caller for as
+// long as the newest configuration says. Zero is no bound.
+func (l *Life) Until(limits model.CallerLimits) time.Time {
+	switch {
+	case l.phase == Serving:
+		return time.Time{}
+	case l.phase == Reading:
+		return l.since.Add(limits.HeaderTime)
+	case l.retired:
+		return longAgo
+	}
+	return l.since.Add(limits.IdleTime + Margin)
+}
+
+// Over decides at now whether the phase's time is over. Where bytes of the caller have
+// arrived and are not read yet it is not: a router that is short of processor time is
+// late to read them, which is not the caller's fault.
+func (l *Life) Over(now time.Time, limits model.CallerLimits, arrived bool) bool {
+	until := l.Until(limits)
+	return !until.IsZero() && !arrived && !now.Before(until)
+}
--- /dev/null
+++ b/internal/coordination/keepalive/keepalive_test.go
@@ -0,0 +1,93 @@
+package keepalive
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	limits = model.CallerLimits{HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second}
+)
+
+func TestRestEndsAfterTheIdleTimeAndAMargin(t *testing.T) {
+	var l Life
+	l.Rest(start)
+	until := start.Add(limits.IdleTime + Margin)
+	assert.Assert(t, !l.Over(until.Add(-1), limits, false))
+	assert.Assert(t, l.Over(until, limits, false))
+}
+
+// A router was short of processor time: the caller's request arrived before the idle
+// time ended, and is looked at after it. Closed now, the caller would have no answer.
+func TestBytesThatHaveArrivedKeepAConnection(t *testing.T) {
+	var l Life
+	l.Rest(start)
+	assert.Assert(t, !l.Over(start.Add(time.Hour), limits, true))
+	l.Heard(start)
+	assert.Assert(t, !l.Over(start.Add(time.Hour), limits, true))
+}
+
+// The operator lengthens the idle time while a connection rests, and its caller uses it
+// within the new one.
+func TestLimitsInForceNowCount(t *testing.T) {
+	var l Life
+	l.Rest(start)
+	longer := limits
+	longer.IdleTime = time.Hour
+	assert.Assert(t, !l.Over(start.Add(time.Minute), longer, false))
+	assert.Assert(t, l.Over(start.Add(time.Minute), limits, false))
+}
+
+// A caller sends a head byte by byte.
+func TestHeadIsBoundedFromItsFirstByte(t *testing.T) {
+	var l Life
+	l.Rest(start)
+	l.Heard(start.Add(time.Second))
+	l.Heard(start.Add(2 * time.Second))
+	assert.Equal(t, l.Until(limits), start.Add(time.Second+limits.HeaderTime))
+}
+
+// A router stops: connections at rest end at once, those with a head under way don't,
+// those with a request end when it has been answered.
+func TestRetiredConnectionsEndAtRest(t *testing.T) {
+	var l Life
+	l.Rest(start)
+	l.Heard(start)
+	l.Retire()
+	assert.Assert(t, !l.Over(start, limits, false))
+	l.Take()
+	assert.Assert(t, !l.Over(start.Add(time.Hour), limits, false))
+	l.Rest(start.Add(time.Hour))
+	assert.Assert(t, l.Over(start.Add(time.Hour), limits, false))
+}
+
+// Whatever happens in whatever order: a connection with a request in progress, or with
+// bytes that have arrived, is never ended here.
+func TestNoRequestIsEnded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Life
+		now := start
+		l.Rest(now)
+		t.Repeat(map[string]func(*rapid.T){
+			"rest":   func(*rapid.T) { l.Rest(now) },
+			"heard":  func(*rapid.T) { l.Heard(now) },
+			"take":   func(*rapid.T) { l.Take() },
+			"retire": func(*rapid.T) { l.Retire() },
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				arrived := rapid.Bool().Draw(t, "arrived")
+				if l.Over(now, limits, arrived) && (arrived || l.Phase() == Serving) {
+					t.Fatal("ended with a request in it")
+				}
+			},
+		})
+	})
+}
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -46,3 +46,19 @@
 	})
 	return err == nil && quiet
 }
+
+// Arrived tells whether bytes of the peer wait to be read. Unlike a read it looks
+// also where the read deadline has passed.
+func Arrived(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	arrived := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		arrived = err == nil && n > 0
+	})
+	return err == nil && arrived
+}
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -9,7 +9,9 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/keepalive"
 	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/tcp"
 )
 
 type connKey struct{}
@@ -26,44 +28,140 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := c.(*net.TCPConn)
+	t, ok := c.(*net.TCPConn)
 	if !ok {
-		return c, nil
+		c.Close()
+		return nil, errors.Errorf("not a TCP connection: %T", c)
 	}
-	return &timedConn{TCPConn: tcp, limits: l.limits}, nil
+	return newTimedConn(t, l.limits), nil
 }
 
 // timedConn bounds how long a caller may be idle and how long a head may take.
 // The standard server's own bounds are fixed when it starts, while the
 // operator's change.
+//
+// The bounds are deadlines of the read that waits for the caller's bytes, and only
+// that read ends the connection. A timer that closes the connection from outside
+// can fire when the next request has just been read: it would be passed on, its
+// caller would get no answer, and the backend server would drop it for a sender
+// that is gone. Here a read gives either bytes, which are then served, or the end.
 type timedConn struct {
 	*net.TCPConn
 	limits func() model.CallerLimits
 
-	mu       sync.Mutex
-	timer    *time.Timer
-	awaiting bool // no byte of the next head has come
-	why      End  // the first reason to end it; empty while there is none
-	cause    error
-	request  *model.Call // in progress; nil while there is none
+	mu      sync.Mutex
+	life    keepalive.Life
+	why     End // the first reason to end it; empty while there is none
+	cause   error
+	request *model.Call // in progress; nil while there is none
 }
 
-// Read implements net.Conn. The first byte of a head starts its time.
+func newTimedConn(c *net.TCPConn, limits func() model.CallerLimits) *timedConn {
+	t := &timedConn{TCPConn: c, limits: limits}
+	t.rest()
+	return t
+}
+
+// Read implements net.Conn.
 func (c *timedConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		if c.awaiting {
-			c.awaiting = false
-			c.arm(c.limits().HeaderTime, c.headTooSlow)
+	if err := c.bound(); err != nil {
+		return 0, err
+	}
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.heard()
+			return n, err
+		}
+		if !isTimeout(err) {
+			c.endsBy(EndCallerLeft, err)
+			return n, err
+		}
+		if c.over() {
+			return n, err
 		}
+	}
+}
+
+// bound sets the deadline of a read that waits for a request. While a request is in
+// progress the deadlines are those of its body.
+func (c *timedConn) bound() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.life.Phase() == keepalive.Serving {
+		return nil
+	}
+	return c.SetReadDeadline(c.life.Until(c.limits()))
+}
+
+// over decides what a read that reached its deadline stands for. Where it is not
+// the end the next read has a new deadline: none where bytes have arrived, as it
+// need not wait.
+func (c *timedConn) over() bool {
+	c.mu.Lock()
+	phase := c.life.Phase()
+	if phase == keepalive.Serving {
 		c.mu.Unlock()
+		return true
 	}
-	var timeout net.Error
-	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
-		c.endsBy(EndCallerLeft, err)
+	limits := c.limits()
+	arrived := tcp.Arrived(c.TCPConn)
+	ends := c.life.Over(time.Now(), limits, arrived)
+	if !ends {
+		next := c.life.Until(limits)
+		if arrived {
+			next = time.Time{}
+		}
+		ends = c.SetReadDeadline(next) != nil
+	}
+	c.mu.Unlock()
+	switch {
+	case ends && phase == keepalive.Reading:
+		c.headTooSlow()
+	case ends:
+		c.endsBy(EndRested, nil)
+	}
+	return ends
+}
+
+// headTooSlow answers a head that does not end; nothing of it was handled.
+func (c *timedConn) headTooSlow() {
+	c.endsBy(EndHeadTooSlow, nil)
+	_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+	_, err := io.WriteString(c.TCPConn, "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	klog.InfoS("head of a request took too long", "caller", c.RemoteAddr(), "err", err)
+}
+
+func (c *timedConn) heard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.life.Heard(time.Now())
+}
+
+// rest begins to wait for a request.
+func (c *timedConn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.life.Rest(time.Now())
+}
+
+// take begins a request: a read that watches for the caller's leaving has no bound.
+func (c *timedConn) take() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.life.Take()
+	_ = c.SetReadDeadline(time.Time{}) // fails on a closed connection, which the next read tells
+}
+
+// retire ends the connection when it rests. The read that waits is woken, and
+// ends it only if nothing has arrived.
+func (c *timedConn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.life.Retire()
+	if c.life.Phase() == keepalive.Resting {
+		_ = c.SetReadDeadline(c.life.Until(c.limits())) // as above
 	}
-	return n, err
 }
 
 // Write implements net.Conn.
@@ -75,6 +173,11 @@
 	return n, err
 }
 
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // endsBy notes why the connection ends. What shows later follows from the first
 // reason: a read fails because the connection was closed.
 func (c *timedConn) endsBy(why End, cause error) {
@@ -99,46 +202,3 @@
 	defer c.mu.Unlock()
 	c.request = request
 }
-
-// awaitHead starts the idle time.
-func (c *timedConn) awaitHead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaiting = true
-	c.arm(c.limits().IdleTime+idleMargin, c.restedTooLong)
-}
-
-// restedTooLong closes a connection on which no next request came.
-func (c *timedConn) restedTooLong() {
-	c.endsBy(EndRested, nil)
-	c.Close()
-}
-
-// stop ends both times: a request is being handled, or the connection is gone.
-func (c *timedConn) stop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaiting = false
-	c.disarm()
-}
-
-func (c *timedConn) arm(d time.Duration, f func()) {
-	c.disarm()
-	c.timer = time.AfterFunc(d, f)
-}
-
-func (c *timedConn) disarm() {
-	if c.timer != nil {
-		c.timer.Stop()
-		c.timer = nil
-	}
-}
-
-// headTooSlow answers a head that does not end; nothing of it was handled.
-func (c *timedConn) headTooSlow() {
-	c.endsBy(EndHeadTooSlow, nil)
-	_ = c.SetWriteDeadline(time.Now().Add(time.Second))
-	_, err := io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-	klog.InfoS("head of a request took too long", "caller", c.RemoteAddr(), "err", err)
-	c.Close()
-}
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -30,10 +30,6 @@
 	defaultBody       = 4 << 20
 	// bodyTime is how long a body may take, beyond the header's time.
 	bodyTime = 10 * time.Second
-	// idleMargin is kept beyond the operator's idle time: callers use a
-	// connection until shortly before it, and a close that crosses a request
-	// loses it.
-	idleMargin = time.Second
 	// writeTime is how long a caller may take to read one part of an answer.
 	// One that reads a byte a second would hold its stream's engine memory.
 	writeTime = 5 * time.Second
@@ -49,12 +45,16 @@
 	Observer Observer
 
 	http     http.Server
+	conns    conns
 	draining atomic.Bool
 	active   atomic.Int64
 }
 
 // Serve answers connections until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
+	if !s.conns.listen(l) {
+		return nil
+	}
 	s.http.Handler = http.HandlerFunc(s.handle)
 	s.http.MaxHeaderBytes = headerCeiling
 	s.http.ErrorLog = klogLogger()
@@ -67,15 +67,19 @@
 			return
 		}
 		switch state {
-		case http.StateNew, http.StateIdle:
-			t.awaitHead()
+		case http.StateNew:
+			s.conns.add(t)
+		case http.StateActive:
+			t.take()
+		case http.StateIdle:
+			t.rest()
 		case http.StateClosed, http.StateHijacked:
-			t.stop()
+			s.conns.remove(t)
 			s.ended(t)
 		}
 	}
 	err := s.http.Serve(timedListener{l, s.limits})
-	if errors.Is(err, http.ErrServerClosed) {
+	if s.conns.listened() {
 		return nil
 	}
 	return errors.Wrap(err, "serve callers")
@@ -107,8 +111,12 @@
 // use another connection next time.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown takes no more connections and waits for what runs.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Shutdown takes no more connections and waits for what runs. A request that has
+// arrived on a resting connection is still served.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	return s.conns.retire(ctx)
+}
 
 // Active counts the requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
@@ -122,7 +130,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer note(conn)
-	conn.stop()
 	if s.OnRequest != nil {
 		s.OnRequest()
 	}
