Reproduced, failing: a panic in a request's handler ends its caller's connection

What is seen: the caller gets no byte, though nothing of an answer had been sent and the router still stands. The standard server recovers the panic and closes the connection.

--- a/internal/transport/front/end_test.go
+++ b/internal/transport/front/end_test.go
@@ -69,3 +69,12 @@
 	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 408"), got)
 	assert.Equal(t, <-s.Observer.(ends), ended{EndHeadTooSlow, false})
 }
+
+// The handler of a request panics, and its caller's connection is closed without an
+// answer: the caller cannot tell whether to come back. Nothing of an answer had been
+// sent, so there is room for one that promises nothing.
+func TestPanicIsAnswered(t *testing.T) {
+	_, addr := serve(t, func(context.Context, *relay.Request) (*relay.Answer, error) { panic("a fault of ours") })
+	got := talk(t, addr, "GET /x HTTP/1.1\r\n"+lastHead+"\r\n")
+	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 500"), got)
+}
