A handler that panics answers its caller; the end of an answer has its own time

Change: where nothing of an answer has been sent the caller gets 500, which promises nothing; begun answers are broken off as before. The last bytes of an answer, written after the handler has returned, no longer stand under the deadline of the part before.

--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -202,3 +202,13 @@
 	defer c.mu.Unlock()
 	c.request = request
 }
+
+// attempt names the request in progress; empty while there is none.
+func (c *timedConn) attempt() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.request == nil {
+		return ""
+	}
+	return c.request.Attempt
+}
--- a/internal/transport/front/end.go
+++ b/internal/transport/front/end.go
@@ -5,6 +5,8 @@
 	"runtime/debug"
 
 	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
 )
 
 // End is why a caller's connection ended.
@@ -45,9 +47,11 @@
 	klog.V(1).InfoS("connection of a caller ended", "caller", c.RemoteAddr(), "why", why, "err", cause)
 }
 
-// note keeps a handler's panic from passing unseen: the standard server recovers
-// it, closes the connection, and tells only its own log.
-func note(c *timedConn) {
+// recovered answers for a handler that panicked: the standard server would close the
+// connection, and only its own log would tell. Where nothing of an answer has been
+// sent the caller gets one that promises nothing; an answer that had begun is broken
+// off. What the handler held is given back by its deferred calls as in any other end.
+func recovered(c *timedConn, out *caller) {
 	p := recover()
 	if p == nil {
 		return
@@ -57,6 +61,12 @@
 		panic(p)
 	}
 	c.endsBy(EndPanic, nil)
-	klog.ErrorS(nil, "handling a request panicked", "caller", c.RemoteAddr(), "panic", p, "stack", string(debug.Stack()))
-	panic(http.ErrAbortHandler)
+	klog.ErrorS(nil, "handling a request panicked", "request", c.attempt(), "caller", c.RemoteAddr(),
+		"answerBegun", out.began, "panic", p, "stack", string(debug.Stack()))
+	if out.began {
+		panic(http.ErrAbortHandler)
+	}
+	clear(out.w.Header())
+	f := fault.New(fault.Internal, "the router failed")
+	out.fail(f.Kind.Answer().Status, f.Error())
 }
--- a/internal/transport/front/end_test.go
+++ b/internal/transport/front/end_test.go
@@ -4,8 +4,12 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -78,3 +82,29 @@
 	got := talk(t, addr, "GET /x HTTP/1.1\r\n"+lastHead+"\r\n")
 	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 500"), got)
 }
+
+// clockedWriter keeps the deadline of what is written.
+type clockedWriter struct {
+	http.ResponseWriter
+	deadline time.Time
+}
+
+func (w *clockedWriter) SetWriteDeadline(t time.Time) error {
+	w.deadline = t
+	return nil
+}
+
+func (w *clockedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// A stream's last event is written, and its end comes later than the time that a caller
+// has to read one part. The answer is whole, yet its last bytes find the deadline of
+// the last event passed, and the caller sees it broken off.
+func TestEndOfAnAnswerHasItsOwnTime(t *testing.T) {
+	w := &clockedWriter{ResponseWriter: httptest.NewRecorder()}
+	out := &caller{w: w, rc: http.NewResponseController(w), draining: &atomic.Bool{}}
+	out.Begin(http.StatusOK, nil, -1)
+	assert.NilError(t, out.Write([]byte("id: 1\n\n")))
+	w.deadline = time.Now().Add(-time.Second)
+	out.ends()
+	assert.Assert(t, w.deadline.After(time.Now()))
+}
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -129,12 +129,12 @@
 		klog.ErrorS(nil, "request on a connection that is not the front's", "caller", r.RemoteAddr)
 		panic(http.ErrAbortHandler)
 	}
-	defer note(conn)
+	rc := http.NewResponseController(w)
+	out := &caller{w: w, rc: rc, draining: &s.draining}
+	defer recovered(conn, out)
 	if s.OnRequest != nil {
 		s.OnRequest()
 	}
-	rc := http.NewResponseController(w)
-	out := &caller{w: w, rc: rc, draining: &s.draining}
 	limits := s.limits()
 	if headSize(r) > limits.HeaderBytes {
 		out.fail(http.StatusRequestHeaderFieldsTooLarge, "head of the request is too large")
@@ -159,6 +159,7 @@
 		// is not whole.
 		panic(http.ErrAbortHandler)
 	}
+	out.ends()
 	if r.Context().Err() == nil {
 		conn.serving(nil)
 	}
@@ -205,6 +206,7 @@
 	rc       *http.ResponseController
 	draining *atomic.Bool
 	stream   bool
+	began    bool
 }
 
 func (c *caller) Begin(status int, header http.Header, length int64) {
@@ -220,6 +222,16 @@
 		h.Set("Connection", "close")
 	}
 	c.w.WriteHeader(status)
+	c.began = true
+}
+
+// ends gives the last bytes of an answer, which are written when its handler has
+// returned, their own time. The time of the part before has passed where a stream
+// paused longer before its end, and a whole answer would look broken off.
+func (c *caller) ends() {
+	if err := c.rc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		klog.V(1).InfoS("time for the end of an answer not set", "err", err)
+	}
 }
 
 func (c *caller) Write(p []byte) error {
