The log no longer ends its process

Cause: Close closed the channel under later Writes, and standard output without a reader raised SIGPIPE, whose default is the process's end. Ruled out: klog's own exit, as the Writer never gives it an error. Change: Close and Write exclude each other and late lines are dropped and counted; SIGPIPE is ignored, so that the write fails and the line is counted as dropped. Before: TestLineAfterClose and TestReaderOfTheLogEnds fail.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -6,8 +6,11 @@
 	"flag"
 	"io"
 	"os"
+	"os/signal"
 	"strconv"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -30,6 +33,11 @@
 	out     io.Writer
 	dropped atomic.Int64
 	done    chan struct{}
+
+	// mu keeps Close from closing lines under a Write: requests and links that
+	// outlive a stop still log, and a send on a closed channel ends the process.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewWriter starts a writer to out.
@@ -39,8 +47,15 @@
 	return w
 }
 
-// Write implements io.Writer; it never waits and never fails.
+// Write implements io.Writer; it never waits and never fails. Lines that come after
+// Close are dropped.
 func (w *Writer) Write(p []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), p...):
 	default:
@@ -74,18 +89,33 @@
 	}
 }
 
-// emit writes a line. There is nowhere to report that standard output is gone.
-func (w *Writer) emit(line []byte) { _, _ = w.out.Write(line) }
+// emit writes a line. There is nowhere to report that standard output is gone; the
+// line counts as dropped.
+func (w *Writer) emit(line []byte) {
+	if _, err := w.out.Write(line); err != nil {
+		w.dropped.Add(1)
+	}
+}
 
 // Close writes what waits, for a short time at most.
 func (w *Writer) Close() {
-	close(w.lines)
+	w.end()
 	select {
 	case <-w.done:
 	case <-time.After(flushWait):
 	}
 }
 
+// end takes no more lines.
+func (w *Writer) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+}
+
 // ToStdout sends klog's lines to standard output through a Writer.
 func ToStdout(flags *flag.FlagSet) (*Writer, error) {
 	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "4", "skip_headers": "false"} {
@@ -93,6 +123,9 @@
 			return nil, err
 		}
 	}
+	// Go ends a program whose standard output has lost its reader at the next write,
+	// and with it every request that it serves. Ignored, the write fails instead.
+	signal.Ignore(syscall.SIGPIPE)
 	w := NewWriter(os.Stdout)
 	klog.SetOutput(w)
 	return w, nil
