Links outlast failed accepts and forget ended connections

Cause: Serve took any error of Accept for the listener's end, and hung a function on the server's context for each connection, which jsonrpc2 closes by itself. Ruled out: net/http at the callers' port, which tries again for EMFILE, ENFILE, EINTR and ECONNABORTED, but not for ENOBUFS, ENOMEM or a broken connection's own error. Change: tcp.Steady tries again for all but the socket's own end; the link server uses it and keeps nothing.

--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/hlc"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/tcp"
 )
 
 // faultCode marks a jsonrpc2 error whose data is a wire.Fault.
@@ -127,6 +128,7 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
+	l = tcp.Steady(l)
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -137,8 +139,9 @@
 		}
 		from := host(c.RemoteAddr().String())
 		f := newFrames(s.stamp.counted(c), func(raw []byte) { s.noticed(raw, from) })
-		conn := jsonrpc2.NewConn(ctx, f, &connection{Server: s, host: from})
-		context.AfterFunc(ctx, func() { conn.Close() })
+		// It closes itself when ctx ends. Anything else that waited for ctx would keep
+		// connections that ended long ago.
+		jsonrpc2.NewConn(ctx, f, &connection{Server: s, host: from})
 	}
 }
 
