Test: requests in progress outlast the callers' socket

A router whose listener for callers fails for good ends at once, without a line in its log: each request in progress, passed on or not, loses its connection with no answer. The router's listeners can be replaced in a test of its package; nothing else changes. Run: go test -run RequestsOutlast ./internal/daemon fails (the process ends with a request in progress: serve callers: accept tcp: bad file descriptor).

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -69,6 +69,8 @@
 	front    *front.Server
 	metrics  *metrics
 
+	listen func(addr string) (net.Listener, error)
+
 	traffic  atomic.Bool
 	draining atomic.Bool
 
@@ -93,6 +95,7 @@
 		metrics:  newMetrics(s),
 		members:  map[string]string{},
 		odd:      oddEntries{},
+		listen:   listenTCP,
 	}
 	r.linkPeers()
 	r.buildRelay()
@@ -240,7 +243,7 @@
 	}
 	var listeners [3]net.Listener
 	for i, addr := range []string{rt.Callers, rt.Ready, rt.Peers} {
-		l, err := listenTCP(addr)
+		l, err := r.listen(addr)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/daemon/router_test.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	outside "github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/settings"
+	"github.com/skylarkwood/skylarkwood/platform"
+)
+
+// emptyStore answers the first read once it is opened, with a configuration that
+// has no routes; nothing else is ever answered.
+type emptyStore struct {
+	outside.Store
+	open chan struct{}
+}
+
+func (s *emptyStore) Range(ctx context.Context, _ string) (outside.Page, error) {
+	select {
+	case <-s.open:
+		return outside.Page{Items: []outside.Item{{Key: platform.ConfigKey, Value: []byte(`{"version":1}`), Revision: 1}}, Revision: 1}, nil
+	case <-ctx.Done():
+		return outside.Page{}, outside.ErrUnavailable
+	}
+}
+
+func (s *emptyStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (outside.Page, error) {
+	<-ctx.Done()
+	return outside.Page{}, outside.ErrUnavailable
+}
+
+func (s *emptyStore) Grant(context.Context, time.Duration) (outside.LeaseID, time.Duration, error) {
+	return 0, 0, outside.ErrUnavailable
+}
+
+// breaking is a listener whose socket is gone once a test says so.
+type breaking struct {
+	net.Listener
+	broken chan struct{}
+}
+
+func (l *breaking) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	select {
+	case <-l.broken:
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EBADF}
+	default:
+		return c, err
+	}
+}
+
+func testRouter(t *testing.T, store outside.Store) *Router {
+	s := settings.Default()
+	s.Role = model.RoleRouter
+	s.Instance = "r"
+	s.FailureDomain = "a"
+	s.Router.Grace = settings.Duration(time.Second)
+	for _, addr := range []*string{&s.Router.Callers, &s.Router.Ready, &s.Router.Peers} {
+		var err error
+		*addr, err = FreeAddress()
+		assert.NilError(t, err)
+	}
+	return NewRouter(s, store)
+}
+
+// The socket that takes callers is gone while a request is being answered. Nobody
+// else can be served, so the process must end; but the request's caller gets its
+// answer first. A process that ended at once would close the connection of each
+// request in progress, passed on or not, without one.
+func TestRequestsOutlastTheCallersSocket(t *testing.T) {
+	store := &emptyStore{open: make(chan struct{})}
+	r := testRouter(t, store)
+	callers := &breaking{broken: make(chan struct{})}
+	r.listen = func(addr string) (net.Listener, error) {
+		l, err := listenTCP(addr)
+		if err == nil && addr == r.settings.Router.Callers {
+			callers.Listener = l
+			return callers, nil
+		}
+		return l, err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(t.Context()) }()
+	c := dial(t, r.settings.Router.Callers)
+	_, err := c.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n\r\n"))
+	assert.NilError(t, err)
+	for r.front.Active() == 0 {
+		runtime.Gosched()
+	}
+	close(callers.broken)
+	dial(t, r.settings.Router.Callers) // wakes Accept
+	for !r.draining.Load() {
+		select {
+		case err := <-ended:
+			t.Fatalf("the process ends with a request in progress: %v", err)
+		default:
+			runtime.Gosched()
+		}
+	}
+	close(store.open)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusNotFound)
+	assert.ErrorIs(t, <-ended, syscall.EBADF)
+}
+
+// dial connects to a process that is starting.
+func dial(t *testing.T, addr string) net.Conn {
+	for {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			t.Cleanup(func() { c.Close() })
+			return c
+		}
+		runtime.Gosched()
+	}
+}
