A router whose callers' socket fails finishes its requests before it ends

Cause: Run returned the error of Serve, and the process ended with all requests in progress and no line. Ruled out: a single failed accept, which net/http or tcp.Steady outlasts. Change: the failure is logged and drains like a stop; Run then gives it back; all listeners of a router are steady; a stop's line says by what. The link server replaced its listener under the function that closes it: found by this test under the race detector, mended. Before: fails.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -27,6 +27,7 @@
 	outside "github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/relay"
 	"github.com/skylarkwood/skylarkwood/internal/settings"
+	"github.com/skylarkwood/skylarkwood/internal/tcp"
 	"github.com/skylarkwood/skylarkwood/internal/transport/backend"
 	"github.com/skylarkwood/skylarkwood/internal/transport/front"
 	"github.com/skylarkwood/skylarkwood/internal/transport/link"
@@ -234,8 +235,9 @@
 	}
 }
 
-// Run serves until ctx ends, then drains: it fails its readiness, goes on
-// serving until the balancer has noticed, and finishes what runs.
+// Run serves until ctx ends or callers can no longer connect, then drains: it fails
+// its readiness, goes on serving until the balancer has noticed, and finishes what
+// runs.
 func (r *Router) Run(ctx context.Context) error {
 	rt := r.settings.Router
 	if rt.MemoryMB > 0 {
@@ -279,21 +281,28 @@
 	go r.every(background, trimEvery, r.trim)
 	served := make(chan error, 1)
 	go func() { served <- r.front.Serve(callers) }()
+	var failure error
 	select {
-	case err := <-served:
-		return err
+	case failure = <-served:
+		// Those who are connected get their answers before the process ends.
+		klog.ErrorS(failure, "callers can no longer connect")
 	case <-ctx.Done():
+		klog.InfoS("told to stop", "by", context.Cause(ctx))
 	}
 	resign()
-	return r.drain(time.Duration(rt.Grace))
+	r.drain(time.Duration(rt.Grace))
+	return failure
 }
 
 func listenTCP(addr string) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr)
-	return l, errors.Wrap(err, "listen")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return tcp.Steady(l), nil
 }
 
-func (r *Router) drain(grace time.Duration) error {
+func (r *Router) drain(grace time.Duration) {
 	began := time.Now()
 	r.draining.Store(true)
 	r.front.Drain()
@@ -303,7 +312,6 @@
 	defer cancel()
 	err := r.front.Shutdown(ctx)
 	klog.InfoS("stopped", "active", r.front.Active(), "took", time.Since(began), "err", err)
-	return nil
 }
 
 func (r *Router) every(ctx context.Context, d time.Duration, f func()) {
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -126,9 +126,9 @@
 
 // Serve answers connections until the listener closes or ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	l = tcp.Steady(l)
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
-	l = tcp.Steady(l)
 	for {
 		c, err := l.Accept()
 		if err != nil {
