Tests: ends that the log must tell apart

A router that ends by itself says so on standard error only; a panic in a request is recovered by net/http, which closes the caller's connection with no answer and writes its line at a verbosity that nobody runs. Both look like a kill in today's logs.

--- /dev/null
+++ b/internal/protocol/relay/panic_test.go
@@ -0,0 +1,147 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// faulty is a connection to backend servers whose code panics.
+type faulty struct{ sent int }
+
+func (f *faulty) Do(context.Context, string, *Request) (*Answer, error) {
+	f.sent++
+	panic("fault in the code")
+}
+
+func (f *faulty) Drop(string) {}
+
+// counted counts what an observer is told.
+type counted struct{ requests, panics int }
+
+func (c *counted) Request(string, string, string, string, time.Duration) { c.requests++ }
+func (c *counted) FirstEvent(string, time.Duration)                      {}
+func (c *counted) Repeat(string, string)                                 {}
+func (c *counted) Panic(string)                                          { c.panics++ }
+
+// answered is a caller that takes the answer down.
+type answered struct {
+	status int
+	header http.Header
+	body   bytes.Buffer
+	cut    error // what writing gives from now on
+}
+
+func (a *answered) Begin(status int, header http.Header, _ int64) {
+	a.status = status
+	a.header = header
+}
+
+func (a *answered) Write(p []byte) error {
+	a.body.Write(p)
+	return a.cut
+}
+
+// withService is a relay with one plain service and one server of it.
+func withService(backends Backends, observer Observer) *Relay {
+	s, _ := half()
+	r := s.Relay
+	r.Backends = backends
+	r.Observer = observer
+	r.Running = NewRunning()
+	r.Config = &routes.Current{}
+	r.Config.Apply(&model.RouteConfig{
+		Version:  1,
+		Routes:   []model.Route{{Name: "notice", Kind: model.RouteNotRepeatable, MaxAttempts: 1, Split: []model.ServiceShare{{Service: "notices", Weight: 1}}}},
+		Services: []model.Service{{Name: "notices"}},
+	}, nil)
+	r.Catalog.Put(model.BackendServer{ID: "n", Service: "notices", Address: "n:1", FailureDomain: "a", Slots: 9})
+	r.Loans = &limits.Loans{Budget: limits.NewSharedRetries(1, 1, time.Second, func() int { return 1 }, time.Now), Now: time.Now}
+	r.Clock = func() time.Duration { return 0 }
+	return r
+}
+
+// The code panics while a request is at a backend server. Its caller is told that
+// nobody knows whether it ran (502), and gets no closed connection; the log has the
+// stack at the usual verbosity, and the end is counted. The next request is served
+// as before.
+func TestPanicInARequest(t *testing.T) {
+	var log bytes.Buffer
+	klog.LogToStderr(false)
+	klog.SetOutput(&log)
+	defer klog.LogToStderr(true)
+	observer := &counted{}
+	backends := &faulty{}
+	r := withService(backends, observer)
+	for range 2 {
+		out := &answered{}
+		whole := r.Serve(t.Context(), &model.Call{Attempt: "a1"}, out)
+		assert.Assert(t, whole)
+		assert.Equal(t, out.status, http.StatusBadGateway)
+	}
+	klog.Flush()
+	assert.Equal(t, backends.sent, 2)
+	assert.Equal(t, observer.panics, 2)
+	assert.Equal(t, observer.requests, 2)
+	for _, want := range []string{"fault in the code", "a1", "panic_test.go"} {
+		assert.Assert(t, strings.Contains(log.String(), want), "no %q in %s", want, log.String())
+	}
+}
+
+// breaksOff is a caller whose own code panics once the answer has begun.
+type breaksOff struct{ answered }
+
+func (b *breaksOff) Write([]byte) error { panic("fault in the code") }
+
+// plainAnswer is a backend server's whole answer.
+type plainAnswer struct{ strings.Reader }
+
+func (p *plainAnswer) Discard() {}
+func (p *plainAnswer) Done()    {}
+
+type wellServed struct{}
+
+func (wellServed) Do(context.Context, string, *Request) (*Answer, error) {
+	h := http.Header{"Response-Signature": {"s"}}
+	return &Answer{Status: http.StatusOK, Header: h, Body: &plainAnswer{*strings.NewReader("body")}}, nil
+}
+
+func (wellServed) Drop(string) {}
+
+// The same once the caller has the head of an answer. Another answer behind it would
+// belong to no request, so the connection is broken off and the caller sees that the
+// answer is not whole.
+func TestPanicInsideAnAnswer(t *testing.T) {
+	observer := &counted{}
+	r := withService(wellServed{}, observer)
+	whole := r.Serve(t.Context(), &model.Call{Attempt: "a1"}, &breaksOff{})
+	assert.Assert(t, !whole)
+	assert.Equal(t, observer.panics, 1)
+}
+
+// The caller's connection is aborted on purpose: that is no fault, and is passed on.
+func TestAbortIsPassedOn(t *testing.T) {
+	observer := &counted{}
+	r := withService(aborting{}, observer)
+	defer func() {
+		err, _ := recover().(error)
+		assert.Assert(t, errors.Is(err, http.ErrAbortHandler))
+		assert.Equal(t, observer.panics, 0)
+	}()
+	r.Serve(t.Context(), &model.Call{Attempt: "a1"}, &answered{})
+}
+
+type aborting struct{ wellServed }
+
+func (aborting) Do(context.Context, string, *Request) (*Answer, error) { panic(http.ErrAbortHandler) }
