A panic in a request is answered, logged and counted; a process says why it ends

Cause: net/http recovers a handler's panic, closes the connection and writes to a log that is read at V(1) only; Run's error went to standard error only. Ruled out: recovering in peers' message handlers and in the loops that hold a router's state. What they change may be half done, and the runtime's stack on standard error tells of them. Change: relay.Serve ends such a request with 502, or breaks its begun answer off, and writes one line with the stack; the watch of a run ends that run; the counter is panics, by where. The command's last line gives the error and the signal. The counter came to Relay.OnPanic instead of the Observer, which another package's tests implement; the tests follow, and ask for the same.

--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -97,7 +97,11 @@
 			klog.InfoS("settings read again", "path", path, "err", err, "changed", err == nil && !reflect.DeepEqual(next, s))
 		}
 	}()
-	return daemon.NewRouter(s, platform.NewStoreClient(s.Router.Store)).Run(ctx)
+	err = daemon.NewRouter(s, platform.NewStoreClient(s.Router.Store)).Run(ctx)
+	// The last line: a log that ends without it is that of a process that was killed,
+	// or that crashed and left its stack on standard error.
+	klog.InfoS("process ends", "err", err, "signal", context.Cause(ctx))
+	return err
 }
 
 func newDev() *cobra.Command {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -85,3 +85,8 @@
 func (m *metrics) Repeat(service, reason string) {
 	m.scope.Tagged(map[string]string{"service": service, "reason": reason}).Counter("repeated_sends").Inc(1)
 }
+
+// panicked counts faults of the code that ended a request or one run of it.
+func (m *metrics) panicked(where string) {
+	m.scope.Tagged(map[string]string{"where": where}).Counter("panics").Inc(1)
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -164,6 +164,7 @@
 		Line:        admission.NewLine(),
 		Backends:    r.backends,
 		Observer:    r.metrics,
+		OnPanic:     r.metrics.panicked,
 		Running:     relay.NewRunning(),
 		Suspicions:  r.prober,
 		Domain:      r.settings.FailureDomain,
--- /dev/null
+++ b/internal/protocol/relay/panic.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"net/http"
+	"runtime/debug"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// errPanicked says that the code of a request panicked.
+var errPanicked = errors.New("panic in the code")
+
+// begun is a caller that remembers whether it has the head of an answer.
+type begun struct {
+	Caller
+	head bool
+}
+
+func (b *begun) Begin(status int, header http.Header, length int64) {
+	b.head = true
+	b.Caller.Begin(status, header, length)
+}
+
+// contain, deferred, ends a request whose code panicked: its caller is told that the
+// request may have run, or is cut off where an answer has begun. Left to the standard
+// server the connection would be closed with no answer, and the end could not be told
+// from the process's own.
+//
+// The other requests may go on: what requests share changes in short sections under
+// locks that only count, and the search for a chain, where a fault is likeliest, works
+// on what is never changed in place.
+func (q *request) contain(out *begun, whole *bool) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(cause) // no fault: the connection is to be aborted
+	}
+	q.tellPanic("request", cause)
+	q.began = out.head
+	q.runs = max(q.runs, q.sends)
+	*whole = q.refuse(fault.New(fault.BackendLost, "a fault inside the router ended the request"))
+}
+
+// contain is the same for what watches a run beside its request: the run is ended,
+// and the stream goes on through another chain. The watch calls nothing while it
+// holds its lock, so that is free.
+func (w *chainWatch) contain() {
+	if cause := recover(); cause != nil {
+		w.q.tellPanic("watch", cause)
+		w.end(model.Incarnation{}, 0, errPanicked)
+	}
+}
+
+// tellPanic logs and counts a panic. It is called by what recovered it, so that the
+// stack is that of the fault.
+func (q *request) tellPanic(where string, cause any) {
+	klog.ErrorS(errPanicked, "fault in the code", "request", q.call.Attempt, "where", where, "panic", cause, "stack", string(debug.Stack()))
+	if q.OnPanic != nil {
+		q.OnPanic(where)
+	}
+}
--- a/internal/protocol/relay/panic_test.go
+++ b/internal/protocol/relay/panic_test.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -33,7 +35,7 @@
 func (c *counted) Request(string, string, string, string, time.Duration) { c.requests++ }
 func (c *counted) FirstEvent(string, time.Duration)                      {}
 func (c *counted) Repeat(string, string)                                 {}
-func (c *counted) Panic(string)                                          { c.panics++ }
+func (c *counted) panicked(string)                                       { c.panics++ }
 
 // answered is a caller that takes the answer down.
 type answered struct {
@@ -54,11 +56,12 @@
 }
 
 // withService is a relay with one plain service and one server of it.
-func withService(backends Backends, observer Observer) *Relay {
+func withService(backends Backends, observer *counted) *Relay {
 	s, _ := half()
 	r := s.Relay
 	r.Backends = backends
 	r.Observer = observer
+	r.OnPanic = observer.panicked
 	r.Running = NewRunning()
 	r.Config = &routes.Current{}
 	r.Config.Apply(&model.RouteConfig{
@@ -145,3 +148,27 @@
 type aborting struct{ wellServed }
 
 func (aborting) Do(context.Context, string, *Request) (*Answer, error) { panic(http.ErrAbortHandler) }
+
+// A chain is silent and the code panics as its engines are asked. Only that run ends,
+// as if the chain had been found at fault; the stream is looked after elsewhere, and
+// the process goes on.
+func TestPanicBesideAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		observer := &counted{}
+		s, _ := half()
+		s.Relay.Backends = &faulty{}
+		s.Relay.Observer = observer
+		s.Relay.OnPanic = observer.panicked
+		s.Relay.Running = NewRunning()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		engine := s.Catalog.Load().Service("s")[0]
+		parts := []chains.Part{{Server: engine, Layers: engine.Holds}}
+		w := s.watch(parts, s.Memory.Reserve(parts, 1), cancel)
+		defer w.stop()
+		<-ctx.Done()
+		synctest.Wait()
+		assert.Assert(t, w.ended())
+		assert.Equal(t, observer.panics, 1)
+	})
+}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -99,6 +99,9 @@
 	Line     *admission.Line
 	Backends Backends
 	Observer Observer
+	// OnPanic counts a fault of the code that ended a request or one run of it, by
+	// where it was; nil for nobody.
+	OnPanic func(where string)
 	// Running is the work in progress at backend servers.
 	Running *Running
 	// Suspicions is told of engines that do not answer.
@@ -134,8 +137,10 @@
 
 // Serve answers one request. whole is false where the caller's connection must
 // be broken off, because the answer cannot be completed.
-func (r *Relay) Serve(ctx context.Context, c *model.Call, out Caller) (whole bool) {
+func (r *Relay) Serve(ctx context.Context, c *model.Call, caller Caller) (whole bool) {
+	out := &begun{Caller: caller}
 	q := &request{Relay: r, call: c, out: out, since: r.Now(), avoid: map[model.Incarnation]bool{}}
+	defer q.contain(out, &whole)
 	table := r.table(ctx)
 	if table == nil {
 		return q.refuse(fault.New(fault.NotReady, "no configuration yet"))
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -125,6 +125,7 @@
 
 // ask runs when the timer fires.
 func (w *chainWatch) ask() {
+	defer w.contain()
 	w.mu.Lock()
 	if w.stopped || w.moving {
 		w.mu.Unlock()
@@ -199,6 +200,7 @@
 // leave moves the run away from an engine. Several streams may find the same
 // engine at fault; a run that was moved already stays.
 func (w *chainWatch) leave(lost model.Incarnation) {
+	defer w.contain()
 	w.mu.Lock()
 	if w.stopped || w.moving || !uses(w.parts, lost) {
 		w.mu.Unlock()
