--- a/internal/protocol/relay/panic.go
+++ b/internal/protocol/relay/panic.go
@@ -48,8 +48,8 @@
 }
 
 // contain is the same for what watches a run beside its request: the run is ended,
-// and the stream goes on through another chain. The watch calls nothing while it
-// holds its lock, so that is free.
+// and the stream goes on through another chain. Neither ask nor leave calls anything
+// while it holds the watch's lock, so that is free.
 func (w *chainWatch) contain() {
 	if cause := recover(); cause != nil {
 		w.q.tellPanic("watch", cause)
