Test: a report without end

What a router reads of an engine's report is bounded by time only: 0.25 s of a fast link is more than a small router has memory for. Run: go test -run Endless ./internal/protocol/relay fails.

--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -20,6 +20,12 @@
 	return r.Report(ctx, b)
 }
 
+// maxReport bounds a report, in bytes. Reports have some hundred; the longest name each
+// of an engine's streams that wait.
+const maxReport = 1 << 20
+
+var errLongReport = errors.New("the report is too long")
+
 // Report reads an engine's own report.
 func (r *Relay) Report(ctx context.Context, b *model.BackendServer) (model.EngineReport, error) {
 	ans, err := r.Backends.Do(ctx, b.Address, &Request{Method: http.MethodGet, Target: platform.ReportPath, Host: b.Address, Header: http.Header{}})
--- /dev/null
+++ b/internal/protocol/relay/report_test.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// unending is an engine whose answers never end.
+type unending struct {
+	read      int
+	discarded bool
+}
+
+func (e *unending) Do(context.Context, string, *Request) (*Answer, error) {
+	return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: e}, nil
+}
+
+func (e *unending) Drop(string) {}
+func (e *unending) Done()       {}
+func (e *unending) Discard()    { e.discarded = true }
+
+func (e *unending) Read(p []byte) (int, error) {
+	if e.read > 16*maxReport {
+		return 0, io.ErrUnexpectedEOF // what reads on would read on for ever
+	}
+	e.read += len(p)
+	return len(p), nil
+}
+
+// An engine that is out of its mind answers a report without end. What is read of it
+// is bounded: in the quarter of a second that a report may take, a fast link brings
+// more than a small router has memory for, and the process would be killed. The
+// connection serves nothing else.
+func TestEndlessReport(t *testing.T) {
+	engine := &unending{}
+	r := &Relay{Backends: engine}
+	_, err := r.Report(t.Context(), &model.BackendServer{})
+	assert.ErrorIs(t, err, errLongReport)
+	assert.Assert(t, engine.read <= 2*maxReport, "%d bytes", engine.read)
+	assert.Assert(t, engine.discarded)
+}
