A report of an engine is bounded in size

Cause: Report read all that came until its time was over. Change: a megabyte at most, and the connection is not used again. Before: TestEndlessReport fails. After: internal/protocol/relay passes under the race detector.

--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -33,10 +33,14 @@
 		return model.EngineReport{}, err
 	}
 	defer ans.Body.Done()
-	raw, err := io.ReadAll(ans.Body)
+	raw, err := io.ReadAll(io.LimitReader(ans.Body, maxReport+1))
 	if err != nil {
 		return model.EngineReport{}, err
 	}
+	if len(raw) > maxReport {
+		ans.Body.Discard()
+		return model.EngineReport{}, errLongReport
+	}
 	if ans.Status != http.StatusOK {
 		return model.EngineReport{}, errors.Errorf("report: status %d", ans.Status)
 	}
