Test: an error's line stands once in the log

klog writes a line to the output of its severity and of each lower one, which are all the same here; a stack would stand three times.

--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -74,3 +76,20 @@
 	klog.InitFlags(f)
 	return f
 }
+
+// A line that tells of an error stands in the log once.
+func TestErrorLineStandsOnce(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	out, err := os.Create(path)
+	assert.NilError(t, err)
+	before := os.Stdout
+	os.Stdout = out
+	w, err := ToStdout(klogFlags())
+	os.Stdout = before
+	assert.NilError(t, err)
+	klog.ErrorS(nil, "a fault")
+	w.Close()
+	log, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(log), "a fault"), 1)
+}
