An error's line stands once in the log

Change: klog's one_output. Before: three copies. After: internal/logging and internal/daemon/command pass under the race detector.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -118,7 +118,7 @@
 
 // ToStdout sends klog's lines to standard output through a Writer.
 func ToStdout(flags *flag.FlagSet) (*Writer, error) {
-	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "4", "skip_headers": "false"} {
+	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "4", "one_output": "true", "skip_headers": "false"} {
 		if err := flags.Set(name, value); err != nil {
 			return nil, err
 		}
