--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -97,14 +98,19 @@
 	return e
 }
 
+const firstPort, ports = 20000, 10000
+
 // nextPort hands out ports below the ephemeral range, so that no listener or
-// connection of a test that runs beside takes one before its router does.
+// connection of a test that runs beside takes one before its router does. Each
+// process begins elsewhere: one would else take the port of a router of another
+// that is just starting again.
 var nextPort atomic.Int64
 
+func init() { nextPort.Store(rand.Int64N(ports)) }
+
 func free(t *testing.T) string {
-	const first, span = 20000, 10000
-	for range span {
-		port := first + nextPort.Add(1)%span
+	for range ports {
+		port := firstPort + nextPort.Add(1)%ports
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			defer l.Close()
