--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -70,7 +70,7 @@
 	front    *front.Server
 	metrics  *metrics
 
-	listen func(addr string) (net.Listener, error)
+	listen func(addr string) (net.Listener, error) // tests give listeners that fail
 
 	traffic  atomic.Bool
 	draining atomic.Bool
