--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -92,3 +92,8 @@
 func (m *metrics) ConnectionEnded(why front.End, under bool) {
 	m.scope.Tagged(map[string]string{"why": string(why), "under_request": strconv.FormatBool(under)}).Counter("caller_connections_ended").Inc(1)
 }
+
+// panicked counts faults of the code that ended a request or one run of it.
+func (m *metrics) panicked(where string) {
+	m.scope.Tagged(map[string]string{"where": where}).Counter("panics").Inc(1)
+}
