A request whose context has ended is not sent on a kept connection

Do looks at the context before it takes a connection, so that the kept one is not used up either. Between that look and the write the context may still end; there the count of bytes that the kernel took decides: none is proof of 'not sent', any is 'may have run'. A kept connection that breaks before the first byte is replaced by another one, as nothing went out.

--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -23,8 +23,9 @@
 	"github.com/skylarkwood/skylarkwood/platform"
 )
 
-// ErrNotSent says that no byte of a request went out.
-var ErrNotSent = errors.New("not sent: no connection")
+// ErrNotSent says that no byte of a request went out: there was no connection, or
+// the context had ended.
+var ErrNotSent = errors.New("not sent")
 
 // Request is what is sent to a backend server.
 type Request struct {
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -56,6 +57,7 @@
 	net.Conn
 	br    *bufio.Reader
 	until time.Time // may be used again before
+	kept  bool      // it has served a request before
 }
 
 // NewPool makes an empty pool.
@@ -77,6 +79,7 @@
 		c := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
 		if now.Before(c.until) && tcp.Quiet(c.Conn) {
+			c.kept = true
 			return c
 		}
 		c.Close()
@@ -127,7 +130,7 @@
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: tcp.UserTimeout(userTimeout)}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, errors.Wrap(relay.ErrNotSent, err.Error())
+		return nil, notSent(err)
 	}
 	p.dialed.Add(1)
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
@@ -163,31 +166,60 @@
 	done  atomic.Bool
 }
 
+// notSent gives the proof that no byte of a request went out, and why.
+func notSent(why error) error { return fmt.Errorf("%w: %w", relay.ErrNotSent, why) }
+
 // Do sends a request and reads the head of its answer. The connection is
 // closed as soon as ctx ends. relay.ErrNotSent is proof that nothing was sent; after
 // any other error the request may have been carried out.
 func (p *Pool) Do(ctx context.Context, addr string, r *relay.Request) (*relay.Answer, error) {
-	c, err := p.connect(ctx, addr)
-	if err != nil {
-		return nil, err
+	for {
+		// A request whose caller left while it waited would work for nobody.
+		if ctx.Err() != nil {
+			return nil, notSent(context.Cause(ctx))
+		}
+		c, err := p.connect(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		ans, err := p.exchange(ctx, c, addr, r)
+		if c.kept && ctx.Err() == nil && errors.Is(err, relay.ErrNotSent) {
+			// The peer closed it after it was looked at. Nothing went out, so the
+			// request may go over another connection.
+			continue
+		}
+		return ans, err
 	}
+}
+
+// exchange sends a request over a connection and reads the head of the answer.
+func (p *Pool) exchange(ctx context.Context, c *conn, addr string, r *relay.Request) (*relay.Answer, error) {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	written := make(chan error, 1)
-	if len(r.Body) <= inlineBody {
-		written <- write(c, r)
+	sent := make(chan written, 1)
+	if len(r.Body) > inlineBody {
+		go func() { sent <- write(c, r) }()
 	} else {
-		go func() { written <- write(c, r) }()
+		w := write(c, r)
+		if w.nothing() {
+			stop()
+			c.Close()
+			return nil, w.notSent(ctx)
+		}
+		sent <- w
 	}
 	resp, err := readHead(c.br, r.Method)
 	if err != nil {
 		stop()
 		c.Close()
+		if w := <-sent; w.nothing() {
+			return nil, w.notSent(ctx)
+		}
 		return nil, errors.Wrap(err, "answer of "+addr)
 	}
 	b := &Body{pool: p, addr: addr, conn: c, resp: resp, stop: stop}
 	select {
-	case err := <-written:
-		b.reuse = err == nil && !resp.Close && resp.ProtoAtLeast(1, 1)
+	case w := <-sent:
+		b.reuse = w.err == nil && !resp.Close && resp.ProtoAtLeast(1, 1)
 	default:
 		// The server answered before it has read all of the body.
 	}
@@ -207,7 +239,26 @@
 	}
 }
 
-func write(c net.Conn, r *relay.Request) error {
+// written is what became of a write. The context may end between the look at it
+// and the write, so neither proves anything of the other; the count of bytes that
+// the kernel took does. None is proof that the peer gets nothing.
+type written struct {
+	bytes int
+	err   error
+}
+
+func (w written) nothing() bool { return w.err != nil && w.bytes == 0 }
+
+// notSent tells why nothing was written: the context that closed the connection,
+// where one did.
+func (w written) notSent(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return notSent(context.Cause(ctx))
+	}
+	return notSent(w.err)
+}
+
+func write(c net.Conn, r *relay.Request) written {
 	var b []byte
 	b = append(b, r.Method...)
 	b = append(b, ' ')
@@ -230,8 +281,8 @@
 	}
 	b = append(b, "\r\n"...)
 	b = append(b, r.Body...)
-	_, err := c.Write(b)
-	return err
+	n, err := c.Write(b)
+	return written{bytes: n, err: err}
 }
 
 // Read implements io.Reader.
