Test that fails: a connection in use while its address is dropped is kept

Drop closes resting connections only; one in use is put back by Body.Done, though everything known of the server behind it was declared void meanwhile.

--- a/internal/transport/backend/ended_test.go
+++ b/internal/transport/backend/ended_test.go
@@ -123,3 +123,24 @@
 	_, requests := s.counts()
 	assert.Equal(t, requests, 1)
 }
+
+// A server's process ends while an answer of it is still read, and everything known
+// of its address is dropped. The connection must not be kept for the next request:
+// nobody is behind it, and where it stays silent that request would wait in vain.
+func TestDroppedAddressKeepsNoConnectionInUse(t *testing.T) {
+	s := newServer(t, reply(ok))
+	p := NewPool()
+	addr, r := notice(s)
+	ans, err := p.Do(context.Background(), addr, r)
+	assert.NilError(t, err)
+	p.Drop(addr)
+	buf := make([]byte, 16)
+	for err == nil {
+		_, err = ans.Body.Read(buf)
+	}
+	ans.Body.Done()
+	_, _, err = get(t, p, s)
+	assert.NilError(t, err)
+	conns, _ := s.counts()
+	assert.Equal(t, conns, 2)
+}
