A connection in use while its address is dropped is not kept

Each connection remembers how often its address had been dropped when it was opened; put closes it where that has changed. Ruled out, with a test under -race: Trim or Drop closing a connection that take has given out (both close only what is in the list under the host's lock, and take removes from it under the same lock).

--- a/internal/transport/backend/ended_test.go
+++ b/internal/transport/backend/ended_test.go
@@ -144,3 +144,36 @@
 	conns, _ := s.counts()
 	assert.Equal(t, conns, 2)
 }
+
+// Requests take connections while others are trimmed and dropped. A connection that
+// was given to a request is no longer among those, so none is closed under it.
+func TestTrimAndDropSpareConnectionsInUse(t *testing.T) {
+	s := newServer(t, reply(ok))
+	p := NewPool()
+	addr, _ := notice(s)
+	done := make(chan struct{})
+	var closers, askers sync.WaitGroup
+	closers.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				p.Trim()
+				p.Drop(addr)
+			}
+		}
+	})
+	for range 8 {
+		askers.Go(func() {
+			for range 50 {
+				_, body, err := get(t, p, s)
+				assert.Check(t, err == nil, "%v", err)
+				assert.Check(t, body == "body")
+			}
+		})
+	}
+	askers.Wait()
+	close(done)
+	closers.Wait()
+}
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -51,6 +51,8 @@
 type host struct {
 	mu   sync.Mutex
 	idle []*conn // the newest last
+	// drops counts how often the address was dropped.
+	drops int
 }
 
 type conn struct {
@@ -58,6 +60,7 @@
 	br    *bufio.Reader
 	until time.Time // may be used again before
 	kept  bool      // it has served a request before
+	drops int       // its host's count when it was opened
 }
 
 // NewPool makes an empty pool.
@@ -71,8 +74,9 @@
 	return h
 }
 
-// take gives an idle connection that is still good, nil if there is none.
-func (h *host) take(now time.Time) *conn {
+// take gives an idle connection that is still good, nil if there is none, and the
+// count of drops that a new one opened in its place belongs to.
+func (h *host) take(now time.Time) (*conn, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for len(h.idle) > 0 {
@@ -80,16 +84,23 @@
 		h.idle = h.idle[:len(h.idle)-1]
 		if now.Before(c.until) && tcp.Quiet(c.Conn) {
 			c.kept = true
-			return c
+			return c, h.drops
 		}
 		c.Close()
 	}
-	return nil
+	return nil, h.drops
 }
 
+// put keeps a connection for the next request. One that was in use while its
+// address was dropped leads to a process that has ended: it is closed, as the
+// resting ones were.
 func (h *host) put(c *conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if c.drops != h.drops {
+		c.Close()
+		return
+	}
 	h.idle = append(h.idle, c)
 }
 
@@ -111,8 +122,8 @@
 	}
 }
 
-// Drop closes the idle connections to an address: what is known about the
-// server there no longer holds.
+// Drop closes the idle connections to an address, and keeps none of those in use:
+// what is known about the server there no longer holds.
 func (p *Pool) Drop(addr string) {
 	h := p.host(addr)
 	h.mu.Lock()
@@ -121,10 +132,12 @@
 		c.Close()
 	}
 	h.idle = nil
+	h.drops++
 }
 
 func (p *Pool) connect(ctx context.Context, addr string) (*conn, error) {
-	if c := p.host(addr).take(time.Now()); c != nil {
+	c, drops := p.host(addr).take(time.Now())
+	if c != nil {
 		return c, nil
 	}
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: tcp.UserTimeout(userTimeout)}
@@ -133,7 +146,7 @@
 		return nil, notSent(err)
 	}
 	p.dialed.Add(1)
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), drops: drops}, nil
 }
 
 // probeEvery and probeCount end a resting connection that has gone silent: its
