Tests that fail: a place, memory and budget are given to a caller that left

Line.Wait tries before it looks at the context, and in its loop a wake and the end of the context are equal choices of the select; Loans.Take spends its own part of the budget without a look; acquire's wait between two tries of an interrupted stream has the same select in wait.For.

--- a/internal/coordination/admission/line_test.go
+++ b/internal/coordination/admission/line_test.go
@@ -81,3 +81,36 @@
 		assert.Equal(t, l.Len(), 0)
 	})
 }
+
+// The caller has left, and in the same moment room comes free: the wake and the end
+// of the context race. Let in, the request would take memory and be sent on for
+// nobody.
+func TestLineLetsNobodyInWhoLeft(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	tried := false
+	try := func() bool {
+		tried = true
+		return true
+	}
+	assert.Assert(t, !NewLine().Wait(ctx, Request{Customer: "c"}, time.Minute, try))
+	assert.Assert(t, !tried)
+	for range 100 {
+		l := NewLine()
+		ctx, leave := context.WithCancel(context.Background())
+		room := false
+		try := func() bool {
+			if room {
+				return true
+			}
+			room = l.Len() > 0
+			if room {
+				leave()
+				l.Poke()
+			}
+			return false
+		}
+		assert.Assert(t, !l.Wait(ctx, Request{Customer: "c"}, time.Minute, try))
+		assert.Equal(t, l.Len(), 0)
+	}
+}
--- a/internal/coordination/limits/loans_test.go
+++ b/internal/coordination/limits/loans_test.go
@@ -149,3 +149,23 @@
 		assert.Assert(t, spent <= slack, "%d of %d", spent, slack)
 	})
 }
+
+// The caller has left when its request would be sent again. The send would be for
+// nobody, and what it takes of the shared budget is missing where an engine's loss
+// interrupts others.
+func TestNothingIsTakenForWhoLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBorrowers(0, 20, "a", "b")
+		time.Sleep(10 * time.Second)
+		f.budgets["a"].Request("s")
+		before := f.budgets["a"].Spares()
+		assert.Assert(t, before["s"] > 0)
+		ctx, leave := context.WithCancel(context.Background())
+		leave()
+		for range 5 {
+			assert.Assert(t, !f.loans["a"].Take(ctx, "s"))
+		}
+		assert.DeepEqual(t, f.budgets["a"].Spares(), before)
+		assert.Assert(t, f.loans["a"].Take(context.Background(), "s"))
+	})
+}
--- a/internal/protocol/relay/acquire_test.go
+++ b/internal/protocol/relay/acquire_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,3 +93,23 @@
 	s.Suspicions.Ended(one)
 	assert.Assert(t, s.firstAmong() == nil)
 }
+
+// The caller has left when its stream's turn comes. No chain is chosen for it and no
+// memory is reserved: others would wait for room that nobody uses.
+func TestNoChainForWhoLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, holder := half()
+		s.Catalog.Put(holder)
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		for _, events := range []int{0, 5} {
+			s.events = events
+			s.lastEvent = time.Now()
+			_, hold, f := s.acquire(ctx)
+			assert.Assert(t, hold == nil)
+			assert.Assert(t, f != nil)
+			assert.Equal(t, s.Memory.Used(holder.Incarnation()).Streams, 0.0)
+			assert.Equal(t, s.Memory.New(holder.Incarnation()).Streams, 0.0)
+		}
+	})
+}
