Nothing is given to a caller that left: no place, memory or budget

The line, the loans and the choice of a chain look at the context right before they take. What ends between that look and the send is left to Pool.Do.

--- a/internal/coordination/admission/line.go
+++ b/internal/coordination/admission/line.go
@@ -35,8 +35,12 @@
 
 // Wait calls try whenever it may succeed, until it does, at most for the given
 // time. It tells whether try succeeded. Nobody overtakes who waits already,
-// unless more urgent.
+// unless more urgent. After the end of ctx it tries no more: a wake may come in the
+// same moment, and what try takes would be taken for nobody.
 func (l *Line) Wait(ctx context.Context, q Request, most time.Duration, try func() bool) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	if l.Len() == 0 && try() {
 		return true
 	}
@@ -50,7 +54,7 @@
 	tick := time.NewTicker(lineTick)
 	defer tick.Stop()
 	for {
-		if l.first(w) && try() {
+		if ctx.Err() == nil && l.first(w) && try() {
 			return true
 		}
 		select {
--- a/internal/coordination/limits/loans.go
+++ b/internal/coordination/limits/loans.go
@@ -76,9 +76,11 @@
 	return a
 }
 
-// Take takes one repeated send from the router's own part, or borrows it.
+// Take takes one repeated send from the router's own part, or borrows it. Nothing is
+// taken after the end of ctx: the budget would be spent on a caller that left, and
+// miss where streams are interrupted.
 func (l *Loans) Take(ctx context.Context, service string) bool {
-	for {
+	for ctx.Err() == nil {
 		if l.Budget.Take(service) {
 			return true
 		}
@@ -92,9 +94,9 @@
 		select {
 		case <-wait:
 		case <-ctx.Done():
-			return false
 		}
 	}
+	return false
 }
 
 // borrowed takes one of the borrowed sends. Where none is left it gives what to
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -77,6 +77,9 @@
 	var hold *chains.Hold
 	verdict := chains.Found
 	try := func() bool {
+		if ctx.Err() != nil {
+			return false
+		}
 		parts, verdict = q.Chooser.Choose(q.ticket.Service, demand)
 		if verdict == chains.Found {
 			hold = q.Memory.Reserve(parts, s.tokens)
