Tests that fail: a caller that leaves is taken for a server's fault

The relay takes every ErrNotSent for a missing connection, and every other error for the server's: it suspects the server, tells the peers, and counts a failure, where only the caller had left. A caller that closed its sending side still listens and gets 499, which tells neither that nothing ran nor when to come back; a server's own failure that has come whole is thrown away.

--- /dev/null
+++ b/internal/protocol/relay/serve_test.go
@@ -0,0 +1,215 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// script is the backend servers: what they do with a request.
+type script func(ctx context.Context, addr string, r *Request) (*Answer, error)
+
+func (s script) Do(ctx context.Context, addr string, r *Request) (*Answer, error) {
+	return s(ctx, addr, r)
+}
+
+func (s script) Drop(string) {}
+
+// observed counts repeated sends.
+type observed struct {
+	mu      sync.Mutex
+	repeats int
+}
+
+func (o *observed) Request(_, _, _, _ string, _ time.Duration) {}
+func (o *observed) FirstEvent(string, time.Duration)           {}
+
+func (o *observed) Repeat(_, _ string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.repeats++
+}
+
+// heardBody is an answer's body that comes as its reader does.
+type heardBody struct{ io.Reader }
+
+func (heardBody) Discard() {}
+func (heardBody) Done()    {}
+
+// listener is a caller that keeps what it is told.
+type listener struct {
+	status int
+	header http.Header
+	body   strings.Builder
+	writes int
+}
+
+func (l *listener) Begin(status int, header http.Header, _ int64) {
+	l.status = status
+	l.header = header
+}
+
+func (l *listener) Write(p []byte) error {
+	l.writes++
+	l.body.Write(p)
+	return nil
+}
+
+// site is a relay before two backend servers, "one" and "two". Where it generates
+// each of them holds all layers; else the service is plain.
+type site struct {
+	*Relay
+	prober *Prober
+	seen   *observed
+}
+
+func newSite(route model.Route, generates bool, do script) *site {
+	spec := &model.EngineSpec{
+		Layers: 12, LayerMB: 100, KVTokenBytes: 1e6, StepTime: time.Millisecond, ReadRate: 1e5, Stride: 1,
+		Cards: []model.Card{{Name: "fast", MB: 80000, Pace: 2, ReadFactor: 2}},
+	}
+	svc := model.Service{Name: "s"}
+	if generates {
+		svc.Engine = spec
+	}
+	route.Name, route.Host, route.Prefix = "r", "h", "/"
+	route.Split = []model.ServiceShare{{Service: "s", Weight: 1}}
+	current := &routes.Current{}
+	current.Apply(&model.RouteConfig{Version: 1, Routes: []model.Route{route}, Services: []model.Service{svc}}, nil)
+	c := catalog.New(time.Now)
+	for _, id := range []string{"one", "two"} {
+		c.Put(model.BackendServer{ID: id, Service: "s", Address: id + ":1", FailureDomain: "a", Card: "fast", Holds: model.LayerRange{To: 12}, Slots: 9})
+	}
+	health := catalog.NewHealth(time.Now)
+	memory := chains.NewMemory(time.Now)
+	prober := NewProber()
+	prober.Now = time.Now
+	prober.Health = health
+	prober.Catalog = c
+	prober.Tell = func(model.Incarnation, time.Time) {}
+	seen := &observed{}
+	rel := &Relay{
+		Config: current, Catalog: c, Health: health, Memory: memory,
+		Chooser:  &chains.Chooser{Catalog: c, Health: health, Memory: memory, Pipes: chains.NewPipes(time.Now), Routers: func() int { return 1 }},
+		Line:     admission.NewLine(),
+		Loans:    &limits.Loans{Budget: limits.NewSharedRetries(0, 100, time.Second, func() int { return 1 }, time.Now), Now: time.Now},
+		Backends: do, Observer: seen, Running: NewRunning(), Suspicions: prober, Domain: "a",
+		Clock: func() time.Duration { return 0 }, Now: time.Now, ConfigTrust: time.Hour,
+	}
+	rel.Pacer = NewPacer()
+	rel.Pacer.Memory = memory
+	rel.Pacer.Catalog = c
+	rel.Pacer.Report = rel.Report
+	rel.Pacer.Now = time.Now
+	return &site{Relay: rel, prober: prober, seen: seen}
+}
+
+// streams is how many streams hold memory of an engine.
+func (s *site) streams() float64 {
+	return s.Memory.Used(inc("one")).Streams + s.Memory.Used(inc("two")).Streams
+}
+
+func (s *site) suspects(t *testing.T) {
+	for _, id := range []string{"one", "two"} {
+		view := s.Health.View(inc(id))
+		assert.Check(t, !view.Suspected, "%s is suspected", id)
+		assert.Check(t, view.Failures == 0, "%s is charged with a failure", id)
+		assert.Check(t, view.Active == 0, "%s has work", id)
+	}
+	assert.Check(t, len(s.prober.due()) == 0, "a probe is due")
+}
+
+func signed(status int, body io.Reader) *Answer {
+	h := http.Header{}
+	h.Set("Response-Signature", "sig")
+	return &Answer{Status: status, Header: h, Body: heardBody{body}}
+}
+
+var errNoConnection = errors.Wrap(ErrNotSent, "the connection was closed")
+
+const (
+	idempotent    = model.RouteIdempotent
+	notRepeatable = model.RouteNotRepeatable
+	streaming     = model.RouteStreaming
+)
+
+// The caller leaves while a connection is opened to the backend server, and nothing
+// was sent. The server is no worse for it: it is not suspected, here or at peers, and
+// no failure is counted. A caller that only closed its sending side still listens,
+// and is told that its request did not run and when to come back.
+func TestWhoLeavesBeforeTheSendIsNoEvidence(t *testing.T) {
+	for _, kind := range []model.RouteKind{idempotent, notRepeatable, streaming} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, leave := context.WithCancel(t.Context())
+			s := newSite(model.Route{Kind: kind, MaxAttempts: 2, TargetLatency: time.Second}, kind == streaming, func(ctx context.Context, _ string, _ *Request) (*Answer, error) {
+				leave()
+				return nil, errNoConnection
+			})
+			out := &listener{}
+			whole := s.Serve(ctx, &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out)
+			assert.Assert(t, whole)
+			assert.Check(t, out.status == http.StatusServiceUnavailable, "%s: %d", kind, out.status)
+			assert.Check(t, out.header.Get("Retry-After") != "", "%s", kind)
+			s.suspects(t)
+			assert.Equal(t, s.seen.repeats, 0)
+			assert.Equal(t, s.streams(), 0.0)
+		})
+	}
+}
+
+// The caller leaves while its request runs. The server did not fail: work that its
+// caller gave up says nothing of it.
+func TestWhoLeavesDuringTheRunIsNoEvidence(t *testing.T) {
+	for _, kind := range []model.RouteKind{idempotent, notRepeatable, streaming} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, leave := context.WithCancel(t.Context())
+			s := newSite(model.Route{Kind: kind, MaxAttempts: 2, TargetLatency: time.Second}, kind == streaming, func(ctx context.Context, _ string, _ *Request) (*Answer, error) {
+				leave()
+				<-ctx.Done()
+				return nil, ctx.Err()
+			})
+			out := &listener{}
+			whole := s.Serve(ctx, &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out)
+			assert.Assert(t, whole)
+			assert.Check(t, !promisesNotRun(out.status), "%s: it may have run", kind)
+			s.suspects(t)
+			assert.Equal(t, s.seen.repeats, 0)
+			assert.Equal(t, s.streams(), 0.0)
+		})
+	}
+}
+
+// A backend server's own failure has come whole as the time is over or the caller
+// closes its sending side. It is delivered: the answer is ready, and another one in
+// its place would tell the caller less.
+func TestReadyAnswerIsDelivered(t *testing.T) {
+	for _, generates := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, leave := context.WithCancel(t.Context())
+			s := newSite(model.Route{Kind: idempotent, MaxAttempts: 2, TargetLatency: time.Second}, generates, func(context.Context, string, *Request) (*Answer, error) {
+				leave()
+				return signed(http.StatusInternalServerError, strings.NewReader("the server's words")), nil
+			})
+			out := &listener{}
+			assert.Assert(t, s.Serve(ctx, &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+			assert.Equal(t, out.status, http.StatusInternalServerError)
+			assert.Equal(t, out.body.String(), "the server's words")
+			assert.Equal(t, s.seen.repeats, 0)
+		})
+	}
+}
