A caller that leaves speaks against no server; each end of a run says why

Runs are cancelled with a cause (context.WithCancelCause), and one function tells from the cause and the error why a run ended: caller left, deadline, silence, engine gone, slower than usual, no connection, broken off. What blames a server goes by that, and the lines 'answer lost' and 'chain lost' carry it with whether anything was sent. A caller that closed its sending side before anything was sent gets 503 with Retry-After (kind cancelled_unsent) instead of 499. A server's own failure that has come whole is delivered although the time is over.

--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -205,6 +205,9 @@
 	})
 }
 
+// Quit ends a request that tells nothing of its server: its caller left.
+func (h *Health) Quit(inc model.Incarnation) { h.with(inc, func(r *record) { r.active-- }) }
+
 // Outcome takes in whether a backend server did work that is not bracketed by
 // Begin and End.
 func (h *Health) Outcome(inc model.Incarnation, ok bool) {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -34,6 +34,8 @@
 	BackendLost      Kind = "backend_lost"
 	BackendFailed    Kind = "backend_failed"
 	Cancelled        Kind = "cancelled"
+	// CancelledUnsent says that the caller left before anything was sent.
+	CancelledUnsent  Kind = "cancelled_unsent"
 	WrongIncarnation Kind = "wrong_incarnation"
 	AlreadyHandedOff Kind = "already_handed_over"
 	RevisionConflict Kind = "revision_conflict"
@@ -80,6 +82,7 @@
 	BackendLost:      {Code: connect.CodeUnavailable, Status: 502, RetryAfter: time.Second, Retryable: true},
 	BackendFailed:    {Code: connect.CodeInternal, Status: 502, Retryable: true},
 	Cancelled:        {Code: connect.CodeCanceled, Status: 499},
+	CancelledUnsent:  {Code: connect.CodeCanceled, Status: 503, RetryAfter: time.Second},
 	WrongIncarnation: {Code: connect.CodeUnavailable, Status: 503, RetryAfter: 200 * time.Millisecond, Retryable: true},
 	AlreadyHandedOff: {Code: connect.CodeAlreadyExists, Status: 409},
 	RevisionConflict: {Code: connect.CodeAborted, Status: 409},
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -37,10 +37,7 @@
 // while that is allowed and helps.
 func (q *request) dispatch(ctx context.Context) bool {
 	var last *whole
-	for {
-		if ctx.Err() != nil {
-			return q.refuse(q.ended(ctx))
-		}
+	for ctx.Err() == nil {
 		server := q.pickPlain()
 		if server == nil {
 			break
@@ -52,9 +49,6 @@
 		case err == nil:
 			last = ans
 		}
-		if ctx.Err() != nil {
-			return q.refuse(q.ended(ctx))
-		}
 		reason := "failed"
 		if err != nil {
 			reason = "lost"
@@ -64,15 +58,18 @@
 		}
 		klog.InfoS("sent again", "request", q.call.Attempt, "reason", reason, "server", server.Incarnation(), "err", err, "sends", q.sends)
 	}
-	return q.giveUp(last)
+	return q.giveUp(ctx, last)
 }
 
-// giveUp answers with the last failure of a backend server where one came; a
-// refusal of a backend server becomes the system's own.
-func (q *request) giveUp(last *whole) bool {
+// giveUp answers with the last failure of a backend server where one came, also when
+// the time is over by now: it is ready. A refusal of a backend server becomes the
+// system's own.
+func (q *request) giveUp(ctx context.Context, last *whole) bool {
 	switch {
 	case last != nil && !last.verdict.NotRun:
 		return q.deliver(last)
+	case ctx.Err() != nil:
+		return q.refuse(q.ended(ctx))
 	case q.runs > 0:
 		return q.refuse(fault.New(fault.BackendLost, "the backend server's answer was lost"))
 	case last != nil:
@@ -115,17 +112,17 @@
 		usual := q.Health.View(b.Incarnation()).Latency
 		most := max(patience*usual, q.ticket.Route.TargetLatency, leastTry)
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, most)
+		ctx, cancel = context.WithTimeoutCause(ctx, most, tooSlow)
 		defer cancel()
 	}
-	ctx, stop := q.Running.track(ctx, b.Incarnation())
+	run, _, stop := q.Running.track(ctx, b.Incarnation())
 	defer stop()
 	q.avoid[b.Incarnation()] = true
 	q.chain = b.ID
 	q.sends++
 	began := q.Now()
 	q.Health.Begin(b.Incarnation())
-	ans, err := q.Backends.Do(ctx, b.Address, q.outbound(platform.Send{Instance: b.ID}))
+	ans, err := q.Backends.Do(run, b.Address, q.outbound(platform.Send{Instance: b.ID}))
 	if err == nil {
 		var read *whole
 		if read, err = q.readWhole(ans); err == nil {
@@ -133,16 +130,28 @@
 			return read, nil
 		}
 	}
-	q.Health.End(b.Incarnation(), false, 0)
-	if errors.Is(err, ErrNotSent) {
+	q.missed(b, endingOf(run, err), err, q.Now().Sub(began))
+	return nil, err
+}
+
+// missed takes in that a try gave no answer, and why.
+func (q *request) missed(b *model.BackendServer, why ending, err error, took time.Duration) {
+	sent := !errors.Is(err, ErrNotSent)
+	if sent {
+		q.runs++
+	} else {
 		q.sends--
+	}
+	klog.InfoS("answer lost", "request", q.call.Attempt, "why", why, "sent", sent, "server", b.Incarnation(), "err", err, "ms", took.Milliseconds())
+	if !why.blames(took) {
+		q.Health.Quit(b.Incarnation())
+		return
+	}
+	q.Health.End(b.Incarnation(), false, 0)
+	if !sent {
 		until, _ := q.Health.Suspect(b.Incarnation())
-		klog.InfoS("backend server suspected: no connection", "request", q.call.Attempt, "server", b.Incarnation(), "until", until, "err", err)
-		return nil, err
+		klog.InfoS("backend server suspected: no connection", "request", q.call.Attempt, "server", b.Incarnation(), "until", until)
 	}
-	q.runs++
-	klog.InfoS("answer lost", "request", q.call.Attempt, "server", b.Incarnation(), "err", err, "ms", q.Now().Sub(began).Milliseconds())
-	return nil, err
 }
 
 // judge takes in what an answer says of its server.
--- /dev/null
+++ b/internal/protocol/relay/ending.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ending says why work at a backend server ended before its answer was whole. It is
+// the cause with which the relay cancels a run's context, and stands in the log.
+type ending string
+
+const (
+	callerLeft   ending = "caller left"
+	timeOver     ending = "deadline"
+	silence      ending = "silence"
+	engineGone   ending = "engine gone"
+	tooSlow      ending = "slower than usual"
+	noConnection ending = "no connection"
+	brokenOff    ending = "broken off"
+)
+
+func (e ending) Error() string { return string(e) }
+
+// endingOf tells why a run ended with err. What cancelled its context comes first:
+// the broken connection is only its effect.
+func endingOf(run context.Context, err error) ending {
+	var own ending
+	cause := context.Cause(run)
+	switch {
+	case errors.As(cause, &own):
+		return own
+	case errors.Is(cause, context.DeadlineExceeded) || overdue(run):
+		return timeOver
+	case cause != nil:
+		return callerLeft
+	case errors.Is(err, ErrNotSent):
+		return noConnection
+	}
+	return brokenOff
+}
+
+// overdue tells whether a context's time is over: a dial that is bound by the same
+// time may notice first.
+func overdue(ctx context.Context) bool {
+	until, ok := ctx.Deadline()
+	return ok && !time.Now().Before(until)
+}
+
+// blames tells whether an end speaks against the server. A caller that leaves says
+// nothing of it, nor does a deadline that left it no time.
+func (e ending) blames(took time.Duration) bool {
+	switch e {
+	case callerLeft:
+		return false
+	case timeOver:
+		return took >= leastTry
+	}
+	return true
+}
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -89,25 +89,14 @@
 	if s.hasLast {
 		send.ResumeAfter = strconv.FormatInt(s.lastID, 10)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	run, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	w := q.watch(parts, hold, cancel)
 	defer w.stop()
 	q.sends++
-	ans, err := q.Backends.Do(ctx, first.Address, q.outbound(send))
-	if errors.Is(err, ErrNotSent) {
-		q.sends--
-		s.avoid[first.Incarnation()] = true
-		q.Suspicions.Unreachable(first, q.call.Attempt, err)
-		return false, false, fault.New(fault.NotConnected, "no connection to an engine")
-	}
+	ans, err := q.Backends.Do(run, first.Address, q.outbound(send))
 	if err != nil {
-		q.runs++
-		s.ranOn[first.Incarnation()] = true
-		if w.ended() || ctx.Err() == nil {
-			s.lost(w, err)
-		}
-		return false, false, fault.New(fault.BackendLost, "an engine was lost before it answered")
+		return false, false, s.missed(run, w, first, err)
 	}
 	defer ans.Body.Done()
 	v := platform.DecodeVerdict(ans.Status, ans.Header)
@@ -138,8 +127,8 @@
 		q.finish("ran", nil, http.StatusOK)
 		return true, true, nil
 	}
-	if s.delivered == nil && (w.ended() || ctx.Err() == nil) {
-		s.lost(w, end)
+	if s.delivered == nil {
+		s.lost(w, endingOf(run, end), end)
 	}
 	return false, false, fault.New(fault.BackendLost, "a chain broke off after %d events", s.events)
 }
@@ -259,12 +248,35 @@
 	}
 }
 
-// lost takes in that a chain broke off or fell silent. Where an engine was
-// found at fault it alone is avoided; else any of the chain may be, and the
-// stream goes on without all of them.
-func (s *stream) lost(w *chainWatch, err error) {
+// missed takes in that an engine gave no answer, and whether the request was sent.
+func (s *stream) missed(run context.Context, w *chainWatch, first *model.BackendServer, err error) *fault.Error {
+	why := endingOf(run, err)
+	if errors.Is(err, ErrNotSent) {
+		s.sends--
+		if why != noConnection && !(why == timeOver && why.blames(s.Now().Sub(w.since))) {
+			s.lost(w, why, err)
+			return fault.New(fault.NotConnected, "the run was ended before it was sent: %s", why)
+		}
+		s.avoid[first.Incarnation()] = true
+		s.Suspicions.Unreachable(first, s.call.Attempt, err)
+		return fault.New(fault.NotConnected, "no connection to an engine")
+	}
+	s.runs++
+	s.ranOn[first.Incarnation()] = true
+	s.lost(w, why, err)
+	return fault.New(fault.BackendLost, "an engine was lost before it answered")
+}
+
+// lost takes in that a chain broke off, fell silent or was given up by its caller.
+// The caller's end speaks against no engine. Where an engine was found at fault it
+// alone is avoided; else any of the chain may be, and the stream goes on without all
+// of them.
+func (s *stream) lost(w *chainWatch, why ending, err error) {
 	parts, culprit := w.state()
-	klog.InfoS("chain lost", "request", s.call.Attempt, "chain", describe(parts), "culprit", culprit, "err", err, "events", s.events)
+	klog.InfoS("chain lost", "request", s.call.Attempt, "why", why, "sent", !errors.Is(err, ErrNotSent), "chain", describe(parts), "culprit", culprit, "err", err, "events", s.events)
+	if why == callerLeft || why == timeOver {
+		return
+	}
 	if culprit != (model.Incarnation{}) {
 		s.avoid[culprit] = true
 		return
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -263,6 +263,8 @@
 // ended gives the answer for a request whose time is over or whose caller left.
 func (q *request) ended(ctx context.Context) *fault.Error {
 	switch {
+	case errors.Is(ctx.Err(), context.Canceled) && q.runs == 0:
+		return fault.New(fault.CancelledUnsent, "the caller left before anything was sent")
 	case errors.Is(ctx.Err(), context.Canceled):
 		return fault.New(fault.Cancelled, "the caller left")
 	case q.runs == 0:
--- a/internal/protocol/relay/running.go
+++ b/internal/protocol/relay/running.go
@@ -39,25 +39,25 @@
 // call is one request at one server of a plain service.
 type call struct {
 	server model.Incarnation
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
 func (c *call) leave(lost model.Incarnation) {
 	if c.server == lost {
-		c.cancel()
+		c.cancel(engineGone)
 	}
 }
 
 // track ends a call when the server's process has ended. Where the server fell
 // silent its connection would tell only at the caller's deadline, too late for a
 // request that may be sent again.
-func (r *Running) track(ctx context.Context, server model.Incarnation) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
+func (r *Running) track(ctx context.Context, server model.Incarnation) (run context.Context, cancel context.CancelCauseFunc, stop func()) {
+	run, cancel = context.WithCancelCause(ctx)
 	c := &call{server: server, cancel: cancel}
 	r.add(c)
-	return ctx, func() {
+	return run, cancel, func() {
 		r.remove(c)
-		cancel()
+		cancel(nil)
 	}
 }
 
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -40,7 +40,7 @@
 // dead part of its chain, so waiting for its word is no option.
 type chainWatch struct {
 	q      *request
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	hold   *chains.Hold
 	since  time.Time // when the run was sent
 
@@ -53,13 +53,12 @@
 	stopped bool
 	culprit model.Incarnation // the engine at fault; empty if none was found
 	moving  bool
-	silent  bool
 	// paceFrom is when the events began that are counted in paceCount.
 	paceFrom  time.Time
 	paceCount int
 }
 
-func (q *request) watch(parts []chains.Part, hold *chains.Hold, cancel context.CancelFunc) *chainWatch {
+func (q *request) watch(parts []chains.Part, hold *chains.Hold, cancel context.CancelCauseFunc) *chainWatch {
 	w := &chainWatch{q: q, parts: parts, hold: hold, cancel: cancel, since: q.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -116,13 +115,6 @@
 	return w.parts, w.culprit
 }
 
-// ended tells whether the run was ended for its silence.
-func (w *chainWatch) ended() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.silent
-}
-
 // ask runs when the timer fires.
 func (w *chainWatch) ask() {
 	w.mu.Lock()
@@ -248,11 +240,10 @@
 func (w *chainWatch) end(culprit model.Incarnation, n int, err error) {
 	w.mu.Lock()
 	w.culprit = culprit
-	w.silent = true
 	begun := w.begun
 	w.mu.Unlock()
 	klog.InfoS("chain is given up", "request", w.q.call.Attempt, "culprit", culprit, "silences", n, "begun", begun, "err", err)
-	w.cancel()
+	w.cancel(silence)
 }
 
 func uses(parts []chains.Part, engine model.Incarnation) bool {
