Tests that fail: a panic keeps memory, a repeat is paid for twice

A panic in a run (recovered by the HTTP server, which closes the connection) passes the hold's release by. failed() takes a repeated send from the budget and mayResume takes another one for the same send; where the second is refused, an engine's own failure that had come whole was dropped for a 502. Refuted on the way: a stream that ends without an event is lost to a write deadline of the answer before. The HTTP server takes the deadline back after each answer (net/http server.go, after finishRequest); a trial with a deadline passed 100 ms before the next request got its head, and a 100-continue got its answer.

--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -56,7 +56,6 @@
 	status int
 	header http.Header
 	body   strings.Builder
-	writes int
 }
 
 func (l *listener) Begin(status int, header http.Header, _ int64) {
@@ -65,7 +64,6 @@
 }
 
 func (l *listener) Write(p []byte) error {
-	l.writes++
 	l.body.Write(p)
 	return nil
 }
@@ -213,3 +211,37 @@
 		})
 	}
 }
+
+// A handler that fails unexpectedly takes its request with it, not the memory that
+// its stream reserved at the engines.
+func TestPanicGivesMemoryBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(model.Route{Kind: streaming, MaxAttempts: 1, TargetLatency: time.Second}, true, func(context.Context, string, *Request) (*Answer, error) {
+			panic("unexpected")
+		})
+		func() {
+			defer func() { assert.Check(t, recover() != nil) }()
+			s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, &listener{})
+		}()
+		assert.Equal(t, s.streams(), 0.0)
+	})
+}
+
+// An engine fails a stream that has not begun, and the stream is sent to another one.
+// That is one repeated send, and takes one from the budget.
+func TestRepeatAfterAFailureIsTakenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sends := 0
+		s := newSite(model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2, TargetLatency: time.Second}, true, func(context.Context, string, *Request) (*Answer, error) {
+			if sends++; sends == 1 {
+				return signed(http.StatusInternalServerError, strings.NewReader("failed")), nil
+			}
+			return signed(http.StatusOK, strings.NewReader("id: 1\ndata: a\n\n")), nil
+		})
+		time.Sleep(2 * time.Second) // until the slack may be spent
+		out := &listener{}
+		assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+		assert.Equal(t, out.status, http.StatusOK)
+		assert.Equal(t, s.seen.repeats, 1)
+	})
+}
