A panic gives memory back; a repeat is paid for once; an engine's failure is kept

The hold is released by a deferred call. An engine's own failure that came whole is kept while the stream tries elsewhere, and is the answer where nothing comes of that; mayResume alone takes the repeat. The attempts bound as before (repeatable). A caller that cannot be written to ends as 'cancelled', not as 'deadline'.

--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -33,6 +33,7 @@
 	ranOn     map[model.Incarnation]bool
 	lastEvent time.Time // when the caller got the last event
 	delivered error     // why the caller could not be written to
+	ready     *whole    // the last engine's own failure
 }
 
 // generate runs a request through chains of engines.
@@ -46,26 +47,45 @@
 	for {
 		parts, hold, f := s.acquire(ctx)
 		if f != nil {
-			return q.refuse(keepFirst(last, f))
+			return s.giveUp(ctx, keepFirst(last, f))
 		}
-		done, whole, err := s.run(ctx, parts, hold)
-		hold.Release()
-		q.Line.Poke()
+		done, whole, err := s.runHolding(ctx, parts, hold)
 		if done {
 			return whole
 		}
-		if s.delivered != nil || ctx.Err() != nil {
-			return q.refuse(q.ended(ctx))
+		if s.delivered != nil {
+			return q.refuse(fault.New(fault.Cancelled, "the caller takes no more: %v", s.delivered))
 		}
 		last = fault.From(err)
-		if !s.resumable() || !q.mayResume(ctx, err) {
-			return q.refuse(last)
+		if ctx.Err() != nil || !s.resumable() || !q.mayResume(ctx, err) {
+			return s.giveUp(ctx, last)
 		}
 		klog.InfoS("stream goes on at another chain", "request", q.call.Attempt, "after", s.lastID, "events", s.events,
 			"err", err, "sends", q.sends, "ms", q.Now().Sub(q.since).Milliseconds())
 	}
 }
 
+// giveUp gives the final answer of a stream that goes on nowhere: an engine's own
+// failure where one came whole and nothing was begun, also when the time is over by
+// now, as it is ready; else the system's.
+func (s *stream) giveUp(ctx context.Context, f *fault.Error) bool {
+	switch {
+	case s.ready != nil && !s.began:
+		return s.deliver(s.ready)
+	case ctx.Err() != nil:
+		f = s.ended(ctx)
+	}
+	return s.refuse(f)
+}
+
+// runHolding runs the request through one chain and gives its memory back, also where
+// the run panics: the HTTP server recovers, and the memory would stay reserved.
+func (s *stream) runHolding(ctx context.Context, parts []chains.Part, hold *chains.Hold) (done, whole bool, err error) {
+	defer s.Line.Poke()
+	defer hold.Release()
+	return s.run(ctx, parts, hold)
+}
+
 // resumable tells whether another engine can go on where the caller is: events
 // without numbers do not tell where that is, and would come twice.
 func (s *stream) resumable() bool { return s.events == 0 || s.hasLast }
@@ -113,7 +133,7 @@
 	s.ranOn[first.Incarnation()] = true
 	if ans.Status != http.StatusOK || v.Signature == "" {
 		s.Health.Outcome(first.Incarnation(), false)
-		return s.failed(ctx, ans, v)
+		return s.failed(ans)
 	}
 	if q.ticket.Route.Kind != model.RouteStreaming {
 		return s.single(ans)
@@ -143,16 +163,17 @@
 }
 
 // failed handles an engine's own failure: a stream that has not begun may be
-// tried elsewhere, else the failure is the answer.
-func (s *stream) failed(ctx context.Context, ans *Answer, v platform.Verdict) (done, whole bool, err error) {
-	q := s.request
-	read, err := q.readWhole(ans)
+// tried elsewhere, else the failure is the answer. It is kept, to be the answer also
+// where trying elsewhere comes to nothing.
+func (s *stream) failed(ans *Answer) (done, whole bool, err error) {
+	read, err := s.readWhole(ans)
 	if err != nil {
 		return false, false, fault.New(fault.BackendFailed, "%v", err)
 	}
-	if !q.began && (read.status < 500 || !q.mayRepeat(ctx, "engine failed")) {
-		return true, q.deliver(read), nil
+	if !s.began && (read.status < 500 || !s.repeatable()) {
+		return true, s.deliver(read), nil
 	}
+	s.ready = read
 	return false, false, fault.New(fault.BackendFailed, "an engine failed with status %d", ans.Status)
 }
 
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -273,13 +273,18 @@
 	return fault.New(fault.Deadline, "no answer in time")
 }
 
-// mayRepeat takes one repeated send from the budget, if the request may be sent
-// again at all.
-func (q *request) mayRepeat(ctx context.Context, reason string) bool {
+// repeatable tells whether the request may be sent again at all.
+func (q *request) repeatable() bool {
 	if q.runs >= q.ticket.Route.MaxAttempts || q.sends >= maxSends {
 		return false
 	}
-	if q.runs > 0 && !q.ticket.Idempotent() {
+	return q.runs == 0 || q.ticket.Idempotent()
+}
+
+// mayRepeat takes one repeated send from the budget, if the request may be sent
+// again.
+func (q *request) mayRepeat(ctx context.Context, reason string) bool {
+	if !q.repeatable() {
 		return false
 	}
 	if !q.Loans.Take(ctx, q.ticket.Service.Name) {
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -245,3 +245,23 @@
 		assert.Equal(t, s.seen.repeats, 1)
 	})
 }
+
+// The same, with the budget used up or the attempts: the engine's failure is the
+// answer, as it came.
+func TestFailureIsDeliveredWhereNoRepeatIsLeft(t *testing.T) {
+	for _, attempts := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			sends := 0
+			s := newSite(model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: attempts, TargetLatency: time.Second}, true, func(context.Context, string, *Request) (*Answer, error) {
+				sends++
+				return signed(http.StatusInternalServerError, strings.NewReader("failed")), nil
+			})
+			out := &listener{}
+			assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+			assert.Equal(t, out.status, http.StatusInternalServerError)
+			assert.Equal(t, out.body.String(), "failed")
+			assert.Equal(t, sends, 1)
+			assert.Equal(t, s.seen.repeats, 0)
+		})
+	}
+}
