Tests that fail: a chain is ended on what no longer holds

chainWatch asks the first engine, then ends the run without asking again whether an event came, the chain was moved, or the stream ended meanwhile: 'changed' is looked at under the lock, the end comes after it is released, and a move is no change to it.

--- /dev/null
+++ b/internal/protocol/relay/watch_test.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/platform"
+)
+
+const emptyReport = `{}`
+
+// chained gives a site whose chains run through two engines, "one" then "far", with
+// "spare" to take the place of far.
+func chained(route model.Route, do script) *site {
+	s := newSite(route, true, do)
+	s.Catalog.Remove("two", 0)
+	put := func(id string, held model.LayerRange) {
+		s.Catalog.Put(model.BackendServer{ID: id, Service: "s", Address: id + ":1", FailureDomain: "a", Card: "fast", Holds: held, Slots: 9, Revision: 2})
+	}
+	put("one", model.LayerRange{To: 6})
+	put("far", model.LayerRange{From: 6, To: 12})
+	put("spare", model.LayerRange{From: 6, To: 12})
+	return s
+}
+
+func (s *site) parts(second string) []chains.Part {
+	snap := s.Catalog.Load()
+	return []chains.Part{
+		{Server: snap.Find(inc("one")), Layers: model.LayerRange{To: 6}},
+		{Server: snap.Find(inc(second)), Layers: model.LayerRange{From: 6, To: 12}},
+	}
+}
+
+// watched is a running stream through "one" and "far" and its watch.
+func (s *site) watched(t *testing.T, route model.Route) (*chainWatch, context.Context) {
+	q := &request{Relay: s.Relay, call: &model.Call{Attempt: "1"}, since: time.Now(), avoid: map[model.Incarnation]bool{}}
+	table := s.Config.Load()
+	route.Host = "h"
+	q.ticket.Route = &route
+	q.ticket.Service = table.Service("s")
+	run, cancel := context.WithCancelCause(t.Context())
+	parts := s.parts("far")
+	hold := s.Memory.Reserve(parts, 100)
+	w := q.watch(parts, hold, cancel)
+	t.Cleanup(func() {
+		w.stop()
+		hold.Release()
+	})
+	return w, run
+}
+
+// unreachable calls back when an engine is reported.
+type unreachable struct {
+	*Prober
+	told func()
+}
+
+func (u unreachable) Unreachable(*model.BackendServer, string, error) { u.told() }
+
+func report(body string) *Answer { return signed(http.StatusOK, strings.NewReader(body)) }
+
+// The first engine does not tell what a silent chain waits for. While that is noted
+// an event comes: the chain works, and must not be ended for a silence that is over.
+func TestChainThatSpeaksAgainIsNotEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
+		s := chained(route, func(context.Context, string, *Request) (*Answer, error) { return nil, errNoConnection })
+		var asked atomic.Pointer[chainWatch]
+		s.Suspicions = unreachable{s.prober, func() { asked.Load().heard() }}
+		w, run := s.watched(t, route)
+		asked.Store(w)
+		time.Sleep(firstSilence + time.Millisecond)
+		synctest.Wait()
+		assert.NilError(t, run.Err())
+	})
+}
+
+// A chain is silent and its first engine is asked. Meanwhile a part of the chain is
+// found to have ended and is replaced, which the engine takes as an order. The answer
+// to the question is about the chain as it was: it must not end the new one.
+func TestMovedChainIsNotEndedForTheOldOnesSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
+		var asked atomic.Int64
+		s := chained(route, func(_ context.Context, _ string, r *Request) (*Answer, error) {
+			if r.Target != platform.ReportPath {
+				return report(""), nil
+			}
+			if asked.Add(1) == 2 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			return report(emptyReport), nil
+		})
+		w, run := s.watched(t, route)
+		time.Sleep(firstSilence + nextSilence + 50*time.Millisecond) // amid the second question
+		assert.Equal(t, asked.Load(), int64(2))
+		s.EngineGone(inc("far"))
+		time.Sleep(100 * time.Millisecond)
+		assert.NilError(t, run.Err())
+		parts, _ := w.state()
+		assert.Equal(t, parts[1].Server.ID, "spare")
+	})
+}
+
+// A stream ends whole while an engine of it is replaced and the order is refused.
+// There is nothing left to give up.
+func TestFinishedStreamIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
+		s := chained(route, func(context.Context, string, *Request) (*Answer, error) {
+			time.Sleep(50 * time.Millisecond)
+			return signed(http.StatusNotFound, strings.NewReader("")), nil
+		})
+		w, run := s.watched(t, route)
+		s.EngineGone(inc("far"))
+		synctest.Wait()
+		w.stop()
+		time.Sleep(100 * time.Millisecond)
+		_, culprit := w.state()
+		assert.Equal(t, culprit, model.Incarnation{})
+		assert.NilError(t, run.Err())
+	})
+}
