A chain is ended under the lock that events and moves are noted under

What ends a run on a belief now says at which count of events and moves it was formed, and is dropped where that has changed or a move is under way. A run is ended once.

--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -49,8 +49,8 @@
 	timer   *time.Timer
 	begun   bool // an event came
 	quiet   int  // silences in a row
-	heardNo int  // counts events, to notice one that came meanwhile
-	stopped bool
+	news    int  // counts events and moves, to notice what came meanwhile
+	stopped bool // ended here, or over
 	culprit model.Incarnation // the engine at fault; empty if none was found
 	moving  bool
 	// paceFrom is when the events began that are counted in paceCount.
@@ -72,7 +72,7 @@
 	defer w.mu.Unlock()
 	w.begun = true
 	w.quiet = 0
-	w.heardNo++
+	w.news++
 	if !w.stopped {
 		w.timer.Reset(nextSilence)
 	}
@@ -124,20 +124,20 @@
 	}
 	w.quiet++
 	n := w.quiet
-	heardNo := w.heardNo
+	news := w.news
 	first := w.parts[0].Server
 	w.mu.Unlock()
 	report, err := w.q.askReport(first)
-	if w.changed(heardNo) {
+	if w.changed(news) {
 		return
 	}
 	if err != nil {
 		w.q.Suspicions.Unreachable(first, w.q.call.Attempt, err)
-		w.end(first.Incarnation(), n, err)
+		w.giveUp(news, verdict{culprit: first.Incarnation(), why: silence, silences: n, err: err})
 		return
 	}
 	if addr := stallOf(report, w.q.call.Attempt); addr != "" {
-		w.blame(addr, n)
+		w.blame(addr, news, n)
 		return
 	}
 	w.mu.Lock()
@@ -147,21 +147,26 @@
 	}
 	w.mu.Unlock()
 	if n >= patience {
-		w.end(model.Incarnation{}, n, nil)
+		w.giveUp(news, verdict{why: silence, silences: n})
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.stopped {
+	if !w.changedLocked(news) {
 		w.timer.Reset(nextSilence)
 	}
 }
 
-// changed tells whether an event came, or the run ended, meanwhile.
-func (w *chainWatch) changed(heardNo int) bool {
+// changed tells whether an event came, or the chain was moved or has ended,
+// meanwhile: what was found out is about the chain as it was before.
+func (w *chainWatch) changed(news int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.stopped || w.heardNo != heardNo
+	return w.changedLocked(news)
+}
+
+func (w *chainWatch) changedLocked(news int) bool {
+	return w.stopped || w.moving || w.news != news
 }
 
 func stallOf(r model.EngineReport, attempt string) string {
@@ -175,7 +180,7 @@
 
 // blame takes in which engine the chain waits for. The other streams of this
 // router that run through it are moved at once, before they notice.
-func (w *chainWatch) blame(addr string, n int) {
+func (w *chainWatch) blame(addr string, news, n int) {
 	parts, _ := w.state()
 	for _, p := range parts {
 		if p.Server.Address != addr {
@@ -185,7 +190,7 @@
 		w.q.Running.leave(p.Server.Incarnation())
 		return
 	}
-	w.end(model.Incarnation{}, n, nil)
+	w.giveUp(news, verdict{why: silence, silences: n})
 }
 
 // leave moves the run away from an engine. Several streams may find the same
@@ -201,16 +206,24 @@
 	parts := w.parts
 	w.mu.Unlock()
 	moved := w.replace(parts, lost)
+	if w.take(moved) {
+		return
+	}
+	w.end(verdict{culprit: lost, why: engineGone})
+}
+
+// take ends a move: the run goes through other engines now, if there are any.
+func (w *chainWatch) take(moved []chains.Part) bool {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.moving = false
-	if moved != nil && !w.stopped {
-		w.parts = moved
-		w.timer.Reset(movedSilence)
-		w.mu.Unlock()
-		return
+	if moved == nil || w.stopped {
+		return false
 	}
-	w.mu.Unlock()
-	w.end(lost, 0, nil)
+	w.parts = moved
+	w.news++
+	w.timer.Reset(movedSilence)
+	return true
 }
 
 // replace orders the first engine to send the stream around an engine; nil if
@@ -237,13 +250,41 @@
 	return next
 }
 
-func (w *chainWatch) end(culprit model.Incarnation, n int, err error) {
+// verdict is why a run is ended, and by whose fault; culprit is empty where that is
+// not known.
+type verdict struct {
+	culprit  model.Incarnation
+	why      ending
+	silences int
+	err      error
+}
+
+// giveUp ends a run for what was found out when its news count stood at news. It asks
+// again under the lock that it ends the run with: an event that came since, or a move,
+// shows that the chain works.
+func (w *chainWatch) giveUp(news int, v verdict) {
 	w.mu.Lock()
-	w.culprit = culprit
-	begun := w.begun
-	w.mu.Unlock()
-	klog.InfoS("chain is given up", "request", w.q.call.Attempt, "culprit", culprit, "silences", n, "begun", begun, "err", err)
-	w.cancel(silence)
+	defer w.mu.Unlock()
+	if !w.changedLocked(news) {
+		w.endLocked(v)
+	}
+}
+
+// end ends a run that is not over yet.
+func (w *chainWatch) end(v verdict) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.endLocked(v)
+	}
+}
+
+func (w *chainWatch) endLocked(v verdict) {
+	w.culprit = v.culprit
+	w.stopped = true
+	w.timer.Stop()
+	klog.InfoS("chain is given up", "request", w.q.call.Attempt, "why", v.why, "culprit", v.culprit, "silences", v.silences, "begun", w.begun, "err", v.err)
+	w.cancel(v.why)
 }
 
 func uses(parts []chains.Part, engine model.Incarnation) bool {
