Tests that fail: a stream that cannot go on is ended on a belief; an end is missed

A run is ended for silence, or because another stream found an engine at fault, also where no other engine may go on with it: then the end is a sure loss, the silence is not. And Running.leave tells only the runs that it holds at that moment: one whose chain was chosen before and which is added after learns nothing.

--- a/internal/protocol/relay/watch_test.go
+++ b/internal/protocol/relay/watch_test.go
@@ -130,3 +130,58 @@
 		assert.NilError(t, run.Err())
 	})
 }
+
+// A stream that must not run twice is silent, its engines answer and name nobody; or
+// the first engine does not even answer. Ended, the stream is lost for sure, as no
+// other engine may go on with it; its caller decides how long to wait. It is ended
+// once the process of one of its engines has.
+func TestStreamThatCannotGoOnIsNotEndedForSilence(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			route := model.Route{Kind: streaming, MaxAttempts: 2}
+			s := chained(route, func(context.Context, string, *Request) (*Answer, error) {
+				if answers {
+					return report(emptyReport), nil
+				}
+				return nil, errNoConnection
+			})
+			_, run := s.watched(t, route)
+			time.Sleep(5 * time.Second)
+			synctest.Wait()
+			assert.NilError(t, run.Err())
+			s.EngineGone(inc("far"))
+			synctest.Wait()
+			assert.Equal(t, context.Cause(run), engineGone)
+		})
+	}
+}
+
+// Another stream finds an engine at fault that this one runs through as well. This
+// one must not run twice, so it cannot leave: the other's view, from another engine
+// of other links, is no reason to lose it.
+func TestStreamThatCannotGoOnIsNotEndedForAnothersView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := model.Route{Kind: streaming, MaxAttempts: 2}
+		s := chained(route, func(context.Context, string, *Request) (*Answer, error) { return report(emptyReport), nil })
+		_, run := s.watched(t, route)
+		other, _ := s.watched(t, model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2})
+		other.blame("far:1", 0, 1)
+		synctest.Wait()
+		assert.NilError(t, run.Err())
+		parts, _ := other.state()
+		assert.Equal(t, parts[1].Server.ID, "spare", "the other one is moved")
+	})
+}
+
+// An engine's process ends right after a chain through it was chosen, before the run
+// is among those that are told. The run must hear of it all the same: nothing would
+// come of it, and its caller would wait until the silence shows.
+func TestRunHearsOfAnEngineThatJustEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
+		s := chained(route, func(context.Context, string, *Request) (*Answer, error) { return report(emptyReport), nil })
+		s.EngineGone(inc("far"))
+		_, run := s.watched(t, route)
+		assert.Equal(t, context.Cause(run), engineGone)
+	})
+}
