A run that nobody may go on with is kept; a run that is added hears of ends

A belief (silence, another stream's view) ends a run only where another engine may go on with it; a server's end is no belief and ends each. Running remembers ends for a second, under the lock that work is added with.

--- a/internal/protocol/relay/running.go
+++ b/internal/protocol/relay/running.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -11,23 +12,40 @@
 
 // run is work in progress at backend servers.
 type run interface {
-	// leave takes in that an incarnation of a server has ended.
-	leave(lost model.Incarnation)
+	// leave takes in that an incarnation of a server has ended (engineGone), or is
+	// believed to be at fault.
+	leave(lost model.Incarnation, why ending)
 }
 
+// rememberGone is for how long work that is added hears of a server's end: its server
+// was chosen before. On a busy machine a tenth of a second may lie between.
+const rememberGone = time.Second
+
 // Running holds the work in progress.
 type Running struct {
 	mu   sync.Mutex
 	runs map[run]bool
+	// gone holds the servers that ended of late, and when that was told.
+	gone map[model.Incarnation]time.Time
 }
 
 // NewRunning makes an empty set.
-func NewRunning() *Running { return &Running{runs: map[run]bool{}} }
+func NewRunning() *Running {
+	return &Running{runs: map[run]bool{}, gone: map[model.Incarnation]time.Time{}}
+}
 
-func (r *Running) add(w run) {
+// add adds work that was given to some servers. It tells which of them has ended
+// meanwhile, if one has: whoever told of the end told only the work that was there.
+func (r *Running) add(w run, servers ...model.Incarnation) (gone model.Incarnation, ended bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[w] = true
+	for _, inc := range servers {
+		if at, ok := r.gone[inc]; ok && time.Since(at) < rememberGone {
+			return inc, true
+		}
+	}
+	return model.Incarnation{}, false
 }
 
 func (r *Running) remove(w run) {
@@ -42,8 +60,8 @@
 	cancel context.CancelCauseFunc
 }
 
-func (c *call) leave(lost model.Incarnation) {
-	if c.server == lost {
+func (c *call) leave(lost model.Incarnation, why ending) {
+	if c.server == lost && why == engineGone {
 		c.cancel(engineGone)
 	}
 }
@@ -54,7 +72,9 @@
 func (r *Running) track(ctx context.Context, server model.Incarnation) (run context.Context, cancel context.CancelCauseFunc, stop func()) {
 	run, cancel = context.WithCancelCause(ctx)
 	c := &call{server: server, cancel: cancel}
-	r.add(c)
+	if _, ended := r.add(c, server); ended {
+		cancel(engineGone)
+	}
 	return run, cancel, func() {
 		r.remove(c)
 		cancel(nil)
@@ -69,16 +89,30 @@
 		r.Suspicions.Unreachable(b, "", errEnded)
 	}
 	r.Suspicions.Ended(inc)
-	r.Running.leave(inc)
+	r.Running.leave(inc, engineGone)
 }
 
 var errEnded = errors.New("its process ended")
 
-// leave tells all work in progress that an incarnation of a server has ended.
-func (r *Running) leave(lost model.Incarnation) {
+// leave tells all work in progress that an incarnation of a server has ended, or is
+// believed to be at fault.
+func (r *Running) leave(lost model.Incarnation, why ending) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if why == engineGone {
+		r.noteGone(lost)
+	}
 	for w := range r.runs {
-		go w.leave(lost)
+		go w.leave(lost, why)
+	}
+}
+
+// noteGone remembers a server's end. The caller holds the lock.
+func (r *Running) noteGone(lost model.Incarnation) {
+	for inc, at := range r.gone {
+		if time.Since(at) >= rememberGone {
+			delete(r.gone, inc)
+		}
 	}
+	r.gone[lost] = time.Now()
 }
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -43,14 +43,16 @@
 	cancel context.CancelCauseFunc
 	hold   *chains.Hold
 	since  time.Time // when the run was sent
+	// last says that no other engine may go on where this run ends.
+	last bool
 
 	mu      sync.Mutex
 	parts   []chains.Part
 	timer   *time.Timer
-	begun   bool // an event came
-	quiet   int  // silences in a row
-	news    int  // counts events and moves, to notice what came meanwhile
-	stopped bool // ended here, or over
+	begun   bool              // an event came
+	quiet   int               // silences in a row
+	news    int               // counts events and moves, to notice what came meanwhile
+	stopped bool              // ended here, or over
 	culprit model.Incarnation // the engine at fault; empty if none was found
 	moving  bool
 	// paceFrom is when the events began that are counted in paceCount.
@@ -60,11 +62,26 @@
 
 func (q *request) watch(parts []chains.Part, hold *chains.Hold, cancel context.CancelCauseFunc) *chainWatch {
 	w := &chainWatch{q: q, parts: parts, hold: hold, cancel: cancel, since: q.Now()}
+	w.last = !q.ticket.Idempotent() || q.sends+1 >= maxSends
+	w.start()
+	if gone, ended := q.Running.add(w, engines(parts)...); ended {
+		w.end(verdict{culprit: gone, why: engineGone})
+	}
+	return w
+}
+
+func (w *chainWatch) start() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(firstSilence, w.ask)
-	q.Running.add(w)
-	return w
+}
+
+func engines(parts []chains.Part) []model.Incarnation {
+	out := make([]model.Incarnation, len(parts))
+	for i, p := range parts {
+		out[i] = p.Server.Incarnation()
+	}
+	return out
 }
 
 func (w *chainWatch) heard() {
@@ -187,7 +204,7 @@
 			continue
 		}
 		w.q.Suspicions.Unreachable(p.Server, w.q.call.Attempt, nil)
-		w.q.Running.leave(p.Server.Incarnation())
+		w.q.Running.leave(p.Server.Incarnation(), silence)
 		return
 	}
 	w.giveUp(news, verdict{why: silence, silences: n})
@@ -195,7 +212,7 @@
 
 // leave moves the run away from an engine. Several streams may find the same
 // engine at fault; a run that was moved already stays.
-func (w *chainWatch) leave(lost model.Incarnation) {
+func (w *chainWatch) leave(lost model.Incarnation, why ending) {
 	w.mu.Lock()
 	if w.stopped || w.moving || !uses(w.parts, lost) {
 		w.mu.Unlock()
@@ -206,24 +223,31 @@
 	parts := w.parts
 	w.mu.Unlock()
 	moved := w.replace(parts, lost)
-	if w.take(moved) {
-		return
+	switch news, taken := w.take(moved); {
+	case taken:
+	case why == engineGone:
+		w.end(verdict{culprit: lost, why: why})
+	default:
+		w.giveUp(news, verdict{culprit: lost, why: why})
 	}
-	w.end(verdict{culprit: lost, why: engineGone})
 }
 
 // take ends a move: the run goes through other engines now, if there are any.
-func (w *chainWatch) take(moved []chains.Part) bool {
+// It tells the count of news as of then.
+func (w *chainWatch) take(moved []chains.Part) (news int, taken bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.moving = false
-	if moved == nil || w.stopped {
-		return false
+	if w.stopped {
+		return w.news, false
+	}
+	w.timer.Reset(movedSilence)
+	if moved == nil {
+		return w.news, false
 	}
 	w.parts = moved
 	w.news++
-	w.timer.Reset(movedSilence)
-	return true
+	return w.news, true
 }
 
 // replace orders the first engine to send the stream around an engine; nil if
@@ -261,11 +285,17 @@
 
 // giveUp ends a run for what was found out when its news count stood at news. It asks
 // again under the lock that it ends the run with: an event that came since, or a move,
-// shows that the chain works.
+// shows that the chain works. A run that no other engine may go on with is kept: its
+// end would be a sure loss, while a silent engine may go on; its caller decides how
+// long to wait.
 func (w *chainWatch) giveUp(news int, v verdict) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.changedLocked(news) {
+	switch {
+	case w.changedLocked(news):
+	case w.last:
+		klog.InfoS("chain is kept, as nobody may go on", "request", w.q.call.Attempt, "why", v.why, "culprit", v.culprit, "silences", v.silences, "begun", w.begun, "err", v.err)
+	default:
 		w.endLocked(v)
 	}
 }
