Tests that fail: work is cancelled before it is known that it may go elsewhere

A slow try of an idempotent request and a silent chain are cancelled first, and the budget for a repeated send is asked after: where it is used up, the request is lost that the server was still at work on. A chain whose answer comes in one piece is given up after 1.35 s, as nothing came before.

--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -19,6 +19,8 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
+	"github.com/skylarkwood/skylarkwood/platform"
 )
 
 // script is the backend servers: what they do with a request.
@@ -265,3 +267,66 @@
 		})
 	}
 }
+
+// A server is slower than usual, and the budget for repeated sends is used up. The
+// request may go nowhere else, so it stays where it is and gets its answer.
+func TestSlowTryIsKeptWhereNoRepeatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(model.Route{Kind: idempotent, MaxAttempts: 2, TargetLatency: time.Second}, false, func(ctx context.Context, _ string, _ *Request) (*Answer, error) {
+			if !wait.For(ctx, 3*time.Second) {
+				return nil, ctx.Err()
+			}
+			return signed(http.StatusOK, strings.NewReader("late")), nil
+		})
+		s.Loans.Budget = limits.NewSharedRetries(0, 100, time.Hour, func() int { return 1 }, time.Now)
+		out := &listener{}
+		assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+		assert.Equal(t, out.status, http.StatusOK)
+		assert.Equal(t, out.body.String(), "late")
+		assert.Equal(t, s.seen.repeats, 0)
+	})
+}
+
+// The same with a repeat left: another server answers in time, and one repeat is
+// taken.
+func TestSlowTryIsRepeatedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := ""
+		s := newSite(model.Route{Kind: idempotent, MaxAttempts: 2, TargetLatency: time.Second}, false, func(ctx context.Context, addr string, _ *Request) (*Answer, error) {
+			if slow == "" || slow == addr {
+				slow = addr
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return signed(http.StatusOK, strings.NewReader("in time")), nil
+		})
+		time.Sleep(2 * time.Second) // until the slack may be spent
+		out := &listener{}
+		began := time.Now()
+		assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+		assert.Equal(t, out.body.String(), "in time")
+		assert.Equal(t, time.Since(began), time.Second)
+		assert.Equal(t, s.seen.repeats, 1)
+	})
+}
+
+// An answer that is no stream comes in one piece when all of it is made, after many
+// seconds. Nothing before it is no silence.
+func TestAnswerInOnePieceIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(model.Route{Kind: idempotent, MaxAttempts: 2, TargetLatency: time.Second}, true, func(ctx context.Context, _ string, r *Request) (*Answer, error) {
+			if r.Target == platform.ReportPath {
+				return signed(http.StatusOK, strings.NewReader("{}")), nil
+			}
+			if !wait.For(ctx, 8*time.Second) {
+				return nil, ctx.Err()
+			}
+			return signed(http.StatusOK, strings.NewReader("all of it")), nil
+		})
+		time.Sleep(2 * time.Second) // until the slack may be spent
+		out := &listener{}
+		assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+		assert.Equal(t, out.body.String(), "all of it")
+		assert.Equal(t, s.seen.repeats, 0)
+	})
+}
--- a/internal/protocol/relay/watch_test.go
+++ b/internal/protocol/relay/watch_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/platform"
 )
@@ -185,3 +186,21 @@
 		assert.Equal(t, context.Cause(run), engineGone)
 	})
 }
+
+// A chain is silent, its engines answer and name nobody, and the budget for repeated
+// sends is used up. Ended, the stream would be broken off; kept, it may go on. Once
+// there is budget again the chain is given up.
+func TestSilentChainIsKeptWhereNoRepeatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
+		s := chained(route, func(context.Context, string, *Request) (*Answer, error) { return report(emptyReport), nil })
+		s.Loans.Budget = limits.NewSharedRetries(0, 100, time.Hour, func() int { return 1 }, time.Now)
+		_, run := s.watched(t, route)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		assert.NilError(t, run.Err())
+		time.Sleep(time.Hour)
+		synctest.Wait()
+		assert.Equal(t, context.Cause(run), silence)
+	})
+}
