Work is given up once a repeated send is granted, not before

A slow try and a silent chain take the repeated send from the budget first and are ended then; without one they are kept, and a chain is looked at again after the next silence. An answer in one piece is no stream: nothing before it is no silence, and its engines are asked less and less often.

--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -61,7 +61,7 @@
 	if !q.ticket.Idempotent() || q.sends >= maxSends {
 		return false
 	}
-	if !q.Loans.Take(ctx, q.ticket.Service.Name) {
+	if !q.takeRepeat(ctx) {
 		klog.InfoS("not resumed: the retry budget is used up", "request", q.call.Attempt, "err", err)
 		return false
 	}
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -108,18 +108,14 @@
 
 // try sends the call to one server and reads its whole answer.
 func (q *request) try(ctx context.Context, b *model.BackendServer) (*whole, error) {
-	if q.ticket.Idempotent() && q.runs+1 < q.ticket.Route.MaxAttempts {
-		usual := q.Health.View(b.Incarnation()).Latency
-		most := max(patience*usual, q.ticket.Route.TargetLatency, leastTry)
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeoutCause(ctx, most, tooSlow)
-		defer cancel()
-	}
-	run, _, stop := q.Running.track(ctx, b.Incarnation())
+	run, cancel, stop := q.Running.track(ctx, b.Incarnation())
 	defer stop()
 	q.avoid[b.Incarnation()] = true
 	q.chain = b.ID
 	q.sends++
+	if q.ticket.Idempotent() && q.runs+1 < q.ticket.Route.MaxAttempts && q.sends < maxSends {
+		defer q.giveUpIfSlow(run, cancel, b)()
+	}
 	began := q.Now()
 	q.Health.Begin(b.Incarnation())
 	ans, err := q.Backends.Do(run, b.Address, q.outbound(platform.Send{Instance: b.ID}))
@@ -134,6 +130,32 @@
 	return nil, err
 }
 
+// giveUpIfSlow ends a try that takes much longer than usual, once another server is
+// there and a repeated send is granted. Ended before, a request that may go nowhere
+// else would be lost though its server is still at work on it. stop waits for a
+// decision under way.
+func (q *request) giveUpIfSlow(run context.Context, cancel context.CancelCauseFunc, b *model.BackendServer) (stop func()) {
+	usual := q.Health.View(b.Incarnation()).Latency
+	most := max(patience*usual, q.ticket.Route.TargetLatency, leastTry)
+	run, quit := context.WithCancel(run)
+	decided := make(chan struct{})
+	timer := time.AfterFunc(most, func() {
+		defer close(decided)
+		if q.pickPlain() == nil || !q.takeRepeat(run) {
+			klog.InfoS("slow try is kept, as it may go nowhere else", "request", q.call.Attempt, "server", b.Incarnation(), "ms", most.Milliseconds())
+			return
+		}
+		q.granted = true
+		cancel(tooSlow)
+	})
+	return func() {
+		quit()
+		if !timer.Stop() {
+			<-decided
+		}
+	}
+}
+
 // missed takes in that a try gave no answer, and why.
 func (q *request) missed(b *model.BackendServer, why ending, err error, took time.Duration) {
 	sent := !errors.Is(err, ErrNotSent)
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -111,8 +111,8 @@
 	}
 	run, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := q.watch(parts, hold, cancel)
-	defer w.stop()
+	w := q.watch(run, cancel, parts, hold)
+	defer func() { q.granted = w.stop() }()
 	q.sends++
 	ans, err := q.Backends.Do(run, first.Address, q.outbound(send))
 	if err != nil {
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -126,8 +126,10 @@
 	// runs counts the sends that may have run; sends counts all.
 	runs, sends int
 	began       bool // the caller has the head of the answer
-	avoid       map[model.Incarnation]bool
-	chain       string // for the log
+	// granted says that the next repeated send was taken from the budget already.
+	granted bool
+	avoid   map[model.Incarnation]bool
+	chain   string // for the log
 	// firstEvent and longestGap describe a stream as its caller saw it; 0
 	// where there was none.
 	firstEvent, longestGap time.Duration
@@ -287,7 +289,7 @@
 	if !q.repeatable() {
 		return false
 	}
-	if !q.Loans.Take(ctx, q.ticket.Service.Name) {
+	if !q.takeRepeat(ctx) {
 		klog.InfoS("no repeat: the retry budget is used up", "request", q.call.Attempt, "reason", reason)
 		return false
 	}
@@ -295,6 +297,16 @@
 	return true
 }
 
+// takeRepeat takes one repeated send from the budget, unless that was done when the
+// try before was given up.
+func (q *request) takeRepeat(ctx context.Context) bool {
+	if q.granted {
+		q.granted = false
+		return true
+	}
+	return q.Loans.Take(ctx, q.ticket.Service.Name)
+}
+
 // maxSends bounds the sends of one request, refused ones included: an engine
 // that refuses is seldom followed by three more.
 const maxSends = 4
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -40,6 +40,7 @@
 // dead part of its chain, so waiting for its word is no option.
 type chainWatch struct {
 	q      *request
+	run    context.Context
 	cancel context.CancelCauseFunc
 	hold   *chains.Hold
 	since  time.Time // when the run was sent
@@ -55,13 +56,16 @@
 	stopped bool              // ended here, or over
 	culprit model.Incarnation // the engine at fault; empty if none was found
 	moving  bool
+	// granted says that a repeated send was taken from the budget for what follows
+	// this run.
+	granted bool
 	// paceFrom is when the events began that are counted in paceCount.
 	paceFrom  time.Time
 	paceCount int
 }
 
-func (q *request) watch(parts []chains.Part, hold *chains.Hold, cancel context.CancelCauseFunc) *chainWatch {
-	w := &chainWatch{q: q, parts: parts, hold: hold, cancel: cancel, since: q.Now()}
+func (q *request) watch(run context.Context, cancel context.CancelCauseFunc, parts []chains.Part, hold *chains.Hold) *chainWatch {
+	w := &chainWatch{q: q, run: run, cancel: cancel, parts: parts, hold: hold, since: q.Now()}
 	w.last = !q.ticket.Idempotent() || q.sends+1 >= maxSends
 	w.start()
 	if gone, ended := q.Running.add(w, engines(parts)...); ended {
@@ -117,12 +121,14 @@
 	}
 }
 
-func (w *chainWatch) stop() {
+// stop ends the watch. It tells whether a repeated send was taken from the budget.
+func (w *chainWatch) stop() (granted bool) {
 	w.q.Running.remove(w)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
 	w.timer.Stop()
+	return w.granted
 }
 
 // state gives the chain as it is now and the engine at fault, if one was found.
@@ -157,20 +163,34 @@
 		w.blame(addr, news, n)
 		return
 	}
-	w.mu.Lock()
-	patience := mostSilences
-	if !w.begun {
-		patience--
+	if w.q.ticket.Route.Kind != model.RouteStreaming {
+		// The answer comes in one piece. Nothing before it is no silence; its engines
+		// are asked less and less often.
+		w.askAgain(news, time.Duration(n)*nextSilence)
+		return
 	}
-	w.mu.Unlock()
-	if n >= patience {
+	if n >= w.patience() {
 		w.giveUp(news, verdict{why: silence, silences: n})
 		return
 	}
+	w.askAgain(news, nextSilence)
+}
+
+// patience is how many silences in a row the run is allowed.
+func (w *chainWatch) patience() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.begun {
+		return mostSilences
+	}
+	return mostSilences - 1
+}
+
+func (w *chainWatch) askAgain(news int, after time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.changedLocked(news) {
-		w.timer.Reset(nextSilence)
+		w.timer.Reset(after)
 	}
 }
 
@@ -285,19 +305,39 @@
 
 // giveUp ends a run for what was found out when its news count stood at news. It asks
 // again under the lock that it ends the run with: an event that came since, or a move,
-// shows that the chain works. A run that no other engine may go on with is kept: its
-// end would be a sure loss, while a silent engine may go on; its caller decides how
-// long to wait.
+// shows that the chain works. A run that no other engine may go on with, or for which
+// no repeated send is granted, is kept: its end would be a sure loss, while a silent
+// engine may go on; its caller decides how long to wait.
 func (w *chainWatch) giveUp(news int, v verdict) {
+	granted := !w.last && w.grant()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	switch {
-	case w.changedLocked(news):
-	case w.last:
-		klog.InfoS("chain is kept, as nobody may go on", "request", w.q.call.Attempt, "why", v.why, "culprit", v.culprit, "silences", v.silences, "begun", w.begun, "err", v.err)
-	default:
+	if w.changedLocked(news) || w.run.Err() != nil {
+		return
+	}
+	if granted {
 		w.endLocked(v)
+		return
+	}
+	klog.InfoS("chain is kept, as nobody may go on", "request", w.q.call.Attempt, "why", v.why, "culprit", v.culprit, "silences", v.silences, "begun", w.begun, "budget", !w.last, "err", v.err)
+	if !w.last {
+		w.timer.Reset(nextSilence)
+	}
+}
+
+// grant takes a repeated send from the budget for what follows this run. It stays
+// granted where the chain speaks again before it is ended.
+func (w *chainWatch) grant() bool {
+	w.mu.Lock()
+	granted := w.granted
+	w.mu.Unlock()
+	if granted || !w.q.Loans.Take(w.run, w.q.ticket.Service.Name) {
+		return granted
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.granted = true
+	return true
 }
 
 // end ends a run that is not over yet.
--- a/internal/protocol/relay/watch_test.go
+++ b/internal/protocol/relay/watch_test.go
@@ -51,9 +51,9 @@
 	run, cancel := context.WithCancelCause(t.Context())
 	parts := s.parts("far")
 	hold := s.Memory.Reserve(parts, 100)
-	w := q.watch(parts, hold, cancel)
+	w := q.watch(run, cancel, parts, hold)
 	t.Cleanup(func() {
-		w.stop()
+		_ = w.stop()
 		hold.Release()
 	})
 	return w, run
@@ -124,7 +124,7 @@
 		w, run := s.watched(t, route)
 		s.EngineGone(inc("far"))
 		synctest.Wait()
-		w.stop()
+		_ = w.stop()
 		time.Sleep(100 * time.Millisecond)
 		_, culprit := w.state()
 		assert.Equal(t, culprit, model.Incarnation{})
