--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -35,7 +35,10 @@
 	BackendFailed    Kind = "backend_failed"
 	Cancelled        Kind = "cancelled"
 	// CancelledUnsent says that the caller left before anything was sent.
-	CancelledUnsent  Kind = "cancelled_unsent"
+	CancelledUnsent Kind = "cancelled_unsent"
+	// CancelledSent says that the caller left after its request was sent. One that
+	// only closed its sending side still reads the answer.
+	CancelledSent    Kind = "cancelled_sent"
 	WrongIncarnation Kind = "wrong_incarnation"
 	AlreadyHandedOff Kind = "already_handed_over"
 	RevisionConflict Kind = "revision_conflict"
@@ -82,6 +85,7 @@
 	BackendLost:      {Code: connect.CodeUnavailable, Status: 502, RetryAfter: time.Second, Retryable: true},
 	BackendFailed:    {Code: connect.CodeInternal, Status: 502, Retryable: true},
 	Cancelled:        {Code: connect.CodeCanceled, Status: 499},
+	CancelledSent:    {Code: connect.CodeCanceled, Status: 502, RetryAfter: time.Second},
 	CancelledUnsent:  {Code: connect.CodeCanceled, Status: 503, RetryAfter: time.Second},
 	WrongIncarnation: {Code: connect.CodeUnavailable, Status: 503, RetryAfter: 200 * time.Millisecond, Retryable: true},
 	AlreadyHandedOff: {Code: connect.CodeAlreadyExists, Status: 409},
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -54,7 +54,7 @@
 			return whole
 		}
 		if s.delivered != nil {
-			return q.refuse(fault.New(fault.Cancelled, "the caller takes no more: %v", s.delivered))
+			return q.refuse(fault.New(fault.CancelledSent, "the caller takes no more: %v", s.delivered))
 		}
 		last = fault.From(err)
 		if ctx.Err() != nil || !s.resumable() || !q.mayResume(ctx, err) {
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -268,7 +268,7 @@
 	case errors.Is(ctx.Err(), context.Canceled) && q.runs == 0:
 		return fault.New(fault.CancelledUnsent, "the caller left before anything was sent")
 	case errors.Is(ctx.Err(), context.Canceled):
-		return fault.New(fault.Cancelled, "the caller left")
+		return fault.New(fault.CancelledSent, "the caller left")
 	case q.runs == 0:
 		return fault.New(fault.TimedOutUnsent, "no time left, and nothing was sent")
 	}
