The log tells how far a request was, and not that a budget is used up that was not

'request ended' has progress: waiting for room, before sending, sent, begun. A repeat that is refused because the caller has left is no longer logged as a lack of budget.

--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -62,7 +62,9 @@
 		return false
 	}
 	if !q.takeRepeat(ctx) {
-		klog.InfoS("not resumed: the retry budget is used up", "request", q.call.Attempt, "err", err)
+		if ctx.Err() == nil {
+			klog.InfoS("not resumed: the retry budget is used up", "request", q.call.Attempt, "err", err)
+		}
 		return false
 	}
 	q.Observer.Repeat(q.ticket.Service.Name, "resumed")
@@ -93,6 +95,7 @@
 	}
 	until := q.Now().Add(most)
 	waiting := admission.Request{Customer: q.ticket.Customer, Priority: -q.ticket.Priority}
+	q.waiting = true
 	got := q.Line.Wait(ctx, waiting, most, try)
 	// Not in the line: there a stream that no chain serves would hold up others.
 	for s.events > 0 && hold == nil && q.Now().Before(until) && wait.For(ctx, chainPoll) {
@@ -101,6 +104,7 @@
 	}
 	switch {
 	case hold != nil:
+		q.waiting = false
 		return parts, hold, nil
 	case ctx.Err() != nil:
 		return nil, nil, q.ended(ctx)
@@ -108,6 +112,7 @@
 		// Better an engine that failed once than none.
 		clear(q.avoid)
 		if try(); hold != nil {
+			q.waiting = false
 			return parts, hold, nil
 		}
 	}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -126,6 +126,7 @@
 	// runs counts the sends that may have run; sends counts all.
 	runs, sends int
 	began       bool // the caller has the head of the answer
+	waiting     bool // for room at the engines
 	// granted says that the next repeated send was taken from the budget already.
 	granted bool
 	avoid   map[model.Incarnation]bool
@@ -249,11 +250,25 @@
 	}
 	q.Observer.Request(route, service, outcome, kind, took)
 	klog.InfoS("request ended", "request", q.call.Attempt, "outcome", outcome, "kind", kind, "cause", msg,
-		"status", status, "route", route, "service", service, "customer", q.ticket.Customer,
+		"status", status, "progress", q.progress(), "route", route, "service", service, "customer", q.ticket.Customer,
 		"ms", took.Milliseconds(), "firstEventMs", q.firstEvent.Milliseconds(), "longestGapMs", q.longestGap.Milliseconds(), "sends", q.sends, "mayHaveRun", q.runs, "chain", q.chain,
 		"configVersion", q.ticket.Version, "configAgeMs", q.Config.Age(q.Clock()).Milliseconds())
 }
 
+// progress is how far the request was when it ended, for the log: whether an engine
+// may have worked on it, and whether its caller has something of an answer.
+func (q *request) progress() string {
+	switch {
+	case q.began:
+		return "begun"
+	case q.runs > 0:
+		return "sent"
+	case q.waiting:
+		return "waiting for room"
+	}
+	return "before sending"
+}
+
 // left is how much time the request has; 0 where it has no bound.
 func (q *request) left() time.Duration {
 	if q.ticket.Until.IsZero() {
@@ -290,7 +305,9 @@
 		return false
 	}
 	if !q.takeRepeat(ctx) {
-		klog.InfoS("no repeat: the retry budget is used up", "request", q.call.Attempt, "reason", reason)
+		if ctx.Err() == nil {
+			klog.InfoS("no repeat: the retry budget is used up", "request", q.call.Attempt, "reason", reason)
+		}
 		return false
 	}
 	q.Observer.Repeat(q.ticket.Service.Name, reason)
