Tests that fail: ends on a belief that is not asked about again

The news of a server's end overtakes its last answer, and the connection is closed with the answer in it. The line refuses at the end of the wait by the look before the last tick.

--- a/internal/coordination/admission/line_test.go
+++ b/internal/coordination/admission/line_test.go
@@ -114,3 +114,16 @@
 		assert.Equal(t, l.Len(), 0)
 	}
 }
+
+// Room comes free at another router as the wait ends; nobody here is woken for it.
+// The front of the line looks once more before it is refused: its caller would be
+// sent away from a place that is free.
+func TestLineLooksOnceMoreBeforeItGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		most := lineTick - time.Millisecond
+		try := func() bool { return time.Since(began) >= most }
+		assert.Assert(t, NewLine().Wait(context.Background(), Request{Customer: "c"}, most, try))
+		assert.Equal(t, time.Since(began), most)
+	})
+}
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -331,3 +331,28 @@
 		assert.Equal(t, s.seen.repeats, 0)
 	})
 }
+
+// A server answers its last request and ends. The news of its end overtakes the
+// answer, which lies in the socket of a busy router. A request that must not be sent
+// again has nothing but this answer: it is waited for a moment. One that may be sent
+// again is, at once.
+func TestLastAnswerOfAServerIsDelivered(t *testing.T) {
+	for _, kind := range []model.RouteKind{notRepeatable, streaming} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(model.Route{Kind: kind, MaxAttempts: 2, TargetLatency: time.Second}, kind == streaming, func(ctx context.Context, _ string, _ *Request) (*Answer, error) {
+				if !wait.For(ctx, 50*time.Millisecond) {
+					return nil, ctx.Err()
+				}
+				return signed(http.StatusOK, strings.NewReader("id: 1\ndata: last words\n\n")), nil
+			})
+			time.AfterFunc(20*time.Millisecond, func() {
+				s.EngineGone(inc("one"))
+				s.EngineGone(inc("two"))
+			})
+			out := &listener{}
+			assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+			assert.Equal(t, out.status, http.StatusOK)
+			assert.Equal(t, out.body.String(), "id: 1\ndata: last words\n\n")
+		})
+	}
+}
