Last answers, last looks, and refusals that stand

A request that must not be sent again waits a quarter of a second for its answer after the news of its server's end; one that may is moved at once, as before. The front of the line looks once more before it is refused. A refusal of work has its own time, which a probe's success does not end; only work done does.

--- a/internal/coordination/admission/line.go
+++ b/internal/coordination/admission/line.go
@@ -61,7 +61,8 @@
 		case <-w.wake:
 		case <-tick.C:
 		case <-patience.C:
-			return false
+			// Room may have come free since the last look, here or elsewhere.
+			return ctx.Err() == nil && l.first(w) && try()
 		case <-ctx.Done():
 			return false
 		}
--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -46,6 +46,7 @@
 	until    time.Time // suspected until then
 	since    time.Time // when the suspicion was last raised or confirmed
 	trial    time.Time // not tried again before
+	refuses  time.Time // refuses work until then, as far as known
 	strikes  int
 	failures float64 // smoothed share of failed requests, as of judged
 	judged   time.Time
@@ -100,6 +101,7 @@
 	h.with(inc, func(r *record) {
 		r.since = h.now()
 		r.until = until
+		r.refuses = until
 		if lasting {
 			r.strikes++
 		}
@@ -132,6 +134,7 @@
 		}
 		r.since = now
 		r.until = until
+		r.refuses = until
 	})
 }
 
@@ -157,6 +160,7 @@
 			return
 		}
 		r.until = time.Time{}
+		r.refuses = time.Time{}
 		r.trial = time.Time{}
 		r.strikes = 0
 	})
@@ -164,9 +168,9 @@
 
 // Trust takes in that a backend server answers again. Its strikes stay until it
 // has done work: one that answers and does nothing would else be tried again
-// every second.
+// every second. A refusal of work stays its time: an engine that drains answers.
 func (h *Health) Trust(inc model.Incarnation) {
-	h.with(inc, func(r *record) { r.until = time.Time{} })
+	h.with(inc, func(r *record) { r.until = r.refuses })
 }
 
 // Suspected tells whether a backend server should get nothing now.
--- a/internal/protocol/relay/running.go
+++ b/internal/protocol/relay/running.go
@@ -54,14 +54,24 @@
 	delete(r.runs, w)
 }
 
+// lastWords is how long a request that must not be sent again waits for its answer
+// after its server has ended. The news may overtake the answer, which then lies in the
+// socket until a busy machine reads it, a tenth of a second or two later.
+const lastWords = 250 * time.Millisecond
+
 // call is one request at one server of a plain service.
 type call struct {
 	server model.Incarnation
 	cancel context.CancelCauseFunc
+	last   bool // it must not be sent again
 }
 
 func (c *call) leave(lost model.Incarnation, why ending) {
-	if c.server == lost && why == engineGone {
+	switch {
+	case c.server != lost || why != engineGone:
+	case c.last:
+		time.AfterFunc(lastWords, func() { c.cancel(engineGone) })
+	default:
 		c.cancel(engineGone)
 	}
 }
@@ -69,9 +79,9 @@
 // track ends a call when the server's process has ended. Where the server fell
 // silent its connection would tell only at the caller's deadline, too late for a
 // request that may be sent again.
-func (r *Running) track(ctx context.Context, server model.Incarnation) (run context.Context, cancel context.CancelCauseFunc, stop func()) {
+func (r *Running) track(ctx context.Context, server model.Incarnation, last bool) (run context.Context, cancel context.CancelCauseFunc, stop func()) {
 	run, cancel = context.WithCancelCause(ctx)
-	c := &call{server: server, cancel: cancel}
+	c := &call{server: server, cancel: cancel, last: last}
 	if _, ended := r.add(c, server); ended {
 		cancel(engineGone)
 	}
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -245,6 +245,8 @@
 	moved := w.replace(parts, lost)
 	switch news, taken := w.take(moved); {
 	case taken:
+	case why == engineGone && w.last:
+		time.AfterFunc(lastWords, func() { w.end(verdict{culprit: lost, why: why}) })
 	case why == engineGone:
 		w.end(verdict{culprit: lost, why: why})
 	default:
--- a/internal/protocol/relay/watch_test.go
+++ b/internal/protocol/relay/watch_test.go
@@ -151,6 +151,7 @@
 			synctest.Wait()
 			assert.NilError(t, run.Err())
 			s.EngineGone(inc("far"))
+			time.Sleep(lastWords)
 			synctest.Wait()
 			assert.Equal(t, context.Cause(run), engineGone)
 		})
