--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -144,3 +144,56 @@
 		assert.Assert(t, fault.Is(err, fault.Overloaded))
 	})
 }
+
+// insiders counts who has a place, once all is quiet.
+func insiders(r *Room) int {
+	synctest.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.inside
+}
+
+// A request has left, or leaves in the moment its turn comes. Its place goes to the
+// next: it would work for nobody.
+func TestRoomLetsNobodyInWhoLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		left, leave := context.WithCancel(context.Background())
+		leave()
+		r := New(time.Now)
+		assert.Check(t, r.Enter(left, ask("c", 3)) != nil)
+		assert.Check(t, insiders(r) == 0)
+		for range 100 {
+			r := New(time.Now)
+			fill(t, r, "c", 1)
+			ctx, leave := context.WithCancel(context.Background())
+			answer := make(chan error, 1)
+			go func() { answer <- r.Enter(ctx, ask("c", 3)) }()
+			synctest.Wait()
+			r.mu.Lock()
+			leave()
+			r.leave("c")
+			r.mu.Unlock()
+			assert.Check(t, <-answer != nil)
+			assert.Check(t, insiders(r) == 0)
+		}
+	})
+}
+
+// A place is given as the wait for it ends. The request has it, and goes in.
+func TestRoomKeepsAPlaceThatWasGiven(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 100 {
+			r := New(time.Now)
+			fill(t, r, "c", 1)
+			answer := make(chan error, 1)
+			go func() { answer <- r.Enter(context.Background(), ask("c", 3)) }()
+			synctest.Wait()
+			r.mu.Lock()
+			time.Sleep(2 * maxWait) // the wait ends now as well
+			r.leave("c")
+			r.mu.Unlock()
+			assert.Check(t, <-answer == nil)
+			assert.Check(t, insiders(r) == 1)
+		}
+	})
+}
