--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -74,6 +74,9 @@
 // Enter waits for room. An error is the final answer: nothing of the request
 // went on. After nil, Leave must be called.
 func (r *Room) Enter(ctx context.Context, q Request) error {
+	if ctx.Err() != nil {
+		return r.refusal("the caller has left")
+	}
 	p, err := r.join(q)
 	if err != nil || p == nil {
 		return err
@@ -82,13 +85,12 @@
 	defer patience.Stop()
 	select {
 	case <-p.in:
-		return nil
 	case <-p.shed:
 		return r.refusal("given up for a request worth more")
 	case <-patience.C:
 	case <-ctx.Done():
 	}
-	return r.abandon(p, q)
+	return r.settle(ctx, p, q)
 }
 
 // join goes in at once, or into the queue, or is refused.
@@ -155,18 +157,25 @@
 	return e
 }
 
-// abandon gives up a wait whose caller's time is over.
-func (r *Room) abandon(p *place, q Request) error {
+// settle ends a wait. Its end, the caller's and a place that is given may come in the
+// same moment, so it asks again under the lock that places are given under: a place
+// that was given is used, unless nobody is there to use it.
+func (r *Room) settle(ctx context.Context, p *place, q Request) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.queue.Remove(p) {
-		select {
-		case <-p.in:
-			r.leave(q.Customer)
-		default:
-		}
+	if r.queue.Remove(p) {
+		return r.refusalLocked("waited in vain")
+	}
+	select {
+	case <-p.in:
+	default:
+		return r.refusalLocked("given up for a request worth more")
+	}
+	if ctx.Err() == nil {
+		return nil
 	}
-	return r.refusalLocked("waited in vain")
+	r.leave(q.Customer)
+	return r.refusalLocked("the caller has left")
 }
 
 // admit lets in what there is room for. The queue counts the places by
