--- a/internal/coordination/admission/line_test.go
+++ b/internal/coordination/admission/line_test.go
@@ -81,3 +81,49 @@
 		assert.Equal(t, l.Len(), 0)
 	})
 }
+
+// The caller has left, and in the same moment room comes free: the wake and the end
+// of the context race. Let in, the request would take memory and be sent on for
+// nobody.
+func TestLineLetsNobodyInWhoLeft(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	tried := false
+	try := func() bool {
+		tried = true
+		return true
+	}
+	assert.Assert(t, !NewLine().Wait(ctx, Request{Customer: "c"}, time.Minute, try))
+	assert.Assert(t, !tried)
+	for range 100 {
+		l := NewLine()
+		ctx, leave := context.WithCancel(context.Background())
+		room := false
+		try := func() bool {
+			if room {
+				return true
+			}
+			room = l.Len() > 0
+			if room {
+				leave()
+				l.Poke()
+			}
+			return false
+		}
+		assert.Assert(t, !l.Wait(ctx, Request{Customer: "c"}, time.Minute, try))
+		assert.Equal(t, l.Len(), 0)
+	}
+}
+
+// Room comes free at another router as the wait ends; nobody here is woken for it.
+// The front of the line looks once more before it is refused: its caller would be
+// sent away from a place that is free.
+func TestLineLooksOnceMoreBeforeItGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		most := lineTick - time.Millisecond
+		try := func() bool { return time.Since(began) >= most }
+		assert.Assert(t, NewLine().Wait(context.Background(), Request{Customer: "c"}, most, try))
+		assert.Equal(t, time.Since(began), most)
+	})
+}
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -33,6 +33,7 @@
 	ranOn     map[model.Incarnation]bool
 	lastEvent time.Time // when the caller got the last event
 	delivered error     // why the caller could not be written to
+	ready     *whole    // the last engine's own failure
 }
 
 // generate runs a request through chains of engines.
@@ -46,26 +47,45 @@
 	for {
 		parts, hold, f := s.acquire(ctx)
 		if f != nil {
-			return q.refuse(keepFirst(last, f))
+			return s.giveUp(ctx, keepFirst(last, f))
 		}
-		done, whole, err := s.run(ctx, parts, hold)
-		hold.Release()
-		q.Line.Poke()
+		done, whole, err := s.runHolding(ctx, parts, hold)
 		if done {
 			return whole
 		}
-		if s.delivered != nil || ctx.Err() != nil {
-			return q.refuse(q.ended(ctx))
+		if s.delivered != nil {
+			return q.refuse(fault.New(fault.CancelledSent, "the caller takes no more: %v", s.delivered))
 		}
 		last = fault.From(err)
-		if !s.resumable() || !q.mayResume(ctx, err) {
-			return q.refuse(last)
+		if ctx.Err() != nil || !s.resumable() || !q.mayResume(ctx, err) {
+			return s.giveUp(ctx, last)
 		}
 		klog.InfoS("stream goes on at another chain", "request", q.call.Attempt, "after", s.lastID, "events", s.events,
 			"err", err, "sends", q.sends, "ms", q.Now().Sub(q.since).Milliseconds())
 	}
 }
 
+// giveUp gives the final answer of a stream that goes on nowhere: an engine's own
+// failure where one came whole and nothing was begun, also when the time is over by
+// now, as it is ready; else the system's.
+func (s *stream) giveUp(ctx context.Context, f *fault.Error) bool {
+	switch {
+	case s.ready != nil && !s.began:
+		return s.deliver(s.ready)
+	case ctx.Err() != nil:
+		f = s.ended(ctx)
+	}
+	return s.refuse(f)
+}
+
+// runHolding runs the request through one chain and gives its memory back, also where
+// the run panics: the HTTP server recovers, and the memory would stay reserved.
+func (s *stream) runHolding(ctx context.Context, parts []chains.Part, hold *chains.Hold) (done, whole bool, err error) {
+	defer s.Line.Poke()
+	defer hold.Release()
+	return s.run(ctx, parts, hold)
+}
+
 // resumable tells whether another engine can go on where the caller is: events
 // without numbers do not tell where that is, and would come twice.
 func (s *stream) resumable() bool { return s.events == 0 || s.hasLast }
@@ -89,25 +109,14 @@
 	if s.hasLast {
 		send.ResumeAfter = strconv.FormatInt(s.lastID, 10)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	w := q.watch(parts, hold, cancel)
-	defer w.stop()
+	run, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w := q.watch(run, cancel, parts, hold)
+	defer func() { q.granted = w.stop() }()
 	q.sends++
-	ans, err := q.Backends.Do(ctx, first.Address, q.outbound(send))
-	if errors.Is(err, ErrNotSent) {
-		q.sends--
-		s.avoid[first.Incarnation()] = true
-		q.Suspicions.Unreachable(first, q.call.Attempt, err)
-		return false, false, fault.New(fault.NotConnected, "no connection to an engine")
-	}
+	ans, err := q.Backends.Do(run, first.Address, q.outbound(send))
 	if err != nil {
-		q.runs++
-		s.ranOn[first.Incarnation()] = true
-		if w.ended() || ctx.Err() == nil {
-			s.lost(w, err)
-		}
-		return false, false, fault.New(fault.BackendLost, "an engine was lost before it answered")
+		return false, false, s.missed(run, w, first, err)
 	}
 	defer ans.Body.Done()
 	v := platform.DecodeVerdict(ans.Status, ans.Header)
@@ -124,7 +133,7 @@
 	s.ranOn[first.Incarnation()] = true
 	if ans.Status != http.StatusOK || v.Signature == "" {
 		s.Health.Outcome(first.Incarnation(), false)
-		return s.failed(ctx, ans, v)
+		return s.failed(ans)
 	}
 	if q.ticket.Route.Kind != model.RouteStreaming {
 		return s.single(ans)
@@ -138,8 +147,8 @@
 		q.finish("ran", nil, http.StatusOK)
 		return true, true, nil
 	}
-	if s.delivered == nil && (w.ended() || ctx.Err() == nil) {
-		s.lost(w, end)
+	if s.delivered == nil {
+		s.lost(w, endingOf(run, end), end)
 	}
 	return false, false, fault.New(fault.BackendLost, "a chain broke off after %d events", s.events)
 }
@@ -154,16 +163,17 @@
 }
 
 // failed handles an engine's own failure: a stream that has not begun may be
-// tried elsewhere, else the failure is the answer.
-func (s *stream) failed(ctx context.Context, ans *Answer, v platform.Verdict) (done, whole bool, err error) {
-	q := s.request
-	read, err := q.readWhole(ans)
+// tried elsewhere, else the failure is the answer. It is kept, to be the answer also
+// where trying elsewhere comes to nothing.
+func (s *stream) failed(ans *Answer) (done, whole bool, err error) {
+	read, err := s.readWhole(ans)
 	if err != nil {
 		return false, false, fault.New(fault.BackendFailed, "%v", err)
 	}
-	if !q.began && (read.status < 500 || !q.mayRepeat(ctx, "engine failed")) {
-		return true, q.deliver(read), nil
+	if !s.began && (read.status < 500 || !s.repeatable()) {
+		return true, s.deliver(read), nil
 	}
+	s.ready = read
 	return false, false, fault.New(fault.BackendFailed, "an engine failed with status %d", ans.Status)
 }
 
@@ -259,12 +269,35 @@
 	}
 }
 
-// lost takes in that a chain broke off or fell silent. Where an engine was
-// found at fault it alone is avoided; else any of the chain may be, and the
-// stream goes on without all of them.
-func (s *stream) lost(w *chainWatch, err error) {
+// missed takes in that an engine gave no answer, and whether the request was sent.
+func (s *stream) missed(run context.Context, w *chainWatch, first *model.BackendServer, err error) *fault.Error {
+	why := endingOf(run, err)
+	if errors.Is(err, ErrNotSent) {
+		s.sends--
+		if why != noConnection && !(why == timeOver && why.blames(s.Now().Sub(w.since))) {
+			s.lost(w, why, err)
+			return fault.New(fault.NotConnected, "the run was ended before it was sent: %s", why)
+		}
+		s.avoid[first.Incarnation()] = true
+		s.Suspicions.Unreachable(first, s.call.Attempt, err)
+		return fault.New(fault.NotConnected, "no connection to an engine")
+	}
+	s.runs++
+	s.ranOn[first.Incarnation()] = true
+	s.lost(w, why, err)
+	return fault.New(fault.BackendLost, "an engine was lost before it answered")
+}
+
+// lost takes in that a chain broke off, fell silent or was given up by its caller.
+// The caller's end speaks against no engine. Where an engine was found at fault it
+// alone is avoided; else any of the chain may be, and the stream goes on without all
+// of them.
+func (s *stream) lost(w *chainWatch, why ending, err error) {
 	parts, culprit := w.state()
-	klog.InfoS("chain lost", "request", s.call.Attempt, "chain", describe(parts), "culprit", culprit, "err", err, "events", s.events)
+	klog.InfoS("chain lost", "request", s.call.Attempt, "why", why, "sent", !errors.Is(err, ErrNotSent), "chain", describe(parts), "culprit", culprit, "err", err, "events", s.events)
+	if why == callerLeft || why == timeOver {
+		return
+	}
 	if culprit != (model.Incarnation{}) {
 		s.avoid[culprit] = true
 		return
--- a/internal/protocol/relay/panic.go
+++ b/internal/protocol/relay/panic.go
@@ -8,7 +8,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/fault"
-	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
 // errPanicked says that the code of a request panicked.
@@ -48,12 +47,19 @@
 }
 
 // contain is the same for what watches a run beside its request: the run is ended,
-// and the stream goes on through another chain. Neither ask nor leave calls anything
-// while it holds the watch's lock, so that is free.
+// and the stream goes on through another chain. The watch's lock is free by then: what
+// ask and leave call under it gives it back by a deferred call.
 func (w *chainWatch) contain() {
 	if cause := recover(); cause != nil {
 		w.q.tellPanic("watch", cause)
-		w.end(model.Incarnation{}, 0, errPanicked)
+		w.end(verdict{why: faulted, err: errPanicked})
+	}
+}
+
+// containSlow is the same for the timer of a slow try, which then goes on.
+func (q *request) containSlow() {
+	if cause := recover(); cause != nil {
+		q.tellPanic("slow try", cause)
 	}
 }
 
--- a/internal/protocol/relay/panic_test.go
+++ b/internal/protocol/relay/panic_test.go
@@ -160,15 +160,15 @@
 		s.Relay.Observer = observer
 		s.Relay.OnPanic = observer.panicked
 		s.Relay.Running = NewRunning()
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
+		ctx, cancel := context.WithCancelCause(t.Context())
+		defer cancel(nil)
 		engine := s.Catalog.Load().Service("s")[0]
 		parts := []chains.Part{{Server: engine, Layers: engine.Holds}}
-		w := s.watch(parts, s.Memory.Reserve(parts, 1), cancel)
+		w := s.watch(ctx, cancel, parts, s.Memory.Reserve(parts, 1))
 		defer w.stop()
 		<-ctx.Done()
 		synctest.Wait()
-		assert.Assert(t, w.ended())
+		assert.Equal(t, endingOf(ctx, nil), faulted)
 		assert.Equal(t, observer.panics, 1)
 	})
 }
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -23,8 +23,9 @@
 	"github.com/skylarkwood/skylarkwood/platform"
 )
 
-// ErrNotSent says that no byte of a request went out.
-var ErrNotSent = errors.New("not sent: no connection")
+// ErrNotSent says that no byte of a request went out: there was no connection, or
+// the context had ended.
+var ErrNotSent = errors.New("not sent")
 
 // Request is what is sent to a backend server.
 type Request struct {
@@ -128,8 +129,11 @@
 	// runs counts the sends that may have run; sends counts all.
 	runs, sends int
 	began       bool // the caller has the head of the answer
-	avoid       map[model.Incarnation]bool
-	chain       string // for the log
+	waiting     bool // for room at the engines
+	// granted says that the next repeated send was taken from the budget already.
+	granted bool
+	avoid   map[model.Incarnation]bool
+	chain   string // for the log
 	// firstEvent and longestGap describe a stream as its caller saw it; 0
 	// where there was none.
 	firstEvent, longestGap time.Duration
@@ -251,11 +255,25 @@
 	}
 	q.Observer.Request(route, service, outcome, kind, took)
 	klog.InfoS("request ended", "request", q.call.Attempt, "outcome", outcome, "kind", kind, "cause", msg,
-		"status", status, "route", route, "service", service, "customer", q.ticket.Customer,
+		"status", status, "progress", q.progress(), "route", route, "service", service, "customer", q.ticket.Customer,
 		"ms", took.Milliseconds(), "firstEventMs", q.firstEvent.Milliseconds(), "longestGapMs", q.longestGap.Milliseconds(), "sends", q.sends, "mayHaveRun", q.runs, "chain", q.chain,
 		"configVersion", q.ticket.Version, "configAgeMs", q.Config.Age(q.Clock()).Milliseconds())
 }
 
+// progress is how far the request was when it ended, for the log: whether an engine
+// may have worked on it, and whether its caller has something of an answer.
+func (q *request) progress() string {
+	switch {
+	case q.began:
+		return "begun"
+	case q.runs > 0:
+		return "sent"
+	case q.waiting:
+		return "waiting for room"
+	}
+	return "before sending"
+}
+
 // left is how much time the request has; 0 where it has no bound.
 func (q *request) left() time.Duration {
 	if q.ticket.Until.IsZero() {
@@ -267,31 +285,50 @@
 // ended gives the answer for a request whose time is over or whose caller left.
 func (q *request) ended(ctx context.Context) *fault.Error {
 	switch {
+	case errors.Is(ctx.Err(), context.Canceled) && q.runs == 0:
+		return fault.New(fault.CancelledUnsent, "the caller left before anything was sent")
 	case errors.Is(ctx.Err(), context.Canceled):
-		return fault.New(fault.Cancelled, "the caller left")
+		return fault.New(fault.CancelledSent, "the caller left")
 	case q.runs == 0:
 		return fault.New(fault.TimedOutUnsent, "no time left, and nothing was sent")
 	}
 	return fault.New(fault.Deadline, "no answer in time")
 }
 
-// mayRepeat takes one repeated send from the budget, if the request may be sent
-// again at all.
-func (q *request) mayRepeat(ctx context.Context, reason string) bool {
+// repeatable tells whether the request may be sent again at all.
+func (q *request) repeatable() bool {
 	if q.runs >= q.ticket.Route.MaxAttempts || q.sends >= maxSends {
 		return false
 	}
-	if q.runs > 0 && !q.ticket.Idempotent() {
+	return q.runs == 0 || q.ticket.Idempotent()
+}
+
+// mayRepeat takes one repeated send from the budget, if the request may be sent
+// again.
+func (q *request) mayRepeat(ctx context.Context, reason string) bool {
+	if !q.repeatable() {
 		return false
 	}
-	if !q.Loans.Take(ctx, q.ticket.Service.Name) {
-		klog.InfoS("no repeat: the retry budget is used up", "request", q.call.Attempt, "reason", reason)
+	if !q.takeRepeat(ctx) {
+		if ctx.Err() == nil {
+			klog.InfoS("no repeat: the retry budget is used up", "request", q.call.Attempt, "reason", reason)
+		}
 		return false
 	}
 	q.Observer.Repeat(q.ticket.Service.Name, reason)
 	return true
 }
 
+// takeRepeat takes one repeated send from the budget, unless that was done when the
+// try before was given up.
+func (q *request) takeRepeat(ctx context.Context) bool {
+	if q.granted {
+		q.granted = false
+		return true
+	}
+	return q.Loans.Take(ctx, q.ticket.Service.Name)
+}
+
 // maxSends bounds the sends of one request, refused ones included: an engine
 // that refuses is seldom followed by three more.
 const maxSends = 4
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -40,32 +38,52 @@
 // dead part of its chain, so waiting for its word is no option.
 type chainWatch struct {
 	q      *request
-	cancel context.CancelFunc
+	run    context.Context
+	cancel context.CancelCauseFunc
 	hold   *chains.Hold
 	since  time.Time // when the run was sent
+	// last says that no other engine may go on where this run ends.
+	last bool
 
 	mu      sync.Mutex
 	parts   []chains.Part
 	timer   *time.Timer
-	begun   bool // an event came
-	quiet   int  // silences in a row
-	heardNo int  // counts events, to notice one that came meanwhile
-	stopped bool
+	begun   bool              // an event came
+	quiet   int               // silences in a row
+	news    int               // counts events and moves, to notice what came meanwhile
+	stopped bool              // ended here, or over
 	culprit model.Incarnation // the engine at fault; empty if none was found
 	moving  bool
-	silent  bool
+	// granted says that a repeated send was taken from the budget for what follows
+	// this run.
+	granted bool
 	// paceFrom is when the events began that are counted in paceCount.
 	paceFrom  time.Time
 	paceCount int
 }
 
-func (q *request) watch(parts []chains.Part, hold *chains.Hold, cancel context.CancelFunc) *chainWatch {
-	w := &chainWatch{q: q, parts: parts, hold: hold, cancel: cancel, since: q.Now()}
+func (q *request) watch(run context.Context, cancel context.CancelCauseFunc, parts []chains.Part, hold *chains.Hold) *chainWatch {
+	w := &chainWatch{q: q, run: run, cancel: cancel, parts: parts, hold: hold, since: q.Now()}
+	w.last = !q.ticket.Idempotent() || q.sends+1 >= maxSends
+	w.start()
+	if gone, ended := q.Running.add(w, engines(parts)...); ended {
+		w.end(verdict{culprit: gone, why: engineGone})
+	}
+	return w
+}
+
+func (w *chainWatch) start() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(firstSilence, w.ask)
-	q.Running.add(w)
-	return w
+}
+
+func engines(parts []chains.Part) []model.Incarnation {
+	out := make([]model.Incarnation, len(parts))
+	for i, p := range parts {
+		out[i] = p.Server.Incarnation()
+	}
+	return out
 }
 
 func (w *chainWatch) heard() {
@@ -73,7 +91,7 @@
 	defer w.mu.Unlock()
 	w.begun = true
 	w.quiet = 0
-	w.heardNo++
+	w.news++
 	if !w.stopped {
 		w.timer.Reset(nextSilence)
 	}
@@ -101,12 +119,14 @@
 	}
 }
 
-func (w *chainWatch) stop() {
+// stop ends the watch. It tells whether a repeated send was taken from the budget.
+func (w *chainWatch) stop() (granted bool) {
 	w.q.Running.remove(w)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
 	w.timer.Stop()
+	return w.granted
 }
 
 // state gives the chain as it is now and the engine at fault, if one was found.
@@ -116,13 +136,6 @@
 	return w.parts, w.culprit
 }
 
-// ended tells whether the run was ended for its silence.
-func (w *chainWatch) ended() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.silent
-}
-
 // ask runs when the timer fires.
 func (w *chainWatch) ask() {
 	defer w.contain()
@@ -133,44 +146,63 @@
 	}
 	w.quiet++
 	n := w.quiet
-	heardNo := w.heardNo
+	news := w.news
 	first := w.parts[0].Server
 	w.mu.Unlock()
 	report, err := w.q.askReport(first)
-	if w.changed(heardNo) {
+	if w.changed(news) {
 		return
 	}
 	if err != nil {
 		w.q.Suspicions.Unreachable(first, w.q.call.Attempt, err)
-		w.end(first.Incarnation(), n, err)
+		w.giveUp(news, verdict{culprit: first.Incarnation(), why: silence, silences: n, err: err})
 		return
 	}
 	if addr := stallOf(report, w.q.call.Attempt); addr != "" {
-		w.blame(addr, n)
+		w.blame(addr, news, n)
 		return
 	}
-	w.mu.Lock()
-	patience := mostSilences
-	if !w.begun {
-		patience--
+	if w.q.ticket.Route.Kind != model.RouteStreaming {
+		// The answer comes in one piece. Nothing before it is no silence; its engines
+		// are asked less and less often.
+		w.askAgain(news, time.Duration(n)*nextSilence)
+		return
 	}
-	w.mu.Unlock()
-	if n >= patience {
-		w.end(model.Incarnation{}, n, nil)
+	if n >= w.patience() {
+		w.giveUp(news, verdict{why: silence, silences: n})
 		return
 	}
+	w.askAgain(news, nextSilence)
+}
+
+// patience is how many silences in a row the run is allowed.
+func (w *chainWatch) patience() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.stopped {
-		w.timer.Reset(nextSilence)
+	if w.begun {
+		return mostSilences
+	}
+	return mostSilences - 1
+}
+
+func (w *chainWatch) askAgain(news int, after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.changedLocked(news) {
+		w.timer.Reset(after)
 	}
 }
 
-// changed tells whether an event came, or the run ended, meanwhile.
-func (w *chainWatch) changed(heardNo int) bool {
+// changed tells whether an event came, or the chain was moved or has ended,
+// meanwhile: what was found out is about the chain as it was before.
+func (w *chainWatch) changed(news int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.stopped || w.heardNo != heardNo
+	return w.changedLocked(news)
+}
+
+func (w *chainWatch) changedLocked(news int) bool {
+	return w.stopped || w.moving || w.news != news
 }
 
 func stallOf(r model.EngineReport, attempt string) string {
@@ -184,84 +216,15 @@
 
 // blame takes in which engine the chain waits for. The other streams of this
 // router that run through it are moved at once, before they notice.
-func (w *chainWatch) blame(addr string, n int) {
+func (w *chainWatch) blame(addr string, news, n int) {
 	parts, _ := w.state()
 	for _, p := range parts {
 		if p.Server.Address != addr {
 			continue
 		}
 		w.q.Suspicions.Unreachable(p.Server, w.q.call.Attempt, nil)
-		w.q.Running.leave(p.Server.Incarnation())
-		return
-	}
-	w.end(model.Incarnation{}, n, nil)
-}
-
-// leave moves the run away from an engine. Several streams may find the same
-// engine at fault; a run that was moved already stays.
-func (w *chainWatch) leave(lost model.Incarnation) {
-	defer w.contain()
-	w.mu.Lock()
-	if w.stopped || w.moving || !uses(w.parts, lost) {
-		w.mu.Unlock()
-		return
-	}
-	w.moving = true
-	w.timer.Stop()
-	parts := w.parts
-	w.mu.Unlock()
-	moved := w.replace(parts, lost)
-	w.mu.Lock()
-	w.moving = false
-	if moved != nil && !w.stopped {
-		w.parts = moved
-		w.timer.Reset(movedSilence)
-		w.mu.Unlock()
+		w.q.Running.leave(p.Server.Incarnation(), silence)
 		return
 	}
-	w.mu.Unlock()
-	w.end(lost, 0, nil)
-}
-
-// replace orders the first engine to send the stream around an engine; nil if
-// that cannot be done.
-func (w *chainWatch) replace(parts []chains.Part, lost model.Incarnation) []chains.Part {
-	q := w.q
-	if parts[0].Server.Incarnation() == lost || !q.ticket.Idempotent() {
-		return nil
-	}
-	next := q.Chooser.Replace(q.ticket.Service, parts, lost, w.hold.Tokens(), q.ticket.Route.TargetGap)
-	if next == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), repathWait)
-	defer cancel()
-	began := q.Now()
-	err := q.Repath(ctx, next[0].Server, q.call.Attempt, hops(next))
-	klog.InfoS("part of a chain replaced", "request", q.call.Attempt, "lost", lost, "chain", describe(next), "ms", q.Now().Sub(began).Milliseconds(), "err", err)
-	if err != nil {
-		return nil
-	}
-	w.hold.Move(next)
-	q.Observer.Repeat(q.ticket.Service.Name, "repath")
-	return next
-}
-
-func (w *chainWatch) end(culprit model.Incarnation, n int, err error) {
-	w.mu.Lock()
-	w.culprit = culprit
-	w.silent = true
-	begun := w.begun
-	w.mu.Unlock()
-	klog.InfoS("chain is given up", "request", w.q.call.Attempt, "culprit", culprit, "silences", n, "begun", begun, "err", err)
-	w.cancel()
-}
-
-func uses(parts []chains.Part, engine model.Incarnation) bool {
-	for _, p := range parts {
-		if p.Server.Incarnation() == engine {
-			return true
-		}
-	}
-	return false
+	w.giveUp(news, verdict{why: silence, silences: n})
 }
