--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -41,8 +41,8 @@
 	sweepEvery  = 5 * time.Second
 	grantWait   = 3 * time.Second
 	ledgerBurst = 5
-	// drainPoll is how often an entry that leaves looks whether all is answered.
-	drainPoll = 20 * time.Millisecond
+	// readyPoll is how often dev mode looks whether its parts have met.
+	readyPoll = 20 * time.Millisecond
 	// compressFrom is the size in bytes from which answers are compressed.
 	compressFrom = 4096
 )
@@ -250,9 +250,7 @@
 	e.node.Events.Add(model.RequestKey{}, events.DrainStarted, "")
 	klog.InfoS("Entry drains", "instance", e.settings.Instance, "running", e.owner.Serving())
 	time.Sleep(time.Duration(e.settings.Entry.DrainDelay))
-	for e.owner.Serving() > 0 {
-		time.Sleep(drainPoll)
-	}
+	<-e.owner.Drain()
 }
 
 func (e *Entry) handler() http.Handler {
--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -317,10 +317,6 @@
 	return d.Sum64()
 }
 
-// Serving counts the requests whose outcome, and the copies of it, are not yet
-// out.
-func (o *Owner) Serving() int64 { return o.serving.Load() }
-
 // serve carries a request to its outcome. It does not end with the caller's
 // connection: the caller may come back for the answer.
 func (o *Owner) serve(j *job) {
