An entry accepts a request or finds itself drained under one lock

Ruled out: refusing in the API before Submit (the look at the flag and the count would again be two steps); refusing from the signal on (callers that the balancer still sends would be turned away for the whole drain delay, and the requests it lets in now are answered). Change: owner.intake counts what was accepted and decides under one lock whether one more may come in; Drain refuses from then on ('leaving', not accepted) and closes its channel when the last outcome and its copies are out. Callers that come back for an earlier request still join it. The stand-in world appended its entries without its lock; found by the race detector.

--- a/internal/protocol/owner/owner.go
+++ b/internal/protocol/owner/owner.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -114,12 +113,12 @@
 	Deps
 	started time.Time
 	runs    *shard.Map[string, *run]
-	serving atomic.Int64
+	intake  *intake
 }
 
 // New makes an owner.
 func New(d Deps) *Owner {
-	return &Owner{Deps: d, started: d.Now(), runs: shard.New[string, *run]()}
+	return &Owner{Deps: d, started: d.Now(), runs: shard.New[string, *run](), intake: newIntake()}
 }
 
 // Ask is a caller's request.
@@ -182,8 +181,12 @@
 	if err := o.admit(j); err != nil {
 		return nil, o.reject(ask, err)
 	}
+	if !o.intake.enter() {
+		return nil, o.reject(ask, fault.New(fault.Leaving, "entry is leaving"))
+	}
 	r, joined := o.Requests.Begin(key, content(ask), j.began.Add(j.timeout()))
 	if joined {
+		o.intake.leave()
 		return r, o.join(ask, r)
 	}
 	j.req = r
@@ -194,7 +197,6 @@
 		j.run = ulid.MustNew(ulid.Timestamp(j.began), rand.Reader).String()
 	}
 	o.Events.Add(key, events.Accepted, ask.Service)
-	o.serving.Add(1)
 	go o.serve(j)
 	return r, nil
 }
@@ -320,7 +322,7 @@
 // serve carries a request to its outcome. It does not end with the caller's
 // connection: the caller may come back for the answer.
 func (o *Owner) serve(j *job) {
-	defer o.serving.Add(-1)
+	defer o.intake.leave()
 	ctx, cancel := context.WithDeadline(context.Background(), j.req.Deadline)
 	defer cancel()
 	o.Retries.Request()
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -112,7 +112,10 @@
 		w.addSidecar(&Sidecar{Domain: spec.Domain, places: spec.Places, Plain: standin.NewPlain(spec.Time)})
 	}
 	for i, domain := range cfg.Entries {
-		w.entries = append(w.entries, w.startEntry(fmt.Sprintf("entry-%d", i), domain))
+		e := w.startEntry(fmt.Sprintf("entry-%d", i), domain)
+		w.mu.Lock()
+		w.entries = append(w.entries, e)
+		w.mu.Unlock()
 	}
 	return w, nil
 }
