Failing tests: Reset of a link closes whichever connection is there

Cause: a sender whose message failed calls Pool.Reset(address), which closes the connection that the pool has at that moment. Between the failure and Reset another sender may have dropped the failed one, dialled anew and be waiting for its answer: the belief 'silent' was formed about the old connection and is acted on at the new one. Owner.callTwice then fails its second call though the peer answers (the request is repaired, or cut off), a loan of repeated sends is lost, a notice of an engine's end isn't delivered.

--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -120,6 +122,88 @@
 	assert.Equal(t, got.Text, "3")
 }
 
+// Two calls meet the same silent connection. The first one's owner drops it and
+// calls again over a new one; while that is being answered the second call gives up
+// and drops "the connection" too. It must not be the new one: the call on it would
+// fail a second time though the peer answers, and its request be cut off.
+func TestResetSparesTheConnectionThatReplacedASilentOne(t *testing.T) {
+	reached, answer := make(chan struct{}), make(chan struct{})
+	addr := serve(t, func(s *Server) {
+		s.Register("echo", Handle(func(_ context.Context, _ string, e echo) (echo, error) { return e, nil }))
+		s.Register("slow", Handle(func(_ context.Context, _ string, e echo) (echo, error) {
+			close(reached)
+			<-answer
+			return e, nil
+		}))
+	})
+	proxy, cut := silentProxy(t, addr)
+	p := NewPool(newStamp("me"))
+	defer p.Close()
+	assert.NilError(t, p.Call(context.Background(), proxy, "echo", echo{"1"}, nil))
+	cut()
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		assert.Assert(t, fault.Is(p.Call(ctx, proxy, "echo", echo{"2"}, nil), fault.Unreachable))
+		cancel()
+	}
+	p.Reset(proxy) // by the first of the two
+	var got echo
+	again := make(chan error, 1)
+	go func() { again <- p.Call(context.Background(), proxy, "slow", echo{"3"}, &got) }()
+	<-reached
+	p.Reset(proxy) // by the second
+	close(answer)
+	assert.NilError(t, <-again)
+	assert.Equal(t, got.Text, "3")
+}
+
+// A message to a peer could not be sent as nobody listened there yet. When its
+// sender drops "the connection", another sender has reached the peer and waits for
+// its answer: that connection has not failed and stays.
+func TestResetAfterAFailedDialSparesALaterConnection(t *testing.T) {
+	addr, listen := refusingAddress(t)
+	p := NewPool(newStamp("me"))
+	defer p.Close()
+	ctx := context.Background()
+	assert.Assert(t, fault.Is(p.Send(ctx, addr, p.Notice("note", nil)), fault.NotConnected))
+	l := listen()
+	serving, stop := context.WithCancel(ctx)
+	defer stop()
+	reached, answer := make(chan struct{}), make(chan struct{})
+	srv := NewServer(newStamp(addr))
+	srv.Register("slow", Handle(func(_ context.Context, _ string, e echo) (echo, error) {
+		close(reached)
+		<-answer
+		return e, nil
+	}))
+	go func() { _ = srv.Serve(serving, l) }()
+	done := make(chan error, 1)
+	go func() { done <- p.Call(ctx, addr, "slow", echo{"x"}, nil) }()
+	<-reached
+	p.Reset(addr)
+	close(answer)
+	assert.NilError(t, <-done)
+}
+
+// refusingAddress gives an address that refuses connections until listen is called;
+// nobody else can take it meanwhile.
+func refusingAddress(t *testing.T) (addr string, listen func() net.Listener) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	f := os.NewFile(uintptr(fd), "refusing address")
+	t.Cleanup(func() { f.Close() })
+	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(fd)
+	assert.NilError(t, err)
+	addr = net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
+	return addr, func() net.Listener {
+		assert.NilError(t, syscall.Listen(fd, 8))
+		l, err := net.FileListener(f)
+		assert.NilError(t, err)
+		return l
+	}
+}
+
 // silentProxy passes bytes on until cut; connections open by then stay open and
 // carry nothing more, later ones work.
 func silentProxy(t *testing.T, to string) (addr string, cut func()) {
