Reset drops a link's connection only if a message on it failed

Ruled out: handing the connection to the caller with the error (every caller of Peers would carry it, and the stand-ins with it); dropping a connection only where nothing was heard on it since (a connection that loses one direction would be kept for one more call). Change: a connection notes that a message on it was not sent or not answered; Reset asks that under the lock under which connections are replaced. A peer's refusal is an answer. Close drops all as before.

--- a/internal/transport/link/notice.go
+++ b/internal/transport/link/notice.go
@@ -38,6 +38,7 @@
 		return err
 	}
 	if err := c.frames.write(n.framed); err != nil {
+		c.failed.Store(true)
 		return fault.New(fault.Unreachable, "notice to %s: %v", addr, err)
 	}
 	return nil
--- a/internal/transport/link/pool.go
+++ b/internal/transport/link/pool.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,6 +39,8 @@
 type outgoing struct {
 	*jsonrpc2.Conn
 	frames *frames
+	// failed says that a message on it was not sent, or not answered in time.
+	failed atomic.Bool
 }
 
 // NewPool makes an empty pool.
@@ -58,6 +61,9 @@
 	}
 	var back wire.Envelope
 	if err := conn.Call(ctx, string(m), env, &back); err != nil {
+		if !answered(err) {
+			conn.failed.Store(true)
+		}
 		if ctx.Err() != nil {
 			return fault.New(fault.Unreachable, "%s to %s: no answer in time", m, addr)
 		}
@@ -83,14 +89,20 @@
 		return err
 	}
 	if err := conn.Notify(ctx, string(m), env); err != nil {
+		conn.failed.Store(true)
 		return fault.New(fault.Unreachable, "%s to %s: %v", m, addr, err)
 	}
 	return nil
 }
 
-// Reset drops the connection to a peer, so that the next message dials anew. A
-// connection can go silent for good while new ones work; only a new one tells
-// whether the peer itself is gone.
+// Reset drops the connection to a peer if a message on it failed, so that the next
+// one dials anew. A connection can go silent for good while new ones work; only a
+// new one tells whether the peer itself is gone.
+//
+// Several senders may find one connection silent. The first drops it and calls again
+// over a new one; closed by the next, that call would fail a second time though the
+// peer answers, and its request be cut off. The new connection has not failed, which
+// is asked under the lock under which it took the old one's place, so it stays.
 func (p *Pool) Reset(addr string) {
 	pr, ok := p.peers.Get(addr)
 	if !ok {
@@ -98,16 +110,26 @@
 	}
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
-	if pr.conn != nil {
-		pr.conn.Close()
-		pr.conn = nil
+	if pr.conn != nil && pr.conn.failed.Load() {
+		pr.drop()
 	}
 }
 
+// drop closes the connection. The caller holds the lock.
+func (pr *peer) drop() {
+	if pr.conn == nil {
+		return
+	}
+	pr.conn.Close()
+	pr.conn = nil
+}
+
 // Close drops every connection.
 func (p *Pool) Close() {
 	for _, pr := range p.peers.Values() {
-		p.Reset(pr.addr)
+		pr.mu.Lock()
+		pr.drop()
+		pr.mu.Unlock()
 	}
 }
 
@@ -129,6 +151,12 @@
 	return pr.conn, nil
 }
 
+// answered tells whether an error is the peer's answer.
+func answered(err error) bool {
+	var rpc *jsonrpc2.Error
+	return errors.As(err, &rpc)
+}
+
 func closed(c *jsonrpc2.Conn) bool {
 	select {
 	case <-c.DisconnectNotify():
