A router that stops resigns before it gives its lease back

Ruled out: ending the controller's ticks at the stop (orders already under way would still carry a token that counts as held). Change: leave first ends the leadership here for good, under the lock under which the token is read, and then gives the leases back, that of an undecided claim included.

--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -99,6 +99,7 @@
 	refused int64 // token that an engine refused as too old
 	holder  string
 	highest int64 // highest token heard of
+	left    bool  // this process stops: it leads no more
 }
 
 // Token is the fencing token while this process leads; 0 otherwise.
@@ -128,7 +129,7 @@
 	if c.Instance != "" {
 		e.highest = max(e.highest, revision)
 	}
-	if c.Incarnation == e.Incarnation && e.token == 0 && revision != e.refused {
+	if c.Incarnation == e.Incarnation && e.token == 0 && revision != e.refused && !e.left {
 		// The answer to our own claim was lost, but the claim took effect.
 		e.token = revision
 		klog.InfoS("leadership found won", "token", revision)
@@ -335,12 +336,7 @@
 
 // leave gives back what this router holds, the leadership first.
 func (e *Elector) leave() {
-	e.mu.Lock()
-	held := []platform.LeaseID{e.member.id}
-	if e.token != 0 {
-		held = []platform.LeaseID{e.claim.id, e.member.id}
-	}
-	e.mu.Unlock()
+	held := e.resign()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	for _, id := range held {
@@ -352,3 +348,22 @@
 		}
 	}
 }
+
+// resign ends the leadership here, for good, and gives the leases to be given back.
+//
+// It comes before the lease is free: another router wins at once then, and while this
+// one took itself for the leader both would order engines, so that twice as many load
+// at a time as do without slowing each other down. A claim that is undecided may have
+// won, so its lease is given back as well.
+func (e *Elector) resign() []platform.LeaseID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := []platform.LeaseID{e.claim.id, e.member.id}
+	if e.token != 0 {
+		klog.InfoS("resigned: this router stops", "token", e.token)
+	}
+	e.left = true
+	e.token = 0
+	e.claim = lease{}
+	return held
+}
