Orders and plans are checked again when the answer is there

Ruled out: holding the controller's lock while the report is asked (an engine that is silent would hold up all others for a second). Change: after the report, place asks once more, without waiting in between, whether this process leads under the same token and the plan still wants these layers; if not the engine is due again at the next tick. takeIn keeps the plan of the highest revision, whether the watch or the answer to a commit brings it; persist goes on with orders only where that is its own.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -83,12 +83,7 @@
 		klog.InfoS("stored plan cannot be read", "service", service, "revision", revision, "err", err)
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.init()
-	if c.plans[service].revision < revision {
-		c.plans[service] = stored{plan: plan, revision: revision}
-	}
+	c.takeIn(service, stored{plan: plan, revision: revision})
 }
 
 func (c *Controller) init() {
@@ -256,10 +251,21 @@
 		return false
 	}
 	klog.InfoS("plan stored", "service", service, "token", token, "revision", revision, "engines", len(plan), "before", len(old.plan))
+	return c.takeIn(service, stored{plan: plan, revision: revision})
+}
+
+// takeIn keeps a plan unless a newer one is known, and tells whether it is the one
+// that is known now. The store's answer may come after the watch has shown what the
+// next leader stored; taken for newer by the order of arrival, the older plan would
+// be extended and stored again when this process leads once more.
+func (c *Controller) takeIn(service string, p stored) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.plans[service] = stored{plan: plan, revision: revision}
-	return true
+	c.init()
+	if c.plans[service].revision < p.revision {
+		c.plans[service] = p
+	}
+	return c.plans[service].revision == p.revision
 }
 
 func same(a, b Plan) bool {
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -149,6 +149,11 @@
 		c.pause(b.Incarnation(), want, refusedPause)
 		return
 	}
+	if !c.stillWanted(svc.Name, b, want, token) {
+		klog.InfoS("order not given: plan or leader changed meanwhile", "server", b.Incarnation(), "to", want.String(), "token", token)
+		c.pause(b.Incarnation(), want, 0)
+		return
+	}
 	result, err := c.Engines.Place(ctx, b, want, token, report.Orders)
 	klog.InfoS("order given", "server", b.Incarnation(), "address", b.Address, "card", b.Card, "from", b.Holds.String(), "to", want.String(),
 		"token", token, "expected", report.Orders, "result", int(result), "err", err)
@@ -160,6 +165,20 @@
 	}
 }
 
+// stillWanted tells whether this process still leads under a token, and the plan still
+// has an engine hold these layers. Both may have changed while the engine's report was
+// under way: the engine would load layers that it must give up again, and it refuses
+// an older token only once it has seen a newer one.
+func (c *Controller) stillWanted(service string, b *model.BackendServer, want model.LayerRange, token int64) bool {
+	if c.Token() != token {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	planned, ok := c.plans[service].plan[b.Address]
+	return ok && planned == want
+}
+
 func (c *Controller) pause(inc model.Incarnation, want model.LayerRange, d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
