A peer's word of its configuration counts from when it came

Ruled out: shortening the wait for the store (it is what keeps quick successions of versions from being read twice). Change: the message's arrival is noted before anything is done with it; startFetch confirms by that moment, once the version in force is at least the one that was told, whether the peer or the store brought it. Confirm only goes forward: the check of the age and the store were two steps, so that an older word could overwrite a newer one.

go test -race -count=20 ./internal/transport/peers ./internal/coordination/routes: ok (both new tests failed before).

--- a/internal/coordination/routes/routes.go
+++ b/internal/coordination/routes/routes.go
@@ -199,9 +199,15 @@
 	return c.first
 }
 
-// Confirm takes in that at a moment the version in force was the newest.
+// Confirm takes in that at a moment the version in force was the newest. Words of the
+// store and of peers overtake each other; an older one takes nothing back.
 func (c *Current) Confirm(at time.Duration) {
-	c.heard.Store(int64(at))
+	for {
+		heard := c.heard.Load()
+		if int64(at) <= heard || c.heard.CompareAndSwap(heard, int64(at)) {
+			return
+		}
+	}
 }
 
 // Heard is when the version in force was last known to be the newest.
--- a/internal/transport/peers/beat.go
+++ b/internal/transport/peers/beat.go
@@ -54,6 +54,7 @@
 
 // beat takes in a peer's message.
 func (x *Exchange) beat(from string, body []byte) error {
+	arrived := x.Clock()
 	b, err := wire.UnpackRouterBeat(body)
 	if err != nil {
 		return err
@@ -87,18 +88,16 @@
 	mine := x.Config.Version()
 	switch {
 	case b.Config == mine && mine > 0:
-		x.confirm(b)
+		x.confirm(b, arrived)
 	case b.Config > mine:
-		x.startFetch(from, b)
+		x.startFetch(from, b, arrived)
 	}
 	return nil
 }
 
-// confirm takes in that a peer knows of no newer version either.
-func (x *Exchange) confirm(b wire.RouterBeat) {
-	now := x.Clock()
+// confirm takes in a peer's word, as of when its message arrived, that the version in
+// force here was not older than the newest.
+func (x *Exchange) confirm(b wire.RouterBeat, arrived time.Duration) {
 	age := time.Duration(b.ConfigAgeMS)*time.Millisecond + beatTimeout
-	if age < x.Config.Age(now) {
-		x.Config.Confirm(now - age)
-	}
+	x.Config.Confirm(arrived - age)
 }
--- a/internal/transport/peers/fetch.go
+++ b/internal/transport/peers/fetch.go
@@ -12,7 +12,12 @@
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 )
 
-func (x *Exchange) startFetch(from string, b wire.RouterBeat) {
+// startFetch brings the configuration up to what a peer's message told, and then takes
+// the message for what it said when it arrived. Counted from the end of the fetch, which
+// waits for the store and the peer, the configuration would be taken for seconds younger
+// than it is, and what it lacks be refused for good. A peer that was started again may
+// give an older version than it told of; that one is not confirmed.
+func (x *Exchange) startFetch(from string, b wire.RouterBeat, arrived time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.fetching {
@@ -21,6 +26,9 @@
 	x.fetching = true
 	go func() {
 		err := x.fetchIfBehind(from, b)
+		if x.Config.Version() >= b.Config {
+			x.confirm(b, arrived)
+		}
 		x.mu.Lock()
 		x.fetching = false
 		x.mu.Unlock()
@@ -40,10 +48,10 @@
 	if x.Config.Version() >= b.Config {
 		return nil
 	}
-	return x.fetch(from, b)
+	return x.fetch(from)
 }
 
-func (x *Exchange) fetch(from string, b wire.RouterBeat) error {
+func (x *Exchange) fetch(from string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	var rep wire.RouterConfig
@@ -60,7 +68,6 @@
 	before := x.Config.Version()
 	if x.Config.Apply(cfg, rep.Raw) {
 		klog.InfoS("configuration in force", "version", cfg.Version, "before", before, "source", "peer", "peer", from)
-		x.confirm(b)
 	}
 	return nil
 }
