--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -21,9 +21,17 @@
 type timedListener struct {
 	net.Listener
 	limits func() model.CallerLimits
+	once   sync.Once
+	err    error
 }
 
-func (l timedListener) Accept() (net.Conn, error) {
+// Close closes the listener once: the stop does, and the standard server when it ends.
+func (l *timedListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
+func (l *timedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -57,7 +57,8 @@
 }
 
 // Serve answers connections until Shutdown.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve(callers net.Listener) error {
+	l := &timedListener{Listener: callers, limits: s.limits}
 	if !s.conns.listen(l) {
 		return nil
 	}
@@ -85,7 +86,7 @@
 			s.ended(t)
 		}
 	}
-	err := s.http.Serve(timedListener{l, s.limits})
+	err := s.http.Serve(l)
 	if s.conns.listened() {
 		return nil
 	}
