--- /dev/null
+++ b/internal/protocol/relay/giveup.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// verdict is why a run is ended, and by whose fault; culprit is empty where that is
+// not known.
+type verdict struct {
+	culprit  model.Incarnation
+	why      ending
+	silences int
+	err      error
+}
+
+// giveUp ends a run for what was found out when its news count stood at news. It asks
+// again under the lock that it ends the run with: an event that came since, or a move,
+// shows that the chain works. A run that no other engine may go on with, or for which
+// no repeated send is granted, is kept: its end would be a sure loss, while a silent
+// engine may go on; its caller decides how long to wait.
+func (w *chainWatch) giveUp(news int, v verdict) {
+	granted := !w.last && w.grant()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.changedLocked(news) || w.run.Err() != nil {
+		return
+	}
+	if granted {
+		w.endLocked(v)
+		return
+	}
+	klog.InfoS("chain is kept, as nobody may go on", "request", w.q.call.Attempt, "why", v.why, "culprit", v.culprit, "silences", v.silences, "begun", w.begun, "budget", !w.last, "err", v.err)
+	if !w.last {
+		w.timer.Reset(nextSilence)
+	}
+}
+
+// grant takes a repeated send from the budget for what follows this run. It stays
+// granted where the chain speaks again before it is ended.
+func (w *chainWatch) grant() bool {
+	w.mu.Lock()
+	granted := w.granted
+	w.mu.Unlock()
+	if granted || !w.q.Loans.Take(w.run, w.q.ticket.Service.Name) {
+		return granted
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.granted = true
+	return true
+}
+
+// end ends a run that is not over yet.
+func (w *chainWatch) end(v verdict) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.endLocked(v)
+	}
+}
+
+func (w *chainWatch) endLocked(v verdict) {
+	w.culprit = v.culprit
+	w.stopped = true
+	w.timer.Stop()
+	klog.InfoS("chain is given up", "request", w.q.call.Attempt, "why", v.why, "culprit", v.culprit, "silences", v.silences, "begun", w.begun, "err", v.err)
+	w.cancel(v.why)
+}
