--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -255,13 +255,13 @@
 		"configVersion", q.ticket.Version, "configAgeMs", q.Config.Age(q.Clock()).Milliseconds())
 }
 
-// progress is how far the request was when it ended, for the log: whether an engine
-// may have worked on it, and whether its caller has something of an answer.
+// progress is how far the request was when it ended, for the log: whether a server had
+// it, and whether its caller has something of an answer.
 func (q *request) progress() string {
 	switch {
 	case q.began:
 		return "begun"
-	case q.runs > 0:
+	case q.sends > 0:
 		return "sent"
 	case q.waiting:
 		return "waiting for room"
