Fault soak: what is passed on is answered, and rested connections are open

Why the soak missed a request that was passed on and never answered: a reply with an error on a kept connection was dropped as a matter of course, callers never rested, and the idle limit never changed.

Two promises are now checked from what callers and backend servers see. A request that a router passed on is answered on its connection; only a kill of that process excuses the end, or a planned stop whose time is over. A connection that has rested less than four fifths of every idle limit that its router may hold at the moment is open; a stop and a pause excuse this. Faults of engines, of the store and of the ways to them excuse neither, and a pause doesn't excuse the first. Which limit a router may hold is told by the key that each version brings.

Callers that rest until just below four fifths of the limit, at the limit, and at the limit with the front's margin, within 2 ms; one head in eight takes as long as heads may. Changes of the idle limit (200 ms to 2 s), changes followed by signals to a failure domain, and series of faults without a pause between.

--- a/test/faultsoak/client_test.go
+++ b/test/faultsoak/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/skylarkwood/skylarkwood/platform/standin"
 )
 
@@ -21,13 +24,22 @@
 	rnd  *rand.Rand
 	conn net.Conn
 	br   *bufio.Reader
-	at   *process
+	at   *life
+	// idleSince is when its connection began to rest.
+	idleSince time.Time
+	// slowHead is how long it takes over the head of its next request.
+	slowHead time.Duration
 }
 
+// reply is what a caller got: no status, if no answer began.
 type reply struct {
 	status int
 	body   string
 	err    error
+
+	life         *life // nil if the request could not be sent
+	idleSince    time.Time
+	began, ended time.Time
 }
 
 var attempts atomic.Int64
@@ -41,69 +53,133 @@
 
 // step sends one request and checks what can be checked at once.
 func (c *client) step() {
-	kind := []string{"sheet", "sheet", "notice", "lookup"}[c.rnd.IntN(4)]
-	r := c.at
-	if c.conn == nil || c.rnd.IntN(20) == 0 {
+	if c.conn != nil && c.rnd.IntN(20) == 0 {
 		c.drop()
-		r = c.site.routers[c.rnd.IntN(len(c.site.routers))]
 	}
-	if rep := c.ask(r, kind); rep.err != nil {
+	kind := []string{"sheet", "sheet", "notice", "lookup"}[c.rnd.IntN(4)]
+	if rep := c.ask(c.site.routers[c.rnd.IntN(len(c.site.routers))], kind); rep.err != nil {
 		c.drop()
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// rest waits until about a moment at which a router treats a resting connection
+// differently: when it may no longer be relied on, at the limit, and, twice as
+// often, when it is closed.
+func (c *client) rest() {
+	const (
+		closeMargin = time.Second // idleMargin of the front
+		around      = 2 * time.Millisecond
+	)
+	if c.conn == nil {
+		return
+	}
+	limit := c.site.newest().idle
+	moments := []time.Duration{limit*4/5 - 2*around, limit, limit + closeMargin, limit + closeMargin}
+	d := moments[c.rnd.IntN(len(moments))] + time.Duration((2*c.rnd.Float64()-1)*float64(around))
+	time.Sleep(time.Until(c.idleSince.Add(d)))
+	if c.rnd.IntN(8) == 0 {
+		c.slowHead = headerTime + time.Duration((2*c.rnd.Float64()-1)*float64(around))
+	}
+}
+
 func (c *client) ask(r *process, kind string) reply { return c.askWith(r, kind, "key") }
 
 func (c *client) askWith(r *process, kind, key string) reply {
-	attempt := fmt.Sprintf("%x-%d", c.site.version, attempts.Add(1))
+	attempt := fmt.Sprintf("%x", attempts.Add(1))
 	rep := c.exchange(r, kind, key, attempt)
+	rep.ended = time.Now()
+	c.idleSince = rep.ended
 	c.verify(kind, key, attempt, rep)
 	return rep
 }
 
+// dial connects to a router and finds out which of its processes that is: the one
+// that runs both before and after.
+func (c *client) dial(r *process) error {
+	before := r.present()
+	conn, err := net.DialTimeout("tcp", r.settings.Router.Callers, time.Second)
+	if err != nil {
+		return err
+	}
+	if r.present() != before {
+		conn.Close()
+		return errors.New("the router was started anew meanwhile")
+	}
+	c.conn = conn
+	c.br = bufio.NewReader(conn)
+	c.at = before
+	c.idleSince = time.Now()
+	return nil
+}
+
+// exchange sends one request, on the connection that it has or else on one to r.
 func (c *client) exchange(r *process, kind, key, attempt string) reply {
 	const patience = 9 * time.Second // beyond the route's timeout
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", r.settings.Router.Callers, time.Second)
-		if err != nil {
+		if err := c.dial(r); err != nil {
 			return reply{err: err}
 		}
-		c.conn = conn
-		c.br = bufio.NewReader(conn)
-		c.at = r
 	}
-	_ = c.conn.SetDeadline(time.Now().Add(patience))
+	req, err := newRequest(kind, key, attempt)
+	if err != nil {
+		return reply{err: err}
+	}
+	rep := reply{life: c.at, idleSince: c.idleSince, began: time.Now()}
+	_ = c.conn.SetDeadline(rep.began.Add(patience))
+	if rep.err = c.write(req); rep.err != nil {
+		return rep
+	}
+	resp, err := http.ReadResponse(c.br, req)
+	if err != nil {
+		rep.err = err
+		return rep
+	}
+	body, err := io.ReadAll(resp.Body)
+	if resp.Close {
+		c.drop()
+	}
+	rep.status, rep.body, rep.err = resp.StatusCode, string(body), err
+	return rep
+}
+
+func newRequest(kind, key, attempt string) (*http.Request, error) {
 	method := http.MethodPost
 	if kind == "lookup" {
 		method = http.MethodGet
 	}
 	req, err := http.NewRequest(method, "http://h/"+kind+"/1", nil)
 	if err != nil {
-		return reply{err: err}
+		return nil, err
 	}
 	req.Header.Set("Attempt-Id", attempt)
 	req.Header.Set("Credential", key)
 	req.Header.Set("Token-Usage", "100,60")
-	if err := req.Write(c.conn); err != nil {
-		return reply{err: err}
-	}
-	resp, err := http.ReadResponse(c.br, req)
-	if err != nil {
-		return reply{err: err}
+	return req, nil
+}
+
+// write sends a request, in two pieces if its head is a slow one.
+func (c *client) write(req *http.Request) error {
+	var raw bytes.Buffer
+	if err := req.Write(&raw); err != nil {
+		return err
 	}
-	body, err := io.ReadAll(resp.Body)
-	if resp.Close {
-		c.drop()
+	if c.slowHead > 0 {
+		if _, err := c.conn.Write(raw.Next(raw.Len() / 2)); err != nil {
+			return err
+		}
+		time.Sleep(c.slowHead)
+		c.slowHead = 0
 	}
-	return reply{status: resp.StatusCode, body: string(body), err: err}
+	_, err := c.conn.Write(raw.Bytes())
+	return err
 }
 
 // verify checks the answer itself: whole and the caller's own, or visibly broken.
 func (c *client) verify(kind, key, attempt string, rep reply) {
 	s := c.site
 	s.mu.Lock()
-	s.sent = append(s.sent, sent{attempt, kind, rep.status})
+	s.sent = append(s.sent, sent{attempt, kind, rep})
 	s.mu.Unlock()
 	want := standin.PlainBody(attempt)
 	if kind == "sheet" {
@@ -119,29 +195,6 @@
 	}
 }
 
-// check looks at what backend servers saw, when everything has ended: nothing
-// that must not be repeated ran twice, what was said not to have run did not.
-func (s *site) check() {
-	ran := 0
-	for _, q := range s.sent {
-		runs := len(s.fleet.Runs(q.attempt))
-		if q.status == http.StatusOK {
-			ran++
-		}
-		if q.kind == "notice" && runs > 1 {
-			s.t.Errorf("notice %s ran %d times", q.attempt, runs)
-		}
-		promise := q.status == http.StatusServiceUnavailable || q.status == http.StatusTooManyRequests || q.status == http.StatusRequestTimeout
-		if q.kind != "lookup" && promise && runs > 0 {
-			s.t.Errorf("%s %s was said not to have run (%d), and ran %d times", q.kind, q.attempt, q.status, runs)
-		}
-	}
-	for _, v := range s.fleet.Violations() {
-		s.t.Errorf("engines: %s", v)
-	}
-	s.t.Logf("%d requests, %d answered", len(s.sent), ran)
-}
-
 // oldKeyRefused tells whether every router refuses the key before the last one
 // and serves the last one.
 func (s *site) oldKeyRefused(c *client) bool {
--- /dev/null
+++ b/test/faultsoak/promise_test.go
@@ -0,0 +1,144 @@
+package faultsoak
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// published is one version of the configuration, as the operator wrote it.
+type published struct {
+	version int64
+	key     string
+	idle    time.Duration
+	at      time.Time // before it was written
+}
+
+// sent is one request and what came of it.
+type sent struct {
+	attempt string
+	kind    string
+	reply
+}
+
+// tally counts what is allowed, beside the answers.
+type tally struct {
+	requests, served, refused, broken int
+	killed, stopped                   int // no answer, as the process was ended
+	crossed                           int // met the close of a resting connection
+}
+
+// stopTime is how long a planned stop lets requests run: the grace time without
+// what the router keeps of it to end.
+const stopTime = grace - 500*time.Millisecond
+
+// check looks at what backend servers saw, when everything has ended: nothing
+// that must not be repeated ran twice, what was said not to have run did not, and
+// what was passed on was answered.
+func (s *site) check() {
+	var n tally
+	for _, q := range s.sent {
+		if q.life == nil {
+			continue
+		}
+		n.requests++
+		s.checkRuns(q)
+		s.checkAnswered(q, &n)
+	}
+	for _, v := range s.fleet.Violations() {
+		s.t.Errorf("engines: %s", v)
+	}
+	s.t.Logf("%+v", n)
+}
+
+func (s *site) checkRuns(q sent) {
+	runs := len(s.fleet.Runs(q.attempt))
+	if q.kind == "notice" && runs > 1 {
+		s.t.Errorf("notice %s ran %d times", q.attempt, runs)
+	}
+	promise := q.status == http.StatusServiceUnavailable || q.status == http.StatusTooManyRequests || q.status == http.StatusRequestTimeout
+	if q.kind != "lookup" && promise && runs > 0 {
+		s.t.Errorf("%s %s was said not to have run (%d), and ran %d times", q.kind, q.attempt, q.status, runs)
+	}
+}
+
+// checkAnswered holds a router to two promises. A request that it passed on to a
+// backend server is answered on its connection; only the end of its process
+// excuses it, and a planned stop only when its time is over. A connection that
+// has rested for less than four fifths of the idle limit is open. What goes wrong
+// at backend servers and at the store, or on the ways there, excuses neither: the
+// router can refuse.
+func (s *site) checkAnswered(q sent, n *tally) {
+	arrived := s.fleet.Arrivals(q.attempt)
+	switch {
+	case q.status == http.StatusOK && q.err != nil:
+		n.broken++
+	case q.status == http.StatusOK:
+		n.served++
+	case q.status != 0:
+		n.refused++
+	case q.life.killedBefore(q.ended):
+		n.killed++
+	case q.life.stoppedBefore(q.ended, stopTime):
+		n.stopped++
+	case errors.Is(q.err, os.ErrDeadlineExceeded):
+		if !q.life.pausedBetween(q.began, q.ended) {
+			s.t.Errorf("%s %s: neither an answer nor an end from %s", q.kind, q.attempt, q.life.of.name)
+		}
+	case arrived > 0:
+		s.t.Errorf("%s %s: %s passed it on %d times and closed its connection after %s without an answer, rested %s before: %v",
+			q.kind, q.attempt, q.life.of.name, arrived, q.ended.Sub(q.began), q.began.Sub(q.idleSince), q.err)
+	case q.life.stoppedBefore(q.ended, 0), q.life.pausedBetween(q.idleSince, q.ended), s.mayClose(q):
+		n.crossed++
+	default:
+		s.t.Errorf("%s %s: %s closed a connection that had rested %s only: %v",
+			q.kind, q.attempt, q.life.of.name, q.began.Sub(q.idleSince), q.err)
+	}
+}
+
+// mayClose tells whether there was a moment at which a connection had rested for
+// four fifths of an idle limit that its router may have held then.
+func (s *site) mayClose(q sent) bool {
+	for _, v := range s.published {
+		if v.at.After(q.began) {
+			break
+		}
+		last := q.began
+		if t, ok := q.life.left(v.version); ok && t.Before(last) {
+			last = t
+		}
+		if last.Sub(q.idleSince) >= v.idle*4/5 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *site) newest() published {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.published[len(s.published)-1]
+}
+
+// followVersions notes when a router is seen to hold each version: when it serves
+// the key that the version brought.
+func (s *site) followVersions(r *process) {
+	const every = 10 * time.Millisecond
+	c := &client{site: s}
+	defer c.drop()
+	for !r.ended() {
+		time.Sleep(every)
+		v := s.newest()
+		if l := r.present(); l == nil || l.holds(v.version) {
+			continue
+		}
+		rep := c.askWith(r, "lookup", v.key)
+		if rep.err != nil {
+			c.drop()
+		} else if rep.status == http.StatusOK {
+			rep.life.learnt(v.version)
+		}
+	}
+}
--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -26,9 +26,22 @@
 
 const layers = 12
 
+// Of the routers' settings and the configuration.
+const (
+	grace      = 3 * time.Second
+	headerTime = 500 * time.Millisecond
+)
+
+// idleLimits are the idle limits that the operator sets: short ones, so that
+// callers meet them often, and one far beyond their closes.
+var idleLimits = []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second}
+
 var binary string
 
 func TestMain(m *testing.M) {
+	if os.Getenv(busyEnv) != "" {
+		burn()
+	}
 	dir, err := os.MkdirTemp("", "faultsoak")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -45,19 +58,6 @@
 	os.Exit(code)
 }
 
-// process is one router, started again whenever it ends.
-type process struct {
-	name     string
-	settings settings.Settings
-	file     string
-	log      *os.File
-	store    *proxy
-
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	over bool
-}
-
 type site struct {
 	t       *testing.T
 	rnd     *rand.Rand
@@ -71,16 +71,12 @@
 	routers []*process
 	version int64
 	key     int // number of the extra key in force
+	idle    time.Duration
 	later   sync.WaitGroup
-	mu      sync.Mutex
-	sent    []sent
-}
 
-// sent is what a caller was told of one attempt.
-type sent struct {
-	attempt string
-	kind    string
-	status  int
+	mu        sync.Mutex
+	published []published
+	sent      []sent
 }
 
 func spec() *model.EngineSpec {
@@ -91,7 +87,7 @@
 func newSite(t *testing.T, rnd *rand.Rand) *site {
 	dir, err := os.MkdirTemp("", "faultsoak-site")
 	assert.NilError(t, err)
-	s := &site{t: t, rnd: rnd, dir: dir, store: standin.NewStore()}
+	s := &site{t: t, rnd: rnd, dir: dir, store: standin.NewStore(), idle: idleLimits[0]}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.http = &http.Server{Handler: &standin.StoreServer{Store: s.store}}
@@ -151,7 +147,7 @@
 	set.Router.Peers = free(s.t)
 	set.Router.Store = p.addr()
 	set.Router.RetrySlack = 200
-	set.Router.Grace = settings.Duration(3 * time.Second)
+	set.Router.Grace = settings.Duration(grace)
 	for _, r := range s.routers {
 		set.Router.Seeds = append(set.Router.Seeds, r.settings.Router.Peers)
 	}
@@ -163,38 +159,7 @@
 	assert.NilError(s.t, err)
 	s.routers = append(s.routers, r)
 	s.later.Go(func() { s.keepRunning(r) })
-}
-
-// keepRunning starts a router again whenever its process ends, as the platform
-// does.
-func (s *site) keepRunning(r *process) {
-	for {
-		cmd := exec.Command(binary, "--settings", r.file)
-		cmd.Stdout = r.log
-		cmd.Stderr = r.log
-		r.mu.Lock()
-		if r.over {
-			r.mu.Unlock()
-			return
-		}
-		err := cmd.Start()
-		r.cmd = cmd
-		r.mu.Unlock()
-		if err != nil {
-			s.t.Errorf("router %s: %v", r.name, err)
-			return
-		}
-		_ = cmd.Wait() // killed ones end with an error
-		time.Sleep(100 * time.Millisecond)
-	}
-}
-
-func (r *process) signal(sig syscall.Signal) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cmd != nil && r.cmd.Process != nil {
-		_ = r.cmd.Process.Signal(sig) // it may have ended by itself
-	}
+	s.later.Go(func() { s.followVersions(r) })
 }
 
 // publish writes the operator's next configuration, with a new extra key.
@@ -212,10 +177,13 @@
 			"models": []any{map[string]any{"load_s": 1}}, "step_ms": 1, "read_per_s": 1e5, "loads_at_once": 4, "usual": map[string]any{"prompt": 100, "answer": 60},
 			"layers": layers, "layer_mb": 1000, "kinds": []any{map[string]any{"name": "fast", "mb": 8000, "pace": 2}, map[string]any{"name": "slow", "mb": 8000, "pace": 9}}}},
 			map[string]any{"name": "notices"}},
-		"limits":  map[string]any{"max_body_bytes": 65536, "header_timeout_ms": 2000, "idle_timeout_ms": 4000},
+		"limits":  map[string]any{"max_body_bytes": 65536, "header_timeout_ms": headerTime.Milliseconds(), "idle_timeout_ms": s.idle.Milliseconds()},
 		"tenants": []any{map[string]any{"name": "school", "api_keys": []any{"key", extraKey(s.key)}}},
 	})
 	assert.NilError(s.t, err)
+	s.mu.Lock()
+	s.published = append(s.published, published{s.version, extraKey(s.key), s.idle, time.Now()})
+	s.mu.Unlock()
 	s.store.Put(platform.ConfigKey, raw)
 }
 
@@ -326,6 +294,26 @@
 
 func (s *site) reconfigure(time.Duration) { s.publish() }
 
+// changeIdle raises or lowers the idle limit while connections rest.
+func (s *site) changeIdle(time.Duration) {
+	s.idle = idleLimits[s.rnd.IntN(len(idleLimits))]
+	s.publish()
+}
+
+// changeAndStrike signals every router of a failure domain right after a change.
+func (s *site) changeAndStrike(time.Duration) {
+	domain := []string{"a", "b"}[s.rnd.IntN(2)]
+	sig := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM, syscall.SIGHUP}[s.rnd.IntN(3)]
+	s.changeIdle(0)
+	s.after(time.Duration(5+s.rnd.IntN(400))*time.Millisecond, func() {
+		for _, r := range s.routers {
+			if r.settings.FailureDomain == domain {
+				r.signal(sig)
+			}
+		}
+	})
+}
+
 // heal ends every fault.
 func (s *site) heal() {
 	s.store.SetFaults(standin.StoreFaults{})
@@ -347,7 +335,6 @@
 		r.mu.Lock()
 		r.over = true
 		r.mu.Unlock()
-		r.signal(syscall.SIGCONT)
 		r.signal(syscall.SIGKILL)
 		r.store.close()
 	}
--- a/test/faultsoak/soak_test.go
+++ b/test/faultsoak/soak_test.go
@@ -8,51 +8,75 @@
 	"flag"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 )
 
 var (
-	first   = flag.Uint64("seed", 1, "first seed")
-	seeds   = flag.Int("seeds", 2, "how many seeds")
-	lasts   = flag.Duration("lasts", 6*time.Second, "how long faults are injected, for each seed")
-	routers = flag.Int("routers", 3, "router processes")
-	callers = flag.Int("callers", 12, "callers at a time")
+	first    = flag.Uint64("seed", 2, "first seed")
+	seeds    = flag.Int("seeds", 1, "how many seeds")
+	only     = flag.Bool("only", false, "leave the regressions out")
+	together = flag.Int("together", 2, "seeds at a time")
+	lasts    = flag.Duration("lasts", 6*time.Second, "how long faults are injected, for each seed")
+	routers  = flag.Int("routers", 3, "router processes")
+	callers  = flag.Int("callers", 12, "callers at a time")
+	resting  = flag.Int("resting", 60, "callers beside them whose connections rest between requests")
+	procs    = flag.Int("procs", 1, "GOMAXPROCS of each router; 0 leaves it alone")
+	busy     = flag.Int("busy", 0, "processes beside that only use up processor time")
 )
 
-// regressions are seeds that failed once, each with its cause.
+// regressions are seeds that failed once, each with its cause. A seed draws the
+// faults and the requests; when they meet depends on the machine.
 var regressions = []struct {
-	seed  uint64
-	cause string
-}{}
+	seed    uint64
+	resting int
+	cause   string
+}{
+	{1, 60, "the idle timer closed a connection whose next request had just been taken over"},
+	{9300, 400, "the timer of heads refused a request that had just been taken over, as not run"},
+	{9301, 400, "a raised idle limit did not hold for connections that rested already"},
+}
 
+// TestFaultSoak plays the regressions and the seeds asked for, two at a time: a
+// seed spends most of its time waiting.
 func TestFaultSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the soak takes half a minute")
 	}
-	list := []uint64{}
-	for _, r := range regressions {
-		list = append(list, r.seed)
+	turns := make(chan struct{}, *together)
+	play := func(seed uint64, resting int) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			soak(t, seed, resting)
+		})
 	}
-	for i := range uint64(*seeds) {
-		list = append(list, *first+i)
+	if !*only {
+		for _, r := range regressions {
+			play(r.seed, r.resting)
+		}
 	}
-	for _, seed := range list {
-		soak(t, seed)
+	for i := range uint64(*seeds) {
+		play(*first+i, *resting)
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
-	t.Logf("seed %d", seed)
+func soak(t *testing.T, seed uint64, resting int) {
 	s := newSite(t, rand.New(rand.NewPCG(seed, seed)))
 	defer s.close()
+	defer s.beside(*busy)()
 	end := time.Now().Add(*lasts)
 	var all sync.WaitGroup
-	for range *callers {
+	for i := range *callers + resting {
 		c := &client{site: s, rnd: rand.New(rand.NewPCG(seed, s.rnd.Uint64()))}
 		all.Go(func() {
 			for time.Now().Before(end) {
+				if i >= *callers {
+					c.rest()
+				}
 				c.step()
 			}
 			c.drop()
@@ -60,7 +84,7 @@
 	}
 	for time.Now().Before(end) {
 		s.fault()
-		time.Sleep(time.Duration(50+s.rnd.IntN(400)) * time.Millisecond)
+		time.Sleep(s.untilNext())
 	}
 	all.Wait()
 	s.heal()
@@ -71,6 +95,14 @@
 	}
 }
 
+// untilNext is the time between two faults; some come in series.
+func (s *site) untilNext() time.Duration {
+	if s.rnd.IntN(4) == 0 {
+		return time.Duration(s.rnd.IntN(20)) * time.Millisecond
+	}
+	return time.Duration(50+s.rnd.IntN(400)) * time.Millisecond
+}
+
 // fault injects one fault, which ends by itself after a while. Several overlap.
 func (s *site) fault() {
 	during := time.Duration(200+s.rnd.IntN(1800)) * time.Millisecond
@@ -78,6 +110,7 @@
 		s.breakLink, s.breakLink, s.resetLink, s.resetLink, s.breakStore, s.loseWrites, s.compact,
 		s.killEngine, s.killEngine, s.leaveEngine, s.confuseEngine, s.confuseEngine, s.confusePlain, s.confusePlain,
 		s.killRouter, s.stopRouter, s.pauseRouter, s.hangUp, s.reconfigure,
+		s.changeIdle, s.changeIdle, s.changeIdle, s.changeAndStrike,
 		s.returnEngine, s.returnEngine, s.overwriteEntry,
 	}
 	kinds[s.rnd.IntN(len(kinds))](during)
