--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -61,8 +61,10 @@
 	if !q.ticket.Idempotent() || q.sends >= maxSends {
 		return false
 	}
-	if !q.Loans.Take(ctx, q.ticket.Service.Name) {
-		klog.InfoS("not resumed: the retry budget is used up", "request", q.call.Attempt, "err", err)
+	if !q.takeRepeat(ctx) {
+		if ctx.Err() == nil {
+			klog.InfoS("not resumed: the retry budget is used up", "request", q.call.Attempt, "err", err)
+		}
 		return false
 	}
 	q.Observer.Repeat(q.ticket.Service.Name, "resumed")
@@ -77,6 +79,9 @@
 	var hold *chains.Hold
 	verdict := chains.Found
 	try := func() bool {
+		if ctx.Err() != nil {
+			return false
+		}
 		parts, verdict = q.Chooser.Choose(q.ticket.Service, demand)
 		if verdict == chains.Found {
 			hold = q.Memory.Reserve(parts, s.tokens)
@@ -90,6 +95,7 @@
 	}
 	until := q.Now().Add(most)
 	waiting := admission.Request{Customer: q.ticket.Customer, Priority: -q.ticket.Priority}
+	q.waiting = true
 	got := q.Line.Wait(ctx, waiting, most, try)
 	// Not in the line: there a stream that no chain serves would hold up others.
 	for s.events > 0 && hold == nil && q.Now().Before(until) && wait.For(ctx, chainPoll) {
@@ -98,6 +104,7 @@
 	}
 	switch {
 	case hold != nil:
+		q.waiting = false
 		return parts, hold, nil
 	case ctx.Err() != nil:
 		return nil, nil, q.ended(ctx)
@@ -105,6 +112,7 @@
 		// Better an engine that failed once than none.
 		clear(q.avoid)
 		if try(); hold != nil {
+			q.waiting = false
 			return parts, hold, nil
 		}
 	}
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -37,10 +37,7 @@
 // while that is allowed and helps.
 func (q *request) dispatch(ctx context.Context) bool {
 	var last *whole
-	for {
-		if ctx.Err() != nil {
-			return q.refuse(q.ended(ctx))
-		}
+	for ctx.Err() == nil {
 		server := q.pickPlain()
 		if server == nil {
 			break
@@ -52,9 +49,6 @@
 		case err == nil:
 			last = ans
 		}
-		if ctx.Err() != nil {
-			return q.refuse(q.ended(ctx))
-		}
 		reason := "failed"
 		if err != nil {
 			reason = "lost"
@@ -64,15 +58,18 @@
 		}
 		klog.InfoS("sent again", "request", q.call.Attempt, "reason", reason, "server", server.Incarnation(), "err", err, "sends", q.sends)
 	}
-	return q.giveUp(last)
+	return q.giveUp(ctx, last)
 }
 
-// giveUp answers with the last failure of a backend server where one came; a
-// refusal of a backend server becomes the system's own.
-func (q *request) giveUp(last *whole) bool {
+// giveUp answers with the last failure of a backend server where one came, also when
+// the time is over by now: it is ready. A refusal of a backend server becomes the
+// system's own.
+func (q *request) giveUp(ctx context.Context, last *whole) bool {
 	switch {
 	case last != nil && !last.verdict.NotRun:
 		return q.deliver(last)
+	case ctx.Err() != nil:
+		return q.refuse(q.ended(ctx))
 	case q.runs > 0:
 		return q.refuse(fault.New(fault.BackendLost, "the backend server's answer was lost"))
 	case last != nil:
@@ -111,21 +108,17 @@
 
 // try sends the call to one server and reads its whole answer.
 func (q *request) try(ctx context.Context, b *model.BackendServer) (*whole, error) {
-	if q.ticket.Idempotent() && q.runs+1 < q.ticket.Route.MaxAttempts {
-		usual := q.Health.View(b.Incarnation()).Latency
-		most := max(patience*usual, q.ticket.Route.TargetLatency, leastTry)
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, most)
-		defer cancel()
-	}
-	ctx, stop := q.Running.track(ctx, b.Incarnation())
+	run, cancel, stop := q.Running.track(ctx, b.Incarnation(), !q.ticket.Idempotent())
 	defer stop()
 	q.avoid[b.Incarnation()] = true
 	q.chain = b.ID
 	q.sends++
+	if q.ticket.Idempotent() && q.runs+1 < q.ticket.Route.MaxAttempts && q.sends < maxSends {
+		defer q.giveUpIfSlow(run, cancel, b)()
+	}
 	began := q.Now()
 	q.Health.Begin(b.Incarnation())
-	ans, err := q.Backends.Do(ctx, b.Address, q.outbound(platform.Send{Instance: b.ID}))
+	ans, err := q.Backends.Do(run, b.Address, q.outbound(platform.Send{Instance: b.ID}))
 	if err == nil {
 		var read *whole
 		if read, err = q.readWhole(ans); err == nil {
@@ -133,16 +126,55 @@
 			return read, nil
 		}
 	}
-	q.Health.End(b.Incarnation(), false, 0)
-	if errors.Is(err, ErrNotSent) {
+	q.missed(b, endingOf(run, err), err, q.Now().Sub(began))
+	return nil, err
+}
+
+// giveUpIfSlow ends a try that takes much longer than usual, once another server is
+// there and a repeated send is granted. Ended before, a request that may go nowhere
+// else would be lost though its server is still at work on it. stop waits for a
+// decision under way.
+func (q *request) giveUpIfSlow(run context.Context, cancel context.CancelCauseFunc, b *model.BackendServer) (stop func()) {
+	usual := q.Health.View(b.Incarnation()).Latency
+	most := max(patience*usual, q.ticket.Route.TargetLatency, leastTry)
+	run, quit := context.WithCancel(run)
+	decided := make(chan struct{})
+	timer := time.AfterFunc(most, func() {
+		defer close(decided)
+		defer q.containSlow()
+		if q.pickPlain() == nil || !q.takeRepeat(run) {
+			klog.InfoS("slow try is kept, as it may go nowhere else", "request", q.call.Attempt, "server", b.Incarnation(), "ms", most.Milliseconds())
+			return
+		}
+		q.granted = true
+		cancel(tooSlow)
+	})
+	return func() {
+		quit()
+		if !timer.Stop() {
+			<-decided
+		}
+	}
+}
+
+// missed takes in that a try gave no answer, and why.
+func (q *request) missed(b *model.BackendServer, why ending, err error, took time.Duration) {
+	sent := !errors.Is(err, ErrNotSent)
+	if sent {
+		q.runs++
+	} else {
 		q.sends--
+	}
+	klog.InfoS("answer lost", "request", q.call.Attempt, "why", why, "sent", sent, "server", b.Incarnation(), "err", err, "ms", took.Milliseconds())
+	if !why.blames(took) {
+		q.Health.Quit(b.Incarnation())
+		return
+	}
+	q.Health.End(b.Incarnation(), false, 0)
+	if !sent {
 		until, _ := q.Health.Suspect(b.Incarnation())
-		klog.InfoS("backend server suspected: no connection", "request", q.call.Attempt, "server", b.Incarnation(), "until", until, "err", err)
-		return nil, err
+		klog.InfoS("backend server suspected: no connection", "request", q.call.Attempt, "server", b.Incarnation(), "until", until)
 	}
-	q.runs++
-	klog.InfoS("answer lost", "request", q.call.Attempt, "server", b.Incarnation(), "err", err, "ms", q.Now().Sub(began).Milliseconds())
-	return nil, err
 }
 
 // judge takes in what an answer says of its server.
@@ -188,6 +220,7 @@
 	h := http.Header{}
 	platform.AnswerHeaders(h, ans.header)
 	q.out.Begin(ans.status, h, int64(len(ans.body)))
+	q.began = true
 	err := q.out.Write(ans.body)
 	outcome := "ran"
 	if err != nil {
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -30,13 +30,13 @@
 	defaultBody       = 4 << 20
 	// bodyTime is how long a body may take, beyond the header's time.
 	bodyTime = 10 * time.Second
-	// idleMargin is kept beyond the operator's idle time: callers use a
-	// connection until shortly before it, and a close that crosses a request
-	// loses it.
-	idleMargin = time.Second
 	// writeTime is how long a caller may take to read one part of an answer.
 	// One that reads a byte a second would hold its stream's engine memory.
 	writeTime = 5 * time.Second
+	// lastCall is kept of a planned stop's time to answer requests that have no
+	// answer yet. An answer of the router's own takes a millisecond to make and a few
+	// to its caller; the rest is for a router that is short of processor time.
+	lastCall = 200 * time.Millisecond
 )
 
 // Server serves callers.
@@ -45,14 +45,23 @@
 	Relay  *relay.Relay
 	// OnRequest is told of each request; nil for nobody.
 	OnRequest func()
+	// Observer counts the ends of connections; nil for nobody.
+	Observer Observer
 
 	http     http.Server
+	conns    conns
+	ending   context.Context // ends at the last call of a planned stop
+	endNow   context.CancelFunc
 	draining atomic.Bool
 	active   atomic.Int64
 }
 
 // Serve answers connections until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
+	if !s.conns.listen(l) {
+		return nil
+	}
+	s.ending, s.endNow = context.WithCancel(context.Background())
 	s.http.Handler = http.HandlerFunc(s.handle)
 	s.http.MaxHeaderBytes = headerCeiling
 	s.http.ErrorLog = klogLogger()
@@ -65,14 +74,19 @@
 			return
 		}
 		switch state {
-		case http.StateNew, http.StateIdle:
-			t.awaitHead()
+		case http.StateNew:
+			s.conns.add(t)
+		case http.StateActive:
+			t.take()
+		case http.StateIdle:
+			t.rest()
 		case http.StateClosed, http.StateHijacked:
-			t.stop()
+			s.conns.remove(t)
+			s.ended(t)
 		}
 	}
 	err := s.http.Serve(timedListener{l, s.limits})
-	if errors.Is(err, http.ErrServerClosed) {
+	if s.conns.listened() {
 		return nil
 	}
 	return errors.Wrap(err, "serve callers")
@@ -104,8 +118,46 @@
 // use another connection next time.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown takes no more connections and waits for what runs.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Shutdown takes no more connections and waits for what runs. A request that has
+// arrived on a resting connection is still served. Shortly before ctx ends, requests
+// without an answer get one of the router's own, which says whether they may have run:
+// cut off by the process's end, their callers would know nothing.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	s.conns.retire()
+	running, cancel := earlier(ctx, lastCall)
+	defer cancel()
+	if s.conns.wait(running) == nil {
+		return nil
+	}
+	klog.InfoS("last call: requests without an answer are ended", "active", s.Active())
+	s.endNow()
+	return s.conns.wait(ctx)
+}
+
+// earlier ends before ctx does.
+func earlier(ctx context.Context, by time.Duration) (context.Context, context.CancelFunc) {
+	until, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, until.Add(-by))
+}
+
+// until gives the context of a request, which ends with its connection, or at the last
+// call where it has no answer by then.
+func (s *Server) until(r *http.Request, out *caller) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	stop := context.AfterFunc(s.ending, func() {
+		if !out.began.Load() {
+			cancel(relay.ErrStopping)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
 
 // Active counts the requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
@@ -113,14 +165,17 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	if t, ok := r.Context().Value(connKey{}).(*timedConn); ok {
-		t.stop()
+	conn, ok := r.Context().Value(connKey{}).(*timedConn)
+	if !ok {
+		klog.ErrorS(nil, "request on a connection that is not the front's", "caller", r.RemoteAddr)
+		panic(http.ErrAbortHandler)
 	}
+	rc := http.NewResponseController(w)
+	out := &caller{w: w, rc: rc, draining: &s.draining}
+	defer recovered(conn, out)
 	if s.OnRequest != nil {
 		s.OnRequest()
 	}
-	rc := http.NewResponseController(w)
-	out := &caller{w: w, rc: rc, draining: &s.draining}
 	limits := s.limits()
 	if headSize(r) > limits.HeaderBytes {
 		out.fail(http.StatusRequestHeaderFieldsTooLarge, "head of the request is too large")
@@ -139,11 +194,18 @@
 		out.fail(f.Kind.Answer().Status, f.Error())
 		return
 	}
-	if whole := s.Relay.Serve(r.Context(), call, out); !whole {
+	conn.serving(call)
+	ctx, done := s.until(r, out)
+	defer done()
+	if whole := s.Relay.Serve(ctx, call, out); !whole {
 		// Breaks the connection off, so that the caller sees that the answer
 		// is not whole.
 		panic(http.ErrAbortHandler)
 	}
+	out.ends()
+	if r.Context().Err() == nil {
+		conn.serving(nil)
+	}
 }
 
 func headSize(r *http.Request) int {
@@ -187,6 +249,7 @@
 	rc       *http.ResponseController
 	draining *atomic.Bool
 	stream   bool
+	began    atomic.Bool
 }
 
 func (c *caller) Begin(status int, header http.Header, length int64) {
@@ -202,6 +265,16 @@
 		h.Set("Connection", "close")
 	}
 	c.w.WriteHeader(status)
+	c.began.Store(true)
+}
+
+// ends gives the last bytes of an answer, which are written when its handler has
+// returned, their own time. The time of the part before has passed where a stream
+// paused longer before its end, and a whole answer would look broken off.
+func (c *caller) ends() {
+	if err := c.rc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		klog.V(1).InfoS("time for the end of an answer not set", "err", err)
+	}
 }
 
 func (c *caller) Write(p []byte) error {
