Fault soak: two runs on one machine don't mix

A port that one router had left for its restart was given to a router of the other run: the one run's router ended by itself, as it could not listen, and its callers and peers reached the other run, which counted attempts of both under one id (35 notices that ran twice, 19 refusals that ran, 8 requests without an answer). No fault of the router.

Ports and attempts now begin elsewhere in each run.

--- a/test/faultsoak/client_test.go
+++ b/test/faultsoak/client_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -86,7 +87,7 @@
 func (c *client) ask(r *process, kind string) reply { return c.askWith(r, kind, "key") }
 
 func (c *client) askWith(r *process, kind, key string) reply {
-	attempt := fmt.Sprintf("%x", attempts.Add(1))
+	attempt := fmt.Sprintf("%x-%x", os.Getpid(), attempts.Add(1))
 	rep := c.exchange(r, kind, key, attempt)
 	rep.ended = time.Now()
 	c.idleSince = rep.ended
--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -118,13 +118,21 @@
 	return e
 }
 
+// nextPort begins elsewhere in each run: of two runs on one machine, one would
+// take a port of the other's while the router there restarts.
 var nextPort atomic.Int64
 
-// free finds a port below the ephemeral range, which nothing else takes while a
-// router restarts.
+func init() { nextPort.Store(int64(os.Getpid()) * portsOfRun) }
+
+const (
+	ports      = 16000 // below the ephemeral range
+	portsOfRun = 1000
+)
+
+// free finds a port that nothing else takes while a router restarts.
 func free(t *testing.T) string {
-	for range 5000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 12000+nextPort.Add(1)%5000)
+	for range ports {
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+nextPort.Add(1)%ports)
 		if l, err := net.Listen("tcp", addr); err == nil {
 			l.Close()
 			return addr
