Fault soak: each run has a range of ports to itself

The range that a run began with was drawn by its process id, and two could be alike. A run now holds the first port of its range.

--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -42,11 +43,10 @@
 	if os.Getenv(busyEnv) != "" {
 		burn()
 	}
+	reserved, err := reservePorts()
+	exitOn(err)
 	dir, err := os.MkdirTemp("", "faultsoak")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	exitOn(err)
 	binary = filepath.Join(dir, "skylarkwoodd")
 	build := exec.Command("go", "build", "-o", binary, "github.com/skylarkwood/skylarkwood/cmd/skylarkwoodd")
 	build.Stderr = os.Stderr
@@ -55,9 +55,17 @@
 		code = m.Run()
 	}
 	os.RemoveAll(dir)
+	reserved.Close()
 	os.Exit(code)
 }
 
+func exitOn(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
 type site struct {
 	t       *testing.T
 	rnd     *rand.Rand
@@ -118,21 +126,37 @@
 	return e
 }
 
-// nextPort begins elsewhere in each run: of two runs on one machine, one would
-// take a port of the other's while the router there restarts.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * portsOfRun) }
-
+// Ports of routers, below the ephemeral range. Each run has a range to itself, and
+// holds its first port: of two runs on one machine, one would take a port of the
+// other's while the router there restarts, and their callers and peers would mix.
 const (
-	ports      = 16000 // below the ephemeral range
-	portsOfRun = 1000
+	firstPort = 12000
+	lastPort  = 28000
+	portRange = 1000
 )
 
+var (
+	basePort int
+	nextPort atomic.Int64 // after basePort
+)
+
+// reservePorts takes a range for this run. The listener keeps it.
+func reservePorts() (net.Listener, error) {
+	for port := firstPort; port < lastPort; port += portRange {
+		if l, err := net.Listen("tcp", loopback(port)); err == nil {
+			basePort = port
+			return l, nil
+		}
+	}
+	return nil, errors.New("no range of ports is free")
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
 // free finds a port that nothing else takes while a router restarts.
 func free(t *testing.T) string {
-	for range ports {
-		addr := fmt.Sprintf("127.0.0.1:%d", 12000+nextPort.Add(1)%ports)
+	for range portRange {
+		addr := loopback(basePort + 1 + int(nextPort.Add(1)%(portRange-1)))
 		if l, err := net.Listen("tcp", addr); err == nil {
 			l.Close()
 			return addr
