Fault soak: no process is started while a port is tried

The listener that had tried the port was closed, but a process that was being started held a copy of it until its program was loaded.

--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -153,8 +153,12 @@
 
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
-// free finds a port that nothing else takes while a router restarts.
+// free finds a port that nothing else takes while a router restarts. No process may
+// be started meanwhile: until its program is loaded it would hold the listener open
+// too, and a router would find its port in use.
 func free(t *testing.T) string {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for range portRange {
 		addr := loopback(basePort + 1 + int(nextPort.Add(1)%(portRange-1)))
 		if l, err := net.Listen("tcp", addr); err == nil {
