--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -26,14 +27,26 @@
 
 const layers = 12
 
+// Of the routers' settings and the configuration.
+const (
+	grace      = 3 * time.Second
+	headerTime = 500 * time.Millisecond
+)
+
+// idleLimits are the idle limits that the operator sets: short ones, so that
+// callers meet them often, and one far beyond their closes.
+var idleLimits = []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second}
+
 var binary string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "faultsoak")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	if os.Getenv(busyEnv) != "" {
+		burn()
 	}
+	reserved, err := reservePorts()
+	exitOn(err)
+	dir, err := os.MkdirTemp("", "faultsoak")
+	exitOn(err)
 	binary = filepath.Join(dir, "skylarkwoodd")
 	build := exec.Command("go", "build", "-o", binary, "github.com/skylarkwood/skylarkwood/cmd/skylarkwoodd")
 	build.Stderr = os.Stderr
@@ -42,20 +55,15 @@
 		code = m.Run()
 	}
 	os.RemoveAll(dir)
+	reserved.Close()
 	os.Exit(code)
 }
 
-// process is one router, started again whenever it ends.
-type process struct {
-	name     string
-	settings settings.Settings
-	file     string
-	log      *os.File
-	store    *proxy
-
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	over bool
+func exitOn(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 }
 
 type site struct {
@@ -71,16 +79,12 @@
 	routers []*process
 	version int64
 	key     int // number of the extra key in force
+	idle    time.Duration
 	later   sync.WaitGroup
-	mu      sync.Mutex
-	sent    []sent
-}
 
-// sent is what a caller was told of one attempt.
-type sent struct {
-	attempt string
-	kind    string
-	status  int
+	mu        sync.Mutex
+	published []published
+	sent      []sent
 }
 
 func spec() *model.EngineSpec {
@@ -91,7 +95,7 @@
 func newSite(t *testing.T, rnd *rand.Rand) *site {
 	dir, err := os.MkdirTemp("", "faultsoak-site")
 	assert.NilError(t, err)
-	s := &site{t: t, rnd: rnd, dir: dir, store: standin.NewStore()}
+	s := &site{t: t, rnd: rnd, dir: dir, store: standin.NewStore(), idle: idleLimits[0]}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.http = &http.Server{Handler: &standin.StoreServer{Store: s.store}}
@@ -122,13 +126,41 @@
 	return e
 }
 
-var nextPort atomic.Int64
+// Ports of routers, below the ephemeral range. Each run has a range to itself, and
+// holds its first port: of two runs on one machine, one would take a port of the
+// other's while the router there restarts, and their callers and peers would mix.
+const (
+	firstPort = 12000
+	lastPort  = 18000 // the tests of package fleet take those above
+	portRange = 1000
+)
+
+var (
+	basePort int
+	nextPort atomic.Int64 // after basePort
+)
+
+// reservePorts takes a range for this run. The listener keeps it.
+func reservePorts() (net.Listener, error) {
+	for port := firstPort; port < lastPort; port += portRange {
+		if l, err := net.Listen("tcp", loopback(port)); err == nil {
+			basePort = port
+			return l, nil
+		}
+	}
+	return nil, errors.New("no range of ports is free")
+}
 
-// free finds a port below the ephemeral range, which nothing else takes while a
-// router restarts.
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// free finds a port that nothing else takes while a router restarts. No process may
+// be started meanwhile: until its program is loaded it would hold the listener open
+// too, and a router would find its port in use.
 func free(t *testing.T) string {
-	for range 5000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 12000+nextPort.Add(1)%5000)
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	for range portRange {
+		addr := loopback(basePort + 1 + int(nextPort.Add(1)%(portRange-1)))
 		if l, err := net.Listen("tcp", addr); err == nil {
 			l.Close()
 			return addr
@@ -151,7 +183,7 @@
 	set.Router.Peers = free(s.t)
 	set.Router.Store = p.addr()
 	set.Router.RetrySlack = 200
-	set.Router.Grace = settings.Duration(3 * time.Second)
+	set.Router.Grace = settings.Duration(grace)
 	for _, r := range s.routers {
 		set.Router.Seeds = append(set.Router.Seeds, r.settings.Router.Peers)
 	}
@@ -163,38 +195,7 @@
 	assert.NilError(s.t, err)
 	s.routers = append(s.routers, r)
 	s.later.Go(func() { s.keepRunning(r) })
-}
-
-// keepRunning starts a router again whenever its process ends, as the platform
-// does.
-func (s *site) keepRunning(r *process) {
-	for {
-		cmd := exec.Command(binary, "--settings", r.file)
-		cmd.Stdout = r.log
-		cmd.Stderr = r.log
-		r.mu.Lock()
-		if r.over {
-			r.mu.Unlock()
-			return
-		}
-		err := cmd.Start()
-		r.cmd = cmd
-		r.mu.Unlock()
-		if err != nil {
-			s.t.Errorf("router %s: %v", r.name, err)
-			return
-		}
-		_ = cmd.Wait() // killed ones end with an error
-		time.Sleep(100 * time.Millisecond)
-	}
-}
-
-func (r *process) signal(sig syscall.Signal) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cmd != nil && r.cmd.Process != nil {
-		_ = r.cmd.Process.Signal(sig) // it may have ended by itself
-	}
+	s.later.Go(func() { s.followVersions(r) })
 }
 
 // publish writes the operator's next configuration, with a new extra key.
@@ -212,10 +213,13 @@
 			"models": []any{map[string]any{"load_s": 1}}, "step_ms": 1, "read_per_s": 1e5, "loads_at_once": 4, "usual": map[string]any{"prompt": 100, "answer": 60},
 			"layers": layers, "layer_mb": 1000, "kinds": []any{map[string]any{"name": "fast", "mb": 8000, "pace": 2}, map[string]any{"name": "slow", "mb": 8000, "pace": 9}}}},
 			map[string]any{"name": "notices"}},
-		"limits":  map[string]any{"max_body_bytes": 65536, "header_timeout_ms": 2000, "idle_timeout_ms": 4000},
+		"limits":  map[string]any{"max_body_bytes": 65536, "header_timeout_ms": headerTime.Milliseconds(), "idle_timeout_ms": s.idle.Milliseconds()},
 		"tenants": []any{map[string]any{"name": "school", "api_keys": []any{"key", extraKey(s.key)}}},
 	})
 	assert.NilError(s.t, err)
+	s.mu.Lock()
+	s.published = append(s.published, published{s.version, extraKey(s.key), s.idle, time.Now()})
+	s.mu.Unlock()
 	s.store.Put(platform.ConfigKey, raw)
 }
 
@@ -326,6 +330,26 @@
 
 func (s *site) reconfigure(time.Duration) { s.publish() }
 
+// changeIdle raises or lowers the idle limit while connections rest.
+func (s *site) changeIdle(time.Duration) {
+	s.idle = idleLimits[s.rnd.IntN(len(idleLimits))]
+	s.publish()
+}
+
+// changeAndStrike signals every router of a failure domain right after a change.
+func (s *site) changeAndStrike(time.Duration) {
+	domain := []string{"a", "b"}[s.rnd.IntN(2)]
+	sig := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM, syscall.SIGHUP}[s.rnd.IntN(3)]
+	s.changeIdle(0)
+	s.after(time.Duration(5+s.rnd.IntN(400))*time.Millisecond, func() {
+		for _, r := range s.routers {
+			if r.settings.FailureDomain == domain {
+				r.signal(sig)
+			}
+		}
+	})
+}
+
 // heal ends every fault.
 func (s *site) heal() {
 	s.store.SetFaults(standin.StoreFaults{})
@@ -347,7 +371,6 @@
 		r.mu.Lock()
 		r.over = true
 		r.mu.Unlock()
-		r.signal(syscall.SIGCONT)
 		r.signal(syscall.SIGKILL)
 		r.store.close()
 	}
