Test: an engine that answers is no longer lost

Red in one case of four: asked after the note of its end, the same incarnation answers a report, and Lost stays true; firstAmong then gives nil, so that a third engine may run a request whose route allows two. Already right and kept in the test: an answer asked for before, of another incarnation, or of none that it names.

--- /dev/null
+++ b/internal/protocol/relay/lost_test.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// A caller's request is run by three engines where its route allows two. It ran at
+// two, and of one this router heard that its process ended; then the same incarnation
+// answers a report, but it stays lost for a minute and is no attempt. Only an answer
+// that was asked for after the news of the end is newer than that news, and only one
+// of the same incarnation says anything of it.
+func TestEngineThatAnswersIsNoLongerLost(t *testing.T) {
+	const answerTime = 100 * time.Millisecond
+	const same, other, untold = `{"born":100}`, `{"born":200}`, `{}`
+	lost := model.Incarnation{ID: "one", Born: 100}
+	for name, c := range map[string]struct {
+		asked  time.Duration // after the news of the end
+		answer string
+		lost   bool
+	}{
+		"asked after":              {asked: time.Millisecond, answer: same, lost: false},
+		"asked before":             {asked: -answerTime / 2, answer: same, lost: true},
+		"another incarnation":      {asked: time.Millisecond, answer: other, lost: true},
+		"it does not tell its own": {asked: time.Millisecond, answer: untold, lost: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(model.Route{MaxAttempts: 2}, true, func(context.Context, string, *Request) (*Answer, error) {
+					time.Sleep(answerTime)
+					return report(c.answer), nil
+				})
+				b := *s.Catalog.Load().ByID("one")
+				b.Born = lost.Born
+				s.Catalog.Put(b)
+				time.AfterFunc(answerTime, func() { s.Suspicions.Ended(lost) })
+				time.Sleep(answerTime + c.asked)
+				_, err := s.Report(t.Context(), &b)
+				assert.Equal(t, err != nil, c.answer == other, "%v", err)
+				assert.Equal(t, s.Suspicions.Lost(lost), c.lost)
+				q := &request{Relay: s.Relay, call: &model.Call{Attempt: "1"}}
+				q.ticket.Route = &model.Route{MaxAttempts: 2}
+				ran := &stream{request: q, ranOn: map[model.Incarnation]bool{lost: true, inc("two"): true}}
+				assert.Equal(t, ran.firstAmong() == nil, c.lost, "a third engine may run it")
+			})
+		})
+	}
+}
