An answer takes back the news of an engine's end

Cause: the note of an end was only ever forgotten after a minute; no answer was compared with it. Change: Report tells Suspicions when it was asked, once the answer is known to be of the incarnation that was asked; the prober drops the note if it is older than the question, under the lock that writes it. Reports that a probe, a silent run, a slow chain or an order asks for all pass there. Ruled out: dropping the note in the prober's own probes only, as a lost engine is often no suspect any more. Not part of it: an engine that nobody asks stays lost as before.

--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -48,7 +48,8 @@
 
 	mu sync.Mutex
 	// ended holds engines whose process surely ended, or that were gone from the
-	// store while they answered nobody here, and when that was noted.
+	// store while they answered nobody here, and when that was noted. An answer
+	// that was asked for later takes it back.
 	ended    map[model.Incarnation]time.Time
 	suspects map[model.Incarnation]*suspect
 	answered map[model.Incarnation]time.Time // when a probe last succeeded
@@ -253,6 +254,22 @@
 	p.note(inc)
 }
 
+// Answered implements Suspicions. The end of an engine is told by entries that may be
+// late or odd, and by an entry that lapsed while the engine was cut off. Taken for
+// ended still, an engine that answers counts as no attempt, so that a request runs at
+// one engine more than its route allows, and plans do without it. Both times are
+// compared under the lock, so that no answer from before takes back newer news.
+func (p *Prober) Answered(inc model.Incarnation, asked time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	noted, ok := p.ended[inc]
+	if !ok || !asked.After(noted) {
+		return
+	}
+	delete(p.ended, inc)
+	klog.InfoS("engine taken for ended answers", "server", inc, "after", p.Now().Sub(noted))
+}
+
 // note remembers an engine's end. The caller holds the lock.
 func (p *Prober) note(inc model.Incarnation) {
 	now := p.Now()
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -28,6 +28,7 @@
 
 // Report reads an engine's own report.
 func (r *Relay) Report(ctx context.Context, b *model.BackendServer) (model.EngineReport, error) {
+	asked := r.Now()
 	ans, err := r.Backends.Do(ctx, b.Address, &Request{Method: http.MethodGet, Target: platform.ReportPath, Host: b.Address, Header: http.Header{}})
 	if err != nil {
 		return model.EngineReport{}, err
@@ -48,7 +49,14 @@
 	if err != nil {
 		return model.EngineReport{}, err
 	}
-	return report, r.sameIncarnation(b, report)
+	if err := r.sameIncarnation(b, report); err != nil {
+		return report, err
+	}
+	// A report that does not tell its start, as its entry does, may be of another one.
+	if report.Born == b.Born {
+		r.Suspicions.Answered(b.Incarnation(), asked)
+	}
+	return report, nil
 }
 
 // errRestarted says that another incarnation of an engine answered.
