Test: a probe does not end a newer suspicion

Red in both cases: a report is asked of a suspected engine; 50 ms later the engine is suspected anew, by a stream here or for longer by a peer's word; the answer, 100 ms after the question, clears it, and the engine gets work at once.

--- a/internal/protocol/relay/prober_test.go
+++ b/internal/protocol/relay/prober_test.go
@@ -270,3 +270,33 @@
 		})
 	}
 }
+
+// Requests go to an engine that has just shown that it does not do their work, and are
+// refused or lost there. A report is asked of it; while the answer is under way a
+// stream is refused its part, or a peer's word comes. The answer is older than that
+// news and says nothing of it: only what is asked afterwards may end the suspicion.
+func TestProbeDoesNotEndANewerSuspicion(t *testing.T) {
+	const answerTime = 100 * time.Millisecond
+	for name, news := range map[string]func(h *catalog.Health){
+		"suspected here":   func(h *catalog.Health) { h.Suspect(inc("e")) },
+		"longer suspected": func(h *catalog.Health) { h.SuspectUntil(inc("e"), time.Now().Add(2*probeHold)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			probing(t, func(p *Prober, a *asked) {
+				p.Report = func(ctx context.Context, b *model.BackendServer) (model.EngineReport, error) {
+					time.Sleep(answerTime)
+					return a.report(ctx, b)
+				}
+				time.Sleep(probeEvery / 4)
+				p.Hint(inc("e"))
+				time.Sleep(answerTime / 2)
+				news(p.Health)
+				time.Sleep(answerTime)
+				assert.Check(t, a.askedTimes() == 1)
+				assert.Check(t, p.Health.Suspected(inc("e")))
+				time.Sleep(2 * probeHold)
+				assert.Check(t, !p.Health.Suspected(inc("e")))
+			})
+		})
+	}
+}
