A report that was asked for before a newer suspicion does not clear it

Cause: Trust cleared a suspicion whatever had come since the question, and Suspect did not note evidence that came while a suspicion ran, so that there was nothing to compare with; streams and plain requests call it without making the engine the prober's own suspect. Change: Trust is told when the answer was asked for and passes it over as Clear does, under the record's lock; Suspect moves since, as its comment says, and not until. The log line says whether the answer counted. Ruled out: asking at once again where the answer is too old; the newer suspicion runs its time, which no later word prolongs without evidence.

--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -72,6 +72,7 @@
 	now := h.now()
 	h.with(inc, func(r *record) {
 		if now.Before(r.until) {
+			r.since = now
 			until = r.until
 			return
 		}
@@ -166,11 +167,21 @@
 	})
 }
 
-// Trust takes in that a backend server answers again. Its strikes stay until it
-// has done work: one that answers and does nothing would else be tried again
-// every second. A refusal of work stays its time: an engine that drains answers.
-func (h *Health) Trust(inc model.Incarnation) {
-	h.with(inc, func(r *record) { r.until = r.refuses })
+// Trust takes in that a backend server answered what it was asked at some time, and
+// tells whether that counts. Its strikes stay until it has done work: one that answers
+// and does nothing would else be tried again every second. A refusal of work stays its
+// time: an engine that drains answers. An answer that was asked for before the
+// suspicion was last raised or confirmed says nothing against it; requests would go
+// where one has just been lost or refused.
+func (h *Health) Trust(inc model.Incarnation, asked time.Time) (counts bool) {
+	h.with(inc, func(r *record) {
+		if asked.Before(r.since) {
+			return
+		}
+		r.until = r.refuses
+		counts = true
+	})
+	return counts
 }
 
 // Suspected tells whether a backend server should get nothing now.
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -188,15 +188,17 @@
 	}
 	s.probing = true
 	p.mu.Unlock()
+	asked := p.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), reportWait)
 		defer cancel()
 		_, err := p.Report(ctx, b)
-		p.result(b, err)
+		p.result(b, asked, err)
 	}()
 }
 
-func (p *Prober) result(b *model.BackendServer, err error) {
+// result takes in how an engine answered what it was asked at some time.
+func (p *Prober) result(b *model.BackendServer, asked time.Time, err error) {
 	p.mu.Lock()
 	s := p.suspects[b.Incarnation()]
 	if s == nil {
@@ -214,8 +216,8 @@
 		delete(p.suspects, b.Incarnation())
 		p.answered[b.Incarnation()] = p.Now()
 		p.mu.Unlock()
-		p.Health.Trust(b.Incarnation())
-		klog.InfoS("engine trusted again", "server", b.Incarnation(), "after", p.Now().Sub(s.since))
+		trusted := p.Health.Trust(b.Incarnation(), asked)
+		klog.InfoS("suspected engine answers", "server", b.Incarnation(), "after", p.Now().Sub(s.since), "trusted", trusted)
 		return
 	}
 	own := s.own
