Test: a loan lasts from the question

Red: a lender lends at once and its answer takes 90 ms; 500 ms after the question a borrowed send is still given. 499 ms after it one is given, as it should be.

--- a/internal/coordination/limits/loans_test.go
+++ b/internal/coordination/limits/loans_test.go
@@ -169,3 +169,33 @@
 		assert.Assert(t, f.loans["a"].Take(context.Background(), "s"))
 	})
 }
+
+// More repeated sends reach a service in one window than its budget allows. A busy
+// lender counts what it lends when it is asked, and its answer is on the way for a
+// while; a loan that lasts from the answer on is used when the lender may spend the
+// same sends again.
+func TestLoanLastsFromTheQuestion(t *testing.T) {
+	const answerTime = loanWait - 10*time.Millisecond
+	for used, granted := range map[time.Duration]bool{loanLasts - time.Millisecond: true, loanLasts: false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newBorrowers(0.2, 300, "a", "b")
+			a := f.loans["a"]
+			a.Ask = func(_ context.Context, peer, service string, want int) (int, error) {
+				lent := f.budgets[peer].Lend(service, want)
+				time.Sleep(answerTime)
+				return lent, nil
+			}
+			time.Sleep(10 * time.Second)
+			for f.budgets["a"].Take("s") {
+			}
+			f.budgets["b"].Request("s")
+			f.tell()
+			asked := time.Now()
+			assert.Assert(t, a.Take(context.Background(), "s"))
+			assert.Equal(t, time.Since(asked), answerTime)
+			time.Sleep(used - answerTime)
+			a.Ask = func(context.Context, string, string, int) (int, error) { return 0, nil }
+			assert.Equal(t, a.Take(context.Background(), "s"), granted, "%v after the question", used)
+		})
+	}
+}
