A loan lasts from the question, not from the answer

Cause: the lender counts a loan when it lends; the borrower let it last from when the answer was read, up to 100 ms later. Change: until is counted from when the peer that lent was asked. Ruled out: telling the time of the loan in the answer, as clocks differ.

--- a/internal/coordination/limits/loans.go
+++ b/internal/coordination/limits/loans.go
@@ -12,9 +12,11 @@
 	// loanSize is how many repeated sends are asked for at once. An engine that
 	// dies interrupts some ten to fifty streams of a router within moments.
 	loanSize = 8
-	// loanLasts is how long borrowed sends may be used. The lender counted them
-	// when it lent them; used much later they would fall into a window in which
-	// it has them to spend again.
+	// loanLasts is how long after the question borrowed sends may be used. The
+	// lender counted them when it lent them, which may be long before its answer
+	// is here; used much later they would fall into a window in which it has them
+	// to spend again, and more are sent than the budget allows. The question is
+	// never later than the loan, so counting from it is enough.
 	loanLasts = 500 * time.Millisecond
 	// loanTries is how many peers are asked before none is taken to have spares.
 	loanTries = 2
@@ -124,12 +126,14 @@
 // borrow asks the peers that told of most spares.
 func (l *Loans) borrow(service string, a *account) {
 	got := 0
+	var asked time.Time
 	for try := 0; try < loanTries && got == 0; try++ {
 		peer := l.richest(a)
 		if peer == "" {
 			break
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), loanWait)
+		asked = l.Now()
 		n, err := l.Ask(ctx, peer, service, loanSize)
 		cancel()
 		klog.InfoS("repeated sends borrowed", "service", service, "peer", peer, "lent", n, "err", err)
@@ -139,7 +143,7 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	a.left = got
-	a.until = now.Add(loanLasts)
+	a.until = asked.Add(loanLasts)
 	if got == 0 {
 		a.pause = now.Add(loanPause)
 	}
