Options of the server itself go through the router

Cause: the standard server answered OPTIONS * with 200 before the handler was asked, a success that no backend server gave and no log showed. Shown by TestOptionsOfTheServerAreNotAnswered: 200 before, 404 after.

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -64,6 +64,7 @@
 	}
 	s.ending, s.endNow = context.WithCancel(context.Background())
 	s.http.Handler = http.HandlerFunc(s.handle)
+	s.http.DisableGeneralOptionsHandler = true // it would give a success of its own
 	s.http.MaxHeaderBytes = headerCeiling
 	s.http.ErrorLog = klogLogger()
 	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -209,3 +209,11 @@
 		t.Fatal("nobody noticed")
 	}
 }
+
+// A caller asks for the options of the server itself, and gets a success that no backend
+// server gave: the standard server answers it before the router is asked.
+func TestOptionsOfTheServerAreNotAnswered(t *testing.T) {
+	_, addr := serve(t, echo)
+	got := talk(t, addr, "OPTIONS * HTTP/1.1\r\n"+lastHead+"\r\n")
+	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 404"), got)
+}
