--- /dev/null
+++ b/internal/protocol/relay/move_test.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/platform"
+)
+
+// The last run of a stream hears that an engine of it has ended; the order that
+// replaces the engine fails, and the run's end is set for a moment later. The news
+// comes again, from another watcher, and now the engine is replaced. The chain works,
+// and must not be ended for an engine that it has left.
+func TestMovedRunIsNotEndedForTheEngineItLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
+		var orders atomic.Int64
+		s := chained(route, func(_ context.Context, _ string, r *Request) (*Answer, error) {
+			if r.Target == platform.OrderPath && orders.Add(1) == 1 {
+				return signed(http.StatusConflict, strings.NewReader("")), nil
+			}
+			return report(emptyReport), nil
+		})
+		w, run := s.watched(t, route)
+		w.last = true // as on the last send that a request has
+		s.EngineGone(inc("far"))
+		time.Sleep(10 * time.Millisecond)
+		s.EngineGone(inc("far"))
+		synctest.Wait()
+		parts, _ := w.state()
+		assert.Equal(t, parts[1].Server.ID, "spare")
+		w.heard()
+		time.Sleep(lastWords)
+		synctest.Wait()
+		assert.NilError(t, run.Err())
+	})
+}
--- /dev/null
+++ b/internal/protocol/relay/repeat_test.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// A server does not answer, and as its try becomes slow the budget for repeated sends
+// is used up. Later there is budget again and another server is well, yet the request
+// stays with the silent one until its time is over: it was decided once that it may go
+// nowhere else.
+func TestSlowTryGoesElsewhereOnceItMay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := ""
+		s := newSite(model.Route{Kind: idempotent, MaxAttempts: 2, TargetLatency: time.Second, Timeout: time.Minute}, false, func(ctx context.Context, addr string, _ *Request) (*Answer, error) {
+			if slow == "" || slow == addr {
+				slow = addr
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return signed(http.StatusOK, strings.NewReader("in time")), nil
+		})
+		s.Loans.Budget = limits.NewSharedRetries(0, 20, time.Minute, func() int { return 1 }, time.Now)
+		began := time.Now()
+		time.AfterFunc(2*time.Second, func() {
+			assert.Check(t, !s.Loans.Budget.Take("s"))
+		})
+		out := &listener{}
+		assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+		assert.Equal(t, out.status, http.StatusOK, "after %v", time.Since(began))
+		assert.Equal(t, s.seen.repeats, 1)
+	})
+}
+
+// The first server takes no connection, nothing goes out to it, and the budget for
+// repeated sends is used up. The request is offered to the other one all the same: it
+// has not been sent yet, so that send repeats nothing.
+func TestFirstSendNeedsNoBudget(t *testing.T) {
+	for _, generates := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			tries := 0
+			s := newSite(model.Route{Kind: streaming, MaxAttempts: 2, TargetLatency: time.Second}, generates, func(context.Context, string, *Request) (*Answer, error) {
+				if tries++; tries == 1 {
+					return nil, errNoConnection
+				}
+				return signed(http.StatusOK, strings.NewReader("id: 1\ndata: a\n\n")), nil
+			})
+			s.Loans.Budget = limits.NewSharedRetries(0, 0, time.Second, func() int { return 1 }, time.Now)
+			out := &listener{}
+			assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+			assert.Equal(t, out.status, http.StatusOK, "generates %t: %s", generates, out.body.String())
+		})
+	}
+}
