An end, a slow try and a stalled body are asked about again

Ruled out: the timer of the front (a read gives bytes or the end, whatever net/http sets as deadlines meanwhile). Change: - the end that is set for an engine's last words asks under the lock whether the run still goes through that engine, and whether a move is under way; - a slow try that may go nowhere else is asked about again each time as long has passed; - an answer to a request that could not be read bounds the reading of what is left of it. Not mended here: the request of which nothing went out (TestFirstSendNeedsNoBudget).

--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 	"github.com/skylarkwood/skylarkwood/platform"
 )
 
@@ -132,8 +133,9 @@
 
 // giveUpIfSlow ends a try that takes much longer than usual, once another server is
 // there and a repeated send is granted. Ended before, a request that may go nowhere
-// else would be lost though its server is still at work on it. stop waits for a
-// decision under way.
+// else would be lost though its server is still at work on it; asked about only once, it
+// would stay with a server that is silent though another one may answer by then. stop
+// waits for a decision under way.
 func (q *request) giveUpIfSlow(run context.Context, cancel context.CancelCauseFunc, b *model.BackendServer) (stop func()) {
 	usual := q.Health.View(b.Incarnation()).Latency
 	most := max(patience*usual, q.ticket.Route.TargetLatency, leastTry)
@@ -142,11 +144,14 @@
 	timer := time.AfterFunc(most, func() {
 		defer close(decided)
 		defer q.containSlow()
-		if q.pickPlain() == nil || !q.takeRepeat(run) {
-			klog.InfoS("slow try is kept, as it may go nowhere else", "request", q.call.Attempt, "server", b.Incarnation(), "ms", most.Milliseconds())
-			return
+		for kept := false; !q.mayLeave(run); kept = true {
+			if !kept {
+				klog.InfoS("slow try is kept while it may go nowhere else", "request", q.call.Attempt, "server", b.Incarnation(), "ms", most.Milliseconds())
+			}
+			if !wait.For(run, most) {
+				return
+			}
 		}
-		q.granted = true
 		cancel(tooSlow)
 	})
 	return func() {
@@ -157,6 +162,16 @@
 	}
 }
 
+// mayLeave tells whether a slow try may be given up: another server is there, and a
+// repeated send is granted.
+func (q *request) mayLeave(run context.Context) bool {
+	if q.pickPlain() == nil || !q.takeRepeat(run) {
+		return false
+	}
+	q.granted = true
+	return true
+}
+
 // missed takes in that a try gave no answer, and why.
 func (q *request) missed(b *model.BackendServer, why ending, err error, took time.Duration) {
 	sent := !errors.Is(err, ErrNotSent)
--- a/internal/protocol/relay/giveup.go
+++ b/internal/protocol/relay/giveup.go
@@ -61,6 +61,17 @@
 	}
 }
 
+// endIfThrough ends a run for an engine whose process has ended, if it still runs through
+// it. The same end may be told again, by another watcher, and the run moved away since;
+// a move under way decides for itself.
+func (w *chainWatch) endIfThrough(lost model.Incarnation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped && !w.moving && uses(w.parts, lost) {
+		w.endLocked(verdict{culprit: lost, why: engineGone})
+	}
+}
+
 func (w *chainWatch) endLocked(v verdict) {
 	w.culprit = v.culprit
 	w.stopped = true
--- a/internal/protocol/relay/move.go
+++ b/internal/protocol/relay/move.go
@@ -27,9 +27,9 @@
 	switch news, taken := w.take(moved); {
 	case taken:
 	case why == engineGone && w.last:
-		time.AfterFunc(lastWords, func() { w.end(verdict{culprit: lost, why: why}) })
+		time.AfterFunc(lastWords, func() { w.endIfThrough(lost) })
 	case why == engineGone:
-		w.end(verdict{culprit: lost, why: why})
+		w.endIfThrough(lost)
 	default:
 		w.giveUp(news, verdict{culprit: lost, why: why})
 	}
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -292,14 +292,18 @@
 }
 
 // fail answers a request that could not be read; the connection is closed, as
-// what follows on it cannot be told from the rest of the request.
+// what follows on it cannot be told from the rest of the request. The standard server
+// first reads on in a body that did not come to its end: without a bound a caller that
+// stalls would keep its connection for ever, and a planned stop would wait for it.
 func (c *caller) fail(status int, msg string) {
 	h := c.w.Header()
 	h.Set("Connection", "close")
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", formatInt(int64(len(msg)+1)))
 	c.w.WriteHeader(status)
-	_ = c.rc.SetWriteDeadline(time.Now().Add(writeTime))
+	until := time.Now().Add(writeTime)
+	_ = c.rc.SetReadDeadline(until) // the standard server reads what is left of a body
+	_ = c.rc.SetWriteDeadline(until)
 	if _, err := io.WriteString(c.w, msg+"\n"); err != nil {
 		klog.V(1).InfoS("failure not delivered", "err", err)
 	}
