A request of which nothing went out needs no repeated send

Cause: each further try took one from the budget for repeated sends, also where the try before had sent nothing (no connection, or the run was ended before its write). With the budget used up the request was refused though another server was there. Ruled out: that it is an arrival; the budget counts what reaches backend servers.

--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -179,6 +179,7 @@
 		q.runs++
 	} else {
 		q.sends--
+		q.unsent++
 	}
 	klog.InfoS("answer lost", "request", q.call.Attempt, "why", why, "sent", sent, "server", b.Incarnation(), "err", err, "ms", took.Milliseconds())
 	if !why.blames(took) {
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -274,6 +274,7 @@
 	why := endingOf(run, err)
 	if errors.Is(err, ErrNotSent) {
 		s.sends--
+		s.unsent++
 		if why != noConnection && !(why == timeOver && why.blames(s.Now().Sub(w.since))) {
 			s.lost(w, why, err)
 			return fault.New(fault.NotConnected, "the run was ended before it was sent: %s", why)
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -128,8 +128,10 @@
 	since  time.Time
 	// runs counts the sends that may have run; sends counts all.
 	runs, sends int
-	began       bool // the caller has the head of the answer
-	waiting     bool // for room at the engines
+	// unsent counts the tries of which nothing went out.
+	unsent  int
+	began   bool // the caller has the head of the answer
+	waiting bool // for room at the engines
 	// granted says that the next repeated send was taken from the budget already.
 	granted bool
 	avoid   map[model.Incarnation]bool
@@ -315,6 +317,9 @@
 	if !q.repeatable() {
 		return false
 	}
+	if q.firstSend() {
+		return ctx.Err() == nil
+	}
 	if !q.takeRepeat(ctx) {
 		if ctx.Err() == nil {
 			klog.InfoS("no repeat: the retry budget is used up", "request", q.call.Attempt, "reason", reason)
@@ -325,6 +330,11 @@
 	return true
 }
 
+// firstSend tells whether the next send repeats nothing, as nothing went out before: it
+// needs no part of the budget, which counts what reaches backend servers. Only a few
+// tries are free, so that one request cannot try for ever.
+func (q *request) firstSend() bool { return q.sends == 0 && q.unsent < maxSends }
+
 // takeRepeat takes one repeated send from the budget, unless that was done when the
 // try before was given up.
 func (q *request) takeRepeat(ctx context.Context) bool {
