A stop beside the start finds what it needs

Cause: the context of the last call was made after the listener was known, and a wait whose time is over was told so by chance though nobody was connected. Ruled out: the router itself, which gives a stop at least half of its grace first. Change: it is made before; the wait looks once more whether the last connection has ended.

--- a/internal/transport/front/conns.go
+++ b/internal/transport/front/conns.go
@@ -73,7 +73,8 @@
 	}
 }
 
-// wait waits for the last connection's end.
+// wait waits for the last connection's end. Where that has come it says so also when
+// ctx is over.
 func (s *conns) wait(ctx context.Context) error {
 	s.mu.Lock()
 	none := s.none
@@ -82,6 +83,11 @@
 	case <-none:
 		return nil
 	case <-ctx.Done():
+	}
+	select {
+	case <-none:
+		return nil
+	default:
 		return ctx.Err()
 	}
 }
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -59,10 +59,11 @@
 // Serve answers connections until Shutdown.
 func (s *Server) Serve(callers net.Listener) error {
 	l := &timedListener{Listener: callers, limits: s.limits}
+	// Before the listener is known: a stop that finds it may need this at once.
+	s.ending, s.endNow = context.WithCancel(context.Background())
 	if !s.conns.listen(l) {
 		return nil
 	}
-	s.ending, s.endNow = context.WithCancel(context.Background())
 	s.http.Handler = http.HandlerFunc(s.handle)
 	s.http.MaxHeaderBytes = headerCeiling
 	s.http.ErrorLog = klogLogger()
