A panic takes its request off the server's load

Cause: the load was counted where the request is sent and taken off where its end is judged, which a panic skips. Ruled out: memory of chains and the list of running work, which deferred calls give back. Change: the sending has a function of its own whose deferred call takes the load off where it does not return. Figures: TestPanicEndsTheLoadItCounted failed before and passes; package relay passes with the race detector (one run).

--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -118,17 +118,31 @@
 		defer q.giveUpIfSlow(run, cancel, b)()
 	}
 	began := q.Now()
+	ans, err := q.exchange(run, b)
+	if err != nil {
+		q.missed(b, endingOf(run, err), err, q.Now().Sub(began))
+		return nil, err
+	}
+	q.judge(b, ans, q.Now().Sub(began))
+	return ans, nil
+}
+
+// exchange sends the call and reads its whole answer. The server's load counts it from
+// here on; whoever takes in how it ended takes it off again, and a panic does so here.
+func (q *request) exchange(run context.Context, b *model.BackendServer) (read *whole, err error) {
 	q.Health.Begin(b.Incarnation())
+	returns := false
+	defer func() {
+		if !returns {
+			q.Health.Quit(b.Incarnation())
+		}
+	}()
 	ans, err := q.Backends.Do(run, b.Address, q.outbound(platform.Send{Instance: b.ID}))
 	if err == nil {
-		var read *whole
-		if read, err = q.readWhole(ans); err == nil {
-			q.judge(b, read, q.Now().Sub(began))
-			return read, nil
-		}
+		read, err = q.readWhole(ans)
 	}
-	q.missed(b, endingOf(run, err), err, q.Now().Sub(began))
-	return nil, err
+	returns = true
+	return read, err
 }
 
 // giveUpIfSlow ends a try that takes much longer than usual, once another server is
