A repeated send that was granted stays so until it is used

Cause: a run that ends overwrites what an earlier run was granted; since a request of which nothing went out needs no grant, one may be left over. Ruled out: a send that is granted twice, as what is granted is used up where it is taken. Change: the run's grant is added to what is there. Figures: package relay passes with the race detector (one run); no test of its own, as the two runs must end within the time of a dial.

--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -112,7 +112,7 @@
 	run, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := q.watch(run, cancel, parts, hold)
-	defer func() { q.granted = w.stop() }()
+	defer func() { q.granted = w.stop() || q.granted }()
 	q.sends++
 	ans, err := q.Backends.Do(run, first.Address, q.outbound(send))
 	if err != nil {
