A call that its caller left is no failure of its connection

Cause: each call without an answer marked its connection as failed, and a sender whose own older connection was silent then closed it under the calls of others. Ruled out: a call whose time is over, which does speak against the connection. Change: a call whose context was cancelled marks nothing.

--- a/internal/transport/link/pool.go
+++ b/internal/transport/link/pool.go
@@ -61,7 +61,7 @@
 	}
 	var back wire.Envelope
 	if err := conn.Call(ctx, string(m), env, &back); err != nil {
-		if !answered(err) {
+		if !answered(err) && !left(ctx) {
 			conn.failed.Store(true)
 		}
 		if ctx.Err() != nil {
@@ -157,6 +157,11 @@
 	return errors.As(err, &rpc)
 }
 
+// left tells whether nobody waits for an answer any more, which says nothing of the
+// connection: marked as failed, it would be closed under the calls of others. One whose
+// time is over does say something.
+func left(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
 func closed(c *jsonrpc2.Conn) bool {
 	select {
 	case <-c.DisconnectNotify():
