--- a/internal/protocol/relay/repeat_test.go
+++ b/internal/protocol/relay/repeat_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/platform"
 )
 
 // A server does not answer, and as its try becomes slow the budget for repeated sends
@@ -61,3 +62,28 @@
 		})
 	}
 }
+
+// A run falls silent, a repeated send is granted for what follows it, and it ends before
+// anything was sent: what follows needs no grant. The next engine fails, and the send
+// after it uses what was granted, the last one that the budget had.
+func TestGrantIsKeptUntilItIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tries := 0
+		s := newSite(model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 3, TargetLatency: time.Second}, true, func(ctx context.Context, _ string, r *Request) (*Answer, error) {
+			if r.Target == platform.ReportPath {
+				return nil, errNoConnection
+			}
+			if tries++; tries == 1 {
+				<-ctx.Done()
+				return nil, errNoConnection
+			}
+			return signed(http.StatusInternalServerError, strings.NewReader("failed")), nil
+		})
+		s.Loans.Budget = limits.NewSharedRetries(0, 2, time.Second, func() int { return 1 }, time.Now)
+		time.Sleep(2 * time.Second) // until the slack, one send, may be spent
+		out := &listener{}
+		assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
+		assert.Equal(t, out.status, http.StatusInternalServerError)
+		assert.Equal(t, s.seen.repeats, 1)
+	})
+}
