A request after the last call is refused before anything of it is sent

Cause: its context was ended by a function that runs beside the request, which came after the send each time. Ruled out: requests that wait when the call comes; their context ends as before. Change: a request that comes after the call begins with a context that has ended.

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -147,7 +147,9 @@
 }
 
 // until gives the context of a request, which ends with its connection, or at the last
-// call where it has no answer by then.
+// call where it has no answer by then. One that comes after the last call begins with a
+// context that has ended, so that nothing of it is sent: what ends contexts at the call
+// runs beside the request, and would come after the send.
 func (s *Server) until(r *http.Request, out *caller) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	stop := context.AfterFunc(s.ending, func() {
@@ -155,6 +157,9 @@
 			cancel(relay.ErrStopping)
 		}
 	})
+	if s.ending.Err() != nil {
+		cancel(relay.ErrStopping)
+	}
 	return ctx, func() {
 		stop()
 		cancel(nil)
