--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -112,7 +112,7 @@
 	run, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := q.watch(run, cancel, parts, hold)
-	defer func() { q.granted = w.stop() }()
+	defer func() { q.granted = w.stop() || q.granted }()
 	q.sends++
 	ans, err := q.Backends.Do(run, first.Address, q.outbound(send))
 	if err != nil {
@@ -274,6 +274,7 @@
 	why := endingOf(run, err)
 	if errors.Is(err, ErrNotSent) {
 		s.sends--
+		s.unsent++
 		if why != noConnection && !(why == timeOver && why.blames(s.Now().Sub(w.since))) {
 			s.lost(w, why, err)
 			return fault.New(fault.NotConnected, "the run was ended before it was sent: %s", why)
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -59,10 +59,11 @@
 // Serve answers connections until Shutdown.
 func (s *Server) Serve(callers net.Listener) error {
 	l := &timedListener{Listener: callers, limits: s.limits}
+	// Before the listener is known: a stop that finds it may need this at once.
+	s.ending, s.endNow = context.WithCancel(context.Background())
 	if !s.conns.listen(l) {
 		return nil
 	}
-	s.ending, s.endNow = context.WithCancel(context.Background())
 	s.http.Handler = http.HandlerFunc(s.handle)
 	s.http.DisableGeneralOptionsHandler = true // it would give a success of its own
 	s.http.MaxHeaderBytes = headerCeiling
@@ -147,7 +148,9 @@
 }
 
 // until gives the context of a request, which ends with its connection, or at the last
-// call where it has no answer by then.
+// call where it has no answer by then. One that comes after the last call begins with a
+// context that has ended, so that nothing of it is sent: what ends contexts at the call
+// runs beside the request, and would come after the send.
 func (s *Server) until(r *http.Request, out *caller) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	stop := context.AfterFunc(s.ending, func() {
@@ -155,6 +158,9 @@
 			cancel(relay.ErrStopping)
 		}
 	})
+	if s.ending.Err() != nil {
+		cancel(relay.ErrStopping)
+	}
 	return ctx, func() {
 		stop()
 		cancel(nil)
@@ -293,14 +299,18 @@
 }
 
 // fail answers a request that could not be read; the connection is closed, as
-// what follows on it cannot be told from the rest of the request.
+// what follows on it cannot be told from the rest of the request. The standard server
+// first reads on in a body that did not come to its end: without a bound a caller that
+// stalls would keep its connection for ever, and a planned stop would wait for it.
 func (c *caller) fail(status int, msg string) {
 	h := c.w.Header()
 	h.Set("Connection", "close")
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", formatInt(int64(len(msg)+1)))
 	c.w.WriteHeader(status)
-	_ = c.rc.SetWriteDeadline(time.Now().Add(writeTime))
+	until := time.Now().Add(writeTime)
+	_ = c.rc.SetReadDeadline(until) // the standard server reads what is left of a body
+	_ = c.rc.SetWriteDeadline(until)
 	if _, err := io.WriteString(c.w, msg+"\n"); err != nil {
 		klog.V(1).InfoS("failure not delivered", "err", err)
 	}
