--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -30,13 +30,6 @@
 	defaultBody       = 4 << 20
 	// bodyTime is how long a body may take, beyond the header's time.
 	bodyTime = 10 * time.Second
-	// writeTime is how long a caller may take to read one part of an answer.
-	// One that reads a byte a second would hold its stream's engine memory.
-	writeTime = 5 * time.Second
-	// lastCall is kept of a planned stop's time to answer requests that have no
-	// answer yet. An answer of the router's own takes a millisecond to make and a few
-	// to its caller; the rest is for a router that is short of processor time.
-	lastCall = 200 * time.Millisecond
 )
 
 // Server serves callers.
@@ -117,56 +110,6 @@
 	return l
 }
 
-// Drain begins a planned stop: callers are still served, and each is asked to
-// use another connection next time.
-func (s *Server) Drain() { s.draining.Store(true) }
-
-// Shutdown takes no more connections and waits for what runs. A request that has
-// arrived on a resting connection is still served. Shortly before ctx ends, requests
-// without an answer get one of the router's own, which says whether they may have run:
-// cut off by the process's end, their callers would know nothing.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.Drain()
-	s.conns.retire()
-	running, cancel := earlier(ctx, lastCall)
-	defer cancel()
-	if s.conns.wait(running) == nil {
-		return nil
-	}
-	klog.InfoS("last call: requests without an answer are ended", "active", s.Active())
-	s.endNow()
-	return s.conns.wait(ctx)
-}
-
-// earlier ends before ctx does.
-func earlier(ctx context.Context, by time.Duration) (context.Context, context.CancelFunc) {
-	until, ok := ctx.Deadline()
-	if !ok {
-		return context.WithCancel(ctx)
-	}
-	return context.WithDeadline(ctx, until.Add(-by))
-}
-
-// until gives the context of a request, which ends with its connection, or at the last
-// call where it has no answer by then. One that comes after the last call begins with a
-// context that has ended, so that nothing of it is sent: what ends contexts at the call
-// runs beside the request, and would come after the send.
-func (s *Server) until(r *http.Request, out *caller) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(r.Context())
-	stop := context.AfterFunc(s.ending, func() {
-		if !out.began.Load() {
-			cancel(relay.ErrStopping)
-		}
-	})
-	if s.ending.Err() != nil {
-		cancel(relay.ErrStopping)
-	}
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
-}
-
 // Active counts the requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -250,68 +193,3 @@
 	}
 	return nil, http.StatusBadRequest, errors.Wrap(err, "body cannot be read")
 }
-
-// caller writes an answer. It implements relay.Caller.
-type caller struct {
-	w        http.ResponseWriter
-	rc       *http.ResponseController
-	draining *atomic.Bool
-	stream   bool
-	began    atomic.Bool
-}
-
-func (c *caller) Begin(status int, header http.Header, length int64) {
-	h := c.w.Header()
-	for name, values := range header {
-		h[name] = values
-	}
-	if length >= 0 {
-		h.Set("Content-Length", formatInt(length))
-	}
-	c.stream = length < 0
-	if c.draining.Load() {
-		h.Set("Connection", "close")
-	}
-	c.w.WriteHeader(status)
-	c.began.Store(true)
-}
-
-// ends gives the last bytes of an answer, which are written when its handler has
-// returned, their own time. The time of the part before has passed where a stream
-// paused longer before its end, and a whole answer would look broken off.
-func (c *caller) ends() {
-	if err := c.rc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
-		klog.V(1).InfoS("time for the end of an answer not set", "err", err)
-	}
-}
-
-func (c *caller) Write(p []byte) error {
-	if err := c.rc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
-		return err
-	}
-	if _, err := c.w.Write(p); err != nil {
-		return err
-	}
-	if !c.stream {
-		return nil
-	}
-	return c.rc.Flush()
-}
-
-// fail answers a request that could not be read; the connection is closed, as
-// what follows on it cannot be told from the rest of the request. The standard server
-// first reads on in a body that did not come to its end: without a bound a caller that
-// stalls would keep its connection for ever, and a planned stop would wait for it.
-func (c *caller) fail(status int, msg string) {
-	h := c.w.Header()
-	h.Set("Connection", "close")
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("Content-Length", formatInt(int64(len(msg)+1)))
-	c.w.WriteHeader(status)
-	until := time.Now().Add(writeTime)
-	_ = c.rc.SetReadDeadline(until) // the standard server reads what is left of a body
-	_ = c.rc.SetWriteDeadline(until)
-	if _, err := io.WriteString(c.w, msg+"\n"); err != nil {
-		klog.V(1).InfoS("failure not delivered", "err", err)
-	}
-}
