Fault soak: a planned stop excuses no request unless it was paused

A router answers what still runs before a planned stop's time ends, so the end of a stop excuses a request that was passed on only if the process was paused during it.

--- a/test/faultsoak/process_test.go
+++ b/test/faultsoak/process_test.go
@@ -176,6 +176,14 @@
 	return !l.stopped.IsZero() && !l.stopped.Add(lasted).After(t)
 }
 
+// pausedSinceStop tells whether a planned stop was held up by a pause.
+func (l *life) pausedSinceStop(t time.Time) bool {
+	l.of.mu.Lock()
+	stopped := l.stopped
+	l.of.mu.Unlock()
+	return l.pausedBetween(stopped, t)
+}
+
 // busyEnv makes the test's binary a process that only uses up processor time.
 const busyEnv = "FAULTSOAK_BUSY"
 
--- a/test/faultsoak/promise_test.go
+++ b/test/faultsoak/promise_test.go
@@ -66,8 +66,9 @@
 }
 
 // checkAnswered holds a router to two promises. A request that it passed on to a
-// backend server is answered on its connection; only the end of its process
-// excuses it, and a planned stop only when its time is over. A connection that
+// backend server is answered on its connection; only a kill of its process excuses
+// it, or the end of a planned stop during which the process was paused: in one that
+// wasn't, the router has the time to answer for what still runs. A connection that
 // has rested for less than four fifths of the idle limit is open. What goes wrong
 // at backend servers and at the store, or on the ways there, excuses neither: the
 // router can refuse.
@@ -82,7 +83,7 @@
 		n.refused++
 	case q.life.killedBefore(q.ended):
 		n.killed++
-	case arrived > 0 && q.life.stoppedBefore(q.ended, stopTime):
+	case arrived > 0 && q.life.stoppedBefore(q.ended, stopTime) && q.life.pausedSinceStop(q.ended):
 		n.stopped++
 	case errors.Is(q.err, os.ErrDeadlineExceeded):
 		if !q.life.pausedBetween(q.began, q.ended) {
