Reproduced, failing: a stop that was held up ends before its last call is answered

What is seen: the last call and the end of the stop's time are due together, the wait for answers returns at once, and the process ends.

--- a/internal/transport/front/lastcall_test.go
+++ b/internal/transport/front/lastcall_test.go
@@ -33,3 +33,23 @@
 	}
 	assert.Equal(t, passed, 0)
 }
+
+// A router is paused during a planned stop. When it goes on its last call and the end of
+// its time are due together, and the process ended before any answer was written: callers
+// whose requests it had passed on saw their connections close.
+func TestStopWhoseTimeIsOverStillAnswers(t *testing.T) {
+	began := make(chan struct{})
+	s, addr := serve(t, func(ctx context.Context, _ *relay.Request) (*relay.Answer, error) {
+		close(began)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	answered := make(chan string)
+	go func() { answered <- talk(t, addr, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n") }()
+	<-began
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.NilError(t, s.Shutdown(over))
+	got := <-answered
+	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 502"), got)
+}
