--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
@@ -195,90 +194,6 @@
 	return r.Config.Load()
 }
 
-// deny answers what the configuration does not allow. An old configuration
-// may lack a route or key that is in force: then the request is refused for
-// now, which its caller may repeat, and not for good.
-func (q *request) deny(f *fault.Error) bool {
-	age := q.Config.Age(q.Clock())
-	permanent := f.Kind == fault.NotFound || f.Kind == fault.UnknownCustomer
-	if permanent && age > q.ConfigTrust {
-		f = fault.New(fault.StaleConfig, "the configuration is not known to be current: %s", f.Msg)
-	}
-	return q.refuse(f)
-}
-
-// refuse gives the final answer of the system's own.
-func (q *request) refuse(f *fault.Error) bool {
-	status := f.Kind.Answer().Status
-	if q.runs > 0 && promisesNotRun(status) {
-		f = f.WithKind(fault.BackendLost)
-		status = f.Kind.Answer().Status
-	}
-	after := time.Duration(0)
-	if promisesNotRun(status) {
-		after = f.After()
-	}
-	q.finish("refused", f, status)
-	if q.began {
-		return false
-	}
-	h := http.Header{}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	platform.EncodeRefusal(h, q.call.Attempt, after)
-	body := []byte(f.Error() + "\n")
-	q.out.Begin(status, h, int64(len(body)))
-	if err := q.out.Write(body); err != nil {
-		klog.V(1).InfoS("refusal not delivered", "request", q.call.Attempt, "err", err)
-	}
-	return true
-}
-
-// promisesNotRun lists the statuses that promise it.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// finish writes the request's line and counts it.
-func (q *request) finish(outcome string, f *fault.Error, status int) {
-	took := q.Now().Sub(q.since)
-	kind := ""
-	msg := ""
-	if f != nil {
-		kind = string(f.Kind)
-		msg = f.Msg
-	}
-	route, service := "", ""
-	if q.ticket.Route != nil {
-		route = q.ticket.Route.Name
-	}
-	if q.ticket.Service != nil {
-		service = q.ticket.Service.Name
-	}
-	q.Observer.Request(route, service, outcome, kind, took)
-	klog.InfoS("request ended", "request", q.call.Attempt, "outcome", outcome, "kind", kind, "cause", msg,
-		"status", status, "progress", q.progress(), "route", route, "service", service, "customer", q.ticket.Customer,
-		"ms", took.Milliseconds(), "firstEventMs", q.firstEvent.Milliseconds(), "longestGapMs", q.longestGap.Milliseconds(), "sends", q.sends, "mayHaveRun", q.runs, "chain", q.chain,
-		"configVersion", q.ticket.Version, "configAgeMs", q.Config.Age(q.Clock()).Milliseconds())
-}
-
-// progress is how far the request was when it ended, for the log: whether a server had
-// it, and whether its caller has something of an answer.
-func (q *request) progress() string {
-	switch {
-	case q.began:
-		return "begun"
-	case q.sends > 0:
-		return "sent"
-	case q.waiting:
-		return "waiting for room"
-	}
-	return "before sending"
-}
-
 // left is how much time the request has; 0 where it has no bound.
 func (q *request) left() time.Duration {
 	if q.ticket.Until.IsZero() {
@@ -287,71 +202,6 @@
 	return max(q.ticket.Until.Sub(q.Now()), time.Millisecond)
 }
 
-// ended gives the answer for a request whose time is over, whose caller left, or whose
-// router stops.
-func (q *request) ended(ctx context.Context) *fault.Error {
-	stops := errors.Is(context.Cause(ctx), ErrStopping)
-	switch {
-	case stops && q.runs == 0:
-		return fault.New(fault.Leaving, "the router stops, and nothing was sent")
-	case stops:
-		return fault.New(fault.BackendLost, "the router stops before the answer came")
-	case errors.Is(ctx.Err(), context.Canceled) && q.runs == 0:
-		return fault.New(fault.CancelledUnsent, "the caller left before anything was sent")
-	case errors.Is(ctx.Err(), context.Canceled):
-		return fault.New(fault.CancelledSent, "the caller left")
-	case q.runs == 0:
-		return fault.New(fault.TimedOutUnsent, "no time left, and nothing was sent")
-	}
-	return fault.New(fault.Deadline, "no answer in time")
-}
-
-// repeatable tells whether the request may be sent again at all.
-func (q *request) repeatable() bool {
-	if q.runs >= q.ticket.Route.MaxAttempts || q.sends >= maxSends {
-		return false
-	}
-	return q.runs == 0 || q.ticket.Idempotent()
-}
-
-// mayRepeat takes one repeated send from the budget, if the request may be sent
-// again.
-func (q *request) mayRepeat(ctx context.Context, reason string) bool {
-	if !q.repeatable() {
-		return false
-	}
-	if q.firstSend() {
-		return ctx.Err() == nil
-	}
-	if !q.takeRepeat(ctx) {
-		if ctx.Err() == nil {
-			klog.InfoS("no repeat: the retry budget is used up", "request", q.call.Attempt, "reason", reason)
-		}
-		return false
-	}
-	q.Observer.Repeat(q.ticket.Service.Name, reason)
-	return true
-}
-
-// firstSend tells whether the next send repeats nothing, as nothing went out before: it
-// needs no part of the budget, which counts what reaches backend servers. Only a few
-// tries are free, so that one request cannot try for ever.
-func (q *request) firstSend() bool { return q.sends == 0 && q.unsent < maxSends }
-
-// takeRepeat takes one repeated send from the budget, unless that was done when the
-// try before was given up.
-func (q *request) takeRepeat(ctx context.Context) bool {
-	if q.granted {
-		q.granted = false
-		return true
-	}
-	return q.Loans.Take(ctx, q.ticket.Service.Name)
-}
-
-// maxSends bounds the sends of one request, refused ones included: an engine
-// that refuses is seldom followed by three more.
-const maxSends = 4
-
 func (q *request) outbound(s platform.Send) *Request {
 	s.Customer = q.ticket.Customer
 	s.Left = q.left()
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -29,40 +29,37 @@
 // read. A peer that closed it, or sent a second answer, makes it unfit for the
 // next request. It looks without waiting and without reading.
 func Quiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	_, err := peek(c)
+	return errors.Is(err, unix.EAGAIN)
 }
 
 // Arrived tells whether bytes of the peer wait to be read. Unlike a read it looks
 // also where the read deadline has passed. A connection without a socket keeps none.
 func Arrived(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+var errNoSocket = errors.New("not a socket")
+
+// peek looks at what can be read, without waiting and without taking it: 0 without an
+// error is the peer's end, unix.EAGAIN nothing yet.
+func peek(c net.Conn) (n int, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errNoSocket
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	arrived := false
+	var looked error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		arrived = err == nil && n > 0
+		n, _, looked = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && arrived
+	if err != nil {
+		return 0, err
+	}
+	return n, looked
 }
