One place knows whether an answer has begun; one test for a timeout in the front

The relay kept a flag beside the wrapper of its caller that already remembers the head of an answer, and a panic copied one into the other; the flag is gone. The front's body read spelled out what isTimeout says. No behaviour changes.

--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -250,7 +250,6 @@
 	h := http.Header{}
 	platform.AnswerHeaders(h, ans.header)
 	q.out.Begin(ans.status, h, int64(len(ans.body)))
-	q.began = true
 	err := q.out.Write(ans.body)
 	outcome := "ran"
 	if err != nil {
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -70,7 +70,7 @@
 // now, as it is ready; else the system's.
 func (s *stream) giveUp(ctx context.Context, f *fault.Error) bool {
 	switch {
-	case s.ready != nil && !s.began:
+	case s.ready != nil && !s.out.head:
 		return s.deliver(s.ready)
 	case ctx.Err() != nil:
 		f = s.ended(ctx)
@@ -141,7 +141,7 @@
 	s.ranEvents = 0
 	end := s.pass(ans, w)
 	if end == io.EOF {
-		if !q.began {
+		if !q.out.head {
 			s.begin(ans)
 		}
 		q.finish("ran", nil, http.StatusOK)
@@ -170,7 +170,7 @@
 	if err != nil {
 		return false, false, fault.New(fault.BackendFailed, "%v", err)
 	}
-	if !s.began && (read.status < 500 || !s.repeatable()) {
+	if !s.out.head && (read.status < 500 || !s.repeatable()) {
 		return true, s.deliver(read), nil
 	}
 	s.ready = read
@@ -201,7 +201,7 @@
 			s.succeed(parts, w.since)
 		}
 		s.ranEvents++
-		if !q.began {
+		if !q.out.head {
 			s.begin(ans)
 			q.firstEvent = q.Now().Sub(q.since)
 			q.Observer.FirstEvent(q.ticket.Service.Name, q.firstEvent)
@@ -234,7 +234,6 @@
 	h := http.Header{}
 	platform.AnswerHeaders(h, ans.Header)
 	s.out.Begin(ans.Status, h, -1)
-	s.began = true
 }
 
 // succeed takes in that the engines of a chain did their work, as of when it was
--- a/internal/protocol/relay/panic.go
+++ b/internal/protocol/relay/panic.go
@@ -32,7 +32,7 @@
 // The other requests may go on: what requests share changes in short sections under
 // locks that only count, and the search for a chain, where a fault is likeliest, works
 // on what is never changed in place.
-func (q *request) contain(out *begun, whole *bool) {
+func (q *request) contain(whole *bool) {
 	cause := recover()
 	if cause == nil {
 		return
@@ -41,7 +41,6 @@
 		panic(cause) // no fault: the connection is to be aborted
 	}
 	q.tellPanic("request", cause)
-	q.began = out.head
 	q.runs = max(q.runs, q.sends)
 	*whole = q.refuse(fault.New(fault.BackendLost, "a fault inside the router ended the request"))
 }
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -126,13 +126,12 @@
 	*Relay
 	call   *model.Call
 	ticket routes.Ticket
-	out    Caller
+	out    *begun
 	since  time.Time
 	// runs counts the sends that may have run; sends counts all.
 	runs, sends int
 	// unsent counts the tries of which nothing went out.
 	unsent  int
-	began   bool // the caller has the head of the answer
 	waiting bool // for room at the engines
 	// granted says that the next repeated send was taken from the budget already.
 	granted bool
@@ -146,9 +145,8 @@
 // Serve answers one request. whole is false where the caller's connection must
 // be broken off, because the answer cannot be completed.
 func (r *Relay) Serve(ctx context.Context, c *model.Call, caller Caller) (whole bool) {
-	out := &begun{Caller: caller}
-	q := &request{Relay: r, call: c, out: out, since: r.Now(), avoid: map[model.Incarnation]bool{}}
-	defer q.contain(out, &whole)
+	q := &request{Relay: r, call: c, out: &begun{Caller: caller}, since: r.Now(), avoid: map[model.Incarnation]bool{}}
+	defer q.contain(&whole)
 	table := r.table(ctx)
 	if table == nil {
 		return q.refuse(fault.New(fault.NotReady, "no configuration yet"))
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -182,13 +182,12 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
-	var timeout net.Error
 	switch {
 	case err == nil:
 		return body, 0, nil
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge, errors.New("body is too large")
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case isTimeout(err):
 		return nil, http.StatusRequestTimeout, errors.New("body took too long")
 	}
 	return nil, http.StatusBadRequest, errors.Wrap(err, "body cannot be read")
