Figures are taken as a deployment writes them; a bad one is named, with what is allowed

Change: settings take fractions and exponents, durations too ("2.5e3ms"), and refuse NaN, infinite and negative amounts with key and what is allowed.

Ruled out: a whole number by the template alone; the next deployment would write another.

--- a/internal/coordination/limits/loans_test.go
+++ b/internal/coordination/limits/loans_test.go
@@ -18,7 +18,7 @@
 	cut     map[string]bool // peers that do not answer
 }
 
-func newBorrowers(ratio float64, slack int, names ...string) *borrowers {
+func newBorrowers(ratio, slack float64, names ...string) *borrowers {
 	f := &borrowers{budgets: map[string]*SharedRetries{}, loans: map[string]*Loans{}, cut: map[string]bool{}}
 	for _, name := range names {
 		f.budgets[name] = NewSharedRetries(ratio, slack, 10*time.Second, func() int { return len(names) }, time.Now)
--- a/internal/coordination/limits/retries.go
+++ b/internal/coordination/limits/retries.go
@@ -38,10 +38,10 @@
 }
 
 // NewSharedRetries makes a budget; routers tells how many share it.
-func NewSharedRetries(ratio float64, slack int, window time.Duration, routers func() int, now func() time.Time) *SharedRetries {
+func NewSharedRetries(ratio, slack float64, window time.Duration, routers func() int, now func() time.Time) *SharedRetries {
 	return &SharedRetries{
 		ratio:    ratio,
-		slack:    float64(slack),
+		slack:    slack,
 		window:   window,
 		routers:  routers,
 		now:      now,
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -81,6 +82,12 @@
 	members map[string]string // link address by store key
 }
 
+// memoryLimit is what the garbage collector aims for, in bytes, where a process may
+// take that many megabytes. A figure beyond all machines is no limit.
+func memoryLimit(megabytes float64) int64 {
+	return int64(min(megabytes*memoryShare*(1<<20), math.MaxInt64/2))
+}
+
 // NewRouter puts a router together.
 func NewRouter(s settings.Settings, store outside.Store) *Router {
 	r := &Router{
@@ -242,7 +249,7 @@
 func (r *Router) Run(ctx context.Context) error {
 	rt := r.settings.Router
 	if rt.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(rt.MemoryMB) * memoryShare * (1 << 20)))
+		debug.SetMemoryLimit(memoryLimit(rt.MemoryMB))
 	}
 	var listeners [3]net.Listener
 	for i, addr := range []string{rt.Callers, rt.Ready, rt.Peers} {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,9 +5,12 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net"
 	"net/url"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -89,10 +92,10 @@
 	// RetryRatio, RetrySlack and RetryWindow bound repeated sends over all
 	// routers: in any window at most ratio x requests + slack for a service.
 	RetryRatio  float64  `toml:"retry_ratio"`
-	RetrySlack  int      `toml:"retry_slack"`
+	RetrySlack  float64  `toml:"retry_slack"`
 	RetryWindow Duration `toml:"retry_window"`
 	// MemoryMB bounds the process's memory; 0 for no bound.
-	MemoryMB int `toml:"memory_mb"`
+	MemoryMB float64 `toml:"memory_mb"`
 }
 
 // Link gives the one-way time between two failure domains.
@@ -112,13 +115,39 @@
 // Duration is a time.Duration written as in "1.5s".
 type Duration time.Duration
 
+// longest is the most that a Duration holds: a year. Nothing here takes so long, and
+// sums of some such times still do not overflow to times in the past.
+const longest = 365 * 24 * time.Hour
+
+// exponent is a number as programs write large and small ones, with a unit after it,
+// which time.ParseDuration does not read.
+var exponent = regexp.MustCompile(`^([-+]?[0-9.]+[eE][-+]?[0-9]+)([a-zµ]+)$`)
+
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	*d = Duration(v)
+	v, err := parseDuration(string(text))
+	*d = Duration(min(max(v, -longest), longest))
 	return err
 }
 
+func parseDuration(text string) (time.Duration, error) {
+	parts := exponent.FindStringSubmatch(text)
+	if parts == nil {
+		return time.ParseDuration(text)
+	}
+	unit, err := time.ParseDuration("1" + parts[2])
+	if err != nil {
+		return 0, err
+	}
+	// Of a number beyond all bounds ParseFloat gives the bound, which is cut below.
+	number, err := strconv.ParseFloat(parts[1], 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0, err
+	}
+	most := float64(longest)
+	return time.Duration(min(max(number*float64(unit), -most), most)), nil
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
@@ -228,6 +257,7 @@
 func (s *Settings) routerChecks() []check {
 	r := s.Router
 	const address = "must be an IP number and a port, as 10.0.0.1:7400"
+	const amount = "must be a number from 0, fractions allowed"
 	checks := []check{
 		{"instance", s.Instance != "", "must not be empty"},
 		{"failure_domain", s.FailureDomain != "", "must not be empty"},
@@ -238,9 +268,10 @@
 		{"router.store", isAddress(r.Store), address},
 		{"router.grace", r.Grace > 0, "must be longer than 0"},
 		{"router.config_apply", r.ConfigApply > 0, "must be longer than 0"},
-		{"router.retry_ratio", r.RetryRatio >= 0, "must not be negative"},
-		{"router.retry_slack", r.RetrySlack >= 0, "must not be negative"},
+		{"router.retry_ratio", isAmount(r.RetryRatio), amount},
+		{"router.retry_slack", isAmount(r.RetrySlack), amount},
 		{"router.retry_window", r.RetryWindow > 0, "must be longer than 0"},
+		{"router.memory_mb", isAmount(r.MemoryMB), amount},
 	}
 	for i, seed := range r.Seeds {
 		checks = append(checks, check{fmt.Sprintf("router.seeds[%d]", i), isAddress(seed), address})
@@ -268,6 +299,9 @@
 	}
 }
 
+// isAmount tells whether a figure can be counted with; NaN is not at least 0.
+func isAmount(n float64) bool { return n >= 0 && !math.IsInf(n, 0) }
+
 func isAddress(a string) bool {
 	host, port, err := net.SplitHostPort(a)
 	return err == nil && net.ParseIP(host) != nil && port != ""
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -86,6 +87,10 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(good))
 	f.Add([]byte("role = 1"))
+	if router, err := os.ReadFile("../../examples/router.toml"); err == nil {
+		f.Add(router)
+	}
+	f.Add([]byte("[router]\nretry_slack = 57.35\ngrace = \"1e300ms\""))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		s, err := Parse(raw)
 		if err == nil {
@@ -100,7 +105,7 @@
 	assert.NilError(t, err)
 	s, err := Parse(raw)
 	assert.NilError(t, err)
-	assert.Equal(t, s.Router.RetrySlack, 196)
+	assert.Equal(t, s.Router.RetrySlack, 196.0)
 	for _, wrong := range [][2]string{
 		{`callers = "10.1.0.40:8227"`, `callers = "somewhere"`},
 		{`store = "10.200.1.7:8223"`, `store = ""`},
@@ -114,3 +119,49 @@
 		assert.ErrorContains(t, err, key)
 	}
 }
+
+// A deployment writes its figures as it likes: shares of whole ones, exponents, zeros.
+// A router that takes whole numbers only ends at its start, at every instance at once,
+// and callers find nobody.
+func TestFiguresAsDeploymentsWriteThem(t *testing.T) {
+	raw, err := os.ReadFile("../../examples/router.toml")
+	assert.NilError(t, err)
+	for _, tc := range []struct {
+		old, new string
+		got      func(Router) float64
+		want     float64
+	}{
+		{`retry_slack = 196`, `retry_slack = 57.35`, func(r Router) float64 { return r.RetrySlack }, 57.35},
+		{`retry_slack = 196`, `retry_slack = 1.96e2`, func(r Router) float64 { return r.RetrySlack }, 196},
+		{`retry_slack = 196`, `retry_slack = 0`, func(r Router) float64 { return r.RetrySlack }, 0},
+		{`retry_ratio = 0.2`, `retry_ratio = 1`, func(r Router) float64 { return r.RetryRatio }, 1},
+		{`memory_mb = 284`, `memory_mb = 162.5`, func(r Router) float64 { return r.MemoryMB }, 162.5},
+		{`grace = "8s"`, `grace = "8.5s"`, func(r Router) float64 { return time.Duration(r.Grace).Seconds() }, 8.5},
+		{`config_apply = "2s"`, `config_apply = "2.5e3ms"`, func(r Router) float64 { return time.Duration(r.ConfigApply).Seconds() }, 2.5},
+		{`config_apply = "2s"`, `config_apply = "1e300ms"`, func(r Router) float64 { return time.Duration(r.ConfigApply).Seconds() }, longest.Seconds()},
+	} {
+		s, err := Parse([]byte(strings.Replace(string(raw), tc.old, tc.new, 1)))
+		assert.NilError(t, err, tc.new)
+		assert.Equal(t, tc.got(s.Router), tc.want, tc.new)
+	}
+}
+
+// What no router can work with is named with its key, and what is allowed, in one line.
+func TestFiguresThatAreNone(t *testing.T) {
+	raw, err := os.ReadFile("../../examples/router.toml")
+	assert.NilError(t, err)
+	for _, tc := range []struct{ old, new, want string }{
+		{`retry_slack = 196`, `retry_slack = nan`, "router.retry_slack: must be a number from 0"},
+		{`retry_slack = 196`, `retry_slack = inf`, "router.retry_slack: must be a number from 0"},
+		{`retry_slack = 196`, `retry_slack = -0.5`, "router.retry_slack: must be a number from 0"},
+		{`retry_slack = 196`, `retry_slack = "196"`, "router.retry_slack: line"},
+		{`retry_slack = 196`, `retry_slack = `, "line"},
+		{`memory_mb = 284`, `memory_mb = -1`, "router.memory_mb: must be a number from 0"},
+		{`grace = "8s"`, `grace = "s"`, "router.grace: line"},
+		{`grace = "8s"`, `grace = "-1e3ms"`, "router.grace: must be longer than 0"},
+	} {
+		_, err := Parse([]byte(strings.Replace(string(raw), tc.old, tc.new, 1)))
+		assert.ErrorContains(t, err, tc.want, tc.new)
+		assert.Assert(t, !strings.Contains(err.Error(), "\n"), "one line: %v", err)
+	}
+}
