The leader asks and orders at most 64 engines at one moment

Change: 64 workers go through what is due, some 10 ms an order, so that all are given within a second. Test: a thousand engines at one moment, never more than 64 at once, all placed (a thousand at once before).

--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -14,6 +14,11 @@
 	// loadSlack is added to the time a load should take before the order is
 	// taken for lost and given again.
 	loadSlack = 3 * time.Second
+	// ordersAtOnce bounds the engines that are asked and ordered at one moment: each is
+	// a connection with its buffers, some 20 KB, and where thousands of engines start
+	// the leader would have one to each. In 10 ms an order they are all given within a
+	// second.
+	ordersAtOnce = 64
 	// refusedPause is how long an engine that refused an order is left alone.
 	refusedPause = time.Second
 )
@@ -45,10 +50,17 @@
 // first, so that requests are served before all loads are done, and no more at
 // once than load without slowing each other down, once there is traffic.
 func (c *Controller) giveOrders(ctx context.Context, svc *model.Service, servers []*model.BackendServer, plan Plan, token int64) {
-	due := c.due(svc, servers, plan)
-	for _, b := range due {
-		want := plan[b.Address]
-		go c.place(ctx, svc, b, want, token)
+	due := make(chan *model.BackendServer, len(servers))
+	for _, b := range c.due(svc, servers, plan) {
+		due <- b
+	}
+	close(due)
+	for range min(len(due), ordersAtOnce) {
+		go func() {
+			for b := range due {
+				c.place(ctx, svc, b, plan[b.Address], token)
+			}
+		}()
 	}
 }
 
