--- /dev/null
+++ b/internal/coordination/follow/lag.go
@@ -0,0 +1,87 @@
+package follow
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+)
+
+// PeerAt takes in the revision of a peer's picture. Where it stays ahead, whoever is
+// asked here is silent or behind: the question is cut, and another one is asked.
+func (f *Follower) PeerAt(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ahead = max(f.ahead, revision)
+	if f.lagging() && f.cut != nil {
+		klog.InfoS("news are behind a peer's and are asked for anew", "source", f.source.Address, "revision", f.revision.Load(), "peer", f.ahead,
+			"for", f.Clock()-f.behindSince)
+		f.cut()
+		f.cut = nil
+	}
+}
+
+// lagging tells whether this process has been behind some peer for longer than news
+// take to get around. Others that are as far behind say nothing about that. The caller
+// holds the lock.
+func (f *Follower) lagging() bool {
+	now := f.Clock()
+	switch {
+	case f.ahead <= f.revision.Load():
+		f.behindSince = 0
+		return false
+	case f.behindSince == 0:
+		f.behindSince = now
+		return false
+	}
+	allowed := behindTime
+	if !f.source.Store() {
+		allowed += f.gather()
+	}
+	return now-f.behindSince > allowed
+}
+
+// ask notes that a question begins, which cut ends. One that is urgent, as others know
+// more, is not cut: it is short by itself.
+func (f *Follower) ask(cut context.CancelFunc) (urgent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lagging() {
+		return true
+	}
+	f.cut = cut
+	return false
+}
+
+// asked notes that a question has ended.
+func (f *Follower) asked() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = nil
+}
+
+// isBehind tells whether some peer knows more than this process.
+func (f *Follower) isBehind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ahead > f.revision.Load()
+}
+
+// failedAgain notes that a question to the store failed and tells whether others are
+// ahead and this was not the first. One that was cut may have waited on a silent
+// connection: the next one goes over a new one, and shows whether the store answers.
+func (f *Follower) failedAgain() bool {
+	f.failures++
+	return f.failures > 1 && f.isBehind()
+}
+
+// storeAt takes in the store's own revision. A peer that told of a higher one is wrong,
+// and would else keep this process asking.
+func (f *Follower) storeAt(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ahead <= revision {
+		return
+	}
+	klog.InfoS("a peer's revision is beyond the store's", "peer", f.ahead, "store", revision)
+	f.ahead = revision
+}
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -97,6 +97,9 @@
 func (f *Follower) noteWord(asked time.Duration, news News) {
 	heard := min(asked+news.Held, f.Clock()) - news.Age
 	f.lastHeard.Store(max(f.lastHeard.Load(), int64(heard)))
+	if f.lost {
+		klog.InfoS("store regained", "through", f.source.Address, "age", news.Age, "graceForRemoved", f.grace())
+	}
 	f.lost = false
 	f.heard = heard
 }
--- /dev/null
+++ b/internal/daemon/listen.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/tcp"
+	"github.com/skylarkwood/skylarkwood/platform"
+)
+
+func listenTCP(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return tcp.Steady(l), nil
+}
+
+func (r *Router) serveReady(l net.Listener) {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !r.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	klog.InfoS("readiness is no longer served", "err", srv.Serve(l))
+}
+
+func (r *Router) serveMetrics(addr string) {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", r.metrics.handler())
+	srv := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: time.Second}
+	klog.ErrorS(srv.ListenAndServe(), "metrics are not served")
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -337,14 +337,6 @@
 	return failure
 }
 
-func listenTCP(addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	return tcp.Steady(l), nil
-}
-
 func (r *Router) drain(grace time.Duration) {
 	began := time.Now()
 	r.draining.Store(true)
@@ -405,21 +397,3 @@
 // Watching tells whether this router hears from the store itself, and not from a peer
 // that does.
 func (r *Router) Watching() bool { return r.follower.Watching() }
-
-func (r *Router) serveReady(l net.Listener) {
-	mux := http.NewServeMux()
-	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !r.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	klog.InfoS("readiness is no longer served", "err", srv.Serve(l))
-}
-
-func (r *Router) serveMetrics(addr string) {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", r.metrics.handler())
-	srv := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: time.Second}
-	klog.ErrorS(srv.ListenAndServe(), "metrics are not served")
-}
