--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -4,13 +4,11 @@
 	"context"
 	"math"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/boottime"
@@ -29,7 +27,6 @@
 	"github.com/skylarkwood/skylarkwood/internal/protocol/relay"
 	"github.com/skylarkwood/skylarkwood/internal/settings"
 	"github.com/skylarkwood/skylarkwood/internal/state/replica"
-	"github.com/skylarkwood/skylarkwood/internal/tcp"
 	"github.com/skylarkwood/skylarkwood/internal/transport/backend"
 	"github.com/skylarkwood/skylarkwood/internal/transport/front"
 	"github.com/skylarkwood/skylarkwood/internal/transport/link"
