Revert the guess for routers that were not heard of

What binds there is not that routers do not know each other: for two seconds after the store's return few engines are registered again, and all waiting callers go to these.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -96,14 +96,10 @@
 // Choose finds the chain of least time per token that has room, with the load
 // of its engines counted, and tells why there is none.
 func (c *Chooser) Choose(svc *model.Service, d Demand) ([]Part, Verdict) {
-	if unheard := c.unheard(); unheard > 0 {
-		// Only a guess: it says where to go first, and refuses nobody.
-		walk := c.search(svc, d, unheard)
-		if chain := walk.shortest(); chain != nil {
-			return chain, Found
-		}
-	}
-	walk := c.search(svc, d, 0)
+	cands := c.candidates(svc, d)
+	walk := walk{spec: svc.Engine, cands: cands, need: model.LayerRange{To: svc.Engine.Layers}, home: d.Domain}
+	walk.cross = c.crossings(svc.Engine, cands, d.Tokens, d.Gap)
+	walk.room = true
 	if chain := walk.shortest(); chain != nil {
 		return chain, Found
 	}
@@ -114,33 +110,13 @@
 	return nil, NoChain
 }
 
-// search prepares the search for a chain of engines that have room.
-func (c *Chooser) search(svc *model.Service, d Demand, unheard float64) walk {
-	cands := c.candidates(svc, d, unheard)
-	return walk{
-		spec:  svc.Engine,
-		cands: cands,
-		need:  model.LayerRange{To: svc.Engine.Layers},
-		home:  d.Domain,
-		cross: c.crossings(svc.Engine, cands, d.Tokens, d.Gap),
-		room:  true,
-	}
-}
-
-// unheard is how many routers have not told of their streams. After a start of all
-// routers at one moment that is everybody: each would take all engines for idle and
-// send to the best, which is the same for all, and half of the first two seconds'
-// streams would queue at one engine.
-func (c *Chooser) unheard() float64 {
-	return math.Max(float64(c.Routers()-1-c.Memory.Peers()), 0)
-}
-
 // Shortage names what there is too little of where Choose found no room: slots of
 // engines that begin chains, pipes between failure domains, or token memory. It
 // is asked once a refusal, for the log.
 func (c *Chooser) Shortage(svc *model.Service, d Demand) string {
-	w := c.search(svc, d, 0)
-	cands := w.cands
+	cands := c.candidates(svc, d)
+	w := walk{spec: svc.Engine, cands: cands, need: model.LayerRange{To: svc.Engine.Layers}, home: d.Domain, room: true}
+	w.cross = c.crossings(svc.Engine, cands, d.Tokens, d.Gap)
 	if w.shortest() != nil {
 		return "none now"
 	}
@@ -176,10 +152,7 @@
 	return open
 }
 
-// candidates lists the engines that may take part. Routers that were not heard of are
-// taken to do what this one does, as far as slots and speed go: token memory, of which
-// each takes a hundredth, would seem full everywhere.
-func (c *Chooser) candidates(svc *model.Service, d Demand, unheard float64) []candidate {
+func (c *Chooser) candidates(svc *model.Service, d Demand) []candidate {
 	spec := svc.Engine
 	var out []candidate
 	domains := map[string]int{}
@@ -206,10 +179,6 @@
 		// that looks best, and its requests queue. They do about what this router
 		// does, so its own new streams stand for theirs.
 		used.add(c.Memory.New(inc).times(others), 1)
-		full := used.TokenLayers+float64(d.Tokens*b.Holds.Len()) > capacity*fillLimit
-		if unheard > 0 {
-			used.add(c.Memory.OwnOf(inc).times(unheard), 1)
-		}
 		per := perLayer(spec, card, used, c.Memory.Slowdown(inc))
 		fill := math.Min(used.TokenLayers/math.Max(capacity*fillLimit, 1), mostFill)
 		per *= 1 / (1 - fill)
@@ -219,8 +188,8 @@
 			perLayer: per,
 			doubt:    doubtTime.Seconds() * math.Max(view.Failures-doubtFree, 0),
 			notFirst: d.FirstAmong != nil && !d.FirstAmong[inc],
-			noSlot:   b.Slots > 0 && used.Firsts+1+unheard > float64(b.Slots)*slotLimit,
-			full:     full,
+			noSlot:   b.Slots > 0 && used.Firsts+1 > float64(b.Slots)*slotLimit,
+			full:     used.TokenLayers+float64(d.Tokens*b.Holds.Len()) > capacity*fillLimit,
 		})
 	}
 	return out
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -104,24 +104,6 @@
 	return sum
 }
 
-// OwnOf is what this router's streams take of an engine.
-func (m *Memory) OwnOf(inc model.Incarnation) Use {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	o, ok := m.own[inc]
-	if !ok {
-		return Use{}
-	}
-	return o.use(m.now())
-}
-
-// Peers counts the routers whose word of their streams still holds.
-func (m *Memory) Peers() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.peers)
-}
-
 // count adds a peer's use to the sums, or takes it off. The caller holds the
 // lock.
 func (m *Memory) count(use map[model.Incarnation]Use, sign float64) {
--- a/internal/coordination/chains/missing.go
+++ b/internal/coordination/chains/missing.go
@@ -19,7 +19,7 @@
 func (c *Chooser) Missing(svc *model.Service, d Demand) string {
 	everywhere := make([]bool, svc.Engine.Layers)
 	byDomain := map[string][]bool{}
-	for _, cand := range c.candidates(svc, d, 0) {
+	for _, cand := range c.candidates(svc, d) {
 		domain := cand.server.FailureDomain
 		if byDomain[domain] == nil {
 			byDomain[domain] = make([]bool, svc.Engine.Layers)
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -96,7 +96,7 @@
 	for _, p := range m.parts {
 		held[p.Server.Incarnation()] = true
 	}
-	cands := m.candidates(m.svc, Demand{Domain: before, Tokens: m.tokens, Avoid: avoid}, 0)
+	cands := m.candidates(m.svc, Demand{Domain: before, Tokens: m.tokens, Avoid: avoid})
 	for i := range cands {
 		b := cands[i].server
 		// The pause ends with the next event, which holds a stride of tokens.
