--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -203,7 +203,6 @@
 		Suspicions:  r.prober,
 		Domain:      r.settings.FailureDomain,
 		ConfigTrust: time.Duration(rt.ConfigApply),
-		EngineDrain: time.Duration(rt.EngineDrain),
 		Clock:       boottime.Now,
 		Now:         time.Now,
 		Started:     time.Now(),
@@ -313,7 +312,6 @@
 	go r.sentinel.Run(background)
 	go r.every(background, controlEvery, func() {
 		r.expire()
-		r.noteLeaving()
 		r.front.Relay.Pacer.Recheck()
 		r.control.Tick(background)
 	})
@@ -377,15 +375,6 @@
 	}
 }
 
-// noteLeaving has streams leave the engines that drain.
-func (r *Router) noteLeaving() {
-	for _, b := range r.engines() {
-		if b.Draining {
-			r.front.Relay.EngineLeaves(b.Incarnation())
-		}
-	}
-}
-
 // Ready tells whether the balancer should send callers here.
 func (r *Router) Ready() bool {
 	return !r.draining.Load() && r.config.Load() != nil
--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -125,9 +125,6 @@
 	id := platform.ServerID(it.Key)
 	if it.Removed {
 		klog.InfoS("backend server's entry removed", "server", id, "revision", it.Revision, "grace", grace)
-		if b := s.catalog.Load().ByID(id); b != nil && grace == 0 && b.Revision < it.Revision {
-			s.front.Relay.EngineLeaves(b.Incarnation())
-		}
 		s.catalog.Remove(id, it.Revision, grace)
 		return
 	}
--- a/internal/protocol/relay/ending.go
+++ b/internal/protocol/relay/ending.go
@@ -16,7 +16,6 @@
 	timeOver     ending = "deadline"
 	silence      ending = "silence"
 	engineGone   ending = "engine gone"
-	engineLeaves ending = "engine leaves"
 	tooSlow      ending = "slower than usual"
 	noConnection ending = "no connection"
 	brokenOff    ending = "broken off"
--- a/internal/protocol/relay/move.go
+++ b/internal/protocol/relay/move.go
@@ -10,13 +10,6 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// through implements run.
-func (w *chainWatch) through(inc model.Incarnation) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return uses(w.parts, inc)
-}
-
 // leave moves the run away from an engine. Several streams may find the same
 // engine at fault; a run that was moved already stays.
 func (w *chainWatch) leave(lost model.Incarnation, why ending) {
@@ -32,8 +25,7 @@
 	w.mu.Unlock()
 	moved := w.replace(parts, lost)
 	switch news, taken := w.take(moved); {
-	case taken, why == engineLeaves:
-		// One that leaves still serves: a run that could not be moved goes on there.
+	case taken:
 	case why == engineGone && w.last:
 		time.AfterFunc(lastWords, func() { w.endIfThrough(lost) })
 	case why == engineGone:
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -114,15 +114,11 @@
 	// ConfigTrust is how long ago the configuration may have been confirmed
 	// for a refusal that rests on it.
 	ConfigTrust time.Duration
-	// EngineDrain is how long an engine serves at least after it said that it leaves.
-	EngineDrain time.Duration
 	// Clock goes on while the instance is suspended.
 	Clock func() time.Duration
 	Now   func() time.Time
 	// Started is when the process began to take requests.
 	Started time.Time
-
-	departures departures
 }
 
 // request is one request on its way.
--- a/internal/protocol/relay/running.go
+++ b/internal/protocol/relay/running.go
@@ -12,11 +12,9 @@
 
 // run is work in progress at backend servers.
 type run interface {
-	// leave takes in that an incarnation of a server has ended (engineGone), will
-	// (engineLeaves), or is believed to be at fault.
+	// leave takes in that an incarnation of a server has ended (engineGone), or is
+	// believed to be at fault.
 	leave(lost model.Incarnation, why ending)
-	// through tells whether it is at an incarnation of a server.
-	through(inc model.Incarnation) bool
 }
 
 // rememberGone is for how long work that is added hears of a server's end: its server
@@ -68,8 +66,6 @@
 	last   bool // it must not be sent again
 }
 
-func (c *call) through(inc model.Incarnation) bool { return c.server == inc }
-
 func (c *call) leave(lost model.Incarnation, why ending) {
 	switch {
 	case c.server != lost || why != engineGone:
@@ -121,19 +117,6 @@
 	}
 }
 
-// through lists the work in progress at an incarnation of a server.
-func (r *Running) through(inc model.Incarnation) []run {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []run
-	for w := range r.runs {
-		if w.through(inc) {
-			out = append(out, w)
-		}
-	}
-	return out
-}
-
 // noteGone remembers a server's end. The caller holds the lock.
 func (r *Running) noteGone(lost model.Incarnation) {
 	for inc, at := range r.gone {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,8 +89,6 @@
 	Grace Duration `toml:"grace"`
 	// ConfigApply is how soon a configuration must be in force.
 	ConfigApply Duration `toml:"config_apply"`
-	// EngineDrain is how long an engine serves at least after it said that it leaves.
-	EngineDrain Duration `toml:"engine_drain"`
 	// RetryRatio, RetrySlack and RetryWindow bound repeated sends over all
 	// routers: in any window at most ratio x requests + slack for a service.
 	RetryRatio  float64  `toml:"retry_ratio"`
@@ -168,7 +166,6 @@
 		Router: Router{
 			Grace:       Duration(8 * time.Second),
 			ConfigApply: Duration(2 * time.Second),
-			EngineDrain: Duration(2 * time.Second),
 			RetryRatio:  0.2,
 			RetryWindow: Duration(10 * time.Second),
 		},
@@ -271,7 +268,6 @@
 		{"router.store", isAddress(r.Store), address},
 		{"router.grace", r.Grace > 0, "must be longer than 0"},
 		{"router.config_apply", r.ConfigApply > 0, "must be longer than 0"},
-		{"router.engine_drain", r.EngineDrain >= 0, "must not be negative"},
 		{"router.retry_ratio", isAmount(r.RetryRatio), amount},
 		{"router.retry_slack", isAmount(r.RetrySlack), amount},
 		{"router.retry_window", r.RetryWindow > 0, "must be longer than 0"},
