--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -44,9 +44,8 @@
 	owedPause = time.Second
 	// gatherShare and mostGather bound how long changes are left to gather after
 	// some came: engines register and load in bunches, and each change wakes
-	// every router's watch, at a price each. 25 ms a router are 0.1 s at four;
-	// 0.3 s are a tenth of the time in which a change must be in force where
-	// there are many.
+	// every watch, at a price each. 25 ms a watcher are 0.1 s at four; 0.3 s are a
+	// tenth of the time in which a change must be in force where there are many.
 	gatherShare = 25 * time.Millisecond
 	mostGather  = 300 * time.Millisecond
 	// restGather is that pause where no callers have come yet, and this process
@@ -110,6 +109,7 @@
 	watching   atomic.Bool // the store answered, and nobody else was asked since
 	synced     bool        // the whole range was read
 	lastHeard  atomic.Int64
+	completeAt atomic.Int64 // when what has been taken in was all there was
 	graceUntil atomic.Int64
 	lost       bool
 	failures   int           // of the store, in a row
@@ -205,6 +205,7 @@
 	f.readOwed(ctx)
 	if len(f.owed) == 0 {
 		f.Sink.Heard(f.heard)
+		f.completeAt.Store(int64(f.heard))
 	}
 	if f.gathered {
 		f.gathered = false
@@ -311,6 +312,7 @@
 	if f.ask(cancel) {
 		wait = firstWait
 	}
+	claimed := f.highest()
 	page, err := f.Store.Watch(watching, f.Prefix, f.Revision(), wait)
 	f.asked()
 	if err != nil && watching.Err() != nil && ctx.Err() == nil {
@@ -321,7 +323,7 @@
 	}
 	now := f.Clock()
 	f.noteHeard(now)
-	f.storeAt(page.Revision)
+	f.disprove(claimed, page.Revision)
 	f.change(replica.Full(page.Items), page.Revision)
 	f.heard = now
 	f.watching.Store(true)
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/state/replica"
 	"github.com/skylarkwood/skylarkwood/platform/standin"
 )
 
@@ -181,6 +182,57 @@
 	})
 }
 
+// A peer claims a revision that the store does not have. It is asked once; it answers
+// that there is none, and this router goes back to its long watches: each is priced.
+func TestRevisionBeyondTheStoresIsNotBelieved(t *testing.T) {
+	follow(t, func(store *standin.Store, _ *picture, fl *Follower) {
+		time.Sleep(2 * time.Second)
+		before := store.Calls().Watches
+		fl.PeerAt(1 << 40)
+		time.Sleep(2 * behindTime)
+		fl.PeerAt(1 << 40)
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, !fl.isBehind())
+		assert.Assert(t, store.Calls().Watches-before <= 25, "%d watches", store.Calls().Watches-before)
+	}, func(fl *Follower) {
+		fl.Picker = othersWatch(fl, 20)
+		fl.Ask = func(context.Context, string, int64, time.Duration) (News, error) { return News{}, ErrNotWatching }
+	})
+}
+
+// A watcher takes a while to decode what the store answered, as a configuration of many
+// routes. Who asks it meanwhile is told what was known before, as old as that is: told
+// that it is new, the asker would refuse for good what the configuration just added.
+func TestNewsAreAsOldAsWhatWasTakenIn(t *testing.T) {
+	const decoding = 500 * time.Millisecond
+	var slow slowSink
+	follow(t, func(store *standin.Store, _ *picture, fl *Follower) {
+		slow.takes.Store(int64(decoding))
+		time.Sleep(time.Second)
+		store.Put("op/config", []byte("2"))
+		time.Sleep(decoding / 2)
+		news, err := fl.Tell(t.Context(), fl.Revision()-1, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(news.Items), 0)
+		assert.Assert(t, news.Age > decoding, "the last answer that was taken in came before the change: %v", news.Age)
+	}, func(fl *Follower) {
+		slow.Sink = fl.Sink
+		fl.Sink = &slow
+		fl.Replica = &replica.Replica{}
+	})
+}
+
+// slowSink takes its time for each change.
+type slowSink struct {
+	Sink
+	takes atomic.Int64
+}
+
+func (s *slowSink) Change(item platform.Item, grace time.Duration) {
+	time.Sleep(time.Duration(s.takes.Load()))
+	s.Sink.Change(item, grace)
+}
+
 // othersWatch is the choice of a router that watches beside others, one a failure domain.
 func othersWatch(fl *Follower, others int) *Picker {
 	var all []Router
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -74,14 +74,21 @@
 	return f.failures > 1 && f.isBehind()
 }
 
-// storeAt takes in the store's own revision. A peer that told of a higher one is wrong,
-// and would else keep this process asking.
-func (f *Follower) storeAt(revision int64) {
+// highest is the highest revision that a peer told of so far.
+func (f *Follower) highest() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.ahead <= revision {
+	return f.ahead
+}
+
+// disprove takes in the store's own revision, asked for after a peer had claimed one. A
+// peer that claimed a higher one is wrong, and would else keep this process asking.
+func (f *Follower) disprove(claimed, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if claimed <= revision || f.ahead > claimed {
 		return
 	}
-	klog.InfoS("a peer's revision is beyond the store's", "peer", f.ahead, "store", revision)
+	klog.InfoS("a peer's revision is beyond the store's", "peer", claimed, "store", revision)
 	f.ahead = revision
 }
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -39,8 +39,9 @@
 	if !f.Watching() {
 		return News{}, ErrNotWatching
 	}
-	// The age is taken first: what is learnt in between makes the news younger than said.
-	news := News{Age: f.Silence(), Grace: f.grace()}
+	// The age is taken first, and is that of what has been taken in: an answer of the
+	// store whose changes are still being decoded makes nothing younger.
+	news := News{Age: f.Clock() - time.Duration(f.completeAt.Load()), Grace: f.grace()}
 	news.Answer = f.Replica.Since(after)
 	news.Held = f.Clock() - began
 	return news, nil
