--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -28,6 +28,8 @@
 	catalog *catalog.Catalog
 	health  *catalog.Health
 	chooser *Chooser
+
+	releases []release // in order, of streams that run
 }
 
 func newWorld() *world {
