A young engine is shared by all routers, from none at the beginning

Change: for 2.5 s after an engine was first seen to hold its layers, a router gives it at most its equal share of the engine's time for prompts, which grows with the engine's age, each from another moment on; where no other chain has room it is used all the same.

Ruled out on the way: counting own new reading for all routers, taking it up at random times (neither was tried on the mended test).

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -100,6 +100,11 @@
 	walk := walk{spec: svc.Engine, cands: cands, need: model.LayerRange{To: svc.Engine.Layers}, home: d.Domain}
 	walk.cross = c.crossings(svc.Engine, cands, d.Tokens, d.Gap)
 	walk.room = true
+	walk.sparing = true
+	if chain := walk.shortest(); chain != nil {
+		return chain, Found
+	}
+	walk.sparing = false // young engines are spared only as long as others serve
 	if chain := walk.shortest(); chain != nil {
 		return chain, Found
 	}
@@ -188,6 +193,7 @@
 			perLayer: per,
 			doubt:    doubtTime.Seconds() * math.Max(view.Failures-doubtFree, 0),
 			notFirst: d.FirstAmong != nil && !d.FirstAmong[inc],
+			spared:   c.Memory.spares(c.Self, inc, b.Holds, readTime(spec, b, d.Tokens, b.Holds.Len()), c.Routers()),
 			noSlot:   b.Slots > 0 && used.Firsts+1 > float64(b.Slots)*slotLimit,
 			full:     used.TokenLayers+float64(d.Tokens*b.Holds.Len()) > capacity*fillLimit,
 		})
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -58,6 +58,8 @@
 	// peerEnds is when the next peer's count expires.
 	peerEnds time.Time
 	slow     map[model.Incarnation]slowness
+	began    time.Time
+	met      map[model.Incarnation]*acquaintance
 }
 
 type ownUse struct {
@@ -86,7 +88,8 @@
 
 // NewMemory makes an empty count.
 func NewMemory(now func() time.Time) *Memory {
-	return &Memory{now: now, own: map[model.Incarnation]*ownUse{}, peers: map[string]peerCount{}, peerSum: map[model.Incarnation]Use{}, slow: map[model.Incarnation]slowness{}}
+	return &Memory{now: now, own: map[model.Incarnation]*ownUse{}, peers: map[string]peerCount{}, peerSum: map[model.Incarnation]Use{}, slow: map[model.Incarnation]slowness{},
+		began: now(), met: map[model.Incarnation]*acquaintance{}}
 }
 
 // Used is what is taken of an engine, as far as known here.
@@ -215,6 +218,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.owned(inc).reading.add(m.now(), seconds/readMemory.Seconds(), readMemory)
+	if a, ok := m.met[inc]; ok {
+		a.spent += seconds
+	}
 }
 
 // begun counts a stream among the new ones.
--- a/internal/coordination/chains/newcomer_test.go
+++ b/internal/coordination/chains/newcomer_test.go
@@ -10,16 +10,17 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// An engine with a fast card has just loaded the first layers, and looks idle to all
-// hundred routers of five domains at one moment; each sends it what comes next. They hear
-// of each other only after 0.42 s in their own domain and 2.1 s elsewhere, so for half a
-// second nearly all streams begin there, and wait for the prompts before them to be read.
-// Half of the first event's target, 500 ms, is left for that: the rest of the chain takes
-// the other half.
+// An engine with a fast card has just loaded the first layers, while twice the usual
+// streams come, as after a loss: 900 a second at a hundred routers of five domains. It
+// looks idle to all of them at one moment; each sends it what comes next. They hear of
+// each other only after 0.42 s in their own domain and 2.1 s elsewhere, and meanwhile the
+// prompts queue there. Half of the first event's target, 500 ms, is left for that: the
+// rest of the chain takes the other half.
 func TestNewEngineIsNotOverrun(t *testing.T) {
 	const (
 		domains, each = 5, 20
-		between       = 210 * time.Millisecond // two streams of one router
+		between       = 110 * time.Millisecond // two streams of one router
+		lasts         = 700 * time.Millisecond
 		near, far     = 420 * time.Millisecond, 2100 * time.Millisecond
 		tick          = 10 * time.Millisecond
 		longest       = 250 * time.Millisecond
@@ -30,19 +31,19 @@
 	put := func(w *world, id, domain, card string, held model.LayerRange) {
 		w.catalog.Put(model.BackendServer{ID: id, Service: "s", Address: id + ":1", FailureDomain: domain, Card: card, Slots: 192, Holds: held, Revision: 1})
 	}
-	for range domains * each {
+	for r := range domains * each {
 		w := newWorld()
+		w.chooser.Self = fmt.Sprint(r)
+		w.svc.Engine.KVTokenBytes, w.svc.Engine.ReadRate = 459000, 210000
 		clock := func() time.Time { return now }
 		w.chooser.Memory = NewMemory(clock)
 		w.chooser.Pipes = NewPipes(clock)
 		w.chooser.Routers = func() int { return domains * each }
 		for d := range domains {
 			domain := fmt.Sprint("d", d)
-			for i := range 2 {
-				put(w, fmt.Sprintf("%s-%d", domain, i), domain, "l40s", model.LayerRange{To: 28})
-			}
-			for i, held := range []model.LayerRange{{From: 28, To: 56}, {From: 56, To: 80}} {
-				put(w, fmt.Sprintf("%s-rest%d", domain, i), domain, "a100", held)
+			for i := range 8 {
+				from := i / 2 * 20
+				put(w, fmt.Sprintf("%s-%d", domain, i), domain, "l40s", model.LayerRange{From: from, To: from + 20})
 			}
 		}
 		all = append(all, w)
@@ -51,13 +52,11 @@
 	begin := func(r int) {
 		w := all[r]
 		parts, v := w.chooser.Choose(w.svc, Demand{Domain: fmt.Sprint("d", r%domains), Tokens: 900})
-		if v != Found {
-			return
-		}
+		assert.Equal(t, v, Found)
 		first := parts[0].Server
 		w.chooser.Begin(w.svc.Engine, parts, 774)
 		hold := w.chooser.Memory.Reserve(parts, 900)
-		w.releases = append(w.releases, release{at: now.Add(2 * time.Second), hold: hold})
+		w.releases = append(w.releases, release{at: now.Add(lasts), hold: hold})
 		if first.ID == "new" {
 			backlog += time.Duration(readTime(w.svc.Engine, first, 774, parts[0].Layers.Len()) * float64(time.Second))
 		}
@@ -82,6 +81,61 @@
 	assert.Assert(t, most <= longest, "prompts wait %v at the new engine", most)
 }
 
+// A young engine is the only one that holds some layers. It is spared only as long as
+// others serve: nobody is refused for it.
+func TestYoungEngineServesWhereNobodyElseDoes(t *testing.T) {
+	w := twoDomains()
+	w.chooser.Routers = func() int { return 100 }
+	w.now = w.now.Add(time.Minute)
+	w.catalog.Remove("b2", 1, 0)
+	w.catalog.Remove("a2", 1, 0)
+	w.add("young", "a", "a100", 40, 60)
+	for range 20 {
+		parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10})
+		assert.Equal(t, v, Found)
+		w.chooser.Begin(w.svc.Engine, parts, 10)
+		assert.Equal(t, parts[1].Server.ID, "young")
+	}
+}
+
+// What a young engine reads for all routers together grows with its age, from nothing:
+// however many there are, they do not begin at one moment, and each takes its share.
+func TestYoungEngineIsShared(t *testing.T) {
+	const routers, prompt = 100, 0.005 // seconds
+	now := time.Unix(1000, 0)
+	var all []*Memory
+	for range routers {
+		all = append(all, NewMemory(func() time.Time { return now }))
+	}
+	now = now.Add(time.Minute)
+	began, read := now, 0.0
+	for ; now.Sub(began) < youngTime; now = now.Add(10 * time.Millisecond) {
+		for r, m := range all {
+			if !m.spares(fmt.Sprint(r), inc("young"), model.LayerRange{To: 28}, prompt, routers) {
+				m.Read(inc("young"), prompt)
+				read += prompt
+			}
+		}
+		age := now.Sub(began).Seconds()
+		assert.Assert(t, read <= youngShare*age+routers*prompt/2+0.01, "%.3f s read at the age of %.2f s", read, age)
+	}
+	assert.Assert(t, read >= youngShare*youngTime.Seconds()/2, "%.3f s read", read)
+	assert.Assert(t, !all[0].spares("0", inc("young"), model.LayerRange{To: 28}, prompt, routers), "it is young no longer")
+	assert.Assert(t, all[0].spares("0", inc("young"), model.LayerRange{From: 28, To: 56}, prompt, routers), "with other layers it is")
+}
+
+// A process that has just started meets all engines at once; they are not young.
+func TestEnginesOfAStartAreNotYoung(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := NewMemory(func() time.Time { return now })
+	now = now.Add(settledAfter / 2)
+	assert.Assert(t, !m.spares("0", inc("old"), model.LayerRange{To: 28}, 1, 100))
+	now = now.Add(settledAfter)
+	assert.Assert(t, m.spares("0", inc("young"), model.LayerRange{To: 28}, 1, 100))
+	m.Retain(func(i model.Incarnation) bool { return i == inc("old") })
+	assert.Equal(t, len(m.met), 1)
+}
+
 // release is when a stream ends and gives its memory back.
 type release struct {
 	at   time.Time
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -363,7 +363,12 @@
 	r.memory.Expire()
 	r.catalog.Forget()
 	known := r.catalog.Load()
-	r.health.Retain(func(inc model.Incarnation) bool { return known.Find(inc) != nil })
+	stands := func(inc model.Incarnation) bool { return known.Find(inc) != nil }
+	r.health.Retain(stands)
+	r.memory.Retain(stands)
+	for _, b := range r.engines() {
+		r.memory.Meet(b.Incarnation(), b.Holds)
+	}
 	r.metrics.router(r.front.Active(), r.front.Relay.Line.Len(), r.backends.Dialed(), r.config.Version())
 	r.metrics.newsSource(r.follower.Watching(), r.follower.Silence())
 }
