--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -161,7 +161,8 @@
 	spec := svc.Engine
 	var out []candidate
 	domains := map[string]int{}
-	others := c.together() - 1
+	routers := c.Routers() // once: it counts all that were heard of
+	others := c.together(routers) - 1
 	for _, b := range c.engines(svc.Name) {
 		inc := b.Incarnation()
 		card, ok := spec.Card(b.Card)
@@ -193,7 +194,7 @@
 			perLayer: per,
 			doubt:    doubtTime.Seconds() * math.Max(view.Failures-doubtFree, 0),
 			notFirst: d.FirstAmong != nil && !d.FirstAmong[inc],
-			spared:   c.Memory.spares(c.Self, inc, b.Holds, readTime(spec, b, d.Tokens, b.Holds.Len()), c.Routers()),
+			spared:   c.Memory.spares(c.Self, inc, b.Holds, readTime(spec, b, d.Tokens, b.Holds.Len()), routers),
 			noSlot:   b.Slots > 0 && used.Firsts+1 > float64(b.Slots)*slotLimit,
 			full:     used.TokenLayers+float64(d.Tokens*b.Holds.Len()) > capacity*fillLimit,
 		})
--- a/internal/coordination/chains/cost.go
+++ b/internal/coordination/chains/cost.go
@@ -49,17 +49,18 @@
 			names = append(names, cand.server.FailureDomain)
 		}
 	}
+	routers := c.Routers()
 	cost := make([][]float64, len(names))
 	for i := range names {
 		cost[i] = make([]float64, len(names))
 		for j := range names {
-			cost[i][j] = c.crossing(spec, names[i], names[j], tokens, gap)
+			cost[i][j] = c.crossing(spec, names[i], names[j], tokens, gap, routers)
 		}
 	}
 	return cost
 }
 
-func (c *Chooser) crossing(spec *model.EngineSpec, a, b string, tokens int, gap time.Duration) float64 {
+func (c *Chooser) crossing(spec *model.EngineSpec, a, b string, tokens int, gap time.Duration, routers int) float64 {
 	if a == b {
 		return hopTime.Seconds()
 	}
@@ -69,7 +70,7 @@
 	mbit := CrossMbit(spec, tokens)
 	transfer := mbit / spec.PipeMbps
 	limit := pipeLimit(time.Duration(transfer*float64(time.Second)), gap, spec.Stride)
-	if !c.Pipes.Allows(a, b, mbit, limit*spec.PipeMbps, c.Routers()) {
+	if !c.Pipes.Allows(a, b, mbit, limit*spec.PipeMbps, routers) {
 		return math.Inf(1)
 	}
 	// The prompt's transfer delays the first event; spread over the tokens of
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -152,7 +152,7 @@
 	for _, p := range m.parts {
 		had[p] = true
 	}
-	together := m.together()
+	together := m.together(m.Routers())
 	for i, p := range next {
 		if had[p] {
 			continue
@@ -167,7 +167,7 @@
 // a stream of so many tokens.
 func (c *Chooser) roomToCross(spec *model.EngineSpec, parts []Part, tokens int, gap time.Duration) bool {
 	for i := 1; i < len(parts); i++ {
-		if math.IsInf(c.crossing(spec, parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain, tokens, gap), 1) {
+		if math.IsInf(c.crossing(spec, parts[i-1].Server.FailureDomain, parts[i].Server.FailureDomain, tokens, gap, c.Routers()), 1) {
 			return false
 		}
 	}
--- a/internal/coordination/chains/subset.go
+++ b/internal/coordination/chains/subset.go
@@ -31,10 +31,10 @@
 	kept map[string][]*model.BackendServer
 }
 
-// together is how many routers, this one included, a failure domain has on
+// together is how many of the routers, this one included, a failure domain has on
 // average: those that send to the same engines in the same situation.
-func (c *Chooser) together() float64 {
-	return math.Max(float64(c.Routers())/float64(max(c.Catalog.Load().Domains(), 1)), 1)
+func (c *Chooser) together(routers int) float64 {
+	return math.Max(float64(routers)/float64(max(c.Catalog.Load().Domains(), 1)), 1)
 }
 
 // engines lists the engines that a search for a chain looks at. A search grows
