--- a/internal/coordination/follow/fleet_test.go
+++ b/internal/coordination/follow/fleet_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,8 +33,6 @@
 	store *standin.Store
 	began time.Time
 	nodes []*node
-	// wholes counts whole pictures that went from router to router.
-	wholes atomic.Int64
 
 	mu  sync.Mutex
 	cut map[[2]string]bool // one way, from and to
@@ -180,7 +177,7 @@
 	return out
 }
 
-func (n *node) ask(ctx context.Context, addr string, q Question) (News, error) {
+func (n *node) ask(ctx context.Context, addr string, after int64, most time.Duration) (News, error) {
 	to := n.fleet.node(addr)
 	time.Sleep(linkDelay)
 	fl, _ := to.running()
@@ -191,10 +188,7 @@
 		<-ctx.Done()
 		return News{}, ctx.Err()
 	}
-	news, err := fl.Tell(ctx, q)
-	if news.Whole {
-		n.fleet.wholes.Add(1)
-	}
+	news, err := fl.Tell(ctx, after, most)
 	for i, it := range news.Items {
 		if len(it.Value) > modelLarge {
 			news.Items[i].Value, news.Items[i].Omitted = nil, true
@@ -466,31 +460,6 @@
 	})
 }
 
-// All of sixty routers are killed at one moment and start again while engines register.
-// Each reads the store at a revision of its own. None must be told the whole picture by
-// another: at hundreds of routers before thousands of engines those are megabytes each,
-// and the few who tell them serve nobody for half a minute.
-func TestStartOfAllPassesOnNoWholePictures(t *testing.T) {
-	inFleet(t, 3, 20, func(t *testing.T, f *fleet) {
-		for _, n := range f.nodes {
-			n.kill()
-		}
-		before := f.store.Calls()
-		for i, n := range f.nodes {
-			f.store.Put(fmt.Sprint("servers/", i), []byte("1"))
-			n.start()
-			time.Sleep(10 * time.Millisecond)
-		}
-		time.Sleep(6 * time.Second)
-		for _, n := range f.nodes {
-			assert.Equal(t, f.differs(n), "")
-		}
-		assert.Equal(t, f.wholes.Load(), int64(0))
-		calls := f.store.Calls()
-		assert.Equal(t, calls.Reads-before.Reads, 60, "each reads the range once")
-	})
-}
-
 // Whatever happens in whatever order (routers killed and started, cut off one way, gone
 // silent, turned away; the store away, slow, without its history): once it is over, every
 // router's picture is the store's within seconds, and nothing is believed that was
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -90,7 +90,7 @@
 	// Picker chooses between the store and the routers that ask it; nil for always the
 	// store. Ask asks one of them.
 	Picker *Picker
-	Ask    func(ctx context.Context, addr string, q Question) (News, error)
+	Ask    func(ctx context.Context, addr string, after int64, wait time.Duration) (News, error)
 	// Replica holds what is known for others to ask; nil where nobody does.
 	Replica *replica.Replica
 	// Elsewhere is when, as far as known here, anybody last heard from the
@@ -108,7 +108,6 @@
 	source     Source
 	watching   atomic.Bool // the store answered, and nobody else was asked since
 	synced     bool        // the whole range was read
-	wantWhole  bool        // a peer is to tell everything: the store did not tell what it forgot
 	lastHeard  atomic.Int64
 	completeAt atomic.Int64 // when what has been taken in was all there was
 	graceUntil atomic.Int64
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -178,7 +178,7 @@
 		assert.Assert(t, p.has("k", "1"))
 	}, func(fl *Follower) {
 		fl.Picker = othersWatch(fl, 20)
-		fl.Ask = func(context.Context, string, Question) (News, error) { return News{}, ErrNotWatching }
+		fl.Ask = func(context.Context, string, int64, time.Duration) (News, error) { return News{}, ErrNotWatching }
 	})
 }
 
@@ -196,7 +196,7 @@
 		assert.Assert(t, store.Calls().Watches-before <= 25, "%d watches", store.Calls().Watches-before)
 	}, func(fl *Follower) {
 		fl.Picker = othersWatch(fl, 20)
-		fl.Ask = func(context.Context, string, Question) (News, error) { return News{}, ErrNotWatching }
+		fl.Ask = func(context.Context, string, int64, time.Duration) (News, error) { return News{}, ErrNotWatching }
 	})
 }
 
@@ -211,7 +211,7 @@
 		time.Sleep(time.Second)
 		store.Put("op/config", []byte("2"))
 		time.Sleep(decoding / 2)
-		news, err := fl.Tell(t.Context(), Question{After: fl.Revision() - 1, Whole: true})
+		news, err := fl.Tell(t.Context(), fl.Revision()-1, 0)
 		assert.NilError(t, err)
 		assert.Equal(t, len(news.Items), 0)
 		assert.Assert(t, news.Age > decoding, "the last answer that was taken in came before the change: %v", news.Age)
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -21,19 +21,6 @@
 	Grace time.Duration
 }
 
-// Question is what one router asks another.
-type Question struct {
-	// After is the revision up to which the asker's picture is complete.
-	After int64
-	// Wait is how long the question may be held until there are news.
-	Wait time.Duration
-	// Whole asks for the whole picture where changes since then are not all known.
-	Whole bool
-}
-
-// ErrForgotten says that changes since the revision asked for are not all known.
-var ErrForgotten = errors.New("changes since that revision are not all known here")
-
 // ErrNotWatching says that a router cannot answer for the store.
 var ErrNotWatching = errors.New("this router does not watch the store")
 
@@ -43,50 +30,44 @@
 // Tell answers a peer: at once if something is known beyond a revision, else as soon as
 // something is, or with nothing after a time. Only who asks the store itself answers:
 // two that ask each other would find each other up to date, whatever the store says.
-func (f *Follower) Tell(ctx context.Context, q Question) (News, error) {
+func (f *Follower) Tell(ctx context.Context, after int64, most time.Duration) (News, error) {
 	if !f.Watching() {
 		return News{}, ErrNotWatching
 	}
 	began := f.Clock()
-	f.Replica.Wait(ctx, q.After, min(q.Wait, peerWait))
+	f.Replica.Wait(ctx, after, min(most, peerWait))
 	if !f.Watching() {
 		return News{}, ErrNotWatching
 	}
-	if !q.Whole && f.Replica.Forgot(q.After) {
-		return News{}, ErrForgotten
-	}
 	// The age is taken first, and is that of what has been taken in: an answer of the
 	// store whose changes are still being decoded makes nothing younger.
 	news := News{Age: f.Clock() - time.Duration(f.completeAt.Load()), Grace: f.grace()}
-	news.Answer = f.Replica.Since(q.After)
+	news.Answer = f.Replica.Since(after)
 	news.Held = f.Clock() - began
 	return news, nil
 }
 
 // askPeer asks a router for news and takes them in.
 func (f *Follower) askPeer(ctx context.Context, addr string) error {
+	after := f.Revision()
 	asking, cancel := context.WithCancel(ctx)
 	defer cancel()
-	q := Question{After: f.Revision(), Wait: peerWait, Whole: !f.synced || f.wantWhole}
+	most := peerWait
 	urgent := f.ask(cancel)
 	if urgent {
-		q.Wait = 0
+		most = 0
 	}
 	asked := f.Clock()
-	news, err := f.askWithin(asking, addr, q)
+	news, err := f.askWithin(asking, addr, after, most)
 	f.asked()
 	switch {
 	case err != nil && asking.Err() != nil && ctx.Err() == nil:
 		return errCut
-	case errors.Is(err, ErrForgotten):
-		f.catchUp(ctx)
-		return nil
 	case err != nil:
 		return err
-	case news.Revision < q.After || urgent && news.Revision == q.After || news.Age < 0 || news.Held < 0:
-		return errors.WithMessagef(errOlder, "revision %d, %d here", news.Revision, q.After)
+	case news.Revision < after || urgent && news.Revision == after || news.Age < 0 || news.Held < 0:
+		return errors.WithMessagef(errOlder, "revision %d, %d here", news.Revision, after)
 	}
-	f.wantWhole = false
 	if news.Grace > f.grace() {
 		f.graceUntil.Store(int64(f.Clock() + min(news.Grace, comeBack)))
 	}
@@ -95,29 +76,10 @@
 	return nil
 }
 
-func (f *Follower) askWithin(ctx context.Context, addr string, q Question) (News, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+peerSlack)
+func (f *Follower) askWithin(ctx context.Context, addr string, after int64, most time.Duration) (News, error) {
+	ctx, cancel := context.WithTimeout(ctx, most+peerSlack)
 	defer cancel()
-	return f.Ask(ctx, addr, q)
-}
-
-// catchUp asks the store once for what no watcher remembers. After a start of all
-// routers each has read the range at a revision of its own, and a watcher remembers
-// changes from its own reading on only: the whole picture for each of its askers would
-// be some hundred megabytes from one small instance at hundreds of routers, while the
-// store tells each the few changes it lacks. Where it does not, the whole picture is
-// asked for next.
-func (f *Follower) catchUp(ctx context.Context) {
-	page, err := f.Store.Watch(ctx, f.Prefix, f.Revision(), firstWait)
-	if err != nil {
-		klog.InfoS("not caught up from the store", "revision", f.Revision(), "err", err)
-		f.wantWhole = true
-		return
-	}
-	now := f.Clock()
-	f.noteHeard(now)
-	f.change(replica.Full(page.Items), page.Revision)
-	f.heard = now
+	return f.Ask(ctx, addr, after, most)
 }
 
 func (f *Follower) takeNews(news News) {
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -50,17 +50,12 @@
 type RouterNewsAsk struct {
 	After  int64 `json:"after"`
 	WaitMS int64 `json:"wait"`
-	// Whole asks for the whole picture where changes since then are not all known.
-	Whole bool `json:"whole,omitempty"`
 }
 
 // RouterNews is what changed, up to a revision; all that is there if Whole.
 type RouterNews struct {
 	Revision int64 `json:"revision"`
 	Whole    bool  `json:"whole,omitempty"`
-	// Forgotten says that changes since the revision asked for are not all known, and
-	// that the rest of the answer is empty.
-	Forgotten bool `json:"forgotten,omitempty"`
 	// AgeMS is how long ago the store was last heard from, HeldMS how long the
 	// question was held, and GraceMS for how long removed entries may be believed in.
 	AgeMS   int64 `json:"age"`
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -130,13 +130,6 @@
 	}
 }
 
-// Forgot tells whether removals since a revision may have been forgotten.
-func (r *Replica) Forgot(after int64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return after < r.since
-}
-
 // Since gives what changed after a revision, in the order of the changes.
 func (r *Replica) Since(after int64) Answer {
 	r.mu.Lock()
--- a/internal/transport/peers/news.go
+++ b/internal/transport/peers/news.go
@@ -36,7 +36,7 @@
 type News struct {
 	Pool *link.Pool
 	// Tell answers a question from this router's picture.
-	Tell func(ctx context.Context, q follow.Question) (follow.News, error)
+	Tell func(ctx context.Context, after int64, most time.Duration) (follow.News, error)
 
 	mu   sync.Mutex
 	last encoded
@@ -54,17 +54,14 @@
 func (n *News) Register(s *link.Server) { s.Register(wire.MethodRouterNews, link.Handle(n.answer)) }
 
 // Ask asks a router for news.
-func (n *News) Ask(ctx context.Context, addr string, q follow.Question) (follow.News, error) {
+func (n *News) Ask(ctx context.Context, addr string, after int64, wait time.Duration) (follow.News, error) {
 	var rep wire.RouterNews
-	ask := wire.RouterNewsAsk{After: q.After, WaitMS: q.Wait.Milliseconds(), Whole: q.Whole}
+	ask := wire.RouterNewsAsk{After: after, WaitMS: wait.Milliseconds()}
 	if err := n.Pool.Call(ctx, addr, wire.MethodRouterNews, ask, &rep); err != nil {
 		n.Pool.Reset(addr)
 		return follow.News{}, err
 	}
-	if rep.Forgotten {
-		return follow.News{}, follow.ErrForgotten
-	}
-	items, err := decodeItems(rep.Items, q.After, rep.Whole)
+	items, err := decodeItems(rep.Items, after, rep.Whole)
 	if err != nil {
 		return follow.News{}, err
 	}
@@ -78,10 +75,7 @@
 
 // answer answers a peer's Ask.
 func (n *News) answer(ctx context.Context, from string, ask wire.RouterNewsAsk) (wire.RouterNews, error) {
-	news, err := n.Tell(ctx, follow.Question{After: ask.After, Wait: milliseconds(ask.WaitMS), Whole: ask.Whole})
-	if errors.Is(err, follow.ErrForgotten) {
-		return wire.RouterNews{Forgotten: true, Items: json.RawMessage("[]")}, nil
-	}
+	news, err := n.Tell(ctx, ask.After, milliseconds(ask.WaitMS))
 	if err != nil {
 		return wire.RouterNews{}, errors.WithStack(fault.New(fault.NotReady, "%v", err))
 	}
--- a/internal/transport/peers/news_test.go
+++ b/internal/transport/peers/news_test.go
@@ -23,7 +23,7 @@
 	assert.NilError(t, lerr)
 	serving, stop := context.WithCancel(context.Background())
 	srv := link.NewServer(stampOf(l.Addr().String()))
-	n := &News{Tell: func(context.Context, follow.Question) (follow.News, error) { return news, err }}
+	n := &News{Tell: func(context.Context, int64, time.Duration) (follow.News, error) { return news, err }}
 	n.Register(srv)
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(serving, l) }()
@@ -54,7 +54,7 @@
 		Age: 1500*time.Millisecond + time.Microsecond, Held: 30 * time.Millisecond, Grace: time.Second,
 	}
 	n, addr := telling(t, told, nil)
-	got, err := n.Ask(t.Context(), addr, follow.Question{After: 4, Wait: time.Second})
+	got, err := n.Ask(t.Context(), addr, 4, time.Second)
 	assert.NilError(t, err)
 	assert.Assert(t, got.Items[3].Omitted && got.Items[3].Value == nil)
 	assert.Equal(t, got.Age, 1501*time.Millisecond, "never younger than it is")
@@ -66,18 +66,10 @@
 // A router that hears from the store through others says so, and is not believed.
 func TestOnlyWatchersAnswer(t *testing.T) {
 	n, addr := telling(t, follow.News{}, follow.ErrNotWatching)
-	_, err := n.Ask(t.Context(), addr, follow.Question{After: 4, Wait: time.Second})
+	_, err := n.Ask(t.Context(), addr, 4, time.Second)
 	assert.ErrorContains(t, err, follow.ErrNotWatching.Error())
 }
 
-// A watcher does not know all changes since the revision asked for, and says so: nothing
-// but a word crosses the link, where the whole picture has megabytes.
-func TestForgottenChangesAreTold(t *testing.T) {
-	n, addr := telling(t, follow.News{}, follow.ErrForgotten)
-	_, err := n.Ask(t.Context(), addr, follow.Question{After: 4, Wait: time.Second})
-	assert.ErrorIs(t, err, follow.ErrForgotten)
-}
-
 // News that are none (older than asked for, without a key, cut short, or that would fill
 // the memory) are dropped as a whole: taken in part they would hide what is missing.
 func TestNewsThatAreNone(t *testing.T) {
