--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -29,8 +29,8 @@
 	// average, however many there are: four a second to each would be 1,500 at 380.
 	mostBeats = 96
 	// nearShare is the part of them that routers of the own failure domain may take.
-	// They begin streams at the same engines as this one: where counts were a second
-	// old, engines whose places were used up were sent a fifth more than they have.
+	// They begin streams at the same engines as this one: where counts are a second old,
+	// engines are sent more streams than they have places, and the rest queue there.
 	nearShare = 0.5
 	// believeBeats and believeSlack give how long a peer's counts are believed.
 	believeBeats = 4
