Sight: lost answers and chains name the work, not only the attempt

Two attempts of one request could not be told from attempts of two requests: only customer and route stood in the log. A fingerprint of customer, method, host, path and body stands in the lines of answers and chains that were lost.

--- /dev/null
+++ b/internal/model/fingerprint_test.go
@@ -0,0 +1,41 @@
+package model
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// The same customer, method, host, path and body give the same fingerprint whatever else
+// differs; a difference in any of them gives another, also where parts are moved from one
+// to the next.
+func TestFingerprintNamesTheWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringN(0, 4, 8)
+		draw := func(label string) (string, Call) {
+			return text.Draw(t, label+" customer"), Call{
+				Attempt: text.Draw(t, label+" attempt"), Method: text.Draw(t, label+" method"), Host: text.Draw(t, label+" host"),
+				Target: text.Draw(t, label+" target"), Body: []byte(text.Draw(t, label+" body")), ResumeAfter: text.Draw(t, label+" resume"),
+			}
+		}
+		ca, a := draw("a")
+		cb, b := draw("b")
+		same := ca == cb && a.Method == b.Method && a.Host == b.Host && a.Target == b.Target && string(a.Body) == string(b.Body)
+		assert.Equal(t, a.Fingerprint(ca) == b.Fingerprint(cb), same)
+	})
+}
+
+func TestFingerprintAsText(t *testing.T) {
+	f := (&Call{Method: "POST", Target: "/sheet/1"}).Fingerprint("school")
+	raw, err := json.Marshal(map[Fingerprint]int{f: 1})
+	assert.NilError(t, err)
+	var back map[Fingerprint]int
+	assert.NilError(t, json.Unmarshal(raw, &back))
+	assert.Equal(t, back[f], 1)
+	for _, odd := range []string{`""`, `"00"`, `"zz0102030405060708090a0b0c0d0e0f"`} {
+		var g Fingerprint
+		assert.Assert(t, json.Unmarshal([]byte(odd), &g) != nil, odd)
+	}
+}
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -195,7 +195,7 @@
 		q.sends--
 		q.unsent++
 	}
-	klog.InfoS("answer lost", "request", q.call.Attempt, "why", why, "sent", sent, "server", b.Incarnation(), "err", err, "ms", took.Milliseconds())
+	klog.InfoS("answer lost", "request", q.call.Attempt, "work", q.work(), "why", why, "sent", sent, "server", b.Incarnation(), "err", err, "ms", took.Milliseconds())
 	if !why.blames(took) {
 		q.Health.Quit(b.Incarnation())
 		return
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -294,7 +294,7 @@
 // of them.
 func (s *stream) lost(w *chainWatch, why ending, err error) {
 	parts, culprit := w.state()
-	klog.InfoS("chain lost", "request", s.call.Attempt, "why", why, "sent", !errors.Is(err, ErrNotSent), "chain", describe(parts), "culprit", culprit, "err", err, "events", s.events)
+	klog.InfoS("chain lost", "request", s.call.Attempt, "work", s.work(), "why", why, "sent", !errors.Is(err, ErrNotSent), "chain", describe(parts), "culprit", culprit, "err", err, "events", s.events)
 	if why == callerLeft || why == timeOver || why == stopping {
 		return
 	}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -192,6 +192,9 @@
 	return r.Config.Load()
 }
 
+// work names what the request asks for, which its attempts have in common.
+func (q *request) work() model.Fingerprint { return q.call.Fingerprint(q.ticket.Customer) }
+
 // left is how much time the request has; 0 where it has no bound.
 func (q *request) left() time.Duration {
 	if q.ticket.Until.IsZero() {
