What ends its reader is not read again and again: entries, messages, orders

The class of the incident, looked for elsewhere: a failure is met by whoever meets it next, as nobody remembers it. - A configuration or entry whose reading panics ended each router that took it in, again after each start. It is passed over; what was in force stays. - A peer's message whose handling panics ended the process. The controller's stand-in let a load outlive the process that ran it; it ends with it now.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -60,7 +60,8 @@
 	pending  map[model.Incarnation]order
 	appeared map[model.Incarnation]time.Time
 	began    time.Time
-	newest   time.Time // when the last engine appeared
+	newest   time.Time            // when the last engine appeared
+	loadEnds map[string]*loadEnds // by address
 	// gapSince is since when some layer of a service is held by nobody.
 	gapSince map[string]time.Time
 	// holeSince is since when some failure domain lacks layers that its own engines
@@ -90,6 +91,7 @@
 	if c.plans == nil {
 		c.plans = map[string]stored{}
 		c.pending = map[model.Incarnation]order{}
+		c.loadEnds = map[string]*loadEnds{}
 		c.appeared = map[model.Incarnation]time.Time{}
 		c.gapSince = map[string]time.Time{}
 		c.holeSince = map[string]time.Time{}
@@ -153,6 +155,7 @@
 	for inc := range c.appeared {
 		if !present[inc] {
 			delete(c.appeared, inc)
+			c.endedLoading(c.pending[inc])
 			delete(c.pending, inc)
 		}
 	}
--- a/internal/coordination/placement/controller_test.go
+++ b/internal/coordination/placement/controller_test.go
@@ -113,7 +113,8 @@
 		s.orders[b.ID]++
 		s.loading++
 		s.most = max(s.most, s.loading)
-		time.AfterFunc(time.Second, func() { s.loaded(b, held) })
+		born := s.born[b.ID]
+		time.AfterFunc(time.Second, func() { s.loaded(b, held, born) })
 	}
 	if s.late > 0 {
 		time.AfterFunc(s.late, func() {
@@ -127,10 +128,14 @@
 	return OrderTaken, nil
 }
 
-func (s *shop) loaded(b *model.BackendServer, held model.LayerRange) {
+func (s *shop) loaded(b *model.BackendServer, held model.LayerRange, born int64) {
 	s.mu.Lock()
 	s.loading--
+	ended := s.born[b.ID] != born
 	s.mu.Unlock()
+	if ended {
+		return // with it the load
+	}
 	s.register(b.ID, b.Address, b.FailureDomain, b.Card, held)
 }
 
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -42,8 +42,10 @@
 }
 
 type order struct {
-	want  model.LayerRange
-	until time.Time // given up then
+	address string
+	want    model.LayerRange
+	until   time.Time // given up then
+	given   bool      // the engine may carry it out
 }
 
 // giveOrders orders what differs from the plan: whole chains of fast cards
@@ -77,9 +79,13 @@
 	for _, b := range servers {
 		want, ok := plan[b.Address]
 		if !ok || want == b.Holds {
+			c.carriedOut(b)
 			delete(c.pending, b.Incarnation())
 			continue
 		}
+		if !c.mayLoad(b.Address, want) {
+			continue
+		}
 		if p, ok := c.pending[b.Incarnation()]; ok && now.Before(p.until) {
 			loading++
 			continue
@@ -99,7 +105,7 @@
 		share := float64(want.Len()) / float64(max(svc.Engine.Layers, 1))
 		crowd := max(float64(len(due)+loading)/float64(svc.Engine.LoadsAtOnce), 1)
 		takes := time.Duration(float64(svc.Engine.LoadTime) * share * crowd)
-		c.pending[b.Incarnation()] = order{want: want, until: now.Add(takes + loadSlack)}
+		c.pending[b.Incarnation()] = order{address: b.Address, want: want, until: now.Add(takes + loadSlack)}
 	}
 	return due
 }
@@ -170,6 +176,8 @@
 	klog.InfoS("order given", "server", b.Incarnation(), "address", b.Address, "card", b.Card, "from", b.Holds.String(), "to", want.String(),
 		"token", token, "expected", report.Orders, "result", int(result), "err", err)
 	switch result {
+	case OrderTaken, OrderUnknown:
+		c.noteGiven(b.Incarnation())
 	case OrderFenced:
 		c.Fenced(token)
 	case OrderRefused:
@@ -191,8 +199,18 @@
 	return ok && planned == want
 }
 
+// noteGiven notes that an engine may carry out the order that it was given.
+func (c *Controller) noteGiven(inc model.Incarnation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o, ok := c.pending[inc]; ok {
+		o.given = true
+		c.pending[inc] = o
+	}
+}
+
 func (c *Controller) pause(inc model.Incarnation, want model.LayerRange, d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending[inc] = order{want: want, until: c.Now().Add(d)}
+	c.pending[inc] = order{want: want, until: c.Now().Add(d)} // not given
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -78,7 +78,8 @@
 	front    *front.Server
 	metrics  *metrics
 
-	listen func(addr string) (net.Listener, error) // tests give listeners that fail
+	listen func(addr string) (net.Listener, error)      // tests give listeners that fail
+	decode func(raw []byte) (*model.RouteConfig, error) // tests give one that panics
 
 	traffic  atomic.Bool
 	draining atomic.Bool
@@ -112,6 +113,7 @@
 		members:  map[string]leader.Member{},
 		odd:      oddEntries{},
 		listen:   listenTCP,
+		decode:   platform.DecodeConfig,
 	}
 	r.linkPeers()
 	r.buildRelay()
@@ -172,7 +174,7 @@
 		Seeds:    r.settings.Router.Seeds,
 		Pool:     link.NewPool(stamp),
 		Config:   r.config,
-		Decode:   platform.DecodeConfig,
+		Decode:   r.decodeConfig,
 		Catalog:  r.catalog,
 		Memory:   r.memory,
 		Pipes:    r.pipes,
--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -92,6 +92,7 @@
 
 // Change implements follow.Sink.
 func (s *routerSink) Change(it outside.Item, grace time.Duration) {
+	defer s.contain(it)
 	switch {
 	case it.Key == platform.ConfigKey:
 		s.applyConfig(it)
@@ -123,7 +124,7 @@
 		klog.InfoS("configuration is in force already", "version", before, "revision", it.Revision)
 		return
 	}
-	cfg, err := platform.DecodeConfig(it.Value)
+	cfg, err := (*Router)(s).decodeConfig(it.Value)
 	if err != nil {
 		klog.ErrorS(err, "configuration passed over", "revision", it.Revision)
 		return
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -181,6 +181,7 @@
 		return
 	}
 	h, ok := s.handlers[wire.Method(req.Method)]
+	h = contained(wire.Method(req.Method), h)
 	if !ok {
 		s.reply(ctx, conn, req, nil, fault.New(fault.NotFound, "no method %q", req.Method))
 		return
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -366,3 +366,23 @@
 
 func (readOnly) Write(p []byte) (int, error) { return len(p), nil }
 func (readOnly) Close() error                { return nil }
+
+// A peer's message makes the code that handles it panic. The peer sends the like to every
+// process: each would end, and end again with the next one. One message fails, by an
+// answer where one is due, and the connection goes on.
+func TestMessageThatEndsItsReader(t *testing.T) {
+	addr := serve(t, func(s *Server) {
+		s.RegisterNotice("note", func(string, []byte) error { panic("a fault of the code") })
+		s.Register("call", Handle(func(context.Context, string, echo) (echo, error) { panic("a fault of the code") }))
+		s.Register("echo", Handle(func(_ context.Context, _ string, e echo) (echo, error) { return e, nil }))
+	})
+	p := NewPool(newStamp("me"))
+	defer p.Close()
+	ctx := context.Background()
+	assert.NilError(t, p.Send(ctx, addr, p.Notice("note", nil)))
+	assert.NilError(t, p.Notify(ctx, addr, "call", echo{}))
+	var back echo
+	assert.Assert(t, fault.Is(p.Call(ctx, addr, "call", echo{}, &back), fault.Internal))
+	assert.NilError(t, p.Call(ctx, addr, "echo", echo{"still there"}, &back))
+	assert.Equal(t, back.Text, "still there")
+}
--- a/internal/transport/link/notice.go
+++ b/internal/transport/link/notice.go
@@ -64,6 +64,7 @@
 		klog.InfoS("notice not taken in", "peer", head.From, "err", fault.New(fault.NotFound, "no method %q", head.Method))
 		return
 	}
+	defer containNotice(head.Method, head.From)
 	if err := h(head.From, body); err != nil {
 		klog.InfoS("notice not taken in", "peer", head.From, "method", head.Method, "err", err)
 	}
