A plain server's end is looked into when a call breaks off there

Callers saw: a notice that ends the servers which run it ended five instead of three. Nobody watches plain servers, and each router had seen one break-off only, which alone is no reason to look; the successor's entry tells seconds later, or not at all where the old one was removed first. Found by TestRequestThatEndsPlainServers, which failed with 5. Change: after a break-off a connection is opened, at most once a second and server; where the port refuses the end is known and told. The connection is kept for the next request, which would open one anyway. TestFailingLinksBlameNoRequest: break-offs without an end blame nobody. Tests of verdicts, terms, bounds, reports in any order, and the store.

--- a/internal/coordination/quarantine/run.go
+++ b/internal/coordination/quarantine/run.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -93,8 +95,9 @@
 	return presence{answered: r.answered, later: r.places[0].Server != server}
 }
 
-// End notes how the run ended. doubtful lists servers whose end would make it stand alone
-// and is not confirmed: whoever asks them shortens the wait of its next run.
+// End notes how the run ended. doubtful lists servers whose end is not confirmed and should
+// be looked into: those of a request that would stand alone, as its next run waits for
+// that, and one of a plain service, as nobody else watches those.
 func (r *Run) End(result Result) (doubtful []model.Incarnation) {
 	t := r.t
 	if result == Broke || result == Survived && t.Watching() {
@@ -109,7 +112,7 @@
 	case result == Survived && t.watching():
 		t.survived(r.Work())
 	case result == Broke:
-		return t.broke(r.Work(), places[0], r.answered)
+		return t.broke(r.Work(), places, r.answered)
 	}
 	return nil
 }
@@ -130,19 +133,31 @@
 
 // broke takes in that a server's connection ended under a request. Only that of the first
 // server shows that; the ends of later ones are told by others. The caller holds the lock.
-func (t *Tracker) broke(work model.Fingerprint, at Place, answered bool) (doubtful []model.Incarnation) {
+func (t *Tracker) broke(work model.Fingerprint, places []Place, answered bool) (doubtful []model.Incarnation) {
 	s := t.suspect(work)
+	at := places[0]
 	if s.ends[at.Server] {
 		return nil
 	}
 	s.broken[at.Server] = breakOff{at: t.clock(), domain: at.Domain, answered: answered}
-	if len(s.ends)+len(s.broken) < aloneFrom {
-		return nil
+	switch {
+	case len(s.ends)+len(s.broken) >= aloneFrom:
+		return slices.Collect(maps.Keys(s.broken))
+	case len(places) == 1 && t.mayLookInto(at.Server):
+		return []model.Incarnation{at.Server}
 	}
-	for server := range s.broken {
-		doubtful = append(doubtful, server)
+	return nil
+}
+
+// mayLookInto tells whether a server of a plain service should be looked into, and notes
+// that it is. The caller holds the lock.
+func (t *Tracker) mayLookInto(server model.Incarnation) bool {
+	now := t.clock()
+	if at, ok := t.lookedInto[server]; ok && now-at < lookAgainAfter {
+		return false
 	}
-	return doubtful
+	t.lookedInto[server] = now
+	return true
 }
 
 // Suspects counts the runs of suspects that this router has at a server.
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -13,6 +13,7 @@
 package quarantine
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -22,6 +23,9 @@
 const (
 	// evidenceFor is how long the end of a server is remembered.
 	evidenceFor = 10 * time.Minute
+	// lookAgainAfter is between two looks at one server whose connections break off: one
+	// that spoils answers breaks off many.
+	lookAgainAfter = time.Second
 	// brokenFor is how long a run that broke off waits for word that its server's process
 	// ended: a successor's entry is there within some seconds.
 	brokenFor = 5 * time.Second
@@ -48,6 +52,8 @@
 	suspects  map[model.Fingerprint]*suspect
 	verdicts  map[model.Fingerprint]*verdict
 	out       outbox
+	// lookedInto is when a server of a plain service was last looked into.
+	lookedInto map[model.Incarnation]time.Duration
 }
 
 // New makes a tracker that knows of nothing.
@@ -59,6 +65,8 @@
 		suspects: map[model.Fingerprint]*suspect{},
 		verdicts: map[model.Fingerprint]*verdict{},
 		out:      newOutbox(),
+
+		lookedInto: map[model.Incarnation]time.Duration{},
 	}
 }
 
@@ -247,6 +255,7 @@
 		}
 		t.drop(work)
 	}
+	maps.DeleteFunc(t.lookedInto, func(_ model.Incarnation, at time.Duration) bool { return now-at > lookAgainAfter })
 	for work, v := range t.verdicts {
 		if now-v.since > v.term+probation(v.term) {
 			delete(t.verdicts, work)
--- /dev/null
+++ b/internal/coordination/quarantine/tracker_test.go
@@ -0,0 +1,221 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// bench is a tracker with a clock of its own.
+type bench struct {
+	*Tracker
+	now time.Duration
+}
+
+func newBench() *bench {
+	b := &bench{}
+	b.Tracker = New(func() time.Duration { return b.now })
+	return b
+}
+
+func server(n int) model.Incarnation { return model.Incarnation{ID: fmt.Sprintf("s%d", n)} }
+
+func (b *bench) begin(w model.Fingerprint, n int, domain string) *Run {
+	return b.Begin(func() model.Fingerprint { return w }, false, Place{Server: server(n), Domain: domain})
+}
+
+// ends has servers end under a request, each in a domain of its own.
+func (b *bench) ends(w model.Fingerprint, servers ...int) {
+	for _, n := range servers {
+		domain := fmt.Sprintf("d%d", n)
+		run := b.begin(w, n, domain)
+		b.now += 100 * time.Millisecond
+		b.Ended(server(n), domain)
+		run.End(Broke)
+	}
+	b.now += settleTime
+}
+
+func TestStandingGrowsWithTheEnds(t *testing.T) {
+	b := newBench()
+	assert.Equal(t, b.Look(guilty).Standing, Free)
+	for n, want := range []Standing{Apart, Alone, Quarantined} {
+		b.ends(guilty, n)
+		v := b.Look(guilty)
+		assert.Equal(t, v.Standing, want)
+		assert.Equal(t, v.Ends, n+1)
+	}
+}
+
+// A request breaks off at a server, and is sent on at once: two milliseconds before anybody
+// has found the server's port closed. It counts as an end all the same until that is known,
+// or else the request would be at three servers while it is known of one.
+func TestBreakOffCountsBeforeTheEndIsKnown(t *testing.T) {
+	b := newBench()
+	b.ends(guilty, 1)
+	assert.Equal(t, len(b.begin(guilty, 2, "d2").End(Broke)), 1, "the server should be asked")
+	assert.Equal(t, b.Look(guilty).Standing, Alone)
+	b.begin(guilty, 3, "d3").End(Broke)
+	assert.Equal(t, b.Look(guilty).Standing, Undecided)
+	b.Alive(server(2))
+	b.Alive(server(3))
+	assert.Equal(t, b.Look(guilty).Standing, Apart, "links failed, no server ended")
+}
+
+// A caller that leaves, a refusal and a silent server say nothing of a request.
+func TestOnlyBrokenConnectionsCount(t *testing.T) {
+	b := newBench()
+	for n := range 5 {
+		b.begin(guilty, n, "d").End(Unknown)
+		b.Ended(server(n), "d")
+	}
+	assert.Equal(t, b.Look(guilty).Standing, Free)
+}
+
+// An answer, be it the server's own failure, clears a request of all that was held against
+// it, and the other routers are told.
+func TestAnswerClears(t *testing.T) {
+	b := newBench()
+	b.ends(guilty, 1, 2)
+	for _, ok := b.Report(); ok; _, ok = b.Report() {
+	}
+	b.begin(guilty, 7, "d").End(Survived)
+	assert.Equal(t, b.Look(guilty).Standing, Free)
+	r, _ := b.Report()
+	assert.DeepEqual(t, r.Cleared, []model.Fingerprint{guilty})
+}
+
+// Two requests are at the same three servers. Neither is blamed; the next end is under one
+// of them alone and tells them apart.
+func TestTwoAtTheSameEndsAreToldApart(t *testing.T) {
+	b := newBench()
+	other := work(1)
+	for n := range 3 {
+		domain := fmt.Sprintf("d%d", n)
+		b.begin(guilty, n, domain)
+		b.begin(other, n, domain)
+		b.Ended(server(n), domain)
+	}
+	b.now += commonTime
+	assert.Equal(t, b.Look(guilty).Standing, Alone)
+	assert.Equal(t, b.Look(other).Standing, Alone)
+	b.ends(guilty, 4)
+	assert.Equal(t, b.Look(guilty).Standing, Quarantined)
+	assert.Equal(t, b.Look(other).Standing, Free, "its ends are explained")
+}
+
+// Servers end under streams that had begun to come. That is how streams are lost that are
+// innocent, so it takes twice as many ends.
+func TestEndsUnderAnAnswerWeighLess(t *testing.T) {
+	b := newBench()
+	for n := range 2*guiltyFrom - 1 {
+		run := b.begin(guilty, n, "d")
+		run.Answered()
+		b.Ended(server(n), "d")
+		b.now += 2 * commonTime
+		assert.Assert(t, b.Look(guilty).Standing < Quarantined, "after %d ends", n+1)
+	}
+	b.ends(guilty, 99)
+	assert.Equal(t, b.Look(guilty).Standing, Quarantined)
+}
+
+// A later part of the chain ends each time: the request is to run alone at all of them.
+func TestLaterPartsOfChainsCount(t *testing.T) {
+	b := newBench()
+	for n := range 2 {
+		b.Begin(func() model.Fingerprint { return guilty }, false, Place{server(90 + n), "a"}, Place{server(n), "b"})
+		b.Ended(server(n), fmt.Sprintf("d%d", n))
+	}
+	v := b.Look(guilty)
+	assert.Equal(t, v.Standing, Alone)
+	assert.Assert(t, v.Wide)
+}
+
+// After its term a request runs alone. An answer frees it; an end brings it back at once,
+// for twice as long.
+func TestTermsEndAndDouble(t *testing.T) {
+	b := newBench()
+	b.ends(guilty, 1, 2, 3)
+	b.Judge()
+	b.now += firstTerm
+	b.Expire()
+	assert.Equal(t, b.Look(guilty).Standing, Alone)
+	b.ends(guilty, 4)
+	assert.Equal(t, b.Look(guilty).Standing, Quarantined)
+	b.now += firstTerm + time.Second
+	assert.Equal(t, b.Look(guilty).Standing, Quarantined, "twice as long")
+	b.now += firstTerm
+	assert.Equal(t, b.Look(guilty).Standing, Alone)
+	b.begin(guilty, 5, "d").End(Survived)
+	assert.Equal(t, b.Look(guilty).Standing, Free)
+}
+
+// Forgotten requests leave nothing behind, and much that comes at once is bounded.
+func TestMemoryIsBounded(t *testing.T) {
+	b := newBench()
+	for n := range mostEnds + 50 {
+		b.begin(work(n), n, "d")
+		b.Ended(server(n), "d")
+	}
+	assert.Assert(t, len(b.Tracker.ends) <= mostEnds)
+	crowd := newBench()
+	for n := range mostAtOneEnd + 50 {
+		crowd.begin(work(n), 1, "d")
+	}
+	crowd.Ended(server(1), "d")
+	assert.Equal(t, len(crowd.Tracker.ends[server(1)].present), mostAtOneEnd)
+	assert.Equal(t, crowd.Look(work(1)).Standing, Free, "a crowded end is no evidence")
+	for n := range mostVerdicts + 50 {
+		b.Learn([]Sentence{{Work: work(n), TermMS: int64(1000 + n)}}, "peer")
+	}
+	assert.Equal(t, len(b.Sentences()), mostVerdicts)
+	b.now += evidenceFor + longestTerm
+	b.Expire()
+	assert.Equal(t, len(b.Tracker.ends)+len(b.suspects)+len(b.verdicts)+b.presences, 0)
+}
+
+// Whatever peers tell, in any order and again, adds up to the same: who has heard all
+// reports gives each request the same standing, and counts stay right.
+func TestReportsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var reports []Report
+		for range rapid.IntRange(1, 12).Draw(t, "reports") {
+			end := EndReport{Server: server(rapid.IntRange(0, 5).Draw(t, "server")), Domain: "d"}
+			for range rapid.IntRange(0, 4).Draw(t, "present") {
+				end.Present = append(end.Present, Present{Work: work(rapid.IntRange(0, 4).Draw(t, "work")), Answered: rapid.Bool().Draw(t, "answered")})
+			}
+			reports = append(reports, Report{Ends: []EndReport{end}})
+		}
+		a, b := newBench(), newBench()
+		for _, r := range reports {
+			a.Heard(r, "peer")
+		}
+		for _, r := range rapid.Permutation(append(reports, reports...)).Draw(t, "again") {
+			b.Heard(r, "peer")
+		}
+		a.now, b.now = time.Minute, time.Minute
+		for n := range 5 {
+			assert.DeepEqual(t, a.Look(work(n)), b.Look(work(n)))
+		}
+		assert.Equal(t, a.presences, b.presences)
+	})
+}
+
+func TestTrialsAreOneAtATime(t *testing.T) {
+	b := newBench()
+	trials := NewTrials(b.Tracker)
+	assert.Assert(t, trials.Ask(guilty, []model.Incarnation{server(1), server(2)}).Granted)
+	assert.Equal(t, trials.Ask(guilty, []model.Incarnation{server(3)}), Grant{WaitMS: 2000}, "it runs already")
+	assert.Equal(t, trials.Ask(work(1), []model.Incarnation{server(2)}).Busy, server(2))
+	assert.Assert(t, trials.Ask(work(1), []model.Incarnation{server(3)}).Granted)
+	b.now += trialTime
+	assert.Assert(t, trials.Ask(guilty, []model.Incarnation{server(2)}).Granted)
+	b.ends(guilty, 4, 5, 6)
+	b.now += trialTime
+	assert.Assert(t, !trials.Ask(guilty, []model.Incarnation{server(7)}).Granted, "the keeper knows more than who asks")
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -223,7 +223,7 @@
 		Suspicions:  r.prober,
 		Quarantine:  r.suspects.Tracker,
 		Trial:       r.suspects.Ask,
-		Listens:     backend.Listens,
+		Listens:     r.backends.Listens,
 		Domain:      r.settings.FailureDomain,
 		ConfigTrust: time.Duration(rt.ConfigApply),
 		Clock:       boottime.Now,
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -113,6 +113,10 @@
 		Backends: do, Observer: seen, Running: NewRunning(), Suspicions: prober, Domain: "a",
 		Clock: func() time.Duration { return 0 }, Now: time.Now, ConfigTrust: time.Hour,
 		Quarantine: quarantine.New(func() time.Duration { return time.Since(began) }),
+		Trial: func(context.Context, model.Fingerprint, []model.Incarnation) quarantine.Grant {
+			return quarantine.Grant{Granted: true}
+		},
+		Listens: func(context.Context, string) error { return nil },
 	}
 	rel.Pacer = NewPacer()
 	rel.Pacer.Memory = memory
--- a/internal/transport/backend/kept.go
+++ b/internal/transport/backend/kept.go
@@ -35,6 +35,13 @@
 	return nil, h.drops
 }
 
+// dropped is how often the address was dropped.
+func (h *host) dropped() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.drops
+}
+
 // put keeps a connection for the next request. One that was in use while its
 // address was dropped leads to a process that has ended: it is closed, as the
 // resting ones were.
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -71,15 +71,41 @@
 	if c != nil {
 		return c, nil
 	}
+	c, err := p.dial(ctx, addr, drops)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	return c, nil
+}
+
+// dial opens a connection; drops is its host's count of drops before.
+func (p *Pool) dial(ctx context.Context, addr string, drops int) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: tcp.UserTimeout(userTimeout)}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, notSent(err)
+		return nil, err
 	}
 	p.dialed.Add(1)
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), drops: drops}, nil
 }
 
+// Listens asks whether a process takes connections at an address. relay.ErrRefused says
+// that none does; any other error leaves it open. The connection is kept for the next
+// request, which would open one itself.
+func (p *Pool) Listens(ctx context.Context, addr string) error {
+	h := p.host(addr)
+	c, err := p.dial(ctx, addr, h.dropped())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return relay.ErrRefused
+	}
+	if err != nil {
+		return err
+	}
+	c.until = time.Now().Add(unknownIdle)
+	h.put(c)
+	return nil
+}
+
 // probeEvery and probeCount end a resting connection that has gone silent: its
 // peer's end would never show on it.
 const (
@@ -96,19 +122,6 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// Listens asks whether a process takes connections at an address. relay.ErrRefused says
-// that none does; any other error leaves it open.
-func Listens(ctx context.Context, addr string) error {
-	c, err := Dial(ctx, addr)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return relay.ErrRefused
-	}
-	if err != nil {
-		return err
-	}
-	return c.Close()
-}
-
 // Body reads an answer's body. Its Read gives io.EOF only where the answer is
 // whole: a length reached, a last chunk, or a clean close where there is no
 // length.
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -69,6 +69,7 @@
 		Loans: &limits.Loans{Budget: limits.NewSharedRetries(0.2, 10, time.Second, func() int { return 1 }, time.Now), Now: time.Now},
 		Clock: func() time.Duration { return 0 }, Now: time.Now, ConfigTrust: time.Hour,
 		Quarantine: quarantine.New(func() time.Duration { return 0 }),
+		Listens:    func(context.Context, string) error { return nil },
 	}
 	s := &Server{Config: current, Relay: rel, Observer: make(ends, 64)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/test/fleet/crash_test.go
+++ b/test/fleet/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -69,3 +70,47 @@
 		}
 	}
 }
+
+// The same at a plain service, whose servers nobody watches: a notice, which is sent once an
+// attempt, and a lookup, which may be sent again. The servers' ends show by their ports.
+func TestRequestThatEndsPlainServers(t *testing.T) {
+	for _, path := range []string{"/notice/1", "/lookup/1"} {
+		t.Run(path, func(t *testing.T) {
+			s := newSite(t, 2)
+			s.fleet.SetCrash(standin.Crash{Customer: "school", Body: poison, After: 10 * time.Millisecond, Back: 300 * time.Millisecond})
+			for i := range 20 {
+				rep := s.call(s.routers[i%2], ask{path: path, body: poison})
+				assert.Assert(t, rep.status != http.StatusOK)
+				if rep.status == http.StatusServiceUnavailable || strings.Contains(rep.body, "was not run") {
+					assert.Equal(t, s.fleet.Arrivals(rep.attempt), 0, "it is said not to have run")
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			assert.Equal(t, s.fleet.Crashed(), mostCrashes)
+			assert.Equal(t, s.call(s.routers[0], ask{path: path, body: poison}).status, http.StatusBadRequest)
+			for _, r := range s.routers {
+				s.eventually("others are served", func() bool { return s.call(r, ask{path: path, body: "arrived"}).status == http.StatusOK })
+			}
+		})
+	}
+}
+
+// A request breaks off at server after server because links fail, and no process ends. It
+// is not taken for one that ends servers: its caller is served once the links are well.
+func TestFailingLinksBlameNoRequest(t *testing.T) {
+	s := newSite(t, 2)
+	for round := range 4 {
+		for _, e := range s.plain {
+			e.SetFaults(standin.EngineFaults{LoseAnswers: 2})
+		}
+		for i := range 6 {
+			s.call(s.routers[(round+i)%2], ask{path: "/lookup/1", body: "draft"})
+		}
+	}
+	for _, e := range s.plain {
+		e.SetFaults(standin.EngineFaults{})
+	}
+	for _, r := range s.routers {
+		assert.Equal(t, s.call(r, ask{path: "/lookup/1", body: "draft"}).status, http.StatusOK)
+	}
+}
