--- a/internal/coordination/quarantine/judge.go
+++ b/internal/coordination/quarantine/judge.go
@@ -161,7 +161,7 @@
 	}
 	for _, b := range s.broken {
 		if b.at >= since {
-			out[b.domain] = true
+			out[b.places[0].Domain] = true
 		}
 	}
 	return out
--- a/internal/coordination/quarantine/run.go
+++ b/internal/coordination/quarantine/run.go
@@ -136,10 +136,13 @@
 func (t *Tracker) broke(work model.Fingerprint, places []Place, answered bool) (doubtful []model.Incarnation) {
 	s := t.suspect(work)
 	at := places[0]
-	if s.ends[at.Server] {
-		return nil
+	for _, p := range places {
+		// One end, of whichever engine, breaks the whole chain off.
+		if s.ends[p.Server] {
+			return nil
+		}
 	}
-	s.broken[at.Server] = breakOff{at: t.clock(), domain: at.Domain, answered: answered}
+	s.broken[at.Server] = breakOff{at: t.clock(), places: places, answered: answered}
 	switch {
 	case len(s.ends)+len(s.broken) >= aloneFrom:
 		return slices.Collect(maps.Keys(s.broken))
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -14,6 +14,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,7 +92,8 @@
 // suspect is a request that ran at servers which ended.
 type suspect struct {
 	ends map[model.Incarnation]bool
-	// broken are servers at which it broke off; their ends are not confirmed.
+	// broken are its runs that broke off, by the server that it was sent to; that this one
+	// or another of the chain has ended is not confirmed.
 	broken map[model.Incarnation]breakOff
 	// own says that this router ran it at a server that ended.
 	own bool
@@ -102,10 +104,15 @@
 // breakOff is a run whose connection ended.
 type breakOff struct {
 	at       time.Duration
-	domain   string
+	places   []Place
 	answered bool
 }
 
+// ranAt tells whether a server took part.
+func (b breakOff) ranAt(server model.Incarnation) bool {
+	return slices.ContainsFunc(b.places, func(p Place) bool { return p.Server == server })
+}
+
 func (t *Tracker) suspect(work model.Fingerprint) *suspect {
 	s := t.suspects[work]
 	if s == nil {
@@ -132,8 +139,11 @@
 		add(present, run.Work(), run.presenceAt(server))
 	}
 	for work, s := range t.suspects {
-		if b, ok := s.broken[server]; ok {
-			add(present, work, presence{answered: b.answered})
+		for first, b := range s.broken {
+			if b.ranAt(server) {
+				add(present, work, presence{answered: b.answered, later: first != server})
+				delete(s.broken, first)
+			}
 		}
 	}
 	news := t.note(server, domain, present)
@@ -211,14 +221,16 @@
 	}
 }
 
-// Alive takes in that a server whose connection broke off takes new ones: its process
-// goes on, and what broke off there blames nobody.
+// Alive takes in that a server whose connection broke off takes new ones: its process goes
+// on, and what broke off there blames nobody. Of a chain another engine may have ended.
 func (t *Tracker) Alive(server model.Incarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for work, s := range t.suspects {
-		delete(s.broken, server)
-		t.drop(work)
+		if b, ok := s.broken[server]; ok && len(b.places) == 1 {
+			delete(s.broken, server)
+			t.drop(work)
+		}
 	}
 }
 
