--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -104,7 +104,7 @@
 // until its own word stands there again: whoever wrote over it may know that it
 // is gone, and a server that lives writes again within a heartbeat. It tells
 // whether that is news.
-func (c *Catalog) Spoil(id string, revision int64) bool {
+func (c *Catalog) Spoil(id string, revision model.Revision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, ok := c.entries[id]
@@ -115,7 +115,7 @@
 	return true
 }
 
-func (c *Catalog) spoil(e *entry, revision int64) {
+func (c *Catalog) spoil(e *entry, revision model.Revision) {
 	e.unreadable = true
 	e.server.Revision = revision
 	c.stale.Store(true)
@@ -126,7 +126,7 @@
 // away, and are back shortly after it returns. A removal that is older than the
 // entry is passed over, as in Put: the entry came back after it, and its server
 // would get no requests until the watch tells of it.
-func (c *Catalog) Remove(id string, revision int64, grace time.Duration) {
+func (c *Catalog) Remove(id string, revision model.Revision, grace time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if e, ok := c.entries[id]; ok && e.server.Revision > revision {
@@ -151,7 +151,7 @@
 
 // Replace takes in the whole list: what it lacks was removed. spoilt are the ids
 // whose entries name no server.
-func (c *Catalog) Replace(all []model.BackendServer, spoilt map[string]int64, grace time.Duration) News {
+func (c *Catalog) Replace(all []model.BackendServer, spoilt map[string]model.Revision, grace time.Duration) News {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var news News
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -11,7 +11,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-func server(id, addr string, revision int64) model.BackendServer {
+func server(id, addr string, revision model.Revision) model.BackendServer {
 	return model.BackendServer{ID: id, Service: "s", Address: addr, Revision: revision}
 }
 
@@ -93,8 +93,9 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		_, now := clock()
 		c := New(now)
-		newest := int64(0)
-		for _, rev := range rapid.SliceOfN(rapid.Int64Range(1, 50), 1, 20).Draw(rt, "revisions") {
+		newest := model.Revision(0)
+		for _, n := range rapid.SliceOfN(rapid.Int64Range(1, 50), 1, 20).Draw(rt, "revisions") {
+			rev := model.Revision(n)
 			c.Put(server("a", "1:1", rev))
 			newest = max(newest, rev)
 			assert.Equal(rt, c.Load().ByID("a").Revision, newest)
@@ -191,7 +192,7 @@
 	for b.Loop() {
 		c := New(now)
 		for i := range 3000 {
-			c.Put(server(strconv.Itoa(i), strconv.Itoa(i), int64(i)))
+			c.Put(server(strconv.Itoa(i), strconv.Itoa(i), model.Revision(i)))
 		}
 		c.Load()
 	}
--- a/internal/coordination/catalog/incarnation.go
+++ b/internal/coordination/catalog/incarnation.go
@@ -132,7 +132,7 @@
 // sighting is when an incarnation was first heard of.
 type sighting struct {
 	// revision is the store's of the first entry that named it.
-	revision int64
+	revision model.Revision
 	// read numbers the read of the whole list that brought it; 0 where it was a
 	// change. What one read brings may be older or newer than its revision says.
 	read int64
@@ -147,7 +147,7 @@
 	// newest is the incarnation of each id that was heard of last.
 	newest map[string]model.Incarnation
 	// latest is the highest revision that was seen.
-	latest int64
+	latest model.Revision
 }
 
 func newSightings() sightings {
--- a/internal/coordination/catalog/incarnation_test.go
+++ b/internal/coordination/catalog/incarnation_test.go
@@ -11,7 +11,7 @@
 )
 
 // start is one start of the engine "a" at its address, holding layers or none.
-func start(born, revision int64, layers int) model.BackendServer {
+func start(born int64, revision model.Revision, layers int) model.BackendServer {
 	b := server("a", "1:1", revision)
 	b.Born = born
 	b.Holds.To = layers
@@ -101,7 +101,7 @@
 			assert.Equal(t, cat.Load().ByID("a").Born, c.stays)
 			cat.Put(start(c.answers, 3, 0))
 			assert.Equal(t, cat.Load().ByID("a").Born, c.stays, "and its next entry is taken in")
-			assert.Equal(t, cat.Load().ByID("a").Revision, int64(3))
+			assert.Equal(t, cat.Load().ByID("a").Revision, model.Revision(3))
 		})
 	}
 }
@@ -177,7 +177,7 @@
 	assert.Assert(t, c.Load().ByID("a") != nil, "work that runs there goes on")
 	c.Put(start(100, 5, 9))
 	assert.Equal(t, len(c.Load().Service("s")), 2)
-	c.Replace([]model.BackendServer{server("b", "2:1", 2)}, map[string]int64{"a": 6}, time.Minute)
+	c.Replace([]model.BackendServer{server("b", "2:1", 2)}, map[string]model.Revision{"a": 6}, time.Minute)
 	assert.Equal(t, len(c.Load().Service("s")), 1, "a read of the whole list tells the same")
 	c.Remove("a", 7, time.Minute)
 	assert.Assert(t, c.Load().ByID("a") == nil, "nobody vouches for it")
@@ -202,7 +202,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		at, now := clock()
 		c := New(now)
-		revision, newest := int64(0), int64(0)
+		revision, newest := model.Revision(0), int64(0)
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
 			revision++
 			*at = at.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond)
@@ -224,7 +224,7 @@
 	c := New(now)
 	h := NewHealth(now)
 	for i := range int64(100) {
-		b := start(i+1, i+1, 0)
+		b := start(i+1, model.Revision(i+1), 0)
 		c.Put(b)
 		h.Suspect(b.Incarnation())
 	}
--- a/internal/coordination/follow/fleet_test.go
+++ b/internal/coordination/follow/fleet_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/state/replica"
 	"github.com/skylarkwood/skylarkwood/platform/standin"
@@ -149,7 +150,7 @@
 	}
 }
 
-func (n *node) hear(from string, revision int64) {
+func (n *node) hear(from string, revision model.Revision) {
 	n.mu.Lock()
 	n.heard[from] = n.fleet.clock()
 	fl := n.fl
@@ -177,7 +178,7 @@
 	return out
 }
 
-func (n *node) ask(ctx context.Context, addr string, after int64, most time.Duration) (News, error) {
+func (n *node) ask(ctx context.Context, addr string, after model.Revision, most time.Duration) (News, error) {
 	to := n.fleet.node(addr)
 	time.Sleep(linkDelay)
 	fl, _ := to.running()
@@ -224,7 +225,7 @@
 	return n.Store.Range(ctx, prefix)
 }
 
-func (n *node) Watch(ctx context.Context, prefix string, after int64, most time.Duration) (platform.Page, error) {
+func (n *node) Watch(ctx context.Context, prefix string, after model.Revision, most time.Duration) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, most+time.Second)
 	defer cancel()
 	if err := n.reach(ctx); err != nil {
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -14,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/state/replica"
 	pause "github.com/skylarkwood/skylarkwood/internal/wait"
@@ -90,7 +91,7 @@
 	// Picker chooses between the store and the routers that ask it; nil for always the
 	// store. Ask asks one of them.
 	Picker *Picker
-	Ask    func(ctx context.Context, addr string, after int64, wait time.Duration) (News, error)
+	Ask    func(ctx context.Context, addr string, after model.Revision, wait time.Duration) (News, error)
 	// Replica holds what is known for others to ask; nil where nobody does.
 	Replica *replica.Replica
 	// Elsewhere is when, as far as known here, anybody last heard from the
@@ -103,7 +104,7 @@
 	mu          sync.Mutex
 	cut         context.CancelFunc // ends the watch in progress
 	behindSince time.Duration      // since when a peer is ahead; 0 for not
-	ahead       int64              // highest revision that a peer told of
+	ahead       model.Revision     // highest revision that a peer told of
 
 	source     Source
 	watching   atomic.Bool // the store answered, and nobody else was asked since
@@ -117,8 +118,8 @@
 	gathered   bool          // it was the store's, with changes
 	readTime   time.Duration // bound of the next read of the whole range
 
-	owed      map[string]int64 // large values to be read, by key: from which revision on
-	owedAfter time.Duration    // when they may be asked for again
+	owed      map[string]model.Revision // large values to be read, by key: from which revision on
+	owedAfter time.Duration             // when they may be asked for again
 }
 
 // Silence is how long ago the store last answered.
@@ -127,7 +128,7 @@
 }
 
 // Revision is up to which the picture is complete.
-func (f *Follower) Revision() int64 { return f.revision.Load() }
+func (f *Follower) Revision() model.Revision { return model.Revision(f.revision.Load()) }
 
 // Watching tells whether this process has its news from the store itself.
 func (f *Follower) Watching() bool { return f.watching.Load() }
@@ -265,17 +266,17 @@
 }
 
 // reset takes in the whole range.
-func (f *Follower) reset(items []replica.Item, revision int64) {
+func (f *Follower) reset(items []replica.Item, revision model.Revision) {
 	clear(f.owed)
 	f.Sink.Reset(platform.Page{Items: f.present(items), Revision: revision}, f.grace())
 	if f.Replica != nil {
 		f.Replica.Reset(items, revision)
 	}
-	f.revision.Store(revision)
+	f.revision.Store(int64(revision))
 }
 
 // change takes in changes that are complete up to a revision.
-func (f *Follower) change(items []replica.Item, revision int64) {
+func (f *Follower) change(items []replica.Item, revision model.Revision) {
 	for _, it := range newest(f.present(items)) {
 		f.Sink.Change(it, f.grace())
 	}
@@ -283,7 +284,7 @@
 	if f.Replica != nil {
 		f.Replica.Change(items, revision)
 	}
-	f.revision.Store(revision)
+	f.revision.Store(int64(revision))
 }
 
 // present gives the items whose values are there; the others are to be read.
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/state/replica"
 	"github.com/skylarkwood/skylarkwood/platform/standin"
@@ -178,7 +179,9 @@
 		assert.Assert(t, p.has("k", "1"))
 	}, func(fl *Follower) {
 		fl.Picker = othersWatch(fl, 20)
-		fl.Ask = func(context.Context, string, int64, time.Duration) (News, error) { return News{}, ErrNotWatching }
+		fl.Ask = func(context.Context, string, model.Revision, time.Duration) (News, error) {
+			return News{}, ErrNotWatching
+		}
 	})
 }
 
@@ -196,7 +199,9 @@
 		assert.Assert(t, store.Calls().Watches-before <= 25, "%d watches", store.Calls().Watches-before)
 	}, func(fl *Follower) {
 		fl.Picker = othersWatch(fl, 20)
-		fl.Ask = func(context.Context, string, int64, time.Duration) (News, error) { return News{}, ErrNotWatching }
+		fl.Ask = func(context.Context, string, model.Revision, time.Duration) (News, error) {
+			return News{}, ErrNotWatching
+		}
 	})
 }
 
@@ -296,7 +301,9 @@
 // Configurations come in quick succession, and an engine registers between them.
 // What came together is applied once a key, the last word of each, in its order.
 func TestReplacedChangesAreNotApplied(t *testing.T) {
-	item := func(key string, revision int64) platform.Item { return platform.Item{Key: key, Revision: revision} }
+	item := func(key string, revision model.Revision) platform.Item {
+		return platform.Item{Key: key, Revision: revision}
+	}
 	in := []platform.Item{item("config", 1), item("servers/a", 2), item("config", 3), item("servers/b", 4), item("config", 5)}
 	assert.DeepEqual(t, newest(in), []platform.Item{item("servers/a", 2), item("servers/b", 4), item("config", 5)})
 	assert.DeepEqual(t, newest(in[:2]), in[:2])
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -4,16 +4,18 @@
 	"context"
 
 	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
 // PeerAt takes in the revision of a peer's picture. Where it stays ahead, whoever is
 // asked here is silent or behind: the question is cut, and another one is asked.
-func (f *Follower) PeerAt(revision int64) {
+func (f *Follower) PeerAt(revision model.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ahead = max(f.ahead, revision)
 	if f.lagging() && f.cut != nil {
-		klog.InfoS("news are behind a peer's and are asked for anew", "source", f.source.Address, "revision", f.revision.Load(), "peer", f.ahead,
+		klog.InfoS("news are behind a peer's and are asked for anew", "source", f.source.Address, "revision", f.Revision(), "peer", f.ahead,
 			"for", f.Clock()-f.behindSince)
 		f.cut()
 		f.cut = nil
@@ -26,7 +28,7 @@
 func (f *Follower) lagging() bool {
 	now := f.Clock()
 	switch {
-	case f.ahead <= f.revision.Load():
+	case f.ahead <= f.Revision():
 		f.behindSince = 0
 		return false
 	case f.behindSince == 0:
@@ -63,7 +65,7 @@
 func (f *Follower) isBehind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.ahead > f.revision.Load()
+	return f.ahead > f.Revision()
 }
 
 // failedAgain notes that a question to the store failed and tells whether others are
@@ -75,7 +77,7 @@
 }
 
 // highest is the highest revision that a peer told of so far.
-func (f *Follower) highest() int64 {
+func (f *Follower) highest() model.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.ahead
@@ -83,7 +85,7 @@
 
 // disprove takes in the store's own revision, asked for after a peer had claimed one. A
 // peer that claimed a higher one is wrong, and would else keep this process asking.
-func (f *Follower) disprove(claimed, revision int64) {
+func (f *Follower) disprove(claimed, revision model.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if claimed <= revision || f.ahead > claimed {
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/state/replica"
 )
@@ -30,7 +31,7 @@
 // Tell answers a peer: at once if something is known beyond a revision, else as soon as
 // something is, or with nothing after a time. Only who asks the store itself answers:
 // two that ask each other would find each other up to date, whatever the store says.
-func (f *Follower) Tell(ctx context.Context, after int64, most time.Duration) (News, error) {
+func (f *Follower) Tell(ctx context.Context, after model.Revision, most time.Duration) (News, error) {
 	if !f.Watching() {
 		return News{}, ErrNotWatching
 	}
@@ -76,7 +77,7 @@
 	return nil
 }
 
-func (f *Follower) askWithin(ctx context.Context, addr string, after int64, most time.Duration) (News, error) {
+func (f *Follower) askWithin(ctx context.Context, addr string, after model.Revision, most time.Duration) (News, error) {
 	ctx, cancel := context.WithTimeout(ctx, most+peerSlack)
 	defer cancel()
 	return f.Ask(ctx, addr, after, most)
@@ -106,9 +107,9 @@
 }
 
 // owe notes that a value is to be read from the store.
-func (f *Follower) owe(key string, revision int64) {
+func (f *Follower) owe(key string, revision model.Revision) {
 	if f.owed == nil {
-		f.owed = map[string]int64{}
+		f.owed = map[string]model.Revision{}
 	}
 	f.owed[key] = max(f.owed[key], revision)
 	f.owedAfter = 0
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -14,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 )
 
@@ -87,19 +88,19 @@
 	Eligible func() bool
 
 	mu      sync.Mutex
-	member  lease // of this router's entry
-	claim   lease // of the leadership key, while this router holds or claims it
-	token   int64 // fencing token; 0 while not leading
-	refused int64 // token that an engine refused as too old
+	member  lease          // of this router's entry
+	claim   lease          // of the leadership key, while this router holds or claims it
+	token   model.Revision // fencing token; 0 while not leading
+	refused model.Revision // token that an engine refused as too old
 	holder  string
-	highest int64 // highest token heard of
+	highest model.Revision // highest token heard of
 	// vacantAt is the revision at which nobody led, as far as was heard.
-	vacantAt int64
+	vacantAt model.Revision
 	left     bool // this process stops: it leads no more
 }
 
 // Token is the fencing token while this process leads; 0 otherwise.
-func (e *Elector) Token() int64 {
+func (e *Elector) Token() model.Revision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.token == 0 || e.token < e.highest || e.Clock() > e.claim.until {
@@ -110,7 +111,7 @@
 
 // Seen takes in the leadership key: who holds it and since which revision. An
 // empty value means that nobody does.
-func (e *Elector) Seen(value []byte, revision int64) {
+func (e *Elector) Seen(value []byte, revision model.Revision) {
 	var c claim
 	if len(value) > 0 {
 		if err := json.Unmarshal(value, &c); err != nil {
@@ -142,7 +143,7 @@
 }
 
 // Refused takes in that an engine has seen a higher token.
-func (e *Elector) Refused(token int64) {
+func (e *Elector) Refused(token model.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.token == token {
@@ -232,7 +233,7 @@
 	return it.Revision > e.vacantAt
 }
 
-func (e *Elector) win(revision int64) {
+func (e *Elector) win(revision model.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.token = revision
--- a/internal/coordination/leader/leader_test.go
+++ b/internal/coordination/leader/leader_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/platform/standin"
 )
@@ -45,7 +46,7 @@
 }
 
 func (c *candidate) watch(ctx context.Context, store *standin.Store) {
-	after := int64(0)
+	after := model.Revision(0)
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
 		page, err := store.Watch(bounded, Key, after, time.Second)
@@ -152,11 +153,11 @@
 		time.Sleep(2 * time.Second)
 		token := a.e.Token()
 		a.e.Refused(token)
-		assert.Equal(t, a.e.Token(), int64(0))
+		assert.Equal(t, a.e.Token(), model.Revision(0))
 		it, err := store.Get(context.Background(), Key)
 		assert.NilError(t, err)
 		a.e.Seen(it.Value, it.Revision)
-		assert.Equal(t, a.e.Token(), int64(0))
+		assert.Equal(t, a.e.Token(), model.Revision(0))
 		a.end()
 	})
 }
@@ -174,7 +175,7 @@
 	return l.lost
 }
 
-func (l *losing) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (l *losing) Commit(ctx context.Context, txn platform.Txn) (model.Revision, error) {
 	revision, err := l.Store.Commit(ctx, txn)
 	if err != nil {
 		return revision, err
--- a/internal/coordination/leader/leave_test.go
+++ b/internal/coordination/leader/leave_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/platform/standin"
 )
@@ -33,7 +34,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var a *candidate
 		var mu sync.Mutex
-		tokens := []int64{}
+		tokens := []model.Revision{}
 		store := &watched{Store: standin.NewStore(), revoking: func() {
 			mu.Lock()
 			defer mu.Unlock()
@@ -46,8 +47,8 @@
 		a.end()
 		mu.Lock()
 		defer mu.Unlock()
-		assert.DeepEqual(t, tokens, []int64{0, 0})
-		assert.Equal(t, a.e.Token(), int64(0))
+		assert.DeepEqual(t, tokens, []model.Revision{0, 0})
+		assert.Equal(t, a.e.Token(), model.Revision(0))
 	})
 }
 
@@ -65,7 +66,7 @@
 		value, err := json.Marshal(claim{Instance: "a", Incarnation: "a-1"})
 		assert.NilError(t, err)
 		a.e.Seen(value, 3)
-		assert.Equal(t, a.e.Token(), int64(0))
+		assert.Equal(t, a.e.Token(), model.Revision(0))
 		_, err = store.Get(context.Background(), Key)
 		assert.ErrorIs(t, err, platform.ErrNotFound, "nobody can lead until the claim's lease has run out")
 	})
--- a/internal/coordination/leader/race_test.go
+++ b/internal/coordination/leader/race_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/platform/standin"
 )
 
@@ -21,7 +22,7 @@
 		before := store.Calls()
 		c, _ := run(store, "a") // it does not watch
 		time.Sleep(5 * time.Second)
-		assert.Equal(t, c.e.Token(), int64(0))
+		assert.Equal(t, c.e.Token(), model.Revision(0))
 		// One lease and one write for its own entry.
 		assert.Equal(t, store.Calls().Writes-before.Writes, 2)
 		c.end()
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -40,9 +40,9 @@
 	Store   platform.Store
 	Engines Engines
 	// Token is the fencing token; 0 while another process leads.
-	Token func() int64
+	Token func() model.Revision
 	// Fenced is told that an engine refused a token.
-	Fenced func(token int64)
+	Fenced func(token model.Revision)
 	// Traffic tells whether callers' requests were seen by any router.
 	Traffic func() bool
 	// Suspected tells whether there is evidence against an engine; nil for never.
@@ -74,11 +74,11 @@
 // stored is a plan and the store's revision of it.
 type stored struct {
 	plan     Plan
-	revision int64
+	revision model.Revision
 }
 
 // SeenPlan takes in a plan from the store.
-func (c *Controller) SeenPlan(service string, value []byte, revision int64) {
+func (c *Controller) SeenPlan(service string, value []byte, revision model.Revision) {
 	plan, err := DecodePlan(value)
 	if err != nil {
 		klog.InfoS("stored plan cannot be read", "service", service, "revision", revision, "err", err)
@@ -231,7 +231,7 @@
 
 // persist stores a changed plan under the condition that this process still
 // leads: the leadership key has the revision that is the token.
-func (c *Controller) persist(ctx context.Context, service string, plan Plan, token int64) bool {
+func (c *Controller) persist(ctx context.Context, service string, plan Plan, token model.Revision) bool {
 	c.mu.Lock()
 	old := c.plans[service]
 	c.mu.Unlock()
--- a/internal/coordination/placement/controller_test.go
+++ b/internal/coordination/placement/controller_test.go
@@ -31,7 +31,7 @@
 	traffic atomic.Bool
 
 	mu       sync.Mutex
-	revision int64
+	revision model.Revision
 	holds    map[string]model.LayerRange
 	orders   map[string]int64
 	born     map[string]int64 // by id; 0 where it was not told
@@ -47,11 +47,11 @@
 	sp := spec()
 	sp.LoadTime = 14 * time.Second
 	sp.LoadsAtOnce = 5
-	s.token.Store(s.store.Put(leader.Key, []byte(`{}`)))
+	s.token.Store(int64(s.store.Put(leader.Key, []byte(`{}`))))
 	s.c = &Controller{
 		Config: &routes.Current{}, Catalog: s.catalog, Store: s.store, Engines: s, Now: time.Now,
-		Token:   s.token.Load,
-		Fenced:  func(int64) { s.token.Store(0) },
+		Token:   func() model.Revision { return model.Revision(s.token.Load()) },
+		Fenced:  func(model.Revision) { s.token.Store(0) },
 		Traffic: s.traffic.Load,
 	}
 	s.config(sp)
--- a/internal/coordination/placement/late_test.go
+++ b/internal/coordination/placement/late_test.go
@@ -83,10 +83,10 @@
 // slowCommits calls before with each commit that took effect, ahead of its answer.
 type slowCommits struct {
 	*standin.Store
-	before func(revision int64)
+	before func(revision model.Revision)
 }
 
-func (s slowCommits) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (s slowCommits) Commit(ctx context.Context, txn platform.Txn) (model.Revision, error) {
 	revision, err := s.Store.Commit(ctx, txn)
 	if err == nil {
 		s.before(revision)
@@ -101,11 +101,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newShop(t)
 		newer := Plan{"e:1": {From: 20, To: 40}}
-		s.c.Store = slowCommits{Store: s.store, before: func(revision int64) {
+		s.c.Store = slowCommits{Store: s.store, before: func(revision model.Revision) {
 			s.c.SeenPlan("s", planOf(t, newer), revision+1)
 		}}
 		s.register("e", "e:1", "hala", "a100", model.LayerRange{})
-		token := s.token.Load()
+		token := model.Revision(s.token.Load())
 		assert.Assert(t, !s.c.persist(context.Background(), "s", Plan{"e:1": {From: 0, To: 20}}, token), "the stored plan is not in force")
 		assert.Assert(t, same(s.c.plans["s"].plan, newer))
 		_, err := s.store.Get(context.Background(), leader.PlanPrefix+"s")
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -51,7 +51,7 @@
 // giveOrders orders what differs from the plan: whole chains of fast cards
 // first, so that requests are served before all loads are done, and no more at
 // once than load without slowing each other down, once there is traffic.
-func (c *Controller) giveOrders(ctx context.Context, svc *model.Service, servers []*model.BackendServer, plan Plan, token int64) {
+func (c *Controller) giveOrders(ctx context.Context, svc *model.Service, servers []*model.BackendServer, plan Plan, token model.Revision) {
 	due := make(chan *model.BackendServer, len(servers))
 	for _, b := range c.due(svc, servers, plan) {
 		due <- b
@@ -150,7 +150,7 @@
 // place gives one order. The report before it tells the number of orders that
 // the engine has begun: an order that arrives late, after a newer one, then no
 // longer fits.
-func (c *Controller) place(ctx context.Context, svc *model.Service, b *model.BackendServer, want model.LayerRange, token int64) {
+func (c *Controller) place(ctx context.Context, svc *model.Service, b *model.BackendServer, want model.LayerRange, token model.Revision) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := c.Engines.Report(ctx, b)
@@ -172,7 +172,7 @@
 		c.pause(b.Incarnation(), want, 0)
 		return
 	}
-	result, err := c.Engines.Place(ctx, b, want, token, report.Orders)
+	result, err := c.Engines.Place(ctx, b, want, int64(token), report.Orders)
 	klog.InfoS("order given", "server", b.Incarnation(), "address", b.Address, "card", b.Card, "from", b.Holds.String(), "to", want.String(),
 		"token", token, "expected", report.Orders, "result", int(result), "err", err)
 	switch result {
@@ -189,7 +189,7 @@
 // has an engine hold these layers. Both may have changed while the engine's report was
 // under way: the engine would load layers that it must give up again, and it refuses
 // an older token only once it has seen a newer one.
-func (c *Controller) stillWanted(service string, b *model.BackendServer, want model.LayerRange, token int64) bool {
+func (c *Controller) stillWanted(service string, b *model.BackendServer, want model.LayerRange, token model.Revision) bool {
 	if c.Token() != token {
 		return false
 	}
--- a/internal/coordination/quarantine/archive.go
+++ b/internal/coordination/quarantine/archive.go
@@ -39,7 +39,7 @@
 
 	mu       sync.Mutex
 	seen     bool // the store was read
-	revision int64
+	revision model.Revision
 	stored   map[model.Fingerprint]int64 // until when, in Unix milliseconds
 	missing  time.Duration               // since when one is missing; 0 for none
 	retryAt  time.Duration
@@ -61,7 +61,7 @@
 }
 
 // Seen takes in the key as the store holds it; an empty value says that it does not exist.
-func (a *Archive) Seen(value []byte, revision int64) {
+func (a *Archive) Seen(value []byte, revision model.Revision) {
 	var rec record
 	if len(value) > 0 {
 		if err := json.Unmarshal(value, &rec); err != nil {
@@ -90,7 +90,7 @@
 }
 
 // due tells whether this router is to store verdicts now, in place of which revision.
-func (a *Archive) due(sentences []Sentence, rank int) (expected int64, due bool) {
+func (a *Archive) due(sentences []Sentence, rank int) (expected model.Revision, due bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Clock()
@@ -125,7 +125,7 @@
 
 // write replaces the key. Where it changed meanwhile nothing is written: the change comes
 // in with the store's news, and what is still missing is written after that.
-func (a *Archive) write(ctx context.Context, sentences []Sentence, expected int64) {
+func (a *Archive) write(ctx context.Context, sentences []Sentence, expected model.Revision) {
 	now := a.Now().UnixMilli()
 	var rec record
 	for _, s := range sentences {
--- a/internal/coordination/quarantine/archive_test.go
+++ b/internal/coordination/quarantine/archive_test.go
@@ -15,12 +15,12 @@
 type shelf struct {
 	platform.Store
 	value    []byte
-	revision int64
+	revision model.Revision
 	calls    int
 	away     bool
 }
 
-func (s *shelf) Commit(_ context.Context, txn platform.Txn) (int64, error) {
+func (s *shelf) Commit(_ context.Context, txn platform.Txn) (model.Revision, error) {
 	s.calls++
 	switch {
 	case s.away:
@@ -87,7 +87,7 @@
 	assert.Equal(t, s.calls, 1)
 	a.Tick(t.Context())
 	assert.Equal(t, s.calls, 2, "it had not heard of the other's write")
-	assert.Equal(t, s.revision, int64(7), "and did not replace it")
+	assert.Equal(t, s.revision, model.Revision(7), "and did not replace it")
 	a.Seen(s.value, s.revision)
 	first.now += time.Minute
 	a.Tick(t.Context())
@@ -128,6 +128,6 @@
 	b.ends(guilty, 1, 2, 3)
 	b.Judge()
 	a.Tick(t.Context())
-	assert.Equal(t, s.revision, int64(10))
+	assert.Equal(t, s.revision, model.Revision(10))
 	assert.Equal(t, b.Look(model.Fingerprint{}).Standing, Free)
 }
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	outside "github.com/skylarkwood/skylarkwood/internal/platform"
 )
 
@@ -86,7 +87,7 @@
 }
 
 // Watch implements Store.
-func (c *countedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (outside.Page, error) {
+func (c *countedStore) Watch(ctx context.Context, prefix string, after model.Revision, wait time.Duration) (outside.Page, error) {
 	page, err := c.Store.Watch(ctx, prefix, after, wait)
 	kind := callWatchQuiet
 	if len(page.Items) > 0 {
@@ -97,7 +98,7 @@
 }
 
 // Commit implements Store.
-func (c *countedStore) Commit(ctx context.Context, txn outside.Txn) (int64, error) {
+func (c *countedStore) Commit(ctx context.Context, txn outside.Txn) (model.Revision, error) {
 	revision, err := c.Store.Commit(ctx, txn)
 	c.count(callCommit, err)
 	return revision, err
--- a/internal/daemon/router_test.go
+++ b/internal/daemon/router_test.go
@@ -35,7 +35,7 @@
 	}
 }
 
-func (s *emptyStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (outside.Page, error) {
+func (s *emptyStore) Watch(ctx context.Context, _ string, _ model.Revision, _ time.Duration) (outside.Page, error) {
 	<-ctx.Done()
 	return outside.Page{}, outside.ErrUnavailable
 }
--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -44,7 +44,7 @@
 }
 
 // valueOf finds what a key holds, and since which revision; nothing if it is not there.
-func valueOf(items []outside.Item, key string) (value []byte, revision int64) {
+func valueOf(items []outside.Item, key string) (value []byte, revision model.Revision) {
 	for _, it := range items {
 		if it.Key == key {
 			return it.Value, it.Revision
@@ -55,8 +55,8 @@
 
 // decodeServers reads the entries of backend servers. spoilt holds the revisions
 // of those that name no server, by id.
-func (s *routerSink) decodeServers(items []outside.Item) (servers []model.BackendServer, spoilt map[string]int64) {
-	spoilt = map[string]int64{}
+func (s *routerSink) decodeServers(items []outside.Item) (servers []model.BackendServer, spoilt map[string]model.Revision) {
+	spoilt = map[string]model.Revision{}
 	for _, it := range items {
 		if !strings.HasPrefix(it.Key, platform.ServersPrefix) {
 			continue
@@ -75,7 +75,7 @@
 
 // noteOdd logs an entry that names no server: where it has just spoilt a good one, and
 // else once in a while for each.
-func (s *routerSink) noteOdd(id string, revision int64, spoilt bool, err error) {
+func (s *routerSink) noteOdd(id string, revision model.Revision, spoilt bool, err error) {
 	if s.odd.first(id, time.Now()) || spoilt {
 		known := s.catalog.Load().ByID(id) != nil
 		klog.InfoS("backend server's entry names no server", "server", id, "known", known, "err", err, "revision", revision)
--- a/internal/model/serving.go
+++ b/internal/model/serving.go
@@ -155,7 +155,7 @@
 	// Beats counts the heartbeats that it had written by then, since its start.
 	Beats int64
 	// Revision is the store's revision of the entry.
-	Revision int64
+	Revision Revision
 }
 
 // Incarnation tells which start of the server this is.
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
 // Errors of the store, beside those of the key-value service.
@@ -31,7 +33,7 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision int64
+	Revision model.Revision
 	Lease    LeaseID
 	Removed  bool
 }
@@ -39,13 +41,13 @@
 // Page is the state of a range of keys at a revision.
 type Page struct {
 	Items    []Item
-	Revision int64
+	Revision model.Revision
 }
 
 // Condition demands a key's present revision; 0 demands that it is absent.
 type Condition struct {
 	Key      string
-	Revision int64
+	Revision model.Revision
 }
 
 // Txn is a change that is carried out as a whole or not at all.
@@ -65,8 +67,8 @@
 	// Peek reads one key from a copy that may be seconds old, at a tenth of the price.
 	Peek(ctx context.Context, key string) (Item, error)
 	// Watch waits, at most wait, for changes after a revision.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error)
-	Commit(ctx context.Context, txn Txn) (revision int64, err error)
+	Watch(ctx context.Context, prefix string, after model.Revision, wait time.Duration) (Page, error)
+	Commit(ctx context.Context, txn Txn) (revision model.Revision, err error)
 	// Grant makes a lease; its time runs from the arrival of the call.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
 	KeepAlive(ctx context.Context, id LeaseID) error
--- a/internal/protocol/wire/beat.go
+++ b/internal/protocol/wire/beat.go
@@ -11,7 +11,7 @@
 	Config      int64
 	ConfigAgeMS int64
 	// Revision is that of the store up to which its picture is complete.
-	Revision int64
+	Revision model.Revision
 	// Uses are what its streams take.
 	Uses []RouterUse
 	// Slow are engines that said to be slower than their cards, by how much.
@@ -52,7 +52,7 @@
 	p.number(b.EveryMS)
 	p.number(b.Config)
 	p.number(b.ConfigAgeMS)
-	p.number(b.Revision)
+	p.number(int64(b.Revision))
 	p.flag(b.Traffic)
 	p.number(int64(len(b.Uses)))
 	for _, u := range b.Uses {
@@ -82,7 +82,7 @@
 		EveryMS:     u.number(),
 		Config:      u.number(),
 		ConfigAgeMS: u.number(),
-		Revision:    u.number(),
+		Revision:    model.Revision(u.number()),
 		Traffic:     u.flag(),
 	}
 	b.Uses = make([]RouterUse, u.count())
--- a/internal/protocol/wire/beat_test.go
+++ b/internal/protocol/wire/beat_test.go
@@ -29,7 +29,7 @@
 		})
 		b := RouterBeat{
 			EveryMS: number.Draw(t, "every"), Config: number.Draw(t, "config"), ConfigAgeMS: number.Draw(t, "age"),
-			Revision: number.Draw(t, "revision"), Traffic: rapid.Bool().Draw(t, "traffic"),
+			Revision: model.Revision(number.Draw(t, "revision")), Traffic: rapid.Bool().Draw(t, "traffic"),
 			Uses: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) RouterUse {
 				return RouterUse{Server: engine.Draw(t, "server"), TokenLayers: number.Draw(t, "tokens"), Streams: number.Draw(t, "streams"),
 					Firsts: number.Draw(t, "firsts"), Reading: fraction.Draw(t, "reading")}
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -58,14 +58,14 @@
 // RouterNewsAsk asks a router that watches the store for what changed after a
 // revision, and to wait for it.
 type RouterNewsAsk struct {
-	After  int64 `json:"after"`
-	WaitMS int64 `json:"wait"`
+	After  model.Revision `json:"after"`
+	WaitMS int64          `json:"wait"`
 }
 
 // RouterNews is what changed, up to a revision; all that is there if Whole.
 type RouterNews struct {
-	Revision int64 `json:"revision"`
-	Whole    bool  `json:"whole,omitempty"`
+	Revision model.Revision `json:"revision"`
+	Whole    bool           `json:"whole,omitempty"`
 	// AgeMS is how long ago the store was last heard from, HeldMS how long the
 	// question was held, and GraceMS for how long removed entries may be believed in.
 	AgeMS   int64 `json:"age"`
@@ -80,10 +80,10 @@
 	Key   string `json:"k"`
 	Value []byte `json:"v,omitempty"`
 	// Packed says that the value is compressed, by DEFLATE.
-	Packed   bool  `json:"z,omitempty"`
-	Revision int64 `json:"r"`
-	Lease    int64 `json:"l,omitempty"`
-	Removed  bool  `json:"d,omitempty"`
+	Packed   bool           `json:"z,omitempty"`
+	Revision model.Revision `json:"r"`
+	Lease    int64          `json:"l,omitempty"`
+	Removed  bool           `json:"d,omitempty"`
 	// Omitted says that the value is to be read from the store.
 	Omitted bool `json:"o,omitempty"`
 }
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -3,11 +3,13 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 )
 
@@ -36,7 +38,7 @@
 type Answer struct {
 	Items []Item
 	// Revision is that of the store up to which the answer is complete.
-	Revision int64
+	Revision model.Revision
 	Whole    bool
 }
 
@@ -46,15 +48,15 @@
 	mu       sync.Mutex
 	items    map[string]Item // removed ones too
 	removed  int
-	revision int64
-	since    int64         // removals up to it may have been forgotten
-	changed  chan struct{} // closed when the revision grows
+	revision model.Revision
+	since    model.Revision // removals up to it may have been forgotten
+	changed  chan struct{}  // closed when the revision grows
 }
 
 // Reset takes in the whole range. What was created and removed since the last change is
 // not known from it, so whoever asks from before is told everything: told what is new
 // only, one that had heard of the creation elsewhere would believe in it for good.
-func (r *Replica) Reset(items []Item, revision int64) {
+func (r *Replica) Reset(items []Item, revision model.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.items = make(map[string]Item, len(items))
@@ -67,7 +69,7 @@
 }
 
 // Change takes in changes that are complete up to a revision.
-func (r *Replica) Change(items []Item, revision int64) {
+func (r *Replica) Change(items []Item, revision model.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.items == nil {
@@ -96,7 +98,7 @@
 }
 
 // advance moves the revision on and wakes who waits. The caller holds the lock.
-func (r *Replica) advance(revision int64) {
+func (r *Replica) advance(revision model.Revision) {
 	r.forget()
 	if revision <= r.revision {
 		return
@@ -114,7 +116,7 @@
 	if r.removed <= mostRemoved {
 		return
 	}
-	var revisions []int64
+	var revisions []model.Revision
 	for _, it := range r.items {
 		if it.Removed {
 			revisions = append(revisions, it.Revision)
@@ -131,7 +133,7 @@
 }
 
 // Since gives what changed after a revision, in the order of the changes.
-func (r *Replica) Since(after int64) Answer {
+func (r *Replica) Since(after model.Revision) Answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	whole := after < r.since
@@ -141,12 +143,12 @@
 			items = append(items, it)
 		}
 	}
-	slices.SortFunc(items, func(a, b Item) int { return int(a.Revision - b.Revision) })
+	slices.SortFunc(items, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	return Answer{Items: items, Revision: r.revision, Whole: whole}
 }
 
 // Wait waits until something is known beyond a revision, at most for a time.
-func (r *Replica) Wait(ctx context.Context, after int64, most time.Duration) {
+func (r *Replica) Wait(ctx context.Context, after model.Revision, most time.Duration) {
 	r.mu.Lock()
 	if r.revision > after {
 		r.mu.Unlock()
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -7,11 +7,12 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 )
 
 // take brings what a process knows up to an answer, as a follower does.
-func take(known map[string]int64, a Answer) {
+func take(known map[string]model.Revision, a Answer) {
 	if a.Whole {
 		clear(known)
 	}
@@ -31,11 +32,11 @@
 // removal that is left out would keep it sending work to a server that left.
 func TestAnswersBringEachAskerUpToDate(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		store := map[string]int64{}
+		store := map[string]model.Revision{}
 		var r Replica
-		revision := int64(1)
+		revision := model.Revision(1)
 		r.Reset(nil, revision)
-		known, at := map[string]int64{}, int64(0)
+		known, at := map[string]model.Revision{}, model.Revision(0)
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			key := fmt.Sprint(rapid.IntRange(0, 9).Draw(rt, "key"))
 			switch rapid.IntRange(0, 5).Draw(rt, "what") {
@@ -75,10 +76,10 @@
 func TestRemovalThatTheWatcherDidNotSee(t *testing.T) {
 	var watcher Replica
 	watcher.Reset(nil, 1)
-	known := map[string]int64{"server": 2}
+	known := map[string]model.Revision{"server": 2}
 	watcher.Reset(Full([]platform.Item{{Key: "other", Revision: 4}}), 5) // it was removed at 3
 	take(known, watcher.Since(2))
-	assert.DeepEqual(t, known, map[string]int64{"other": 4})
+	assert.DeepEqual(t, known, map[string]model.Revision{"other": 4})
 }
 
 // Servers come and go for days. What is remembered of those that left stays bounded,
@@ -86,7 +87,7 @@
 func TestRemovalsAreForgottenInTime(t *testing.T) {
 	var r Replica
 	r.Reset(nil, 1)
-	for rev := int64(2); rev < 10*mostRemoved; rev += 2 {
+	for rev := model.Revision(2); rev < 10*mostRemoved; rev += 2 {
 		key := fmt.Sprint(rev)
 		r.Change(Full([]platform.Item{{Key: key, Revision: rev}, {Key: key, Revision: rev + 1, Removed: true}}), rev+1)
 		assert.Assert(t, len(r.items) <= mostRemoved+1)
--- a/internal/transport/peers/confirm_test.go
+++ b/internal/transport/peers/confirm_test.go
@@ -50,7 +50,7 @@
 		Catalog: catalog.New(time.Now),
 		Memory:  chains.NewMemory(time.Now),
 		Pipes:   chains.NewPipes(time.Now),
-		PeerAt:  func(int64) {},
+		PeerAt:  func(model.Revision) {},
 		Clock:   func() time.Duration { return time.Duration(clock.Load()) },
 		Now:     time.Now,
 		Loans:   &limits.Loans{Now: time.Now},
--- a/internal/transport/peers/news.go
+++ b/internal/transport/peers/news.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/follow"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/state/replica"
@@ -36,7 +37,7 @@
 type News struct {
 	Pool *link.Pool
 	// Tell answers a question from this router's picture.
-	Tell func(ctx context.Context, after int64, most time.Duration) (follow.News, error)
+	Tell func(ctx context.Context, after model.Revision, most time.Duration) (follow.News, error)
 
 	mu   sync.Mutex
 	last encoded
@@ -45,7 +46,7 @@
 // encoded is the list of items between two revisions. A dozen routers ask for the same
 // at one moment, and a small instance takes longer to encode it than to send it.
 type encoded struct {
-	after, revision int64
+	after, revision model.Revision
 	whole           bool
 	items           json.RawMessage
 }
@@ -54,7 +55,7 @@
 func (n *News) Register(s *link.Server) { s.Register(wire.MethodRouterNews, link.Handle(n.answer)) }
 
 // Ask asks a router for news.
-func (n *News) Ask(ctx context.Context, addr string, after int64, wait time.Duration) (follow.News, error) {
+func (n *News) Ask(ctx context.Context, addr string, after model.Revision, wait time.Duration) (follow.News, error) {
 	var rep wire.RouterNews
 	ask := wire.RouterNewsAsk{After: after, WaitMS: wait.Milliseconds()}
 	if err := n.Pool.Call(ctx, addr, wire.MethodRouterNews, ask, &rep); err != nil {
@@ -93,7 +94,7 @@
 	}, err
 }
 
-func (n *News) encode(after int64, a replica.Answer) (json.RawMessage, error) {
+func (n *News) encode(after model.Revision, a replica.Answer) (json.RawMessage, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.last.items != nil && n.last.after == after && n.last.revision == a.Revision && n.last.whole == a.Whole {
@@ -117,7 +118,7 @@
 
 // decodeItems reads a list of items. One that is no news, or names no key, was not told
 // by a router of ours that works.
-func decodeItems(raw json.RawMessage, after int64, whole bool) ([]replica.Item, error) {
+func decodeItems(raw json.RawMessage, after model.Revision, whole bool) ([]replica.Item, error) {
 	var items []wire.RouterNewsItem
 	if err := json.Unmarshal(raw, &items); err != nil {
 		return nil, errors.Wrap(err, "news cannot be read")
--- a/internal/transport/peers/news_test.go
+++ b/internal/transport/peers/news_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/follow"
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/state/replica"
 	"github.com/skylarkwood/skylarkwood/internal/transport/link"
@@ -23,7 +24,7 @@
 	assert.NilError(t, lerr)
 	serving, stop := context.WithCancel(context.Background())
 	srv := link.NewServer(stampOf(l.Addr().String()))
-	n := &News{Tell: func(context.Context, int64, time.Duration) (follow.News, error) { return news, err }}
+	n := &News{Tell: func(context.Context, model.Revision, time.Duration) (follow.News, error) { return news, err }}
 	n.Register(srv)
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(serving, l) }()
@@ -89,7 +90,7 @@
 // A dozen routers ask for the same changes at one moment; the list is encoded once.
 func TestNewsAreEncodedOnce(t *testing.T) {
 	n := &News{}
-	answer := func(revision int64) replica.Answer {
+	answer := func(revision model.Revision) replica.Answer {
 		return replica.Answer{Revision: revision, Items: []replica.Item{{Item: platform.Item{Key: fmt.Sprint("k", revision), Revision: revision}}}}
 	}
 	first, err := n.encode(4, answer(5))
@@ -97,7 +98,7 @@
 	again, err := n.encode(4, answer(5))
 	assert.NilError(t, err)
 	assert.Assert(t, &first[0] == &again[0])
-	for _, other := range []struct{ after, revision int64 }{{3, 5}, {4, 6}} {
+	for _, other := range []struct{ after, revision model.Revision }{{3, 5}, {4, 6}} {
 		raw, err := n.encode(other.after, answer(other.revision))
 		assert.NilError(t, err)
 		assert.Assert(t, &raw[0] != &first[0])
