The store comes back from an older copy: pictures, leadership, plans, entries

What callers would have seen, by tests that failed: pictures that the store no longer had (30 of 30 routers after 2 s, watches that waited on a silent connection), a plan of before carried out, a draining server used again, two leaders where the old one was cut off.

A router that sees a new era, by any call's answer or a peer's revision, reads the whole range (watchers only; those who ask them stay with them), gives missing entries two seconds, forgets its leases and leadership, registers again spread over four seconds, and stands for leadership after the time in which an old leader may believe in its lease; the one that led may stand at once. Plans in force stay and are written again; an entry that its server has written over since changes nothing. Fencing tokens are revisions and so never fall. A renewal without an answer has the watch asked anew, as it may be as silent.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -80,6 +80,12 @@
 	if ok && !old.missing && old.server.Revision > b.Revision {
 		return News{}
 	}
+	if ok && outdated(&old.server, &b) {
+		// Of a later write nothing is taken back; what comes next is newer than both.
+		old.server.Revision = b.Revision
+		old.missing = false
+		return News{}
+	}
 	switch c.compare(old, &b) {
 	case passOver:
 		return News{}
@@ -99,6 +105,14 @@
 	return news
 }
 
+// outdated tells whether an entry of a store that came back from an older copy is one that
+// its server has written over since: its revision is of a newer era, and it has fewer
+// heartbeats than are known of the same process. Taken at its word a server that drains
+// would be ready again, and get requests, until it writes once more.
+func outdated(known, b *model.BackendServer) bool {
+	return b.Revision.Era() > known.Revision.Era() && b.Born == known.Born && b.Beats < known.Beats
+}
+
 // Spoil takes in that an entry holds something that names no server. What was
 // believed of its server is kept, as work may be running there, but it gets none
 // until its own word stands there again: whoever wrote over it may know that it
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -73,6 +73,9 @@
 
 // Sink takes in what the store holds.
 type Sink interface {
+	// NewEra takes in that the store came back from an older copy: what this process wrote
+	// there may be gone, and its leases may be another's. The whole range follows.
+	NewEra()
 	// Reset takes in the whole range; what it lacks is gone. grace is how long
 	// what is gone may still be believed in.
 	Reset(page platform.Page, grace time.Duration)
@@ -105,6 +108,7 @@
 	cut         context.CancelFunc // ends the watch in progress
 	behindSince time.Duration      // since when a peer is ahead; 0 for not
 	ahead       model.Revision     // highest revision that a peer told of
+	doubted     bool               // another call to the store got no answer
 
 	source     Source
 	watching   atomic.Bool // the store answered, and nobody else was asked since
@@ -239,7 +243,7 @@
 	switch {
 	case !f.source.Store():
 		return f.askPeer(ctx, f.source.Address)
-	case f.synced:
+	case f.synced && !f.inOldEra():
 		return f.watch(ctx)
 	default:
 		return f.readAll(ctx)
@@ -251,6 +255,7 @@
 	ctx, cancel := context.WithTimeout(ctx, f.readTime)
 	defer cancel()
 	began := f.Clock()
+	claimed := f.highest()
 	page, err := f.Store.Range(ctx, f.Prefix)
 	if err != nil {
 		f.readTime *= 2
@@ -258,6 +263,7 @@
 	}
 	f.readTime = firstRead
 	f.noteHeard(began)
+	f.disprove(claimed, page.Revision)
 	f.reset(replica.Full(page.Items), page.Revision)
 	f.heard = began
 	f.synced = true
@@ -268,6 +274,7 @@
 // reset takes in the whole range.
 func (f *Follower) reset(items []replica.Item, revision model.Revision) {
 	clear(f.owed)
+	f.noteEra(revision)
 	f.Sink.Reset(platform.Page{Items: f.present(items), Revision: revision}, f.grace())
 	if f.Replica != nil {
 		f.Replica.Reset(items, revision)
@@ -275,6 +282,18 @@
 	f.revision.Store(int64(revision))
 }
 
+// noteEra takes in the era of a whole picture. In a newer one the store is an older copy of
+// itself: entries that it lacks may be written again by servers that live.
+func (f *Follower) noteEra(revision model.Revision) {
+	before := f.Revision()
+	if before == 0 || revision.Era() <= before.Era() {
+		return
+	}
+	f.graceUntil.Store(int64(f.Clock() + comeBack))
+	klog.InfoS("the store came back from an older copy", "revision", revision, "before", before, "source", f.source.Address, "graceForRemoved", f.grace())
+	f.Sink.NewEra()
+}
+
 // change takes in changes that are complete up to a revision.
 func (f *Follower) change(items []replica.Item, revision model.Revision) {
 	for _, it := range newest(f.present(items)) {
@@ -310,6 +329,9 @@
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wait := f.wait()
+	if f.lost {
+		wait = firstWait // the store may be back from an older copy, which its answer shows
+	}
 	if f.ask(cancel) {
 		wait = firstWait
 	}
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -24,6 +24,7 @@
 	grace  map[string]time.Duration // by removed key
 	resets int
 	heard  int
+	eras   int
 }
 
 func newPicture() *picture {
@@ -55,6 +56,12 @@
 	p.items[it.Key] = string(it.Value)
 }
 
+func (p *picture) NewEra() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.eras++
+}
+
 func (p *picture) Heard(time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -22,6 +22,16 @@
 	}
 }
 
+// EraSeen takes in that some call to the store was answered in an era.
+func (f *Follower) EraSeen(era int64) {
+	if first, err := model.NewRevision(era, 0); err == nil && era > f.Revision().Era() {
+		f.PeerAt(first)
+	}
+}
+
+// inOldEra tells whether somebody knows the store to be in a newer era than this process.
+func (f *Follower) inOldEra() bool { return f.highest().Era() > f.Revision().Era() }
+
 // lagging tells whether this process has been behind some peer for longer than news
 // take to get around. Others that are as far behind say nothing about that. The caller
 // holds the lock.
@@ -31,6 +41,10 @@
 	case f.ahead <= f.Revision():
 		f.behindSince = 0
 		return false
+	case f.source.Store() && f.ahead.Era() > f.Revision().Era():
+		// What is waited for will not come: the store counts anew. Those who ask a watcher
+		// stay with it, as it will know in a moment.
+		return true
 	case f.behindSince == 0:
 		f.behindSince = now
 		return false
@@ -47,13 +61,27 @@
 func (f *Follower) ask(cut context.CancelFunc) (urgent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lagging() {
+	if f.lagging() || f.doubted {
+		f.doubted = false
 		return true
 	}
 	f.cut = cut
 	return false
 }
 
+// CallFailed takes in that another call of this process to the store got no answer. The
+// question that waits may be as silent, for seconds, while the store comes back from an
+// older copy; a new and short one shows it.
+func (f *Follower) CallFailed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.source.Store() && f.cut != nil {
+		f.doubted = true
+		f.cut()
+		f.cut = nil
+	}
+}
+
 // asked notes that a question has ended.
 func (f *Follower) asked() {
 	f.mu.Lock()
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -44,6 +44,9 @@
 	turnEvery = leaderTTL / 3
 	// callTimeout bounds one call; the store answers in 4 ms, a slow one in 350.
 	callTimeout = 900 * time.Millisecond
+	// registerSpread is the time over which routers register again after the store came
+	// back from an older copy: four hundred of them take a hundred calls a second.
+	registerSpread = 4 * time.Second
 	// raceDelay spreads candidates, so that few transactions decide: each costs two
 	// calls, and the loser hears of the winner only once changes have gathered. Of a
 	// hundred candidates the first stands after 10 ms, of three after a third of it.
@@ -97,6 +100,9 @@
 	// vacantAt is the revision at which nobody led, as far as was heard.
 	vacantAt model.Revision
 	left     bool // this process stops: it leads no more
+	// standAfter is when this process may stand for leadership, and registerAt when it
+	// may register, at the earliest.
+	standAfter, registerAt time.Duration
 }
 
 // Token is the fencing token while this process leads; 0 otherwise.
@@ -128,7 +134,7 @@
 	} else {
 		e.vacantAt = max(e.vacantAt, revision)
 	}
-	if c.Incarnation == e.Incarnation && e.token == 0 && revision != e.refused && !e.left {
+	if c.Incarnation == e.Incarnation && e.token == 0 && revision != e.refused && !e.left && e.claim.id != 0 {
 		// The answer to our own claim was lost, but the claim took effect.
 		e.token = revision
 		klog.InfoS("leadership found won", "token", revision)
@@ -142,6 +148,34 @@
 	}
 }
 
+// NewEra takes in that the store came back from an older copy: what this process wrote there
+// may be gone, and the numbers of its leases may be given out to others.
+//
+// Nobody stands for as long as a leader may believe in its lease that has not heard of the
+// return: the key that kept others out is gone, and two would order engines. Tokens do not
+// fall, as revisions of a new era are higher than all before. Entries are written again
+// spread over time, or all routers would call at one moment.
+func (e *Elector) NewEra() {
+	spread := registerSpread
+	if e.Eligible() {
+		spread = raceDelay // only who is registered stands
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Clock()
+	e.standAfter = now + leaderTTL
+	e.registerAt = now + time.Duration(rand.Int64N(int64(spread)))
+	if e.token != 0 && now <= e.claim.until {
+		// It is the one that may believe in a lease, and does not any more.
+		klog.InfoS("leadership lost: the store came back from an older copy", "token", e.token)
+		e.standAfter, e.registerAt = now, now
+	}
+	e.token = 0
+	e.claim = lease{}
+	e.member = lease{}
+	e.holder = ""
+}
+
 // Refused takes in that an engine has seen a higher token.
 func (e *Elector) Refused(token model.Revision) {
 	e.mu.Lock()
@@ -181,7 +215,7 @@
 func (e *Elector) vacant() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.holder == "" && e.member.id != 0 && e.Clock() >= e.claim.until
+	return e.holder == "" && e.member.id != 0 && e.Clock() >= max(e.claim.until, e.standAfter)
 }
 
 // stand tries to become leader: the key must not exist.
--- a/internal/coordination/leader/lease.go
+++ b/internal/coordination/leader/lease.go
@@ -27,16 +27,19 @@
 	e.keepClaim(ctx)
 	e.mu.Lock()
 	member := e.member
+	due := e.Clock() >= e.registerAt
 	e.mu.Unlock()
 	switch {
-	case member.id == 0:
+	case member.id == 0 && due:
 		e.register(ctx)
-	case e.Clock() >= member.renew:
-		member = e.keep(ctx, member, memberTTL)
+	case member.id != 0 && e.Clock() >= member.renew:
+		kept := e.keep(ctx, member, memberTTL)
 		e.mu.Lock()
-		e.member = member
+		if e.member.id == member.id { // else a new era began meanwhile
+			e.member = kept
+		}
 		e.mu.Unlock()
-		if member.id == 0 {
+		if kept.id == 0 {
 			e.register(ctx)
 		}
 	}
@@ -52,11 +55,14 @@
 	if claim.id == 0 || !leads {
 		return
 	}
-	claim = e.keep(ctx, claim, leaderTTL)
+	kept := e.keep(ctx, claim, leaderTTL)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.claim = claim
-	if claim.id == 0 {
+	if e.claim.id != claim.id {
+		return // a new era began meanwhile
+	}
+	e.claim = kept
+	if kept.id == 0 {
 		e.token = 0
 	}
 }
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -75,6 +75,8 @@
 type stored struct {
 	plan     Plan
 	revision model.Revision
+	// unsaved says that the store does not hold it, as it came back from an older copy.
+	unsaved bool
 }
 
 // SeenPlan takes in a plan from the store.
@@ -235,7 +237,7 @@
 	c.mu.Lock()
 	old := c.plans[service]
 	c.mu.Unlock()
-	if old.plan != nil && same(old.plan, plan) {
+	if old.plan != nil && same(old.plan, plan) && !old.unsaved {
 		return true
 	}
 	value, err := json.Marshal(plan)
@@ -265,12 +267,30 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.init()
-	if c.plans[service].revision < p.revision {
+	old := c.plans[service]
+	switch {
+	case old.unsaved && old.revision.Era() < p.revision.Era() && !same(old.plan, p.plan):
+		// The first plan that is read in a new era is a copy's: an older one. Carried out,
+		// it would move engines back.
+		old.revision = p.revision
+		c.plans[service] = old
+	case old.revision < p.revision:
 		c.plans[service] = p
 	}
 	return c.plans[service].revision == p.revision
 }
 
+// NewEra takes in that the store came back from an older copy: the plans in force stay, and
+// whoever leads writes them again.
+func (c *Controller) NewEra() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, p := range c.plans {
+		p.unsaved = true
+		c.plans[service] = p
+	}
+}
+
 func same(a, b Plan) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -16,6 +17,8 @@
 type countedStore struct {
 	outside.Store
 	metrics *metrics
+	// unanswered is told of renewals without an answer; nil for nobody.
+	unanswered func()
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -115,6 +118,9 @@
 func (c *countedStore) KeepAlive(ctx context.Context, id outside.LeaseID) error {
 	err := c.Store.KeepAlive(ctx, id)
 	c.count(callKeepAlive, err)
+	if err != nil && !errors.Is(err, outside.ErrLeaseEnded) && c.unanswered != nil {
+		c.unanswered()
+	}
 	return err
 }
 
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -137,6 +137,10 @@
 		Elsewhere: r.config.Heard,
 		Resting:   func() bool { return !r.callersCame() && r.elector.Token() == 0 },
 	}
+	r.store.unanswered = r.follower.CallFailed
+	if store, ok := r.store.Store.(interface{ TellEra(func(era int64)) }); ok {
+		store.TellEra(r.follower.EraSeen)
+	}
 	news.Tell = r.follower.Tell
 	news.Register(r.links)
 }
--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -18,6 +18,12 @@
 // routerSink hands what the store holds to those who need it.
 type routerSink Router
 
+// NewEra implements follow.Sink.
+func (s *routerSink) NewEra() {
+	s.elector.NewEra()
+	s.control.NewEra()
+}
+
 // Reset implements follow.Sink.
 //
 // Backend servers, and requests that must go to none, are taken in first: requests that
--- /dev/null
+++ b/test/fleet/drill_test.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
+	"github.com/skylarkwood/skylarkwood/platform"
+	"github.com/skylarkwood/skylarkwood/platform/standin"
+)
+
+// A customer's key is taken away and an engine starts again. Then the store is away for a
+// moment and comes back as it was before both, with the routers' entries and their leader's
+// gone; the operator and the engines write again a second later. Callers notice nothing:
+// sheets are served all the while, and the key that was taken away is never taken.
+// Afterwards routers are registered, and engines are ordered again.
+func TestStoreComesBackFromAnOlderCopy(t *testing.T) {
+	s := newSite(t, 3)
+	early := s.store.Copy()
+	s.configure(func(cfg map[string]any) { cfg["tenants"] = cfg["tenants"].([]any)[:1] })
+	for _, r := range s.routers {
+		s.eventually("the key is taken away", func() bool { return s.call(r, ask{path: "/sheet/1", key: "key-2"}).status == http.StatusUnauthorized })
+	}
+	back := s.engines[1]
+	held := back.Holds()
+	back.Restart()
+	s.eventually("it is loaded again", func() bool { return back.Holds() == held })
+
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	var failed, revived atomic.Int64
+	for _, r := range s.routers {
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if rep := s.call(r, ask{path: "/sheet/1", body: "draft"}); rep.status != http.StatusOK || rep.err != nil {
+					t.Logf("sheet at %s: %d %s %v", r.settings.Instance, rep.status, rep.body, rep.err)
+					failed.Add(1)
+				}
+				if s.call(r, ask{path: "/sheet/1", key: "key-2"}).status == http.StatusOK {
+					revived.Add(1)
+				}
+			}
+		})
+	}
+	for range 2 {
+		s.drill(early)
+	}
+	s.eventually("routers are registered again", func() bool { return len(s.store.Keys(leader.MemberPrefix)) == 3 })
+	close(stop)
+	callers.Wait()
+	assert.Equal(t, failed.Load(), int64(0))
+	assert.Equal(t, revived.Load(), int64(0))
+	held = back.Holds()
+	back.Restart()
+	s.eventually("it is ordered again", func() bool { return back.Holds() == held })
+}
+
+// drill brings the store back from a copy, and has the operator and the servers write a
+// second later.
+func (s *site) drill(c standin.Copy) {
+	s.store.SetFaults(standin.StoreFaults{Silent: true})
+	time.Sleep(300 * time.Millisecond)
+	s.store.Restore(c)
+	s.store.SetFaults(standin.StoreFaults{})
+	time.Sleep(time.Second)
+	raw, err := json.Marshal(s.config)
+	assert.NilError(s.t, err)
+	s.store.Put(platform.ConfigKey, raw)
+	for _, e := range append(append([]*standin.Engine(nil), s.engines...), s.plain...) {
+		e.Register()
+	}
+	time.Sleep(time.Second)
+}
