--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -81,9 +81,11 @@
 	key     int // number of the extra key in force
 	idle    time.Duration
 	later   sync.WaitGroup
+	copied  *standin.Copy // the store as it was; nil for none
 
 	mu        sync.Mutex
 	published []published
+	config    []byte // the newest, as written
 	sent      []sent
 }
 
@@ -219,8 +221,9 @@
 	assert.NilError(s.t, err)
 	s.mu.Lock()
 	s.published = append(s.published, published{s.version, extraKey(s.key), s.idle, time.Now()})
-	s.mu.Unlock()
+	s.config = raw
 	s.store.Put(platform.ConfigKey, raw)
+	s.mu.Unlock()
 }
 
 func extraKey(n int) string { return fmt.Sprintf("extra-%d", n) }
@@ -263,6 +266,33 @@
 
 func (s *site) compact(time.Duration) { s.store.Compact() }
 
+func (s *site) copyStore(time.Duration) {
+	c := s.store.Copy()
+	s.copied = &c
+}
+
+// restoreStore brings the store back from a copy after a moment away. The operator and the
+// servers write again a little later.
+func (s *site) restoreStore(d time.Duration) {
+	if s.copied == nil {
+		return
+	}
+	c := *s.copied
+	s.store.SetFaults(standin.StoreFaults{Silent: true})
+	s.after(d/8, func() {
+		s.store.Restore(c)
+		s.store.SetFaults(standin.StoreFaults{})
+	})
+	s.after(d, func() {
+		s.mu.Lock()
+		s.store.Put(platform.ConfigKey, s.config)
+		s.mu.Unlock()
+		for _, e := range append(append([]*standin.Engine(nil), s.engines...), s.plain...) {
+			e.Register()
+		}
+	})
+}
+
 func (s *site) killEngine(d time.Duration) {
 	e := s.engines[s.rnd.IntN(len(s.engines))]
 	e.Die()
--- a/test/faultsoak/soak_test.go
+++ b/test/faultsoak/soak_test.go
@@ -112,6 +112,7 @@
 		s.killRouter, s.stopRouter, s.pauseRouter, s.hangUp, s.reconfigure,
 		s.changeIdle, s.changeIdle, s.changeIdle, s.changeAndStrike,
 		s.returnEngine, s.returnEngine, s.overwriteEntry,
+		s.copyStore, s.restoreStore,
 	}
 	kinds[s.rnd.IntN(len(kinds))](during)
 }
