--- a/internal/coordination/leader/drill_test.go
+++ b/internal/coordination/leader/drill_test.go
@@ -214,3 +214,26 @@
 		assert.Equal(t, len(store.Keys(Prefix+"other")), 4)
 	})
 }
+
+// A router has not heard that the store came back without the leadership key, and knows of
+// no leader as it is behind. Its claim finds the key absent and is carried out, while the
+// old leader believes in its lease for two more seconds. It gives the leadership up.
+func TestClaimInAnUnknownEraIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		c := store.Copy()
+		a := start(store, "a")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, leaders(a), 1)
+		behind, _ := run(store, "behind")
+		time.Sleep(100 * time.Millisecond)
+		store.Restore(c)
+		for range 400 {
+			assert.Assert(t, leaders(a, behind) <= 1)
+			time.Sleep(5 * time.Millisecond)
+		}
+		assert.Equal(t, leaders(behind), 0)
+		a.end()
+		behind.end()
+	})
+}
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -99,7 +99,8 @@
 	highest model.Revision // highest token heard of
 	// vacantAt is the revision at which nobody led, as far as was heard.
 	vacantAt model.Revision
-	left     bool // this process stops: it leads no more
+	era      int64 // the store's newest that was heard of
+	left     bool  // this process stops: it leads no more
 	// standAfter is when this process may stand for leadership, and registerAt when it
 	// may register, at the earliest.
 	standAfter, registerAt time.Duration
@@ -127,6 +128,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.era = max(e.era, revision.Era())
 	before := e.holder
 	e.holder = c.Instance
 	if c.Instance != "" {
@@ -251,7 +253,12 @@
 		e.notWon(err)
 		return
 	}
-	e.win(revision)
+	if e.win(revision) {
+		return
+	}
+	if err := e.Store.Revoke(ctx, l.id); err != nil {
+		klog.InfoS("lease of a claim that was given up not given back; it runs out", "lease", l.id, "err", err)
+	}
 }
 
 // taken tells whether a copy of the store already has another leader: a tenth of a call
@@ -267,13 +274,22 @@
 	return it.Revision > e.vacantAt
 }
 
-func (e *Elector) win(revision model.Revision) {
+// win takes in that the claim was carried out. Where that was in an era of the store of
+// which this process has not heard, it gives the leadership up: the key was absent because
+// the store came back without it, and a leader may still believe in its lease.
+func (e *Elector) win(revision model.Revision) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if revision.Era() > e.era {
+		klog.InfoS("leadership given up: it was won in an era not heard of", "revision", revision, "era", e.era)
+		e.claim = lease{}
+		return false
+	}
 	e.token = revision
 	e.highest = max(e.highest, revision)
 	e.holder = e.Self.Instance
 	klog.InfoS("leadership won", "token", revision)
+	return true
 }
 
 // notWon forgets a claim that surely did not win. One whose answer was lost shows
