Two requests that end servers are no excuse for each other

What callers would have seen: two such requests at one time in the same failure domains ended up to 36 servers and went on. Cause: ends beside two others of the domain were left out of what decides how a request runs, so each looked free. Now all ends that no other request is to blame for decide that; the domain's trouble only keeps from blame, and ends under a request with three ends of its own are none.

--- a/internal/coordination/quarantine/judge.go
+++ b/internal/coordination/quarantine/judge.go
@@ -93,7 +93,7 @@
 	}
 	c := t.weigh(work, s)
 	doubtful := t.doubtful(s)
-	out := Verdict{Ends: len(c.ends) + doubtful, Wide: c.wide}
+	out := Verdict{Ends: c.met + doubtful, Wide: c.wide}
 	from := guiltyFrom
 	if v != nil {
 		out.Ends += v.ends
@@ -183,14 +183,19 @@
 
 // charge is what speaks against a request.
 type charge struct {
-	ends   []model.Incarnation
-	weight int
+	// met counts all ends that no other request is to blame for: they decide how it runs.
+	met    int
 	newest time.Duration
 	wide   bool
+	// ends are those that also do not look like a failure domain's trouble: they decide
+	// whether it is blamed. Left out above too, two requests that end the servers of one
+	// domain would be excuses for each other, and go on.
+	ends   []model.Incarnation
+	weight int
 }
 
-// weigh collects the ends that count against a request: not those that are explained
-// otherwise, nor those of before its last verdict. The caller holds the lock.
+// weigh collects the ends that count against a request, since its last verdict. The caller
+// holds the lock.
 func (t *Tracker) weigh(work model.Fingerprint, s *suspect) charge {
 	var c charge
 	if s == nil {
@@ -202,14 +207,17 @@
 	}
 	for server := range s.ends {
 		e := t.ends[server]
-		if e.crowded || e.at < since || t.explained(e, work) || t.commonCause(work, server, e) {
+		if e.crowded || e.at < since || t.explained(e, work) {
 			continue
 		}
 		p := e.present[work]
-		c.ends = append(c.ends, server)
+		c.met++
 		c.newest = max(c.newest, e.at)
 		c.wide = c.wide || p.later
-		c.weight += p.weight()
+		if !t.commonCause(work, server, e) {
+			c.ends = append(c.ends, server)
+			c.weight += p.weight()
+		}
 	}
 	return c
 }
@@ -224,13 +232,24 @@
 		if other == server || o.domain != e.domain || max(o.at-e.at, e.at-o.at) > commonTime {
 			continue
 		}
-		if _, with := o.present[work]; !with && !t.explained(o, work) {
+		if _, with := o.present[work]; !with && !t.explained(o, work) && !t.suspicious(o) {
 			others++
 		}
 	}
 	return others >= commonEnds
 }
 
+// suspicious tells whether a server ended under a request that was at enough ends to be
+// blamed, whether it will be or not: that may have ended it.
+func (t *Tracker) suspicious(e *end) bool {
+	for work := range e.present {
+		if len(t.suspects[work].ends) >= guiltyFrom {
+			return true
+		}
+	}
+	return false
+}
+
 // explained tells whether a server ended under another request that is to blame for it.
 func (t *Tracker) explained(e *end, work model.Fingerprint) bool {
 	for other := range t.verdicts {
--- a/internal/coordination/quarantine/model_test.go
+++ b/internal/coordination/quarantine/model_test.go
@@ -436,3 +436,29 @@
 		}
 	}
 }
+
+// Two requests that end servers come at one time and end servers of the same few failure
+// domains. Neither is an excuse for the other: both are soon known everywhere, and nobody
+// else is taken for them. Each ends three servers, and two more where copies were under way.
+func TestTwoGuiltyRequestsAreNoExcuseForEachOther(t *testing.T) {
+	for _, n := range []int{3, 30, 100} {
+		for seed := range uint64(max(60/n, 2)) {
+			t.Run(fmt.Sprintf("%d routers, seed %d", n, seed), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, seed, n, 24+n/4)
+				w.innocents(40, 14*time.Second)
+				second := work(-1)
+				for at := 2 * time.Second; at < 14*time.Second; at += time.Duration(50+w.rnd.IntN(250)) * time.Millisecond {
+					w.after(at, func() { w.any().serve(&simRequest{work: guilty, kills: true}) })
+					w.after(at, func() { w.any().serve(&simRequest{work: second, kills: true}) })
+				}
+				w.run(16 * time.Second)
+				blamed := w.blamed()
+				assert.Equal(t, blamed[guilty], n)
+				assert.Equal(t, blamed[second], n)
+				assert.Equal(t, len(blamed), 2, "blamed: %v", blamed)
+				assert.Assert(t, w.ends <= 2*(guiltyFrom+2), "%d servers ended", w.ends)
+			})
+		}
+	}
+}
