--- a/internal/coordination/quarantine/run.go
+++ b/internal/coordination/quarantine/run.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -25,9 +26,16 @@
 	// The tracker's lock guards the rest.
 	places   []Place
 	answered bool
-	suspect  bool
+	// charged is when a server ended under it that counts, since it was moved last; zero
+	// for none.
+	charged time.Duration
+	suspect bool
 }
 
+// togetherTime is within what time engines drop out at one moment: a run that is moved
+// meanwhile may still pass through one whose end was not told yet.
+const togetherTime = 50 * time.Millisecond
+
 // Result is how a run ended.
 type Result int
 
@@ -80,6 +88,9 @@
 func (r *Run) Move(places []Place) {
 	r.t.mu.Lock()
 	defer r.t.mu.Unlock()
+	if r.t.clock()-r.charged >= togetherTime {
+		r.charged = 0
+	}
 	r.at(places)
 }
 
@@ -90,6 +101,18 @@
 	r.answered = true
 }
 
+// charge tells whether the end of a server under it counts. Of a chain that several engines
+// drop out of at one moment, one was ended by its request at most: where a failure domain
+// loses half of its engines, all streams through two of them would else have to run alone.
+// The caller holds the lock.
+func (r *Run) charge() bool {
+	if r.charged != 0 {
+		return false
+	}
+	r.charged = max(r.t.clock(), 1)
+	return true
+}
+
 // presenceAt is how it is at one of its servers. The caller holds the lock.
 func (r *Run) presenceAt(server model.Incarnation) presence {
 	return presence{answered: r.answered, later: r.places[0].Server != server}
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -136,7 +136,9 @@
 	defer t.mu.Unlock()
 	present := map[model.Fingerprint]presence{}
 	for run := range t.runs[server] {
-		add(present, run.Work(), run.presenceAt(server))
+		if run.charge() {
+			add(present, run.Work(), run.presenceAt(server))
+		}
 	}
 	for work, s := range t.suspects {
 		for first, b := range s.broken {
--- a/internal/coordination/quarantine/tracker_test.go
+++ b/internal/coordination/quarantine/tracker_test.go
@@ -156,6 +156,25 @@
 	}
 }
 
+// A failure domain loses half of its engines at one moment. A stream that runs through two
+// of them has met one end, also where it was moved off the first before the second was
+// told; one that ends an engine after each move has met as many as moves.
+func TestEnginesThatDropOutTogetherCountOnce(t *testing.T) {
+	b := newBench()
+	run := b.Begin(func() model.Fingerprint { return guilty }, false, Place{server(1), "a"}, Place{server(2), "a"}, Place{server(3), "a"})
+	b.Ended(server(2), "a")
+	b.now += 10 * time.Millisecond
+	run.Move([]Place{{server(1), "a"}, {server(4), "b"}, {server(3), "a"}})
+	b.Ended(server(3), "a")
+	assert.Equal(t, b.Look(guilty).Ends, 1)
+	for n := range 2 {
+		b.now += 100 * time.Millisecond
+		run.Move([]Place{{server(1), "a"}, {server(10 + n), "b"}})
+		b.Ended(server(10+n), "b")
+	}
+	assert.Equal(t, b.Look(guilty).Ends, 3)
+}
+
 // After its term a request runs alone. An answer frees it; an end brings it back at once,
 // for twice as long.
 func TestTermsEndAndDouble(t *testing.T) {
