--- a/internal/coordination/quarantine/judge.go
+++ b/internal/coordination/quarantine/judge.go
@@ -243,7 +243,7 @@
 // blamed, whether it will be or not: that may have ended it.
 func (t *Tracker) suspicious(e *end) bool {
 	for work := range e.present {
-		if len(t.suspects[work].ends) >= guiltyFrom {
+		if s := t.suspects[work]; s != nil && len(s.ends) >= guiltyFrom {
 			return true
 		}
 	}
