A standing leaves nothing of the one before; a claim decided while a new era began is given up

Found by reading the change: a request that was no suspect any more kept away from domains and servers that it was barred from before, and a claim on its way while its router heard of a new era counted without the wait.

--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -280,8 +280,8 @@
 func (e *Elector) win(revision model.Revision) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if revision.Era() > e.era {
-		klog.InfoS("leadership given up: it was won in an era not heard of", "revision", revision, "era", e.era)
+	if revision.Era() > e.era || e.Clock() < e.standAfter {
+		klog.InfoS("leadership given up: it was won in an era not heard of before", "revision", revision, "era", e.era)
 		e.claim = lease{}
 		return false
 	}
--- a/internal/coordination/placement/backoff_test.go
+++ b/internal/coordination/placement/backoff_test.go
@@ -45,5 +45,5 @@
 	assert.Assert(t, !c.mayLoad(bad.address, bad.want))
 	assert.Assert(t, c.mayLoad(bad.address, model.LayerRange{From: 4, To: 8}))
 	assert.Assert(t, c.mayLoad("b:1", bad.want))
-	assert.Assert(t, c.loadEnds["a:1"].until.Sub(time.Now()) <= longestBackoff)
+	assert.Assert(t, time.Until(c.loadEnds["a:1"].until) <= longestBackoff)
 }
--- a/internal/protocol/relay/suspect.go
+++ b/internal/protocol/relay/suspect.go
@@ -62,8 +62,8 @@
 // servers which run it would else end one with each send, and with each return of its
 // caller, here or at another router.
 func (q *request) standing(ctx context.Context) (quarantine.Verdict, *fault.Error) {
-	q.barred.suspect = false
 	if !q.Quarantine.Watching() {
+		q.barred = barred{}
 		return quarantine.Verdict{}, nil
 	}
 	v := q.Quarantine.Look(q.work())
@@ -76,6 +76,9 @@
 	q.barred.suspect = v.Standing != quarantine.Free
 	q.barred.alone = v.Standing == quarantine.Alone
 	q.barred.domains = v.Shun
+	if !q.barred.alone {
+		q.barred.servers = nil
+	}
 	if v.Standing == quarantine.Quarantined {
 		return v, q.quarantined(v)
 	}
