A router tells its peers of an era that a call's answer showed it

Traced in the log of a failing play: the leader was a router that asks a watcher; it learnt of the era by its renewal and had nobody to tell, and all watchers waited on silent connections.

--- a/internal/coordination/follow/fleet_test.go
+++ b/internal/coordination/follow/fleet_test.go
@@ -144,7 +144,7 @@
 		}
 		for _, other := range n.fleet.nodes {
 			if other != n && !n.fleet.isCut(n.Address, other.Address) && !other.isSilent() {
-				other.hear(n.Address, fl.Revision())
+				other.hear(n.Address, fl.Reported())
 			}
 		}
 	}
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -104,6 +104,7 @@
 	Resting func() bool
 
 	revision    atomic.Int64 // up to which the picture is complete
+	eraSeen     atomic.Int64 // the first revision of the newest era that a call was answered in
 	mu          sync.Mutex
 	cut         context.CancelFunc // ends the watch in progress
 	behindSince time.Duration      // since when a peer is ahead; 0 for not
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -25,10 +25,18 @@
 // EraSeen takes in that some call to the store was answered in an era.
 func (f *Follower) EraSeen(era int64) {
 	if first, err := model.NewRevision(era, 0); err == nil && era > f.Revision().Era() {
+		f.eraSeen.Store(int64(first))
 		f.PeerAt(first)
 	}
 }
 
+// Reported is what peers are told: up to where this picture is complete, or the beginning of
+// an era that this process has heard of from the store and has no picture of yet. A leader
+// need not watch the store, and those who do may be waiting on a silent connection.
+func (f *Follower) Reported() model.Revision {
+	return max(f.Revision(), model.Revision(f.eraSeen.Load()))
+}
+
 // inOldEra tells whether somebody knows the store to be in a newer era than this process.
 func (f *Follower) inOldEra() bool { return f.highest().Era() > f.Revision().Era() }
 
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -182,7 +182,7 @@
 		Catalog:  r.catalog,
 		Memory:   r.memory,
 		Pipes:    r.pipes,
-		Revision: func() model.Revision { return r.follower.Revision() },
+		Revision: func() model.Revision { return r.follower.Reported() },
 		PeerAt:   func(revision model.Revision) { r.follower.PeerAt(revision) },
 		Hint:     func(engine model.Incarnation) { r.prober.Hint(engine) },
 		Refuses:  r.health.SuspectedElsewhere,
