A hang-up does not end a router that still reads its settings

Callers saw a router start and be gone. Cause: the signal was listened for only after the settings had been read. Now before anything else; roles that do not read again end by it as before.

--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -28,7 +28,7 @@
 
 // Main runs the daemon's command line and gives the exit code.
 func Main(args []string) int {
-	root := newRoot()
+	root := newRoot(hangUps())
 	root.SetArgs(args)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "skylarkwoodd:", err)
@@ -37,7 +37,16 @@
 	return 0
 }
 
-func newRoot() *cobra.Command {
+// hangUps tells of SIGHUP from now on. It is asked for before anything else: the signal ends
+// a process that does not listen for it, and one that says the settings have changed may come
+// while a router that has just been started still reads them.
+func hangUps() <-chan os.Signal {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
+func newRoot(hup <-chan os.Signal) *cobra.Command {
 	var path string
 	logs := flag.NewFlagSet("logs", flag.ContinueOnError)
 	root := &cobra.Command{
@@ -57,7 +66,7 @@
 				return err
 			}
 			if s.Role == model.RoleRouter {
-				return runRouter(s, logs, path)
+				return runRouter(s, logs, path, hup)
 			}
 			return run(s)
 		},
@@ -71,6 +80,7 @@
 
 // run serves until SIGTERM or SIGINT, then drains.
 func run(s settings.Settings) error {
+	signal.Reset(syscall.SIGHUP) // as usual, it ends the process
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if s.Role == model.RoleEntry {
@@ -81,7 +91,7 @@
 
 // runRouter serves on the users' platform. SIGHUP means that the settings file
 // changed: it is read and checked, and what needs a new start is named.
-func runRouter(s settings.Settings, logs *flag.FlagSet, path string) error {
+func runRouter(s settings.Settings, logs *flag.FlagSet, path string, hup <-chan os.Signal) error {
 	out, err := logging.ToStdout(logs)
 	if err != nil {
 		return err
@@ -89,8 +99,6 @@
 	defer out.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
 		for range hup {
 			next, err := settings.Load(path)
@@ -112,6 +120,7 @@
 		Short: "Run a whole small system in this process, on loopback",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			signal.Reset(syscall.SIGHUP) // as usual, it ends the process
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
 			if once {
