--- /dev/null
+++ b/internal/coordination/quarantine/cost_test.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// What a request costs while nothing is suspected, which is nearly always.
+func BenchmarkRequestOnACalmDay(b *testing.B) {
+	t := New(func() time.Duration { return 0 })
+	of := func() model.Fingerprint { return guilty }
+	places := []Place{{server(1), "a"}, {server(2), "a"}, {server(3), "a"}, {server(4), "a"}}
+	for b.Loop() {
+		if t.Watching() {
+			b.Fatal("suspects")
+		}
+		run := t.Begin(of, false, places...)
+		run.Answered()
+		run.End(Survived)
+	}
+}
+
+// What looking a suspect up costs after a bad ten minutes: as many ends and requests at
+// them as are remembered.
+func BenchmarkSuspectAfterManyEnds(b *testing.B) {
+	now := time.Duration(0)
+	t := New(func() time.Duration { return now })
+	for n := range mostEnds {
+		for w := range mostPresences / mostEnds {
+			t.Begin(func() model.Fingerprint { return work(w) }, false, Place{server(n), fmt.Sprint("d", n%18)})
+		}
+		now += 500 * time.Millisecond
+		t.Ended(server(n), fmt.Sprint("d", n%18))
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		t.Look(work(1))
+	}
+}
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -13,6 +13,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -34,6 +35,9 @@
 	// and of each request at one.
 	mostEnds      = 1024
 	mostPresences = 8192
+	// mostOfOne bounds the ends that are remembered of one request, the newest: more decide
+	// nothing, and looking through hundreds of them takes longer than serving it.
+	mostOfOne = 16
 	// mostAtOneEnd bounds the requests that are remembered of one end. A server that had
 	// more of them is no evidence, as some of its requests are not known.
 	mostAtOneEnd = 512
@@ -191,6 +195,9 @@
 		s := t.suspect(work)
 		s.ends[server] = true
 		delete(s.broken, server)
+		if len(s.ends) > mostOfOne {
+			t.forgetPresence(work, t.oldest(s.ends))
+		}
 		news[work] = p
 	}
 	for t.presences > mostPresences || len(t.ends) > mostEnds {
@@ -211,6 +218,18 @@
 	t.forget(oldest)
 }
 
+// oldest is the oldest of a request's ends.
+func (t *Tracker) oldest(ends map[model.Incarnation]bool) model.Incarnation {
+	return slices.MinFunc(slices.Collect(maps.Keys(ends)), func(a, b model.Incarnation) int { return cmp.Compare(t.ends[a].at, t.ends[b].at) })
+}
+
+// forgetPresence forgets that a request was at an end.
+func (t *Tracker) forgetPresence(work model.Fingerprint, server model.Incarnation) {
+	delete(t.suspects[work].ends, server)
+	delete(t.ends[server].present, work)
+	t.presences--
+}
+
 func (t *Tracker) forget(server model.Incarnation) {
 	e := t.ends[server]
 	delete(t.ends, server)
--- a/internal/coordination/quarantine/tracker_test.go
+++ b/internal/coordination/quarantine/tracker_test.go
@@ -209,6 +209,12 @@
 	crowd.Ended(server(1), "d")
 	assert.Equal(t, len(crowd.Tracker.ends[server(1)].present), mostAtOneEnd)
 	assert.Equal(t, crowd.Look(work(1)).Standing, Free, "a crowded end is no evidence")
+	for n := range 5 * mostOfOne {
+		run := b.begin(work(-1), 5000+n, "d")
+		run.Answered()
+		b.Ended(server(5000+n), "d")
+	}
+	assert.Equal(t, len(b.suspects[work(-1)].ends), mostOfOne)
 	for n := range mostVerdicts + 50 {
 		b.Learn([]Sentence{{Work: work(n), TermMS: int64(1000 + n)}}, "peer")
 	}
