--- a/internal/coordination/catalog/drill_test.go
+++ b/internal/coordination/catalog/restore_test.go
@@ -20,7 +20,7 @@
 // server is ready, under a lower count of a newer era: the server stays out of use, or
 // requests would be sent to it longer after its word than it serves. What it writes itself
 // after that counts, and so does its entry's removal.
-func TestServerThatDrainsStaysSoOverADrill(t *testing.T) {
+func TestServerThatDrainsStaysSoOverARestore(t *testing.T) {
 	at, now := clock()
 	c := New(now)
 	b := server("a", "1:1", revision(t, 1, 90))
@@ -41,7 +41,7 @@
 
 // An engine's entry is newer than the copy and missing for a moment: it is believed in
 // until it writes again, under a lower count than it had. One that has truly ended goes.
-func TestMissingServersComeBackAfterADrill(t *testing.T) {
+func TestMissingServersComeBackAfterARestore(t *testing.T) {
 	at, now := clock()
 	c := New(now)
 	c.Put(server("lives", "1:1", revision(t, 1, 90)))
--- a/internal/coordination/follow/drill_test.go
+++ b/internal/coordination/follow/restore_test.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// drill brings the store back from a copy after a moment away.
-func (f *fleet) drill(c standin.Copy, away time.Duration) {
+// restore brings the store back from a copy after a moment away.
+func (f *fleet) restore(c standin.Copy, away time.Duration) {
 	f.store.SetFaults(standin.StoreFaults{Silent: true})
 	time.Sleep(away)
 	f.store.Restore(c)
@@ -74,7 +74,7 @@
 					f.store.Put("servers/1", []byte("since"))
 					time.Sleep(time.Second)
 					before := f.store.Calls()
-					f.drill(c, 400*time.Millisecond)
+					f.restore(c, 400*time.Millisecond)
 					for i := range again {
 						f.store.Put(fmt.Sprint("servers/again-", i), []byte("again"))
 					}
@@ -95,14 +95,14 @@
 // Entries that the copy lacks may be written again within two seconds of the return, as
 // their servers live. They are believed in that long, at routers that were told by others
 // too: no request would have an engine else.
-func TestEntriesAreKeptOverADrill(t *testing.T) {
+func TestEntriesAreKeptOverARestore(t *testing.T) {
 	inFleet(t, 2, 5, func(t *testing.T, f *fleet) {
 		f.store.Put("servers/0", []byte("1"))
 		defer f.renew(f.nodes[0])()
 		c := f.store.Copy()
 		f.store.Put("servers/x", []byte("1"))
 		time.Sleep(time.Second)
-		f.drill(c, 300*time.Millisecond)
+		f.restore(c, 300*time.Millisecond)
 		time.Sleep(restored)
 		for _, n := range f.nodes {
 			_, p := n.running()
@@ -113,9 +113,9 @@
 	})
 }
 
-// Drills in series among everything else that may happen, and changes right after them:
+// Restores in series among everything else that may happen, and changes right after them:
 // once it is over, every router's picture is the store's.
-func TestPicturesAgreeAfterDrills(t *testing.T) {
+func TestPicturesAgreeAfterRestores(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		domains, each := rapid.IntRange(1, 3).Draw(rt, "domains"), rapid.IntRange(1, 4).Draw(rt, "each")
 		var steps []func(f *fleet)
@@ -123,13 +123,13 @@
 		for range rapid.IntRange(5, 40).Draw(rt, "steps") {
 			other := drawStep(rt, domains*each)
 			away := time.Duration(rapid.IntRange(0, 600).Draw(rt, "away")) * time.Millisecond
-			switch rapid.IntRange(0, 5).Draw(rt, "drill") {
+			switch rapid.IntRange(0, 5).Draw(rt, "restore") {
 			case 0:
 				other = func(f *fleet) { c := f.store.Copy(); copied = &c }
 			case 1:
 				other = func(f *fleet) {
 					if copied != nil {
-						f.drill(*copied, away)
+						f.restore(*copied, away)
 					}
 				}
 			}
--- a/internal/coordination/leader/model_test.go
+++ b/internal/coordination/leader/model_test.go
@@ -6,16 +6,16 @@
 	"gotest.tools/v3/assert"
 )
 
-// A small model of leadership over drills, searched exhaustively: what three routers can do
-// with two drills, in every order, where any of them may be slow, cut off or behind. Time
+// A small model of leadership over restores, searched exhaustively: what three routers can do
+// with two restores, in every order, where any of them may be slow, cut off or behind. Time
 // goes in steps; a lease lasts modelTTL of them at the store and not longer in its holder's
 // belief.
 const (
-	modelRouters = 3
-	modelDrills  = 2
-	modelTTL     = 2
-	modelWins    = 3 // claims in all; more show nothing new
-	nobody       = -1
+	modelRouters  = 3
+	modelRestores = 2
+	modelTTL      = 2
+	modelWins     = 3 // claims in all; more show nothing new
+	nobody        = -1
 )
 
 // stamp is a revision: its era and count.
@@ -77,8 +77,8 @@
 		n.store.saved.there = true
 		n.store.saved.count, n.store.saved.holder = n.store.at.count, n.store.key.holder
 	})
-	if s.store.saved.there && s.store.at.era < modelDrills {
-		add((*modelState).drill)
+	if s.store.saved.there && s.store.at.era < modelRestores {
+		add((*modelState).restore)
 	}
 	for i := range s.routers {
 		add(func(n *modelState) { n.renew(i) })
@@ -122,8 +122,8 @@
 	}
 }
 
-// drill brings the store back from its copy; leases of the copy begin anew.
-func (s *modelState) drill() {
+// restore brings the store back from its copy; leases of the copy begin anew.
+func (s *modelState) restore() {
 	s.store.at = stamp{era: s.store.at.era + 1, count: s.store.saved.count}
 	s.store.key = key{holder: s.store.saved.holder}
 }
@@ -198,7 +198,7 @@
 	return len(seen), ""
 }
 
-// In no order of drills, renewals, claims and late news do two routers lead, or is a token
+// In no order of restores, renewals, claims and late news do two routers lead, or is a token
 // given out that is not higher than all before. Without either guard it happens.
 func TestNoOrderOfEventsMakesTwoLeaders(t *testing.T) {
 	states, fault := search(rules{waits: true, refusesUnknown: true})
--- a/internal/coordination/leader/drill_test.go
+++ b/internal/coordination/leader/restore_test.go
@@ -38,7 +38,7 @@
 	return c.Store.Commit(ctx, txn)
 }
 
-// startOver starts a candidate that follows the store over drills, as a router does.
+// startOver starts a candidate that follows the store over restores, as a router does.
 func startOver(store *cuttable, name string) *candidate {
 	c, ctx := run(store, name)
 	c.done.Go(func() {
@@ -135,7 +135,7 @@
 	}
 }
 
-// orders is how soon after a drill engines are ordered again: the time in which an old
+// orders is how soon after a restore engines are ordered again: the time in which an old
 // leader may believe in its lease, and the race.
 const orders = leaderTTL + 2*time.Second
 
@@ -143,7 +143,7 @@
 // under one that has ended since, in series. There are never two leaders, not even where
 // the old one is cut off and does not hear of the return; tokens never fall, and somebody
 // leads again soon.
-func TestLeadershipOverDrills(t *testing.T) {
+func TestLeadershipOverRestores(t *testing.T) {
 	for name, play := range map[string]func(tr *trial){
 		"from before the claim": func(tr *trial) {
 			c := tr.store.Copy()
--- a/internal/coordination/placement/drill_test.go
+++ b/internal/coordination/placement/restore_test.go
@@ -16,7 +16,7 @@
 // The store comes back from a copy in which the plan is an older one, or none. The plan in
 // force stays, whoever leads writes it again, and no engine is moved back to what it held
 // before: its layers would be lost to callers while it loads, twice.
-func TestPlanInForceStaysOverADrill(t *testing.T) {
+func TestPlanInForceStaysOverARestore(t *testing.T) {
 	for name, inCopy := range map[string]bool{"an older plan": true, "no plan": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/test/fleet/drill_test.go
+++ b/test/fleet/restore_test.go
@@ -54,7 +54,7 @@
 		})
 	}
 	for range 2 {
-		s.drill(early)
+		s.restore(early)
 	}
 	s.eventually("routers are registered again", func() bool { return len(s.store.Keys(leader.MemberPrefix)) == 3 })
 	close(stop)
@@ -66,9 +66,9 @@
 	s.eventually("it is ordered again", func() bool { return back.Holds() == held })
 }
 
-// drill brings the store back from a copy, and has the operator and the servers write a
+// restore brings the store back from a copy, and has the operator and the servers write a
 // second later.
-func (s *site) drill(c standin.Copy) {
+func (s *site) restore(c standin.Copy) {
 	s.store.SetFaults(standin.StoreFaults{Silent: true})
 	time.Sleep(300 * time.Millisecond)
 	s.store.Restore(c)
