relay: check the path of overdue streams, leave all silent engines in one move

Cause: found after 410 ms; 67 of 192 orders to go around one engine were refused because the path still went through the other one, which the refusal named and nobody read.

Now an overdue stream's first engine is ordered to keep the path it has: it refuses and names the engine that does not take its part. Refused moves leave the named engine too, up to four tries; parts that several streams lost are replaced together; an engine that the stream did not run through before is only taken for full. An order without an answer is the last one a stream gets, as it may be carried out after a later one.

--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -257,14 +257,14 @@
 	w.add("spare", "a", "l4", 38, 62)
 	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	covers(t, parts, model.LayerRange{To: 80})
-	next := w.chooser.Replace(w.svc, parts, inc("a2"), 1000, 0)
+	next := w.chooser.Replace(w.svc, parts, only("a2"), 1000, 0)
 	covers(t, next, model.LayerRange{To: 80})
 	assert.Equal(t, next[0], parts[0])
 	assert.Equal(t, next[len(next)-1], parts[len(parts)-1])
 	for _, p := range next {
 		assert.Assert(t, p.Server.ID != "a2")
 	}
-	assert.Assert(t, w.chooser.Replace(w.svc, parts, inc("a1"), 1000, 0) == nil, "the first part cannot be replaced")
+	assert.Assert(t, w.chooser.Replace(w.svc, parts, only("a1"), 1000, 0) == nil, "the first part cannot be replaced")
 }
 
 // An engine's process ends, and nobody outside of the chain holds exactly its
@@ -283,7 +283,7 @@
 		{Server: w.catalog.Load().ByID("right"), Layers: model.LayerRange{From: 40, To: 50}},
 		{Server: w.catalog.Load().ByID("last"), Layers: model.LayerRange{From: 50, To: 80}},
 	}
-	next := w.chooser.Replace(w.svc, parts, inc("lost"), 1000, 0)
+	next := w.chooser.Replace(w.svc, parts, only("lost"), 1000, 0)
 	covers(t, next, model.LayerRange{To: 80})
 	assert.Equal(t, next[0], parts[0])
 	for _, p := range next {
@@ -314,7 +314,7 @@
 				{Server: w.catalog.Load().ByID("lost"), Layers: model.LayerRange{From: 36, To: 47}},
 				{Server: w.catalog.Load().ByID("last"), Layers: model.LayerRange{From: 47, To: 80}},
 			}
-			next := w.chooser.Replace(w.svc, parts, inc("lost"), 1000, 0)
+			next := w.chooser.Replace(w.svc, parts, only("lost"), 1000, 0)
 			assert.Equal(t, len(next), 3)
 			moved[next[1].Server.ID]++
 		}
@@ -341,7 +341,7 @@
 		{Server: w.catalog.Load().ByID("lost"), Layers: model.LayerRange{From: 36, To: 47}},
 		{Server: w.catalog.Load().ByID("last"), Layers: model.LayerRange{From: 47, To: 80}},
 	}
-	next := w.chooser.Replace(w.svc, parts, inc("lost"), 1000, 0)
+	next := w.chooser.Replace(w.svc, parts, only("lost"), 1000, 0)
 	covers(t, next, model.LayerRange{To: 80})
 	assert.Equal(t, next[1].Server.ID, "slow")
 }
@@ -522,3 +522,6 @@
 	parts, _ := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 1000})
 	assert.Equal(t, parts[len(parts)-1].Server.ID, "a2", "as a later part it fails nobody")
 }
+
+// only is the set of one engine.
+func only(id string) map[model.Incarnation]bool { return map[model.Incarnation]bool{inc(id): true} }
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -7,29 +7,23 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// Replace finds a chain that a running stream can be moved to without an engine;
+// Replace finds a chain that a running stream can be moved to without some engines;
 // nil if there is none. The first part stays, as engines demand. Where others can
-// take the lost part's layers only that part differs; else all after the first
+// take the lost parts' layers only those parts differ; else all after the first
 // may, which costs reading the tokens so far again, but no new send.
 //
 // A chain for a new stream is chosen for its time a token. A moved stream stands
 // still until its new parts have read all tokens so far, so these are chosen for
 // that pause: what they read, what is already to be read there, and what has to
 // pass between failure domains.
-func (c *Chooser) Replace(svc *model.Service, parts []Part, lost model.Incarnation, tokens int, gap time.Duration) []Part {
-	at := -1
-	for i, p := range parts {
-		if p.Server.Incarnation() == lost {
-			at = i
-		}
-	}
-	if at <= 0 {
+func (c *Chooser) Replace(svc *model.Service, parts []Part, lost map[model.Incarnation]bool, tokens int, gap time.Duration) []Part {
+	if lost[parts[0].Server.Incarnation()] {
 		return nil
 	}
-	m := move{Chooser: c, svc: svc, parts: parts, tokens: tokens, gap: gap}
-	next := m.around(at)
+	m := move{Chooser: c, svc: svc, parts: parts, lost: lost, tokens: tokens, gap: gap}
+	next := m.around()
 	if next == nil {
-		next = m.reroute(lost)
+		next = m.reroute()
 	}
 	if next != nil {
 		m.took(next)
@@ -42,38 +36,76 @@
 	*Chooser
 	svc    *model.Service
 	parts  []Part
+	lost   map[model.Incarnation]bool
 	tokens int
 	gap    time.Duration
 }
 
-// around covers the layers of one part with engines outside of the chain.
-func (m *move) around(at int) []Part {
-	avoid := map[model.Incarnation]bool{}
+// around covers the layers of each lost part with engines outside of the chain.
+func (m *move) around() []Part {
+	used := map[model.Incarnation]bool{}
 	for _, p := range m.parts {
-		avoid[p.Server.Incarnation()] = true
+		used[p.Server.Incarnation()] = true
+	}
+	next := make([]Part, 0, len(m.parts)+1)
+	for at := 0; at < len(m.parts); {
+		end := m.lostFrom(at)
+		if end == at {
+			next = append(next, m.parts[at])
+			at++
+			continue
+		}
+		with := m.bridge(next[len(next)-1], m.parts[at:end], m.parts[end:], used)
+		if with == nil {
+			return nil
+		}
+		for _, p := range with {
+			used[p.Server.Incarnation()] = true
+		}
+		next = append(next, with...)
+		at = end
+	}
+	if len(next) > maxParts {
+		return nil
 	}
+	return next
+}
+
+// lostFrom gives the end of the run of lost parts that begins at an index.
+func (m *move) lostFrom(at int) (end int) {
+	for end = at; end < len(m.parts) && m.lost[m.parts[end].Server.Incarnation()]; end++ {
+	}
+	return end
+}
+
+// bridge covers the layers of neighbouring lost parts between the parts around them.
+func (m *move) bridge(before Part, lost, rest []Part, used map[model.Incarnation]bool) []Part {
 	after := ""
-	if at+1 < len(m.parts) {
-		after = m.parts[at+1].Server.FailureDomain
+	if len(rest) > 0 {
+		after = rest[0].Server.FailureDomain
 	}
-	with := m.cover(m.parts[at].Layers, m.parts[at-1].Server.FailureDomain, after, avoid)
-	if with == nil || len(m.parts)-1+len(with) > maxParts {
+	need := model.LayerRange{From: lost[0].Layers.From, To: lost[len(lost)-1].Layers.To}
+	with := m.cover(need, before.Server.FailureDomain, after, used)
+	if with == nil {
 		return nil
 	}
-	next := append([]Part(nil), m.parts[:at]...)
-	next = append(next, with...)
-	next = append(next, m.parts[at+1:]...)
-	if !m.roomToCross(m.svc.Engine, next[at-1:min(at+len(with)+1, len(next))], m.tokens, m.gap) {
+	edges := append([]Part{before}, with...)
+	edges = append(edges, rest[:min(1, len(rest))]...)
+	if !m.roomToCross(m.svc.Engine, edges, m.tokens, m.gap) {
 		return nil
 	}
-	return next
+	return with
 }
 
 // reroute covers all layers after the first part anew.
-func (m *move) reroute(lost model.Incarnation) []Part {
+func (m *move) reroute() []Part {
 	first := m.parts[0]
 	need := model.LayerRange{From: first.Layers.To, To: m.svc.Engine.Layers}
-	with := m.cover(need, first.Server.FailureDomain, "", map[model.Incarnation]bool{first.Server.Incarnation(): true, lost: true})
+	avoid := map[model.Incarnation]bool{first.Server.Incarnation(): true}
+	for inc := range m.lost {
+		avoid[inc] = true
+	}
+	with := m.cover(need, first.Server.FailureDomain, "", avoid)
 	if with == nil || 1+len(with) > maxParts {
 		return nil
 	}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/follow"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
@@ -224,6 +225,7 @@
 		Observer:    r.metrics,
 		OnPanic:     r.metrics.panicked,
 		Running:     relay.NewRunning(),
+		Detector:    detector.New(time.Now),
 		Suspicions:  r.prober,
 		Quarantine:  r.suspects.Tracker,
 		Trial:       r.suspects.Ask,
--- a/internal/protocol/relay/acquire_test.go
+++ b/internal/protocol/relay/acquire_test.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
@@ -32,7 +33,7 @@
 	prober.Now = time.Now
 	prober.Health = health
 	prober.Catalog = c
-	r := &Relay{Catalog: c, Health: health, Chooser: chooser, Memory: memory, Line: admission.NewLine(), Suspicions: prober, Domain: "a", Now: time.Now,
+	r := &Relay{Detector: detector.New(time.Now), Catalog: c, Health: health, Chooser: chooser, Memory: memory, Line: admission.NewLine(), Suspicions: prober, Domain: "a", Now: time.Now,
 		Quarantine: quarantine.New(func() time.Duration { return 0 })}
 	q := &request{Relay: r, call: &model.Call{Attempt: "1"}, since: time.Now(), avoid: map[model.Incarnation]bool{}}
 	q.ticket = routes.Ticket{
--- a/internal/protocol/relay/move.go
+++ b/internal/protocol/relay/move.go
@@ -2,20 +2,29 @@
 
 import (
 	"context"
+	"maps"
+	"net/http"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// leave moves the run away from an engine. Several streams may find the same
+// mostMoves is how many paths a stream is ordered to take in one move: each refusal
+// names one more engine that does not take its part.
+const mostMoves = 4
+
+// leave moves the run away from engines. Several streams may find the same
 // engine at fault; a run that was moved already stays.
-func (w *chainWatch) leave(lost model.Incarnation, why ending) {
+func (w *chainWatch) leave(lost engineSet, why ending) {
 	defer w.contain()
 	w.mu.Lock()
-	if w.stopped || w.moving || !uses(w.parts, lost) {
+	culprit, through := usesAny(w.parts, lost)
+	if w.stopped || w.moving || !through {
 		w.mu.Unlock()
 		return
 	}
@@ -27,11 +36,11 @@
 	switch news, taken := w.take(moved); {
 	case taken:
 	case why == engineGone && w.last:
-		time.AfterFunc(lastWords, func() { w.endIfThrough(lost) })
+		time.AfterFunc(lastWords, func() { w.endIfThrough(culprit) })
 	case why == engineGone:
-		w.endIfThrough(lost)
+		w.endIfThrough(culprit)
 	default:
-		w.giveUp(news, verdict{culprit: lost, why: why})
+		w.giveUp(news, verdict{culprit: culprit, why: why})
 	}
 }
 
@@ -44,45 +53,90 @@
 	if w.stopped {
 		return w.news, false
 	}
+	w.early = false
 	w.timer.Reset(movedSilence)
 	if moved == nil {
 		return w.news, false
 	}
 	w.parts = moved
+	w.progress.Reroute(engines(moved))
 	w.news++
 	return w.news, true
 }
 
-// replace orders the first engine to send the stream around an engine; nil if
+// replace orders the first engine to send the stream around engines; nil if
 // that cannot be done.
-func (w *chainWatch) replace(parts []chains.Part, lost model.Incarnation) []chains.Part {
+func (w *chainWatch) replace(parts []chains.Part, lost engineSet) []chains.Part {
 	q := w.q
-	if parts[0].Server.Incarnation() == lost || !q.ticket.Idempotent() || !q.mayMove() {
+	if !q.ticket.Idempotent() || !q.mayMove() || w.isUnsure() {
 		return nil
 	}
-	next := q.Chooser.Replace(q.ticket.Service, parts, lost, w.hold.Tokens(), q.ticket.Route.TargetGap)
-	if next == nil {
-		return nil
+	avoid := q.Running.silentAmong(engines(parts))
+	maps.Copy(avoid, lost)
+	for range mostMoves {
+		next := q.Chooser.Replace(q.ticket.Service, parts, avoid, w.hold.Tokens(), q.ticket.Route.TargetGap)
+		if next == nil {
+			return nil
+		}
+		err := w.reroute(next, avoid)
+		if err == nil {
+			w.hold.Move(next)
+			w.record.Move(places(next))
+			q.Observer.Repeat(q.ticket.Service.Name, "repath")
+			return next
+		}
+		var refused conflict
+		if !errors.As(err, &refused) {
+			w.doubt(err)
+			return nil
+		}
+		server := serverAt(next, refused.address)
+		if server == nil {
+			return nil
+		}
+		avoid[server.Incarnation()] = true
+		w.refusedAt(server, parts, err)
 	}
+	return nil
+}
+
+// reroute orders the first engine to send the stream over another path.
+func (w *chainWatch) reroute(next []chains.Part, avoid engineSet) error {
 	ctx, cancel := context.WithTimeout(context.Background(), repathWait)
 	defer cancel()
-	began := q.Now()
-	err := q.Repath(ctx, next[0].Server, q.call.Attempt, hops(next))
-	klog.InfoS("part of a chain replaced", "request", q.call.Attempt, "lost", lost, "chain", describe(next), "ms", q.Now().Sub(began).Milliseconds(), "err", err)
-	if err != nil {
-		return nil
+	began := w.q.Now()
+	err := w.q.Repath(ctx, next[0].Server, w.q.call.Attempt, hops(next))
+	klog.InfoS("part of a chain replaced", "request", w.q.call.Attempt, "lost", slices.Collect(maps.Keys(avoid)), "chain", describe(next), "ms", w.q.Now().Sub(began).Milliseconds(), "err", err)
+	return err
+}
+
+// refusedAt takes in which engine a path was refused for. One that the stream ran
+// through before is lost to all streams; another one may only be full.
+func (w *chainWatch) refusedAt(server *model.BackendServer, before []chains.Part, err error) {
+	if uses(before, server.Incarnation()) {
+		w.fail(server, err)
+		return
 	}
-	w.hold.Move(next)
-	w.record.Move(places(next))
-	q.Observer.Repeat(q.ticket.Service.Name, "repath")
-	return next
+	w.q.Suspicions.Refused(server, w.q.call.Attempt, http.StatusConflict)
+}
+
+func (w *chainWatch) isUnsure() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unsure
 }
 
 func uses(parts []chains.Part, engine model.Incarnation) bool {
+	_, ok := usesAny(parts, engineSet{engine: true})
+	return ok
+}
+
+// usesAny gives the first engine of a chain that is in a set.
+func usesAny(parts []chains.Part, set engineSet) (engine model.Incarnation, ok bool) {
 	for _, p := range parts {
-		if p.Server.Incarnation() == engine {
-			return true
+		if inc := p.Server.Incarnation(); set[inc] {
+			return inc, true
 		}
 	}
-	return false
+	return model.Incarnation{}, false
 }
--- /dev/null
+++ b/internal/protocol/relay/path_test.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/platform"
+)
+
+// eventEvery is the time between the events of the streams here.
+const eventEvery = 30 * time.Millisecond
+
+// pathEngines answers orders as engines do: a path through a silent engine is refused,
+// and the refusal names the first of them.
+type pathEngines struct {
+	mu      sync.Mutex
+	silent  []string // addresses
+	orders  int
+	refused int
+	answer  func(ctx context.Context) // runs before each answer to an order; may be nil
+}
+
+func (p *pathEngines) do(ctx context.Context, _ string, r *Request) (*Answer, error) {
+	if r.Target != platform.OrderPath {
+		return report(emptyReport), nil
+	}
+	if p.answer != nil {
+		p.answer(ctx)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orders++
+	for _, addr := range p.silent {
+		if strings.Contains(string(r.Body), addr+"=") {
+			p.refused++
+			return signed(http.StatusConflict, strings.NewReader(`{"address":"`+addr+`"}`)), nil
+		}
+	}
+	return signed(http.StatusOK, strings.NewReader("")), nil
+}
+
+func (p *pathEngines) silence(addrs ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = addrs
+}
+
+// threeParts gives a site whose chains have three parts, with two holders of each.
+func threeParts(do script) *site {
+	s := newSite(resumable, true, do)
+	s.prober.Report = s.Report
+	s.prober.Healthy = func(context.Context, *model.BackendServer) (bool, error) { return true, nil }
+	s.prober.TellRefused = func(model.Incarnation, time.Time) {}
+	s.Catalog.Remove("one", 1, 0)
+	s.Catalog.Remove("two", 1, 0)
+	for from, ids := range map[int][]string{0: {"head", "head2"}, 4: {"middle", "middle2"}, 8: {"tail", "tail2"}} {
+		for _, id := range ids {
+			s.Catalog.Put(model.BackendServer{ID: id, Service: "s", Address: id + ":1", FailureDomain: "a", Card: "fast", Holds: model.LayerRange{From: from, To: from + 4}, Slots: 200, Revision: 2})
+		}
+	}
+	return s
+}
+
+var resumable = model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2, TargetGap: 300 * time.Millisecond}
+
+// running is a stream on the chain head, middle, tail with its watch.
+func (s *site) running(t *testing.T) (*chainWatch, context.Context) {
+	snap := s.Catalog.Load()
+	var parts []chains.Part
+	for i, id := range []string{"head", "middle", "tail"} {
+		parts = append(parts, chains.Part{Server: snap.Find(inc(id)), Layers: model.LayerRange{From: 4 * i, To: 4*i + 4}})
+	}
+	return s.watchedOn(t, resumable, parts)
+}
+
+// play gives the streams events for a while.
+func play(streams []*chainWatch, events int) {
+	for range events {
+		time.Sleep(eventEvery)
+		for _, w := range streams {
+			w.heard()
+		}
+	}
+}
+
+func ids(w *chainWatch) []string {
+	var out []string
+	parts, _ := w.state()
+	for _, p := range parts {
+		out = append(out, p.Server.ID)
+	}
+	return out
+}
+
+// Two engines of one chain fall silent at one moment, with 90 streams on it: all streams
+// leave both within half of the pause that their route allows, with few refused orders.
+func TestTwoSilentEnginesOfOneChain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &pathEngines{answer: func(context.Context) { time.Sleep(2 * time.Millisecond) }}
+		s := threeParts(engines.do)
+		var streams []*chainWatch
+		for range 90 {
+			w, _ := s.running(t)
+			streams = append(streams, w)
+		}
+		play(streams, 20)
+		engines.silence("middle:1", "tail:1")
+		time.Sleep(resumable.TargetGap / 2)
+		synctest.Wait()
+		for _, w := range streams {
+			assert.DeepEqual(t, ids(w), []string{"head", "middle2", "tail2"})
+			assert.NilError(t, w.run.Err())
+		}
+		assert.Assert(t, engines.refused <= 2*len(streams), "%d of %d orders refused", engines.refused, engines.orders)
+	})
+}
+
+// The first engine of a chain and a later one fall silent together. The path check is
+// not answered, so the streams begin anew at other engines.
+func TestSilentFirstEngineEndsTheRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &pathEngines{}
+		s := threeParts(engines.do)
+		one, run := s.running(t)
+		two, other := s.running(t)
+		play([]*chainWatch{one, two}, 20)
+		engines.answer = func(ctx context.Context) { <-ctx.Done() }
+		time.Sleep(resumable.TargetGap)
+		synctest.Wait()
+		assert.Equal(t, context.Cause(run), silence)
+		assert.Equal(t, context.Cause(other), silence)
+		assert.Assert(t, s.Health.Suspected(inc("head")))
+	})
+}
+
+// A stream is late though its path holds. It stays where it is, and no engine is
+// suspected.
+func TestPathThatHoldsIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &pathEngines{}
+		s := threeParts(engines.do)
+		w, run := s.running(t)
+		play([]*chainWatch{w}, 20)
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, engines.orders, 1)
+		assert.DeepEqual(t, ids(w), []string{"head", "middle", "tail"})
+		w.heard()
+		assert.NilError(t, run.Err())
+		for _, id := range []string{"head", "middle", "tail"} {
+			assert.Assert(t, !s.Health.Suspected(inc(id)), id)
+		}
+	})
+}
+
+// An order is not answered. Its engine may carry it out after a later one and bring the
+// stream back to the path it had, so the stream gets no other order.
+func TestUnansweredOrderIsTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &pathEngines{}
+		s := threeParts(engines.do)
+		w, run := s.running(t)
+		w.last = true // so that the run is kept
+		play([]*chainWatch{w}, 20)
+		engines.answer = func(ctx context.Context) { <-ctx.Done() }
+		time.Sleep(resumable.TargetGap)
+		engines.answer = nil
+		before := engines.orders
+		s.EngineGone(inc("middle"))
+		synctest.Wait()
+		assert.Equal(t, engines.orders, before)
+		assert.DeepEqual(t, ids(w), []string{"head", "middle", "tail"})
+		time.Sleep(lastWords)
+		synctest.Wait()
+		assert.Equal(t, context.Cause(run), engineGone)
+	})
+}
+
+// A path is refused for an engine that is full. Another holder takes the part, and the
+// full one is not taken for silent: other streams stay there.
+func TestFullEngineIsNotTakenForSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &pathEngines{}
+		s := threeParts(engines.do)
+		s.Catalog.Put(model.BackendServer{ID: "middle3", Service: "s", Address: "middle3:1", FailureDomain: "a", Card: "fast", Holds: model.LayerRange{From: 4, To: 8}, Slots: 200, Revision: 2})
+		w, _ := s.running(t)
+		play([]*chainWatch{w}, 20)
+		engines.silence("middle:1", "middle2:1")
+		s.EngineGone(inc("middle"))
+		synctest.Wait()
+		assert.DeepEqual(t, ids(w), []string{"head", "middle3", "tail"})
+		assert.Equal(t, len(s.Running.silentAmong([]model.Incarnation{inc("middle2")})), 0)
+	})
+}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
@@ -115,6 +116,8 @@
 	// Suspicions is told of engines that do not answer.
 	Suspicions Suspicions
 	Pacer      *Pacer
+	// Detector relates the progress of streams to the engines they run through.
+	Detector *detector.Detector
 	// Quarantine knows the requests under which servers end. Trial asks whether one of
 	// them may run at servers, alone among its kind.
 	Quarantine *quarantine.Tracker
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -117,22 +117,37 @@
 	return ans.Status == http.StatusOK, nil
 }
 
+// conflict is the refusal of a path; address names the engine that does not take its
+// part, if it is known.
+type conflict struct{ address string }
+
+func (c conflict) Error() string { return "path refused for " + c.address }
+
 // Repath orders the first engine of a running stream to send it over another
-// path with the same first part.
+// path with the same first part. The error is a conflict where an engine of the path
+// does not take its part.
 func (r *Relay) Repath(ctx context.Context, first *model.BackendServer, attempt string, path []platform.Hop) error {
 	body, err := platform.EncodeRepath(attempt, path)
 	if err != nil {
 		return err
 	}
-	status, err := r.order(ctx, first, body)
-	if err == nil && status != http.StatusOK && status != http.StatusAccepted {
-		err = errors.Errorf("repath answered with status %d", status)
+	status, answer, err := r.order(ctx, first, body)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusOK || status == http.StatusAccepted:
+		return nil
+	case status == http.StatusConflict:
+		return conflict{address: platform.DecodeConflict(answer)}
 	}
-	return err
+	return errors.Errorf("repath answered with status %d", status)
 }
 
-// order sends an order to an engine and gives the status of its answer.
-func (r *Relay) order(ctx context.Context, b *model.BackendServer, body []byte) (int, error) {
+// maxOrderAnswer bounds the answer to an order, in bytes.
+const maxOrderAnswer = 64 << 10
+
+// order sends an order to an engine and gives the status and body of its answer.
+func (r *Relay) order(ctx context.Context, b *model.BackendServer, body []byte) (status int, answer []byte, err error) {
 	ans, err := r.Backends.Do(ctx, b.Address, &Request{
 		Method: http.MethodPost,
 		Target: platform.OrderPath,
@@ -141,13 +156,14 @@
 		Body:   body,
 	})
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	defer ans.Body.Done()
-	if _, err := io.Copy(io.Discard, ans.Body); err != nil {
+	answer, err = io.ReadAll(io.LimitReader(ans.Body, maxOrderAnswer+1))
+	if err != nil || len(answer) > maxOrderAnswer {
 		ans.Body.Discard()
 	}
-	return ans.Status, nil
+	return ans.Status, answer, nil
 }
 
 // Engines gives orders to engines and reads their reports.
@@ -166,7 +182,7 @@
 	if err != nil {
 		return placement.OrderUnknown, err
 	}
-	status, err := e.Relay.order(ctx, b, body)
+	status, _, err := e.Relay.order(ctx, b, body)
 	if errors.Is(err, ErrNotSent) {
 		return placement.OrderRefused, err
 	}
--- a/internal/protocol/relay/running.go
+++ b/internal/protocol/relay/running.go
@@ -12,11 +12,14 @@
 
 // run is work in progress at backend servers.
 type run interface {
-	// leave takes in that an incarnation of a server has ended (engineGone), or is
+	// leave takes in that incarnations of servers have ended (engineGone), or are
 	// believed to be at fault.
-	leave(lost model.Incarnation, why ending)
+	leave(lost engineSet, why ending)
 }
 
+// engineSet is a set of incarnations.
+type engineSet map[model.Incarnation]bool
+
 // rememberGone is for how long work that is added hears of a server's end: its server
 // was chosen before. On a busy machine a tenth of a second may lie between.
 const rememberGone = time.Second
@@ -27,11 +30,13 @@
 	runs map[run]bool
 	// gone holds the servers that ended of late, and when that was told.
 	gone map[model.Incarnation]time.Time
+	// silent holds the servers that were found silent of late, and when.
+	silent map[model.Incarnation]time.Time
 }
 
 // NewRunning makes an empty set.
 func NewRunning() *Running {
-	return &Running{runs: map[run]bool{}, gone: map[model.Incarnation]time.Time{}}
+	return &Running{runs: map[run]bool{}, gone: map[model.Incarnation]time.Time{}, silent: map[model.Incarnation]time.Time{}}
 }
 
 // add adds work that was given to some servers. It tells which of them has ended
@@ -66,9 +71,9 @@
 	last   bool // it must not be sent again
 }
 
-func (c *call) leave(lost model.Incarnation, why ending) {
+func (c *call) leave(lost engineSet, why ending) {
 	switch {
-	case c.server != lost || why != engineGone:
+	case !lost[c.server] || why != engineGone:
 	case c.last:
 		time.AfterFunc(lastWords, func() { c.cancel(engineGone) })
 	default:
@@ -100,30 +105,50 @@
 		r.Suspicions.Unreachable(b, "", errEnded)
 	}
 	r.Suspicions.Ended(inc)
-	r.Running.leave(inc, engineGone)
+	r.Running.leave(engineSet{inc: true}, engineGone)
 }
 
 var errEnded = errors.New("its process ended")
 
-// leave tells all work in progress that an incarnation of a server has ended, or is
+// leave tells all work in progress that incarnations of servers have ended, or are
 // believed to be at fault.
-func (r *Running) leave(lost model.Incarnation, why ending) {
+func (r *Running) leave(lost engineSet, why ending) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if why == engineGone {
-		r.noteGone(lost)
+	for inc := range lost {
+		if why == engineGone {
+			noteRecent(r.gone, inc)
+		} else {
+			noteRecent(r.silent, inc)
+		}
 	}
 	for w := range r.runs {
 		go w.leave(lost, why)
 	}
 }
 
-// noteGone remembers a server's end. The caller holds the lock.
-func (r *Running) noteGone(lost model.Incarnation) {
-	for inc, at := range r.gone {
+// noteRecent remembers that something was told of a server just now, and forgets what
+// was told before rememberGone.
+func noteRecent(told map[model.Incarnation]time.Time, server model.Incarnation) {
+	for inc, at := range told {
 		if time.Since(at) >= rememberGone {
-			delete(r.gone, inc)
+			delete(told, inc)
+		}
+	}
+	told[server] = time.Now()
+}
+
+// silentAmong lists the servers of a chain that were found silent or ended of late.
+func (r *Running) silentAmong(servers []model.Incarnation) engineSet {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := engineSet{}
+	for _, inc := range servers {
+		for _, told := range []map[model.Incarnation]time.Time{r.gone, r.silent} {
+			if at, ok := told[inc]; ok && time.Since(at) < rememberGone {
+				found[inc] = true
+			}
 		}
 	}
-	r.gone[lost] = time.Now()
+	return found
 }
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
@@ -111,7 +112,8 @@
 		Line:     admission.NewLine(),
 		Loans:    &limits.Loans{Budget: limits.NewSharedRetries(0, 100, time.Second, func() int { return 1 }, time.Now), Now: time.Now},
 		Backends: do, Observer: seen, Running: NewRunning(), Suspicions: prober, Domain: "a",
-		Clock: func() time.Duration { return 0 }, Now: time.Now, ConfigTrust: time.Hour,
+		Detector: detector.New(time.Now),
+		Clock:    func() time.Duration { return 0 }, Now: time.Now, ConfigTrust: time.Hour,
 		Quarantine: quarantine.New(func() time.Duration { return time.Since(began) }),
 		Trial: func(context.Context, model.Fingerprint, []model.Incarnation) quarantine.Grant {
 			return quarantine.Grant{Granted: true}
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -44,6 +45,8 @@
 	hold   *chains.Hold
 	since  time.Time // when the run was sent
 	record *quarantine.Run
+	// progress is what the stream's events say of its engines.
+	progress *detector.Stream
 	// last says that no other engine may go on where this run ends.
 	last bool
 
@@ -51,6 +54,8 @@
 	parts   []chains.Part
 	timer   *time.Timer
 	begun   bool              // an event came
+	early   bool              // the timer is for the path check, not for a silence
+	unsure  bool              // an order was not answered and may be carried out later
 	quiet   int               // silences in a row
 	news    int               // counts events and moves, to notice what came meanwhile
 	stopped bool              // ended here, or over
@@ -67,6 +72,7 @@
 func (q *request) watch(run context.Context, cancel context.CancelCauseFunc, parts []chains.Part, hold *chains.Hold, record *quarantine.Run) *chainWatch {
 	w := &chainWatch{q: q, run: run, cancel: cancel, parts: parts, hold: hold, record: record, since: q.Now()}
 	w.last = !q.ticket.Idempotent() || q.sends+1 >= maxSends
+	w.progress = q.Detector.Track(engines(parts), q.eventInterval(parts), q.ticket.Route.TargetGap)
 	w.start()
 	if gone, ended := q.Running.add(w, engines(parts)...); ended {
 		w.end(verdict{culprit: gone, why: engineGone})
@@ -77,7 +83,7 @@
 func (w *chainWatch) start() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(firstSilence, w.ask)
+	w.timer = time.AfterFunc(firstSilence, w.due)
 }
 
 func engines(parts []chains.Part) []model.Incarnation {
@@ -94,8 +100,10 @@
 	w.begun = true
 	w.quiet = 0
 	w.news++
+	w.early = true
+	next := w.progress.Progress()
 	if !w.stopped {
-		w.timer.Reset(nextSilence)
+		w.timer.Reset(next)
 	}
 	w.pace()
 }
@@ -112,8 +120,7 @@
 		return
 	}
 	seen := now.Sub(w.paceFrom) / paceEvents
-	spec := w.q.ticket.Service.Engine
-	planned := w.q.Chooser.TokenTime(spec, w.parts) * time.Duration(spec.Stride)
+	planned := w.q.eventInterval(w.parts)
 	w.paceFrom = now
 	w.paceCount = 0
 	if float64(seen) > slowFactor*float64(planned) {
@@ -124,6 +131,7 @@
 // stop ends the watch. It tells whether a repeated send was taken from the budget.
 func (w *chainWatch) stop() (granted bool) {
 	w.q.Running.remove(w)
+	w.progress.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
@@ -138,9 +146,25 @@
 	return w.parts, w.culprit
 }
 
-// ask runs when the timer fires.
-func (w *chainWatch) ask() {
+// due runs when the timer fires.
+func (w *chainWatch) due() {
 	defer w.contain()
+	w.mu.Lock()
+	early := w.early
+	news := w.news
+	over := w.stopped || w.moving
+	w.mu.Unlock()
+	switch {
+	case over:
+	case early:
+		w.assess(news)
+	default:
+		w.ask()
+	}
+}
+
+// ask looks into a silence.
+func (w *chainWatch) ask() {
 	w.mu.Lock()
 	if w.stopped || w.moving {
 		w.mu.Unlock()
@@ -220,13 +244,26 @@
 // router that run through it are moved at once, before they notice.
 func (w *chainWatch) blame(addr string, news, n int) {
 	parts, _ := w.state()
-	for _, p := range parts {
-		if p.Server.Address != addr {
-			continue
-		}
-		w.q.Suspicions.Unreachable(p.Server, w.q.call.Attempt, nil)
-		w.q.Running.leave(p.Server.Incarnation(), silence)
+	if server := serverAt(parts, addr); server != nil {
+		w.fail(server, nil)
 		return
 	}
 	w.giveUp(news, verdict{why: silence, silences: n})
 }
+
+// fail takes in that an engine of the chain does not do its part: all streams of this
+// router leave it.
+func (w *chainWatch) fail(server *model.BackendServer, err error) {
+	w.q.Suspicions.Unreachable(server, w.q.call.Attempt, err)
+	w.q.Running.leave(engineSet{server.Incarnation(): true}, silence)
+}
+
+// serverAt is the engine of a chain with an address; nil if there is none.
+func serverAt(parts []chains.Part, addr string) *model.BackendServer {
+	for _, p := range parts {
+		if p.Server.Address == addr {
+			return p.Server
+		}
+	}
+	return nil
+}
--- a/internal/protocol/relay/watch_test.go
+++ b/internal/protocol/relay/watch_test.go
@@ -43,13 +43,17 @@
 
 // watched is a running stream through "one" and "far" and its watch.
 func (s *site) watched(t *testing.T, route model.Route) (*chainWatch, context.Context) {
+	return s.watchedOn(t, route, s.parts("far"))
+}
+
+// watchedOn is a running stream through some engines and its watch.
+func (s *site) watchedOn(t *testing.T, route model.Route, parts []chains.Part) (*chainWatch, context.Context) {
 	q := &request{Relay: s.Relay, call: &model.Call{Attempt: "1"}, since: time.Now(), avoid: map[model.Incarnation]bool{}}
 	table := s.Config.Load()
 	route.Host = "h"
 	q.ticket.Route = &route
 	q.ticket.Service = table.Service("s")
 	run, cancel := context.WithCancelCause(t.Context())
-	parts := s.parts("far")
 	hold := s.Memory.Reserve(parts, 100)
 	w := q.watch(run, cancel, parts, hold, s.Quarantine.Begin(nil, false))
 	t.Cleanup(func() {
