relay: send streams of a silent engine anew, to where their pause is shortest

Cause: all streams of the lost engine were moved to its one twin, which read their tokens one after the other, 7 ms each; where the twin was in another failure domain, 55 ms each over the pipe, up to 1.3 s.

Now a stream that may begin at one more engine is sent anew, and moved only where its attempts or the budget for repeated sends are used up. Its chain is chosen for the pause: what its engines read already, what they read for it with the passes of their other streams, and transfers between domains. It is chosen 10 ms after the loss, as engines that fail together are told of one after the other, and leaves an engine that was found silent meanwhile.

TestMovedChainIsNotEndedForTheOldOnesSilence needs a move, so its route has one attempt now; its assertions are the same.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -60,6 +60,8 @@
 	Tokens int
 	// Gap is the longest pause between events that is in time; 0 for the usual.
 	Gap time.Duration
+	// Resumed says that a running stream is to go on: its pause counts, not its time a token.
+	Resumed bool
 	// Avoid are engines that must not take part.
 	Avoid map[model.Incarnation]bool
 	// FirstAmong are the engines that the chain may begin with; nil for any.
@@ -103,6 +105,9 @@
 	cands := c.candidates(svc, d)
 	walk := walk{spec: svc.Engine, cands: cands, need: model.LayerRange{To: svc.Engine.Layers}, home: d.Domain}
 	walk.cross = c.crossings(svc.Engine, cands, d.Tokens, d.Gap)
+	if d.Resumed {
+		c.resumed(&walk, d.Tokens)
+	}
 	walk.room = true
 	walk.sparing = true
 	if chain := walk.shortest(); chain != nil {
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -195,6 +195,52 @@
 	}
 }
 
+// takeOver is how long an engine that goes on with its other streams reads so many tokens
+// through so many layers, in seconds: each chunk of them is read in a pass that makes
+// tokens for the others as well.
+func (c *Chooser) takeOver(spec *model.EngineSpec, b *model.BackendServer, tokens, layers int) float64 {
+	reading := readTime(spec, b, tokens, layers)
+	card, ok := spec.Card(b.Card)
+	if !ok || spec.Chunk <= 0 {
+		return reading
+	}
+	inc := b.Incarnation()
+	step := perLayer(spec, card, Use{Streams: c.Memory.Used(inc).Streams}, c.Memory.Slowdown(inc)) * float64(layers)
+	passes := float64(tokens) / float64(spec.Chunk)
+	return reading*c.Memory.Slowdown(inc) + passes*step*float64(max(spec.Stride, 1))
+}
+
+// resumed turns the costs of a search, in seconds a token, into the pause of a stream that
+// goes on at other engines: they read all its tokens so far, after what they are to read
+// already, and make the tokens of an event.
+func (c *Chooser) resumed(w *walk, tokens int) {
+	spec := w.spec
+	stride := float64(max(spec.Stride, 1))
+	for i := range w.cands {
+		b := w.cands[i].server
+		w.cands[i].perLayer *= stride
+		w.cands[i].perLayer += c.Memory.Pending(b.Incarnation())/float64(b.Holds.Len()) + c.takeOver(spec, b, tokens, 1)
+	}
+	for i, row := range w.cross {
+		for j := range row {
+			row[j] *= stride
+			if i != j && spec.PipeMbps > 0 {
+				row[j] += CrossMbit(spec, tokens) / spec.PipeMbps
+			}
+		}
+	}
+}
+
+// Resume takes in that a stream of so many tokens goes on at a chosen chain. Other routers
+// have streams that go on at the same moment; each counts its own for those of its
+// failure domain, until they hear of each other.
+func (c *Chooser) Resume(spec *model.EngineSpec, parts []Part, tokens int) {
+	together := c.together(c.Routers())
+	for _, p := range parts {
+		c.Memory.Expect(p.Server.Incarnation(), together*c.takeOver(spec, p.Server, tokens, p.Layers.Len()))
+	}
+}
+
 // roomToCross tells whether the pipes between neighbouring parts have room for
 // a stream of so many tokens.
 func (c *Chooser) roomToCross(spec *model.EngineSpec, parts []Part, tokens int, gap time.Duration) bool {
--- a/internal/model/serving.go
+++ b/internal/model/serving.go
@@ -76,6 +76,8 @@
 	// ReadRate is prompt tokens read a second over all layers, for a card of
 	// read factor 1.
 	ReadRate float64
+	// Chunk is how many prompt tokens a pass reads at most; 0 for any number.
+	Chunk int
 	// UsualPrompt and UsualAnswer are mean token counts.
 	UsualPrompt, UsualAnswer int
 	// LoadTime is the time to load all layers, alone.
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -74,7 +74,7 @@
 // acquire chooses a chain and reserves its memory, waiting a moment for room.
 func (s *stream) acquire(ctx context.Context) ([]chains.Part, *chains.Hold, *fault.Error) {
 	q := s.request
-	demand := chains.Demand{Domain: q.Domain, Tokens: s.tokens, Gap: q.ticket.Route.TargetGap, Avoid: q.avoid, FirstAmong: s.firstAmong()}
+	demand := chains.Demand{Domain: q.Domain, Tokens: s.tokens, Gap: q.ticket.Route.TargetGap, Avoid: q.avoid, FirstAmong: s.firstAmong(), Resumed: s.events > 0}
 	if q.barred.suspect {
 		demand.NotFirst = q.barred.bars
 		demand.BeginCost = q.beginCost
@@ -90,6 +90,9 @@
 		if verdict == chains.Found {
 			hold = q.Memory.Reserve(parts, s.tokens)
 			q.Chooser.Begin(q.ticket.Service.Engine, parts, q.promptTokens())
+			if demand.Resumed {
+				q.Chooser.Resume(q.ticket.Service.Engine, parts, s.tokens)
+			}
 		}
 		return verdict != chains.NoRoom
 	}
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -15,9 +15,15 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 	"github.com/skylarkwood/skylarkwood/platform"
 )
 
+// regroupWait is how long an interrupted stream waits before another chain is chosen.
+// Engines that fail together are told of one after the other; chosen at once, the chain
+// would run through the next of them.
+const regroupWait = 10 * time.Millisecond
+
 // errOutOfOrder says that an engine left an event out.
 var errOutOfOrder = errors.New("event out of order")
 
@@ -63,6 +69,9 @@
 		}
 		klog.InfoS("stream goes on at another chain", "request", q.call.Attempt, "after", s.lastID, "events", s.events,
 			"err", err, "sends", q.sends, "ms", q.Now().Sub(q.since).Milliseconds())
+		if q.runs > 0 {
+			wait.For(ctx, regroupWait)
+		}
 	}
 }
 
--- a/internal/protocol/relay/move.go
+++ b/internal/protocol/relay/move.go
@@ -18,8 +18,12 @@
 // names one more engine that does not take its part.
 const mostMoves = 4
 
-// leave moves the run away from engines. Several streams may find the same
+// leave takes the run away from engines. Several streams may find the same
 // engine at fault; a run that was moved already stays.
+//
+// A run that may be sent anew is: its tokens are read by the engines of another chain,
+// each a few layers, and all streams of the lost engine spread over all chains. Moved,
+// they would all wait for the lost engine's twin to read.
 func (w *chainWatch) leave(lost engineSet, why ending) {
 	defer w.contain()
 	w.mu.Lock()
@@ -32,7 +36,10 @@
 	w.timer.Stop()
 	parts := w.parts
 	w.mu.Unlock()
-	moved := w.replace(parts, lost)
+	var moved []chains.Part
+	if !w.fresh || !w.grant() {
+		moved = w.replace(parts, lost)
+	}
 	switch news, taken := w.take(moved); {
 	case taken:
 	case why == engineGone && w.last:
--- a/internal/protocol/relay/path_test.go
+++ b/internal/protocol/relay/path_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/platform"
 )
@@ -73,16 +74,19 @@
 	return s
 }
 
+// resumable is a route whose streams go on at another first engine; those of movable only
+// go on through the first engine that they have.
 var resumable = model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2, TargetGap: 300 * time.Millisecond}
+var movable = model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 1, TargetGap: 300 * time.Millisecond}
 
 // running is a stream on the chain head, middle, tail with its watch.
-func (s *site) running(t *testing.T) (*chainWatch, context.Context) {
+func (s *site) running(t *testing.T, route model.Route) (*chainWatch, context.Context) {
 	snap := s.Catalog.Load()
 	var parts []chains.Part
 	for i, id := range []string{"head", "middle", "tail"} {
 		parts = append(parts, chains.Part{Server: snap.Find(inc(id)), Layers: model.LayerRange{From: 4 * i, To: 4*i + 4}})
 	}
-	return s.watchedOn(t, resumable, parts)
+	return s.watchedOn(t, route, parts)
 }
 
 // play gives the streams events for a while.
@@ -112,7 +116,7 @@
 		s := threeParts(engines.do)
 		var streams []*chainWatch
 		for range 90 {
-			w, _ := s.running(t)
+			w, _ := s.running(t, movable)
 			streams = append(streams, w)
 		}
 		play(streams, 20)
@@ -133,8 +137,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines := &pathEngines{}
 		s := threeParts(engines.do)
-		one, run := s.running(t)
-		two, other := s.running(t)
+		one, run := s.running(t, resumable)
+		two, other := s.running(t, resumable)
 		play([]*chainWatch{one, two}, 20)
 		engines.answer = func(ctx context.Context) { <-ctx.Done() }
 		time.Sleep(resumable.TargetGap)
@@ -151,7 +155,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines := &pathEngines{}
 		s := threeParts(engines.do)
-		w, run := s.running(t)
+		w, run := s.running(t, movable)
 		play([]*chainWatch{w}, 20)
 		time.Sleep(200 * time.Millisecond)
 		synctest.Wait()
@@ -171,7 +175,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines := &pathEngines{}
 		s := threeParts(engines.do)
-		w, run := s.running(t)
+		w, run := s.running(t, movable)
 		w.last = true // so that the run is kept
 		play([]*chainWatch{w}, 20)
 		engines.answer = func(ctx context.Context) { <-ctx.Done() }
@@ -188,6 +192,52 @@
 	})
 }
 
+// An engine that many streams run through falls silent. Moved, all would wait for its
+// twin to read their tokens; they are sent anew, while the budget for that lasts.
+func TestStreamsOfASilentEngineAreSentAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const budget = 30
+		engines := &pathEngines{}
+		s := threeParts(engines.do)
+		s.Loans.Budget = limits.NewSharedRetries(0, budget, time.Second, func() int { return 1 }, time.Now)
+		var streams []*chainWatch
+		for range 90 {
+			w, _ := s.running(t, resumable)
+			streams = append(streams, w)
+		}
+		play(streams, 40)
+		engines.silence("middle:1")
+		time.Sleep(resumable.TargetGap / 2)
+		synctest.Wait()
+		anew, moved := 0, 0
+		for _, w := range streams {
+			parts, culprit := w.state()
+			switch {
+			case context.Cause(w.run) == silence:
+				assert.Equal(t, culprit, inc("middle"))
+				anew++
+			case parts[1].Server.ID == "middle2":
+				moved++
+			}
+		}
+		assert.Assert(t, anew <= budget && anew >= budget*8/10, "%d sent anew", anew)
+		assert.Equal(t, anew+moved, len(streams))
+	})
+}
+
+// A chain is chosen while one of its engines is found silent. The run leaves it at once
+// and does not wait for its first event.
+func TestRunHearsOfAnEngineJustFoundSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &pathEngines{}
+		s := threeParts(engines.do)
+		s.Running.leave(engineSet{inc("middle"): true}, silence)
+		w, _ := s.running(t, movable)
+		synctest.Wait()
+		assert.DeepEqual(t, ids(w), []string{"head", "middle2", "tail"})
+	})
+}
+
 // A path is refused for an engine that is full. Another holder takes the part, and the
 // full one is not taken for silent: other streams stay there.
 func TestFullEngineIsNotTakenForSilent(t *testing.T) {
@@ -195,7 +245,7 @@
 		engines := &pathEngines{}
 		s := threeParts(engines.do)
 		s.Catalog.Put(model.BackendServer{ID: "middle3", Service: "s", Address: "middle3:1", FailureDomain: "a", Card: "fast", Holds: model.LayerRange{From: 4, To: 8}, Slots: 200, Revision: 2})
-		w, _ := s.running(t)
+		w, _ := s.running(t, movable)
 		play([]*chainWatch{w}, 20)
 		engines.silence("middle:1", "middle2:1")
 		s.EngineGone(inc("middle"))
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -49,6 +49,8 @@
 	progress *detector.Stream
 	// last says that no other engine may go on where this run ends.
 	last bool
+	// fresh says that the route's attempts leave one at another first engine.
+	fresh bool
 
 	mu      sync.Mutex
 	parts   []chains.Part
@@ -72,10 +74,14 @@
 func (q *request) watch(run context.Context, cancel context.CancelCauseFunc, parts []chains.Part, hold *chains.Hold, record *quarantine.Run) *chainWatch {
 	w := &chainWatch{q: q, run: run, cancel: cancel, parts: parts, hold: hold, record: record, since: q.Now()}
 	w.last = !q.ticket.Idempotent() || q.sends+1 >= maxSends
+	w.fresh = !w.last && q.runs+1 < q.ticket.Route.MaxAttempts
 	w.progress = q.Detector.Track(engines(parts), q.eventInterval(parts), q.ticket.Route.TargetGap)
 	w.start()
-	if gone, ended := q.Running.add(w, engines(parts)...); ended {
+	path := engines(parts)
+	if gone, ended := q.Running.add(w, path...); ended {
 		w.end(verdict{culprit: gone, why: engineGone})
+	} else if silent := q.Running.silentAmong(path); len(silent) > 0 {
+		go w.leave(silent, silence)
 	}
 	return w
 }
--- a/internal/protocol/relay/watch_test.go
+++ b/internal/protocol/relay/watch_test.go
@@ -94,7 +94,7 @@
 // to the question is about the chain as it was: it must not end the new one.
 func TestMovedChainIsNotEndedForTheOldOnesSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
+		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 1}
 		var asked atomic.Int64
 		s := chained(route, func(_ context.Context, _ string, r *Request) (*Answer, error) {
 			if r.Target != platform.ReportPath {
