peers: a router that starts asks its seeds for their version of the configuration

What callers saw: a key that was taken away served again, some ten answers in half a second, at a router that started while the store was back from an older copy. Cause: its first configuration came from the store alone, and a peer's newer one is fetched only 0.6 s after a heartbeat told of it.

Where all seeds are gone, or cut off, it is as before; verdicts on requests, plan and limits are still taken from the store alone.

--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -135,6 +135,9 @@
 		klog.ErrorS(err, "configuration passed over", "revision", it.Revision)
 		return
 	}
+	if before == 0 {
+		s.exchange.FetchNewer(cfg.Version)
+	}
 	if !s.config.Apply(cfg, it.Value) {
 		klog.InfoS("configuration is not newer", "version", cfg.Version, "inForce", before)
 		return
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -22,6 +22,8 @@
 // servers that it knows where the sender knows none: those are most of the answer.
 type RouterAsk struct {
 	Servers bool `json:"servers,omitempty"`
+	// VersionOnly asks for nothing but the version.
+	VersionOnly bool `json:"versionOnly,omitempty"`
 }
 
 // RouterConfig is the operator's configuration as the operator wrote it, and
--- a/internal/transport/peers/fetch.go
+++ b/internal/transport/peers/fetch.go
@@ -78,6 +78,9 @@
 	if p == nil {
 		return wire.RouterConfig{}, errors.WithStack(fault.New(fault.NotReady, "no configuration yet"))
 	}
+	if ask.VersionOnly {
+		return wire.RouterConfig{Version: p.Version}, nil
+	}
 	rep := wire.RouterConfig{Version: p.Version, Raw: p.Raw}
 	if ask.Servers {
 		rep.Servers = x.Catalog.Entries()
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -91,6 +91,7 @@
 	busy     map[string]bool // a message to the peer is under way
 	traffic  bool            // a peer saw callers' requests
 	fetching bool
+	running  running
 	suspects map[model.Incarnation]time.Time // own suspicions to pass on
 	refusing map[model.Incarnation]time.Time // engines that refused this router's work
 }
--- a/test/fleet/restore_test.go
+++ b/test/fleet/restore_test.go
@@ -82,3 +82,28 @@
 	}
 	time.Sleep(time.Second)
 }
+
+// A key is taken away, the store comes back from a copy of before, and a router starts in
+// that moment. It serves by what the running routers know, and the key is not taken there.
+func TestRouterStartsWhileTheStoreIsOlder(t *testing.T) {
+	s := newSite(t, 3)
+	early := s.store.Copy()
+	s.configure(func(cfg map[string]any) { cfg["tenants"] = cfg["tenants"].([]any)[:1] })
+	for _, r := range s.routers {
+		s.eventually("the key is taken away", func() bool { return s.call(r, ask{path: "/sheet/1", key: "key-2"}).status == http.StatusUnauthorized })
+	}
+	s.store.Restore(early)
+	starting := s.routers[2]
+	starting.stop()
+	<-starting.done
+	s.run(starting)
+	served := 0
+	s.eventually("the new process serves and refuses the key", func() bool {
+		if s.call(starting, ask{path: "/sheet/1", key: "key-2"}).status == http.StatusOK {
+			served++
+		}
+		return s.call(starting, ask{path: "/sheet/1"}).status == http.StatusOK &&
+			s.call(starting, ask{path: "/sheet/1", key: "key-2"}).status == http.StatusUnauthorized
+	})
+	assert.Equal(t, served, 0)
+}
