--- a/internal/coordination/sentinel/sentinel.go
+++ b/internal/coordination/liveness/liveness.go
@@ -1,9 +1,9 @@
-// Package sentinel notices the death of engines at once. A stream whose chain
+// Package liveness notices the death of engines at once. A stream whose chain
 // loses a later part gets no word of it: its first engine goes on waiting, and
 // silence shows only after several times the usual pause between events. But a
 // process that ends closes its connections; whoever keeps one open sees that in
 // a few milliseconds.
-package sentinel
+package liveness
 
 import (
 	"cmp"
@@ -36,8 +36,8 @@
 	retryPause = time.Second
 )
 
-// Sentinel watches engines by a connection kept open to each.
-type Sentinel struct {
+// Watcher watches engines by a connection kept open to each.
+type Watcher struct {
 	// Self is this router's name, Routers lists all that are alive.
 	Self    string
 	Routers func() []string
@@ -52,7 +52,7 @@
 }
 
 // Run watches until ctx ends.
-func (s *Sentinel) Run(ctx context.Context) {
+func (s *Watcher) Run(ctx context.Context) {
 	tick := time.NewTicker(syncEvery)
 	defer tick.Stop()
 	for {
@@ -67,7 +67,7 @@
 
 // sync begins to watch engines that are this router's to watch, and leaves those
 // that are not any more.
-func (s *Sentinel) sync(ctx context.Context) {
+func (s *Watcher) sync(ctx context.Context) {
 	ring := newRing(s.Routers())
 	mine := map[model.Incarnation]*model.BackendServer{}
 	for _, b := range s.Engines() {
@@ -144,7 +144,7 @@
 // watch keeps a connection to one engine open. Its end is no evidence alone, as
 // engines close connections that rest; that the port then refuses another is.
 // An engine that is cut off or dark refuses nothing.
-func (s *Sentinel) watch(ctx context.Context, b *model.BackendServer) {
+func (s *Watcher) watch(ctx context.Context, b *model.BackendServer) {
 	seen := false
 	short := 0 // connections in a row that were closed at once
 	for ctx.Err() == nil {
--- a/internal/coordination/sentinel/sentinel_test.go
+++ b/internal/coordination/liveness/liveness_test.go
@@ -1,4 +1,4 @@
-package sentinel
+package liveness
 
 import (
 	"context"
@@ -55,12 +55,12 @@
 
 var refused = errors.Wrap(syscall.ECONNREFUSED, "dial")
 
-// watching runs a sentinel over one engine in virtual time.
+// watching runs a watcher over one engine in virtual time.
 func watching(t *testing.T, f func(e *engine, gone *[]string)) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{}
 		var gone []string
-		s := &Sentinel{
+		s := &Watcher{
 			Self:    "a",
 			Routers: func() []string { return []string{"a"} },
 			Engines: func() []*model.BackendServer { return []*model.BackendServer{{ID: "e", Address: "e:1"}} },
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -19,10 +19,10 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/follow"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/liveness"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
-	"github.com/skylarkwood/skylarkwood/internal/coordination/sentinel"
 	"github.com/skylarkwood/skylarkwood/internal/hlc"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	outside "github.com/skylarkwood/skylarkwood/internal/platform"
@@ -73,7 +73,7 @@
 	exchange *peers.Exchange
 	follower *follow.Follower
 	prober   *relay.Prober
-	sentinel *sentinel.Sentinel
+	liveness *liveness.Watcher
 	suspects *peers.Quarantine
 	archive  *quarantine.Archive
 	links    *link.Server
@@ -258,7 +258,7 @@
 	r.prober.Tell = r.exchange.Suspect
 	r.prober.TellRefused = r.exchange.Refused
 	r.prober.Now = time.Now
-	r.sentinel = &sentinel.Sentinel{
+	r.liveness = &liveness.Watcher{
 		Self:    r.settings.Router.Peers,
 		Routers: r.exchange.Alive,
 		Engines: r.engines,
@@ -349,7 +349,7 @@
 	go r.elector.Run(electing)
 	go r.exchange.Run(background)
 	go r.prober.Run(background)
-	go r.sentinel.Run(background)
+	go r.liveness.Run(background)
 	go r.every(background, controlEvery, func() {
 		r.expire()
 		r.front.Relay.Pacer.Recheck()
