--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -113,12 +113,12 @@
 	return b.Revision.Era() > known.Revision.Era() && b.Born == known.Born && b.Beats < known.Beats
 }
 
-// Spoil takes in that an entry holds something that names no server. What was
+// MarkMalformed takes in that an entry holds something that names no server. What was
 // believed of its server is kept, as work may be running there, but it gets none
 // until its own word stands there again: whoever wrote over it may know that it
 // is gone, and a server that lives writes again within a heartbeat. It tells
 // whether that is news.
-func (c *Catalog) Spoil(id string, revision model.Revision) bool {
+func (c *Catalog) MarkMalformed(id string, revision model.Revision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, ok := c.entries[id]
@@ -163,9 +163,9 @@
 	e.keepUntil = c.now().Add(grace)
 }
 
-// Replace takes in the whole list: what it lacks was removed. spoilt are the ids
+// Replace takes in the whole list: what it lacks was removed. malformed are the ids
 // whose entries name no server.
-func (c *Catalog) Replace(all []model.BackendServer, spoilt map[string]model.Revision, grace time.Duration) News {
+func (c *Catalog) Replace(all []model.BackendServer, malformed map[string]model.Revision, grace time.Duration) News {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var news News
@@ -176,7 +176,7 @@
 		news.add(c.put(b, c.sightings.reads))
 	}
 	for id, e := range c.entries {
-		if revision, ok := spoilt[id]; ok {
+		if revision, ok := malformed[id]; ok {
 			c.spoil(e, revision)
 			continue
 		}
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -118,7 +118,7 @@
 	h.Clear(inc("a"), *at)
 	assert.Assert(t, !h.Suspected(inc("a")))
 	until, _ = h.Suspect(inc("a"))
-	assert.Equal(t, until.Sub(*at), firstSuspicion, "proof of work forgets the strikes")
+	assert.Equal(t, until.Sub(*at), firstSuspicion, "proof of work clears the failure count")
 }
 
 func TestHealthCounts(t *testing.T) {
@@ -168,11 +168,11 @@
 	h.Clear(inc("a"), *at)
 	assert.Assert(t, !h.View(inc("a")).Suspected)
 	h.Try(inc("a"))
-	assert.Assert(t, !h.View(inc("a")).Suspected, "an engine without strikes is not rationed")
+	assert.Assert(t, !h.View(inc("a")).Suspected, "an engine without failures is not rationed")
 }
 
 // Another router tells of a refusal every quarter of a second, as the time that
-// is left of it. That is one strike here, not many.
+// is left of it. That is one suspicion here, not many.
 func TestPeersWordIsOneStrike(t *testing.T) {
 	at, now := clock()
 	h := NewHealth(now)
--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -11,7 +11,7 @@
 
 const (
 	// firstSuspicion is how long a backend server gets nothing after direct
-	// evidence against it; it doubles with each further strike up to
+	// evidence against it; it doubles with each further one up to
 	// longestSuspicion. A restarted engine is another incarnation, so only cut
 	// off and slow ones wait it out.
 	firstSuspicion   = time.Second
@@ -42,16 +42,16 @@
 }
 
 type record struct {
-	mu       sync.Mutex
-	until    time.Time // suspected until then
-	since    time.Time // when the suspicion was last raised or confirmed
-	trial    time.Time // not tried again before
-	refuses  time.Time // refuses work until then, as far as known
-	strikes  int
-	failures float64 // smoothed share of failed requests, as of judged
-	judged   time.Time
-	latency  time.Duration
-	active   int // requests of this process that run there
+	mu         sync.Mutex
+	until      time.Time // suspected until then
+	since      time.Time // when the suspicion was last raised or confirmed
+	trial      time.Time // not tried again before
+	refuses    time.Time // refuses work until then, as far as known
+	failureCount int // suspicions in a row, and lasting refusals
+	failures   float64 // smoothed share of failed requests, as of judged
+	judged     time.Time
+	latency    time.Duration
+	active     int // requests of this process that run there
 }
 
 // NewHealth makes an empty record.
@@ -78,7 +78,7 @@
 		}
 		news = true
 		d := r.nextSuspicion()
-		r.strikes++
+		r.failureCount++
 		r.since = now
 		r.until = now.Add(d)
 		until = r.until
@@ -97,21 +97,21 @@
 }
 
 // Refused takes in that a backend server refused work of this router and gets
-// none until then. A lasting refusal counts as a strike.
+// none until then. A lasting refusal counts as a failure.
 func (h *Health) Refused(inc model.Incarnation, until time.Time, lasting bool) {
 	h.with(inc, func(r *record) {
 		r.since = h.now()
 		r.until = until
 		r.refuses = until
 		if lasting {
-			r.strikes++
+			r.failureCount++
 		}
-		r.strikes = max(r.strikes, 1)
+		r.failureCount = max(r.failureCount, 1)
 	})
 }
 
 // NextSuspicion is how long the next suspicion lasts: it doubles with each
-// strike.
+// failure.
 func (h *Health) NextSuspicion(inc model.Incarnation) time.Duration {
 	d := firstSuspicion
 	h.with(inc, func(r *record) { d = r.nextSuspicion() })
@@ -119,11 +119,11 @@
 }
 
 func (r *record) nextSuspicion() time.Duration {
-	return min(firstSuspicion<<min(r.strikes, 6), longestSuspicion)
+	return min(firstSuspicion<<min(r.failureCount, 6), longestSuspicion)
 }
 
 // SuspectedElsewhere takes in that another router's work was refused, and until
-// when nobody should send more. It counts as a strike here as well.
+// when nobody should send more. It counts as a failure here as well.
 func (h *Health) SuspectedElsewhere(inc model.Incarnation, until time.Time) {
 	now := h.now()
 	h.with(inc, func(r *record) {
@@ -131,7 +131,7 @@
 			return
 		}
 		if !now.Before(r.until) {
-			r.strikes++
+			r.failureCount++
 		}
 		r.since = now
 		r.until = until
@@ -148,7 +148,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.strikes > 0 {
+	if r.failureCount > 0 {
 		r.trial = h.now().Add(trialEvery)
 	}
 }
@@ -163,12 +163,12 @@
 		r.until = time.Time{}
 		r.refuses = time.Time{}
 		r.trial = time.Time{}
-		r.strikes = 0
+		r.failureCount = 0
 	})
 }
 
 // Trust takes in that a backend server answered what it was asked at some time, and
-// tells whether that counts. Its strikes stay until it has done work: one that answers
+// tells whether that counts. Its failure count stays until it has done work: one that answers
 // and does nothing would else be tried again every second. A refusal of work stays its
 // time: an engine that drains answers. An answer that was asked for before the
 // suspicion was last raised or confirmed says nothing against it; requests would go
@@ -196,7 +196,7 @@
 }
 
 func (r *record) suspected(now time.Time) bool {
-	return now.Before(r.until) || r.strikes > 0 && now.Before(r.trial)
+	return now.Before(r.until) || r.failureCount > 0 && now.Before(r.trial)
 }
 
 // Begin and End bracket a request of this process at a backend server.
@@ -207,7 +207,7 @@
 	h.with(inc, func(r *record) {
 		r.active--
 		if ok {
-			r.strikes = 0
+			r.failureCount = 0
 		}
 		r.judge(h.now(), ok)
 		if latency <= 0 {
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -171,7 +171,7 @@
 	c.appeared[b.Incarnation()] = now
 	c.newest = now
 	if why != "" {
-		klog.InfoS("engine entry is odd", "server", b.Incarnation(), "why", why, "card", b.Card, "holds", b.Holds.String())
+		klog.InfoS("engine entry is malformed", "server", b.Incarnation(), "why", why, "card", b.Card, "holds", b.Holds.String())
 	}
 }
 
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -87,7 +87,7 @@
 	traffic  atomic.Bool
 	draining atomic.Bool
 
-	odd oddEntries // used by the follower alone
+	malformed malformedEntries // used by the follower alone
 
 	mu      sync.Mutex
 	members map[string]leader.Member // by store key
@@ -103,19 +103,19 @@
 func NewRouter(s settings.Settings, store outside.Store) *Router {
 	m := newMetrics(s)
 	r := &Router{
-		settings: s,
-		store:    newCountedStore(store, m),
-		config:   &routes.Current{},
-		catalog:  catalog.New(time.Now),
-		health:   catalog.NewHealth(time.Now),
-		memory:   chains.NewMemory(time.Now),
-		pipes:    chains.NewPipes(time.Now),
-		prober:   relay.NewProber(),
-		backends: backend.NewPool(),
-		metrics:  m,
-		members:  map[string]leader.Member{},
-		odd:      oddEntries{},
-		listen:   listenTCP,
+		settings:  s,
+		store:     newCountedStore(store, m),
+		config:    &routes.Current{},
+		catalog:   catalog.New(time.Now),
+		health:    catalog.NewHealth(time.Now),
+		memory:    chains.NewMemory(time.Now),
+		pipes:     chains.NewPipes(time.Now),
+		prober:    relay.NewProber(),
+		backends:  backend.NewPool(),
+		metrics:   m,
+		members:   map[string]leader.Member{},
+		malformed: malformedEntries{},
+		listen:    listenTCP,
 	}
 	r.decode = func(raw []byte) (*model.RouteConfig, error) { return platform.DecodeConfig(raw, r.yield) }
 	r.linkPeers()
--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -29,8 +29,8 @@
 // Backend servers, and requests that must go to none, are taken in first: requests that
 // wait for the first configuration are sent as soon as it is in force.
 func (s *routerSink) Reset(page outside.Page, grace time.Duration) {
-	servers, spoilt := s.decodeServers(page.Items)
-	s.follow(s.catalog.Replace(servers, spoilt, grace))
+	servers, malformed := s.decodeServers(page.Items)
+	s.follow(s.catalog.Replace(servers, malformed, grace))
 	s.mu.Lock()
 	clear(s.members)
 	s.mu.Unlock()
@@ -46,7 +46,7 @@
 		s.elector.Seen(nil, page.Revision)
 	}
 	s.publishMembers()
-	klog.InfoS("store read", "revision", page.Revision, "items", len(page.Items), "servers", len(servers), "namingNone", len(spoilt))
+	klog.InfoS("store read", "revision", page.Revision, "items", len(page.Items), "servers", len(servers), "namingNone", len(malformed))
 }
 
 // valueOf finds what a key holds, and since which revision; nothing if it is not there.
@@ -59,10 +59,10 @@
 	return nil, 0
 }
 
-// decodeServers reads the entries of backend servers. spoilt holds the revisions
+// decodeServers reads the entries of backend servers. malformed holds the revisions
 // of those that name no server, by id.
-func (s *routerSink) decodeServers(items []outside.Item) (servers []model.BackendServer, spoilt map[string]model.Revision) {
-	spoilt = map[string]model.Revision{}
+func (s *routerSink) decodeServers(items []outside.Item) (servers []model.BackendServer, malformed map[string]model.Revision) {
+	malformed = map[string]model.Revision{}
 	for _, it := range items {
 		if !strings.HasPrefix(it.Key, platform.ServersPrefix) {
 			continue
@@ -70,19 +70,19 @@
 		b, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 		if err != nil {
 			id := platform.ServerID(it.Key)
-			spoilt[id] = it.Revision
-			s.noteOdd(id, it.Revision, false, err)
+			malformed[id] = it.Revision
+			s.logMalformed(id, it.Revision, false, err)
 			continue
 		}
 		servers = append(servers, b)
 	}
-	return servers, spoilt
+	return servers, malformed
 }
 
-// noteOdd logs an entry that names no server: where it has just spoilt a good one, and
+// logMalformed logs an entry that names no server: where it has just replaced a good one, and
 // else once in a while for each.
-func (s *routerSink) noteOdd(id string, revision model.Revision, spoilt bool, err error) {
-	if s.odd.first(id, time.Now()) || spoilt {
+func (s *routerSink) logMalformed(id string, revision model.Revision, replaced bool, err error) {
+	if s.malformed.first(id, time.Now()) || replaced {
 		known := s.catalog.Load().ByID(id) != nil
 		klog.InfoS("backend server's entry names no server", "server", id, "known", known, "err", err, "revision", revision)
 	}
@@ -155,8 +155,8 @@
 	}
 	b, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 	if err != nil {
-		spoilt := s.catalog.Spoil(id, it.Revision)
-		s.noteOdd(id, it.Revision, spoilt, err)
+		replaced := s.catalog.MarkMalformed(id, it.Revision)
+		s.logMalformed(id, it.Revision, replaced, err)
 		return
 	}
 	klog.InfoS("backend server's entry", "server", b.Incarnation(), "address", b.Address, "failureDomain", b.FailureDomain, "draining", b.Draining,
