--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -42,16 +42,16 @@
 }
 
 type record struct {
-	mu         sync.Mutex
-	until      time.Time // suspected until then
-	since      time.Time // when the suspicion was last raised or confirmed
-	trial      time.Time // not tried again before
-	refuses    time.Time // refuses work until then, as far as known
-	failureCount int // suspicions in a row, and lasting refusals
-	failures   float64 // smoothed share of failed requests, as of judged
-	judged     time.Time
-	latency    time.Duration
-	active     int // requests of this process that run there
+	mu           sync.Mutex
+	until        time.Time // suspected until then
+	since        time.Time // when the suspicion was last raised or confirmed
+	trial        time.Time // not tried again before
+	refuses      time.Time // refuses work until then, as far as known
+	failureCount int       // suspicions in a row, and lasting refusals
+	failures     float64   // smoothed share of failed requests, as of judged
+	judged       time.Time
+	latency      time.Duration
+	active       int // requests of this process that run there
 }
 
 // NewHealth makes an empty record.
--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -109,11 +109,11 @@
 		c.resumed(&walk, d.Tokens)
 	}
 	walk.room = true
-	walk.sparing = true
+	walk.deferring = true
 	if chain := walk.shortest(); chain != nil {
 		return chain, Found
 	}
-	walk.sparing = false // young engines are spared only as long as others serve
+	walk.deferring = false // engines in slow start are left out only as long as others serve
 	if chain := walk.shortest(); chain != nil {
 		return chain, Found
 	}
@@ -207,7 +207,7 @@
 			perLayer: per,
 			doubt:    doubt,
 			notFirst: d.FirstAmong != nil && !d.FirstAmong[inc] || d.NotFirst != nil && d.NotFirst(b),
-			spared:   c.Memory.spares(c.Self, inc, b.Holds, readTime(spec, b, d.Tokens, b.Holds.Len()), routers),
+			deferred: c.Memory.defers(c.Self, inc, b.Holds, readTime(spec, b, d.Tokens, b.Holds.Len()), routers),
 			noSlot:   b.Slots > 0 && used.Firsts+1 > float64(b.Slots)*slotLimit,
 			full:     used.TokenLayers+float64(d.Tokens*b.Holds.Len()) > capacity*fillLimit,
 		})
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -59,7 +59,7 @@
 	peerEnds time.Time
 	slow     map[model.Incarnation]slowness
 	began    time.Time
-	met      map[model.Incarnation]*acquaintance
+	records  map[model.Incarnation]*engineRecord
 }
 
 type ownUse struct {
@@ -89,7 +89,7 @@
 // NewMemory makes an empty count.
 func NewMemory(now func() time.Time) *Memory {
 	return &Memory{now: now, own: map[model.Incarnation]*ownUse{}, peers: map[string]peerCount{}, peerSum: map[model.Incarnation]Use{}, slow: map[model.Incarnation]slowness{},
-		began: now(), met: map[model.Incarnation]*acquaintance{}}
+		began: now(), records: map[model.Incarnation]*engineRecord{}}
 }
 
 // Used is what is taken of an engine, as far as known here.
@@ -218,7 +218,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.owned(inc).reading.add(m.now(), seconds/readMemory.Seconds(), readMemory)
-	if a, ok := m.met[inc]; ok {
+	if a, ok := m.records[inc]; ok {
 		a.spent += seconds
 	}
 }
--- a/internal/coordination/chains/newcomer_test.go
+++ b/internal/coordination/chains/slowstart_test.go
@@ -81,7 +81,7 @@
 	assert.Assert(t, most <= longest, "prompts wait %v at the new engine", most)
 }
 
-// A young engine is the only one that holds some layers. It is spared only as long as
+// An engine in slow start is the only one that holds some layers. It is left out only as long as
 // others serve: nobody is refused for it.
 func TestYoungEngineServesWhereNobodyElseDoes(t *testing.T) {
 	w := twoDomains()
@@ -89,16 +89,16 @@
 	w.now = w.now.Add(time.Minute)
 	w.catalog.Remove("b2", 1, 0)
 	w.catalog.Remove("a2", 1, 0)
-	w.add("young", "a", "a100", 40, 60)
+	w.add("loaded", "a", "a100", 40, 60)
 	for range 20 {
 		parts, v := w.chooser.Choose(w.svc, Demand{Domain: "a", Tokens: 10})
 		assert.Equal(t, v, Found)
 		w.chooser.Begin(w.svc.Engine, parts, 10)
-		assert.Equal(t, parts[1].Server.ID, "young")
+		assert.Equal(t, parts[1].Server.ID, "loaded")
 	}
 }
 
-// What a young engine reads for all routers together grows with its age, from nothing:
+// What an engine in slow start reads for all routers together grows with its age, from nothing:
 // however many there are, they do not begin at one moment, and each takes its share.
 func TestYoungEngineIsShared(t *testing.T) {
 	const routers, prompt = 100, 0.005 // seconds
@@ -109,31 +109,31 @@
 	}
 	now = now.Add(time.Minute)
 	began, read := now, 0.0
-	for ; now.Sub(began) < youngTime; now = now.Add(10 * time.Millisecond) {
+	for ; now.Sub(began) < slowStartTime; now = now.Add(10 * time.Millisecond) {
 		for r, m := range all {
-			if !m.spares(fmt.Sprint(r), inc("young"), model.LayerRange{To: 28}, prompt, routers) {
-				m.Read(inc("young"), prompt)
+			if !m.defers(fmt.Sprint(r), inc("loaded"), model.LayerRange{To: 28}, prompt, routers) {
+				m.Read(inc("loaded"), prompt)
 				read += prompt
 			}
 		}
 		age := now.Sub(began).Seconds()
-		assert.Assert(t, read <= youngShare*age+routers*prompt/2+0.01, "%.3f s read at the age of %.2f s", read, age)
+		assert.Assert(t, read <= slowStartShare*age+routers*prompt/2+0.01, "%.3f s read at the age of %.2f s", read, age)
 	}
-	assert.Assert(t, read >= youngShare*youngTime.Seconds()/2, "%.3f s read", read)
-	assert.Assert(t, !all[0].spares("0", inc("young"), model.LayerRange{To: 28}, prompt, routers), "it is young no longer")
-	assert.Assert(t, all[0].spares("0", inc("young"), model.LayerRange{From: 28, To: 56}, prompt, routers), "with other layers it is")
+	assert.Assert(t, read >= slowStartShare*slowStartTime.Seconds()/2, "%.3f s read", read)
+	assert.Assert(t, !all[0].defers("0", inc("loaded"), model.LayerRange{To: 28}, prompt, routers), "it is young no longer")
+	assert.Assert(t, all[0].defers("0", inc("loaded"), model.LayerRange{From: 28, To: 56}, prompt, routers), "with other layers it is")
 }
 
-// A process that has just started meets all engines at once; they are not young.
+// A process that has just started sees all engines at once; none is in slow start.
 func TestEnginesOfAStartAreNotYoung(t *testing.T) {
 	now := time.Unix(1000, 0)
 	m := NewMemory(func() time.Time { return now })
-	now = now.Add(settledAfter / 2)
-	assert.Assert(t, !m.spares("0", inc("old"), model.LayerRange{To: 28}, 1, 100))
-	now = now.Add(settledAfter)
-	assert.Assert(t, m.spares("0", inc("young"), model.LayerRange{To: 28}, 1, 100))
+	now = now.Add(startupTime / 2)
+	assert.Assert(t, !m.defers("0", inc("old"), model.LayerRange{To: 28}, 1, 100))
+	now = now.Add(startupTime)
+	assert.Assert(t, m.defers("0", inc("loaded"), model.LayerRange{To: 28}, 1, 100))
 	m.Retain(func(i model.Incarnation) bool { return i == inc("old") })
-	assert.Equal(t, len(m.met), 1)
+	assert.Equal(t, len(m.records), 1)
 }
 
 // release is when a stream ends and gives its memory back.
--- a/internal/coordination/chains/walk.go
+++ b/internal/coordination/chains/walk.go
@@ -14,8 +14,8 @@
 	perLayer float64 // seconds
 	doubt    float64 // what it costs to begin with it, in seconds
 	full     bool
-	// spared says that this router leaves it to others for now.
-	spared bool
+	// deferred says that this router leaves it to others for now.
+	deferred bool
 	// noSlot says that it can take no more chains that begin with it.
 	noSlot bool
 	// notFirst says that the chain must not begin with it.
@@ -43,8 +43,8 @@
 	cross [][]float64
 	// room demands that every engine has token memory left.
 	room bool
-	// sparing leaves out engines that are left to others.
-	sparing bool
+	// deferring leaves out engines that are left to others.
+	deferring bool
 }
 
 // shortest walks the layers in order. At each layer an engine either goes on
@@ -79,7 +79,7 @@
 }
 
 func (w *walk) usable(c *candidate, layer int) bool {
-	return !(w.room && c.full) && !(w.sparing && c.spared) && c.holds(w.need.From+layer)
+	return !(w.room && c.full) && !(w.deferring && c.deferred) && c.holds(w.need.From+layer)
 }
 
 func (w *walk) first(row []way) {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -412,7 +412,7 @@
 	r.health.Retain(stands)
 	r.memory.Retain(stands)
 	for _, b := range r.engines() {
-		r.memory.Meet(b.Incarnation(), b.Holds)
+		r.memory.Observe(b.Incarnation(), b.Holds)
 	}
 	r.metrics.router(r.front.Active(), r.front.Relay.Line.Len(), r.backends.Dialed(), r.config.Version())
 	r.metrics.newsSource(r.follower.Watching(), r.follower.Silence())
