--- a/internal/protocol/wire/beat.go
+++ b/internal/protocol/wire/heartbeat.go
@@ -2,8 +2,8 @@
 
 import "github.com/skylarkwood/skylarkwood/internal/model"
 
-// RouterBeat is what a router tells its peers a few times a second.
-type RouterBeat struct {
+// RouterHeartbeat is what a router tells its peers a few times a second.
+type RouterHeartbeat struct {
 	// EveryMS is how long until the next message.
 	EveryMS int64
 	// Config is the version in force, and ConfigAgeMS how long ago it was known to
@@ -47,7 +47,7 @@
 }
 
 // Pack writes the message for Notice.
-func (b *RouterBeat) Pack() []byte {
+func (b *RouterHeartbeat) Pack() []byte {
 	p := &packer{}
 	p.number(b.EveryMS)
 	p.number(b.Config)
@@ -75,10 +75,10 @@
 	return p.b
 }
 
-// UnpackRouterBeat reads what Pack wrote; an error says that it is cut short.
-func UnpackRouterBeat(raw []byte) (RouterBeat, error) {
+// UnpackRouterHeartbeat reads what Pack wrote; an error says that it is cut short.
+func UnpackRouterHeartbeat(raw []byte) (RouterHeartbeat, error) {
 	u := &unpacker{b: raw}
-	b := RouterBeat{
+	b := RouterHeartbeat{
 		EveryMS:     u.number(),
 		Config:      u.number(),
 		ConfigAgeMS: u.number(),
--- a/internal/protocol/wire/beat_test.go
+++ b/internal/protocol/wire/heartbeat_test.go
@@ -27,7 +27,7 @@
 		engine := rapid.Custom(func(t *rapid.T) model.Incarnation {
 			return model.Incarnation{ID: text.Draw(t, "id"), Born: number.Draw(t, "born")}
 		})
-		b := RouterBeat{
+		b := RouterHeartbeat{
 			EveryMS: number.Draw(t, "every"), Config: number.Draw(t, "config"), ConfigAgeMS: number.Draw(t, "age"),
 			Revision: model.Revision(number.Draw(t, "revision")), Traffic: rapid.Bool().Draw(t, "traffic"),
 			Uses: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) RouterUse {
@@ -40,7 +40,7 @@
 			Slow: figures(t, "slow", engine, fraction), Suspects: figures(t, "suspects", engine, number), Refusing: figures(t, "refusing", engine, number),
 			Spares: figures(t, "spares", rapid.StringN(0, 12, 40), rapid.IntRange(0, 1<<30)),
 		}
-		got, err := UnpackRouterBeat(b.Pack())
+		got, err := UnpackRouterHeartbeat(b.Pack())
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, b)
 	})
@@ -48,11 +48,11 @@
 
 // A message that stops anywhere is an error, never a shorter truth.
 func TestCutBeatIsRefused(t *testing.T) {
-	b := RouterBeat{EveryMS: 250, Config: 300, Uses: []RouterUse{{Server: model.Incarnation{ID: "i-1", Born: 1700000000000}, TokenLayers: 5000, Streams: 2, Reading: 0.25}},
+	b := RouterHeartbeat{EveryMS: 250, Config: 300, Uses: []RouterUse{{Server: model.Incarnation{ID: "i-1", Born: 1700000000000}, TokenLayers: 5000, Streams: 2, Reading: 0.25}},
 		Pipes: []RouterPipe{{A: "a", B: "b", Rate: 12}}, Spares: map[string]int{"s": 300}}
 	raw := b.Pack()
 	for n := range raw {
-		_, err := UnpackRouterBeat(raw[:n])
+		_, err := UnpackRouterHeartbeat(raw[:n])
 		assert.ErrorIs(t, err, errShort, "cut after %d of %d bytes", n, len(raw))
 	}
 }
@@ -60,12 +60,12 @@
 // Whatever bytes come, reading them ends and takes no more memory than they give
 // grounds for.
 func FuzzBeat(f *testing.F) {
-	f.Add((&RouterBeat{Config: 2, Spares: map[string]int{"s": 3}}).Pack())
+	f.Add((&RouterHeartbeat{Config: 2, Spares: map[string]int{"s": 3}}).Pack())
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		b, err := UnpackRouterBeat(raw)
+		b, err := UnpackRouterHeartbeat(raw)
 		if err == nil {
-			again, err := UnpackRouterBeat(b.Pack())
+			again, err := UnpackRouterHeartbeat(b.Pack())
 			assert.NilError(t, err)
 			assert.Equal(t, len(again.Uses), len(b.Uses))
 		}
@@ -73,13 +73,13 @@
 }
 
 // The load: two dozen routers tell each other four times a second, each of some
-// forty engines, so a router reads 80 to 96 beats a second, next to 14 requests
-// and 600 events on a seventh of a core. A beat may cost it a string for each
+// forty engines, so a router reads 80 to 96 heartbeats a second, next to 14 requests
+// and 600 events on a seventh of a core. A heartbeat may cost it a string for each
 // name and little else, and must fit into one segment: as JSON one took a tenth of
 // a millisecond, more than all of its callers' streams together.
 func TestBeatIsCheapToRead(t *testing.T) {
 	const engines, names = 40, 40 + 4 + 1
-	b := RouterBeat{EveryMS: 250, Config: 300, ConfigAgeMS: 120, Revision: 4711, Traffic: true, Spares: map[string]int{"planner": 5},
+	b := RouterHeartbeat{EveryMS: 250, Config: 300, ConfigAgeMS: 120, Revision: 4711, Traffic: true, Spares: map[string]int{"planner": 5},
 		Pipes: []RouterPipe{{A: "domain-1", B: "domain-2", Rate: 123.456}, {A: "domain-1", B: "domain-3", Rate: 9}}}
 	for i := range engines {
 		b.Uses = append(b.Uses, RouterUse{Server: model.Incarnation{ID: fmt.Sprintf("i-%010x", 7919*i), Born: 1700000000000 + int64(i)}, TokenLayers: 12345, Streams: 3, Firsts: 1, Reading: 0.02})
@@ -89,7 +89,7 @@
 	assert.Assert(t, len(raw) <= segment, "%d bytes", len(raw))
 	const containers = 8 // the lists, the map and what it grows by
 	allocated := testing.AllocsPerRun(100, func() {
-		if _, err := UnpackRouterBeat(raw); err != nil {
+		if _, err := UnpackRouterHeartbeat(raw); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -8,11 +8,11 @@
 
 // Methods answered by routers.
 const (
-	MethodRouterBeat   Method = "router.beat" // notification
-	MethodRouterConfig Method = "router.config"
-	MethodRouterLend   Method = "router.lend"
-	MethodRouterGone   Method = "router.gone" // notification
-	MethodRouterNews   Method = "router.news"
+	MethodRouterHeartbeat Method = "router.beat" // notification
+	MethodRouterConfig    Method = "router.config"
+	MethodRouterLend      Method = "router.lend"
+	MethodRouterGone      Method = "router.gone" // notification
+	MethodRouterNews      Method = "router.news"
 	// MethodRouterQuarantine tells of requests under which servers end; notification.
 	MethodRouterQuarantine Method = "router.quarantine"
 	MethodRouterTrial      Method = "router.trial"
--- a/internal/transport/peers/confirm_test.go
+++ b/internal/transport/peers/confirm_test.go
@@ -67,8 +67,8 @@
 }
 
 // beatAndFetch takes in a peer's message and waits until what it names was fetched.
-func (x *Exchange) beatAndFetch(t *testing.T, peer string, b wire.RouterBeat) {
-	assert.NilError(t, x.beat(peer, b.Pack()))
+func (x *Exchange) beatAndFetch(t *testing.T, peer string, b wire.RouterHeartbeat) {
+	assert.NilError(t, x.heartbeat(peer, b.Pack()))
 	for busy := true; busy; time.Sleep(time.Millisecond) {
 		x.mu.Lock()
 		busy = x.fetching
@@ -84,7 +84,7 @@
 func TestFetchedConfigurationIsAsOldAsThePeerSaid(t *testing.T) {
 	const age, takes = 100 * time.Millisecond, 3 * time.Second
 	x, peer := fetching(t, 2, takes)
-	x.beatAndFetch(t, peer, wire.RouterBeat{Config: 2, ConfigAgeMS: age.Milliseconds(), EveryMS: 250})
+	x.beatAndFetch(t, peer, wire.RouterHeartbeat{Config: 2, ConfigAgeMS: age.Milliseconds(), EveryMS: 250})
 	assert.Equal(t, x.Config.Version(), int64(2))
 	assert.Assert(t, x.Config.Age(x.Clock()) >= age+takes, "age %v", x.Config.Age(x.Clock()))
 }
@@ -95,7 +95,7 @@
 func TestOlderConfigurationThanToldIsNotConfirmed(t *testing.T) {
 	x, peer := fetching(t, 5, 0)
 	before := x.Config.Heard()
-	x.beatAndFetch(t, peer, wire.RouterBeat{Config: 9, ConfigAgeMS: 100, EveryMS: 250})
+	x.beatAndFetch(t, peer, wire.RouterHeartbeat{Config: 9, ConfigAgeMS: 100, EveryMS: 250})
 	assert.Equal(t, x.Config.Version(), int64(5))
 	assert.Equal(t, x.Config.Heard(), before)
 }
--- a/internal/transport/peers/fetch.go
+++ b/internal/transport/peers/fetch.go
@@ -17,7 +17,7 @@
 // waits for the store and the peer, the configuration would be taken for seconds younger
 // than it is, and what it lacks be refused for good. A peer that was started again may
 // give an older version than it told of; that one is not confirmed.
-func (x *Exchange) startFetch(from string, b wire.RouterBeat, arrived time.Duration) {
+func (x *Exchange) startFetch(from string, b wire.RouterHeartbeat, arrived time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.fetching {
@@ -39,7 +39,7 @@
 }
 
 // fetchIfBehind fetches a peer's configuration unless the store told of it first.
-func (x *Exchange) fetchIfBehind(from string, b wire.RouterBeat) error {
+func (x *Exchange) fetchIfBehind(from string, b wire.RouterHeartbeat) error {
 	if x.Traffic() || x.PeerTraffic() {
 		time.Sleep(limits.Jitter(fetchAfter))
 	} else {
--- a/internal/transport/peers/beat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -9,7 +9,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 )
 
-func (x *Exchange) compose() wire.RouterBeat {
+func (x *Exchange) compose() wire.RouterHeartbeat {
 	var uses []wire.RouterUse
 	for inc, u := range x.Memory.Own() {
 		uses = append(uses, wire.RouterUse{Server: inc, TokenLayers: int64(u.TokenLayers), Streams: int64(u.Streams), Firsts: int64(u.Firsts), Reading: u.Reading})
@@ -24,7 +24,7 @@
 	defer x.mu.Unlock()
 	suspects := remaining(x.suspects, now)
 	refusing := remaining(x.refusing, now)
-	return wire.RouterBeat{
+	return wire.RouterHeartbeat{
 		Config:      x.Config.Version(),
 		ConfigAgeMS: x.Config.Age(x.Clock()).Milliseconds(),
 		Revision:    x.Revision(),
@@ -52,10 +52,10 @@
 	return out
 }
 
-// beat takes in a peer's message.
-func (x *Exchange) beat(from string, body []byte) error {
+// heartbeat takes in a peer's message.
+func (x *Exchange) heartbeat(from string, body []byte) error {
 	arrived := x.Clock()
-	b, err := wire.UnpackRouterBeat(body)
+	b, err := wire.UnpackRouterHeartbeat(body)
 	if err != nil {
 		return err
 	}
@@ -67,7 +67,7 @@
 	for _, u := range b.Uses {
 		uses[u.Server] = chains.Use{TokenLayers: float64(u.TokenLayers), Streams: float64(u.Streams), Firsts: float64(u.Firsts), Reading: u.Reading}
 	}
-	good := believeBeats*time.Duration(b.EveryMS)*time.Millisecond + believeSlack
+	good := trustedHeartbeats*time.Duration(b.EveryMS)*time.Millisecond + trustSlack
 	x.Memory.SeenPeer(from, uses, good)
 	pipes := make(map[chains.Pair]float64, len(b.Pipes))
 	for _, p := range b.Pipes {
@@ -97,7 +97,7 @@
 
 // confirm takes in a peer's word, as of when its message arrived, that the version in
 // force here was not older than the newest.
-func (x *Exchange) confirm(b wire.RouterBeat, arrived time.Duration) {
-	age := time.Duration(b.ConfigAgeMS)*time.Millisecond + beatTimeout
+func (x *Exchange) confirm(b wire.RouterHeartbeat, arrived time.Duration) {
+	age := time.Duration(b.ConfigAgeMS)*time.Millisecond + sendTimeout
 	x.Config.Confirm(arrived - age)
 }
--- a/internal/transport/peers/pace.go
+++ b/internal/transport/peers/pace.go
@@ -48,13 +48,13 @@
 }
 
 func paceOf(near, far int) pace {
-	p := pace{near: beatEvery, rounds: 1}
-	if share := mostBeats * nearShare; float64(near) > share*beatEvery.Seconds() && far > 0 {
+	p := pace{near: heartbeatInterval, rounds: 1}
+	if share := maxHeartbeats * nearShare; float64(near) > share*heartbeatInterval.Seconds() && far > 0 {
 		p.near = time.Duration(float64(near) / share * float64(time.Second))
 	} else if far == 0 {
-		p.near = max(beatEvery, time.Duration(near)*time.Second/mostBeats)
+		p.near = max(heartbeatInterval, time.Duration(near)*time.Second/maxHeartbeats)
 	}
-	left := mostBeats*p.near.Seconds() - float64(near) // messages to others, a round
+	left := maxHeartbeats*p.near.Seconds() - float64(near) // messages to others, a round
 	p.rounds = max(int(math.Ceil(float64(far)/left)), 1)
 	return p
 }
@@ -84,19 +84,19 @@
 			turn = append(turn, addr)
 		}
 	}
-	beat := x.compose()
-	x.send(ctx, beat, p.near, near)
-	x.send(ctx, beat, p.far(), turn)
+	heartbeat := x.compose()
+	x.send(ctx, heartbeat, p.near, near)
+	x.send(ctx, heartbeat, p.far(), turn)
 }
 
 // send sends a message to peers that are told every so often.
-func (x *Exchange) send(ctx context.Context, beat wire.RouterBeat, every time.Duration, peers []string) {
-	beat.EveryMS = every.Milliseconds()
-	notice := x.Pool.Notice(wire.MethodRouterBeat, beat.Pack())
+func (x *Exchange) send(ctx context.Context, b wire.RouterHeartbeat, every time.Duration, peers []string) {
+	b.EveryMS = every.Milliseconds()
+	notice := x.Pool.Notice(wire.MethodRouterHeartbeat, b.Pack())
 	for _, addr := range x.idle(peers) {
 		go func() {
 			defer x.free(addr)
-			ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+			ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 			defer cancel()
 			if err := x.Pool.Send(ctx, addr, notice); err != nil {
 				klog.V(1).InfoS("peer not told", "peer", addr, "err", err)
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -22,21 +22,21 @@
 )
 
 const (
-	// beatEvery is between two messages to a peer, while they are few. A stream
+	// heartbeatInterval is between two messages to a peer, while they are few. A stream
 	// holds memory for a second or more, so a count is a quarter of that old.
-	beatEvery = 250 * time.Millisecond
-	// mostBeats is how many messages a router sends a second at most, and hears on
+	heartbeatInterval = 250 * time.Millisecond
+	// maxHeartbeats is how many messages a router sends a second at most, and hears on
 	// average, however many there are: four a second to each would be 1,500 at 380.
-	mostBeats = 96
+	maxHeartbeats = 96
 	// nearShare is the part of them that routers of the own failure domain may take.
 	// They begin streams at the same engines as this one: where counts are a second old,
 	// engines are sent more streams than they have places, and the rest queue there.
 	nearShare = 0.5
-	// believeBeats and believeSlack give how long a peer's counts are believed.
-	believeBeats = 4
-	believeSlack = time.Second
-	// beatTimeout bounds handing a message over; a silent peer costs no more.
-	beatTimeout = 700 * time.Millisecond
+	// trustedHeartbeats and trustSlack give how long a peer's counts are believed.
+	trustedHeartbeats = 4
+	trustSlack        = time.Second
+	// sendTimeout bounds handing a message over; a silent peer costs no more.
+	sendTimeout = 700 * time.Millisecond
 	// fetchTimeout bounds fetching a configuration from a peer.
 	fetchTimeout = time.Second
 	// fetchAfter is how long the store is given to tell of a version that a peer
@@ -103,7 +103,7 @@
 	x.busy = map[string]bool{}
 	x.suspects = map[model.Incarnation]time.Time{}
 	x.refusing = map[model.Incarnation]time.Time{}
-	s.RegisterNotice(wire.MethodRouterBeat, x.beat)
+	s.RegisterNotice(wire.MethodRouterHeartbeat, x.heartbeat)
 	s.Register(wire.MethodRouterConfig, link.Handle(x.config))
 	s.Register(wire.MethodRouterLend, link.Handle(x.lend))
 	s.Register(wire.MethodRouterGone, link.Handle(x.gone))
@@ -141,7 +141,7 @@
 func (x *Exchange) TellGone(engine model.Incarnation) {
 	for _, addr := range x.peers() {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 			defer cancel()
 			if err := x.Pool.Notify(ctx, addr, wire.MethodRouterGone, wire.RouterGone{Server: engine}); err != nil {
 				klog.V(1).InfoS("peer not told of an engine's end", "peer", addr, "server", engine, "err", err)
@@ -195,7 +195,7 @@
 	defer x.mu.Unlock()
 	heard := map[string]bool{}
 	for addr, at := range x.seen {
-		if x.Now().Sub(at) < believeBeats*p.of(x.near[addr])+believeSlack {
+		if x.Now().Sub(at) < trustedHeartbeats*p.of(x.near[addr])+trustSlack {
 			heard[addr] = true
 		}
 	}
--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -37,7 +37,7 @@
 		perSecond := near/p.near.Seconds() + far/p.far().Seconds()
 		assert.Assert(t, perSecond <= 96, "%+v: %.0f messages a second", tc, perSecond)
 		if routers <= 21 {
-			assert.Equal(t, p, pace{near: beatEvery, rounds: 1}, "%+v: a small site loses nothing", tc)
+			assert.Equal(t, p, pace{near: heartbeatInterval, rounds: 1}, "%+v: a small site loses nothing", tc)
 		}
 		if tc.each <= 21 {
 			assert.Assert(t, p.near <= 500*time.Millisecond, "%+v: %v", tc, p.near)
@@ -74,7 +74,7 @@
 		x := &Exchange{Config: &routes.Current{}, Traffic: func() bool { return true }} // without a pool: a fetch would panic
 		x.Config.Apply(&model.RouteConfig{Version: 2}, nil)
 		time.AfterFunc(300*time.Millisecond, func() { x.Config.Apply(&model.RouteConfig{Version: 4}, nil) })
-		assert.NilError(t, x.fetchIfBehind("peer", wire.RouterBeat{Config: 4}))
+		assert.NilError(t, x.fetchIfBehind("peer", wire.RouterHeartbeat{Config: 4}))
 		assert.Equal(t, x.Config.Version(), int64(4))
 	})
 }
--- a/internal/transport/peers/quarantine.go
+++ b/internal/transport/peers/quarantine.go
@@ -67,7 +67,7 @@
 func (q *Quarantine) tell(r quarantine.Report, peers ...string) {
 	for _, addr := range peers {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 			defer cancel()
 			if err := q.Exchange.Pool.Notify(ctx, addr, wire.MethodRouterQuarantine, r); err != nil {
 				klog.V(1).InfoS("peer not told of requests under which servers end", "peer", addr, "err", err)
