--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -234,7 +234,7 @@
 	f.mu.Unlock()
 	if before.Address != next.Address {
 		f.watching.Store(false)
-		klog.InfoS("news of the store come from elsewhere", "source", next.Address, "before", before.Address, "why", next.Why,
+		klog.InfoS("store updates: source changed", "source", next.Address, "before", before.Address, "why", next.Why,
 			"revision", f.Revision(), "age", f.Silence())
 	}
 }
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -67,7 +67,7 @@
 		if ctx.Err() != nil || !s.resumable() || !q.mayResume(ctx, err) {
 			return s.giveUp(ctx, last)
 		}
-		klog.InfoS("stream goes on at another chain", "request", q.call.Attempt, "after", s.lastID, "events", s.events,
+		klog.InfoS("stream resumed at another chain", "request", q.call.Attempt, "after", s.lastID, "events", s.events,
 			"err", err, "sends", q.sends, "ms", q.Now().Sub(q.since).Milliseconds())
 		if q.runs > 0 {
 			wait.For(ctx, regroupWait)
--- a/internal/protocol/relay/move.go
+++ b/internal/protocol/relay/move.go
@@ -43,7 +43,7 @@
 	switch news, taken := w.take(moved); {
 	case taken:
 	case why == engineGone && w.last:
-		time.AfterFunc(lastWords, func() { w.endIfThrough(culprit) })
+		time.AfterFunc(finalAnswerWait, func() { w.endIfThrough(culprit) })
 	case why == engineGone:
 		w.endIfThrough(culprit)
 	default:
@@ -113,7 +113,7 @@
 	defer cancel()
 	began := w.q.Now()
 	err := w.q.Repath(ctx, next[0].Server, w.q.call.Attempt, hops(next))
-	klog.InfoS("part of a chain replaced", "request", w.q.call.Attempt, "lost", slices.Collect(maps.Keys(avoid)), "chain", describe(next), "ms", w.q.Now().Sub(began).Milliseconds(), "err", err)
+	klog.InfoS("stream rerouted", "request", w.q.call.Attempt, "lost", slices.Collect(maps.Keys(avoid)), "chain", describe(next), "ms", w.q.Now().Sub(began).Milliseconds(), "err", err)
 	return err
 }
 
--- a/internal/protocol/relay/move_test.go
+++ b/internal/protocol/relay/move_test.go
@@ -38,7 +38,7 @@
 		parts, _ := w.state()
 		assert.Equal(t, parts[1].Server.ID, "spare")
 		w.heard()
-		time.Sleep(lastWords)
+		time.Sleep(finalAnswerWait)
 		synctest.Wait()
 		assert.NilError(t, run.Err())
 	})
--- a/internal/protocol/relay/path_test.go
+++ b/internal/protocol/relay/path_test.go
@@ -186,7 +186,7 @@
 		synctest.Wait()
 		assert.Equal(t, engines.orders, before)
 		assert.DeepEqual(t, ids(w), []string{"head", "middle", "tail"})
-		time.Sleep(lastWords)
+		time.Sleep(finalAnswerWait)
 		synctest.Wait()
 		assert.Equal(t, context.Cause(run), engineGone)
 	})
--- a/internal/protocol/relay/running.go
+++ b/internal/protocol/relay/running.go
@@ -59,10 +59,10 @@
 	delete(r.runs, w)
 }
 
-// lastWords is how long a request that must not be sent again waits for its answer
+// finalAnswerWait is how long a request that must not be sent again waits for its answer
 // after its server has ended. The news may overtake the answer, which then lies in the
 // socket until a busy machine reads it, a tenth of a second or two later.
-const lastWords = 250 * time.Millisecond
+const finalAnswerWait = 250 * time.Millisecond
 
 // call is one request at one server of a plain service.
 type call struct {
@@ -75,7 +75,7 @@
 	switch {
 	case !lost[c.server] || why != engineGone:
 	case c.last:
-		time.AfterFunc(lastWords, func() { c.cancel(engineGone) })
+		time.AfterFunc(finalAnswerWait, func() { c.cancel(engineGone) })
 	default:
 		c.cancel(engineGone)
 	}
--- a/internal/protocol/relay/watch_test.go
+++ b/internal/protocol/relay/watch_test.go
@@ -155,7 +155,7 @@
 			synctest.Wait()
 			assert.NilError(t, run.Err())
 			s.EngineGone(inc("far"))
-			time.Sleep(lastWords)
+			time.Sleep(finalAnswerWait)
 			synctest.Wait()
 			assert.Equal(t, context.Cause(run), engineGone)
 		})
@@ -194,7 +194,7 @@
 
 // A chain is silent, its engines answer and name nobody, and the budget for repeated
 // sends is used up. Ended, the stream would be broken off; kept, it may go on. Once
-// there is budget again the chain is given up.
+// there is budget again the run abandoned.
 func TestSilentChainIsKeptWhereNoRepeatIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
