--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -11,20 +11,18 @@
 )
 
 const (
-	// fillLimit is how much of an engine's token memory is given out. Streams
-	// reserve their whole answer at the start and hold half of it on average:
-	// engines whose memory was reserved to 1.2 reported 0.75 to 0.85 in use.
+	// fillLimit is the share of an engine's token memory that is reserved. It may
+	// exceed 1: streams reserve their whole answer and hold half of it on average.
 	fillLimit = 1.1
-	// slotLimit is how much of an engine's slots is given out. They count what
-	// it receives as the first engine of a chain; beyond them it queues, for as
-	// long as a whole answer takes. Other routers' streams are known a quarter
-	// of a second late.
+	// slotLimit is the share of an engine's slots that is given out. Slots count the
+	// streams that begin there; other routers' counts arrive late, and an engine
+	// without a free slot queues for as long as an answer takes.
 	slotLimit = 0.92
 	// mostFill caps the fill that makes an engine look slower, so that its
 	// cost stays finite.
 	mostFill = 0.9
-	// hopTime is what one more engine in a chain costs a token inside a
-	// failure domain: 0.2 ms one way, and waiting for the pass in progress.
+	// hopTime is what one more engine in a chain costs a token inside a failure
+	// domain: transmission, and the pass in progress.
 	hopTime = 400 * time.Microsecond
 	// crossTime is the one-way time between failure domains, and the bytes
 	// between them that are paid for.
@@ -38,8 +36,7 @@
 	// doubtFree is the share of failures that every engine may have, and doubtTime
 	// what all beyond it costs a token. An engine fails what it receives, so the
 	// failure costs a whole chain, however few layers the engine runs; one that
-	// fails at once looks idle and would draw all streams. At half of its requests
-	// failed it costs more than any chain's time a token.
+	// fails at once looks idle and would draw all streams.
 	doubtFree = 0.1
 	doubtTime = 20 * time.Millisecond
 	// maxParts is the longest chain that engines take.
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -7,17 +7,14 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// slowExpiry is how long an engine's word about its pace is believed; a slow
-// one is asked again every second.
+// slowExpiry is how long a reported slowdown is valid.
 const slowExpiry = 3 * time.Second
 
-// readMemory is over how long the reading of prompts is averaged.
+// readMemory is the averaging time of prompt reading.
 const readMemory = time.Second
 
 // untoldFor is over how long a router's new streams stand for those that its peers
-// have begun and not yet told of: they tell every quarter of a second, and what
-// they tell waits at a busy router. 0.4 s gave 0.005 to 0.013 more worth than 0.2
-// on six days with trouble.
+// have begun and not yet announced in a heartbeat.
 const untoldFor = 400 * time.Millisecond
 
 // Use is what streams take of one engine.
--- a/internal/coordination/chains/pipes.go
+++ b/internal/coordination/chains/pipes.go
@@ -7,11 +7,10 @@
 )
 
 const (
-	// pipeMemory is over how long the traffic of a pipe is averaged: prompts
-	// arrive at random, some tens a second.
+	// pipeMemory is the averaging time of a pipe's traffic.
 	pipeMemory = time.Second
-	// gapShare is the part of the longest pause between events that waiting at a
-	// pipe may take on average; waits ten times the average are then in time.
+	// gapShare is the share of the longest pause between events that waiting at a
+	// pipe may take on average.
 	gapShare = 0.1
 	// usualGap is that pause for routes that name none.
 	usualGap = 200 * time.Millisecond
--- a/internal/coordination/chains/subset.go
+++ b/internal/coordination/chains/subset.go
@@ -13,13 +13,10 @@
 )
 
 const (
-	// subsetFrom is from how many engines on a router looks only at some. Below
-	// it a search takes less than 0.4 ms (61 us at 52 engines), and balance gains
-	// from seeing all.
+	// subsetFrom is the number of engines from which on a router considers a subset.
 	subsetFrom = 300
 	// holdersKept is how many engines with the same layers, in the same failure
-	// domain, a router looks at. Two choices balance well; the others are for
-	// engines that are full or lost.
+	// domain, a router considers. More than two are for engines that are full or lost.
 	holdersKept = 4
 )
 
@@ -37,9 +34,8 @@
 	return math.Max(float64(routers)/float64(max(c.Catalog.Load().Domains(), 1)), 1)
 }
 
-// engines lists the engines that a search for a chain looks at. A search grows
-// with them; at thousands it took 3.5 ms a request, a quarter of a small router's
-// processor. Routers keep different holders of each range, so that together they
+// engines lists the engines that a search for a chain considers. The cost of a search
+// grows with them. Routers keep different holders of each range, so that together they
 // use all engines.
 func (c *Chooser) engines(service string) []*model.BackendServer {
 	snapshot := c.Catalog.Load()
--- a/internal/coordination/chains/walk.go
+++ b/internal/coordination/chains/walk.go
@@ -31,7 +31,7 @@
 
 const nobody = -1
 
-// tables are kept between searches: one of 80 layers and 52 engines is 66 KB.
+// tables are reused between searches.
 var tables = sync.Pool{New: func() any { return new([]way) }}
 
 // walk is one search for a chain.
--- a/internal/coordination/liveness/liveness.go
+++ b/internal/coordination/liveness/liveness.go
@@ -24,10 +24,7 @@
 
 const (
 	// watchers is how many routers keep a connection to an engine: one may be
-	// frozen or cut off. Each opens a new one whenever the engine's idle time, 10
-	// s, ends, and connections are priced: three watchers took 0.0027 of the worth
-	// of a calm day; with all routers it would be 5,460 connections in 45 s at 23
-	// routers and 55 engines.
+	// frozen or cut off. Each reopens it whenever the engine's idle timeout ends.
 	watchers = 2
 	// syncEvery is how often engines and routers are looked over.
 	syncEvery = 500 * time.Millisecond
@@ -98,8 +95,7 @@
 // ring places routers on a circle of hashes. An engine is watched by the first
 // few routers after its own hash: routers that know of different ones choose
 // almost the same, without asking each other, and finding them takes a binary
-// search. Comparing each engine with each router took 27 ms a look at 3,000
-// engines and 300 routers.
+// search.
 type ring []point
 
 type point struct {
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -24,8 +24,7 @@
 	callersPatience = 2100 * time.Millisecond
 	// chainPoll is between two looks of an interrupted stream that no chain took.
 	chainPoll = 50 * time.Millisecond
-	// answerMargin is added to the caller's guess of the answer's length, which
-	// is right in the middle and often far off.
+	// answerMargin multiplies the caller's estimate of the answer's length.
 	answerMargin = 1.25
 )
 
--- a/internal/protocol/relay/pace.go
+++ b/internal/protocol/relay/pace.go
@@ -15,9 +15,9 @@
 const (
 	// paceEvents is over how many events a chain's speed is judged.
 	paceEvents = 10
-	// slowFactor is how much slower than planned a chain must be for its
-	// engines to be asked. Waiting for passes in progress makes a busy chain up
-	// to twice as slow as the sum of its steps.
+	// slowFactor is how much slower than planned a chain must be for its engines to
+	// be asked. A busy chain is slower than the sum of its steps, as tokens wait for
+	// passes in progress.
 	slowFactor = 2.5
 	// askAgain is how long an engine's word about its pace is good for.
 	askAgain = time.Second
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -13,9 +13,9 @@
 
 const (
 	// firstSilence is how long a chain may take for the first event before its
-	// engines are asked; prompts are read in under 200 ms when there is room.
+	// engines are asked.
 	firstSilence = 900 * time.Millisecond
-	// nextSilence is the same between events, which come every 20 to 60 ms.
+	// nextSilence is the same between events, where the check of the path found nothing.
 	nextSilence = 450 * time.Millisecond
 	// movedSilence is the same after a part of the chain was replaced: the new
 	// engine reads all tokens so far.
@@ -26,8 +26,7 @@
 	repathWait = 300 * time.Millisecond
 	// mostSilences is how many silences in a row a chain is allowed if its
 	// first engine answers and names nobody; one less before the first event.
-	// Both end after 1.35 s, so that another chain has time for its first event
-	// before the caller leaves at 2 s.
+	// Another chain then has time for an event before the caller leaves.
 	mostSilences = 3
 )
 
@@ -36,8 +35,7 @@
 // at fault is replaced in the chain, whose other engines keep their memory;
 // where that fails the run is ended and the stream goes on elsewhere.
 //
-// Callers leave after two seconds of silence, and an engine waits three for a
-// dead part of its chain, so waiting for its word is no option.
+// Engines wait for a dead part of their chain for longer than callers do.
 type chainWatch struct {
 	q      *request
 	run    context.Context
