relay: an unanswered path check accuses no engine that works for other streams

What callers would see: one lost packet on the way of an order made all streams of a router leave an engine that answered others. Cause: an order without an answer was taken for a silent engine whatever other streams said of it. Now it is one only if no stream had an event from it since. Found by reading; the new test fails without the change.

--- a/internal/protocol/relay/path.go
+++ b/internal/protocol/relay/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -63,9 +64,11 @@
 		if server := serverAt(parts, refused.address); server != nil {
 			w.fail(server, err)
 		}
-	case ctx.Err() != nil && w.run.Err() == nil && !w.changed(news):
+	case ctx.Err() != nil && w.run.Err() == nil:
 		w.doubt(err)
-		w.fail(first, err)
+		if slices.Contains(a.Candidates, first.Incarnation()) && !w.changed(news) {
+			w.fail(first, err)
+		}
 	}
 }
 
--- a/internal/protocol/relay/path_test.go
+++ b/internal/protocol/relay/path_test.go
@@ -149,6 +149,27 @@
 	})
 }
 
+// A stream is late, and the check of its path is not answered, while other streams through
+// its first engine go on: a link lost both. The engine is not suspected, and no other
+// stream leaves it.
+func TestUnansweredCheckAccusesNoWorkingEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &pathEngines{}
+		s := threeParts(engines.do)
+		late, _ := s.running(t, resumable)
+		other, run := s.running(t, resumable)
+		play([]*chainWatch{late, other}, 20)
+		engines.answer = func(ctx context.Context) { <-ctx.Done() }
+		// The other stream shares only the first engine with the late one.
+		other.progress.Reroute([]model.Incarnation{inc("head"), inc("middle2"), inc("tail2")})
+		play([]*chainWatch{other}, 12)
+		synctest.Wait()
+		assert.Assert(t, late.isUnsure())
+		assert.Assert(t, !s.Health.Suspected(inc("head")))
+		assert.NilError(t, run.Err())
+	})
+}
+
 // A stream is late though its path holds. It stays where it is, and no engine is
 // suspected.
 func TestPathThatHoldsIsKept(t *testing.T) {
