test/fleet: servers register again after the store's restore

The copy was taken before the engines' entries named their layers, and in the test alone they were never written again, as servers do after a restore. Assertions are the same.

--- a/test/fleet/restore_test.go
+++ b/test/fleet/restore_test.go
@@ -77,10 +77,15 @@
 	raw, err := json.Marshal(s.config)
 	assert.NilError(s.t, err)
 	s.store.Put(platform.ConfigKey, raw)
+	s.registerServers()
+	time.Sleep(time.Second)
+}
+
+// registerServers has all servers write their entries again.
+func (s *site) registerServers() {
 	for _, e := range append(append([]*standin.Engine(nil), s.engines...), s.plain...) {
 		e.Register()
 	}
-	time.Sleep(time.Second)
 }
 
 // A key is taken away, the store comes back from a copy of before, and a router starts in
@@ -93,6 +98,7 @@
 		s.eventually("the key is taken away", func() bool { return s.call(r, ask{path: "/sheet/1", key: "key-2"}).status == http.StatusUnauthorized })
 	}
 	s.store.Restore(early)
+	s.registerServers()
 	starting := s.routers[2]
 	starting.stop()
 	<-starting.done
