--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -73,9 +73,9 @@
 	w := &chainWatch{q: q, run: run, cancel: cancel, parts: parts, hold: hold, record: record, since: q.Now()}
 	w.last = !q.ticket.Idempotent() || q.sends+1 >= maxSends
 	w.fresh = !w.last && q.runs+1 < q.ticket.Route.MaxAttempts
-	w.progress = q.Detector.Track(engines(parts), q.eventInterval(parts), q.ticket.Route.TargetGap)
-	w.start()
 	path := engines(parts)
+	w.progress = q.Detector.Track(path, q.eventInterval(parts), q.ticket.Route.TargetGap)
+	w.start()
 	if gone, ended := q.Running.add(w, path...); ended {
 		w.end(verdict{culprit: gone, why: engineGone})
 	} else if silent := q.Running.silentAmong(path); len(silent) > 0 {
