--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -126,6 +126,7 @@
 	ctx, cancel := context.WithTimeout(ctx, minRangeTimeout)
 	defer cancel()
 	for key, revision := range f.pendingValues {
+		start := f.Clock()
 		it, err := f.Store.Peek(ctx, key)
 		if err == nil && it.Revision < revision || errors.Is(err, platform.ErrNotFound) {
 			it, err = f.Store.Get(ctx, key)
@@ -135,7 +136,7 @@
 			continue
 		}
 		if err != nil {
-			klog.InfoS("reading large value from the store failed", "key", key, "revision", revision, "err", err)
+			klog.InfoS("reading large value from the store failed", "key", key, "revision", revision, "after", f.Clock()-start, "err", err)
 			continue
 		}
 		delete(f.pendingValues, key)
