--- a/internal/coordination/follow/fleet_test.go
+++ b/internal/coordination/follow/fleet_test.go
@@ -55,6 +55,7 @@
 	frozen        bool // its messages and calls get no answer, in both directions
 	// readsFail makes reads of single keys fail.
 	readsFail bool
+	link      *slowLink // delays reads of single keys, unless nil
 }
 
 func newFleet(domains, each int) *fleet {
@@ -244,14 +245,26 @@
 	if !n.readsSucceed() {
 		return platform.Item{}, platform.ErrUnavailable
 	}
-	return n.Store.Get(ctx, key)
+	return n.receive(ctx, n.Store.Get, key)
 }
 
 func (n *node) Peek(ctx context.Context, key string) (platform.Item, error) {
 	if !n.readsSucceed() {
 		return platform.Item{}, platform.ErrUnavailable
 	}
-	return n.Store.Peek(ctx, key)
+	return n.receive(ctx, n.Store.Peek, key)
+}
+
+// receive reads a key and returns its item once it has crossed this router's link.
+func (n *node) receive(ctx context.Context, read func(ctx context.Context, key string) (platform.Item, error), key string) (platform.Item, error) {
+	n.mu.Lock()
+	link := n.link
+	n.mu.Unlock()
+	it, err := read(ctx, key)
+	if err == nil && link != nil {
+		err = link.receive(ctx, len(it.Value))
+	}
+	return it, err
 }
 
 func (n *node) readsSucceed() bool {
