--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,26 +30,35 @@
 // count as the newest, and routes that it lacks would be refused for good.
 func TestConfirmationWaitsForTheConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex // guards the slices
 		var applied []string
 		var confirmed []time.Duration
+		confirmations := func() []time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return slices.Clone(confirmed)
+		}
 		q := &configQueue{
 			apply: func(it external.Item) {
 				time.Sleep(time.Second)
 				applied = append(applied, string(it.Value))
 			},
-			confirm: func(at time.Duration) { confirmed = append(confirmed, at) },
+			confirm: func(at time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				confirmed = append(confirmed, at)
+			},
 		}
 		q.confirmNewest(1)
-		assert.DeepEqual(t, confirmed, []time.Duration{1})
+		assert.DeepEqual(t, confirmations(), []time.Duration{1})
 		q.add(external.Item{Value: []byte("a")})
 		q.confirmNewest(2)
 		time.Sleep(500 * time.Millisecond)
-		synctest.Wait()
 		q.confirmNewest(3)
-		assert.Equal(t, len(confirmed), 1)
+		assert.DeepEqual(t, confirmations(), []time.Duration{1})
 		time.Sleep(time.Second)
-		synctest.Wait()
-		assert.DeepEqual(t, confirmed, []time.Duration{1, 3})
+		waitForConfigs(q)
+		assert.DeepEqual(t, confirmations(), []time.Duration{1, 3})
 		assert.DeepEqual(t, applied, []string{"a"})
 	})
 }
