ratelimit, relay, chains, peers: advertised rate limits are kept by all routers together

What callers saw: nothing yet; a server in need that had named a limit of 6.1 requests a second got 75 in 4 s, where 42 were allowed, and so on for as long as it asked.

Cause: no router read Server-Limit. Class: what a backend server says of itself in a response is state of that server, with an age, and belongs to all routers that send to it.

Ruled out: that each router kept to the limit alone (arrivals didn't fall at all), and resends (arrivals equal streams).

Change: the new package ratelimit keeps, without network, the newest rate of each incarnation with its age. Responses set it, heartbeats pass on what a router knows, also of others and of limits that ended; only the response to a request that was sent after the last one ends a limit. A limit is divided into shares of two requests a second or more among routers that all rank alike for the server, since equal shares would leave hundreds of routers one request a minute each; if the server stays silent, other routers get the shares. What was sent before the limit was known counts, for all routers as much as for this one. First stages and plain servers without a token are passed over; a request that no limit allows in time is refused at once, with the time until one does.

Why it holds: the sum over routers is bounded by the shares (4 s of the rate and one burst), not by what each believes of the others' load.

--- a/internal/coordination/chains/walk.go
+++ b/internal/coordination/chains/walk.go
@@ -16,6 +16,8 @@
 	full            bool
 	// deferred is set while the engine is in slow start and left to other routers.
 	deferred bool
+	// limited is set if the engine's rate limit allows no request of this router now.
+	limited bool
 	// noSlot is set if the engine has no free slot for a first stage.
 	noSlot bool
 	// excludedFirst is set if the engine must not be the first stage.
@@ -42,6 +44,8 @@
 	crossing   [][]float64
 	// requireCapacity skips engines without free capacity.
 	requireCapacity bool
+	// ignoreLimits allows first stages whose rate limit allows no request now.
+	ignoreLimits bool
 	// skipDeferred skips engines that are left to other routers.
 	skipDeferred bool
 }
@@ -85,7 +89,8 @@
 	for e := range s.cands {
 		c := &s.cands[e]
 		row[e] = pathCost{cost: math.Inf(1), previous: noCandidate}
-		eligible := !c.excludedFirst && !(s.requireCapacity && s.layers.From == 0 && c.noSlot)
+		newRequest := s.requireCapacity && s.layers.From == 0
+		eligible := !c.excludedFirst && !(newRequest && (c.noSlot || c.limited && !s.ignoreLimits))
 		if eligible && s.usable(c, 0) {
 			row[e].cost = c.secondsPerLayer + s.startCost(c)
 		}
--- /dev/null
+++ b/internal/coordination/ratelimit/share.go
@@ -0,0 +1,64 @@
+package ratelimit
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/spread"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+const (
+	// shareTTL is how long a share is used before the routers are ranked again.
+	shareTTL = 500 * time.Millisecond
+	// minShare is the smallest share in requests per second into which a limit is divided.
+	minShare = 2
+)
+
+// share is this router's part of a limit.
+type share struct {
+	rate    float64 // requests per second
+	routers int     // that are known
+	expires time.Duration
+}
+
+// shareOf returns this router's share of a limit. With equal shares a low limit would allow
+// each of hundreds of routers one request a minute, most of them at moments when they have
+// none. So the limit is divided into shares of minShare or more. All routers rank each other alike for a server, by rendezvous hashing, and agree on these
+// without messages. The caller holds t.mu.
+func (t *Tracker) shareOf(inc model.Incarnation, l *limit) share {
+	now := t.clock()
+	if now < l.share.expires {
+		return l.share
+	}
+	before := l.share
+	names := t.ranked(inc, int((now-l.at)/silenceTimeout))
+	rate := max(l.rate, minRate)
+	holders := min(max(int(rate/minShare), 1), len(names))
+	l.share = share{routers: len(names), expires: now + shareTTL}
+	if slices.Contains(names[:holders], t.self) {
+		l.share.rate = rate / float64(holders)
+	}
+	if before.rate == 0 && l.share.rate > 0 {
+		// The router whose share this was may just have used it.
+		l.tokens, l.filledAt = 0, now
+	}
+	return l.share
+}
+
+// ranked returns all routers in the order in which they get shares of a server's limit.
+// Each round has another order.
+func (t *Tracker) ranked(inc model.Incarnation, round int) []string {
+	names := slices.Clone(t.routers())
+	if !slices.Contains(names, t.self) {
+		names = append(names, t.self)
+	}
+	ranks := make(map[string]uint64, len(names))
+	for _, name := range names {
+		ranks[name] = spread.Hash(inc.ID, strconv.Itoa(round), name)
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(a, b)) })
+	return names
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -109,6 +109,17 @@
 	m.scope.Gauge("store_news_age_seconds").Update(age.Seconds())
 }
 
+// setLimits records the rate limits that backend servers advertise: how many do, and how many
+// requests per second they accept together.
+func (m *metrics) setLimits(rates map[model.Incarnation]float64) {
+	sum := 0.0
+	for _, rate := range rates {
+		sum += rate
+	}
+	m.scope.Gauge("backend_servers_rate_limited").Update(float64(len(rates)))
+	m.scope.Gauge("backend_rate_limits_sum").Update(sum)
+}
+
 // setQuarantine sets the numbers of suspected and of quarantined requests.
 func (m *metrics) setQuarantine(suspects, quarantined int) {
 	m.scope.Gauge("requests_suspected").Update(float64(suspects))
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/liveness"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/transfer"
 	"github.com/skylarkwood/skylarkwood/internal/hlc"
@@ -69,6 +70,7 @@
 	health       *catalog.Health
 	usage        *chains.UsageTracker
 	interconnect *chains.Interconnect
+	limits       *ratelimit.Tracker
 	elector      *leader.Elector
 	controller   *placement.Controller
 	exchange     *peers.Exchange
@@ -207,6 +209,8 @@
 		HasTraffic:          r.requestSeen.Load,
 	}
 	rt := r.settings.Router
+	r.limits = ratelimit.New(r.settings.Router.Peers, r.exchange.LiveRouters, boottime.Now)
+	r.exchange.Limits = r.limits
 	budget := limits.NewSharedRetryBudget(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.RouterCount, time.Now)
 	r.exchange.RetryBorrower = &limits.RetryBorrower{Budget: budget, Borrow: r.exchange.Borrow, Now: time.Now}
 	r.exchange.TransferSlot = transfer.NewSlot()
@@ -234,10 +238,11 @@
 		Config:         r.config,
 		Catalog:        r.catalog,
 		Health:         r.health,
-		Chooser:        &chains.Chooser{Catalog: r.catalog, Health: r.health, Usage: r.usage, Interconnect: r.interconnect, RouterCount: r.exchange.RouterCount, Self: r.settings.Router.Peers},
+		Chooser:        &chains.Chooser{Catalog: r.catalog, Health: r.health, Usage: r.usage, Interconnect: r.interconnect, RouterCount: r.exchange.RouterCount, Limits: r.limits, Self: r.settings.Router.Peers},
 		Usage:          r.usage,
 		RetryBorrower:  r.exchange.RetryBorrower,
 		WaitQueue:      admission.NewWaitQueue(),
+		Limits:         r.limits,
 		BackendClient:  r.backends,
 		Observer:       r.metrics,
 		OnPanic:        r.metrics.countPanic,
@@ -418,6 +423,8 @@
 	registered := func(inc model.Incarnation) bool { return servers.Find(inc) != nil }
 	r.health.Retain(registered)
 	r.usage.Retain(registered)
+	r.limits.Retain(registered)
+	r.metrics.setLimits(r.limits.Rates())
 	for _, b := range r.engines() {
 		r.usage.Observe(b.Incarnation(), b.Holds)
 	}
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -83,11 +83,18 @@
 	var stages []chains.Stage
 	var reservation *chains.Reservation
 	result := chains.Found
+	maxWait := time.Duration(capacityWaitShare * float64(q.admitted.Route.TargetLatency))
+	if s.events > 0 {
+		maxWait = max(callerGapTimeout-q.Now().Sub(s.lastEventTime), 0)
+	}
 	reserve := func() bool {
 		if ctx.Err() != nil {
 			return false
 		}
 		stages, result = q.Chooser.Choose(q.admitted.Service, requirements)
+		if result == chains.Found && !q.Limits.Take(stages[0].Server.Incarnation()) {
+			result = chains.RateLimited // another request took the last one
+		}
 		if result == chains.Found {
 			reservation = q.Usage.Reserve(stages, s.tokens)
 			q.Chooser.RecordStart(q.admitted.Service.Engine, stages, q.promptTokens())
@@ -95,12 +102,11 @@
 				q.Chooser.RecordResume(q.admitted.Service.Engine, stages, s.tokens)
 			}
 		}
+		if result == chains.RateLimited {
+			return s.limitsTooLow(requirements, maxWait)
+		}
 		return result != chains.CapacityExhausted
 	}
-	maxWait := time.Duration(capacityWaitShare * float64(q.admitted.Route.TargetLatency))
-	if s.events > 0 {
-		maxWait = max(callerGapTimeout-q.Now().Sub(s.lastEventTime), 0)
-	}
 	until := q.Now().Add(maxWait)
 	waiter := admission.Request{Customer: q.admitted.Customer, Priority: -q.admitted.Priority}
 	q.waitingForCapacity = true
@@ -128,6 +134,9 @@
 	if result == chains.NoChain {
 		return nil, nil, fault.New(fault.NoCapacity, "no chain of available engines holds all layers: %s", q.Chooser.ExplainNoChain(q.admitted.Service, requirements))
 	}
+	if result == chains.RateLimited {
+		return nil, nil, q.limitError(q.Chooser.LimitWait(q.admitted.Service, requirements))
+	}
 	f := fault.New(fault.Overloaded, "no chain has capacity: %d requests waiting, waited %v, admitted %t, exhausted resource: %s", q.WaitQueue.Len(), maxWait, gotCapacity,
 		q.Chooser.ExhaustedResource(q.admitted.Service, requirements))
 	return nil, nil, f
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -81,22 +81,42 @@
 	case lastFailure != nil:
 		return q.respondError(fault.New(fault.Overloaded, "every backend server tried refused the request"))
 	}
+	if q.refusedByLimits {
+		return q.respondError(q.limitError(q.limitWait()))
+	}
 	return q.respondError(fault.New(fault.NoCapacity, "no backend server of %s accepts requests", q.admitted.Service.Name))
 }
 
-// leastCostServer returns the backend server with the lowest expected wait, or nil.
+// takeServer returns the least costly backend server whose rate limit grants the request, or
+// nil.
+func (q *request) takeServer() *model.BackendServer {
+	for {
+		b := q.leastCostServer()
+		if b == nil || q.Limits.Take(b.Incarnation()) {
+			return b
+		}
+	}
+}
+
+// leastCostServer returns the backend server with the lowest expected wait, or nil. Servers
+// whose rate limit allows no request now are left out.
 // The cost combines this router's load there, latency, failure rate and a small charge
 // for another failure domain. Suspected servers are considered only if all others are
 // excluded, as a suspicion of every server is probably wrong.
 func (q *request) leastCostServer() *model.BackendServer {
 	var best *model.BackendServer
 	var lowest float64
+	q.refusedByLimits = false
 	for _, allowSuspects := range []bool{false, true} {
 		for _, b := range q.Catalog.Load().Service(q.admitted.Service.Name) {
 			view := q.Health.View(b.Incarnation())
 			if q.avoid[b.Incarnation()] || q.excluded.excludes(b) || view.Suspected && !allowSuspects {
 				continue
 			}
+			if !q.Limits.Available(b.Incarnation()) {
+				q.refusedByLimits = true
+				continue
+			}
 			cost := (1 + float64(view.Active)) * (0.01 + view.Latency.Seconds()) * (1 + 8*view.FailureRate)
 			if b.FailureDomain != q.FailureDomain {
 				cost += 0.001
@@ -151,8 +171,10 @@
 			q.Health.Cancel(b.Incarnation())
 		}
 	}()
+	sentAt := q.Clock()
 	resp, err := q.BackendClient.Do(run, b.Address, q.newRequest(platform.ForwardOptions{Instance: b.ID}))
 	if err == nil {
+		q.observeLimit(b, platform.DecodeResponseInfo(resp.Status, resp.Header), sentAt)
 		read, err = q.readResponse(resp)
 	}
 	returned = true
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -125,6 +125,7 @@
 	w := q.watch(run, cancel, stages, reservation, record)
 	defer func() { q.retryGranted = w.stop() || q.retryGranted }()
 	q.sends++
+	sentAt := q.Clock()
 	resp, err := q.BackendClient.Do(run, first.Address, q.newRequest(send))
 	if err != nil {
 		result = runResult(endReasonOf(run, err), err)
@@ -137,6 +138,7 @@
 		q.runs++
 		return false, false, fault.New(fault.BackendFailed, "an engine's response belongs to another request")
 	}
+	q.observeLimit(first, v, sentAt)
 	if v.NotRun {
 		s.handleRefusal(stages, v, resp.Status)
 		return false, false, fault.New(fault.Overloaded, "an engine refused the request with status %d", resp.Status)
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -108,6 +109,8 @@
 	// RetryBorrower holds the retry budget and borrows retry tokens from peers.
 	RetryBorrower *limits.RetryBorrower
 	WaitQueue     *admission.WaitQueue
+	// Limits holds the rate limits that backend servers advertise. It may be nil.
+	Limits        *ratelimit.Tracker
 	BackendClient BackendClient
 	Observer      Observer
 	// OnPanic counts a recovered panic by the place where it was recovered; may be nil.
@@ -149,6 +152,8 @@
 	// unsentAttempts counts the attempts of which nothing was sent.
 	unsentAttempts     int
 	waitingForCapacity bool
+	// refusedByLimits is set if the last choice of a server failed because of rate limits.
+	refusedByLimits bool
 	// retryGranted is set if a token for the next retry was already taken.
 	retryGranted bool
 	avoid        map[model.Incarnation]bool
--- a/internal/protocol/relay/suspect.go
+++ b/internal/protocol/relay/suspect.go
@@ -195,7 +195,7 @@
 		return nil, f
 	}
 	for {
-		server := q.leastCostServer()
+		server := q.takeServer()
 		switch {
 		case server != nil && v.Restriction != quarantine.TrialOnly:
 			return server, nil
--- a/internal/protocol/wire/heartbeat.go
+++ b/internal/protocol/wire/heartbeat.go
@@ -31,6 +31,18 @@
 	SpareTokens map[string]int
 	// HasTraffic is set if the router has received requests from callers.
 	HasTraffic bool
+	// Limits are the rate limits that backend servers advertised to any router.
+	Limits map[model.Incarnation]RateLimit
+}
+
+// RateLimit is a rate limit of a backend server.
+type RateLimit struct {
+	// Ended is set if the server advertises a limit no longer.
+	Ended bool
+	// Rate is in requests per second.
+	Rate float64
+	// AgeMS is the time since the response that advertised it.
+	AgeMS int64
 }
 
 // InterconnectRate is the traffic between two failure domains in Mbit/s.
@@ -75,6 +87,13 @@
 	packEach(p, b.Suspects, p.incarnation, p.number)
 	packEach(p, b.Refusing, p.incarnation, p.number)
 	packEach(p, b.SpareTokens, p.text, func(n int) { p.number(int64(n)) })
+	if len(b.Limits) > 0 {
+		packEach(p, b.Limits, p.incarnation, func(l RateLimit) {
+			p.flag(l.Ended)
+			p.fraction(l.Rate)
+			p.number(l.AgeMS)
+		})
+	}
 	return p.b
 }
 
@@ -101,6 +120,11 @@
 	b.Suspects = unpackEach(u, u.incarnation, u.number)
 	b.Refusing = unpackEach(u, u.incarnation, u.number)
 	b.SpareTokens = unpackEach(u, u.text, func() int { return int(u.number()) })
+	if len(u.b) > 0 { // sent only if there are any
+		b.Limits = unpackEach(u, u.incarnation, func() RateLimit {
+			return RateLimit{Ended: u.flag(), Rate: u.fraction(), AgeMS: u.number()}
+		})
+	}
 	return b, u.err
 }
 
--- a/internal/protocol/wire/heartbeat_test.go
+++ b/internal/protocol/wire/heartbeat_test.go
@@ -39,6 +39,9 @@
 			}), 0, 6).Draw(t, "pipes"),
 			Slow: drawMap(t, "slow", engine, fraction), Suspects: drawMap(t, "suspects", engine, number), Refusing: drawMap(t, "refusing", engine, number),
 			SpareTokens: drawMap(t, "spares", rapid.StringN(0, 12, 40), rapid.IntRange(0, 1<<30)),
+			Limits: drawMap(t, "limits", engine, rapid.Custom(func(t *rapid.T) RateLimit {
+				return RateLimit{Ended: rapid.Bool().Draw(t, "ended"), Rate: fraction.Draw(t, "limit"), AgeMS: number.Draw(t, "limitAge")}
+			})),
 		}
 		got, err := UnpackRouterHeartbeat(b.Pack())
 		assert.NilError(t, err)
--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -5,6 +5,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 )
@@ -35,6 +36,26 @@
 		Refusing:      refusing,
 		SpareTokens:   spareTokens,
 		HasTraffic:    x.HasTraffic(),
+		Limits:        encodeLimits(x.Limits.Snapshot()),
+	}
+}
+
+func encodeLimits(limits map[model.Incarnation]ratelimit.Advertised) map[model.Incarnation]wire.RateLimit {
+	out := make(map[model.Incarnation]wire.RateLimit, len(limits))
+	for inc, a := range limits {
+		out[inc] = wire.RateLimit{Ended: a.Rate < 0, Rate: max(a.Rate, 0), AgeMS: a.Age.Milliseconds()}
+	}
+	return out
+}
+
+// mergeLimits records the limits that a peer knows.
+func (x *Exchange) mergeLimits(from string, limits map[model.Incarnation]wire.RateLimit) {
+	for inc, l := range limits {
+		rate := l.Rate
+		if l.Ended {
+			rate = ratelimit.Unlimited
+		}
+		x.Limits.Merge(from, inc, ratelimit.Advertised{Rate: rate, Age: milliseconds(l.AgeMS)})
 	}
 }
 
@@ -84,6 +105,7 @@
 		x.HandlePeerRefusal(inc, x.Now().Add(limits.Jitter(time.Duration(remaining)*time.Millisecond)))
 	}
 	x.RetryBorrower.SetPeerTokens(from, b.SpareTokens, validity)
+	x.mergeLimits(from, b.Limits)
 	x.ObservePeerRevision(b.Revision)
 	own := x.Config.Version()
 	switch {
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/transfer"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -76,6 +77,8 @@
 	// RetryBorrower holds this router's share of the retry budget and borrows retry tokens
 	// from peers.
 	RetryBorrower *limits.RetryBorrower
+	// Limits holds the rate limits that backend servers advertise. It may be nil.
+	Limits *ratelimit.Tracker
 	// HandlePeerRefusal is called with engines that refused requests of a peer and the
 	// time until which they should get none.
 	HandlePeerRefusal func(engine model.Incarnation, until time.Time)
