placement: a first stage with an advertised rate limit counts as little capacity

The planner counted a limited first stage with all its memory, so an added engine went to other layers though streams found no first stage.

--- a/internal/coordination/placement/balance.go
+++ b/internal/coordination/placement/balance.go
@@ -34,12 +34,24 @@
 	return c
 }
 
-// rangeCapacity returns how many tokens an engine has memory for in each layer of a range.
+// rangeCapacity returns how many tokens an engine has memory for in each layer of a range. A
+// first stage with a rate limit uses no more than the tokens of the streams that the limit
+// lets through.
 func rangeCapacity(spec *model.EngineSpec, e Engine, held model.LayerRange) float64 {
 	if held.Len() <= 0 {
 		return 0
 	}
-	return math.Max(tokenCapacity(spec, e.Card, held.Len()), 0)
+	tokens := math.Max(tokenCapacity(spec, e.Card, held.Len()), 0)
+	if held.From == 0 && e.RateLimit != nil {
+		tokens = math.Min(tokens, *e.RateLimit*streamSeconds(spec, e.Card)*float64(spec.MeanPromptTokens+spec.MeanAnswerTokens))
+	}
+	return tokens
+}
+
+// streamSeconds estimates how long a usual stream takes, if all of its engines have cards of
+// one type.
+func streamSeconds(spec *model.EngineSpec, card model.Card) float64 {
+	return float64(spec.MeanAnswerTokens) * spec.StepTime.Seconds() * card.StepTimeFactor
 }
 
 func (c layerCapacity) add(held model.LayerRange, tokens, sign float64) {
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -52,6 +52,8 @@
 	// Unreachable reports whether an engine has not answered this router for a while, even
 	// if it is still listed. Nil means never.
 	Unreachable func(engine model.Incarnation) bool
+	// RateLimits returns the rate limits that engines advertise. Nil means none.
+	RateLimits func() map[model.Incarnation]float64
 	// StreamCount returns the known number of streams that run through an engine. If nil,
 	// all engines count as busy.
 	StreamCount func(engine model.Incarnation) float64
@@ -227,13 +229,21 @@
 // plannerEngines returns the planner's view of the engines that appeared at least minAge
 // ago.
 func (c *Controller) plannerEngines(svc *model.Service, servers []*model.BackendServer, now time.Time, minAge time.Duration) []Engine {
+	var rates map[model.Incarnation]float64
+	if c.RateLimits != nil {
+		rates = c.RateLimits()
+	}
 	var out []Engine
 	for _, b := range servers {
 		if now.Sub(c.appearedAt[b.Incarnation()]) < minAge {
 			continue
 		}
 		card, _ := svc.Engine.Card(b.Card)
-		out = append(out, Engine{Address: b.Address, Domain: b.FailureDomain, Card: card})
+		e := Engine{Address: b.Address, Domain: b.FailureDomain, Card: card}
+		if rate, ok := rates[b.Incarnation()]; ok {
+			e.RateLimit = &rate
+		}
+		out = append(out, e)
 	}
 	return out
 }
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -33,6 +33,9 @@
 	Address string
 	Domain  string
 	Card    model.Card
+	// RateLimit is the limit that the engine advertises as a first stage, in requests per
+	// second. It is nil if there is none.
+	RateLimit *float64
 }
 
 // Plan maps the addresses of engines to the layers that they hold. An engine that restarts
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -318,6 +318,7 @@
 		HasTraffic:   r.hasTraffic,
 		Suspected:    r.health.Suspected,
 		Unreachable:  r.prober.Lost,
+		RateLimits:   r.limits.Rates,
 		StreamCount:  func(engine model.Incarnation) float64 { return r.usage.Used(engine).Streams },
 		Now:          time.Now,
 	}
