follow: a poll of a peer gets longer when its answer is large

The margin doubles after a timeout, up to 4 s, and halves after an answer. TestLargeAnswerOfAPeerArrives failed before.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -37,11 +37,13 @@
 	// considered unresponsive. Changes reach the routers at different times. A router
 	// that polls a peer also allows for that peer's batch delay.
 	lagTimeout = 400 * time.Millisecond
-	// peerPollTimeout is how long a polled peer waits for updates. peerPollMargin is
-	// added for its answer. Their sum is half the time for which an engine accepts
-	// requests after it began to drain.
+	// peerPollTimeout is how long a polled peer waits for updates. minPollMargin is added
+	// for its answer. Their sum is half the time for which an engine accepts requests after
+	// it began to drain. The margin doubles after a timeout, up to maxPollMargin, because a
+	// large answer takes long on a slow link.
 	peerPollTimeout = time.Second
-	peerPollMargin  = 500 * time.Millisecond
+	minPollMargin   = 500 * time.Millisecond
+	maxPollMargin   = 4 * time.Second
 	// minWatchMargin and maxWatchMargin bound how long after the end of its wait a watch may
 	// still be answered. The margin doubles when a watch is not answered.
 	minWatchMargin = 800 * time.Millisecond
@@ -139,6 +141,7 @@
 	changesApplied bool          // the last answer came from the store and had changes
 	rangeTimeout   time.Duration // of the next read of the whole range
 	watchMargin    time.Duration
+	pollMargin     time.Duration
 }
 
 // SinceLastContact returns the time since the store last answered.
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -81,9 +81,17 @@
 }
 
 func (f *Follower) pollWithTimeout(ctx context.Context, addr string, after model.Revision, timeout time.Duration) (Updates, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout+peerPollMargin)
+	f.pollMargin = min(max(f.pollMargin, minPollMargin), maxPollMargin)
+	pollCtx, cancel := context.WithTimeout(ctx, timeout+f.pollMargin)
 	defer cancel()
-	return f.PollPeer(ctx, addr, after, timeout)
+	updates, err := f.PollPeer(pollCtx, addr, after, timeout)
+	switch {
+	case err == nil:
+		f.pollMargin /= 2
+	case ctx.Err() == nil && pollCtx.Err() != nil:
+		f.pollMargin *= 2
+	}
+	return updates, err
 }
 
 func (f *Follower) applyUpdates(updates Updates) {
--- a/internal/coordination/follow/values_test.go
+++ b/internal/coordination/follow/values_test.go
@@ -9,7 +9,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/state/replica"
+	"github.com/skylarkwood/skylarkwood/platform/standin"
 )
 
 // slowLink delays the reads of single keys of one router. The caller's timeout limits the
@@ -124,3 +127,29 @@
 		assert.Assert(t, sink.has("other", ""))
 	})
 }
+
+// The contents of a large store take longer on a slow link than a polled peer is given for
+// its answer. Every poll ended with the same timeout, so a router without the store never got
+// them.
+func TestLargeAnswerOfAPeerArrives(t *testing.T) {
+	const answerTime = 1900 * time.Millisecond
+	setup := func(fl *Follower) {
+		fl.Store = &node{Store: fl.Store, refused: true}
+		fl.Picker = pickerWithPeers(fl, 5)
+		fl.Replica = &replica.Replica{}
+		fl.PollPeer = func(ctx context.Context, _ string, after model.Revision, _ time.Duration) (Updates, error) {
+			select {
+			case <-time.After(answerTime):
+			case <-ctx.Done():
+				return Updates{}, ctx.Err()
+			}
+			it := platform.Item{Key: "k", Value: []byte("1"), Revision: 7}
+			return Updates{Changes: replica.Changes{Items: replica.ItemsWithValues([]platform.Item{it}), Revision: max(after, 7), Full: after < 7}}, nil
+		}
+	}
+	runFollower(t, func(_ *standin.Store, sink *recordingSink, fl *Follower) {
+		fl.ObservePeerRevision(7)
+		time.Sleep(15 * time.Second)
+		assert.Assert(t, sink.has("k", "1"))
+	}, setup)
+}
