quarantine: lost connections that no probe has cleared yet decide nothing alone

Cause: an unconfirmed loss counts as an exit for up to 300 ms, so two of them asked for a trial at once. Change: a request with unconfirmed losses only waits for the probe, as one at the threshold of quarantine does. With one confirmed exit a trial is still needed at once (TestLostConnectionCountsUntilServerIsProbed is unchanged). TestUnprobedConnectionLossesDecideNothing failed before.

--- a/internal/coordination/quarantine/judge.go
+++ b/internal/coordination/quarantine/judge.go
@@ -87,6 +87,9 @@
 		out.Restriction = Undecided
 	case t.quarantineIfProven(fp, v, ev):
 		out.Restriction = Quarantined
+	case out.Exits >= minExitsForTrial && unconfirmed == out.Exits:
+		// A probe of the servers soon shows whether any of them exited.
+		out.Restriction = Undecided
 	case out.Exits >= minExitsForTrial:
 		out.Restriction = TrialOnly
 		out.AvoidDomains = t.recentExitDomains(s)
--- a/internal/coordination/quarantine/tracker_test.go
+++ b/internal/coordination/quarantine/tracker_test.go
@@ -66,6 +66,23 @@
 	assert.Equal(t, tr.Assess(crashing).Restriction, Separated, "connections failed, no server exited")
 }
 
+// Two connections of a notice failed at servers that run on. It was refused for want of a trial
+// although a probe clears them within milliseconds.
+func TestUnprobedConnectionLossesDecideNothing(t *testing.T) {
+	tr := newTestTracker()
+	tr.begin(crashing, 1, "d1").End(ConnectionLost)
+	tr.begin(crashing, 2, "d2").End(ConnectionLost)
+	assert.Equal(t, tr.Assess(crashing).Restriction, Undecided)
+	tr.ServerAlive(server(1))
+	assert.Equal(t, tr.Assess(crashing).Restriction, Separated)
+	tr.ServerAlive(server(2))
+	assert.Equal(t, tr.Assess(crashing).Restriction, Unrestricted)
+	tr.begin(crashing, 3, "d3").End(ConnectionLost)
+	tr.begin(crashing, 4, "d4").End(ConnectionLost)
+	tr.ServerExited(server(3), "d3")
+	assert.Equal(t, tr.Assess(crashing).Restriction, TrialOnly)
+}
+
 func TestInconclusiveRunDoesNotCount(t *testing.T) {
 	tr := newTestTracker()
 	for n := range 5 {
