test/fleet: two tests no longer depend on which server gets the requests

Each server now loses three. TestFailingEngineIsLeftAlone asks that a stream reaches the faulty engine; the costs of engines change, so it now takes up to five engines until one does. Its bound on the streams that reach the faulty engine holds in each round.

--- a/test/fleet/path_test.go
+++ b/test/fleet/path_test.go
@@ -93,7 +93,8 @@
 func TestNoticeWhoseAnswerIsLost(t *testing.T) {
 	s := newSite(t, 1)
 	for _, e := range s.plain {
-		e.SetFaults(standin.EngineFaults{DropResponses: 1, Truncate: 1, WrongAttempt: 1})
+		// One server may get all notices. It loses three of them.
+		e.SetFaults(standin.EngineFaults{DropResponses: 2, Truncate: 1, WrongAttempt: 1})
 	}
 	lost := 0
 	for range 30 {
@@ -291,15 +292,23 @@
 func TestFailingEngineIsLeftAlone(t *testing.T) {
 	s := newSite(t, 1)
 	const requestCount = 60
-	rep := s.call(s.routers[0], requestSpec{path: "/sheet/x"})
-	s.assertComplete(rep)
-	faulty := s.engineByID(s.fleet.Runs(rep.attempt)[0])
-	faulty.SetFaults(standin.EngineFaults{Fail: requestCount})
-	for range requestCount {
-		s.assertComplete(s.call(s.routers[0], requestSpec{path: "/sheet/x"}))
+	// The costs of engines change, so an engine that served one stream may get no other.
+	const rounds = 5
+	var faulty *standin.Engine
+	for round := 0; round < rounds && (faulty == nil || faulty.Failed() == 0); round++ {
+		if faulty != nil {
+			faulty.SetFaults(standin.EngineFaults{})
+		}
+		rep := s.call(s.routers[0], requestSpec{path: "/sheet/x"})
+		s.assertComplete(rep)
+		faulty = s.engineByID(s.fleet.Runs(rep.attempt)[0])
+		faulty.SetFaults(standin.EngineFaults{Fail: requestCount})
+		for range requestCount {
+			s.assertComplete(s.call(s.routers[0], requestSpec{path: "/sheet/x"}))
+		}
+		assert.Assert(t, faulty.Failed() <= requestCount/6, "%d of %d streams reached the faulty engine", faulty.Failed(), requestCount)
 	}
 	assert.Assert(t, faulty.Failed() > 0, "no stream reached the faulty engine")
-	assert.Assert(t, faulty.Failed() <= requestCount/6, "%d of %d streams reached the faulty engine", faulty.Failed(), requestCount)
 }
 
 // engineByID returns the engine whose current incarnation has the given ID.
