peers: suspicions are sent at once to the routers whose streams use the engine

Peers learned of a suspicion with the next heartbeat, up to 250 ms later near and seconds far away, while they chose new engines for the same streams. Those that reported streams on the engine are now notified when a suspicion is new; heartbeats still tell all.

--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -298,6 +298,20 @@
 	t.updateNextPeerExpiry(c.expires)
 }
 
+// PeersUsing returns the peers that reported streams on an engine.
+func (t *UsageTracker) PeersUsing(inc model.Incarnation) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var out []string
+	for peer, c := range t.peers {
+		if now.Before(c.expires) && c.usage[inc].Streams > 0 {
+			out = append(out, peer)
+		}
+	}
+	return out
+}
+
 // ExpirePeers removes the usage of peers whose validity has passed.
 func (t *UsageTracker) ExpirePeers() {
 	t.mu.Lock()
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -11,7 +11,8 @@
 	MethodRouterHeartbeat  Method = "router.beat" // notification
 	MethodRouterConfig     Method = "router.config"
 	MethodRouterBorrow     Method = "router.lend"
-	MethodRouterEngineExit Method = "router.gone" // notification
+	MethodRouterEngineExit Method = "router.gone"    // notification
+	MethodRouterSuspicion  Method = "router.suspect" // notification
 	MethodRouterUpdates    Method = "router.news"
 	MethodRouterValue      Method = "router.value"
 	// MethodRouterQuarantine reports requests suspected of making servers exit;
@@ -72,6 +73,11 @@
 	Granted int `json:"n"`
 }
 
+// RouterSuspicion reports that the sender suspects an engine.
+type RouterSuspicion struct {
+	Server model.Incarnation `json:"server"`
+}
+
 // RouterEngineExit reports that an engine's process exited.
 type RouterEngineExit struct {
 	Server model.Incarnation `json:"s"`
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -120,6 +120,7 @@
 	s.Register(wire.MethodRouterConfig, link.Handle(x.handleConfigRequest))
 	s.Register(wire.MethodRouterBorrow, link.Handle(x.handleBorrow))
 	s.Register(wire.MethodRouterEngineExit, link.Handle(x.handleEngineExit))
+	s.Register(wire.MethodRouterSuspicion, link.Handle(x.handleSuspicion))
 }
 
 // SetMembers sets the routers that are registered in the store, by store key.
@@ -135,11 +136,36 @@
 	}
 }
 
-// AnnounceSuspect announces with the next heartbeats that this router suspects an engine.
+// AnnounceSuspect announces that this router suspects an engine: at once to the peers whose
+// streams use it, because these look for other engines at the same moment, and to all with the
+// next heartbeats.
 func (x *Exchange) AnnounceSuspect(engine model.Incarnation, until time.Time) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
+	known := x.Now().Before(x.suspects[engine])
 	x.suspects[engine] = until
+	x.mu.Unlock()
+	if known {
+		return
+	}
+	for _, addr := range x.Usage.PeersUsing(engine) {
+		go x.notify(addr, wire.MethodRouterSuspicion, wire.RouterSuspicion{Server: engine})
+	}
+}
+
+// notify sends a message that only saves time. The heartbeats repeat its contents, or the
+// peer finds out itself.
+func (x *Exchange) notify(addr string, m wire.Method, message any) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	if err := x.Pool.Notify(ctx, addr, m, message); err != nil {
+		klog.V(1).InfoS("notifying peer failed", "peer", addr, "method", m, "err", err)
+	}
+}
+
+// handleSuspicion handles a peer's AnnounceSuspect.
+func (x *Exchange) handleSuspicion(_ context.Context, _ string, s wire.RouterSuspicion) (struct{}, error) {
+	x.HandlePeerSuspicion(s.Server)
+	return struct{}{}, nil
 }
 
 // AnnounceRefusal announces with the next heartbeats that an engine refuses requests.
@@ -153,13 +179,7 @@
 // their streams wait for it. It does not wait for the peers.
 func (x *Exchange) AnnounceEngineExit(engine model.Incarnation) {
 	for _, addr := range x.peers() {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
-			defer cancel()
-			if err := x.Pool.Notify(ctx, addr, wire.MethodRouterEngineExit, wire.RouterEngineExit{Server: engine}); err != nil {
-				klog.V(1).InfoS("notifying peer of an engine exit failed", "peer", addr, "server", engine, "err", err)
-			}
-		}()
+		go x.notify(addr, wire.MethodRouterEngineExit, wire.RouterEngineExit{Server: engine})
 	}
 }
 
