ratelimit: rounded rates are no change, and a lowered limit counts what its holders sent

Heartbeats carry rates to 1/1000, so routers would have taken each other's rounding for new, lower limits and paid back what they had sent again and again. Rates are rounded when they are observed. After a lowered limit only the routers with shares count as earlier senders; it took all, so that the limit would have stayed unused for 4 s.

--- a/internal/coordination/ratelimit/fleet_test.go
+++ b/internal/coordination/ratelimit/fleet_test.go
@@ -151,12 +151,20 @@
 // loadOf returns a load in requests per second at which every router has some for the server.
 func loadOf(routers int, rate float64) float64 { return max(5*rate, 3*float64(routers)) }
 
-var fleets = []int{2, 5, 40, 380}
+// inFleets runs a test for fleets of several sizes beside each other.
+func inFleets(t *testing.T, test func(t *testing.T, routers int)) {
+	for _, routers := range []int{2, 5, 40, 380} {
+		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
+			t.Parallel()
+			test(t, routers)
+		})
+	}
+}
 
 // Each router kept to the limit alone, and their sum did not; or each had such a small part
 // that most of the limit was not used.
 func TestFleetKeepsToTheLimitAndUsesIt(t *testing.T) {
-	for _, routers := range fleets {
+	inFleets(t, func(t *testing.T, routers int) {
 		for _, rate := range []float64{0.8, 4.7, 60} {
 			s := newSimulation(routers, 7)
 			s.run(5*time.Second, 4*rate)
@@ -172,12 +180,12 @@
 			assert.Check(t, used > 0.75, "%d routers, %v a second: %v of the limit used", routers, rate, used)
 			t.Logf("%d routers, %v a second: %.2f of the limit used", routers, rate, used)
 		}
-	}
+	})
 }
 
 // A raised or ended limit is noticed by few routers, and the others have to learn of it.
 func TestFleetLearnsOfRaisedAndEndedLimits(t *testing.T) {
-	for _, routers := range fleets {
+	inFleets(t, func(t *testing.T, routers int) {
 		s := newSimulation(routers, 11)
 		s.rate = 4
 		load := loadOf(routers, 8)
@@ -194,12 +202,12 @@
 		before, offered := len(s.sent), s.offered
 		s.run(5*time.Second, load)
 		assert.Check(t, len(s.sent)-before == s.offered-offered, "%d routers: %d of %d sent after the end", routers, len(s.sent)-before, s.offered-offered)
-	}
+	})
 }
 
 // Routers restart one after the other and forget the limit, and their peers remember it.
 func TestRestartedRoutersLearnTheLimit(t *testing.T) {
-	for _, routers := range fleets {
+	inFleets(t, func(t *testing.T, routers int) {
 		s := newSimulation(routers, 13)
 		s.rate = 5
 		s.run(10*time.Second, 50)
@@ -215,7 +223,7 @@
 		restarted := s.clock.now
 		s.run(10*time.Second, 50)
 		assert.Check(t, s.mostExcess(restarted, 5) <= 0, "%d routers", routers)
-	}
+	})
 }
 
 // Two servers share no state, and a new incarnation has no limit.
@@ -228,3 +236,31 @@
 	tr.Retain(func(model.Incarnation) bool { return false })
 	assert.Equal(t, len(tr.Rates()), 0)
 }
+
+// Heartbeats round rates. Two routers took each other's rounding for a new, lower limit and
+// paid back what they had sent again and again.
+func TestRoundedRatesAreNoChange(t *testing.T) {
+	s := newSimulation(5, 17)
+	s.rate = 4.73219
+	s.run(8*time.Second, 60)
+	for i, r := range s.routers {
+		rate := r.Rates()[engine]
+		s.routers[(i+1)%5].Merge(s.names[i], engine, Advertised{Rate: float64(int64(rate*1000+0.5)) / 1000})
+		assert.Equal(t, s.routers[(i+1)%5].Rates()[engine], rate)
+	}
+}
+
+// A limit is lowered. What was sent under the higher one counts against it.
+func TestLoweredLimitIsKept(t *testing.T) {
+	inFleets(t, func(t *testing.T, routers int) {
+		s := newSimulation(routers, 19)
+		load := loadOf(routers, 24)
+		s.rate = 24
+		s.run(10*time.Second, load)
+		s.rate = 6
+		lowered := s.clock.now
+		s.run(10*time.Second, load)
+		assert.Check(t, s.mostExcess(lowered+5*time.Second, 6) <= 0, "%d routers: %v", routers, s.mostExcess(lowered+5*time.Second, 6))
+		assert.Check(t, s.sentSince(lowered+6*time.Second) > 12, "%d routers: %d sent in 4 s", routers, s.sentSince(lowered+6*time.Second))
+	})
+}
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -26,6 +26,8 @@
 	// silenceTimeout is how long a server with a limit may remain without a response before
 	// other routers get the shares. Those that have them may have no requests for it.
 	silenceTimeout = 5 * time.Second
+	// rateScale is the resolution of rates, which heartbeats keep.
+	rateScale = 1000
 	// endedTTL is how long the end of a limit is announced to peers.
 	endedTTL = 30 * time.Second
 )
@@ -56,10 +58,13 @@
 
 // limit is the last known limit of one server and this router's part of it.
 type limit struct {
-	rate  float64 // or Unlimited
-	at    time.Duration
-	since time.Duration // when this router learned of a limit, or of a lower one
-	share share
+	rate float64 // or Unlimited
+	at   time.Duration
+	// since is when this router learned of a limit, or of a lower one. senders is how many
+	// routers may have sent as much as this one until then.
+	since   time.Duration
+	senders int
+	share   share
 	// tokens is the number of requests that this router may send now.
 	tokens   float64
 	filledAt time.Duration
@@ -78,6 +83,9 @@
 	if t == nil {
 		return
 	}
+	if rate >= 0 {
+		rate = math.Round(rate*rateScale) / rateScale
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.limits[inc]
@@ -114,20 +122,22 @@
 		t.limits[inc] = l
 	}
 	before := l.rate
+	now := t.clock()
 	switch {
 	case before < 0 && rate >= 0:
 		t.limited++
-		l.tokens, l.filledAt, l.since = 0, t.clock(), t.clock()
+		l.tokens, l.filledAt = 0, now
+		l.since, l.senders = now, len(t.ranked(inc, 0))
 	case before >= 0 && rate < 0:
 		t.limited--
-	case rate < before:
-		l.since = t.clock()
+	case rate < before && now-l.since > window:
+		l.since, l.senders = now, t.shareOf(inc, l).holders
 	}
 	l.rate, l.at = rate, at
 	if rate != before {
 		l.share.expires = 0
 		klog.InfoS("rate limit of backend server changed", "server", inc, "rate", rate, "before", before, "source", source,
-			"age", t.clock()-at, "share", t.shareOf(inc, l).rate, "recentlySent", t.recent(inc))
+			"age", now-at, "share", t.shareOf(inc, l).rate, "recentlySent", t.recent(inc))
 	}
 }
 
@@ -241,8 +251,8 @@
 }
 
 // wait implements Wait for a server with a limit. What all routers sent before they knew the
-// limit counts against it. This router assumes that each of the others sent as much as
-// itself. The caller holds t.mu.
+// limit counts against it. This router assumes that each of the others that sent to the server
+// sent as much as itself. The caller holds t.mu.
 func (t *Tracker) wait(inc model.Incarnation, l *limit) time.Duration {
 	rate := t.fill(inc, l)
 	if rate <= 0 {
@@ -254,7 +264,7 @@
 	}
 	wait := time.Duration(missing / rate * float64(time.Second))
 	if c := t.sent[inc]; c != nil {
-		allowed := max(l.rate, minRate) * window.Seconds() / float64(l.share.routers)
+		allowed := max(l.rate, minRate) * window.Seconds() / float64(max(l.senders, 1))
 		wait = max(wait, c.waitUntilBelow(t.clock(), l.since, int(allowed)+1))
 	}
 	return wait
--- a/internal/coordination/ratelimit/share.go
+++ b/internal/coordination/ratelimit/share.go
@@ -20,7 +20,7 @@
 // share is this router's part of a limit.
 type share struct {
 	rate    float64 // requests per second
-	routers int     // that are known
+	holders int     // number of routers that have one
 	expires time.Duration
 }
 
@@ -37,7 +37,7 @@
 	names := t.ranked(inc, int((now-l.at)/silenceTimeout))
 	rate := max(l.rate, minRate)
 	holders := min(max(int(rate/minShare), 1), len(names))
-	l.share = share{routers: len(names), expires: now + shareTTL}
+	l.share = share{holders: holders, expires: now + shareTTL}
 	if slices.Contains(names[:holders], t.self) {
 		l.share.rate = rate / float64(holders)
 	}
