peers: a heartbeat asks for rate limits before it takes its lock

Limits ask for the routers under their own lock, heartbeats asked for the limits under the lock of the routers: both could wait for each other for good, and the router with them. Found by reading; TestHeartbeatsAndLimitsDoNotBlockEachOther hangs with the old order.

--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -20,6 +20,7 @@
 		rates = append(rates, wire.InterconnectRate{A: pair.A, B: pair.B, Rate: rate})
 	}
 	spareTokens := x.RetryBorrower.Budget.SpareTokens() // locks x.mu to count the routers
+	rateLimits := encodeLimits(x.Limits.Snapshot())     // likewise
 	now := x.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -36,7 +37,7 @@
 		Refusing:      refusing,
 		SpareTokens:   spareTokens,
 		HasTraffic:    x.HasTraffic(),
-		Limits:        encodeLimits(x.Limits.Snapshot()),
+		Limits:        rateLimits,
 	}
 }
 
