--- a/internal/coordination/chains/limit_test.go
+++ b/internal/coordination/chains/limit_test.go
@@ -11,7 +11,7 @@
 )
 
 func withLimits(f *fixture) *ratelimit.Tracker {
-	t := ratelimit.New("self", func() []string { return []string{"self"} }, func() time.Duration { return time.Duration(f.now.UnixNano()) })
+	t := ratelimit.New("self", func(model.Incarnation) []ratelimit.Router { return nil }, func() time.Duration { return time.Duration(f.now.UnixNano()) })
 	f.chooser.Limits = t
 	return t
 }
--- a/internal/coordination/ratelimit/fleet_test.go
+++ b/internal/coordination/ratelimit/fleet_test.go
@@ -56,7 +56,8 @@
 }
 
 func (s *simulation) newRouter(i int) *Tracker {
-	return New(s.names[i], func() []string { return s.names }, s.clock.read)
+	routers := named(s.names)
+	return New(s.names[i], func(model.Incarnation) []Router { return routers }, s.clock.read)
 }
 
 // run lets all routers together offer so many requests per second to the server.
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -47,7 +47,7 @@
 // limits. It is safe for concurrent use.
 type Tracker struct {
 	self    string
-	routers func() []string
+	routers func(inc model.Incarnation) []Router
 	clock   func() time.Duration
 
 	mu      sync.Mutex
@@ -70,9 +70,16 @@
 	filledAt time.Duration
 }
 
-// New returns a Tracker without limits. routers returns the names of all routers, with or
-// without self. clock is monotonic.
-func New(self string, routers func() []string, clock func() time.Duration) *Tracker {
+// Router is a router that may have a share of a server's limit.
+type Router struct {
+	Name string
+	// Near is set if the router is in the failure domain of the server.
+	Near bool
+}
+
+// New returns a Tracker without limits. routers returns all routers, with or without self, as
+// seen from a server. clock is monotonic.
+func New(self string, routers func(inc model.Incarnation) []Router, clock func() time.Duration) *Tracker {
 	return &Tracker{self: self, routers: routers, clock: clock, limits: map[model.Incarnation]*limit{}, sent: map[model.Incarnation]*counter{}}
 }
 
--- a/internal/coordination/ratelimit/ratelimit_test.go
+++ b/internal/coordination/ratelimit/ratelimit_test.go
@@ -18,7 +18,15 @@
 
 func newTestTracker(self string, routers ...string) (*Tracker, *testClock) {
 	c := &testClock{now: time.Hour}
-	return New(self, func() []string { return routers }, c.read), c
+	return New(self, func(model.Incarnation) []Router { return named(routers) }, c.read), c
+}
+
+func named(names []string) []Router {
+	out := make([]Router, len(names))
+	for i, name := range names {
+		out[i].Name = name
+	}
+	return out
 }
 
 // sendFor sends as much as possible for a time and returns how many requests that were.
@@ -123,6 +131,24 @@
 	}
 }
 
+// Routers of other failure domains have fewer requests for a server, so a share there was hardly
+// used. They get one if the near ones leave the server silent.
+func TestNearRoutersGetSharesFirst(t *testing.T) {
+	routers := []Router{{Name: "a"}, {Name: "b"}, {Name: "near", Near: true}, {Name: "c"}, {Name: "d"}}
+	moved := false
+	for _, r := range routers {
+		c := &testClock{now: time.Hour}
+		tr := New(r.Name, func(model.Incarnation) []Router { return routers }, c.read)
+		tr.Observe(engine, 2, c.now)
+		assert.Equal(t, tr.Wait(engine) < Never, r.Near, r.Name)
+		for range 10 {
+			c.now += silenceTimeout
+			moved = moved || !r.Near && tr.Wait(engine) < Never
+		}
+	}
+	assert.Assert(t, moved)
+}
+
 // In no window does a router send more than its share allows, whatever limits are observed,
 // once the first window is over.
 func TestWindowsKeepToTheLimit(t *testing.T) {
--- a/internal/coordination/ratelimit/share.go
+++ b/internal/coordination/ratelimit/share.go
@@ -48,17 +48,30 @@
 	return l.share
 }
 
-// ranked returns all routers in the order in which they get shares of a server's limit.
-// Each round has another order.
+// ranked returns all routers in the order in which they get shares of a server's limit: first
+// those of its failure domain, which have most requests for it. Each later round has another
+// order, regardless of domains.
 func (t *Tracker) ranked(inc model.Incarnation, round int) []string {
-	names := slices.Clone(t.routers())
-	if !slices.Contains(names, t.self) {
-		names = append(names, t.self)
+	routers := slices.Clone(t.routers(inc))
+	if !slices.ContainsFunc(routers, func(r Router) bool { return r.Name == t.self }) {
+		routers = append(routers, Router{Name: t.self})
 	}
-	ranks := make(map[string]uint64, len(names))
-	for _, name := range names {
-		ranks[name] = spread.Hash(inc.ID, strconv.Itoa(round), name)
+	ranks := make(map[string]uint64, len(routers))
+	for _, r := range routers {
+		ranks[r.Name] = spread.Hash(inc.ID, strconv.Itoa(round), r.Name)
+	}
+	slices.SortFunc(routers, func(a, b Router) int {
+		if round == 0 && a.Near != b.Near {
+			if a.Near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(ranks[a.Name], ranks[b.Name]), cmp.Compare(a.Name, b.Name))
+	})
+	names := make([]string, len(routers))
+	for i, r := range routers {
+		names[i] = r.Name
 	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(a, b)) })
 	return names
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -176,6 +176,21 @@
 	return out
 }
 
+// routersNear returns all routers and which of them are in the failure domain of a backend
+// server.
+func (r *Router) routersNear(server model.Incarnation) []ratelimit.Router {
+	domain := ""
+	if b := r.catalog.Load().Find(server); b != nil {
+		domain = b.FailureDomain
+	}
+	domains := r.exchange.Domains()
+	var out []ratelimit.Router
+	for _, addr := range r.exchange.LiveRouters() {
+		out = append(out, ratelimit.Router{Name: addr, Near: domain != "" && domains[addr] == domain})
+	}
+	return out
+}
+
 // hasTraffic reports whether this router or a peer has received requests since the first start
 // of the system. It is true if this is not the first start.
 func (r *Router) hasTraffic() bool {
@@ -209,7 +224,7 @@
 		HasTraffic:          r.requestSeen.Load,
 	}
 	rt := r.settings.Router
-	r.limits = ratelimit.New(r.settings.Router.Peers, r.exchange.LiveRouters, boottime.Now)
+	r.limits = ratelimit.New(r.settings.Router.Peers, r.routersNear, boottime.Now)
 	r.exchange.Limits = r.limits
 	budget := limits.NewSharedRetryBudget(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.RouterCount, time.Now)
 	r.exchange.RetryBorrower = &limits.RetryBorrower{Budget: budget, Borrow: r.exchange.Borrow, Now: time.Now}
--- a/internal/protocol/relay/limit_test.go
+++ b/internal/protocol/relay/limit_test.go
@@ -28,7 +28,7 @@
 	})
 	began := time.Now()
 	s.Clock = func() time.Duration { return time.Since(began) + time.Hour }
-	s.Limits = ratelimit.New("self", func() []string { return []string{"self"} }, s.Clock)
+	s.Limits = ratelimit.New("self", func(model.Incarnation) []ratelimit.Router { return nil }, s.Clock)
 	s.Chooser.Limits = s.Limits
 	return s, sent
 }
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -244,6 +244,18 @@
 	return x.peerHasTraffic
 }
 
+// Domains returns the failure domains of the registered routers and of this one, by link
+// address.
+func (x *Exchange) Domains() map[string]string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := map[string]string{x.Self: x.Domain}
+	for _, m := range x.members {
+		out[m.Address] = m.Domain
+	}
+	return out
+}
+
 // LiveRouters returns the link addresses of the routers, including this one.
 func (x *Exchange) LiveRouters() []string { return append(x.peers(), x.Self) }
 
