--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -47,9 +47,8 @@
 	assert.Assert(t, c.Load().ByID("a") == nil)
 }
 
-// Entries expire during an outage of the store and are written again after it. Removing
-// them at once would leave requests without servers, and keeping them would send
-// requests to exited ones.
+// Entries that expire during an outage of the store must not leave requests without servers,
+// nor keep exited ones.
 func TestExpiredEntriesStayForTheGracePeriod(t *testing.T) {
 	at, now := clock()
 	c := New(now)
--- a/internal/coordination/catalog/incarnation_test.go
+++ b/internal/coordination/catalog/incarnation_test.go
@@ -80,9 +80,8 @@
 	assert.Equal(t, c.Load().ByID("a").Holds.Len(), 0)
 }
 
-// An entry with an earlier start time is either that of a new process whose clock was
-// set back or a late one of an older process. The engine is asked, and its answer
-// decides.
+// An entry with an earlier start time may be late or that of a process whose clock was set
+// back. The answer of the engine must decide.
 func TestEarlierStartTimeIsDisputed(t *testing.T) {
 	for name, c := range map[string]struct{ answers, stays int64 }{
 		"the new process answers":   {answers: 100, stays: 100},
--- a/internal/coordination/catalog/restore_test.go
+++ b/internal/coordination/catalog/restore_test.go
@@ -16,9 +16,8 @@
 	return r
 }
 
-// The store is restored from a copy in which a draining server is still ready. The
-// server must get no requests. Its later heartbeats and the removal of its entry must
-// still be applied.
+// The store is restored from a copy in which a draining server is still ready. It must get no
+// requests, and later entries must still be applied.
 func TestDrainingServerStaysDrainingAfterRestore(t *testing.T) {
 	at, now := clock()
 	c := New(now)
@@ -38,9 +37,8 @@
 	_ = at
 }
 
-// The restored copy lacks the entries of servers. One that still runs writes its entry
-// again, with a lower count than before, and must stay. One that exited must go when
-// its grace is over.
+// The restored copy lacks the entries of servers. One that writes its entry again, with a lower
+// count, must stay. One that exited must go after its grace.
 func TestMissingServersKeepGraceAfterRestore(t *testing.T) {
 	at, now := clock()
 	c := New(now)
--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -475,9 +475,8 @@
 	}
 }
 
-// An engine that fails half of its streams immediately looks idle. After a few failures it
-// must no longer be chosen as the first stage, but still as a later one. After a while it
-// must be tried again.
+// An engine that fails half of its streams at once looks idle and would attract all of them as
+// the first stage.
 func TestFailingEngineIsNotFirstStage(t *testing.T) {
 	f := newFixture()
 	f.add("grey", "a", "a100", 0, 1)
--- a/internal/coordination/chains/slowstart_test.go
+++ b/internal/coordination/chains/slowstart_test.go
@@ -10,9 +10,8 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// A fast engine finishes loading under high load and looks idle to all routers before they
-// receive each other's usage. Its prefill backlog must stay within half of the 500 ms
-// target for the first event.
+// An engine that has just loaded looks idle to all routers. Its prefill backlog must not delay
+// first events beyond half of their target.
 func TestNewEngineBacklogIsBounded(t *testing.T) {
 	const (
 		domains, each             = 5, 20
--- a/internal/coordination/config/config_test.go
+++ b/internal/coordination/config/config_test.go
@@ -33,9 +33,8 @@
 	return fmt.Sprint("id-", g.n)
 }
 
-// Operators change the same templates through several entries while the store is slow,
-// unavailable and loses answers. No accepted change may be lost, no revision may be
-// accepted twice, and no entry may go back to an older revision.
+// Operators change the same templates while the store is slow, unavailable and loses answers. No
+// accepted change may be lost, accepted twice or taken back.
 func TestConcurrentChangesAreNotLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(noDeadline{t}, func(rt *rapid.T) {
@@ -137,9 +136,8 @@
 	return version, err
 }
 
-// The answer to a swap of the head is lost, and another operator changes the template
-// in between. The first change must be reported as accepted and must not be written
-// again.
+// The answer to a swap of the head is lost and another operator changes the template. The first
+// change must count as accepted and must not be written again.
 func TestSetRecognizesItsOwnUnconfirmedChange(t *testing.T) {
 	kv := &lossyHeadKV{KV: standin.NewKV(), lose: true}
 	ids := &idGenerator{}
--- a/internal/coordination/follow/fleet_test.go
+++ b/internal/coordination/follow/fleet_test.go
@@ -470,9 +470,8 @@
 	})
 }
 
-// Random faults in random order: routers restart, links fail one way, routers freeze,
-// the store rejects calls, is unavailable or loses its history. Once they are over,
-// every router must have the store's contents within seconds.
+// After random faults of routers, links and the store, every router must have the contents of
+// the store within seconds.
 func TestRoutersConvergeAfterRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		domains, each := rapid.IntRange(1, 3).Draw(rt, "domains"), rapid.IntRange(1, 4).Draw(rt, "each")
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -169,9 +169,8 @@
 	}, connected)
 }
 
-// The connection of this router's watch is unresponsive and a peer is ahead. The change
-// must be applied before the watch times out. A peer that is ahead only briefly has no
-// effect.
+// A watch on an unresponsive connection must end before its timeout if a peer stays ahead, but
+// not if the peer is ahead only briefly.
 func TestFollowerReconnectsWhenAPeerStaysAhead(t *testing.T) {
 	runFollower(t, func(store *standin.Store, sink *recordingSink, fl *Follower) {
 		time.Sleep(2 * time.Second)
@@ -212,9 +211,8 @@
 	})
 }
 
-// A watcher is still decoding the store's answer when it is polled. It must answer with
-// the age of what it has applied, or the router that polls it would take an old
-// configuration for a new one.
+// A watcher that still decodes an answer must not tell a polling router its age, or an old
+// configuration would count as the newest.
 func TestAgeOfUpdatesIsThatOfAppliedChanges(t *testing.T) {
 	const decoding = 500 * time.Millisecond
 	var slow slowSink
@@ -280,9 +278,8 @@
 	})
 }
 
-// Fifty engines register one after the other, with a change every 150 ms. An idle
-// router must collect the changes. One that serves callers must get each within the
-// usual batch delay.
+// Fifty engines register one after the other. An idle router must not end a watch for each, and
+// one that serves callers must not wait.
 func TestChangesAreBatchedLongerWhileIdle(t *testing.T) {
 	var idle atomic.Bool
 	idle.Store(true)
--- a/internal/coordination/follow/restore_test.go
+++ b/internal/coordination/follow/restore_test.go
@@ -52,9 +52,8 @@
 	f.store.SetFaults(standin.StoreFaults{})
 }
 
-// The store is restored from a copy some seconds old, and its revisions are used again
-// up to and beyond those that the routers know. A router that continued from its
-// revision would miss changes. All must have the store's contents within two seconds.
+// A restored store uses revisions again that routers know. A router that continued from its
+// revision would miss changes.
 func TestRoutersConvergeAfterRestoreFromOlderCopy(t *testing.T) {
 	for _, size := range []struct{ domains, each int }{{1, 3}, {3, 10}, {5, 60}} {
 		for _, again := range []int{0, 3, 40} {
--- a/internal/coordination/follow/values_test.go
+++ b/internal/coordination/follow/values_test.go
@@ -128,9 +128,8 @@
 	})
 }
 
-// The contents of a large store take longer on a slow link than a polled peer is given for
-// its answer. Every poll ended with the same timeout, so a router without the store never got
-// them.
+// Every poll of a peer ended with the same timeout, so a router without the store never got large
+// contents over a slow link.
 func TestLargeAnswerOfAPeerArrives(t *testing.T) {
 	const answerTime = 1900 * time.Millisecond
 	setup := func(fl *Follower) {
--- a/internal/protocol/gate/gate_test.go
+++ b/internal/protocol/gate/gate_test.go
@@ -36,9 +36,8 @@
 	}
 }
 
-// Dispatches, cancels, starts and finishes race. A request reported as never started
-// must not start later, a non-repeatable one starts at most once, and no more requests
-// run than there are slots.
+// Dispatches, cancels, starts and finishes race. A request that was reported as never started
+// must not start, and a non-repeatable one starts at most once.
 func TestExecutionStateIsNeverRetracted(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		c := newClock()
--- a/internal/protocol/relay/lost_test.go
+++ b/internal/protocol/relay/lost_test.go
@@ -11,9 +11,8 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// Guards against treating an engine as lost after it has responded, which would allow a
-// request to run on more engines than the route allows. Only a response of the same
-// incarnation to a request sent after the exit was recorded revokes the exit.
+// An engine that responded must not stay lost, or a request may run on more engines than its
+// route allows. Older responses and other incarnations do not count.
 func TestRespondingEngineIsNoLongerLost(t *testing.T) {
 	const responseTime = 100 * time.Millisecond
 	const same, other, unknown = `{"born":100}`, `{"born":200}`, `{}`
--- a/internal/protocol/stage/stage_test.go
+++ b/internal/protocol/stage/stage_test.go
@@ -157,9 +157,8 @@
 	_ = c.sessions[at].Accept(*m.forward)
 }
 
-// Messages are delayed, duplicated, reordered or lost, stages are replaced, and epochs
-// rise. Every stage must run each position once, in order, and the owner must get each
-// token once.
+// Messages are delayed, duplicated, reordered or lost, and stages are replaced. Every position
+// must run once, in order, and every token arrive once.
 func TestChainWithUnreliableDelivery(t *testing.T) {
 	want := reference()
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -27,9 +27,8 @@
 	}
 }
 
-// After any sequence of writes, removals and resets, a process that applies the changes
-// since its revision must have the store's contents. A missed removal would keep
-// requests going to a server that left.
+// A process that applies the changes since its revision must miss no removal, or requests would
+// go to a server that left.
 func TestChangesBringAnyRevisionUpToDate(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		store := map[string]model.Revision{}
--- a/test/faultsoak/mayclose_test.go
+++ b/test/faultsoak/mayclose_test.go
@@ -7,10 +7,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against wrong expectations after the idle limit rises from 200 ms to 2 s, 100
-// ms into a connection's idle time. The lower limit applies until the router applies
-// the higher one. If that happens after four fifths of the lower limit, the router may
-// close the connection at any time.
+// Guards against wrong expectations while an idle limit is raised during the idle time of a
+// connection: until the router applies it, the lower one holds.
 func TestMayCloseAfterIdleLimitIsRaised(t *testing.T) {
 	start := time.Now()
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
--- a/test/fleet/churn_test.go
+++ b/test/fleet/churn_test.go
@@ -19,9 +19,8 @@
 	idleRoutes    = 240
 )
 
-// Guards against a request that reached a backend server but got no response head,
-// while routes change, backend servers fail and restart, and routers stop. Refusals
-// and truncated responses are allowed. Everything must be served again afterwards.
+// Guards against a forwarded request without a response head while routes change, backend
+// servers fail and routers stop.
 func TestConcurrentChangesFailuresAndStopsAnswerEveryForwardedRequest(t *testing.T) {
 	s := newSite(t, 3)
 	s.fleet.Events = 40
--- a/test/fleet/incarnation_test.go
+++ b/test/fleet/incarnation_test.go
@@ -11,9 +11,8 @@
 	"github.com/skylarkwood/skylarkwood/platform/standin"
 )
 
-// Guards against treating an engine that restarts empty under the same ID and address
-// as the old one. Its streams must continue elsewhere and its layers must be loaded
-// again.
+// Guards against treating an engine that restarts empty under the same ID and address as the
+// old one.
 func TestEngineRestartsWithSameID(t *testing.T) {
 	s := newSite(t, 2)
 	s.fleet.Events = 200
@@ -73,9 +72,7 @@
 	assert.Equal(t, s.call(s.routers[0], requestSpec{path: "/notice/2", body: "arrived"}).status, http.StatusOK)
 }
 
-// Guards against invalid server entries that another writer stores beside or over an
-// engine's own. They must be ignored, and the next valid entry must restore the
-// engine.
+// Guards against invalid server entries beside or over the own entry of an engine.
 func TestInvalidServerEntriesAreIgnored(t *testing.T) {
 	s := newSite(t, 2)
 	overwritten := s.engineAtStage(1)
--- a/test/fleet/path_test.go
+++ b/test/fleet/path_test.go
@@ -45,9 +45,7 @@
 	}
 }
 
-// Guards against missing or duplicate events when an engine of a later stage stops
-// responding. The first engine names the failed stage, and the stream continues on
-// another chain.
+// Guards against missing or duplicate events when an engine of a later stage stops responding.
 func TestStreamContinuesAfterLosingLaterStage(t *testing.T) {
 	s := newSite(t, 1)
 	s.fleet.Events = 200
@@ -245,9 +243,7 @@
 	s.assertComplete(s.call(r, requestSpec{path: "/sheet/1"}))
 }
 
-// Guards against losing requests in a planned stop: readiness must fail, requests that
-// are in progress or arrive during the drain delay must complete, and the router must
-// exit without an error.
+// Guards against losing requests that are in progress or arrive during a planned stop.
 func TestPlannedStopCompletesRequests(t *testing.T) {
 	s := newSite(t, 2)
 	s.fleet.Events = 150
--- a/test/fleet/restore_test.go
+++ b/test/fleet/restore_test.go
@@ -15,9 +15,8 @@
 	"github.com/skylarkwood/skylarkwood/platform/standin"
 )
 
-// Guards against accepting a revoked key or refusing sheets after the store is
-// restored from an older snapshot that lacks the routers' entries. Routers must
-// register again, and engines must be loaded again.
+// Guards against accepting a revoked key or refusing sheets after the store is restored from an
+// older snapshot.
 func TestStoreRestoredFromSnapshot(t *testing.T) {
 	s := newSite(t, 3)
 	snapshot := s.store.Snapshot()
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -23,9 +23,8 @@
 	}
 }
 
-// Guards against running a notice that the key-value service cannot make safe. During
-// an outage a notice must be refused as not run with a retry time, while a repeatable
-// sheet must run.
+// Guards against running a notice that the key-value service cannot make safe, and against
+// refusing a repeatable sheet for the same reason.
 func TestNoticeDuringStoreOutageIsNotRun(t *testing.T) {
 	c := newCluster(t, 2, stages(1), 1)
 	c.setStoreFaults(standin.KVFaults{Outage: true})
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -147,9 +147,8 @@
 	assert.Equal(t, string(res.Response), referenceAnswer(prompt, 300))
 }
 
-// Guards against running layers of a non-repeatable sheet again when a stage is
-// killed, although another engine holds the same layers. The sheet must be cut off,
-// also when it is resent.
+// Guards against running layers of a non-repeatable sheet again when a stage is killed, also
+// when the sheet is resent.
 func TestNonRepeatableSheetIsCutOffWhenStageIsKilled(t *testing.T) {
 	c := newCluster(t, 2, stages(2), 0)
 	var request *v1.SubmitRequest
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -53,9 +53,7 @@
 	assert.Equal(t, string(res.Response), referenceAnswer(prompt, 30))
 }
 
-// Guards against a caller that waits although the lost stage has no replacement. The
-// sheet must be cut off with a retry time, and the next one must be refused as not
-// run.
+// Guards against a caller that waits although the lost stage has no replacement.
 func TestSheetIsCutOffWithoutReplacementStage(t *testing.T) {
 	c := newCluster(t, 1, stages(1), 0)
 	w := &onWrite{remaining: 100, do: func() { c.killStage("doomed", 1) }}
@@ -218,9 +216,8 @@
 	assert.Equal(t, succeeded, 1)
 }
 
-// Guards against a template change that fails because store responses are lost, or
-// that a frozen entry ignores after it resumes. While frozen, the entry must be
-// reported as missing.
+// Guards against a template change that fails because store responses are lost, or that a frozen
+// entry ignores after it resumes.
 func TestTemplateChangeWithFrozenEntry(t *testing.T) {
 	c := newCluster(t, 2, nil, 1)
 	c.setStoreFaults(standin.KVFaults{LoseAnswers: 2})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -57,10 +57,8 @@
 	rejected     int // submissions rejected before acceptance
 }
 
-// Guards against wrong outcomes while entries, sidecars, links and the store fail at
-// random. Answers must be complete, "not run" requests must not have run,
-// non-repeatable requests must run at most once, and each request must have one final
-// outcome unless its entry was killed.
+// Guards against incomplete, false or repeated outcomes while entries, sidecars, links and the
+// store fail at random.
 func TestSoak(t *testing.T) {
 	first := *seedFlag
 	if first == 0 {
