ratelimit: limits of removed servers are forgotten

A router that dropped the limit of a removed server got it back from a peer that still had it, and gave it back in turn: no router ever forgot it, and every heartbeat carried it. What is older than limitTTL is no longer learned from peers. Found by reading; TestLimitsOfRemovedServersAreForgotten failed before.

--- a/internal/coordination/ratelimit/fleet_test.go
+++ b/internal/coordination/ratelimit/fleet_test.go
@@ -237,7 +237,7 @@
 	tr.Observe(engine, 0, c.now)
 	assert.Assert(t, !tr.Available(engine))
 	assert.Assert(t, tr.Available(model.Incarnation{ID: "i-1", Born: 9}))
-	c.now += endedTTL + time.Second
+	c.now += limitTTL + time.Second
 	tr.Retain(func(model.Incarnation) bool { return false })
 	assert.Equal(t, len(tr.Rates()), 0)
 }
@@ -269,3 +269,24 @@
 		assert.Check(t, s.sentSince(lowered+6*time.Second) > 12, "%d routers: %d sent in 4 s", routers, s.sentSince(lowered+6*time.Second))
 	})
 }
+
+// A server with a limit is removed. Routers told each other of its limit again and again, so that
+// none ever forgot it.
+func TestLimitsOfRemovedServersAreForgotten(t *testing.T) {
+	s := newSimulation(10, 23)
+	s.rate = 5
+	s.run(2*time.Second, 50)
+	removed := s.clock.now
+	for s.clock.now < removed+2*limitTTL {
+		s.clock.now += 250 * time.Millisecond
+		s.exchange()
+		if r := s.routers[s.rnd.IntN(len(s.routers))]; s.clock.now%time.Second == 0 {
+			r.Retain(func(model.Incarnation) bool { return false })
+		}
+	}
+	for i, r := range s.routers {
+		r.Retain(func(model.Incarnation) bool { return false })
+		s.exchange()
+		assert.Check(t, len(r.Snapshot()) == 0, "router %d", i)
+	}
+}
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -28,8 +28,9 @@
 	silenceTimeout = 5 * time.Second
 	// rateScale is the resolution of rates, which heartbeats keep.
 	rateScale = 1000
-	// endedTTL is how long the end of a limit is announced to peers.
-	endedTTL = 30 * time.Second
+	// limitTTL is how long the limit of a server that is gone, and the end of a limit, are
+	// known and announced to peers.
+	limitTTL = 30 * time.Second
 )
 
 // Unlimited is the rate of a server that advertises no limit.
@@ -115,8 +116,11 @@
 	defer t.mu.Unlock()
 	at := t.clock() - max(a.Age, 0)
 	l := t.limits[inc]
-	if l != nil && at <= l.at || l == nil && a.Rate < 0 || math.IsNaN(a.Rate) {
+	switch {
+	case l != nil && at <= l.at, l == nil && a.Rate < 0, math.IsNaN(a.Rate):
 		return
+	case l == nil && a.Age > limitTTL:
+		return // dropped here already, or the server is gone
 	}
 	t.set(inc, a.Rate, at, peer)
 }
@@ -162,7 +166,7 @@
 	now := t.clock()
 	out := map[model.Incarnation]Advertised{}
 	for inc, l := range t.limits {
-		if l.rate < 0 && now-l.at > endedTTL {
+		if l.rate < 0 && now-l.at > limitTTL {
 			delete(t.limits, inc)
 			continue
 		}
@@ -202,7 +206,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for inc, l := range t.limits {
-		if !known(inc) && t.clock()-l.at > endedTTL {
+		if !known(inc) && t.clock()-l.at > limitTTL {
 			if l.rate >= 0 {
 				t.limited--
 			}
--- a/internal/coordination/ratelimit/ratelimit_test.go
+++ b/internal/coordination/ratelimit/ratelimit_test.go
@@ -106,7 +106,7 @@
 	tr.Merge("b", engine, Advertised{Rate: Unlimited})
 	assert.Equal(t, len(tr.Rates()), 0)
 	assert.DeepEqual(t, tr.Snapshot(), map[model.Incarnation]Advertised{engine: {Rate: Unlimited}})
-	c.now += endedTTL + time.Second
+	c.now += limitTTL + time.Second
 	assert.Equal(t, len(tr.Snapshot()), 0)
 	tr.Merge("b", model.Incarnation{ID: "never limited"}, Advertised{Rate: Unlimited})
 	assert.Equal(t, len(tr.Snapshot()), 0)
