--- a/test/faultsoak/soak_test.go
+++ b/test/faultsoak/soak_test.go
@@ -68,6 +68,7 @@
 	s := newSite(t, rand.New(rand.NewPCG(seed, seed)))
 	defer s.close()
 	defer s.startBusyProcesses(*busy)()
+	stalls := recordStalls()
 	end := time.Now().Add(*faultDuration)
 	var all sync.WaitGroup
 	for i := range *callers + resting {
@@ -90,8 +91,9 @@
 	s.clearFaults()
 	s.waitRecovered()
 	s.check()
+	pauses := stalls.stop()
 	if t.Failed() {
-		t.Fatalf("seed %d failed; router logs are in %s", seed, s.logDir())
+		t.Fatalf("seed %d failed; router logs are in %s; this process paused at %v", seed, s.logDir(), pauses)
 	}
 }
 
