--- a/internal/coordination/ratelimit/share.go
+++ b/internal/coordination/ratelimit/share.go
@@ -52,22 +52,29 @@
 // those of its failure domain, which have most requests for it. Each later round has another
 // order, regardless of domains.
 func (t *Tracker) ranked(inc model.Incarnation, round int) []string {
-	routers := slices.Clone(t.routers(inc))
-	if !slices.ContainsFunc(routers, func(r Router) bool { return r.Name == t.self }) {
-		routers = append(routers, Router{Name: t.self})
+	type rankedRouter struct {
+		Router
+		rank uint64
 	}
-	ranks := make(map[string]uint64, len(routers))
-	for _, r := range routers {
-		ranks[r.Name] = spread.Hash(inc.ID, strconv.Itoa(round), r.Name)
+	var routers []rankedRouter
+	for _, r := range t.routers(inc) {
+		routers = append(routers, rankedRouter{Router: r})
 	}
-	slices.SortFunc(routers, func(a, b Router) int {
+	if !slices.ContainsFunc(routers, func(r rankedRouter) bool { return r.Name == t.self }) {
+		routers = append(routers, rankedRouter{Router: Router{Name: t.self}})
+	}
+	seed := strconv.Itoa(round)
+	for i := range routers {
+		routers[i].rank = spread.Hash(inc.ID, seed, routers[i].Name)
+	}
+	slices.SortFunc(routers, func(a, b rankedRouter) int {
 		if round == 0 && a.Near != b.Near {
 			if a.Near {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(ranks[a.Name], ranks[b.Name]), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.Name, b.Name))
 	})
 	names := make([]string, len(routers))
 	for i, r := range routers {
