--- a/internal/coordination/follow/fleet_test.go
+++ b/internal/coordination/follow/fleet_test.go
@@ -72,6 +72,7 @@
 	return f
 }
 
+// clock begins at one hour, because 0 means never.
 func (f *fleet) clock() time.Duration { return time.Since(f.started) + time.Hour }
 
 func (f *fleet) isCut(from, to string) bool {
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -88,6 +88,7 @@
 		start := time.Now()
 		store := standin.NewStore()
 		sink := newRecordingSink()
+		// The clock begins at one hour, because 0 means never.
 		fl := &Follower{Store: store, Sink: sink, Clock: func() time.Duration { return time.Since(start) + time.Hour }}
 		for _, set := range setup {
 			set(fl)
--- a/internal/coordination/ratelimit/ratelimit_test.go
+++ b/internal/coordination/ratelimit/ratelimit_test.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
+// testClock begins at one hour, because 0 means never.
 type testClock struct{ now time.Duration }
 
 func (c *testClock) read() time.Duration { return c.now }
--- a/internal/coordination/transfer/schedule_test.go
+++ b/internal/coordination/transfer/schedule_test.go
@@ -10,7 +10,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// testClock is a clock that tests set.
+// testClock is a clock that tests set. It begins at one hour, because 0 means never.
 type testClock struct{ now time.Duration }
 
 func (c *testClock) read() time.Duration { return c.now }
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -32,7 +32,8 @@
 )
 
 // site is a test deployment: engines and one plain server in each of two failure
-// domains, and routers.
+// domains, and routers. Callers request sheets, which engines generate as streams, and send
+// notices (at most once) and lookups (repeatable) to the plain servers.
 type site struct {
 	t       *testing.T
 	store   *standin.Store
