--- a/test/fleet/limit_test.go
+++ b/test/fleet/limit_test.go
@@ -95,3 +95,26 @@
 	assert.Assert(t, refused.Load() > 20, "%d refused, %d served", refused.Load(), served.Load())
 	assert.Assert(t, served.Load() > 0)
 }
+
+// A router restarts and forgets the limit of a server, then the limit ends. The peers know both,
+// so the limit must be kept meanwhile and the server must be used again afterwards.
+func TestLimitIsKeptAcrossARestartAndEnds(t *testing.T) {
+	const limit, span = 3.0, 4 * time.Second
+	s := newSite(t, 3)
+	limited := s.plain[0]
+	limited.SetFaults(standin.EngineFaults{Limit: limit})
+	stop := make(chan struct{})
+	var sending sync.WaitGroup
+	sending.Go(func() { s.sendSteadily("/lookup/1", 50*time.Millisecond, stop) })
+	time.Sleep(5 * time.Second)
+	s.restart(s.routers[0])
+	restarted := time.Now()
+	time.Sleep(6 * time.Second)
+	most := limited.MostArrivals(restarted, span)
+	assert.Check(t, float64(most) <= 1.5*limit*span.Seconds()+5, "%d requests in %v", most, span)
+	ended := time.Now()
+	limited.SetFaults(standin.EngineFaults{})
+	s.eventually("the server is used again", func() bool { return limited.MostArrivals(ended, span) > int(2*limit*span.Seconds()) })
+	close(stop)
+	sending.Wait()
+}
