follow: reads of a value that is gone wait before the next one

A key whose value changed twice and was then removed was read again and again without a pause, until the removal arrived. Found by reading; TestMissingValueIsNotReadInALoop failed before.

--- a/internal/coordination/follow/values.go
+++ b/internal/coordination/follow/values.go
@@ -62,7 +62,9 @@
 	it, err := f.fetchFrom(ctx, a)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		f.transfers.Drop(a.Key, a.Revision) // removed since, which the next updates contain
+		// It was removed since, which the next updates contain.
+		f.transfers.Drop(a.Key, a.Revision)
+		f.transfers.Failed(a, transfer.Refused)
 	case err != nil:
 		f.transfers.Failed(a, failureOf(err))
 		klog.InfoS("fetching large value failed", "key", a.Key, "revision", a.Revision, "source", a.Holder,
--- a/internal/coordination/follow/values_test.go
+++ b/internal/coordination/follow/values_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/transfer"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/state/replica"
@@ -152,3 +153,21 @@
 		assert.Assert(t, sink.has("k", "1"))
 	}, setup)
 }
+
+// A key whose value changed twice is removed before it was read, and the removal is not known yet.
+// Reads of the missing key followed one another without a pause.
+func TestMissingValueIsNotReadInALoop(t *testing.T) {
+	store := standin.NewStore()
+	now := time.Hour
+	f := &Follower{Store: store, Clock: func() time.Duration { return now }}
+	f.transfers = transfer.NewSchedule(f.Clock)
+	f.transfers.Want("k", 5, "")
+	f.transfers.Want("k", 8, "")
+	a, due, _ := f.transfers.Next()
+	assert.Assert(t, due)
+	f.fetchValue(t.Context(), a)
+	_, due, wait := f.transfers.Next()
+	assert.Assert(t, !due && wait > 0)
+	f.transfers.Drop("k", 9)
+	assert.Equal(t, f.transfers.Len(), 0)
+}
