--- a/internal/coordination/follow/values_test.go
+++ b/internal/coordination/follow/values_test.go
@@ -76,8 +76,8 @@
 	})
 }
 
-// Large versions follow one another faster than the link carries one. Each attempt began
-// anew with the newest, so none arrived while versions kept coming.
+// Large versions follow one another faster than the link carries one. A transfer that began
+// anew with each of them would never end.
 func TestLargeVersionsInSeriesArriveOverASlowLink(t *testing.T) {
 	inFleet(t, 1, 5, func(t *testing.T, f *fleet) {
 		n := f.poller()
--- a/internal/coordination/transfer/fleet_test.go
+++ b/internal/coordination/transfer/fleet_test.go
@@ -252,8 +252,8 @@
 	}
 }
 
-// Versions follow one another faster than a link carries one from the store. Each began the
-// transfer anew, so that none arrived before the last.
+// Versions follow one another faster than a link carries one from the store. A transfer that
+// began anew with each of them would never end.
 func TestLargeVersionsInSeriesReachAllRouters(t *testing.T) {
 	const interval, bound = 500 * time.Millisecond, 8 * time.Second
 	for _, routers := range []int{2, 24, 103, 400} {
