replica: after a compaction, processes that were up to date get the differences

What callers saw: on the whole fleet, while the history of the store was compacted, routers handled requests by configurations seconds old (404 and the old route), and engines that left were used on.

Cause: a watcher that had to read the range anew answered every router that polled it with the full contents, because keys that were created and removed in the gap are not known to it. Their links (20 Mbit/s for most) were busy for seconds, polls ran into their timeouts (1,018 of them), and the routers went on to the watchers of other domains, and then to the store. The volume grows with routers x items.

Change: a reset is compared with the contents before; missing keys are recorded as removed at the range's revision, and the interval in between is remembered as a gap. Whoever is complete up to the gap gets the differences; who is inside it, or of another era of the store, gets everything. The key that came and went in the gap can only be at a router whose own range was read while it came: such an item is newer than the router's complete revision and missing from the next complete changes, so the router drops it itself.

--- a/internal/coordination/follow/fleet_test.go
+++ b/internal/coordination/follow/fleet_test.go
@@ -56,6 +56,8 @@
 	// readsFail makes reads of single keys fail.
 	readsFail bool
 	link      *slowLink // delays reads of single keys, unless nil
+	// fullUpdates is the number of times that this router got the full contents from a peer.
+	fullUpdates int
 }
 
 func newFleet(domains, each int) *fleet {
@@ -192,6 +194,9 @@
 		return Updates{}, ctx.Err()
 	}
 	updates, err := fl.WaitForUpdates(ctx, after, timeout)
+	if updates.Full {
+		n.set(func() { n.fullUpdates++ })
+	}
 	for i, it := range updates.Items {
 		if len(it.Value) > testMaxValue {
 			updates.Items[i].Value, updates.Items[i].Omitted = nil, true
@@ -333,6 +338,40 @@
 	})
 }
 
+// The history of the store is compacted while entries change, again and again. Each watcher
+// reads the range, and the others must get only what changed: the full contents for all of them
+// at once keep the links of the watchers busy for seconds.
+func TestCompactionsReachAHundredRoutersAsDifferences(t *testing.T) {
+	inFleet(t, 5, 20, func(t *testing.T, f *fleet) {
+		for i := range 300 {
+			f.store.Put(fmt.Sprint("servers/", i), []byte("ready"))
+		}
+		time.Sleep(2 * time.Second)
+		full := func() (n int) {
+			for _, node := range f.nodes {
+				node.set(func() { n += node.fullUpdates })
+			}
+			return n
+		}
+		before, calls := full(), f.store.Calls()
+		const compactions = 5
+		for i := range compactions {
+			f.store.Put("servers/0", []byte(fmt.Sprint("draining", i)))
+			time.Sleep(10 * time.Millisecond)
+			// The watchers wait for further changes now.
+			f.store.Put("servers/0", []byte(fmt.Sprint("ready", i)))
+			f.store.Remove(fmt.Sprint("servers/", i+1))
+			f.store.Compact()
+			time.Sleep(time.Second)
+			for _, n := range f.nodes {
+				assert.Equal(t, f.differs(n), "", "compaction %d", i)
+			}
+		}
+		assert.Equal(t, full()-before, 0)
+		assert.Equal(t, f.store.Calls().Reads-calls.Reads, compactions*5*watchersPerDomain, "only watchers read the range")
+	})
+}
+
 // Guards against calls to an idle store beyond the watchers' timeouts.
 func TestIdleStoreIsPolledOnlyByWatchers(t *testing.T) {
 	inFleet(t, 5, 20, func(t *testing.T, f *fleet) {
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -293,7 +293,10 @@
 	}
 	revision = max(revision, f.Revision())
 	if f.Replica != nil {
-		f.Replica.Apply(items, revision)
+		for _, it := range f.Replica.Apply(items, revision) {
+			klog.InfoS("key removed in a gap of the store's history", "key", it.Key, "revision", revision, "source", f.source.Address)
+			f.Sink.Change(it.Item, f.grace())
+		}
 	}
 	f.revision.Store(int64(revision))
 }
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -80,6 +80,68 @@
 	assert.DeepEqual(t, known, map[string]model.Revision{"other": 4})
 }
 
+// After the history of the store was compacted, a process with contents up to the last
+// revision before must get the differences. With the full contents for hundreds of
+// processes at once, a watcher's link is busy for seconds.
+func TestResetKeepsTheChangesForProcessesThatWereUpToDate(t *testing.T) {
+	var watcher Replica
+	var items []platform.Item
+	known := map[string]model.Revision{}
+	for i := range 1000 {
+		items = append(items, platform.Item{Key: fmt.Sprint("server", i), Revision: model.Revision(i + 1)})
+		known[fmt.Sprint("server", i)] = model.Revision(i + 1)
+	}
+	watcher.Reset(ItemsWithValues(items), 1000)
+	compacted := append(items[1:], platform.Item{Key: "server1", Revision: 1003})
+	watcher.Reset(ItemsWithValues(compacted[1:]), 1003)
+	changes := watcher.Since(1000)
+	assert.Assert(t, !changes.Full)
+	assert.Equal(t, len(changes.Items), 2, "one entry was removed and one changed")
+	apply(known, changes)
+	assert.Equal(t, len(known), 999)
+	assert.Equal(t, known["server1"], model.Revision(1003))
+	assert.Assert(t, watcher.Since(1001).Full, "a key that was created and removed meanwhile is not known here")
+}
+
+// A router that reads the range while a server registers has an entry that is newer than its
+// contents' revision. A watcher never learns of it if the server leaves during a compaction, so
+// the router itself must drop it, or requests would go to a server that left.
+func TestEntryThatAWatcherNeverKnewIsDropped(t *testing.T) {
+	var router, watcher Replica
+	router.Reset(ItemsWithValues([]platform.Item{{Key: "server", Revision: 2}}), 1) // from a later page
+	watcher.Reset(nil, 1)
+	watcher.Reset(nil, 5) // the server left at revision 3, and the history is compacted
+	changes := watcher.Since(1)
+	assert.Assert(t, !changes.Full)
+	dropped := router.Apply(changes.Items, changes.Revision)
+	assert.Equal(t, len(dropped), 1)
+	assert.Equal(t, dropped[0].Key, "server")
+	_, known := router.Get("server")
+	assert.Assert(t, !known)
+}
+
+// Compactions without end must not let the list of gaps grow.
+func TestGapsAreBounded(t *testing.T) {
+	var r Replica
+	for i := range 10 * maxGaps {
+		r.Reset(nil, model.Revision(2*i+1))
+	}
+	assert.Assert(t, len(r.gaps) <= maxGaps)
+	assert.Assert(t, r.Since(3).Full)
+}
+
+// Revisions of a restored store cannot be compared with those before.
+func TestRestoreOfTheStoreNeedsTheFullContents(t *testing.T) {
+	var r Replica
+	r.Reset(ItemsWithValues([]platform.Item{{Key: "lost", Revision: 7}}), 7)
+	restored, err := model.NewRevision(1, 3)
+	assert.NilError(t, err)
+	r.Reset(nil, restored)
+	changes := r.Since(7)
+	assert.Assert(t, changes.Full)
+	assert.Equal(t, len(changes.Items), 0)
+}
+
 // The history of removals must stay bounded. A query from before it must get the full
 // contents.
 func TestRemovalHistoryIsBounded(t *testing.T) {
