follow: routers stay with a watcher that keeps up while changes follow each other

Cause: a router counted as behind from the moment at which some peer was ahead until no peer was.

Change: the time counts from one revision that is missing until that revision is here. A watcher may lack what this router has for as long as updates take anyway.

--- a/internal/coordination/follow/fleet_test.go
+++ b/internal/coordination/follow/fleet_test.go
@@ -58,6 +58,9 @@
 	link      *slowLink // delays reads of single keys, unless nil
 	// fullUpdates is the number of times that this router got the full contents from a peer.
 	fullUpdates int
+	// cancelledPolls is the number of polls that this router gave up because peers were ahead.
+	cancelledPolls int
+	idle           bool // no callers have come
 }
 
 func newFleet(domains, each int) *fleet {
@@ -103,7 +106,7 @@
 func (n *node) start() {
 	ctx, stop := context.WithCancel(context.Background())
 	sink := newRecordingSink()
-	fl := &Follower{Store: n, Sink: sink, Clock: n.fleet.clock, Replica: &replica.Replica{}, PollPeer: n.pollPeer}
+	fl := &Follower{Store: n, Sink: sink, Clock: n.fleet.clock, Replica: &replica.Replica{}, PollPeer: n.pollPeer, Idle: n.isIdle}
 	fl.Picker = &Picker{Self: n.Address, Domain: n.Domain, Routers: n.routers, Clock: n.fleet.clock}
 	n.mu.Lock()
 	n.fl, n.sink, n.stop, n.done, n.lastHeartbeat = fl, sink, stop, make(chan struct{}), map[string]time.Duration{}
@@ -164,6 +167,12 @@
 	}
 }
 
+func (n *node) isIdle() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.idle
+}
+
 func (n *node) isFrozen() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -194,6 +203,9 @@
 		return Updates{}, ctx.Err()
 	}
 	updates, err := fl.WaitForUpdates(ctx, after, timeout)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		n.set(func() { n.cancelledPolls++ })
+	}
 	if updates.Full {
 		n.set(func() { n.fullUpdates++ })
 	}
@@ -372,6 +384,36 @@
 	})
 }
 
+// Entries change all the time, so that at any moment some watcher is ahead of the others. Routers
+// must stay with their watcher as long as it keeps up, or they all turn to other domains and to
+// the store.
+func TestContinuousChangesMoveNoRouterFromItsWatcher(t *testing.T) {
+	for _, idle := range []bool{false, true} {
+		inFleet(t, 5, 8, func(t *testing.T, f *fleet) {
+			for _, n := range f.nodes {
+				n.set(func() { n.idle = idle; n.cancelledPolls = 0 })
+			}
+			before := f.store.Calls().Watches
+			const duration, interval = 8 * time.Second, 50 * time.Millisecond
+			for i := range int(duration / interval) {
+				f.store.Put(fmt.Sprint("servers/", i%100), []byte(fmt.Sprint(i)))
+				time.Sleep(interval)
+			}
+			watches, cancelled := f.store.Calls().Watches-before, 0
+			for _, n := range f.nodes {
+				n.set(func() { cancelled += n.cancelledPolls })
+			}
+			assert.Equal(t, cancelled, 0, "idle: %t", idle)
+			delay := maxBatchDelay - 50*time.Millisecond
+			if idle {
+				delay = idleBatchDelay
+			}
+			watchers := 5 * watchersPerDomain
+			assert.Assert(t, watches <= watchers*(int(duration/delay)+5), "%d watches by %d watchers, idle: %t", watches, watchers, idle)
+		})
+	}
+}
+
 // Guards against calls to an idle store beyond the watchers' timeouts.
 func TestIdleStoreIsPolledOnlyByWatchers(t *testing.T) {
 	inFleet(t, 5, 20, func(t *testing.T, f *fleet) {
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -119,7 +119,8 @@
 	eraStart        atomic.Int64 // first revision of the newest era seen in an answer of the store
 	mu              sync.Mutex
 	cancelQuery     context.CancelFunc // cancels the query in progress
-	laggingSince    time.Duration      // since when a peer is ahead; 0 if none is
+	laggingSince    time.Duration      // since when a peer has missingRevision; 0 if none is ahead
+	missingRevision model.Revision     // revision that a peer has and this process lacks
 	peerRevision    model.Revision     // highest revision of any peer
 	otherCallFailed bool               // another call to the store was not answered
 
@@ -141,6 +142,9 @@
 	rangeTimeout   time.Duration // of the next read of the whole range
 	watchMargin    time.Duration
 	pollMargin     time.Duration
+	// staleSince is when the peer that is polled was first asked without having all that
+	// this process has; 0 if it was up to date.
+	staleSince time.Duration
 }
 
 // SinceLastContact returns the time since the store last answered.
@@ -247,6 +251,7 @@
 	f.mu.Unlock()
 	if previous.Address != next.Address {
 		f.watching.Store(false)
+		f.staleSince = 0
 		klog.InfoS("source of store updates changed", "source", next.Address, "before", previous.Address, "why", next.Reason,
 			"revision", f.Revision(), "age", f.SinceLastContact())
 	}
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -42,8 +43,9 @@
 // contents.
 func (f *Follower) eraOutdated() bool { return f.highestPeerRevision().Era() > f.Revision().Era() }
 
-// isLagging reports whether this process has been behind a peer for longer than updates
-// take to propagate. The caller holds f.mu.
+// isLagging reports whether this process has lacked a revision that a peer has for longer than
+// updates take to propagate. While changes follow each other, some peer is always ahead, so
+// the time counts from one revision until that revision is here. The caller holds f.mu.
 func (f *Follower) isLagging() bool {
 	now := f.Clock()
 	switch {
@@ -55,15 +57,20 @@
 		// its changes. A router that polls a watcher stays with it, as the watcher
 		// notices soon.
 		return true
-	case f.laggingSince == 0:
+	case f.laggingSince == 0 || f.missingRevision <= f.Revision():
 		f.laggingSince = now
+		f.missingRevision = f.peerRevision
 		return false
 	}
-	allowed := lagTimeout
-	if !f.source.IsStore() {
-		allowed += f.batchDelay()
+	return now-f.laggingSince > f.allowedLag()
+}
+
+// allowedLag returns how long the source may lack a revision that another process has.
+func (f *Follower) allowedLag() time.Duration {
+	if f.source.IsStore() {
+		return lagTimeout
 	}
-	return now-f.laggingSince > allowed
+	return lagTimeout + f.batchDelay()
 }
 
 // beginQuery records that a query begins, with the function that cancels it. It returns
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -67,6 +67,8 @@
 		return errCancelled
 	case err != nil:
 		return err
+	case updates.Revision < after && !urgent && f.toleratesStale(sentAt):
+		return nil
 	case updates.Revision < after || urgent && updates.Revision == after || updates.Age < 0 || updates.Elapsed < 0:
 		return errors.WithMessagef(errPeerStale, "peer at revision %d, this process at %d", updates.Revision, after)
 	}
@@ -75,11 +77,21 @@
 	if updates.Grace > f.grace() {
 		f.graceUntil.Store(int64(f.Clock() + min(updates.Grace, removalGrace)))
 	}
+	f.staleSince = 0
 	f.applyUpdates(updates)
 	f.recordPeerContact(sentAt, updates)
 	return nil
 }
 
+// toleratesStale reports whether the peer that is polled may still lack what this process
+// has. A process that got its contents elsewhere is ahead of a watcher that collects changes.
+func (f *Follower) toleratesStale(sentAt time.Duration) bool {
+	if f.staleSince == 0 {
+		f.staleSince = sentAt
+	}
+	return f.Clock()-f.staleSince <= f.allowedLag()
+}
+
 func (f *Follower) pollWithTimeout(ctx context.Context, addr string, after model.Revision, timeout time.Duration) (Updates, error) {
 	f.pollMargin = min(max(f.pollMargin, minPollMargin), maxPollMargin)
 	pollCtx, cancel := context.WithTimeout(ctx, timeout+f.pollMargin)
