presence: who the other routers are, in a module of its own; registered ones count from the start

Cause: a router chose its watcher among the routers from which a heartbeat was valid. The first heartbeat of a near peer comes after up to 1.9 s at 470 routers, 4.1 s at 1,000; until then each router took itself for one of the watchers of its domain.

Change: a router that registered counts as reachable until its first heartbeat is due, by the same validity. What the exchange knew of other routers in four maps moves to coordination/presence, without network; the number of routers, asked for with each choice of a chain, no longer builds a map of them.

Tests: TestRoutersThatStartTogetherAgreeOnFewWatchers (100, 470, 1,000 routers), TestSilentRouterIsReachableOnlyUntilItsHeartbeatIsDue, TestUnregisteredRouterCountsWhileItSendsHeartbeats.

--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -19,8 +19,8 @@
 	for pair, rate := range x.Interconnect.OwnRates() {
 		rates = append(rates, wire.InterconnectRate{A: pair.A, B: pair.B, Rate: rate})
 	}
-	spareTokens := x.RetryBorrower.Budget.SpareTokens() // locks x.mu to count the routers
-	rateLimits := encodeLimits(x.Limits.Snapshot())     // likewise
+	spareTokens := x.RetryBorrower.Budget.SpareTokens()
+	rateLimits := encodeLimits(x.Limits.Snapshot())
 	now := x.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -81,8 +81,8 @@
 	if err != nil {
 		return err
 	}
+	x.presence.Heard(from)
 	x.mu.Lock()
-	x.lastHeartbeat[from] = x.Now()
 	x.peerHasTraffic = x.peerHasTraffic || b.HasTraffic
 	x.mu.Unlock()
 	usage := make(map[model.Incarnation]chains.Usage, len(b.Usage))
--- a/internal/transport/peers/pace.go
+++ b/internal/transport/peers/pace.go
@@ -44,7 +44,7 @@
 }
 
 func (x *Exchange) schedule() schedule {
-	near, far := x.splitByDomain(x.peers())
+	near, far := x.presence.Split(x.peers())
 	return newSchedule(len(near), len(far))
 }
 
@@ -60,24 +60,9 @@
 	return s
 }
 
-// splitByDomain divides peers into those of the own failure domain and the others. Peers
-// whose failure domain is unknown count as others.
-func (x *Exchange) splitByDomain(peers []string) (near, far []string) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, addr := range peers {
-		if x.sameDomain[addr] {
-			near = append(near, addr)
-		} else {
-			far = append(far, addr)
-		}
-	}
-	return near, far
-}
-
 // sendRound sends the heartbeats of one round.
 func (x *Exchange) sendRound(ctx context.Context, s schedule, round int) {
-	near, far := x.splitByDomain(x.peers())
+	near, far := x.presence.Split(x.peers())
 	slices.Sort(far)
 	var due []string
 	for i, addr := range far {
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/presence"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/transfer"
@@ -50,8 +51,6 @@
 	// idleFetchDelay replaces fetchDelay until callers' requests arrive. Changes are
 	// applied in larger batches then.
 	idleFetchDelay = 1800 * time.Millisecond
-	// peerTimeout is how long a peer counts as running after its last heartbeat.
-	peerTimeout = 20 * time.Second
 )
 
 // Exchange exchanges state with the other routers. The exported fields are set before
@@ -91,10 +90,9 @@
 	Values       *Values
 	TransferSlot *transfer.Slot
 
+	presence *presence.Table
+
 	mu             sync.Mutex
-	members        map[string]leader.Member // by store key
-	sameDomain     map[string]bool          // addresses of peers in the own failure domain
-	lastHeartbeat  map[string]time.Time
 	sending        map[string]bool // a message to the peer is in flight
 	peerHasTraffic bool            // a peer received requests from callers
 	fetching       bool
@@ -105,8 +103,7 @@
 
 // Register registers the methods that peers call.
 func (x *Exchange) Register(s *link.Server) {
-	x.members = map[string]leader.Member{}
-	x.lastHeartbeat = map[string]time.Time{}
+	x.presence = presence.New(x.Self, x.Domain, x.Seeds, x.Now)
 	x.sending = map[string]bool{}
 	x.suspects = map[model.Incarnation]time.Time{}
 	x.refusing = map[model.Incarnation]time.Time{}
@@ -124,17 +121,7 @@
 }
 
 // SetMembers sets the routers that are registered in the store, by store key.
-func (x *Exchange) SetMembers(members map[string]leader.Member) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.members = members
-	x.sameDomain = map[string]bool{}
-	for _, m := range members {
-		if m.Domain == x.Domain {
-			x.sameDomain[m.Address] = true
-		}
-	}
-}
+func (x *Exchange) SetMembers(members map[string]leader.Member) { x.presence.SetMembers(members) }
 
 // AnnounceSuspect announces that this router suspects an engine: at once to the peers whose
 // streams use it, because these look for other engines at the same moment, and to all with the
@@ -207,34 +194,13 @@
 // RouterCount returns the number of routers that share budgets, including this one:
 // registered routers and those that sent a heartbeat recently, but at least the number of
 // seeds.
-func (x *Exchange) RouterCount() int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	all := map[string]bool{x.Self: true}
-	for _, m := range x.members {
-		all[m.Address] = true
-	}
-	for addr, at := range x.lastHeartbeat {
-		if x.Now().Sub(at) < peerTimeout {
-			all[addr] = true
-		}
-	}
-	return max(len(all), len(x.Seeds))
-}
+func (x *Exchange) RouterCount() int { return x.presence.Count() }
 
-// ReachablePeers returns the link addresses of the peers whose last heartbeat is still
-// valid.
+// ReachablePeers returns the link addresses of the peers of which something was heard
+// within the time that a heartbeat is valid.
 func (x *Exchange) ReachablePeers() map[string]bool {
 	s := x.schedule()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	reachable := map[string]bool{}
-	for addr, at := range x.lastHeartbeat {
-		if x.Now().Sub(at) < validIntervals*s.interval(x.sameDomain[addr])+validSlack {
-			reachable[addr] = true
-		}
-	}
-	return reachable
+	return x.presence.Reachable(func(near bool) time.Duration { return validIntervals*s.interval(near) + validSlack })
 }
 
 // PeerHasTraffic reports whether a peer received requests from callers.
@@ -246,42 +212,10 @@
 
 // Domains returns the failure domains of the registered routers and of this one, by link
 // address.
-func (x *Exchange) Domains() map[string]string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	out := map[string]string{x.Self: x.Domain}
-	for _, m := range x.members {
-		out[m.Address] = m.Domain
-	}
-	return out
-}
+func (x *Exchange) Domains() map[string]string { return x.presence.Domains() }
 
 // LiveRouters returns the link addresses of the routers, including this one.
 func (x *Exchange) LiveRouters() []string { return append(x.peers(), x.Self) }
 
-// peers returns the link addresses of the other routers. While none is registered and none
-// sent a heartbeat, it returns the seeds.
-func (x *Exchange) peers() []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	all := map[string]bool{}
-	for _, m := range x.members {
-		all[m.Address] = true
-	}
-	for addr, at := range x.lastHeartbeat {
-		if x.Now().Sub(at) < peerTimeout {
-			all[addr] = true
-		}
-	}
-	if len(all) <= 1 {
-		for _, addr := range x.Seeds {
-			all[addr] = true
-		}
-	}
-	delete(all, x.Self)
-	out := make([]string, 0, len(all)+1)
-	for addr := range all {
-		out = append(out, addr)
-	}
-	return out
-}
+// peers returns the link addresses of the other routers.
+func (x *Exchange) peers() []string { return x.presence.Others() }
