follow: at the first start of the system, routers read the store once all have registered

Cause: at the first start each router read the range while the others registered, within 0.6 s, and then watched the store to learn of them.

Change: before callers have come at the first start, the first read waits for a second. It names all routers, so that only the watchers watch. A request ends the wait.

Why it holds at twice the size: a registration is one call, and 1,000 of them take a third of a second at the store's rate.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -56,6 +56,12 @@
 	// process is not the leader. Engines register one after the other for some ten
 	// seconds then.
 	idleBatchDelay = 1200 * time.Millisecond
+	// registrationDelay is how long a router waits at the first start of the system before
+	// it reads the store, unless callers come. All routers register meanwhile, so that the
+	// first read names the watchers.
+	registrationDelay = time.Second
+	// idleCheckInterval is the time between two checks in that delay whether callers came.
+	idleCheckInterval = 50 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay between attempts while the store
 	// is unavailable. Failed calls count against the quota too.
 	minRetryDelay = 100 * time.Millisecond
@@ -179,6 +185,7 @@
 	var fetching sync.WaitGroup
 	defer fetching.Wait()
 	fetching.Go(func() { f.fetchValues(ctx) })
+	f.waitForRegistrations(ctx)
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		f.pickSource()
@@ -215,6 +222,16 @@
 	}
 }
 
+// waitForRegistrations waits for registrationDelay at the first start of the system.
+func (f *Follower) waitForRegistrations(ctx context.Context) {
+	if f.Idle == nil {
+		return
+	}
+	for until := f.Clock() + registrationDelay; f.Idle() && f.Clock() < until && ctx.Err() == nil; {
+		pause.For(ctx, idleCheckInterval)
+	}
+}
+
 // finishQuery reports that the contents are complete. After changes it waits so that
 // further changes collect.
 func (f *Follower) finishQuery(ctx context.Context) {
