leader: routers' entries have no lease; the leader removes those of routers that are gone

Cause: each router got a lease for its entry and renewed it every nine seconds.

Ways weighed: one lease for the routers of a failure domain, held by one of them (its loss takes all entries away); entries written by a few routers for those that they hear from (nobody hears of anybody before the first entries). Chosen: one write a router, and none after it.

Change: `Roster` holds the entries; the leader removes those of routers from which nothing was heard for 27 s (as long as the lease was) or four far heartbeats, sixteen with one call, only as they were written, and none at all if most are silent: then it is cut off itself. A router whose entry is removed, or lost in a restore of the store, writes it again. A stopping router removes its own. A full range no longer rebuilds the list of routers once for each of them.

New: TestEntriesOfReplacedRoutersAreRemoved, TestLeaderThatIsCutOffRemovesNoEntries, TestEntryThatWasWrittenAgainStays, TestRouterWhoseEntryWasRemovedRegistersAgain, TestRegistrationLostInARestoreIsRepeated.

--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -32,21 +32,16 @@
 	// leaderTTL is the lease of the leadership key. A leader that exited is replaced after
 	// it.
 	leaderTTL = 3 * time.Second
-	// memberTTL is the lease of a router's entry. The entry only holds the router's address:
-	// routers detect by themselves whether a peer is alive. A long TTL keeps the number of
-	// renewals low, each of which is a call to the store. A router that exited counts
-	// towards the shared budgets until the lease expires.
-	memberTTL = 27 * time.Second
 	// renewFraction is the fraction of a TTL after which a lease is renewed, so that one
 	// failed renewal does not end it.
 	renewFraction = 1.0 / 3
-	// checkInterval is the interval at which Run checks for leases to renew and for a
-	// vacant leadership.
+	// checkInterval is the interval at which Run checks for a lease to renew, for a missing
+	// entry of this router and for a vacant leadership.
 	checkInterval = leaderTTL / 3
 	// callTimeout bounds one call to the store.
 	callTimeout = 900 * time.Millisecond
 	// maxRegisterDelay bounds the random delay before a router registers again after the
-	// store was restored from an older copy.
+	// store was restored from an older copy or its entry was removed.
 	maxRegisterDelay = 4 * time.Second
 	// maxCampaignDelay bounds the random delay before a router campaigns, so that few
 	// routers campaign at once. Each campaign costs two calls to the store.
@@ -93,7 +88,7 @@
 	Eligible func() bool
 
 	mu            sync.Mutex
-	memberLease   lease          // of this router's entry
+	member        registration   // of this router
 	leaderLease   lease          // of the leadership key, while this router leads or campaigns
 	fencingToken  model.Revision // 0 while this router does not lead
 	rejectedToken model.Revision // token that an engine rejected as too old
@@ -101,11 +96,9 @@
 	highestToken  model.Revision // highest observed token
 	// vacantRevision is the newest observed revision at which there was no leader.
 	vacantRevision model.Revision
-	knownEra       int64 // newest observed era of the store
-	stopped        bool  // set by resign; this router does not lead again
-	// campaignAfter and registerAfter are the earliest times at which this router may
-	// campaign and register.
-	campaignAfter, registerAfter time.Duration
+	knownEra       int64         // newest observed era of the store
+	stopped        bool          // set by resign; this router does not lead again
+	campaignAfter  time.Duration // earliest time at which this router may campaign
 }
 
 // FencingToken returns the fencing token while this router leads, and 0 otherwise.
@@ -168,15 +161,14 @@
 	defer e.mu.Unlock()
 	now := e.Clock()
 	e.campaignAfter = now + leaderTTL
-	e.registerAfter = now + time.Duration(rand.Int64N(int64(maxDelay)))
+	e.member = registration{after: now + time.Duration(rand.Int64N(int64(maxDelay))), restores: e.member.restores + 1}
 	if e.fencingToken != 0 && now <= e.leaderLease.validUntil {
 		// This router is the old leader, so there is none to wait for.
 		klog.InfoS("leadership lost: the store was restored from an older copy", "token", e.fencingToken)
-		e.campaignAfter, e.registerAfter = now, now
+		e.campaignAfter, e.member.after = now, now
 	}
 	e.fencingToken = 0
 	e.leaderLease = lease{}
-	e.memberLease = lease{}
 	e.holder = ""
 }
 
@@ -192,13 +184,14 @@
 	}
 }
 
-// Run registers this router, renews its leases and campaigns for leadership until ctx ends. It
-// then revokes the leases, so that another router can lead without waiting for them to expire.
+// Run registers this router, campaigns for leadership and renews its lease until ctx ends. It
+// then revokes the lease, so that another router can lead without waiting for it to expire.
 func (e *Elector) Run(ctx context.Context) {
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
 	for {
-		e.maintainLeases(ctx)
+		e.renewLeaderLease(ctx)
+		e.register(ctx)
 		if e.canCampaign() {
 			select {
 			case <-time.After(time.Duration(rand.Int64N(int64(maxCampaignDelay)))):
@@ -209,7 +202,7 @@
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			e.releaseLeases()
+			e.release()
 			return
 		}
 	}
@@ -220,7 +213,7 @@
 func (e *Elector) canCampaign() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.holder == "" && e.memberLease.id != 0 && e.Clock() >= max(e.leaderLease.validUntil, e.campaignAfter)
+	return e.holder == "" && e.member.revision != 0 && e.Clock() >= max(e.leaderLease.validUntil, e.campaignAfter)
 }
 
 // campaign tries to become leader by writing the leadership key if it does not exist.
@@ -308,20 +301,20 @@
 	e.leaderLease = lease{}
 }
 
-// resign ends this router's leadership for good and returns the leases to revoke. They include the
-// lease of a campaign whose outcome is unknown.
+// resign ends this router's leadership for good. It returns the lease to revoke, which may be
+// that of a campaign whose outcome is unknown, and the revision of this router's entry.
 //
-// It must be called before the leases are revoked. Otherwise another router could win while this
+// It must be called before the lease is revoked. Otherwise another router could win while this
 // one still leads, and both would order engines to load layers.
-func (e *Elector) resign() []platform.LeaseID {
+func (e *Elector) resign() (platform.LeaseID, model.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	held := []platform.LeaseID{e.leaderLease.id, e.memberLease.id}
+	held, member := e.leaderLease.id, e.member.revision
 	if e.fencingToken != 0 {
 		klog.InfoS("resigned: this router is stopping", "token", e.fencingToken)
 	}
 	e.stopped = true
 	e.fencingToken = 0
 	e.leaderLease = lease{}
-	return held
+	return held, member
 }
--- a/internal/coordination/leader/lease.go
+++ b/internal/coordination/leader/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -22,29 +21,6 @@
 	return lease{id: id, validUntil: began + ttl, renewAt: began + time.Duration(renewFraction*float64(ttl))}
 }
 
-// maintainLeases renews the leases that are due and registers this router if it has no entry.
-func (e *Elector) maintainLeases(ctx context.Context) {
-	e.renewLeaderLease(ctx)
-	e.mu.Lock()
-	member := e.memberLease
-	due := e.Clock() >= e.registerAfter
-	e.mu.Unlock()
-	switch {
-	case member.id == 0 && due:
-		e.register(ctx)
-	case member.id != 0 && e.Clock() >= member.renewAt:
-		renewed := e.renew(ctx, member, memberTTL)
-		e.mu.Lock()
-		if e.memberLease.id == member.id { // false if the store was restored meanwhile
-			e.memberLease = renewed
-		}
-		e.mu.Unlock()
-		if renewed.id == 0 {
-			e.register(ctx)
-		}
-	}
-}
-
 // renewLeaderLease renews the lease of the leadership key while this router leads. The lease of a
 // failed campaign is left to expire.
 func (e *Elector) renewLeaderLease(ctx context.Context) {
@@ -96,43 +72,15 @@
 	return newLease(id, began, granted)
 }
 
-// register writes this router's entry under a new lease.
-func (e *Elector) register(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	member := e.grant(ctx, memberTTL)
-	if member.id == 0 {
-		return
-	}
-	value, err := json.Marshal(e.Self)
-	if err != nil {
-		klog.ErrorS(err, "failed to encode the router's entry")
-		return
-	}
-	item := platform.Item{Key: MemberPrefix + e.Self.Instance, Value: value, Lease: member.id}
-	// If the outcome is unknown, the entry may exist under this lease. It does no harm, and
-	// the next attempt overwrites it.
-	if _, err := e.Store.Commit(ctx, platform.Txn{Put: []platform.Item{item}}); err != nil {
-		klog.InfoS("failed to register the router", "err", err)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.memberLease = member
-	klog.InfoS("registered", "lease", member.id, "ttl", memberTTL)
-}
-
-// releaseLeases resigns and revokes the leases of this router.
-func (e *Elector) releaseLeases() {
-	held := e.resign()
+// release resigns, revokes the lease of the leadership key and removes this router's entry.
+func (e *Elector) release() {
+	held, member := e.resign()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	for _, id := range held {
-		if id == 0 {
-			continue
-		}
-		if err := e.Store.Revoke(ctx, id); err != nil {
-			klog.InfoS("failed to revoke the lease; it will expire", "lease", id, "err", err)
+	if held != 0 {
+		if err := e.Store.Revoke(ctx, held); err != nil {
+			klog.InfoS("failed to revoke the lease; it will expire", "lease", held, "err", err)
 		}
 	}
+	e.unregister(ctx, member)
 }
--- /dev/null
+++ b/internal/coordination/leader/roster_test.go
@@ -0,0 +1,123 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/platform/standin"
+)
+
+// rosterOf returns a roster with the entries of n routers, which it writes to the store.
+func rosterOf(t *testing.T, store *standin.Store, n int) *Roster {
+	for i := range n {
+		value, err := json.Marshal(Member{Address: fmt.Sprintf("10.0.0.1:%d", 1000+i)})
+		assert.NilError(t, err)
+		store.Put(fmt.Sprint(MemberPrefix, i), value)
+	}
+	page, err := store.Range(context.Background(), MemberPrefix)
+	assert.NilError(t, err)
+	r := NewRoster()
+	r.Reset(page.Items)
+	return r
+}
+
+// Hundreds of instances were replaced by others. Their entries have no lease, so the leader must
+// remove them, with few calls.
+func TestEntriesOfReplacedRoutersAreRemoved(t *testing.T) {
+	store := standin.NewStore()
+	r := rosterOf(t, store, 470)
+	before := store.Calls().Writes
+	gone := map[string]bool{}
+	for i := range 200 {
+		gone[fmt.Sprintf("10.0.0.1:%d", 1000+i)] = true
+	}
+	r.RemoveGone(context.Background(), store, func(addr string) bool { return gone[addr] })
+	assert.Equal(t, len(store.Keys(MemberPrefix)), 270)
+	assert.Assert(t, store.Calls().Writes-before <= 200/maxRemovals+1)
+}
+
+// A leader that hears from nobody is cut off itself. It must not remove the entries of all.
+func TestLeaderThatIsCutOffRemovesNoEntries(t *testing.T) {
+	store := standin.NewStore()
+	r := rosterOf(t, store, 10)
+	r.RemoveGone(context.Background(), store, func(string) bool { return true })
+	assert.Equal(t, len(store.Keys(MemberPrefix)), 10)
+}
+
+// A router restarted and wrote its entry again, which the leader has not heard of yet. The entry
+// must stay.
+func TestEntryThatWasWrittenAgainStays(t *testing.T) {
+	store := standin.NewStore()
+	r := rosterOf(t, store, 3)
+	store.Put(MemberPrefix+"0", []byte("again"))
+	r.RemoveGone(context.Background(), store, func(addr string) bool { return addr == "10.0.0.1:1000" })
+	assert.Equal(t, len(store.Keys(MemberPrefix)), 3)
+}
+
+// The entry of a running router was removed. Without a new one, no watcher is chosen from it and
+// it cannot lead.
+func TestRouterWhoseEntryWasRemovedRegistersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		a := start(store, "a")
+		time.Sleep(time.Second)
+		store.Remove(MemberPrefix + "a")
+		page, err := store.Range(t.Context(), MemberPrefix)
+		assert.NilError(t, err)
+		a.e.ObserveRemoval(page.Revision)
+		time.Sleep(maxRegisterDelay + 2*checkInterval)
+		assert.Equal(t, len(store.Keys(MemberPrefix)), 1)
+		written := store.Calls().Writes
+		a.e.ObserveRemoval(1) // late news from before
+		time.Sleep(maxRegisterDelay + 2*checkInterval)
+		assert.Equal(t, store.Calls().Writes, written)
+		a.shutDown()
+	})
+}
+
+// restoringStore is restored from an older copy while the first commit is in progress.
+type restoringStore struct {
+	*standin.Store
+	restore func()
+	done    atomic.Bool
+}
+
+func (s *restoringStore) Commit(ctx context.Context, txn platform.Txn) (revision model.Revision, err error) {
+	if s.done.Swap(true) {
+		return s.Store.Commit(ctx, txn)
+	}
+	revision, err = s.Store.Commit(ctx, txn)
+	s.restore()
+	return revision, errors.Join(err)
+}
+
+// The store is restored from an older copy before the response to a registration arrives. The
+// router must register again, although the response says that its entry is there.
+func TestRegistrationLostInARestoreIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &restoringStore{Store: standin.NewStore()}
+		empty := store.Snapshot()
+		var a *testElector
+		started := make(chan struct{})
+		store.restore = func() {
+			<-started
+			store.Restore(empty)
+			a.e.HandleStoreRestore()
+		}
+		a, _ = run(store, "a")
+		close(started)
+		time.Sleep(maxRegisterDelay + 2*checkInterval)
+		assert.Equal(t, len(store.Keys(MemberPrefix)), 1)
+		a.shutDown()
+	})
+}
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -120,21 +120,37 @@
 	near, far := validity(true), validity(false)
 	out := make(map[string]bool, len(t.others))
 	for addr, r := range t.others {
-		last := r.heard
-		if last.IsZero() {
-			last = r.known
-		}
 		valid := far
 		if t.isNear(r) {
 			valid = near
 		}
-		if now.Sub(last) < valid {
+		if now.Sub(r.lastSign()) < valid {
 			out[addr] = true
 		}
 	}
 	return out
 }
 
+// Silence returns how long nothing was heard of a router, or how long it has been known if it
+// never sent a heartbeat. It is 0 for a router that is not known.
+func (t *Table) Silence(addr string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.others[addr]
+	if !ok {
+		return 0
+	}
+	return t.now().Sub(r.lastSign())
+}
+
+// lastSign returns when something was last heard of the router, registrations included.
+func (r *router) lastSign() time.Time {
+	if r.heard.IsZero() {
+		return r.known
+	}
+	return r.heard
+}
+
 // isNear reports whether a router is in the own failure domain.
 func (t *Table) isNear(r *router) bool { return r.registered && r.domain == t.domain }
 
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -5,7 +5,6 @@
 	"math"
 	"net"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +46,9 @@
 	persistInterval = 200 * time.Millisecond
 	// yieldDelay is the length of a pause while a configuration is decoded.
 	yieldDelay = time.Millisecond
+	// rosterInterval is the time between two checks of the leader for entries of routers that
+	// are gone.
+	rosterInterval = 5 * time.Second
 	// cleanUpInterval is the time between two removals of idle connections and expired state.
 	cleanUpInterval = time.Second
 	// callLogInterval is the time between two log lines on the calls to the store.
@@ -93,8 +95,7 @@
 	malformed malformedEntries // used by the follower only
 	configs   configQueue
 
-	mu      sync.Mutex
-	members map[string]leader.Member // by store key
+	roster *leader.Roster
 }
 
 // memoryLimit returns the limit for the garbage collector in bytes. It caps values that would
@@ -117,7 +118,7 @@
 		prober:       relay.NewProber(),
 		backends:     backend.NewPool(),
 		metrics:      m,
-		members:      map[string]leader.Member{},
+		roster:       leader.NewRoster(),
 		malformed:    malformedEntries{},
 		listen:       listenTCP,
 	}
@@ -165,10 +166,8 @@
 // reachableRouters returns the registered routers with a recent heartbeat.
 func (r *Router) reachableRouters() []follow.Router {
 	reachable := r.exchange.ReachablePeers()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var out []follow.Router
-	for _, m := range r.members {
+	for _, m := range r.roster.Members() {
 		if reachable[m.Address] {
 			out = append(out, follow.Router{Address: m.Address, Domain: m.Domain})
 		}
@@ -386,6 +385,7 @@
 	go r.quarantine.Run(background)
 	go r.runPeriodically(background, evaluateInterval, r.quarantine.Tracker.EvaluateSuspects)
 	go r.runPeriodically(background, persistInterval, func() { r.persister.Tick(background) })
+	go r.runPeriodically(background, rosterInterval, func() { r.removeGoneRouters(background) })
 	go r.runPeriodically(background, cleanUpInterval, r.cleanUp)
 	go r.runPeriodically(background, callLogInterval, r.store.logCounts)
 	served := make(chan error, 1)
@@ -448,6 +448,13 @@
 	r.metrics.setStoreContact(r.follower.Watching(), r.follower.SinceLastContact())
 }
 
+// removeGoneRouters removes the entries of routers that are gone while this router leads.
+func (r *Router) removeGoneRouters(ctx context.Context) {
+	if r.elector.FencingToken() != 0 {
+		r.roster.RemoveGone(ctx, r.store, r.exchange.IsGone)
+	}
+}
+
 // expireServers drops backend servers whose removed entries were not written again in time.
 func (r *Router) expireServers() {
 	for _, id := range r.catalog.Expire() {
--- a/internal/daemon/router_test.go
+++ b/internal/daemon/router_test.go
@@ -44,6 +44,10 @@
 	return 0, 0, external.ErrUnavailable
 }
 
+func (s *emptyStore) Commit(context.Context, external.Txn) (model.Revision, error) {
+	return 0, external.ErrUnavailable
+}
+
 // failingListener is a listener whose socket fails once broken is closed.
 type failingListener struct {
 	net.Listener
--- a/internal/daemon/sink.go
+++ b/internal/daemon/sink.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"maps"
 	"strings"
 	"time"
 
@@ -30,13 +29,15 @@
 func (s *routerSink) Reset(page external.Page, grace time.Duration) {
 	servers, malformed := s.decodeServers(page.Items)
 	s.applyConflicts(s.catalog.Replace(servers, malformed, grace))
-	s.mu.Lock()
-	clear(s.members)
-	s.mu.Unlock()
 	s.persister.Observe(valueOf(page.Items, leader.QuarantineKey))
 	leaderFound := false
+	var members []external.Item
 	for _, it := range page.Items {
-		if !strings.HasPrefix(it.Key, platform.ServersPrefix) && it.Key != leader.QuarantineKey {
+		switch {
+		case strings.HasPrefix(it.Key, platform.ServersPrefix), it.Key == leader.QuarantineKey:
+		case strings.HasPrefix(it.Key, leader.MemberPrefix):
+			members = append(members, it)
+		default:
 			leaderFound = leaderFound || it.Key == leader.Key
 			s.Change(it, 0)
 		}
@@ -44,7 +45,7 @@
 	if !leaderFound {
 		s.elector.Observe(nil, page.Revision)
 	}
-	s.publishMembers()
+	s.resetMembers(members, page.Revision)
 	klog.InfoS("store contents read", "revision", page.Revision, "items", len(page.Items), "servers", len(servers), "namingNone", len(malformed))
 }
 
@@ -145,21 +146,22 @@
 	s.applyConflicts(s.catalog.Put(b))
 }
 
-func (s *routerSink) applyMember(it external.Item) {
-	s.mu.Lock()
-	if it.Removed {
-		delete(s.members, it.Key)
-	} else if m, err := leader.DecodeMember(it.Value); err != nil {
-		klog.InfoS("member entry skipped: it cannot be decoded", "key", it.Key, "err", err)
-	} else {
-		s.members[it.Key] = m
+// resetMembers replaces the registered routers with those of the full range at a revision.
+func (s *routerSink) resetMembers(members []external.Item, revision model.Revision) {
+	s.roster.Reset(members)
+	s.exchange.SetMembers(s.roster.Members())
+	if _, registered := s.roster.Members()[s.memberKey()]; !registered {
+		s.elector.ObserveRemoval(revision)
 	}
-	s.mu.Unlock()
-	s.publishMembers()
 }
 
-func (s *routerSink) publishMembers() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.exchange.SetMembers(maps.Clone(s.members))
+func (s *routerSink) applyMember(it external.Item) {
+	s.roster.Apply(it)
+	s.exchange.SetMembers(s.roster.Members())
+	if it.Removed && it.Key == s.memberKey() {
+		s.elector.ObserveRemoval(it.Revision)
+	}
 }
+
+// memberKey returns the key of this router's entry.
+func (s *routerSink) memberKey() string { return leader.MemberPrefix + s.settings.Instance }
--- a/internal/transport/peers/pace.go
+++ b/internal/transport/peers/pace.go
@@ -43,6 +43,11 @@
 	return s.farInterval()
 }
 
+// validity returns how long the counts of a peer are valid after a heartbeat.
+func (s schedule) validity(near bool) time.Duration {
+	return validIntervals*s.interval(near) + validSlack
+}
+
 func (x *Exchange) schedule() schedule {
 	near, far := x.presence.Split(x.peers())
 	return newSchedule(len(near), len(far))
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -41,6 +41,9 @@
 	validSlack     = time.Second
 	// sendTimeout is the timeout for sending one message.
 	sendTimeout = 700 * time.Millisecond
+	// minGone is the shortest silence after which a router counts as gone for good. Until its
+	// entry is removed, it counts towards the shared budgets.
+	minGone = 27 * time.Second
 	// fetchTimeout is the timeout for a peer's answer while a configuration is fetched.
 	fetchTimeout = time.Second
 	// fetchDelay is how long a router waits for the store to deliver a version that a peer
@@ -200,7 +203,13 @@
 // within the time that a heartbeat is valid.
 func (x *Exchange) ReachablePeers() map[string]bool {
 	s := x.schedule()
-	return x.presence.Reachable(func(near bool) time.Duration { return validIntervals*s.interval(near) + validSlack })
+	return x.presence.Reachable(s.validity)
+}
+
+// IsGone reports whether nothing was heard of a registered router for so long that its entry
+// may be removed.
+func (x *Exchange) IsGone(addr string) bool {
+	return x.presence.Silence(addr) > max(minGone, x.schedule().validity(false))
 }
 
 // PeerHasTraffic reports whether a peer received requests from callers.
