liveness: no connections to engines before callers come; the ring is built when routers change

Cause: two routers keep a connection to each engine, opened anew every ten seconds: at 518 engines some 2,500 priced connections in the 24 s before callers come, when no stream can be lost. Each router hashed and sorted eight points for each router twice a second: 7,520 hashes at 470.

Change: before callers come, no engine is watched. The ring is kept until the routers change.

--- a/internal/coordination/liveness/liveness.go
+++ b/internal/coordination/liveness/liveness.go
@@ -45,6 +45,10 @@
 	// OnExit is called with an engine whose process has exited.
 	OnExit func(b *model.BackendServer)
 
+	// ring is that of ringRouters. Both are used by sync only.
+	ring        ring
+	ringRouters []string
+
 	mu      sync.Mutex
 	watched map[model.Incarnation]context.CancelFunc
 }
@@ -66,10 +70,13 @@
 // sync starts to watch the engines that are assigned to this router, and stops watching
 // the others.
 func (w *Watcher) sync(ctx context.Context) {
-	ring := newRing(w.Routers())
+	engines := w.Engines()
+	if len(engines) > 0 {
+		w.updateRing()
+	}
 	assigned := map[model.Incarnation]*model.BackendServer{}
-	for _, b := range w.Engines() {
-		if ring.assigned(w.Self, b.ID) {
+	for _, b := range engines {
+		if w.ring.assigned(w.Self, b.ID) {
 			assigned[b.Incarnation()] = b
 		}
 	}
@@ -93,6 +100,17 @@
 	}
 }
 
+// updateRing builds the ring anew if the routers changed. To hash and sort hundreds of routers
+// takes most of the time of a sync.
+func (w *Watcher) updateRing() {
+	routers := w.Routers()
+	slices.Sort(routers)
+	if slices.Equal(routers, w.ringRouters) {
+		return
+	}
+	w.ring, w.ringRouters = newRing(routers), routers
+}
+
 // ring is a consistent hash ring of routers. The first routers after the hash of an engine
 // watch it. Routers that know of different routers still choose mostly the same watchers,
 // without coordination.
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -287,7 +287,7 @@
 	r.liveness = &liveness.Watcher{
 		Self:    r.settings.Router.Peers,
 		Routers: r.exchange.LiveRouters,
-		Engines: r.engines,
+		Engines: r.enginesInUse,
 		Dial:    backend.DialIdle,
 		OnExit: func(b *model.BackendServer) {
 			r.exchange.AnnounceEngineExit(b.Incarnation())
@@ -312,6 +312,14 @@
 	return out
 }
 
+// enginesInUse returns the engines that may run requests. Before callers come, none does.
+func (r *Router) enginesInUse() []*model.BackendServer {
+	if !r.hasTraffic() {
+		return nil
+	}
+	return r.engines()
+}
+
 func (r *Router) buildController() {
 	r.elector = &leader.Elector{
 		Store:       r.store,
