follow: routers with the widest links watch the store

Cause: a watcher sends each change to half of its failure domain. Watchers were chosen by hash among all routers; on the whole fleet 400 of 470 have links of 20 Mbit/s, on which a configuration of some tens of kilobytes for 46 routers takes most of a second.

Change: a router's entry names the bandwidth of its link; routers of a domain are ranked by it first, and by hash among equals. Sites with equal links choose as before. The number of watchers, asked for with each heartbeat of a peer that is ahead, is counted twice a second instead of ranking all routers each time.

Test: TestRoutersWithWideLinksWatch.

--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -257,7 +257,7 @@
 // A change ends the watches of all routers at once. The next ones must end at different
 // times, so that one of them detects an unresponsive connection.
 func TestWatchTimeoutsAreRandomized(t *testing.T) {
-	f := &Follower{}
+	f := &Follower{Clock: func() time.Duration { return time.Hour }}
 	f.Picker = pickerWithPeers(f, 20)
 	f.watching.Store(true)
 	shortest, longest := maxWatchTimeout, time.Duration(0)
--- a/internal/coordination/follow/picker.go
+++ b/internal/coordination/follow/picker.go
@@ -23,12 +23,17 @@
 	// at random, so that routers do not return to it at once. A killed process restarts
 	// within two seconds.
 	failedSourceDelay = 2 * time.Second
+	// watcherCountAge is how old the number of watchers may be. It is asked for with each
+	// heartbeat, and to rank hundreds of routers each time takes too much processor time.
+	watcherCountAge = 500 * time.Millisecond
 )
 
 // Router is another router with a recent heartbeat.
 type Router struct {
 	Address string
 	Domain  string
+	// LinkMbps is the bandwidth of its link in Mbit/s; 0 means unknown.
+	LinkMbps float64
 }
 
 // Source is where a router gets the updates of the store.
@@ -43,17 +48,21 @@
 func (s Source) IsStore() bool { return s.Address == "" }
 
 // Picker chooses the source of updates. All routers rank the routers of a failure
-// domain alike, by rendezvous hashing. They agree on its watchers without messages, and
-// the failure of one moves only the routers that polled it.
+// domain alike: those with the widest links first, as a watcher sends each change to half
+// of its domain, and these by rendezvous hashing. They agree on its watchers without
+// messages, and the failure of one moves only the routers that polled it.
 type Picker struct {
 	// Self is this router's link address, and Domain its failure domain.
 	Self, Domain string
+	LinkMbps     float64 // of this router's link
 	// Routers returns the other routers with recent heartbeats.
 	Routers func() []Router
 	Clock   func() time.Duration
 
-	mu         sync.Mutex
-	avoidUntil map[string]time.Duration // by address; the store's is empty
+	mu           sync.Mutex
+	avoidUntil   map[string]time.Duration // by address; the store's is empty
+	watcherCount int                      // at countedAt
+	countedAt    time.Duration
 }
 
 // Pick returns the source to use next.
@@ -93,28 +102,55 @@
 }
 
 // WatcherCount returns the number of routers that watch the store, over all failure
-// domains.
+// domains. It is counted anew once per watcherCountAge.
 func (p *Picker) WatcherCount() int {
-	n := 0
+	now := p.Clock()
+	p.mu.Lock()
+	count, countedAt := p.watcherCount, p.countedAt
+	p.mu.Unlock()
+	if count > 0 && now-countedAt < watcherCountAge {
+		return count
+	}
+	count = 0
 	for _, names := range p.watchers() {
-		n += len(names)
+		count += len(names)
 	}
-	return n
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watcherCount, p.countedAt = count, now
+	return count
 }
 
 // watchers returns the link addresses of each failure domain's watchers, by rank.
 func (p *Picker) watchers() map[string][]string {
-	domains := map[string][]string{p.Domain: {p.Self}}
+	byDomain := map[string][]Router{p.Domain: {{Address: p.Self, LinkMbps: p.LinkMbps}}}
 	for _, r := range p.Routers() {
 		if r.Address != p.Self {
-			domains[r.Domain] = append(domains[r.Domain], r.Address)
+			byDomain[r.Domain] = append(byDomain[r.Domain], r)
 		}
 	}
-	for domain, names := range domains {
-		sortByHash(names, domain)
-		domains[domain] = names[:min(len(names), watchersPerDomain)]
+	watchers := make(map[string][]string, len(byDomain))
+	for domain, routers := range byDomain {
+		watchers[domain] = rankWatchers(routers, domain)
+	}
+	return watchers
+}
+
+// rankWatchers returns the link addresses of the watchers among the routers of a failure
+// domain, by rank.
+func rankWatchers(routers []Router, domain string) []string {
+	hashes := make(map[string]uint64, len(routers))
+	for _, r := range routers {
+		hashes[r.Address] = spread.Hash(domain, r.Address)
+	}
+	slices.SortFunc(routers, func(a, b Router) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(hashes[a.Address], hashes[b.Address]), cmp.Compare(a.Address, b.Address))
+	})
+	var out []string
+	for _, r := range routers[:min(len(routers), watchersPerDomain)] {
+		out = append(out, r.Address)
 	}
-	return domains
+	return out
 }
 
 // localWatcher returns the watcher that this router polls, or an empty string. Routers
--- a/internal/coordination/follow/picker_test.go
+++ b/internal/coordination/follow/picker_test.go
@@ -53,6 +53,29 @@
 	}
 }
 
+// Most instances have narrow links, on which the changes for half of a large domain do not fit.
+// The few with wide links must watch.
+func TestRoutersWithWideLinksWatch(t *testing.T) {
+	st := newSite(5, 94)
+	wide := map[string]bool{}
+	for i := range st.routers {
+		st.routers[i].LinkMbps = 20
+		if i%7 == 0 {
+			st.routers[i].LinkMbps = 1000
+			wide[st.routers[i].Address] = true
+		}
+	}
+	for _, r := range st.routers {
+		p := st.picker(r)
+		p.LinkMbps = r.LinkMbps
+		if s := p.Pick(); s.IsStore() {
+			assert.Assert(t, wide[r.Address], "%s watches", r.Address)
+		} else {
+			assert.Assert(t, wide[s.Address], "%s polls %s", r.Address, s.Address)
+		}
+	}
+}
+
 // Both watchers of a domain fail. The routers that polled them turn to different
 // watchers of other domains, and to the store only if none of these answers.
 func TestPickerFallsBackToRemoteWatchersThenStore(t *testing.T) {
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -53,6 +53,8 @@
 	Instance string `json:"instance"`
 	Address  string `json:"address"` // for calls from other routers
 	Domain   string `json:"domain"`
+	// LinkMbps is the bandwidth of the router's link in Mbit/s; 0 means unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // DecodeMember decodes a router's entry. It returns an error if the entry is malformed or has no
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -147,7 +147,7 @@
 		Prefix:           "",
 		Sink:             (*routerSink)(r),
 		Clock:            boottime.Now,
-		Picker:           &follow.Picker{Self: r.settings.Router.Peers, Domain: r.settings.FailureDomain, Routers: r.reachableRouters, Clock: boottime.Now},
+		Picker:           &follow.Picker{Self: r.settings.Router.Peers, Domain: r.settings.FailureDomain, LinkMbps: r.settings.Router.LinkMbps, Routers: r.reachableRouters, Clock: boottime.Now},
 		PollPeer:         updates.Poll,
 		FetchValue:       r.exchange.Values.Fetch,
 		TransferSlot:     r.exchange.TransferSlot,
@@ -169,7 +169,7 @@
 	var out []follow.Router
 	for _, m := range r.roster.Members() {
 		if reachable[m.Address] {
-			out = append(out, follow.Router{Address: m.Address, Domain: m.Domain})
+			out = append(out, follow.Router{Address: m.Address, Domain: m.Domain, LinkMbps: m.LinkMbps})
 		}
 	}
 	return out
@@ -323,7 +323,7 @@
 func (r *Router) buildController() {
 	r.elector = &leader.Elector{
 		Store:       r.store,
-		Self:        leader.Member{Instance: r.settings.Instance, Address: r.settings.Router.Peers, Domain: r.settings.FailureDomain},
+		Self:        leader.Member{Instance: r.settings.Instance, Address: r.settings.Router.Peers, Domain: r.settings.FailureDomain, LinkMbps: r.settings.Router.LinkMbps},
 		Incarnation: NewID(),
 		Clock:       boottime.Now,
 		// Routers that watch the store learn first that there is no leader. If all routers
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -95,6 +95,8 @@
 	RetryWindow Duration `toml:"retry_window"`
 	// MemoryMB is the memory limit of the process in MB; 0 means no limit.
 	MemoryMB float64 `toml:"memory_mb"`
+	// LinkMbps is the bandwidth of this instance's link in Mbit/s; 0 means unknown.
+	LinkMbps float64 `toml:"link_mbps"`
 }
 
 // Link holds the one-way time between two failure domains.
@@ -269,6 +271,7 @@
 		{"router.retry_slack", isNonNegative(r.RetrySlack), amount},
 		{"router.retry_window", r.RetryWindow > 0, "must be longer than 0"},
 		{"router.memory_mb", isNonNegative(r.MemoryMB), amount},
+		{"router.link_mbps", isNonNegative(r.LinkMbps), amount},
 	}
 	for i, seed := range r.Seeds {
 		checks = append(checks, check{fmt.Sprintf("router.seeds[%d]", i), isAddress(seed), address})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -135,6 +135,7 @@
 		{`retry_slack = 196`, `retry_slack = 0`, func(r Router) float64 { return r.RetrySlack }, 0},
 		{`retry_ratio = 0.2`, `retry_ratio = 1`, func(r Router) float64 { return r.RetryRatio }, 1},
 		{`memory_mb = 284`, `memory_mb = 162.5`, func(r Router) float64 { return r.MemoryMB }, 162.5},
+		{`link_mbps = 1000`, `link_mbps = 12.5`, func(r Router) float64 { return r.LinkMbps }, 12.5},
 		{`grace = "8s"`, `grace = "8.5s"`, func(r Router) float64 { return time.Duration(r.Grace).Seconds() }, 8.5},
 		{`config_apply = "2s"`, `config_apply = "2.5e3ms"`, func(r Router) float64 { return time.Duration(r.ConfigApply).Seconds() }, 2.5},
 		{`config_apply = "2s"`, `config_apply = "1e300ms"`, func(r Router) float64 { return time.Duration(r.ConfigApply).Seconds() }, maxDuration.Seconds()},
@@ -156,6 +157,7 @@
 		{`retry_slack = 196`, `retry_slack = "196"`, "router.retry_slack: line"},
 		{`retry_slack = 196`, `retry_slack = `, "line"},
 		{`memory_mb = 284`, `memory_mb = -1`, "router.memory_mb: must be a number from 0"},
+		{`link_mbps = 1000`, `link_mbps = -1`, "router.link_mbps: must be a number from 0"},
 		{`grace = "8s"`, `grace = "s"`, "router.grace: line"},
 		{`grace = "8s"`, `grace = "-1e3ms"`, "router.grace: must be longer than 0"},
 	} {
