daemon: a router logs what it spends on control

Nobody could tell which part of a router's bytes is control: callers' streams and the traffic between routers go over one link. Each ten seconds a line tells the bytes of the links to other routers, how many of these are known and reachable, and whether the router watches the store; link_bytes is on the metrics address as for the other roles.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -51,7 +51,8 @@
 	rosterInterval = 5 * time.Second
 	// cleanUpInterval is the time between two removals of idle connections and expired state.
 	cleanUpInterval = time.Second
-	// callLogInterval is the time between two log lines on the calls to the store.
+	// callLogInterval is the time between two log lines on what a router spends on control:
+	// calls to the store, and traffic with other routers.
 	callLogInterval = 10 * time.Second
 	// balancerDelay is how long the balancer may still send new callers after the readiness
 	// check failed. It checks twice, one second apart.
@@ -82,6 +83,7 @@
 	quarantine   *peers.Quarantine
 	persister    *quarantine.Persister
 	links        *link.Server
+	linkMetadata *link.Metadata
 	backends     *backend.Pool
 	front        *front.Server
 	metrics      *metrics
@@ -92,8 +94,9 @@
 	requestSeen atomic.Bool
 	draining    atomic.Bool
 
-	malformed malformedEntries // used by the follower only
-	configs   configQueue
+	linkBytesLogged int64            // used by logControl only
+	malformed       malformedEntries // used by the follower only
+	configs         configQueue
 
 	roster *leader.Roster
 }
@@ -197,7 +200,7 @@
 }
 
 func (r *Router) buildExchange() {
-	stamp := &link.Metadata{
+	r.linkMetadata = &link.Metadata{
 		Clock:               hlc.New(time.Now),
 		Revision:            r.config.Version,
 		ObservePeerRevision: func(string, int64) {},
@@ -207,7 +210,7 @@
 		Self:                r.settings.Router.Peers,
 		Domain:              r.settings.FailureDomain,
 		Seeds:               r.settings.Router.Seeds,
-		Pool:                link.NewPool(stamp),
+		Pool:                link.NewPool(r.linkMetadata),
 		Config:              r.config,
 		Decode:              r.decodeConfig,
 		Catalog:             r.catalog,
@@ -229,7 +232,7 @@
 	r.exchange.RetryBorrower = &limits.RetryBorrower{Budget: budget, Borrow: r.exchange.Borrow, Now: time.Now}
 	r.exchange.TransferSlot = transfer.NewSlot()
 	r.exchange.Values = r.newValues()
-	r.links = link.NewServer(stamp)
+	r.links = link.NewServer(r.linkMetadata)
 	r.links.VerifySenderHost = true
 	r.exchange.Register(r.links)
 	r.exchange.Values.Register(r.links)
@@ -395,7 +398,7 @@
 	go r.runPeriodically(background, persistInterval, func() { r.persister.Tick(background) })
 	go r.runPeriodically(background, rosterInterval, func() { r.removeGoneRouters(background) })
 	go r.runPeriodically(background, cleanUpInterval, r.cleanUp)
-	go r.runPeriodically(background, callLogInterval, r.store.logCounts)
+	go r.runPeriodically(background, callLogInterval, r.logControl)
 	served := make(chan error, 1)
 	go func() { served <- r.front.Serve(callers) }()
 	var failure error
@@ -454,6 +457,16 @@
 	}
 	r.metrics.setRouter(r.front.ActiveRequests(), r.front.Relay.WaitQueue.Len(), r.backends.DialCount(), r.config.Version())
 	r.metrics.setStoreContact(r.follower.Watching(), r.follower.SinceLastContact())
+	r.metrics.setLinkBytes(r.linkMetadata.Bytes())
+}
+
+// logControl logs what this router spent on control since the last line.
+func (r *Router) logControl() {
+	r.store.logCounts()
+	total := r.linkMetadata.Bytes()
+	klog.InfoS("traffic with other routers", "bytes", total-r.linkBytesLogged, "routers", r.exchange.RouterCount()-1,
+		"reachable", len(r.exchange.ReachablePeers()), "watching", r.follower.Watching())
+	r.linkBytesLogged = total
 }
 
 // removeGoneRouters removes the entries of routers that are gone while this router leads.
