follow: full contents leave out what the receiver has

Change: the receiver is complete up to the revision that it names, so items that are not newer are sent as key and revision. What it lacks against that is fetched as a large value is.

Test: TestFullContentsLeaveOutWhatTheReceiverHas (a tenth of the bytes, and the same contents).

--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -112,7 +112,11 @@
 		return
 	}
 	klog.InfoS("store contents replaced by a peer's copy", "peer", f.source.Address, "revision", updates.Revision, "items", len(updates.Items))
-	f.reset(updates.Items, updates.Revision)
+	items := updates.Items
+	if f.Replica != nil {
+		items = f.Replica.FillUnchanged(items)
+	}
+	f.reset(items, updates.Revision)
 	f.synced = true
 }
 
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -95,6 +95,8 @@
 type RouterUpdatesRequest struct {
 	After  model.Revision `json:"after"`
 	WaitMS int64          `json:"wait"`
+	// Unchanged is set if the requester understands RouterUpdate.Unchanged.
+	Unchanged bool `json:"unchanged,omitempty"`
 }
 
 // RouterUpdates carries the changes up to a revision, or the full contents of the store
@@ -124,4 +126,6 @@
 	Removed  bool           `json:"d,omitempty"`
 	// Omitted is set if the receiver must read the value from the store.
 	Omitted bool `json:"o,omitempty"`
+	// Unchanged is set, instead of a value, if the receiver has the key at this revision.
+	Unchanged bool `json:"u,omitempty"`
 }
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -23,10 +23,12 @@
 )
 
 // Item is an item of the store. Omitted is set if the value is not known here because
-// it was too large for an update.
+// it was too large for an update. Unchanged is set, instead of a value, in full contents
+// for a process that has the item already.
 type Item struct {
 	platform.Item
-	Omitted bool
+	Omitted   bool
+	Unchanged bool
 }
 
 // ItemsWithValues returns items that include their values.
@@ -46,6 +48,24 @@
 	Full     bool
 }
 
+// WithoutKnown returns full contents for a process that is complete up to a revision: items
+// that it has are Unchanged. With hundreds of processes, their values would be most of what
+// is sent after a start of all.
+func (c Changes) WithoutKnown(after model.Revision) Changes {
+	if !c.Full || after == 0 || after.Era() != c.Revision.Era() {
+		return c
+	}
+	items := make([]Item, len(c.Items))
+	for i, it := range c.Items {
+		if it.Revision <= after {
+			it = Item{Item: platform.Item{Key: it.Key, Revision: it.Revision}, Unchanged: true}
+		}
+		items[i] = it
+	}
+	c.Items = items
+	return c
+}
+
 // Replica holds the newest item of each key. The zero value is empty and ready to use.
 // It is safe for concurrent use.
 type Replica struct {
@@ -224,6 +244,26 @@
 	return it.Item, ok && !it.Omitted && !it.Removed
 }
 
+// FillUnchanged replaces the items that are Unchanged by those of this replica. The value
+// of one that it lacks has to be fetched.
+func (r *Replica) FillUnchanged(items []Item) []Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Item, len(items))
+	for i, it := range items {
+		if it.Unchanged {
+			known, ok := r.items[it.Key]
+			if it.Unchanged = false; ok && known.Revision == it.Revision && !known.Removed {
+				it = known
+			} else {
+				it.Omitted = true
+			}
+		}
+		out[i] = it
+	}
+	return out
+}
+
 // Since returns the changes after a revision, ordered by revision.
 func (r *Replica) Since(after model.Revision) Changes {
 	r.mu.Lock()
--- a/internal/transport/peers/news.go
+++ b/internal/transport/peers/news.go
@@ -47,7 +47,7 @@
 // same revision at once.
 type encodedItems struct {
 	after, revision model.Revision
-	full            bool
+	full, unchanged bool
 	items           json.RawMessage
 }
 
@@ -60,7 +60,7 @@
 // them.
 func (n *Updates) Poll(ctx context.Context, addr string, after model.Revision, wait time.Duration) (follow.Updates, error) {
 	var reply wire.RouterUpdates
-	req := wire.RouterUpdatesRequest{After: after, WaitMS: wait.Milliseconds()}
+	req := wire.RouterUpdatesRequest{After: after, WaitMS: wait.Milliseconds(), Unchanged: true}
 	if err := n.Pool.Call(ctx, addr, wire.MethodRouterUpdates, req, &reply); err != nil {
 		n.Pool.Reset(addr)
 		return follow.Updates{}, err
@@ -86,7 +86,7 @@
 	if updates.Full {
 		klog.InfoS("full contents of the store sent to a peer", "peer", from, "after", req.After, "revision", updates.Revision, "items", len(updates.Items))
 	}
-	items, err := n.encode(req.After, updates.Changes)
+	items, err := n.encode(req.After, updates.Changes, req.Unchanged)
 	return wire.RouterUpdates{
 		Revision:  updates.Revision,
 		Full:      updates.Full,
@@ -97,12 +97,17 @@
 	}, err
 }
 
-func (n *Updates) encode(after model.Revision, a replica.Changes) (json.RawMessage, error) {
+// encode encodes the changes after a revision. unchanged reports whether the receiver
+// understands Unchanged items.
+func (n *Updates) encode(after model.Revision, a replica.Changes, unchanged bool) (json.RawMessage, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cache.items != nil && n.cache.after == after && n.cache.revision == a.Revision && n.cache.full == a.Full {
+	if n.cache.items != nil && n.cache.after == after && n.cache.revision == a.Revision && n.cache.full == a.Full && n.cache.unchanged == unchanged {
 		return n.cache.items, nil
 	}
+	if unchanged {
+		a = a.WithoutKnown(after)
+	}
 	items := make([]wire.RouterUpdate, 0, len(a.Items))
 	for _, it := range a.Items {
 		w, err := encodeItem(it)
@@ -115,7 +120,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode updates")
 	}
-	n.cache = encodedItems{after: after, revision: a.Revision, full: a.Full, items: raw}
+	n.cache = encodedItems{after: after, revision: a.Revision, full: a.Full, unchanged: unchanged, items: raw}
 	return raw, nil
 }
 
@@ -136,8 +141,9 @@
 			return nil, errors.WithMessagef(err, "update of key %.40q", it.Key)
 		}
 		out = append(out, replica.Item{
-			Item:    platform.Item{Key: it.Key, Value: value, Revision: it.Revision, Lease: platform.LeaseID(it.Lease), Removed: it.Removed},
-			Omitted: it.Omitted,
+			Item:      platform.Item{Key: it.Key, Value: value, Revision: it.Revision, Lease: platform.LeaseID(it.Lease), Removed: it.Removed},
+			Omitted:   it.Omitted,
+			Unchanged: it.Unchanged,
 		})
 	}
 	return out, nil
@@ -146,7 +152,7 @@
 // encodeItem converts an item to its wire format. Large values are compressed. A value
 // that is still too large is omitted.
 func encodeItem(it replica.Item) (wire.RouterUpdate, error) {
-	w := wire.RouterUpdate{Key: it.Key, Value: it.Value, Revision: it.Revision, Lease: int64(it.Lease), Removed: it.Removed, Omitted: it.Omitted}
+	w := wire.RouterUpdate{Key: it.Key, Value: it.Value, Revision: it.Revision, Lease: int64(it.Lease), Removed: it.Removed, Omitted: it.Omitted, Unchanged: it.Unchanged}
 	if len(it.Value) < minCompressSize {
 		return w, nil
 	}
--- a/internal/transport/peers/news_test.go
+++ b/internal/transport/peers/news_test.go
@@ -65,6 +65,35 @@
 	assert.DeepEqual(t, got, sent)
 }
 
+// After a start of hundreds of routers, a watcher sends the full contents to those that read the
+// store before it did. What they have must not be sent again.
+func TestFullContentsLeaveOutWhatTheReceiverHas(t *testing.T) {
+	full := replica.Changes{Full: true, Revision: 1001}
+	var receiver replica.Replica
+	var has []platform.Item
+	for i := range 1000 {
+		it := platform.Item{Key: fmt.Sprint("servers/", i), Value: bytes.Repeat([]byte("x"), 400), Revision: model.Revision(i + 1)}
+		has = append(has, it)
+		if i > 0 {
+			full.Items = append(full.Items, replica.Item{Item: it})
+		}
+	}
+	changed := replica.Item{Item: platform.Item{Key: "servers/7", Value: []byte("draining"), Revision: 1001}}
+	full.Items[6] = changed
+	receiver.Reset(replica.ItemsWithValues(has), 1000)
+	n := &Updates{}
+	whole, err := n.encode(1000, full, false)
+	assert.NilError(t, err)
+	short, err := n.encode(1000, full, true)
+	assert.NilError(t, err)
+	assert.Assert(t, 10*len(short) < len(whole), "%d of %d bytes", len(short), len(whole))
+	items, err := decodeItems(short, 1000, true)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, receiver.FillUnchanged(items), full.Items)
+	items[0].Revision = 999 // another revision than the receiver has
+	assert.Assert(t, receiver.FillUnchanged(items)[0].Omitted)
+}
+
 // A router that itself polls a peer must not be used as a source of updates.
 func TestPollOfARouterThatDoesNotWatchFails(t *testing.T) {
 	n, addr := newUpdatesPair(t, follow.Updates{}, follow.ErrNotWatching)
@@ -94,13 +123,13 @@
 	changes := func(revision model.Revision) replica.Changes {
 		return replica.Changes{Revision: revision, Items: []replica.Item{{Item: platform.Item{Key: fmt.Sprint("k", revision), Revision: revision}}}}
 	}
-	first, err := n.encode(4, changes(5))
+	first, err := n.encode(4, changes(5), true)
 	assert.NilError(t, err)
-	again, err := n.encode(4, changes(5))
+	again, err := n.encode(4, changes(5), true)
 	assert.NilError(t, err)
 	assert.Assert(t, &first[0] == &again[0])
 	for _, other := range []struct{ after, revision model.Revision }{{3, 5}, {4, 6}} {
-		raw, err := n.encode(other.after, changes(other.revision))
+		raw, err := n.encode(other.after, changes(other.revision), true)
 		assert.NilError(t, err)
 		assert.Assert(t, &raw[0] != &first[0])
 	}
