leader: entries of gone routers are removed also where they are most of all

Found in reading: a fleet that shrinks to less than half would keep the entries of the others for good, and share its budgets with them. Only a leader that hears of nobody is taken for cut off now, and for ten times as long.

--- a/internal/coordination/leader/roster.go
+++ b/internal/coordination/leader/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -10,9 +11,13 @@
 	"github.com/skylarkwood/skylarkwood/internal/platform"
 )
 
-// maxRemovals is how many entries are removed with one call. A transaction has a limited
-// number of conditions and deletions.
-const maxRemovals = 16
+const (
+	// maxRemovals is how many entries are removed with one call. A transaction has a limited
+	// number of conditions and deletions.
+	maxRemovals = 16
+	// isolatedFactor is how much longer routers must be silent if nobody is heard of.
+	isolatedFactor = 10
+)
 
 // Roster holds the routers that are registered in the store. It is safe for concurrent use.
 type Roster struct {
@@ -70,28 +75,33 @@
 	return out
 }
 
-// gone returns the entries of the routers that are gone. It returns none if these are more
-// than half of all: then this process is cut off.
-func (r *Roster) gone(isGone func(addr string) bool) []platform.Condition {
+// gone returns the entries of the routers that have been silent for longer than limit. If all
+// others are silent, this process is probably cut off, and the limit is isolatedFactor times
+// as long.
+func (r *Roster) gone(self string, silence func(addr string) time.Duration, limit time.Duration) []platform.Condition {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	isolated := true
+	for _, e := range r.entries {
+		isolated = isolated && (e.Address == self || silence(e.Address) > limit)
+	}
+	if isolated {
+		limit *= isolatedFactor
+	}
 	var out []platform.Condition
 	for key, e := range r.entries {
-		if isGone(e.Address) {
+		if e.Address != self && silence(e.Address) > limit {
 			out = append(out, platform.Condition{Key: key, Revision: e.revision})
 		}
 	}
-	if 2*len(out) > len(r.entries) {
-		klog.InfoS("entries of silent routers kept, because most are silent", "silent", len(out), "registered", len(r.entries))
-		return nil
-	}
 	return out
 }
 
-// RemoveGone removes the entries of routers that are gone from the store. Only the leader
-// calls it. Entries that were written anew meanwhile stay.
-func (r *Roster) RemoveGone(ctx context.Context, store platform.Store, isGone func(addr string) bool) {
-	for gone := r.gone(isGone); len(gone) > 0; {
+// RemoveGone removes the entries of the other routers that have been silent for longer than
+// limit from the store. Only the leader calls it. Entries that were written anew meanwhile
+// stay, as do those in the same call; they are removed with the next one.
+func (r *Roster) RemoveGone(ctx context.Context, store platform.Store, self string, silence func(addr string) time.Duration, limit time.Duration) {
+	for gone := r.gone(self, silence, limit); len(gone) > 0; {
 		batch := gone[:min(len(gone), maxRemovals)]
 		gone = gone[len(batch):]
 		txn := platform.Txn{If: batch}
@@ -99,6 +109,6 @@
 			txn.Delete = append(txn.Delete, c.Key)
 		}
 		_, err := store.Commit(ctx, txn)
-		klog.InfoS("entries of silent routers removed", "keys", txn.Delete, "err", err)
+		klog.InfoS("removal of the entries of silent routers finished", "keys", txn.Delete, "err", err)
 	}
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -472,7 +472,7 @@
 // removeGoneRouters removes the entries of routers that are gone while this router leads.
 func (r *Router) removeGoneRouters(ctx context.Context) {
 	if r.elector.FencingToken() != 0 {
-		r.roster.RemoveGone(ctx, r.store, r.exchange.IsGone)
+		r.roster.RemoveGone(ctx, r.store, r.settings.Router.Peers, r.exchange.Silence, r.exchange.GoneAfter())
 	}
 }
 
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -206,11 +206,11 @@
 	return x.presence.Reachable(s.validity)
 }
 
-// IsGone reports whether nothing was heard of a registered router for so long that its entry
-// may be removed.
-func (x *Exchange) IsGone(addr string) bool {
-	return x.presence.Silence(addr) > max(minGone, x.schedule().validity(false))
-}
+// Silence returns how long nothing was heard of a registered router.
+func (x *Exchange) Silence(addr string) time.Duration { return x.presence.Silence(addr) }
+
+// GoneAfter returns the silence after which a router's entry may be removed.
+func (x *Exchange) GoneAfter() time.Duration { return max(minGone, x.schedule().validity(false)) }
 
 // PeerHasTraffic reports whether a peer received requests from callers.
 func (x *Exchange) PeerHasTraffic() bool {
