leader: an entry that was written lately is not removed

Found in reading: a router that comes back after half a minute writes its entry, and a far leader hears its first heartbeat up to 9.7 s later at 470 routers, 20.7 s at 1,000. Until then it still counted it as silent for half a minute and removed the new entry, which the router then wrote again.

Change: the roster notes when it observed an entry's revision; silence counts from then at most. Test: TestEntryThatWasWrittenAgainStays.

--- a/internal/coordination/follow/picker.go
+++ b/internal/coordination/follow/picker.go
@@ -28,7 +28,7 @@
 	watcherCountAge = 500 * time.Millisecond
 )
 
-// Router is another router with a recent heartbeat.
+// Router is another router that is reachable.
 type Router struct {
 	Address string
 	Domain  string
@@ -55,7 +55,7 @@
 	// Self is this router's link address, and Domain its failure domain.
 	Self, Domain string
 	LinkMbps     float64 // of this router's link
-	// Routers returns the other routers with recent heartbeats.
+	// Routers returns the other routers that are reachable.
 	Routers func() []Router
 	Clock   func() time.Duration
 
--- a/internal/coordination/leader/roster.go
+++ b/internal/coordination/leader/roster.go
@@ -21,6 +21,9 @@
 
 // Roster holds the routers that are registered in the store. It is safe for concurrent use.
 type Roster struct {
+	self string
+	now  func() time.Time
+
 	mu      sync.Mutex
 	entries map[string]rosterEntry // by store key
 }
@@ -28,18 +31,25 @@
 type rosterEntry struct {
 	Member
 	revision model.Revision
+	observed time.Time // when this process observed the revision
 }
 
-// NewRoster returns an empty roster.
-func NewRoster() *Roster { return &Roster{entries: map[string]rosterEntry{}} }
+// NewRoster returns an empty roster for the router with link address self.
+func NewRoster(self string, now func() time.Time) *Roster {
+	return &Roster{self: self, now: now, entries: map[string]rosterEntry{}}
+}
 
 // Reset replaces the contents with the routers' entries among items.
 func (r *Roster) Reset(items []platform.Item) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	clear(r.entries)
+	previous := r.entries
+	r.entries = make(map[string]rosterEntry, len(items))
 	for _, it := range items {
 		r.apply(it)
+		if e, ok := r.entries[it.Key]; ok && previous[it.Key].revision == e.revision {
+			r.entries[it.Key] = previous[it.Key]
+		}
 	}
 }
 
@@ -61,7 +71,7 @@
 		klog.InfoS("member entry skipped: it cannot be decoded", "key", it.Key, "err", err)
 		return
 	}
-	r.entries[it.Key] = rosterEntry{Member: m, revision: it.Revision}
+	r.entries[it.Key] = rosterEntry{Member: m, revision: it.Revision, observed: r.now()}
 }
 
 // Members returns the registered routers, by store key.
@@ -77,20 +87,24 @@
 
 // gone returns the entries of the routers that have been silent for longer than limit. If all
 // others are silent, this process is probably cut off, and the limit is isolatedFactor times
-// as long.
-func (r *Roster) gone(self string, silence func(addr string) time.Duration, limit time.Duration) []platform.Condition {
+// as long. An entry that was written lately is a sign of its router too.
+func (r *Roster) gone(silence func(addr string) time.Duration, limit time.Duration) []platform.Condition {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.now()
+	silent := func(e rosterEntry, limit time.Duration) bool {
+		return min(silence(e.Address), now.Sub(e.observed)) > limit
+	}
 	isolated := true
 	for _, e := range r.entries {
-		isolated = isolated && (e.Address == self || silence(e.Address) > limit)
+		isolated = isolated && (e.Address == r.self || silent(e, limit))
 	}
 	if isolated {
 		limit *= isolatedFactor
 	}
 	var out []platform.Condition
 	for key, e := range r.entries {
-		if e.Address != self && silence(e.Address) > limit {
+		if e.Address != r.self && silent(e, limit) {
 			out = append(out, platform.Condition{Key: key, Revision: e.revision})
 		}
 	}
@@ -100,8 +114,8 @@
 // RemoveGone removes the entries of the other routers that have been silent for longer than
 // limit from the store. Only the leader calls it. Entries that were written anew meanwhile
 // stay, as do those in the same call; they are removed with the next one.
-func (r *Roster) RemoveGone(ctx context.Context, store platform.Store, self string, silence func(addr string) time.Duration, limit time.Duration) {
-	for gone := r.gone(self, silence, limit); len(gone) > 0; {
+func (r *Roster) RemoveGone(ctx context.Context, store platform.Store, silence func(addr string) time.Duration, limit time.Duration) {
+	for gone := r.gone(silence, limit); len(gone) > 0; {
 		batch := gone[:min(len(gone), maxRemovals)]
 		gone = gone[len(batch):]
 		txn := platform.Txn{If: batch}
--- a/internal/coordination/leader/roster_test.go
+++ b/internal/coordination/leader/roster_test.go
@@ -19,7 +19,8 @@
 
 func addressOf(i int) string { return fmt.Sprintf("10.0.0.1:%d", 1000+i) }
 
-// rosterOf returns a roster with the entries of n routers, which it writes to the store.
+// rosterOf returns a roster with the entries of n routers, which it writes to the store, an hour
+// after it observed them. The last of them is its own.
 func rosterOf(t *testing.T, store *standin.Store, n int) *Roster {
 	for i := range n {
 		value, err := json.Marshal(Member{Address: addressOf(i)})
@@ -28,8 +29,11 @@
 	}
 	page, err := store.Range(context.Background(), MemberPrefix)
 	assert.NilError(t, err)
-	r := NewRoster()
+	now := time.Now()
+	r := NewRoster(addressOf(n-1), func() time.Time { return now })
 	r.Reset(page.Items)
+	now = now.Add(time.Hour)
+	r.Reset(page.Items) // the same revisions
 	return r
 }
 
@@ -43,7 +47,7 @@
 	for i := range 300 {
 		silence[addressOf(i)] = time.Minute
 	}
-	r.RemoveGone(context.Background(), store, addressOf(469), func(addr string) time.Duration { return silence[addr] }, time.Minute-1)
+	r.RemoveGone(context.Background(), store, func(addr string) time.Duration { return silence[addr] }, time.Minute-1)
 	assert.Equal(t, len(store.Keys(MemberPrefix)), 170)
 	assert.Assert(t, store.Calls().Writes-before <= 300/maxRemovals+1)
 }
@@ -54,7 +58,7 @@
 	store := standin.NewStore()
 	r := rosterOf(t, store, 10)
 	remove := func(silent time.Duration) int {
-		r.RemoveGone(context.Background(), store, addressOf(0), func(string) time.Duration { return silent }, time.Minute)
+		r.RemoveGone(context.Background(), store, func(string) time.Duration { return silent }, time.Minute)
 		return len(store.Keys(MemberPrefix))
 	}
 	assert.Equal(t, remove(2*time.Minute), 10)
@@ -66,14 +70,23 @@
 func TestEntryThatWasWrittenAgainStays(t *testing.T) {
 	store := standin.NewStore()
 	r := rosterOf(t, store, 3)
-	store.Put(MemberPrefix+"0", []byte("again"))
-	r.RemoveGone(context.Background(), store, addressOf(2), func(addr string) time.Duration {
-		if addr == addressOf(0) {
-			return time.Hour
-		}
-		return 0
-	}, time.Minute)
-	assert.Equal(t, len(store.Keys(MemberPrefix)), 3)
+	entry, err := store.Get(context.Background(), MemberPrefix+"0")
+	assert.NilError(t, err)
+	written := store.Put(MemberPrefix+"0", entry.Value)
+	remove := func() {
+		r.RemoveGone(context.Background(), store, func(addr string) time.Duration {
+			if addr == addressOf(0) {
+				return time.Hour
+			}
+			return 0
+		}, time.Minute)
+	}
+	remove()
+	assert.Equal(t, len(store.Keys(MemberPrefix)), 3, "the leader knows the earlier revision only")
+	entry.Revision = written
+	r.Apply(entry)
+	remove()
+	assert.Equal(t, len(store.Keys(MemberPrefix)), 3, "no heartbeat is due yet")
 }
 
 // The entry of a running router was removed. Without a new one, no watcher is chosen from it and
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -121,7 +121,7 @@
 		prober:       relay.NewProber(),
 		backends:     backend.NewPool(),
 		metrics:      m,
-		roster:       leader.NewRoster(),
+		roster:       leader.NewRoster(s.Router.Peers, time.Now),
 		malformed:    malformedEntries{},
 		listen:       listenTCP,
 	}
@@ -166,7 +166,7 @@
 	updates.Register(r.links)
 }
 
-// reachableRouters returns the registered routers with a recent heartbeat.
+// reachableRouters returns the registered routers that are reachable.
 func (r *Router) reachableRouters() []follow.Router {
 	reachable := r.exchange.ReachablePeers()
 	var out []follow.Router
@@ -472,7 +472,7 @@
 // removeGoneRouters removes the entries of routers that are gone while this router leads.
 func (r *Router) removeGoneRouters(ctx context.Context) {
 	if r.elector.FencingToken() != 0 {
-		r.roster.RemoveGone(ctx, r.store, r.settings.Router.Peers, r.exchange.Silence, r.exchange.GoneAfter())
+		r.roster.RemoveGone(ctx, r.store, r.exchange.Silence, r.exchange.GoneAfter())
 	}
 }
 
