peers: lists of changes are compressed as a whole

Cause: a watcher sent 2.1 MB a second for ten seconds while 518 engines registered, 46 copies of each entry as text: the whole link of a small instance, on a fleet that has no wide ones. It grows with routers x engines; at 1,000 of each it would be 9 MB a second.

Change: a router that says that it understands it gets lists from 4 KB on compressed, encoded once for all that poll for the same revision. Others get them as before.

--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -95,8 +95,9 @@
 type RouterUpdatesRequest struct {
 	After  model.Revision `json:"after"`
 	WaitMS int64          `json:"wait"`
-	// Unchanged is set if the requester understands RouterUpdate.Unchanged.
-	Unchanged bool `json:"unchanged,omitempty"`
+	// Compact is set if the requester understands RouterUpdates.Packed and
+	// RouterUpdate.Unchanged.
+	Compact bool `json:"compact,omitempty"`
 }
 
 // RouterUpdates carries the changes up to a revision, or the full contents of the store
@@ -112,7 +113,9 @@
 	GraceMS   int64 `json:"grace,omitempty"`
 	// Items is a list of RouterUpdate. It is encoded once for all queries with the same
 	// answer.
-	Items json.RawMessage `json:"items"`
+	Items json.RawMessage `json:"items,omitempty"`
+	// Packed is that list compressed with DEFLATE, instead of Items.
+	Packed []byte `json:"packed,omitempty"`
 }
 
 // RouterUpdate is a key of the store and its value.
--- a/internal/transport/peers/news.go
+++ b/internal/transport/peers/news.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// minCompressSize is the size in bytes from which values are compressed. Entries of
-	// engines and routers are smaller.
+	// minCompressSize is the size in bytes from which values and lists of changes are
+	// compressed. Entries of engines and routers are smaller, but differ little from each
+	// other.
 	minCompressSize = 4 << 10
 	// maxValueSize limits a value in an update, in bytes. Larger values are fetched apart,
 	// because sending them to a dozen routers at once would saturate the link of a small
@@ -47,8 +48,9 @@
 // same revision at once.
 type encodedItems struct {
 	after, revision model.Revision
-	full, unchanged bool
+	full, compact   bool
 	items           json.RawMessage
+	packed          []byte // items compressed; nil if they are short or not compact
 }
 
 // Register registers the method that peers call.
@@ -60,12 +62,16 @@
 // them.
 func (n *Updates) Poll(ctx context.Context, addr string, after model.Revision, wait time.Duration) (follow.Updates, error) {
 	var reply wire.RouterUpdates
-	req := wire.RouterUpdatesRequest{After: after, WaitMS: wait.Milliseconds(), Unchanged: true}
+	req := wire.RouterUpdatesRequest{After: after, WaitMS: wait.Milliseconds(), Compact: true}
 	if err := n.Pool.Call(ctx, addr, wire.MethodRouterUpdates, req, &reply); err != nil {
 		n.Pool.Reset(addr)
 		return follow.Updates{}, err
 	}
-	items, err := decodeItems(reply.Items, after, reply.Full)
+	raw, err := unpackItems(reply)
+	if err != nil {
+		return follow.Updates{}, err
+	}
+	items, err := decodeItems(raw, after, reply.Full)
 	if err != nil {
 		return follow.Updates{}, err
 	}
@@ -86,42 +92,60 @@
 	if updates.Full {
 		klog.InfoS("full contents of the store sent to a peer", "peer", from, "after", req.After, "revision", updates.Revision, "items", len(updates.Items))
 	}
-	items, err := n.encode(req.After, updates.Changes, req.Unchanged)
-	return wire.RouterUpdates{
+	encoded, err := n.encode(req.After, updates.Changes, req.Compact)
+	reply := wire.RouterUpdates{
 		Revision:  updates.Revision,
 		Full:      updates.Full,
 		AgeMS:     ceilMilliseconds(updates.Age),
 		ElapsedMS: updates.Elapsed.Milliseconds(),
 		GraceMS:   updates.Grace.Milliseconds(),
-		Items:     items,
-	}, err
+		Packed:    encoded.packed,
+	}
+	if reply.Packed == nil {
+		reply.Items = encoded.items
+	}
+	return reply, err
 }
 
-// encode encodes the changes after a revision. unchanged reports whether the receiver
-// understands Unchanged items.
-func (n *Updates) encode(after model.Revision, a replica.Changes, unchanged bool) (json.RawMessage, error) {
+// encode encodes the changes after a revision. compact reports whether the receiver
+// understands compressed lists and Unchanged items.
+func (n *Updates) encode(after model.Revision, a replica.Changes, compact bool) (encodedItems, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cache.items != nil && n.cache.after == after && n.cache.revision == a.Revision && n.cache.full == a.Full && n.cache.unchanged == unchanged {
-		return n.cache.items, nil
+	if n.cache.items != nil && n.cache.after == after && n.cache.revision == a.Revision && n.cache.full == a.Full && n.cache.compact == compact {
+		return n.cache, nil
 	}
-	if unchanged {
+	encoded := encodedItems{after: after, revision: a.Revision, full: a.Full, compact: compact}
+	if compact {
 		a = a.WithoutKnown(after)
 	}
 	items := make([]wire.RouterUpdate, 0, len(a.Items))
 	for _, it := range a.Items {
 		w, err := encodeItem(it)
 		if err != nil {
-			return nil, err
+			return encodedItems{}, err
 		}
 		items = append(items, w)
 	}
-	raw, err := json.Marshal(items)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode updates")
+	var err error
+	if encoded.items, err = json.Marshal(items); err != nil {
+		return encodedItems{}, errors.Wrap(err, "encode updates")
+	}
+	if compact && len(encoded.items) >= minCompressSize {
+		if encoded.packed, err = compress(encoded.items); err != nil {
+			return encodedItems{}, err
+		}
+	}
+	n.cache = encoded
+	return encoded, nil
+}
+
+// unpackItems returns the list of items of an answer.
+func unpackItems(reply wire.RouterUpdates) (json.RawMessage, error) {
+	if len(reply.Packed) == 0 {
+		return reply.Items, nil
 	}
-	n.cache = encodedItems{after: after, revision: a.Revision, full: a.Full, unchanged: unchanged, items: raw}
-	return raw, nil
+	return decompressAll(reply.Packed)
 }
 
 // decodeItems decodes a list of items. It returns an error if an item has no key or is not
--- a/internal/transport/peers/news_test.go
+++ b/internal/transport/peers/news_test.go
@@ -86,14 +86,33 @@
 	assert.NilError(t, err)
 	short, err := n.encode(1000, full, true)
 	assert.NilError(t, err)
-	assert.Assert(t, 10*len(short) < len(whole), "%d of %d bytes", len(short), len(whole))
-	items, err := decodeItems(short, 1000, true)
+	assert.Assert(t, 10*len(short.items) < len(whole.items), "%d of %d bytes", len(short.items), len(whole.items))
+	assert.Assert(t, whole.packed == nil, "sent to routers that do not understand it")
+	items, err := decodeItems(short.items, 1000, true)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, receiver.FillUnchanged(items), full.Items)
 	items[0].Revision = 999 // another revision than the receiver has
 	assert.Assert(t, receiver.FillUnchanged(items)[0].Omitted)
 }
 
+// All engines of a large fleet register within seconds, and a watcher passes each entry on to
+// half of its domain. As plain text they take the whole link of a small instance.
+func TestManyEntriesAreCompressedTogether(t *testing.T) {
+	changes := replica.Changes{Revision: 1000}
+	for i := range 500 {
+		value := fmt.Sprintf(`{"service":"m%d","address":"10.%d.64.%d:8383","zone":"zone-%d","version":1,"slots":192,"state":"ready","cold_remaining_ms":0,"sequence":%d,`+
+			`"models":[{"name":"m","version":1,"adapters":[]}],"layers":{"from":%d,"to":%d,"version":1},"type":"card"}`, i%3, i%5, i%250, i%5, i%7, i%70, i%70+10)
+		changes.Items = append(changes.Items, replica.Item{Item: platform.Item{Key: fmt.Sprintf("servers/i-%08x", rand.Uint32()), Value: []byte(value), Revision: model.Revision(i + 1)}})
+	}
+	n, addr := newUpdatesPair(t, follow.Updates{Changes: changes}, nil)
+	got, err := n.Poll(t.Context(), addr, 0, time.Second)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Changes, changes)
+	encoded, err := n.encode(0, changes, true)
+	assert.NilError(t, err)
+	assert.Assert(t, 4*len(encoded.packed) < len(encoded.items), "%d of %d bytes", len(encoded.packed), len(encoded.items))
+}
+
 // A router that itself polls a peer must not be used as a source of updates.
 func TestPollOfARouterThatDoesNotWatchFails(t *testing.T) {
 	n, addr := newUpdatesPair(t, follow.Updates{}, follow.ErrNotWatching)
@@ -127,11 +146,11 @@
 	assert.NilError(t, err)
 	again, err := n.encode(4, changes(5), true)
 	assert.NilError(t, err)
-	assert.Assert(t, &first[0] == &again[0])
+	assert.Assert(t, &first.items[0] == &again.items[0])
 	for _, other := range []struct{ after, revision model.Revision }{{3, 5}, {4, 6}} {
-		raw, err := n.encode(other.after, changes(other.revision), true)
+		encoded, err := n.encode(other.after, changes(other.revision), true)
 		assert.NilError(t, err)
-		assert.Assert(t, &raw[0] != &first[0])
+		assert.Assert(t, &encoded.items[0] != &first.items[0])
 	}
 }
 
