--- a/internal/coordination/leader/roster.go
+++ b/internal/coordination/leader/roster.go
@@ -112,8 +112,8 @@
 }
 
 // RemoveGone removes the entries of the other routers that have been silent for longer than
-// limit from the store. Only the leader calls it. Entries that were written anew meanwhile
-// stay, as do those in the same call; they are removed with the next one.
+// limit from the store. Only the leader calls it. If an entry was written again meanwhile,
+// its whole batch stays and is tried again by the next call.
 func (r *Roster) RemoveGone(ctx context.Context, store platform.Store, silence func(addr string) time.Duration, limit time.Duration) {
 	for gone := r.gone(silence, limit); len(gone) > 0; {
 		batch := gone[:min(len(gone), maxRemovals)]
