relay: the latency of a plain server decays without responses

Callers saw: a plain server that was slow for a moment got no request again while another one was idle, and the end of its rate limit was not noticed.

Cause: the choice compares smoothed latencies, and a server that is not asked keeps its last one for ever, while the failure rate decays.

Change: the latency decays with a time constant of 3 s for the choice, and an old value has as little weight in the next average. What counts as a slow attempt still uses the latency as measured. Time constant: a server measured at r times the latency of the others is tried again after 3 s x ln r: 9 s at 20, 17 s at 300.

--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -132,6 +132,25 @@
 	assert.Assert(t, v.FailureRate > 0 && v.FailureRate < failureRateWeight)
 }
 
+// A backend server that was slow once gets no requests while others are faster. Its latency
+// must not stay as measured then.
+func TestLatencyDecaysWithoutResponses(t *testing.T) {
+	at, now := clock()
+	h := NewHealth(now)
+	record := func(latency time.Duration) {
+		h.Begin(inc("a"))
+		h.End(inc("a"), true, latency)
+	}
+	record(time.Second)
+	*at = at.Add(10 * latencyDecay)
+	assert.Assert(t, h.View(inc("a")).DecayedLatency < time.Millisecond)
+	assert.Equal(t, h.View(inc("a")).Latency, time.Second)
+	record(2 * time.Millisecond)
+	assert.Assert(t, h.View(inc("a")).Latency < 3*time.Millisecond, "the old latency has no weight any more")
+	record(time.Second)
+	assert.Assert(t, h.View(inc("a")).Latency < 200*time.Millisecond, "one response among recent ones has little weight")
+}
+
 // A stream that started before an engine refused requests ends well there. That must
 // not lift the refusal.
 func TestOlderRequestDoesNotClearSuspicion(t *testing.T) {
--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -29,7 +29,12 @@
 	// new outcomes. A backend server avoided because of it would otherwise never get
 	// requests again.
 	failureRateDecay = 15 * time.Second
-	latencyWeight    = 0.1
+	// latencyWeight is the weight of the newest latency if the one before it is recent.
+	latencyWeight = 0.1
+	// latencyDecay is the time constant with which the latency loses its weight without new
+	// responses. A backend server that was slow for a moment would otherwise never get
+	// requests again while the others are idle.
+	latencyDecay = 3 * time.Second
 )
 
 // Health holds the direct evidence about backend servers, by incarnation. It is safe
@@ -48,7 +53,8 @@
 	failureCount   int       // consecutive suspicions and lasting refusals
 	failureRate    float64   // smoothed, as of failureRateAt
 	failureRateAt  time.Time
-	latency        time.Duration
+	latency        time.Duration // smoothed, as of latencyAt
+	latencyAt      time.Time
 	active         int // requests of this process in progress
 }
 
@@ -208,14 +214,11 @@
 		if ok {
 			r.failureCount = 0
 		}
-		r.recordOutcome(h.now(), ok)
-		if latency <= 0 {
-			return
-		}
-		if r.latency == 0 {
-			r.latency = latency
+		now := h.now()
+		r.recordOutcome(now, ok)
+		if latency > 0 {
+			r.recordLatency(now, latency)
 		}
-		r.latency += time.Duration(latencyWeight * float64(latency-r.latency))
 	})
 }
 
@@ -239,6 +242,20 @@
 	r.failureRateAt = now
 }
 
+func (r *record) recordLatency(now time.Time, latency time.Duration) {
+	weight := 1 - (1-latencyWeight)*r.latencyRemainder(now)
+	r.latency += time.Duration(weight * float64(latency-r.latency))
+	r.latencyAt = now
+}
+
+// latencyRemainder returns the part of the latency's weight that is left, from 0 to 1.
+func (r *record) latencyRemainder(now time.Time) float64 {
+	if r.latencyAt.IsZero() {
+		return 0
+	}
+	return math.Exp(-now.Sub(r.latencyAt).Seconds() / latencyDecay.Seconds())
+}
+
 // decayedFailureRate returns the failure rate as of now.
 func (r *record) decayedFailureRate(now time.Time) float64 {
 	return r.failureRate * math.Exp(-now.Sub(r.failureRateAt).Seconds()/failureRateDecay.Seconds())
@@ -258,8 +275,12 @@
 type View struct {
 	Suspected   bool
 	FailureRate float64
-	Latency     time.Duration
-	Active      int
+	// Latency is the smoothed latency of the responses.
+	Latency time.Duration
+	// DecayedLatency is Latency, less with each second without a response.
+	DecayedLatency time.Duration
+	// Active is the number of requests of this process in progress.
+	Active int
 }
 
 // View returns the evidence about one backend server.
@@ -267,7 +288,10 @@
 	var v View
 	now := h.now()
 	h.update(inc, func(r *record) {
-		v = View{Suspected: r.suspected(now), FailureRate: r.decayedFailureRate(now), Latency: r.latency, Active: r.active}
+		v = View{
+			Suspected: r.suspected(now), FailureRate: r.decayedFailureRate(now), Active: r.active,
+			Latency: r.latency, DecayedLatency: time.Duration(float64(r.latency) * r.latencyRemainder(now)),
+		}
 	})
 	return v
 }
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -117,7 +117,7 @@
 				q.refusedByLimits = true
 				continue
 			}
-			cost := (1 + float64(view.Active)) * (0.01 + view.Latency.Seconds()) * (1 + 8*view.FailureRate)
+			cost := (1 + float64(view.Active)) * (0.01 + view.DecayedLatency.Seconds()) * (1 + 8*view.FailureRate)
 			if b.FailureDomain != q.FailureDomain {
 				cost += 0.001
 			}
--- a/internal/protocol/relay/limit_test.go
+++ b/internal/protocol/relay/limit_test.go
@@ -112,3 +112,34 @@
 		}
 	})
 }
+
+// The limited server was slow for a moment. With the latency of then the other one remained
+// cheaper for ever, and neither the share of the limit nor its end was noticed.
+func TestLimitedServerIsUsedAfterItWasSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := map[string]string{"one:1": "2"}
+		latency := map[string]time.Duration{"one:1": 40 * time.Millisecond, "two:1": 2 * time.Millisecond}
+		s, sent := newLimitedFixture(false, limits)
+		do := s.BackendClient.(fakeBackend)
+		s.BackendClient = fakeBackend(func(ctx context.Context, addr string, r *Request) (*Response, error) {
+			time.Sleep(latency[addr])
+			return do(ctx, addr, r)
+		})
+		serveFor := func(d time.Duration) (sentToLimited int) {
+			before := sent["one:1"]
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				out, _ := s.serveOne(t)
+				assert.Equal(t, out.status, http.StatusOK)
+			}
+			return sent["one:1"] - before
+		}
+		serveFor(2 * time.Second)
+		assert.Assert(t, sent["one:1"] > 0)
+		latency["one:1"] = 2 * time.Millisecond
+		serveFor(15 * time.Second)
+		assert.Assert(t, serveFor(10*time.Second) >= 10, "%v", sent)
+		delete(limits, "one:1")
+		serveFor(15 * time.Second)
+		assert.Equal(t, len(s.Limits.Rates()), 0, "the end of the limit is known")
+	})
+}
