peers: heartbeats go out in rounds of equal size

At 470 routers each sent its heartbeats in bursts of 182 every 1.94 s: to all near peers and a fifth of the far ones at once. Far peers got one every 9.7 s; at 1,000 routers every 20.7 s, which is longer than the 20 s after which an unregistered router counts as gone, and counts of far peers were valid for 84 s.

Cause: a round was as long as the interval of near peers, and the interval of far peers a whole number of such rounds: the rest of the budget was lost.

Change: rounds of 250 ms at any number of routers, in each an equal part of the near and of the far peers, in a module of its own (coordination/gossip). Worked out from it, the same budget of 96 a second:

routers, 5 domains near before, now far before, now 103 0.42, 0.50 s 2.1, 1.5 s 470 1.94, 2.0 s 9.7, 7.75 s 1,000 4.1, 4.25 s 20.7, 16.5 s

Tests: TestRoundsReachEveryPeer (now of both kinds, and of equal size), TestPeersAreHeardBeforeTheyCountAsGone; TestHeartbeatRateIsBounded as it was.

--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -9,8 +9,8 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 )
 
-// timeout is how long an unregistered router counts as running after its last heartbeat.
-const timeout = 20 * time.Second
+// Timeout is how long an unregistered router counts as running after its last heartbeat.
+const Timeout = 20 * time.Second
 
 // Table holds what this router knows of the others, by link address. It is safe for
 // concurrent use.
@@ -73,7 +73,7 @@
 func (t *Table) prune() {
 	now := t.now()
 	for addr, r := range t.others {
-		if !r.registered && now.Sub(r.heard) >= timeout {
+		if !r.registered && now.Sub(r.heard) >= Timeout {
 			delete(t.others, addr)
 		}
 	}
--- a/internal/coordination/presence/presence_test.go
+++ b/internal/coordination/presence/presence_test.go
@@ -81,6 +81,6 @@
 	near, far := table.Split(table.Others())
 	assert.Equal(t, len(near), 0)
 	assert.DeepEqual(t, far, []string{"a"})
-	now = now.Add(timeout)
+	now = now.Add(Timeout)
 	assert.DeepEqual(t, table.Others(), []string{"seed"})
 }
--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/gossip"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -89,7 +90,7 @@
 	for _, u := range b.Usage {
 		usage[u.Server] = chains.Usage{TokenLayers: float64(u.TokenLayers), Streams: float64(u.Streams), FirstStageStreams: float64(u.FirstStageStreams), PrefillLoad: u.PrefillLoad}
 	}
-	validity := validIntervals*time.Duration(b.IntervalMS)*time.Millisecond + validSlack
+	validity := gossip.Validity(milliseconds(b.IntervalMS))
 	x.Usage.SetPeerUsage(from, usage, validity)
 	rates := make(map[chains.DomainPair]float64, len(b.Interconnects))
 	for _, p := range b.Interconnects {
@@ -103,7 +104,7 @@
 		x.HandlePeerSuspicion(inc)
 	}
 	for inc, remaining := range b.Refusing {
-		x.HandlePeerRefusal(inc, x.Now().Add(limits.Jitter(time.Duration(remaining)*time.Millisecond)))
+		x.HandlePeerRefusal(inc, x.Now().Add(limits.Jitter(milliseconds(remaining))))
 	}
 	x.RetryBorrower.SetPeerTokens(from, b.SpareTokens, validity)
 	x.mergeLimits(from, b.Limits)
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -25,21 +25,6 @@
 )
 
 const (
-	// heartbeatInterval is the interval between two heartbeats to a peer while there are
-	// few peers. Streams may last only a second, so older counts would be inaccurate.
-	heartbeatInterval = 250 * time.Millisecond
-	// maxHeartbeats is the maximum number of heartbeats that a router sends per second, and
-	// that it receives on average, at any number of routers. Four a second to each peer
-	// would be 1,500 at 380 routers.
-	maxHeartbeats = 96
-	// nearShare is the largest share of maxHeartbeats for routers of the own failure
-	// domain. They start streams at the same engines as this router. With outdated counts,
-	// too many streams are assigned to an engine and queue there.
-	nearShare = 0.5
-	// validIntervals and validSlack determine how long the counts of a peer are valid
-	// after a heartbeat.
-	validIntervals = 4
-	validSlack     = time.Second
 	// sendTimeout is the timeout for sending one message.
 	sendTimeout = 700 * time.Millisecond
 	// minGone is the shortest silence after which a router counts as gone for good. Until its
@@ -203,15 +188,14 @@
 // ReachablePeers returns the link addresses of the peers of which something was heard
 // within the time that a heartbeat is valid.
 func (x *Exchange) ReachablePeers() map[string]bool {
-	s := x.schedule()
-	return x.presence.Reachable(s.validity)
+	return x.presence.Reachable(x.schedule().Validity)
 }
 
 // Silence returns how long nothing was heard of a registered router.
 func (x *Exchange) Silence(addr string) time.Duration { return x.presence.Silence(addr) }
 
 // GoneAfter returns the silence after which a router's entry may be removed.
-func (x *Exchange) GoneAfter() time.Duration { return max(minGone, x.schedule().validity(false)) }
+func (x *Exchange) GoneAfter() time.Duration { return max(minGone, x.schedule().Validity(false)) }
 
 // PeerHasTraffic reports whether a peer received requests from callers.
 func (x *Exchange) PeerHasTraffic() bool {
--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/gossip"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -32,34 +33,15 @@
 		assert.Equal(t, x.RouterCount(), routers)
 		p := x.schedule()
 		near, far := float64(tc.each-1), float64(routers-tc.each)
-		perSecond := near/p.nearInterval.Seconds() + far/p.farInterval().Seconds()
+		perSecond := near/p.Interval(true).Seconds() + far/p.Interval(false).Seconds()
 		assert.Assert(t, perSecond <= 96, "%+v: %.0f messages a second", tc, perSecond)
 		if routers <= 21 {
-			assert.Equal(t, p, schedule{nearInterval: heartbeatInterval, rounds: 1}, "%+v: full rate with few routers", tc)
+			assert.Equal(t, p, gossip.Schedule{Near: 1, Far: 1}, "%+v: full rate with few routers", tc)
 		}
 		if tc.each <= 21 {
-			assert.Assert(t, p.nearInterval <= 500*time.Millisecond, "%+v: %v", tc, p.nearInterval)
+			assert.Assert(t, p.Interval(true) <= 500*time.Millisecond, "%+v: %v", tc, p.Interval(true))
 		}
-		assert.Assert(t, p.farInterval() <= 8*time.Second, "%+v: %v", tc, p.farInterval())
-	}
-}
-
-// Over all rounds of a schedule, each far peer gets exactly one heartbeat.
-func TestRoundsReachEveryPeer(t *testing.T) {
-	const near, far = 20, 82
-	p := newSchedule(near, far)
-	assert.Assert(t, p.rounds > 1)
-	heartbeats := map[int]int{}
-	for round := range p.rounds {
-		for i := range far {
-			if (i+round)%p.rounds == 0 {
-				heartbeats[i]++
-			}
-		}
-	}
-	assert.Equal(t, len(heartbeats), far)
-	for i, n := range heartbeats {
-		assert.Equal(t, n, 1, "peer %d", i)
+		assert.Assert(t, p.Interval(false) <= 8*time.Second, "%+v: %v", tc, p.Interval(false))
 	}
 }
 
