peers: what a router finds out about an engine is passed on by those that hear of it

A slowdown is valid for 3 s, so that most of a large fleet did not know it most of the time, and asked the engine itself.

Change: a heartbeat carries reports on engines that are new to its sender, its own and those of others, for two rounds. A report keeps the timestamp of the router that found it out; copies and older ones are dropped, so it can't travel in a circle, and an end of a slowdown replaces it everywhere. The router that found it out still repeats it in all of its heartbeats, for peers that missed it.

Ways weighed: watchers collect and answer with the polls (age 2 to 3 s, a frozen watcher stops a domain); all of a router's knowledge in each heartbeat (bytes grow with what is known); bounded piggybacking as in SWIM (kept). Suspicions stay as they were: each receiver probes the engine, and 470 probes of one engine at once would be worse than late ones. Counts of streams and retry tokens are sums by router and still age with the fleet.

--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -413,7 +413,7 @@
 	m.SetPeerSlowdown(inc("a1"), 4)
 	assert.Equal(t, m.Slowdown(inc("a1")), 2.0)
 	assert.DeepEqual(t, m.OwnSlowdowns(), map[model.Incarnation]float64{inc("a1"): 2})
-	f.now = f.now.Add(slowdownTTL)
+	f.now = f.now.Add(SlowdownTTL)
 	assert.Equal(t, m.Slowdown(inc("a1")), 1.0)
 	assert.Assert(t, m.SetSlowdown(inc("a1"), 1), "a recovery is a change")
 }
--- a/internal/coordination/chains/memory.go
+++ b/internal/coordination/chains/memory.go
@@ -7,8 +7,8 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// slowdownTTL is how long a reported slowdown is valid.
-const slowdownTTL = 3 * time.Second
+// SlowdownTTL is how long a reported slowdown is valid.
+const SlowdownTTL = 3 * time.Second
 
 // prefillDecayTime is the time constant of the average prefill load.
 const prefillDecayTime = time.Second
@@ -142,11 +142,11 @@
 }
 
 // Slowdown returns the factor by which an engine reports to be slower than its accelerator
-// type; 1 if it reported none within slowdownTTL.
+// type; 1 if it reported none within SlowdownTTL.
 func (t *UsageTracker) Slowdown(inc model.Incarnation) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.slowdowns[inc]; ok && t.now().Sub(s.at) < slowdownTTL {
+	if s, ok := t.slowdowns[inc]; ok && t.now().Sub(s.at) < SlowdownTTL {
 		return s.factor
 	}
 	return 1
@@ -171,7 +171,7 @@
 func (t *UsageTracker) SetPeerSlowdown(inc model.Incarnation, factor float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.slowdowns[inc]; s.own && t.now().Sub(s.at) < slowdownTTL {
+	if s := t.slowdowns[inc]; s.own && t.now().Sub(s.at) < SlowdownTTL {
 		return
 	}
 	t.slowdowns[inc] = slowdownReport{at: t.now(), factor: factor}
--- a/internal/coordination/gossip/schedule.go
+++ b/internal/coordination/gossip/schedule.go
@@ -1,4 +1,5 @@
-// Package gossip decides which routers get a heartbeat when. It does no I/O.
+// Package gossip decides which routers get a heartbeat when, and which reports on engines
+// travel on with it. It does no I/O.
 package gossip
 
 import (
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -280,6 +280,7 @@
 	rel.SlowdownMonitor.Catalog = r.catalog
 	rel.SlowdownMonitor.Report = rel.Report
 	rel.SlowdownMonitor.Now = time.Now
+	rel.SlowdownMonitor.Announce = r.exchange.AnnounceSlowdown
 	r.prober.Health = r.health
 	r.prober.Catalog = r.catalog
 	r.prober.Report = rel.Report
--- a/internal/hlc/hlc.go
+++ b/internal/hlc/hlc.go
@@ -4,6 +4,7 @@
 package hlc
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -15,11 +16,11 @@
 }
 
 // Before reports whether t is earlier than o.
-func (t Timestamp) Before(o Timestamp) bool {
-	if t.Wall != o.Wall {
-		return t.Wall < o.Wall
-	}
-	return t.Logical < o.Logical
+func (t Timestamp) Before(o Timestamp) bool { return t.Compare(o) < 0 }
+
+// Compare returns -1 if t is earlier than o, 1 if it is later, and 0 if they are equal.
+func (t Timestamp) Compare(o Timestamp) int {
+	return cmp.Or(cmp.Compare(t.Wall, o.Wall), cmp.Compare(t.Logical, o.Logical))
 }
 
 // maxAhead is how far a peer's clock may advance this clock. Otherwise a peer whose clock
--- a/internal/protocol/relay/pace.go
+++ b/internal/protocol/relay/pace.go
@@ -31,6 +31,8 @@
 	Catalog *catalog.Catalog
 	Report  func(ctx context.Context, b *model.BackendServer) (model.EngineReport, error)
 	Now     func() time.Time
+	// Announce reports a slowdown, or its end, to the other routers. It may be nil.
+	Announce func(engine model.Incarnation, factor float64)
 
 	mu         sync.Mutex
 	lastPolled map[model.Incarnation]time.Time
@@ -93,7 +95,11 @@
 	used := m.Usage.Used(b.Incarnation())
 	klog.InfoS("engine report", "request", request, "server", b.Incarnation(), "usedTokenLayers", report.UsedTokenLayers, "totalTokenLayers", report.TotalTokenLayers,
 		"countedTokenLayers", used.TokenLayers, "countedStreams", used.Streams, "reading", used.PrefillLoad, "inFlight", report.Active, "queued", report.Queued, "slowdown", report.Slowdown)
-	if m.Usage.SetSlowdown(b.Incarnation(), report.Slowdown) {
+	changed := m.Usage.SetSlowdown(b.Incarnation(), report.Slowdown)
+	if m.Announce != nil && (changed || report.Slowdown > 1) {
+		m.Announce(b.Incarnation(), report.Slowdown)
+	}
+	if changed {
 		klog.InfoS("engine slowdown changed", "request", request, "server", b.Incarnation(), "factor", report.Slowdown, "eventGap", actual, "planned", planned)
 	}
 }
--- a/internal/protocol/wire/heartbeat.go
+++ b/internal/protocol/wire/heartbeat.go
@@ -1,6 +1,9 @@
 package wire
 
-import "github.com/skylarkwood/skylarkwood/internal/model"
+import (
+	"github.com/skylarkwood/skylarkwood/internal/hlc"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
 
 // RouterHeartbeat is the state that a router sends to its peers several times per
 // second.
@@ -33,6 +36,20 @@
 	HasTraffic bool
 	// Limits are the rate limits that backend servers advertised to any router.
 	Limits map[model.Incarnation]RateLimit
+	// Reports are what this router or others found out about engines lately.
+	Reports []EngineNotice
+}
+
+// EngineNotice is what some router found out about an engine: that it refuses requests, or
+// that it is slower than its accelerator type.
+type EngineNotice struct {
+	Server model.Incarnation
+	// At is when the router found it out. Of two notices of one kind the later one counts.
+	At hlc.Timestamp
+	// RemainingMS is for how many milliseconds it is still valid.
+	RemainingMS int64
+	// Slowdown is the factor, 1 if the engine is no longer slow, or 0 if it refuses requests.
+	Slowdown float64
 }
 
 // RateLimit is a rate limit of a backend server.
@@ -87,13 +104,23 @@
 	packEach(p, b.Suspects, p.incarnation, p.number)
 	packEach(p, b.Refusing, p.incarnation, p.number)
 	packEach(p, b.SpareTokens, p.text, func(n int) { p.number(int64(n)) })
-	if len(b.Limits) > 0 {
+	if len(b.Limits) > 0 || len(b.Reports) > 0 {
 		packEach(p, b.Limits, p.incarnation, func(l RateLimit) {
 			p.flag(l.Ended)
 			p.fraction(l.Rate)
 			p.number(l.AgeMS)
 		})
 	}
+	if len(b.Reports) > 0 {
+		p.number(int64(len(b.Reports)))
+		for _, n := range b.Reports {
+			p.incarnation(n.Server)
+			p.number(n.At.Wall)
+			p.number(n.At.Logical)
+			p.number(n.RemainingMS)
+			p.fraction(n.Slowdown)
+		}
+	}
 	return p.b
 }
 
@@ -125,6 +152,15 @@
 			return RateLimit{Ended: u.flag(), Rate: u.fraction(), AgeMS: u.number()}
 		})
 	}
+	if len(u.b) > 0 { // sent only if there are any
+		b.Reports = make([]EngineNotice, u.count())
+		for i := range b.Reports {
+			b.Reports[i] = EngineNotice{
+				Server: u.incarnation(), At: hlc.Timestamp{Wall: u.number(), Logical: u.number()},
+				RemainingMS: u.number(), Slowdown: u.fraction(),
+			}
+		}
+	}
 	return b, u.err
 }
 
--- a/internal/protocol/wire/heartbeat_test.go
+++ b/internal/protocol/wire/heartbeat_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/skylarkwood/skylarkwood/internal/hlc"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
@@ -43,6 +44,12 @@
 				return RateLimit{Ended: rapid.Bool().Draw(t, "ended"), Rate: fraction.Draw(t, "limit"), AgeMS: number.Draw(t, "limitAge")}
 			})),
 		}
+		if n := rapid.IntRange(0, 6).Draw(t, "reports"); n > 0 {
+			b.Reports = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) EngineNotice {
+				return EngineNotice{Server: engine.Draw(t, "noticed"), At: hlc.Timestamp{Wall: number.Draw(t, "wall"), Logical: number.Draw(t, "logical")},
+					RemainingMS: number.Draw(t, "remaining"), Slowdown: fraction.Draw(t, "slowdown")}
+			}), n, n).Draw(t, "notices")
+		}
 		got, err := UnpackRouterHeartbeat(b.Pack())
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, b)
--- a/internal/transport/link/notice.go
+++ b/internal/transport/link/notice.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/hlc"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 )
 
@@ -28,6 +29,12 @@
 	return Notification{framed: frameNotification(head.Pack(body))}
 }
 
+// Timestamp returns a timestamp of the clock that the messages carry.
+func (p *Pool) Timestamp() hlc.Timestamp { return p.metadata.Clock.Now() }
+
+// Observe makes later timestamps of the clock later than t.
+func (p *Pool) Observe(t hlc.Timestamp) { p.metadata.Clock.Observe(t) }
+
 // Send sends a notification to a peer. Success means only that the kernel accepted it.
 func (p *Pool) Send(ctx context.Context, addr string, n Notification) error {
 	c, err := p.get(ctx, addr)
--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/gossip"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
@@ -42,6 +44,38 @@
 	}
 }
 
+// nextReports returns the reports on engines to pass on in the next round.
+func (x *Exchange) nextReports() []wire.EngineNotice {
+	now := x.Now()
+	var out []wire.EngineNotice
+	for _, r := range x.reports.NextRound() {
+		out = append(out, wire.EngineNotice{Server: r.Engine, At: r.At, RemainingMS: r.Until.Sub(now).Milliseconds(), Slowdown: r.Factor})
+	}
+	return out
+}
+
+// handleReports applies the reports on engines that a peer passes on.
+func (x *Exchange) handleReports(from string, reports []wire.EngineNotice) {
+	for _, n := range reports {
+		remaining := milliseconds(n.RemainingMS)
+		r := gossip.Report{Engine: n.Server, Kind: gossip.Refusal, At: n.At, Until: x.Now().Add(remaining), Factor: n.Slowdown}
+		if n.Slowdown > 0 {
+			r.Kind = gossip.Slowdown
+		}
+		x.Pool.Observe(r.At)
+		if !x.reports.Add(r) {
+			continue
+		}
+		klog.V(1).InfoS("report on engine received", "server", r.Engine, "peer", from, "slowdown", r.Factor, "remaining", remaining)
+		switch r.Kind {
+		case gossip.Refusal:
+			x.HandlePeerRefusal(r.Engine, x.Now().Add(limits.Jitter(remaining)))
+		case gossip.Slowdown:
+			x.Usage.SetPeerSlowdown(r.Engine, r.Factor)
+		}
+	}
+}
+
 func encodeLimits(limits map[model.Incarnation]ratelimit.Advertised) map[model.Incarnation]wire.RateLimit {
 	out := make(map[model.Incarnation]wire.RateLimit, len(limits))
 	for inc, a := range limits {
@@ -106,6 +140,7 @@
 	for inc, remaining := range b.Refusing {
 		x.HandlePeerRefusal(inc, x.Now().Add(limits.Jitter(milliseconds(remaining))))
 	}
+	x.handleReports(from, b.Reports)
 	x.RetryBorrower.SetPeerTokens(from, b.SpareTokens, validity)
 	x.mergeLimits(from, b.Limits)
 	x.ObservePeerRevision(b.Revision)
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/gossip"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/presence"
@@ -80,6 +81,7 @@
 	TransferSlot *transfer.Slot
 
 	presence *presence.Table
+	reports  *gossip.Board
 
 	mu             sync.Mutex
 	sending        map[string]bool // a message to the peer is in flight
@@ -93,6 +95,7 @@
 // Register registers the methods that peers call.
 func (x *Exchange) Register(s *link.Server) {
 	x.presence = presence.New(x.Self, x.Domain, x.Seeds, x.Now)
+	x.reports = gossip.NewBoard(x.Now)
 	x.sending = map[string]bool{}
 	x.suspects = map[model.Incarnation]time.Time{}
 	x.refusing = map[model.Incarnation]time.Time{}
@@ -144,11 +147,20 @@
 	return struct{}{}, nil
 }
 
-// AnnounceRefusal announces with the next heartbeats that an engine refuses requests.
+// AnnounceRefusal announces that an engine refuses requests: to all routers within a few
+// rounds of heartbeats, and with each heartbeat of this router until then.
 func (x *Exchange) AnnounceRefusal(engine model.Incarnation, until time.Time) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	x.refusing[engine] = until
+	x.mu.Unlock()
+	x.reports.Add(gossip.Report{Engine: engine, Kind: gossip.Refusal, At: x.Pool.Timestamp(), Until: until})
+}
+
+// AnnounceSlowdown announces what an engine reported to this router: the factor by which it is
+// slower than its accelerator type, or 1.
+func (x *Exchange) AnnounceSlowdown(engine model.Incarnation, factor float64) {
+	until := x.Now().Add(chains.SlowdownTTL)
+	x.reports.Add(gossip.Report{Engine: engine, Kind: gossip.Slowdown, At: x.Pool.Timestamp(), Until: until, Factor: max(factor, 1)})
 }
 
 // AnnounceEngineExit notifies the peers at once that an engine process exited, because
