relay: a right to send that is not used is given back

Callers of a server with a low limit were refused while nothing was sent to it: a suspect that waits for a trial took the right to send before it asked for the trial, and lost it each time it got none. A stream that has run asks every few milliseconds, so one suspect used up the whole share.

Evidence: TestSuspectsWithoutTrialLeaveTheLimitToOthers, 20 suspects without a trial before two servers of one request a second: the next request of another caller was answered 503, now 200, plain and engines alike.

Change: Tracker.Return; who gives a chosen server up before sending calls it. TestReturnedRightIsUsedAgain: one right is used once, and never more than may be saved up.

--- a/internal/coordination/ratelimit/counter.go
+++ b/internal/coordination/ratelimit/counter.go
@@ -27,6 +27,17 @@
 	c.slots[c.last%slotCount]++
 }
 
+// remove takes back the newest request, if it is still in the window.
+func (c *counter) remove(now time.Duration) {
+	c.advance(now)
+	for slot := c.last; slot > c.last-slotCount; slot-- {
+		if n := &c.slots[slot%slotCount]; *n > 0 {
+			*n--
+			return
+		}
+	}
+}
+
 func (c *counter) sum(now time.Duration) int {
 	c.advance(now)
 	total := 0
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -261,6 +261,21 @@
 	return true
 }
 
+// Return gives back what Take took for a request that was not sent after all.
+func (t *Tracker) Return(inc model.Incarnation) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.limits[inc]; l != nil && l.rate >= 0 {
+		l.tokens++
+	}
+	if c := t.sent[inc]; c != nil {
+		c.remove(t.clock())
+	}
+}
+
 // wait implements Wait for a server with a limit. What all routers sent before they knew the
 // limit counts against it. This router assumes that each of the others that sent to the server
 // sent as much as itself. The caller holds t.mu.
--- a/internal/coordination/ratelimit/ratelimit_test.go
+++ b/internal/coordination/ratelimit/ratelimit_test.go
@@ -175,3 +175,23 @@
 		}
 	})
 }
+
+// A request was given up after it had taken the right to send, as another router ran it. The
+// right must not be lost: the limit of a server that only suspects ask for was never used.
+func TestReturnedRightIsUsedAgain(t *testing.T) {
+	tr, c := newTestTracker("a")
+	tr.Observe(engine, 1, c.now)
+	c.now += 5 * time.Second
+	for tr.Take(engine) {
+	}
+	assert.Assert(t, !tr.Available(engine))
+	for range 50 {
+		tr.Return(engine)
+		assert.Assert(t, tr.Take(engine))
+	}
+	assert.Assert(t, !tr.Take(engine), "one right, used once")
+	c.now += 20 * time.Second
+	tr.Return(engine)
+	c.now += 10 * time.Second
+	assert.Assert(t, sendFor(tr, c, time.Second) <= 3, "no more than what may be saved up")
+}
--- a/internal/protocol/relay/limit_test.go
+++ b/internal/protocol/relay/limit_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -143,3 +144,36 @@
 		assert.Equal(t, len(s.Limits.Rates()), 0, "the end of the limit is known")
 	})
 }
+
+// Suspects that wait for a trial asked again and again and used up the limit of every server,
+// though none of them was sent.
+func TestSuspectsWithoutTrialLeaveTheLimitToOthers(t *testing.T) {
+	for _, isEngine := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s, _ := newLimitedFixture(isEngine, map[string]string{"one:1": "1", "two:1": "1"})
+			for range 10 {
+				s.serveOne(t)
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(10 * time.Second)
+			suspect := &model.Call{Attempt: "2", Method: "POST", Host: "h", Path: "/", Body: []byte("suspect")}
+			fingerprint := func() model.Fingerprint { return suspect.Fingerprint("") }
+			for _, id := range []string{"x", "y"} {
+				run := s.Quarantine.Begin(fingerprint, false, quarantine.Location{Server: inc(id), Domain: id})
+				s.Quarantine.ServerExited(inc(id), id)
+				run.End(quarantine.ConnectionLost)
+			}
+			time.Sleep(2 * time.Second)
+			s.RequestTrial = func(context.Context, model.Fingerprint, []model.Incarnation) quarantine.Grant {
+				return quarantine.Grant{}
+			}
+			for range 20 {
+				out := &recordingWriter{}
+				assert.Assert(t, s.Serve(t.Context(), suspect, out))
+				assert.Equal(t, out.status, http.StatusServiceUnavailable)
+			}
+			out, _ := s.serveOne(t)
+			assert.Equal(t, out.status, http.StatusOK)
+		})
+	}
+}
--- a/internal/protocol/relay/suspect.go
+++ b/internal/protocol/relay/suspect.go
@@ -136,6 +136,7 @@
 				return stages, reservation, nil
 			}
 			reservation.Release()
+			s.Limits.Return(stages[0].Server.Incarnation())
 			s.WaitQueue.Notify()
 			if perm == chooseAgain {
 				continue
@@ -204,10 +205,12 @@
 		case server == nil:
 			return nil, nil
 		}
-		switch q.startTrial(ctx, []model.Incarnation{server.Incarnation()}) {
-		case runNow:
+		perm := q.startTrial(ctx, []model.Incarnation{server.Incarnation()})
+		if perm == runNow {
 			return server, nil
-		case notNow:
+		}
+		q.Limits.Return(server.Incarnation())
+		if perm == notNow {
 			return nil, q.trialError(v.Exits)
 		}
 	}
