peers: a large value is compressed without the lock of the others

A router that compressed a large value held the lock that the requests for all other values, and its own transfers, need. Now the entry is made under the lock, the first request for it compresses it, and others for the same value wait for that one. The tests of the package for values sent and fetched hold as they were.

--- a/internal/transport/peers/values.go
+++ b/internal/transport/peers/values.go
@@ -48,12 +48,14 @@
 	partial partialValue
 }
 
-// encodedValue is a compressed value.
+// encodedValue is a value to send.
 type encodedValue struct {
-	key        string
-	checksum   uint64 // of the uncompressed value
-	revision   model.Revision
-	compressed []byte
+	key      string
+	checksum uint64 // of the uncompressed value
+	revision model.Revision
+	// compressed returns the compressed value. The first call compresses it, without the lock
+	// that those who ask for other values need.
+	compressed func() ([]byte, error)
 }
 
 // partialValue is the beginning of a value whose transfer ended midway.
@@ -73,18 +75,22 @@
 	if err != nil {
 		return wire.RouterValue{}, err
 	}
+	compressed, err := e.compressed()
+	if err != nil {
+		return wire.RouterValue{}, err
+	}
 	offset := req.Offset
-	if e.checksum != req.Checksum || offset < 0 || offset > len(e.compressed) {
+	if e.checksum != req.Checksum || offset < 0 || offset > len(compressed) {
 		offset = 0
 	}
-	end := min(offset+partSize, len(e.compressed))
-	if !v.Uploads.Admit(from, end == len(e.compressed)) {
+	end := min(offset+partSize, len(compressed))
+	if !v.Uploads.Admit(from, end == len(compressed)) {
 		return wire.RouterValue{}, errors.WithStack(fault.New(fault.NotReady, "this router sends values to other peers"))
 	}
-	return wire.RouterValue{Checksum: e.checksum, Revision: e.revision, Size: len(e.compressed), Offset: offset, Part: e.compressed[offset:end]}, nil
+	return wire.RouterValue{Checksum: e.checksum, Revision: e.revision, Size: len(compressed), Offset: offset, Part: compressed[offset:end]}, nil
 }
 
-// find returns the compressed value of a key with a checksum, or this router's value if it no
+// find returns the value of a key with a checksum, or this router's value if it no
 // longer has that one.
 func (v *Values) find(key string, checksum uint64) (*encodedValue, error) {
 	v.mu.Lock()
@@ -104,11 +110,7 @@
 			return e, nil
 		}
 	}
-	compressed, err := compress(it.Value)
-	if err != nil {
-		return nil, err
-	}
-	e := &encodedValue{key: key, checksum: sum, revision: it.Revision, compressed: compressed}
+	e := &encodedValue{key: key, checksum: sum, revision: it.Revision, compressed: sync.OnceValues(func() ([]byte, error) { return compress(it.Value) })}
 	v.encoded = append(v.encoded, e)
 	if len(v.encoded) > maxEncodedValues {
 		v.encoded = v.encoded[1:]
