daemon: processor and memory profiles at the metrics address

Profiles of processor time and memory are served beside the metrics; not the command line, nor goroutines. TestProfilesAreServedBesideTheMetrics.

--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,8 +33,18 @@
 }
 
 func (r *Router) serveMetrics(addr string) {
+	srv := &http.Server{Addr: addr, Handler: r.metricsHandler(), ReadHeaderTimeout: time.Second}
+	klog.ErrorS(srv.ListenAndServe(), "serving metrics failed")
+}
+
+// metricsHandler serves the metrics and profiles of this process. The profiles hold names of
+// functions, but no contents of memory and no arguments.
+func (r *Router) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.metrics.handler())
-	srv := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: time.Second}
-	klog.ErrorS(srv.ListenAndServe(), "serving metrics failed")
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	for _, name := range []string{"heap", "allocs", "mutex"} {
+		mux.Handle("/debug/pprof/"+name, pprof.Handler(name))
+	}
+	return mux
 }
--- a/internal/daemon/router_test.go
+++ b/internal/daemon/router_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"syscall"
 	"testing"
@@ -129,3 +130,13 @@
 		runtime.Gosched()
 	}
 }
+
+// Where a router's memory goes could not be seen on a running one.
+func TestProfilesAreServedBesideTheMetrics(t *testing.T) {
+	h := testRouter(t, &emptyStore{}).metricsHandler()
+	for path, status := range map[string]int{"/metrics": 200, "/debug/pprof/heap": 200, "/debug/pprof/cmdline": 404, "/debug/pprof/goroutine": 404} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		assert.Equal(t, w.Code, status, path)
+	}
+}
