daemon: the assembly of a router stands apart from its life

The constructors are moved to assemble.go as they were; no line of code changed but the place of yieldDelay.

--- /dev/null
+++ b/internal/daemon/assemble.go
@@ -0,0 +1,277 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/boottime"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/follow"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/liveness"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/transfer"
+	"github.com/skylarkwood/skylarkwood/internal/hlc"
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	external "github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/protocol/relay"
+	"github.com/skylarkwood/skylarkwood/internal/settings"
+	"github.com/skylarkwood/skylarkwood/internal/state/replica"
+	"github.com/skylarkwood/skylarkwood/internal/transport/backend"
+	"github.com/skylarkwood/skylarkwood/internal/transport/front"
+	"github.com/skylarkwood/skylarkwood/internal/transport/link"
+	"github.com/skylarkwood/skylarkwood/internal/transport/peers"
+	"github.com/skylarkwood/skylarkwood/platform"
+)
+
+// yieldDelay is the length of a pause while a configuration is decoded.
+const yieldDelay = time.Millisecond
+
+// NewRouter returns a router that serves once Run is called.
+func NewRouter(s settings.Settings, store external.Store) *Router {
+	m := newMetrics(s)
+	r := &Router{
+		settings:     s,
+		store:        newCountedStore(store, m),
+		config:       &routes.ActiveConfig{},
+		catalog:      catalog.New(time.Now),
+		health:       catalog.NewHealth(time.Now),
+		usage:        chains.NewUsageTracker(time.Now),
+		interconnect: chains.NewInterconnect(time.Now),
+		prober:       relay.NewProber(),
+		backends:     backend.NewPool(),
+		metrics:      m,
+		roster:       leader.NewRoster(s.Router.Peers, time.Now),
+		malformed:    malformedEntries{},
+		listen:       listenTCP,
+	}
+	r.decode = func(raw []byte) (*model.RouteConfig, error) { return platform.DecodeConfig(raw, r.yield) }
+	r.configs = configQueue{apply: r.applyConfig, confirm: r.config.Confirm}
+	r.buildExchange()
+	r.buildRelay()
+	r.buildController()
+	r.buildFollower()
+	return r
+}
+
+// yield pauses the decoding of a configuration to let other work run. It does not pause while
+// callers wait for the first configuration.
+func (r *Router) yield() {
+	if r.config.Load() != nil {
+		time.Sleep(yieldDelay)
+	}
+}
+
+// buildFollower builds the follower, which keeps this router's copy of the store up to date.
+func (r *Router) buildFollower() {
+	updates := &peers.Updates{Pool: r.exchange.Pool}
+	r.follower = &follow.Follower{
+		Store:            r.store,
+		Prefix:           "",
+		Sink:             (*routerSink)(r),
+		Clock:            boottime.Now,
+		Picker:           &follow.Picker{Self: r.settings.Router.Peers, Domain: r.settings.FailureDomain, LinkMbps: r.settings.Router.LinkMbps, Routers: r.reachableRouters, Clock: boottime.Now},
+		PollPeer:         updates.Poll,
+		FetchValue:       r.exchange.Values.Fetch,
+		TransferSlot:     r.exchange.TransferSlot,
+		Replica:          &replica.Replica{},
+		PeersLastContact: r.config.LastConfirmed,
+		Idle:             func() bool { return !r.hasTraffic() && r.elector.FencingToken() == 0 },
+	}
+	r.store.onNoResponse = r.follower.CallFailed
+	if store, ok := r.store.Store.(interface{ OnNewEra(func(era int64)) }); ok {
+		store.OnNewEra(r.follower.ObserveEra)
+	}
+	updates.WaitForUpdates = r.follower.WaitForUpdates
+	updates.Register(r.links)
+}
+
+// reachableRouters returns the registered routers that are reachable.
+func (r *Router) reachableRouters() []follow.Router {
+	reachable := r.exchange.ReachablePeers()
+	var out []follow.Router
+	for _, m := range r.roster.Members() {
+		if reachable[m.Address] {
+			out = append(out, follow.Router{Address: m.Address, Domain: m.Domain, LinkMbps: m.LinkMbps})
+		}
+	}
+	return out
+}
+
+// routersNear returns all routers and which of them are in the failure domain of a backend
+// server.
+func (r *Router) routersNear(server model.Incarnation) []ratelimit.Router {
+	domain := ""
+	if b := r.catalog.Load().Find(server); b != nil {
+		domain = b.FailureDomain
+	}
+	domains := r.exchange.Domains()
+	var out []ratelimit.Router
+	for _, addr := range r.exchange.LiveRouters() {
+		out = append(out, ratelimit.Router{Name: addr, Near: domain != "" && domains[addr] == domain})
+	}
+	return out
+}
+
+// hasTraffic reports whether this router or a peer has received requests since the first start
+// of the system. It is true if this is not the first start.
+func (r *Router) hasTraffic() bool {
+	return !r.settings.Router.FirstStart || r.requestSeen.Load() || r.exchange.PeerHasTraffic()
+}
+
+func (r *Router) buildExchange() {
+	r.linkMetadata = &link.Metadata{
+		Clock:               hlc.New(time.Now),
+		Revision:            r.config.Version,
+		ObservePeerRevision: func(string, int64) {},
+		Self:                r.settings.Router.Peers,
+	}
+	r.exchange = &peers.Exchange{
+		Self:                r.settings.Router.Peers,
+		Domain:              r.settings.FailureDomain,
+		Seeds:               r.settings.Router.Seeds,
+		Pool:                link.NewPool(r.linkMetadata),
+		Config:              r.config,
+		Decode:              r.decodeConfig,
+		Catalog:             r.catalog,
+		Usage:               r.usage,
+		Interconnect:        r.interconnect,
+		Revision:            func() model.Revision { return r.follower.AdvertisedRevision() },
+		ObservePeerRevision: func(revision model.Revision) { r.follower.ObservePeerRevision(revision) },
+		HandlePeerSuspicion: func(engine model.Incarnation) { r.prober.HandlePeerSuspicion(engine) },
+		HandlePeerRefusal:   r.health.SuspectFromPeer,
+		HandleEngineExit:    func(engine model.Incarnation) { r.front.Relay.HandleEngineExit(engine) },
+		Clock:               boottime.Now,
+		Now:                 time.Now,
+		HasTraffic:          r.requestSeen.Load,
+	}
+	rt := r.settings.Router
+	r.limits = ratelimit.New(r.settings.Router.Peers, r.routersNear, boottime.Now)
+	r.exchange.Limits = r.limits
+	budget := limits.NewSharedRetryBudget(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.RouterCount, time.Now)
+	r.exchange.RetryBorrower = &limits.RetryBorrower{Budget: budget, Borrow: r.exchange.Borrow, Now: time.Now}
+	r.exchange.TransferSlot = transfer.NewSlot()
+	r.exchange.Values = r.newValues()
+	r.links = link.NewServer(r.linkMetadata)
+	r.links.VerifySenderHost = true
+	r.exchange.Register(r.links)
+	r.exchange.Values.Register(r.links)
+	tracker := quarantine.New(boottime.Now)
+	r.quarantine = &peers.Quarantine{Exchange: r.exchange, Tracker: tracker, Trials: quarantine.NewTrials(tracker)}
+	r.quarantine.Register(r.links)
+	r.persister = &quarantine.Persister{
+		Tracker: tracker,
+		Store:   r.store,
+		Key:     leader.QuarantineKey,
+		Rank:    r.quarantine.PersisterRank,
+		Clock:   boottime.Now,
+		Now:     time.Now,
+	}
+}
+
+func (r *Router) buildRelay() {
+	rt := r.settings.Router
+	rel := &relay.Relay{
+		Config:         r.config,
+		Catalog:        r.catalog,
+		Health:         r.health,
+		Chooser:        &chains.Chooser{Catalog: r.catalog, Health: r.health, Usage: r.usage, Interconnect: r.interconnect, RouterCount: r.exchange.RouterCount, Limits: r.limits, Self: r.settings.Router.Peers},
+		Usage:          r.usage,
+		RetryBorrower:  r.exchange.RetryBorrower,
+		WaitQueue:      admission.NewWaitQueue(),
+		Limits:         r.limits,
+		BackendClient:  r.backends,
+		Observer:       r.metrics,
+		OnPanic:        r.metrics.countPanic,
+		ActiveRuns:     relay.NewActiveRuns(),
+		Detector:       detector.New(time.Now),
+		Suspects:       r.prober,
+		Quarantine:     r.quarantine.Tracker,
+		RequestTrial:   r.quarantine.RequestTrial,
+		CheckListening: r.backends.CheckListening,
+		FailureDomain:  r.settings.FailureDomain,
+		MaxConfigAge:   time.Duration(rt.ConfigApply),
+		Clock:          boottime.Now,
+		Now:            time.Now,
+		Started:        time.Now(),
+	}
+	rel.SlowdownMonitor = relay.NewSlowdownMonitor()
+	rel.SlowdownMonitor.Usage = r.usage
+	rel.SlowdownMonitor.Catalog = r.catalog
+	rel.SlowdownMonitor.Report = rel.Report
+	rel.SlowdownMonitor.Now = time.Now
+	rel.SlowdownMonitor.Announce = r.exchange.AnnounceSlowdown
+	r.prober.Health = r.health
+	r.prober.Catalog = r.catalog
+	r.prober.Report = rel.Report
+	r.prober.Healthy = rel.Healthy
+	r.prober.AnnounceSuspect = r.exchange.AnnounceSuspect
+	r.prober.AnnounceRefusal = r.exchange.AnnounceRefusal
+	r.prober.Now = time.Now
+	r.liveness = &liveness.Watcher{
+		Self:    r.settings.Router.Peers,
+		Routers: r.exchange.LiveRouters,
+		Engines: r.enginesInUse,
+		Dial:    backend.DialIdle,
+		OnExit: func(b *model.BackendServer) {
+			r.exchange.AnnounceEngineExit(b.Incarnation())
+			rel.HandleEngineExit(b.Incarnation())
+		},
+	}
+	r.front = &front.Server{Config: r.config, Relay: rel, Observer: r.metrics, OnRequest: func() { r.requestSeen.Store(true) }}
+}
+
+// engines returns the engines of all engine services, draining ones included.
+func (r *Router) engines() []*model.BackendServer {
+	table := r.config.Load()
+	if table == nil {
+		return nil
+	}
+	var out []*model.BackendServer
+	for i := range table.Config.Services {
+		if svc := &table.Config.Services[i]; svc.Engine != nil {
+			out = append(out, r.catalog.Load().All(svc.Name)...)
+		}
+	}
+	return out
+}
+
+// enginesInUse returns the engines that may run requests. Before callers come, none does.
+func (r *Router) enginesInUse() []*model.BackendServer {
+	if !r.hasTraffic() {
+		return nil
+	}
+	return r.engines()
+}
+
+func (r *Router) buildController() {
+	r.elector = &leader.Elector{
+		Store:       r.store,
+		Self:        leader.Member{Instance: r.settings.Instance, Address: r.settings.Router.Peers, Domain: r.settings.FailureDomain, LinkMbps: r.settings.Router.LinkMbps},
+		Incarnation: NewID(),
+		Clock:       boottime.Now,
+		// Routers that watch the store learn first that there is no leader. If all routers
+		// were candidates, each election would cost two store calls a router.
+		Eligible: func() bool { return !r.draining.Load() && r.follower.Watching() },
+	}
+	r.controller = &placement.Controller{
+		Config:       r.config,
+		Catalog:      r.catalog,
+		Store:        r.store,
+		Engines:      relay.EngineClient{Relay: r.front.Relay},
+		FencingToken: r.elector.FencingToken,
+		OnFenced:     r.elector.TokenRejected,
+		HasTraffic:   r.hasTraffic,
+		Suspected:    r.health.Suspected,
+		Unreachable:  r.prober.Lost,
+		RateLimits:   r.limits.Rates,
+		StreamCount:  func(engine model.Incarnation) float64 { return r.usage.Used(engine).Streams },
+		Now:          time.Now,
+	}
+}
