--- /dev/null
+++ b/internal/coordination/follow/fleet_model_test.go
@@ -0,0 +1,329 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+	"github.com/skylarkwood/skylarkwood/internal/state/replica"
+	"github.com/skylarkwood/skylarkwood/platform/standin"
+)
+
+const (
+	linkDelay             = time.Millisecond
+	testHeartbeatInterval = 250 * time.Millisecond // between two messages of a router to all others
+	testHeartbeatTimeout  = 1500 * time.Millisecond
+	testMaxValue          = 16 << 10 // bytes; links omit larger values
+)
+
+var errUnreachable = errors.New("peer unreachable")
+
+// fleet is a set of routers with one store in virtual time. Their followers are real.
+// The links between them and all faults are simulated.
+type fleet struct {
+	store   *standin.Store
+	started time.Time
+	nodes   []*node
+
+	mu  sync.Mutex
+	cut map[[2]string]bool // from, to
+}
+
+// node is one router of a fleet.
+type node struct {
+	platform.Store
+	fleet *fleet
+	Router
+
+	mu            sync.Mutex
+	fl            *Follower
+	sink          *recordingSink
+	stop          context.CancelFunc
+	done          chan struct{}
+	lastHeartbeat map[string]time.Duration
+	refused       bool // the store rejects its calls
+	frozen        bool // its messages and calls get no answer, in both directions
+	// readsFail makes reads of single keys fail.
+	readsFail bool
+	link      *slowLink // delays reads of single keys, unless nil
+	// fullUpdates is the number of times that this router got the full contents from a peer.
+	fullUpdates int
+	// cancelledPolls is the number of polls that this router gave up because peers were ahead.
+	cancelledPolls int
+	idle           bool // no callers have come
+}
+
+func newFleet(domains, each int) *fleet {
+	f := &fleet{store: standin.NewStore(), started: time.Now(), cut: map[[2]string]bool{}}
+	for d := range domains {
+		for i := range each {
+			n := &node{Store: f.store, fleet: f, Router: Router{Address: fmt.Sprintf("r%d.%d", d, i), Domain: fmt.Sprint("d", d)}}
+			f.nodes = append(f.nodes, n)
+		}
+	}
+	for _, n := range f.nodes {
+		n.start()
+	}
+	return f
+}
+
+// clock begins at one hour, because 0 means never.
+func (f *fleet) clock() time.Duration { return time.Since(f.started) + time.Hour }
+
+func (f *fleet) isCut(from, to string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[[2]string{from, to}]
+}
+
+func (f *fleet) setCut(from, to string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]string{from, to}] = cut
+}
+
+func (f *fleet) node(addr string) *node {
+	return f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.Address == addr })]
+}
+
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.kill()
+	}
+}
+
+// start runs the router with empty contents.
+func (n *node) start() {
+	ctx, stop := context.WithCancel(context.Background())
+	sink := newRecordingSink()
+	fl := &Follower{Store: n, Sink: sink, Clock: n.fleet.clock, Replica: &replica.Replica{}, PollPeer: n.pollPeer, Idle: n.isIdle}
+	fl.Picker = &Picker{Self: n.Address, Domain: n.Domain, Routers: n.routers, Clock: n.fleet.clock}
+	n.mu.Lock()
+	n.fl, n.sink, n.stop, n.done, n.lastHeartbeat = fl, sink, stop, make(chan struct{}), map[string]time.Duration{}
+	n.mu.Unlock()
+	var running sync.WaitGroup
+	running.Go(func() { fl.Run(ctx) })
+	running.Go(func() { n.sendHeartbeats(ctx) })
+	done := n.done
+	go func() { running.Wait(); close(done) }()
+}
+
+func (n *node) kill() {
+	if fl, _ := n.running(); fl == nil {
+		return
+	}
+	n.stop()
+	<-n.done
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fl = nil
+}
+
+func (n *node) running() (*Follower, *recordingSink) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fl, n.sink
+}
+
+func (n *node) set(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+// sendHeartbeats sends this router's revision to all others.
+func (n *node) sendHeartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(testHeartbeatInterval)
+		fl, _ := n.running()
+		if fl == nil || n.isFrozen() {
+			continue
+		}
+		for _, other := range n.fleet.nodes {
+			if other != n && !n.fleet.isCut(n.Address, other.Address) && !other.isFrozen() {
+				other.receiveHeartbeat(n.Address, fl.AdvertisedRevision())
+			}
+		}
+	}
+}
+
+func (n *node) receiveHeartbeat(from string, revision model.Revision) {
+	n.mu.Lock()
+	n.lastHeartbeat[from] = n.fleet.clock()
+	fl := n.fl
+	n.mu.Unlock()
+	if fl != nil {
+		fl.ObservePeerRevision(revision)
+	}
+}
+
+func (n *node) isIdle() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.idle
+}
+
+func (n *node) isFrozen() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frozen
+}
+
+func (n *node) routers() []Router {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []Router
+	for _, other := range n.fleet.nodes {
+		if at, ok := n.lastHeartbeat[other.Address]; ok && n.fleet.clock()-at < testHeartbeatTimeout {
+			out = append(out, other.Router)
+		}
+	}
+	return out
+}
+
+func (n *node) pollPeer(ctx context.Context, addr string, after model.Revision, timeout time.Duration) (Updates, error) {
+	to := n.fleet.node(addr)
+	time.Sleep(linkDelay)
+	fl, _ := to.running()
+	switch {
+	case fl == nil:
+		return Updates{}, errUnreachable
+	case to.isFrozen() || n.isFrozen() || n.fleet.isCut(n.Address, addr) || n.fleet.isCut(addr, n.Address):
+		<-ctx.Done()
+		return Updates{}, ctx.Err()
+	}
+	updates, err := fl.WaitForUpdates(ctx, after, timeout)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		n.set(func() { n.cancelledPolls++ })
+	}
+	if updates.Full {
+		n.set(func() { n.fullUpdates++ })
+	}
+	for i, it := range updates.Items {
+		if len(it.Value) > testMaxValue {
+			updates.Items[i].Value, updates.Items[i].Omitted = nil, true
+		}
+	}
+	time.Sleep(linkDelay)
+	if n.fleet.isCut(addr, n.Address) || to.isFrozen() {
+		<-ctx.Done()
+		return Updates{}, ctx.Err()
+	}
+	return updates, err
+}
+
+// checkReachable returns an error if the store rejects this router's calls, and blocks
+// while the router is frozen.
+func (n *node) checkReachable(ctx context.Context) error {
+	n.mu.Lock()
+	refused, frozen := n.refused, n.frozen
+	n.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return platform.ErrUnavailable
+	}
+	if refused {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (n *node) Range(ctx context.Context, prefix string) (platform.Page, error) {
+	if err := n.checkReachable(ctx); err != nil {
+		return platform.Page{}, err
+	}
+	return n.Store.Range(ctx, prefix)
+}
+
+func (n *node) Watch(ctx context.Context, prefix string, after model.Revision, timeout time.Duration) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout+time.Second)
+	defer cancel()
+	if err := n.checkReachable(ctx); err != nil {
+		return platform.Page{}, err
+	}
+	page, err := n.Store.Watch(ctx, prefix, after, timeout)
+	if n.isFrozen() {
+		<-ctx.Done()
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return page, err
+}
+
+func (n *node) Get(ctx context.Context, key string) (platform.Item, error) {
+	if !n.readsSucceed() {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	return n.receive(ctx, n.Store.Get, key)
+}
+
+func (n *node) Peek(ctx context.Context, key string) (platform.Item, error) {
+	if !n.readsSucceed() {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	return n.receive(ctx, n.Store.Peek, key)
+}
+
+// receive reads a key and returns its item once it has crossed this router's link.
+func (n *node) receive(ctx context.Context, read func(ctx context.Context, key string) (platform.Item, error), key string) (platform.Item, error) {
+	n.mu.Lock()
+	link := n.link
+	n.mu.Unlock()
+	it, err := read(ctx, key)
+	if err == nil && link != nil {
+		err = link.receive(ctx, len(it.Value))
+	}
+	return it, err
+}
+
+func (n *node) readsSucceed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.readsFail && !n.refused && !n.frozen
+}
+
+// without returns the routers whose contents lack a key's value.
+func (f *fleet) without(key, value string) []string {
+	var out []string
+	for _, n := range f.nodes {
+		if _, sink := n.running(); !sink.has(key, value) {
+			out = append(out, n.Address)
+		}
+	}
+	return out
+}
+
+// differs describes the difference between a router's contents and the store; it is
+// empty if there is none.
+func (f *fleet) differs(n *node) string {
+	fl, sink := n.running()
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	keys := f.store.Keys("")
+	state := fmt.Sprintf("%s, complete up to %d, watching %t,", n.Address, fl.Revision(), fl.Watching())
+	for _, key := range keys {
+		it, err := f.store.Peek(context.Background(), key)
+		if err != nil || sink.items[key] != string(it.Value) {
+			return fmt.Sprintf("%s has %.40q for %s, the store %.40q (%v)", state, sink.items[key], key, it.Value, err)
+		}
+	}
+	if len(sink.items) != len(keys) {
+		return fmt.Sprintf("%s has %d keys, the store %d", state, len(sink.items), len(keys))
+	}
+	return ""
+}
+
+func inFleet(t *testing.T, domains, each int, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(domains, each)
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		test(t, f)
+	})
+}
