follow: a router that starts with many others gets the contents from a watcher

Cause: each router reads everything from the store. 470 x 1,016 items of some 400 bytes are 188 MB, 1.5 s of the store's 1 Gbit/s; 300 x 3,300 items 3.2 s. It grows with routers x (routers + engines): 6.5 s at 1,000 and 1,000. Ruled out: processor time (entries of 3,000 engines are applied in 25 ms of a core), the registration (10 ms), timeouts of the read (none in the logs).

Change: a router reads the list of routers first and asks a watcher of its failure domain for the rest, compressed. A watcher that starts holds such polls until it has read the store. One whose link has less than 1 Mbit/s for each router that polls it isn't asked, nor one whose width isn't known: the store is read as before. Without contents after a second the store is read as well. If no watcher answers, all may be starting: they are asked again each 100 ms, within that second. The answer to routers without contents is encoded once in half a second, with its age counted on.

Ways weighed: registered routers by failure domain in the key (halves the rest of the bytes, but moves all entries at an upgrade); seeds that answer with the list (three routers for 470); a tree of routers (each level costs a poll).

Tests: TestStartOfAllReadsTheStoreAtFewRouters, TestStartDoesNotDependOnWatchers (gone and frozen), TestNarrowWatchersSendNoFirstContents.

--- a/internal/coordination/follow/fleet_model_test.go
+++ b/internal/coordination/follow/fleet_model_test.go
@@ -58,6 +58,9 @@
 	// cancelledPolls is the number of polls that this router gave up because peers were ahead.
 	cancelledPolls int
 	idle           bool // no callers have come
+	// knowsRouters is set if the router reads who is registered before its first contents.
+	knowsRouters bool
+	reads        int // of the whole range
 }
 
 func newFleet(domains, each int) *fleet {
@@ -104,8 +107,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	sink := newRecordingSink()
 	fl := &Follower{Store: n, Sink: sink, Clock: n.fleet.clock, Replica: &replica.Replica{}, PollPeer: n.pollPeer, Idle: n.isIdle}
-	fl.Picker = &Picker{Self: n.Address, Domain: n.Domain, Routers: n.routers, Clock: n.fleet.clock}
+	fl.Picker = &Picker{Self: n.Address, Domain: n.Domain, LinkMbps: n.LinkMbps, Routers: n.routers, Clock: n.fleet.clock}
 	n.mu.Lock()
+	if n.knowsRouters {
+		fl.ReadRouters = n.checkReachable
+	}
 	n.fl, n.sink, n.stop, n.done, n.lastHeartbeat = fl, sink, stop, make(chan struct{}), map[string]time.Duration{}
 	n.mu.Unlock()
 	var running sync.WaitGroup
@@ -181,7 +187,8 @@
 	defer n.mu.Unlock()
 	var out []Router
 	for _, other := range n.fleet.nodes {
-		if at, ok := n.lastHeartbeat[other.Address]; ok && n.fleet.clock()-at < testHeartbeatTimeout {
+		at, heard := n.lastHeartbeat[other.Address]
+		if n.knowsRouters && !heard && other != n || heard && n.fleet.clock()-at < testHeartbeatTimeout {
 			out = append(out, other.Router)
 		}
 	}
@@ -239,6 +246,7 @@
 	if err := n.checkReachable(ctx); err != nil {
 		return platform.Page{}, err
 	}
+	n.set(func() { n.reads++ })
 	return n.Store.Range(ctx, prefix)
 }
 
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -60,6 +60,9 @@
 	// it reads the store, unless callers come. All routers register meanwhile, so that the
 	// first read names the watchers.
 	registrationDelay = time.Second
+	// startPatience is how long a router without contents asks other routers for them before
+	// it reads the store.
+	startPatience = time.Second
 	// idleCheckInterval is the time between two checks in that delay whether callers came.
 	idleCheckInterval = 50 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay between attempts while the store
@@ -106,6 +109,10 @@
 	// store is always used. PollPeer long-polls one of these routers.
 	Picker   *Picker
 	PollPeer func(ctx context.Context, addr string, after model.Revision, wait time.Duration) (Updates, error)
+	// ReadRouters reads the registered routers from the store, for the Picker. With it, a
+	// router that starts gets the contents from a watcher: of hundreds that start together,
+	// the store would send all contents to each. It may be nil.
+	ReadRouters func(ctx context.Context) error
 	// FetchValue fetches a value from a router that announced it. silence limits the time
 	// without data. It may be nil.
 	FetchValue func(ctx context.Context, addr, key string, silence time.Duration) (platform.Item, error)
@@ -136,8 +143,11 @@
 	wakeFetcher chan struct{}
 
 	source         Source
-	watching       atomic.Bool // the store answered and no peer was polled since
-	synced         bool        // the whole range was read
+	startUntil     time.Duration // until when the first contents may come from a peer; 0 if the routers were not read
+	starting       atomic.Bool   // there are no contents, and no peer was asked for them
+	watching       atomic.Bool   // the store answered and no peer was polled since
+	hasContents    bool          // since the first reset
+	synced         bool          // the whole range was read
 	lastContact    atomic.Int64
 	syncedAt       atomic.Int64 // the applied contents were complete then
 	graceUntil     atomic.Int64
@@ -185,10 +195,12 @@
 	var fetching sync.WaitGroup
 	defer fetching.Wait()
 	fetching.Go(func() { f.fetchValues(ctx) })
+	f.starting.Store(true)
 	f.waitForRegistrations(ctx)
+	f.readRouters(ctx)
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
-		f.pickSource()
+		f.pickSource(ctx)
 		err := f.pollSource(ctx)
 		if ctx.Err() != nil {
 			return
@@ -232,6 +244,21 @@
 	}
 }
 
+// readRouters reads the registered routers before the first contents. If that fails, the
+// contents are read from the store, or from a peer once it sent a heartbeat.
+func (f *Follower) readRouters(ctx context.Context) {
+	if f.ReadRouters == nil || f.Picker == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, minRangeTimeout)
+	defer cancel()
+	if err := f.ReadRouters(ctx); err != nil {
+		klog.InfoS("reading the registered routers failed", "err", err)
+		return
+	}
+	f.startUntil = f.Clock() + startPatience
+}
+
 // finishQuery reports that the contents are complete. After changes it waits so that
 // further changes collect.
 func (f *Follower) finishQuery(ctx context.Context) {
@@ -254,10 +281,10 @@
 	f.syncedAt.Store(int64(f.answerTime))
 }
 
-func (f *Follower) pickSource() {
-	var next Source
-	if f.Picker != nil {
-		next = f.Picker.Pick()
+func (f *Follower) pickSource(ctx context.Context) {
+	next := f.nextSource(ctx)
+	if !next.IsStore() {
+		f.starting.Store(false)
 	}
 	if next == f.source {
 		return
@@ -274,6 +301,25 @@
 	}
 }
 
+func (f *Follower) nextSource(ctx context.Context) Source {
+	switch {
+	case f.Picker == nil:
+		return Source{}
+	case f.hasContents, f.startUntil == 0:
+		return f.Picker.Pick()
+	}
+	for f.Clock() < f.startUntil {
+		s := f.Picker.PickForStart()
+		if !s.Fallback {
+			return s
+		}
+		// The watchers may be starting as well.
+		pause.For(ctx, minRetryDelay)
+		f.Picker.ForgetFailures()
+	}
+	return Source{Reason: "no contents yet"}
+}
+
 func (f *Follower) pollSource(ctx context.Context) error {
 	switch {
 	case !f.source.IsStore():
@@ -287,6 +333,7 @@
 
 // reset replaces the contents. The caller holds f.applying.
 func (f *Follower) reset(items []replica.Item, revision model.Revision) {
+	f.hasContents = true
 	f.transfers.Clear()
 	f.checkEra(revision)
 	f.Sink.Reset(platform.Page{Items: f.withValues(items), Revision: revision}, f.grace())
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -31,9 +31,10 @@
 // WaitForUpdates returns the updates after a revision. If there are none, it waits for
 // some until timeout or peerPollTimeout, and returns an answer without items. It
 // returns ErrNotWatching if this process does not watch the store: two routers that
-// poll each other would each find the other up to date.
+// poll each other would each find the other up to date. A process that starts waits for its
+// own first contents.
 func (f *Follower) WaitForUpdates(ctx context.Context, after model.Revision, timeout time.Duration) (Updates, error) {
-	if !f.Watching() {
+	if !f.Watching() && !f.starting.Load() {
 		return Updates{}, ErrNotWatching
 	}
 	start := f.Clock()
@@ -55,6 +56,9 @@
 	queryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := peerPollTimeout
+	if !f.hasContents && f.startUntil > 0 {
+		timeout = min(timeout, max(f.startUntil-f.Clock(), 0))
+	}
 	urgent := f.beginQuery(cancel)
 	if urgent {
 		timeout = 0
--- a/internal/coordination/follow/picker.go
+++ b/internal/coordination/follow/picker.go
@@ -23,6 +23,10 @@
 	// at random, so that routers do not return to it at once. A killed process restarts
 	// within two seconds.
 	failedSourceDelay = 2 * time.Second
+	// minStartShare is the part of a watcher's link in Mbit/s that each of the routers which
+	// poll it must have to get the full contents from it. Compressed, those of a thousand
+	// entries have some 100 kB.
+	minStartShare = 1
 	// watcherCountAge is how old the number of watchers may be. It is asked for with each
 	// heartbeat, and to rank hundreds of routers each time takes too much processor time.
 	watcherCountAge = 500 * time.Millisecond
@@ -42,6 +46,8 @@
 	Address string
 	// Reason is why the source was chosen, for the log.
 	Reason string
+	// Fallback is set if the store was chosen because no watcher answers.
+	Fallback bool
 }
 
 // IsStore reports whether the source is the store itself.
@@ -81,7 +87,40 @@
 			return Source{Address: addr, Reason: "watches for another failure domain"}
 		}
 	}
-	return Source{Reason: "no watcher answers"}
+	return Source{Reason: "no watcher answers", Fallback: true}
+}
+
+// PickForStart returns the source of the first contents. All routers may ask for them at once,
+// so a watcher must have a wide link.
+func (p *Picker) PickForStart() Source {
+	s := p.Pick()
+	if s.IsStore() || p.startShare(s.Address) >= minStartShare {
+		return s
+	}
+	return Source{Reason: "the watcher's link is too narrow for the full contents"}
+}
+
+// startShare returns the part of a watcher's link, in Mbit/s, for each router that polls it.
+func (p *Picker) startShare(watcher string) float64 {
+	routers := p.Routers()
+	i := slices.IndexFunc(routers, func(r Router) bool { return r.Address == watcher })
+	if i < 0 {
+		return 0
+	}
+	askers := 0
+	for _, r := range routers {
+		if r.Domain == routers[i].Domain {
+			askers++
+		}
+	}
+	return routers[i].LinkMbps * watchersPerDomain / float64(askers)
+}
+
+// ForgetFailures makes sources that failed be picked again.
+func (p *Picker) ForgetFailures() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoidUntil = nil
 }
 
 // MarkFailed records that a source did not respond or is behind others. It is not picked
--- a/internal/coordination/follow/query.go
+++ b/internal/coordination/follow/query.go
@@ -46,6 +46,7 @@
 	f.answerTime = start
 	f.synced = true
 	f.watching.Store(true)
+	f.starting.Store(false)
 	return nil
 }
 
--- /dev/null
+++ b/internal/coordination/follow/start_test.go
@@ -0,0 +1,122 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/platform"
+)
+
+const wideLinkMbps = 1000
+
+// restartAll kills all routers and starts them within a time, without those in down.
+func (f *fleet) restartAll(within time.Duration, down map[*node]bool) {
+	f.stop()
+	var starting sync.WaitGroup
+	for _, n := range f.nodes {
+		n.knowsRouters, n.reads = true, 0
+		if down[n] {
+			continue
+		}
+		starting.Go(func() {
+			time.Sleep(rand.N(within))
+			n.start()
+		})
+	}
+	starting.Wait()
+}
+
+// widen gives two routers of each failure domain wide links.
+func (f *fleet) widen(each int) {
+	for i, n := range f.nodes {
+		n.LinkMbps = 20
+		if i%each < watchersPerDomain {
+			n.LinkMbps = wideLinkMbps
+		}
+	}
+}
+
+func (f *fleet) reads() int {
+	total := 0
+	for _, n := range f.nodes {
+		total += n.reads
+	}
+	return total
+}
+
+// assertContents fails the test unless all running routers have the contents of the store.
+func (f *fleet) assertContents(t *testing.T) {
+	for _, n := range f.nodes {
+		if fl, _ := n.running(); fl != nil {
+			assert.Equal(t, f.differs(n), "")
+		}
+	}
+}
+
+func (f *fleet) put(t *testing.T, key string) {
+	_, err := f.store.Commit(context.Background(), platform.Txn{Put: []platform.Item{{Key: key, Value: []byte("v")}}})
+	assert.NilError(t, err)
+}
+
+// All routers of a fleet restart together. Each of them read everything from the store, which
+// took its link seconds; only the watchers should.
+func TestStartOfAllReadsTheStoreAtFewRouters(t *testing.T) {
+	for _, each := range []int{10, 24} {
+		const domains = 5
+		inFleet(t, domains, each, func(t *testing.T, f *fleet) {
+			f.widen(each)
+			f.put(t, "k")
+			f.restartAll(400*time.Millisecond, nil)
+			time.Sleep(startPatience)
+			f.assertContents(t)
+			assert.Assert(t, f.reads() <= 2*domains*watchersPerDomain, "%d reads by %d routers", f.reads(), len(f.nodes))
+		})
+	}
+}
+
+// Watchers that are gone or do not answer delay a start by a bounded time.
+func TestStartDoesNotDependOnWatchers(t *testing.T) {
+	const domains, each = 3, 10
+	for _, frozen := range []bool{false, true} {
+		inFleet(t, domains, each, func(t *testing.T, f *fleet) {
+			f.widen(each)
+			f.put(t, "k")
+			down := map[*node]bool{}
+			for _, n := range f.nodes {
+				if n.LinkMbps == wideLinkMbps {
+					down[n] = !frozen
+					n.frozen = frozen
+				}
+			}
+			f.restartAll(5*time.Millisecond, down)
+			time.Sleep(startPatience + maxPollMargin/2)
+			for _, n := range f.nodes {
+				if fl, _ := n.running(); fl != nil && !n.frozen {
+					assert.Assert(t, fl.Revision() > 0, "%s has no contents", n.Address)
+				}
+			}
+		})
+	}
+}
+
+// Watchers with narrow links would take seconds to send the full contents to hundreds.
+func TestNarrowWatchersSendNoFirstContents(t *testing.T) {
+	var routers []Router
+	for i := range 94 {
+		routers = append(routers, Router{Address: fmt.Sprint("r", i), Domain: "d", LinkMbps: 20})
+	}
+	p := &Picker{Self: "self", Domain: "d", LinkMbps: 10, Routers: func() []Router { return routers }, Clock: func() time.Duration { return 0 }}
+	assert.Assert(t, !p.Pick().IsStore())
+	assert.Assert(t, p.PickForStart().IsStore())
+	routers[7].LinkMbps, routers[8].LinkMbps = 1000, 1000
+	assert.Assert(t, !p.PickForStart().IsStore())
+	routers = routers[:20]
+	routers[7].LinkMbps, routers[8].LinkMbps = 20, 20
+	assert.Assert(t, !p.PickForStart().IsStore(), "few ask them")
+}
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/skylarkwood/skylarkwood/internal/boottime"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
@@ -77,6 +80,7 @@
 		Sink:             (*routerSink)(r),
 		Clock:            boottime.Now,
 		Picker:           &follow.Picker{Self: r.settings.Router.Peers, Domain: r.settings.FailureDomain, LinkMbps: r.settings.Router.LinkMbps, Routers: r.reachableRouters, Clock: boottime.Now},
+		ReadRouters:      r.readRouters,
 		PollPeer:         updates.Poll,
 		FetchValue:       r.exchange.Values.Fetch,
 		TransferSlot:     r.exchange.TransferSlot,
@@ -93,6 +97,18 @@
 }
 
 // reachableRouters returns the registered routers that are reachable.
+// readRouters reads the registered routers from the store.
+func (r *Router) readRouters(ctx context.Context) error {
+	page, err := r.store.Range(ctx, leader.MemberPrefix)
+	if err != nil {
+		return err
+	}
+	r.roster.Reset(page.Items)
+	r.exchange.SetMembers(r.roster.Members())
+	klog.InfoS("registered routers read", "revision", page.Revision, "routers", len(page.Items))
+	return nil
+}
+
 func (r *Router) reachableRouters() []follow.Router {
 	reachable := r.exchange.ReachablePeers()
 	var out []follow.Router
--- a/internal/transport/peers/news.go
+++ b/internal/transport/peers/news.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/boottime"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/follow"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -43,6 +44,30 @@
 
 	mu    sync.Mutex
 	cache encodedItems
+	start startAnswer
+}
+
+// startAnswer is the answer to routers without contents. Hundreds that start together ask for
+// it while the contents change, and each encoding takes much of a small router's processor
+// time. They get later changes with their next polls.
+type startAnswer struct {
+	reply wire.RouterUpdates
+	at    time.Duration // of boottime
+}
+
+// startAnswerAge is how long an answer to routers without contents is used again.
+const startAnswerAge = 500 * time.Millisecond
+
+// get returns the answer with its age as of now, or false if it is too old.
+func (a startAnswer) get(now time.Duration) (wire.RouterUpdates, bool) {
+	age := now - a.at
+	if a.reply.Revision == 0 || age >= startAnswerAge {
+		return wire.RouterUpdates{}, false
+	}
+	reply := a.reply
+	reply.AgeMS += ceilMilliseconds(age)
+	reply.ElapsedMS = 0
+	return reply, true
 }
 
 // encodedItems caches the encoded items between two revisions. Many routers poll for the
@@ -93,6 +118,11 @@
 	if updates.Full {
 		klog.InfoS("full contents of the store sent to a peer", "peer", from, "after", req.After, "revision", updates.Revision, "items", len(updates.Items))
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if reply, ok := n.start.get(boottime.Now()); ok && req.After == 0 && req.Compact {
+		return reply, nil
+	}
 	encoded, err := n.encode(req.After, updates.Changes, req.Compact)
 	reply := wire.RouterUpdates{
 		Revision:  updates.Revision,
@@ -105,14 +135,15 @@
 	if reply.Packed == nil {
 		reply.Items = encoded.items
 	}
+	if err == nil && req.After == 0 && req.Compact && updates.Full {
+		n.start = startAnswer{reply: reply, at: boottime.Now()}
+	}
 	return reply, err
 }
 
 // encode encodes the changes after a revision. compact reports whether the receiver
-// understands compressed lists and Unchanged items.
+// understands compressed lists and Unchanged items. The caller holds n.mu.
 func (n *Updates) encode(after model.Revision, a replica.Changes, compact bool) (encodedItems, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	if n.cache.items != nil && n.cache.after == after && n.cache.revision == a.Revision && n.cache.full == a.Full && n.cache.compact == compact {
 		return n.cache, nil
 	}
