daemon: at the first start of all the routers are not read before the contents

The list of routers costs a call to the store. At the first start the contents are the routers and few engines, one page, so the call would only be added: one a router, also on sites with a handful of them.

--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -80,7 +80,6 @@
 		Sink:             (*routerSink)(r),
 		Clock:            boottime.Now,
 		Picker:           &follow.Picker{Self: r.settings.Router.Peers, Domain: r.settings.FailureDomain, LinkMbps: r.settings.Router.LinkMbps, Routers: r.reachableRouters, Clock: boottime.Now},
-		ReadRouters:      r.readRouters,
 		PollPeer:         updates.Poll,
 		FetchValue:       r.exchange.Values.Fetch,
 		TransferSlot:     r.exchange.TransferSlot,
@@ -88,6 +87,9 @@
 		PeersLastContact: r.config.LastConfirmed,
 		Idle:             func() bool { return !r.hasTraffic() && r.elector.FencingToken() == 0 },
 	}
+	if !r.settings.Router.FirstStart { // then few backend servers are registered yet
+		r.follower.ReadRouters = r.readRouters
+	}
 	r.store.onNoResponse = r.follower.CallFailed
 	if store, ok := r.store.Store.(interface{ OnNewEra(func(era int64)) }); ok {
 		store.OnNewEra(r.follower.ObserveEra)
