gossip: what is passed on is a rumor

It was a report, as what an engine tells of itself is; a reader of the relay would take one for the other. Names, one file and the tests follow; the log line is 'rumor on engine received'. No behaviour changes.

--- a/internal/coordination/follow/picker.go
+++ b/internal/coordination/follow/picker.go
@@ -24,8 +24,7 @@
 	// within two seconds.
 	failedSourceDelay = 2 * time.Second
 	// minStartShare is the part of a watcher's link in Mbit/s that each of the routers which
-	// poll it must have to get the full contents from it. Compressed, those of a thousand
-	// entries have some 100 kB.
+	// poll it must have to get the full contents from it: compressed, they take about a second.
 	minStartShare = 1
 	// watcherCountAge is how old the number of watchers may be. It is asked for with each
 	// heartbeat, and to rank hundreds of routers each time takes too much processor time.
--- a/internal/coordination/gossip/board_test.go
+++ b/internal/coordination/gossip/board_test.go
@@ -25,7 +25,7 @@
 	waiting map[time.Duration][]func()
 	delay   func(near bool) time.Duration
 	loss    float64
-	relayed int // reports sent
+	relayed int // rumors sent
 }
 
 type router struct {
@@ -89,36 +89,36 @@
 
 func (r *router) sendRound() {
 	r.round++
-	reports := r.NextRound()
-	if len(reports) == 0 {
+	rumors := r.NextRound()
+	if len(rumors) == 0 {
 		return
 	}
 	s := NewSchedule(len(r.near), len(r.far))
-	r.send(reports, Due(r.near, r.round, s.Near), true)
-	r.send(reports, Due(r.far, r.round, s.Far), false)
+	r.send(rumors, Due(r.near, r.round, s.Near), true)
+	r.send(rumors, Due(r.far, r.round, s.Far), false)
 }
 
-func (r *router) send(reports []Report, peers []string, near bool) {
+func (r *router) send(rumors []Rumor, peers []string, near bool) {
 	for _, addr := range peers {
-		r.f.relayed += len(reports)
+		r.f.relayed += len(rumors)
 		if r.f.Float64() < r.f.loss {
 			continue
 		}
 		var to int
 		fmt.Sscan(addr, &to)
-		remaining := make([]time.Duration, len(reports))
-		for i, report := range reports {
-			remaining[i] = report.Until.Sub(r.f.time())
+		remaining := make([]time.Duration, len(rumors))
+		for i, rumor := range rumors {
+			remaining[i] = rumor.Until.Sub(r.f.time())
 		}
 		at := r.f.now + r.f.delay(near)
-		r.f.waiting[at] = append(r.f.waiting[at], func() { r.f.routers[to].receive(reports, remaining) })
+		r.f.waiting[at] = append(r.f.waiting[at], func() { r.f.routers[to].receive(rumors, remaining) })
 	}
 }
 
-func (r *router) receive(reports []Report, remaining []time.Duration) {
-	for i, report := range reports {
-		report.Until = r.f.time().Add(remaining[i])
-		if r.Add(report) && r.informed < 0 {
+func (r *router) receive(rumors []Rumor, remaining []time.Duration) {
+	for i, rumor := range rumors {
+		rumor.Until = r.f.time().Add(remaining[i])
+		if r.Add(rumor) && r.informed < 0 {
 			r.informed = r.f.now
 		}
 	}
@@ -126,15 +126,15 @@
 
 // findOut makes a router find out by itself that the engine refuses requests.
 func (r *router) findOut(period time.Duration) {
-	r.Add(Report{Engine: engine, Kind: Refusal, At: hlc.Timestamp{Wall: r.f.time().UnixMilli()}, Until: r.f.time().Add(period)})
+	r.Add(Rumor{Engine: engine, Kind: Refusal, At: hlc.Timestamp{Wall: r.f.time().UnixMilli()}, Until: r.f.time().Add(period)})
 	if r.informed < 0 {
 		r.informed = r.f.now
 	}
 }
 
-// A report went to each peer with the next heartbeat to it, which far peers of hundreds of
+// A rumor went to each peer with the next heartbeat to it, which far peers of hundreds of
 // routers got seconds later. It must reach all within the same time at any number of routers.
-func TestReportReachesAllRoutersAtAnySize(t *testing.T) {
+func TestRumorReachesAllRoutersAtAnySize(t *testing.T) {
 	const limit = time.Second
 	for _, n := range []int{20, 100, 470, 1000, 2000} {
 		f := newFleet(n, uint64(n))
@@ -148,7 +148,7 @@
 			ages = append(ages, r.informed-began)
 		}
 		slices.Sort(ages)
-		t.Logf("%d routers: informed after %v (half), %v (99%%), %v (all); %.0f reports sent by each", n, ages[n/2], ages[n*99/100], ages[n-1], float64(f.relayed)/float64(n))
+		t.Logf("%d routers: informed after %v (half), %v (99%%), %v (all); %.0f rumors sent by each", n, ages[n/2], ages[n*99/100], ages[n-1], float64(f.relayed)/float64(n))
 		assert.Assert(t, ages[n-1] <= limit, "the last of %d routers after %v", n, ages[n-1])
 		assert.Assert(t, f.relayed <= n*relayRounds*maxHeartbeats/4)
 	}
@@ -164,12 +164,12 @@
 		f.waiting[at] = append(f.waiting[at], func() { r.findOut(8 * time.Second) })
 	}
 	f.advance(3 * time.Second)
-	assert.Assert(t, f.relayed <= 2*n*relayRounds*maxHeartbeats/4, "%d reports sent by each router", f.relayed/n)
+	assert.Assert(t, f.relayed <= 2*n*relayRounds*maxHeartbeats/4, "%d rumors sent by each router", f.relayed/n)
 }
 
-// On congested links a report grows older than its remaining time says. It must not travel in
+// On congested links a rumor grows older than its remaining time says. It must not travel in
 // a circle and keep an engine unused for ever.
-func TestReportEndsOnCongestedLinks(t *testing.T) {
+func TestRumorEndsOnCongestedLinks(t *testing.T) {
 	const n, delay, period = 100, time.Second, 2 * time.Second
 	f := newFleet(n, 3)
 	f.delay = func(bool) time.Duration { return delay }
@@ -183,38 +183,38 @@
 	assert.Equal(t, f.relayed, relayed)
 }
 
-// A copy of an older report that arrives late must not make a recovered engine slow again.
-func TestOlderReportDoesNotReplaceANewerOne(t *testing.T) {
+// A copy of an older rumor that arrives late must not make a recovered engine slow again.
+func TestOlderRumorDoesNotReplaceANewerOne(t *testing.T) {
 	f := newFleet(1, 1)
 	b := f.routers[0].Board
-	slow := Report{Engine: engine, Kind: Slowdown, At: hlc.Timestamp{Wall: 10}, Until: f.time().Add(3 * time.Second), Factor: 4}
-	recovered := Report{Engine: engine, Kind: Slowdown, At: hlc.Timestamp{Wall: 20}, Until: f.time().Add(3 * time.Second), Factor: 1}
+	slow := Rumor{Engine: engine, Kind: Slowdown, At: hlc.Timestamp{Wall: 10}, Until: f.time().Add(3 * time.Second), Factor: 4}
+	recovered := Rumor{Engine: engine, Kind: Slowdown, At: hlc.Timestamp{Wall: 20}, Until: f.time().Add(3 * time.Second), Factor: 1}
 	assert.Assert(t, b.Add(slow))
 	assert.Assert(t, b.Add(recovered))
 	assert.Assert(t, !b.Add(slow))
 	assert.Assert(t, !b.Add(recovered))
-	assert.DeepEqual(t, b.NextRound(), []Report{recovered})
+	assert.DeepEqual(t, b.NextRound(), []Rumor{recovered})
 	f.now += 30 * time.Second
 	b.NextRound()
 	assert.Assert(t, !b.Add(slow), "remembered for a time after it expired")
 	f.now += 2 * retention
 	b.NextRound()
-	assert.Equal(t, len(b.reports), 0)
+	assert.Equal(t, len(b.rumors), 0)
 }
 
-// A heartbeat has a bounded size; the newest reports go first.
-func TestReportsOfARoundAreBounded(t *testing.T) {
+// A heartbeat has a bounded size; the newest rumors go first.
+func TestRumorsOfARoundAreBounded(t *testing.T) {
 	f := newFleet(1, 1)
 	b := f.routers[0].Board
 	for i := range 3 * maxRelayed {
-		b.Add(Report{Engine: model.Incarnation{ID: fmt.Sprint(i)}, At: hlc.Timestamp{Wall: int64(i)}, Until: f.time().Add(time.Second)})
+		b.Add(Rumor{Engine: model.Incarnation{ID: fmt.Sprint(i)}, At: hlc.Timestamp{Wall: int64(i)}, Until: f.time().Add(time.Second)})
 	}
 	first := b.NextRound()
 	assert.Equal(t, len(first), maxRelayed)
 	assert.Equal(t, first[0].At.Wall, int64(3*maxRelayed-1))
 	sent := map[string]int{}
-	for reports := first; len(reports) > 0; reports = b.NextRound() {
-		for _, r := range reports {
+	for rumors := first; len(rumors) > 0; rumors = b.NextRound() {
+		for _, r := range rumors {
 			sent[r.Engine.ID]++
 		}
 	}
--- a/internal/coordination/gossip/schedule.go
+++ b/internal/coordination/gossip/schedule.go
@@ -1,4 +1,4 @@
-// Package gossip decides which routers get a heartbeat when, and which reports on engines
+// Package gossip decides which routers get a heartbeat when, and which rumors on engines
 // travel on with it. It does no I/O.
 package gossip
 
--- a/internal/protocol/wire/heartbeat.go
+++ b/internal/protocol/wire/heartbeat.go
@@ -36,15 +36,15 @@
 	HasTraffic bool
 	// Limits are the rate limits that backend servers advertised to any router.
 	Limits map[model.Incarnation]RateLimit
-	// Reports are what this router or others found out about engines lately.
-	Reports []EngineNotice
+	// Rumors are what this router or others found out about engines lately.
+	Rumors []Rumor
 }
 
-// EngineNotice is what some router found out about an engine: that it refuses requests, or
+// Rumor is what some router found out about an engine: that it refuses requests, or
 // that it is slower than its accelerator type.
-type EngineNotice struct {
+type Rumor struct {
 	Server model.Incarnation
-	// At is when the router found it out. Of two notices of one kind the later one counts.
+	// At is when the router found it out. Of two rumors of one kind the later one counts.
 	At hlc.Timestamp
 	// RemainingMS is for how many milliseconds it is still valid.
 	RemainingMS int64
@@ -104,16 +104,16 @@
 	packEach(p, b.Suspects, p.incarnation, p.number)
 	packEach(p, b.Refusing, p.incarnation, p.number)
 	packEach(p, b.SpareTokens, p.text, func(n int) { p.number(int64(n)) })
-	if len(b.Limits) > 0 || len(b.Reports) > 0 {
+	if len(b.Limits) > 0 || len(b.Rumors) > 0 {
 		packEach(p, b.Limits, p.incarnation, func(l RateLimit) {
 			p.flag(l.Ended)
 			p.fraction(l.Rate)
 			p.number(l.AgeMS)
 		})
 	}
-	if len(b.Reports) > 0 {
-		p.number(int64(len(b.Reports)))
-		for _, n := range b.Reports {
+	if len(b.Rumors) > 0 {
+		p.number(int64(len(b.Rumors)))
+		for _, n := range b.Rumors {
 			p.incarnation(n.Server)
 			p.number(n.At.Wall)
 			p.number(n.At.Logical)
@@ -153,9 +153,9 @@
 		})
 	}
 	if len(u.b) > 0 { // sent only if there are any
-		b.Reports = make([]EngineNotice, u.count())
-		for i := range b.Reports {
-			b.Reports[i] = EngineNotice{
+		b.Rumors = make([]Rumor, u.count())
+		for i := range b.Rumors {
+			b.Rumors[i] = Rumor{
 				Server: u.incarnation(), At: hlc.Timestamp{Wall: u.number(), Logical: u.number()},
 				RemainingMS: u.number(), Slowdown: u.fraction(),
 			}
--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -44,29 +44,29 @@
 	}
 }
 
-// nextReports returns the reports on engines to pass on in the next round.
-func (x *Exchange) nextReports() []wire.EngineNotice {
+// nextRumors returns the rumors on engines to pass on in the next round.
+func (x *Exchange) nextRumors() []wire.Rumor {
 	now := x.Now()
-	var out []wire.EngineNotice
-	for _, r := range x.reports.NextRound() {
-		out = append(out, wire.EngineNotice{Server: r.Engine, At: r.At, RemainingMS: r.Until.Sub(now).Milliseconds(), Slowdown: r.Factor})
+	var out []wire.Rumor
+	for _, r := range x.rumors.NextRound() {
+		out = append(out, wire.Rumor{Server: r.Engine, At: r.At, RemainingMS: r.Until.Sub(now).Milliseconds(), Slowdown: r.Factor})
 	}
 	return out
 }
 
-// handleReports applies the reports on engines that a peer passes on.
-func (x *Exchange) handleReports(from string, reports []wire.EngineNotice) {
-	for _, n := range reports {
+// handleRumors applies the rumors on engines that a peer passes on.
+func (x *Exchange) handleRumors(from string, rumors []wire.Rumor) {
+	for _, n := range rumors {
 		remaining := milliseconds(n.RemainingMS)
-		r := gossip.Report{Engine: n.Server, Kind: gossip.Refusal, At: n.At, Until: x.Now().Add(remaining), Factor: n.Slowdown}
+		r := gossip.Rumor{Engine: n.Server, Kind: gossip.Refusal, At: n.At, Until: x.Now().Add(remaining), Factor: n.Slowdown}
 		if n.Slowdown > 0 {
 			r.Kind = gossip.Slowdown
 		}
 		x.Pool.Observe(r.At)
-		if !x.reports.Add(r) {
+		if !x.rumors.Add(r) {
 			continue
 		}
-		klog.V(1).InfoS("report on engine received", "server", r.Engine, "peer", from, "slowdown", r.Factor, "remaining", remaining)
+		klog.V(1).InfoS("rumor on engine received", "server", r.Engine, "peer", from, "slowdown", r.Factor, "remaining", remaining)
 		switch r.Kind {
 		case gossip.Refusal:
 			x.HandlePeerRefusal(r.Engine, x.Now().Add(limits.Jitter(remaining)))
@@ -140,7 +140,7 @@
 	for inc, remaining := range b.Refusing {
 		x.HandlePeerRefusal(inc, x.Now().Add(limits.Jitter(milliseconds(remaining))))
 	}
-	x.handleReports(from, b.Reports)
+	x.handleRumors(from, b.Rumors)
 	x.RetryBorrower.SetPeerTokens(from, b.SpareTokens, validity)
 	x.mergeLimits(from, b.Limits)
 	x.ObservePeerRevision(b.Revision)
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -81,7 +81,7 @@
 	TransferSlot *transfer.Slot
 
 	presence *presence.Table
-	reports  *gossip.Board
+	rumors   *gossip.Board
 
 	mu             sync.Mutex
 	sending        map[string]bool // a message to the peer is in flight
@@ -95,7 +95,7 @@
 // Register registers the methods that peers call.
 func (x *Exchange) Register(s *link.Server) {
 	x.presence = presence.New(x.Self, x.Domain, x.Seeds, x.Now)
-	x.reports = gossip.NewBoard(x.Now)
+	x.rumors = gossip.NewBoard(x.Now)
 	x.sending = map[string]bool{}
 	x.suspects = map[model.Incarnation]time.Time{}
 	x.refusing = map[model.Incarnation]time.Time{}
@@ -153,14 +153,14 @@
 	x.mu.Lock()
 	x.refusing[engine] = until
 	x.mu.Unlock()
-	x.reports.Add(gossip.Report{Engine: engine, Kind: gossip.Refusal, At: x.Pool.Timestamp(), Until: until})
+	x.rumors.Add(gossip.Rumor{Engine: engine, Kind: gossip.Refusal, At: x.Pool.Timestamp(), Until: until})
 }
 
 // AnnounceSlowdown announces what an engine reported to this router: the factor by which it is
 // slower than its accelerator type, or 1.
 func (x *Exchange) AnnounceSlowdown(engine model.Incarnation, factor float64) {
 	until := x.Now().Add(chains.SlowdownTTL)
-	x.reports.Add(gossip.Report{Engine: engine, Kind: gossip.Slowdown, At: x.Pool.Timestamp(), Until: until, Factor: max(factor, 1)})
+	x.rumors.Add(gossip.Rumor{Engine: engine, Kind: gossip.Slowdown, At: x.Pool.Timestamp(), Until: until, Factor: max(factor, 1)})
 }
 
 // AnnounceEngineExit notifies the peers at once that an engine process exited, because
--- a/internal/transport/peers/reports_test.go
+++ b/internal/transport/peers/rumors_test.go
@@ -14,7 +14,7 @@
 // A refusal went only to the routers that the one that was refused sends heartbeats to, seconds
 // later to most of hundreds. Those that heard of it pass it on at once, with the time that is
 // left, and each applies it once.
-func TestReportsOnEnginesArePassedOn(t *testing.T) {
+func TestRumorsOnEnginesArePassedOn(t *testing.T) {
 	refusing, slow := model.Incarnation{ID: "i-1"}, model.Incarnation{ID: "i-2"}
 	refusals := make([]int, 3)
 	routers := make([]*Exchange, 3)
@@ -31,7 +31,7 @@
 	}
 	sendRound := func(from, to int) {
 		b := routers[from].newHeartbeat()
-		b.Reports = routers[from].nextReports()
+		b.Rumors = routers[from].nextRumors()
 		assert.NilError(t, routers[to].handleHeartbeat(routers[from].Self, b.Pack()))
 	}
 	routers[0].AnnounceRefusal(refusing, time.Now().Add(4*time.Second))
@@ -44,5 +44,5 @@
 	routers[2].AnnounceSlowdown(slow, 1)
 	sendRound(2, 1)
 	assert.Equal(t, routers[1].Usage.Slowdown(slow), 1.0, "its end is passed on as well")
-	assert.Assert(t, chains.SlowdownTTL > 4*gossip.RoundInterval, "a report is valid for longer than it takes to reach all")
+	assert.Assert(t, chains.SlowdownTTL > 4*gossip.RoundInterval, "a rumor is valid for longer than it takes to reach all")
 }
