gossip: a rumor of a clock that is far ahead is ignored

The timestamp of the router that found something out decides which rumor on an engine counts. Rumors from further ahead than a message may advance the clock are dropped. TestRumorOfAClockFarAheadIsIgnored.

--- a/internal/coordination/gossip/board.go
+++ b/internal/coordination/gossip/board.go
@@ -71,9 +71,10 @@
 }
 
 // Add adds a rumor and returns whether it is newer than the known one. Copies are not newer,
-// so a rumor never travels in a circle.
+// so a rumor never travels in a circle. One of a clock that is far ahead is ignored, as it
+// would outdate all later ones.
 func (b *Board) Add(r Rumor) (isNew bool) {
-	if b == nil {
+	if b == nil || r.At.Wall > b.now().Add(hlc.MaxAhead).UnixMilli() {
 		return false
 	}
 	b.mu.Lock()
--- a/internal/coordination/gossip/board_test.go
+++ b/internal/coordination/gossip/board_test.go
@@ -223,3 +223,13 @@
 		assert.Equal(t, n, relayRounds, "%s", id)
 	}
 }
+
+// The clock of a router is a day ahead. What it says must not outdate what others find out.
+func TestRumorOfAClockFarAheadIsIgnored(t *testing.T) {
+	f := newFleet(1, 1)
+	b := f.routers[0].Board
+	slow := Rumor{Engine: engine, Kind: Slowdown, At: hlc.Timestamp{Wall: f.time().Add(24 * time.Hour).UnixMilli()}, Until: f.time().Add(3 * time.Second), Factor: 4}
+	assert.Assert(t, !b.Add(slow))
+	slow.At.Wall = f.time().UnixMilli()
+	assert.Assert(t, b.Add(slow))
+}
--- a/internal/hlc/hlc.go
+++ b/internal/hlc/hlc.go
@@ -23,9 +23,9 @@
 	return cmp.Or(cmp.Compare(t.Wall, o.Wall), cmp.Compare(t.Logical, o.Logical))
 }
 
-// maxAhead is how far a peer's clock may advance this clock. Otherwise a peer whose clock
+// MaxAhead is how far a peer's clock may advance this clock. Otherwise a peer whose clock
 // is far ahead would make later events sort wrongly against those of other processes.
-const maxAhead = time.Minute
+const MaxAhead = time.Minute
 
 // Clock returns strictly increasing timestamps. It is safe for concurrent use.
 type Clock struct {
@@ -51,7 +51,7 @@
 func (c *Clock) Observe(remote Timestamp) Timestamp {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if remote.Wall > c.now().Add(maxAhead).UnixMilli() {
+	if remote.Wall > c.now().Add(MaxAhead).UnixMilli() {
 		remote = Timestamp{}
 	}
 	return c.advance(remote)
