--- a/internal/coordination/follow/start_test.go
+++ b/internal/coordination/follow/start_test.go
@@ -15,9 +15,8 @@
 
 const wideLinkMbps = 1000
 
-// restartAll kills all routers and starts them within a time, without those in down.
-func (f *fleet) restartAll(within time.Duration, down map[*node]bool) {
-	f.stop()
+// startAll starts the routers within a time, without those in down.
+func (f *fleet) startAll(within time.Duration, down map[*node]bool) {
 	var starting sync.WaitGroup
 	for _, n := range f.nodes {
 		n.knowsRouters, n.reads = true, 0
@@ -70,9 +69,10 @@
 	for _, each := range []int{10, 24} {
 		const domains = 5
 		inFleet(t, domains, each, func(t *testing.T, f *fleet) {
+			f.stop()
 			f.widen(each)
 			f.put(t, "k")
-			f.restartAll(400*time.Millisecond, nil)
+			f.startAll(400*time.Millisecond, nil)
 			time.Sleep(startPatience)
 			f.assertContents(t)
 			assert.Assert(t, f.reads() <= 2*domains*watchersPerDomain, "%d reads by %d routers", f.reads(), len(f.nodes))
@@ -85,6 +85,7 @@
 	const domains, each = 3, 10
 	for _, frozen := range []bool{false, true} {
 		inFleet(t, domains, each, func(t *testing.T, f *fleet) {
+			f.stop()
 			f.widen(each)
 			f.put(t, "k")
 			down := map[*node]bool{}
@@ -94,7 +95,7 @@
 					n.frozen = frozen
 				}
 			}
-			f.restartAll(5*time.Millisecond, down)
+			f.startAll(5*time.Millisecond, down)
 			time.Sleep(startPatience + maxPollMargin/2)
 			for _, n := range f.nodes {
 				if fl, _ := n.running(); fl != nil && !n.frozen {
