follow: a router that starts waits for a watcher that reads the store

Suspected cause, from the code and the sizes: that store gives 50 entries a page, so a watcher needs 66 calls one after the other and more than the second for which the others ask. These then read the store as well, 66 calls each, after the second was lost.

Change: a watcher that still reads the store says so, and who asks waits for it, up to 4 s in all. Gone or silent watchers are left after a second, as before.

TestStartWaitsForWatchersThatReadTheStore.

--- a/internal/coordination/follow/fleet_model_test.go
+++ b/internal/coordination/follow/fleet_model_test.go
@@ -61,6 +61,7 @@
 	// knowsRouters is set if the router reads who is registered before its first contents.
 	knowsRouters bool
 	reads        int // of the whole range
+	readTime     time.Duration
 }
 
 func newFleet(domains, each int) *fleet {
@@ -247,6 +248,7 @@
 		return platform.Page{}, err
 	}
 	n.set(func() { n.reads++ })
+	time.Sleep(n.readTime)
 	return n.Store.Range(ctx, prefix)
 }
 
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -61,8 +61,10 @@
 	// first read names the watchers.
 	registrationDelay = time.Second
 	// startPatience is how long a router without contents asks other routers for them before
-	// it reads the store.
-	startPatience = time.Second
+	// it reads the store, and maxStartPatience the same while one of these says that it reads
+	// the store. To read it as well would not be faster.
+	startPatience    = time.Second
+	maxStartPatience = 4 * time.Second
 	// idleCheckInterval is the time between two checks in that delay whether callers came.
 	idleCheckInterval = 50 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay between attempts while the store
@@ -143,6 +145,7 @@
 	wakeFetcher chan struct{}
 
 	source         Source
+	startedAt      time.Duration // when the routers were read
 	startUntil     time.Duration // until when the first contents may come from a peer; 0 if the routers were not read
 	starting       atomic.Bool   // there are no contents, and no peer was asked for them
 	watching       atomic.Bool   // the store answered and no peer was polled since
@@ -210,6 +213,9 @@
 			f.finishQuery(ctx)
 			retryDelay = minRetryDelay
 			continue
+		case errors.Is(err, errPeerStarting):
+			f.startUntil = min(f.Clock()+startPatience, f.startedAt+maxStartPatience)
+			continue
 		case !f.source.IsStore():
 			klog.InfoS("polling peer for store updates failed", "peer", f.source.Address, "err", err, "revision", f.Revision())
 			f.Picker.MarkFailed(f.source)
@@ -256,7 +262,8 @@
 		klog.InfoS("reading the registered routers failed", "err", err)
 		return
 	}
-	f.startUntil = f.Clock() + startPatience
+	f.startedAt = f.Clock()
+	f.startUntil = f.startedAt + startPatience
 }
 
 // finishQuery reports that the contents are complete. After changes it waits so that
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -19,11 +19,16 @@
 	Age, Elapsed time.Duration
 	// Grace is how long removed entries remain valid.
 	Grace time.Duration
+	// Starting is set if the router reads the store for the first time and has no contents.
+	Starting bool
 }
 
 // ErrNotWatching is returned by a router that does not watch the store.
 var ErrNotWatching = errors.New("this router does not watch the store")
 
+// errPeerStarting reports that a peer reads the store for the first time.
+var errPeerStarting = errors.New("peer has no contents yet")
+
 // errPeerStale reports that a peer's revision is lower than that of this process, or
 // not higher though other peers are ahead.
 var errPeerStale = errors.New("peer's revision is outdated")
@@ -39,6 +44,9 @@
 	}
 	start := f.Clock()
 	f.Replica.Wait(ctx, after, min(timeout, peerPollTimeout))
+	if f.starting.Load() {
+		return Updates{Starting: true}, nil
+	}
 	if !f.Watching() {
 		return Updates{}, ErrNotWatching
 	}
@@ -71,6 +79,8 @@
 		return errCancelled
 	case err != nil:
 		return err
+	case updates.Starting:
+		return errPeerStarting
 	case updates.Revision < after && !urgent && f.toleratesStale(sentAt):
 		return nil
 	case updates.Revision < after || urgent && updates.Revision == after || updates.Age < 0 || updates.Elapsed < 0:
--- a/internal/coordination/follow/start_test.go
+++ b/internal/coordination/follow/start_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// The watchers take longer to read the store than other routers wait for an answer. All of
+// these then read it as well, which took even longer.
+func TestStartWaitsForWatchersThatReadTheStore(t *testing.T) {
+	const domains, each = 3, 10
+	const readTime = startPatience + startPatience/2
+	inFleet(t, domains, each, func(t *testing.T, f *fleet) {
+		f.stop()
+		f.widen(each)
+		f.put(t, "k")
+		for _, n := range f.nodes {
+			n.readTime = readTime
+		}
+		f.startAll(400*time.Millisecond, nil)
+		time.Sleep(readTime + startPatience)
+		f.assertContents(t)
+		assert.Assert(t, f.reads() <= 2*domains*watchersPerDomain, "%d reads by %d routers", f.reads(), len(f.nodes))
+	})
+}
+
 // Watchers that are gone or do not answer delay a start by a bounded time.
 func TestStartDoesNotDependOnWatchers(t *testing.T) {
 	const domains, each = 3, 10
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -116,6 +116,8 @@
 	Items json.RawMessage `json:"items,omitempty"`
 	// Packed is that list compressed with DEFLATE, instead of Items.
 	Packed []byte `json:"packed,omitempty"`
+	// Starting is set if the sender reads the store for the first time and has no contents.
+	Starting bool `json:"starting,omitempty"`
 }
 
 // RouterUpdate is a key of the store and its value.
--- a/internal/transport/peers/news.go
+++ b/internal/transport/peers/news.go
@@ -93,6 +93,9 @@
 		n.Pool.Reset(addr)
 		return follow.Updates{}, err
 	}
+	if reply.Starting {
+		return follow.Updates{Starting: true}, nil
+	}
 	raw, err := unpackItems(reply)
 	if err != nil {
 		return follow.Updates{}, err
@@ -115,6 +118,9 @@
 	if err != nil {
 		return wire.RouterUpdates{}, errors.WithStack(fault.New(fault.NotReady, "%v", err))
 	}
+	if updates.Starting {
+		return wire.RouterUpdates{Starting: true}, nil
+	}
 	if updates.Full {
 		klog.InfoS("full contents of the store sent to a peer", "peer", from, "after", req.After, "revision", updates.Revision, "items", len(updates.Items))
 	}
