follow: fewer than a hundred routers read the store at once when they start

Cause: first contents from watchers, who start as well and may come up later. For few routers the store sends everything to all of them sooner: 27 x 88 entries. The worst of it was seen at 300 to 470 routers.

Change: who starts asks watchers only if the list of routers names 100 or more.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -65,6 +65,9 @@
 	// the store. To read it as well would not be faster.
 	startPatience    = time.Second
 	maxStartPatience = 4 * time.Second
+	// minRoutersToAsk is the number of routers from which one that starts asks others for the
+	// contents. Fewer get them sooner from the store, even if all start together.
+	minRoutersToAsk = 100
 	// idleCheckInterval is the time between two checks in that delay whether callers came.
 	idleCheckInterval = 50 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay between attempts while the store
@@ -111,10 +114,10 @@
 	// store is always used. PollPeer long-polls one of these routers.
 	Picker   *Picker
 	PollPeer func(ctx context.Context, addr string, after model.Revision, wait time.Duration) (Updates, error)
-	// ReadRouters reads the registered routers from the store, for the Picker. With it, a
-	// router that starts gets the contents from a watcher: of hundreds that start together,
-	// the store would send all contents to each. It may be nil.
-	ReadRouters func(ctx context.Context) error
+	// ReadRouters reads the registered routers from the store, for the Picker, and returns
+	// their number. With it, a router that starts may get the contents from a watcher: of
+	// hundreds that start together, the store would send all contents to each. It may be nil.
+	ReadRouters func(ctx context.Context) (int, error)
 	// FetchValue fetches a value from a router that announced it. silence limits the time
 	// without data. It may be nil.
 	FetchValue func(ctx context.Context, addr, key string, silence time.Duration) (platform.Item, error)
@@ -258,12 +261,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, minRangeTimeout)
 	defer cancel()
-	if err := f.ReadRouters(ctx); err != nil {
+	routers, err := f.ReadRouters(ctx)
+	if err != nil {
 		klog.InfoS("reading the registered routers failed", "err", err)
 		return
 	}
 	f.startedAt = f.Clock()
-	f.startUntil = f.startedAt + startPatience
+	f.startUntil = f.startedAt
+	if routers >= minRoutersToAsk {
+		f.startUntil += startPatience
+	}
 }
 
 // finishQuery reports that the contents are complete. After changes it waits so that
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -99,16 +99,16 @@
 }
 
 // reachableRouters returns the registered routers that are reachable.
-// readRouters reads the registered routers from the store.
-func (r *Router) readRouters(ctx context.Context) error {
+// readRouters reads the registered routers from the store and returns their number.
+func (r *Router) readRouters(ctx context.Context) (int, error) {
 	page, err := r.store.Range(ctx, leader.MemberPrefix)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	r.roster.Reset(page.Items)
 	r.exchange.SetMembers(r.roster.Members())
 	klog.InfoS("registered routers read", "revision", page.Revision, "routers", len(page.Items))
-	return nil
+	return len(page.Items), nil
 }
 
 func (r *Router) reachableRouters() []follow.Router {
