quarantine: the test of bounded memory moves its clock between exits

The test's clock stood still, so all 1,074 exits were equally old and the tracker evicted any of them, sometimes one of the newest 16. Which one goes is only defined by age. Nothing of the checks changes; the clock moves by a millisecond between two exits, as it does between two exits of servers.

--- a/internal/coordination/quarantine/tracker_test.go
+++ b/internal/coordination/quarantine/tracker_test.go
@@ -212,6 +212,7 @@
 	for n := range maxExits + 50 {
 		tr.begin(testFingerprint(n), n, "d")
 		tr.ServerExited(server(n), "d")
+		tr.now += time.Millisecond
 	}
 	assert.Assert(t, len(tr.Tracker.exits) <= maxExits)
 	full := newTestTracker()
@@ -225,6 +226,7 @@
 		run := tr.begin(testFingerprint(-1), 5000+n, "d")
 		run.ResponseStarted()
 		tr.ServerExited(server(5000+n), "d")
+		tr.now += time.Millisecond
 	}
 	assert.Equal(t, len(tr.suspects[testFingerprint(-1)].exits), maxExitsPerRequest)
 	for n := range maxVerdicts + 50 {
