relay: refusals of backend servers are logged with what they ask for

What callers saw: nothing; the log couldn't tell why a server that refuses gets requests. Change: one line and one count for each refusal, with Retry-After and Server-Leaving as received and decoded, whether the server was suspected already, and the age of its choice. No logic changes: nothing reads the decoded values.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -88,6 +88,11 @@
 	m.scope.Tagged(map[string]string{"service": service, "reason": reason}).Counter("repeated_sends").Inc(1)
 }
 
+// Refusal implements relay.Observer.
+func (m *metrics) Refusal(service string, pauseRequested bool) {
+	m.scope.Tagged(map[string]string{"service": service, "pause": strconv.FormatBool(pauseRequested)}).Counter("backend_refusals").Inc(1)
+}
+
 // ConnectionEnded implements front.Observer.
 func (m *metrics) ConnectionEnded(reason front.EndReason, duringRequest bool) {
 	m.scope.Tagged(map[string]string{"why": string(reason), "under_request": strconv.FormatBool(duringRequest)}).Counter("caller_connections_ended").Inc(1)
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -97,6 +97,7 @@
 		}
 		if result == chains.Found {
 			reservation = q.Usage.Reserve(stages, s.tokens)
+			q.chosenAt = q.Now()
 			q.Chooser.RecordStart(q.admitted.Service.Engine, stages, q.promptTokens())
 			if requirements.Resumed {
 				q.Chooser.RecordResume(q.admitted.Service.Engine, stages, s.tokens)
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -138,6 +138,7 @@
 	run, cancel, stop := q.ActiveRuns.track(ctx, b.Incarnation(), !q.admitted.Idempotent())
 	defer stop()
 	q.avoid[b.Incarnation()] = true
+	q.chosenAt = q.Now()
 	q.chain = b.ID
 	q.sends++
 	if q.admitted.Idempotent() && q.runs+1 < q.admitted.Route.MaxAttempts && q.sends < maxSends {
@@ -251,6 +252,7 @@
 		until, _ := q.Health.Suspect(b.Incarnation())
 		klog.InfoS("backend server suspected: another server responded at its address", "request", q.call.Attempt, "server", b.Incarnation(), "until", until)
 	case resp.verdict.NotRun:
+		q.logRefusal(b, resp.verdict, resp.status, elapsed)
 		q.Health.End(b.Incarnation(), false, 0)
 	default:
 		q.runs++
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -141,6 +141,7 @@
 	}
 	q.observeLimit(first, v, sentAt)
 	if v.NotRun {
+		q.logRefusal(first, v, resp.Status, q.Clock()-sentAt)
 		s.handleRefusal(stages, v, resp.Status)
 		return false, false, fault.New(fault.Overloaded, "an engine refused the request with status %d", resp.Status)
 	}
--- a/internal/protocol/relay/panic_test.go
+++ b/internal/protocol/relay/panic_test.go
@@ -35,6 +35,7 @@
 func (c *panicObserver) Request(string, string, string, string, time.Duration) { c.requests++ }
 func (c *panicObserver) FirstEvent(string, time.Duration)                      {}
 func (c *panicObserver) Retry(string, string)                                  {}
+func (c *panicObserver) Refusal(string, bool)                                  {}
 func (c *panicObserver) recordPanic(string)                                    { c.panics++ }
 
 // responseRecorder is a ResponseWriter that records the response.
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -81,6 +81,9 @@
 	Request(route, service, outcome, kind string, elapsed time.Duration)
 	FirstEvent(service string, elapsed time.Duration)
 	Retry(service, reason string)
+	// Refusal records that a backend server refused a request, and whether it asked for a
+	// pause.
+	Refusal(service string, pauseRequested bool)
 }
 
 // SuspectTracker collects evidence that engines do not respond. A suspected engine
@@ -152,6 +155,8 @@
 	// unsentAttempts counts the attempts of which nothing was sent.
 	unsentAttempts     int
 	waitingForCapacity bool
+	// chosenAt is when the server or the chain of the current attempt was chosen.
+	chosenAt time.Time
 	// refusedByLimits is set if the last choice of a server failed because of rate limits.
 	refusedByLimits bool
 	// retryGranted is set if a token for the next retry was already taken.
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -42,6 +42,7 @@
 
 func (o *retryCounter) Request(_, _, _, _ string, _ time.Duration) {}
 func (o *retryCounter) FirstEvent(string, time.Duration)           {}
+func (o *retryCounter) Refusal(string, bool)                       {}
 
 func (o *retryCounter) Retry(_, _ string) {
 	o.mu.Lock()
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -26,6 +26,7 @@
 
 func (nopObserver) Request(_, _, _, _ string, _ time.Duration) {}
 func (nopObserver) FirstEvent(string, time.Duration)           {}
+func (nopObserver) Refusal(string, bool)                       {}
 func (nopObserver) Retry(_, _ string)                          {}
 
 // upstream is a backend client that responds with a function.
