pause: a backend server that asks for a pause gets no requests until it is over

Cause: no code read Retry-After of a backend server. A refusal was only evidence, which attempts, successes of older requests, probes and peers may end. Change: coordination/pause keeps what was asked, by incarnation, as a bound that none of these ends. Choices of both kinds, first and later stages, moves, retries and trials leave the server out, and the permission is asked again after the connection is open, before the first byte. After the pause, extended by up to a quarter (1 s at most) at random, one request tries the server. If all that could run a request are paused, it is refused at once, Retry-After no sooner than the first is free; a stream waits for a pause that ends in time. No health check and no placement order is sent during a pause. Peers hear of the refusal as before, for a shorter time, as they were not asked. Why it holds: every send of a caller's request passes Permitted, and nothing but time ends a pause. A longer pause is never replaced by a shorter one: requests sent together have responses in any order, and none is sent in between.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/pause"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -78,9 +79,9 @@
 	Found Result = iota
 	// CapacityExhausted means that chains exist, but none has free capacity.
 	CapacityExhausted
-	// RateLimited means that chains with free capacity exist, but that the rate limits of
-	// their first stages allow no request now.
-	RateLimited
+	// Withheld means that chains with free capacity exist, but that their engines allow no
+	// request now: the first stages by their rate limits, or any stage by a pause.
+	Withheld
 	// NoChain means that the usable engines and interconnects do not form a chain over all
 	// layers.
 	NoChain
@@ -97,6 +98,8 @@
 	RouterCount func() int
 	// Limits holds the rate limits that engines advertise as first stages. It may be nil.
 	Limits *ratelimit.Tracker
+	// Pauses holds the pauses that engines asked for. It may be nil.
+	Pauses *pause.Tracker
 	// Self identifies this router. Routers of large services consider different subsets of
 	// the engines.
 	Self string
@@ -122,9 +125,9 @@
 	if chain := s.shortest(); chain != nil {
 		return chain, Found
 	}
-	s.ignoreLimits = true
-	if c.Limits.Any() && s.shortest() != nil {
-		return nil, RateLimited
+	s.ignoreWithheld = true
+	if (c.Limits.Any() || c.Pauses.Any()) && s.shortest() != nil {
+		return nil, Withheld
 	}
 	s.requireCapacity = false
 	if chain := s.shortest(); chain != nil {
@@ -133,23 +136,9 @@
 	return nil, NoChain
 }
 
-// LimitWait returns the shortest time until a rate limit allows this router a request at an
-// engine that may be the first stage, or ratelimit.Never.
-func (c *Chooser) LimitWait(svc *model.Service, req Requirements) time.Duration {
-	wait := ratelimit.Never
-	for _, b := range c.engines(svc.Name) {
-		inc := b.Incarnation()
-		if b.Holds.From != 0 || b.Holds.Len() == 0 || req.Avoid[inc] || req.FirstStageIn != nil && !req.FirstStageIn[inc] {
-			continue
-		}
-		wait = min(wait, c.Limits.Wait(inc))
-	}
-	return wait
-}
-
 // ExhaustedResource names the resource that Choose lacked: rate limits or slots of first
-// stages, interconnect rate ("pipes") or token memory. It repeats the search, and its result is
-// meant for error messages.
+// stages, engines without a pause, interconnect rate ("pipes") or token memory. It repeats the
+// search, and its result is meant for error messages.
 func (c *Chooser) ExhaustedResource(svc *model.Service, req Requirements) string {
 	cands := c.candidates(svc, req)
 	s := search{spec: svc.Engine, cands: cands, layers: model.LayerRange{To: svc.Engine.Layers}, homeDomain: req.Domain, requireCapacity: true}
@@ -157,10 +146,10 @@
 	if s.shortest() != nil {
 		return "none at present"
 	}
-	rateFree := s
-	rateFree.ignoreLimits = true
-	if rateFree.shortest() != nil {
-		return "rate limits"
+	withheld := s
+	withheld.ignoreWithheld = true
+	if withheld.shortest() != nil {
+		return "rate limits or pauses"
 	}
 	unlimited := s
 	unlimited.crossing = withoutInterconnectLimits(s.crossing)
@@ -237,6 +226,7 @@
 			excludedFirst:   req.FirstStageIn != nil && !req.FirstStageIn[inc] || req.ExcludeFirstStage != nil && req.ExcludeFirstStage(b),
 			deferred:        c.Usage.defers(c.Self, inc, b.Holds, prefillSeconds(spec, b, req.Tokens, b.Holds.Len()), routers),
 			limited:         !c.Limits.Available(inc),
+			paused:          c.Pauses.Wait(inc) > 0,
 			noSlot:          b.Slots > 0 && used.FirstStageStreams+1 > float64(b.Slots)*maxSlotShare,
 			full:            used.TokenLayers+float64(req.Tokens*b.Holds.Len()) > capacity*maxReservedShare,
 		})
--- a/internal/coordination/chains/limit_test.go
+++ b/internal/coordination/chains/limit_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/pause"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -41,9 +42,10 @@
 	limits.Observe(inc("a1"), 0, 0)
 	limits.Observe(inc("b1"), 4, 0)
 	_, v := f.chooser.Choose(f.svc, req)
-	assert.Equal(t, v, RateLimited)
-	assert.Equal(t, f.chooser.ExhaustedResource(f.svc, req), "rate limits")
-	wait := f.chooser.LimitWait(f.svc, req)
+	assert.Equal(t, v, Withheld)
+	assert.Equal(t, f.chooser.ExhaustedResource(f.svc, req), "rate limits or pauses")
+	wait, paused := f.chooser.WithheldWait(f.svc, req)
+	assert.Equal(t, paused, time.Duration(0))
 	assert.Assert(t, wait > 0 && wait <= time.Second, "%v", wait)
 	f.now = f.now.Add(wait)
 	stages, v := f.chooser.Choose(f.svc, req)
@@ -51,8 +53,55 @@
 	assert.Equal(t, stages[0].Server.ID, "b1")
 	assert.Assert(t, limits.Take(inc("b1")))
 	_, v = f.chooser.Choose(f.svc, req)
-	assert.Equal(t, v, RateLimited)
+	assert.Equal(t, v, Withheld)
 	req.Avoid = map[model.Incarnation]bool{inc("a1"): true, inc("b1"): true}
 	_, v = f.chooser.Choose(f.svc, req)
 	assert.Equal(t, v, NoChain)
 }
+
+func withPauses(f *fixture) *pause.Tracker {
+	t := pause.New(func() time.Duration { return time.Duration(f.now.UnixNano()) })
+	f.chooser.Pauses = t
+	return t
+}
+
+// An engine that asked for a pause must not get work at any stage, and the result must say
+// when the first chain is possible again.
+func TestPausedEngineIsInNoChain(t *testing.T) {
+	f := twoDomains()
+	pauses := withPauses(f)
+	req := Requirements{Domain: "a", Tokens: 1000}
+	pauses.Request(inc("a1"), 10*time.Second)
+	pauses.Request(inc("a2"), 4*time.Second)
+	stages, v := f.chooser.Choose(f.svc, req)
+	assert.Equal(t, v, Found)
+	for _, s := range stages {
+		assert.Assert(t, s.Server.ID != "a1" && s.Server.ID != "a2")
+	}
+	pauses.Request(inc("b2"), 8*time.Second)
+	_, v = f.chooser.Choose(f.svc, req)
+	assert.Equal(t, v, Withheld)
+	wait, paused := f.chooser.WithheldWait(f.svc, req)
+	assert.Equal(t, wait, paused)
+	assert.Assert(t, wait >= 4*time.Second && wait <= 5*time.Second, "%v", wait)
+	f.now = f.now.Add(wait)
+	stages, v = f.chooser.Choose(f.svc, req)
+	assert.Equal(t, v, Found)
+	covers(t, stages, model.LayerRange{To: 80})
+}
+
+// A running stream is not moved to an engine that asked for a pause, and stays at one that it
+// uses already.
+func TestStreamIsNotMovedToAPausedEngine(t *testing.T) {
+	f := twoDomains()
+	pauses := withPauses(f)
+	stages, v := f.chooser.Choose(f.svc, Requirements{Domain: "a", Tokens: 1000})
+	assert.Equal(t, v, Found)
+	assert.Equal(t, stages[0].Server.ID, "a1")
+	pauses.Request(inc("a1"), 10*time.Second)
+	lost := map[model.Incarnation]bool{inc("a2"): true}
+	next := f.chooser.Replace(f.svc, stages, lost, 1000, 0)
+	covers(t, next, model.LayerRange{To: 80})
+	pauses.Request(inc("b2"), 10*time.Second)
+	assert.Assert(t, f.chooser.Replace(f.svc, stages, lost, 1000, 0) == nil)
+}
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -133,7 +133,9 @@
 		// The pause ends with the next event, which contains stride tokens.
 		cands[i].secondsPerLayer *= float64(max(spec.StepsPerPass, 1))
 		if reserved[b.Incarnation()] {
-			cands[i].full = false // the stream already has memory reserved there
+			// The stream runs there already and has memory reserved.
+			cands[i].full = false
+			cands[i].paused = false
 			continue
 		}
 		// The search has no costs for the hops to the adjacent stages, so they are spread
--- a/internal/coordination/chains/walk.go
+++ b/internal/coordination/chains/walk.go
@@ -18,6 +18,8 @@
 	deferred bool
 	// limited is set if the engine's rate limit allows no request of this router now.
 	limited bool
+	// paused is set if the engine asked this router for a pause that lasts.
+	paused bool
 	// noSlot is set if the engine has no free slot for a first stage.
 	noSlot bool
 	// excludedFirst is set if the engine must not be the first stage.
@@ -44,8 +46,8 @@
 	crossing   [][]float64
 	// requireCapacity skips engines without free capacity.
 	requireCapacity bool
-	// ignoreLimits allows first stages whose rate limit allows no request now.
-	ignoreLimits bool
+	// ignoreWithheld allows engines whose rate limit or pause allows no request now.
+	ignoreWithheld bool
 	// skipDeferred skips engines that are left to other routers.
 	skipDeferred bool
 }
@@ -82,7 +84,8 @@
 }
 
 func (s *search) usable(c *candidate, layer int) bool {
-	return !(s.requireCapacity && c.full) && !(s.skipDeferred && c.deferred) && c.holds(s.layers.From+layer)
+	withheld := s.requireCapacity && c.paused && !s.ignoreWithheld
+	return !withheld && !(s.requireCapacity && c.full) && !(s.skipDeferred && c.deferred) && c.holds(s.layers.From+layer)
 }
 
 func (s *search) fillFirst(row []pathCost) {
@@ -90,7 +93,7 @@
 		c := &s.cands[e]
 		row[e] = pathCost{cost: math.Inf(1), previous: noCandidate}
 		newRequest := s.requireCapacity && s.layers.From == 0
-		eligible := !c.excludedFirst && !(newRequest && (c.noSlot || c.limited && !s.ignoreLimits))
+		eligible := !c.excludedFirst && !(newRequest && (c.noSlot || c.limited && !s.ignoreWithheld))
 		if eligible && s.usable(c, 0) {
 			row[e].cost = c.secondsPerLayer + s.startCost(c)
 		}
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -49,6 +49,8 @@
 	HasTraffic func() bool
 	// Suspected reports whether there is evidence against an engine. Nil means never.
 	Suspected func(engine model.Incarnation) bool
+	// Paused reports whether an engine asked this router for a pause. Nil means never.
+	Paused func(engine model.Incarnation) bool
 	// Unreachable reports whether an engine has not answered this router for a while, even
 	// if it is still listed. Nil means never.
 	Unreachable func(engine model.Incarnation) bool
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -87,7 +87,7 @@
 			delete(c.pending, b.Incarnation())
 			continue
 		}
-		if !c.mayLoad(b.Address, want) {
+		if !c.mayLoad(b.Address, want) || c.Paused != nil && c.Paused(b.Incarnation()) {
 			continue
 		}
 		if p, ok := c.pending[b.Incarnation()]; ok && now.Before(p.deadline) {
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/liveness"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/pause"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
@@ -170,6 +171,7 @@
 		HasTraffic:          r.requestSeen.Load,
 	}
 	rt := r.settings.Router
+	r.pauses = pause.New(boottime.Now)
 	r.limits = ratelimit.New(r.settings.Router.Peers, r.routersNear, boottime.Now)
 	r.exchange.Limits = r.limits
 	budget := limits.NewSharedRetryBudget(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.RouterCount, time.Now)
@@ -199,11 +201,12 @@
 		Config:         r.config,
 		Catalog:        r.catalog,
 		Health:         r.health,
-		Chooser:        &chains.Chooser{Catalog: r.catalog, Health: r.health, Usage: r.usage, Interconnect: r.interconnect, RouterCount: r.exchange.RouterCount, Limits: r.limits, Self: r.settings.Router.Peers},
+		Chooser:        &chains.Chooser{Catalog: r.catalog, Health: r.health, Usage: r.usage, Interconnect: r.interconnect, RouterCount: r.exchange.RouterCount, Limits: r.limits, Pauses: r.pauses, Self: r.settings.Router.Peers},
 		Usage:          r.usage,
 		RetryBorrower:  r.exchange.RetryBorrower,
 		WaitQueue:      admission.NewWaitQueue(),
 		Limits:         r.limits,
+		Pauses:         r.pauses,
 		BackendClient:  r.backends,
 		Observer:       r.metrics,
 		OnPanic:        r.metrics.countPanic,
@@ -286,7 +289,8 @@
 		FencingToken: r.elector.FencingToken,
 		OnFenced:     r.elector.TokenRejected,
 		HasTraffic:   r.hasTraffic,
-		Suspected:    r.health.Suspected,
+		Paused:       r.pauses.Paused,
+		Suspected:    func(engine model.Incarnation) bool { return r.health.Suspected(engine) || r.pauses.Paused(engine) },
 		Unreachable:  r.prober.Lost,
 		RateLimits:   r.limits.Rates,
 		StreamCount:  func(engine model.Incarnation) float64 { return r.usage.Used(engine).Streams },
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -125,6 +125,11 @@
 	m.scope.Gauge("backend_rate_limits_sum").Update(sum)
 }
 
+// setPauses records how many backend servers asked this router for a pause that lasts.
+func (m *metrics) setPauses(n int) {
+	m.scope.Gauge("backend_servers_paused").Update(float64(n))
+}
+
 // setQuarantine sets the numbers of suspected and of quarantined requests.
 func (m *metrics) setQuarantine(suspects, quarantined int) {
 	m.scope.Gauge("requests_suspected").Update(float64(suspects))
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/follow"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/liveness"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/pause"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
@@ -63,6 +64,7 @@
 	usage        *chains.UsageTracker
 	interconnect *chains.Interconnect
 	limits       *ratelimit.Tracker
+	pauses       *pause.Tracker
 	elector      *leader.Elector
 	controller   *placement.Controller
 	exchange     *peers.Exchange
@@ -199,6 +201,8 @@
 	r.usage.Retain(registered)
 	r.limits.Retain(registered)
 	r.metrics.setLimits(r.limits.Rates())
+	r.pauses.Retain(registered)
+	r.metrics.setPauses(r.pauses.Count())
 	for _, b := range r.engines() {
 		r.usage.Observe(b.Incarnation(), b.Holds)
 	}
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -8,6 +8,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/wait"
@@ -92,8 +93,8 @@
 			return false
 		}
 		stages, result = q.Chooser.Choose(q.admitted.Service, requirements)
-		if result == chains.Found && !q.Limits.Take(stages[0].Server.Incarnation()) {
-			result = chains.RateLimited // another request took the last one
+		if result == chains.Found && !q.takePermission(stages[0].Server.Incarnation()) {
+			result = chains.Withheld // another request took the last one
 		}
 		if result == chains.Found {
 			reservation = q.Usage.Reserve(stages, s.tokens)
@@ -103,8 +104,8 @@
 				q.Chooser.RecordResume(q.admitted.Service.Engine, stages, s.tokens)
 			}
 		}
-		if result == chains.RateLimited {
-			return s.limitsTooLow(requirements, maxWait)
+		if result == chains.Withheld {
+			return s.withheldTooLong(requirements, maxWait)
 		}
 		return result != chains.CapacityExhausted
 	}
@@ -133,10 +134,14 @@
 		}
 	}
 	if result == chains.NoChain {
-		return nil, nil, fault.New(fault.NoCapacity, "no chain of available engines holds all layers: %s", q.Chooser.ExplainNoChain(q.admitted.Service, requirements))
+		f := fault.New(fault.NoCapacity, "no chain of available engines holds all layers: %s", q.Chooser.ExplainNoChain(q.admitted.Service, requirements))
+		if _, paused := q.Chooser.WithheldWait(q.admitted.Service, requirements); paused > f.RetryDelay() {
+			f.RetryAfter = limits.Jitter(paused)
+		}
+		return nil, nil, f
 	}
-	if result == chains.RateLimited {
-		return nil, nil, q.limitError(q.Chooser.LimitWait(q.admitted.Service, requirements))
+	if result == chains.Withheld {
+		return nil, nil, q.withheldError(q.Chooser.WithheldWait(q.admitted.Service, requirements))
 	}
 	f := fault.New(fault.Overloaded, "no chain has capacity: %d requests waiting, waited %v, admitted %t, exhausted resource: %s", q.WaitQueue.Len(), maxWait, gotCapacity,
 		q.Chooser.ExhaustedResource(q.admitted.Service, requirements))
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -79,42 +79,46 @@
 	case q.runs > 0:
 		return q.respondError(fault.New(fault.BackendLost, "no complete response was received from the backend server"))
 	case lastFailure != nil:
-		return q.respondError(fault.New(fault.Overloaded, "every backend server tried refused the request"))
+		f := fault.New(fault.Overloaded, "every backend server tried refused the request")
+		if wait, paused := q.withheldWait(); paused > 0 {
+			f.RetryAfter = q.withheldError(wait, paused).RetryAfter
+		}
+		return q.respondError(f)
 	}
-	if q.refusedByLimits {
-		return q.respondError(q.limitError(q.limitWait()))
+	if q.withheld {
+		return q.respondError(q.withheldError(q.withheldWait()))
 	}
 	return q.respondError(fault.New(fault.NoCapacity, "no backend server of %s accepts requests", q.admitted.Service.Name))
 }
 
-// takeServer returns the least costly backend server whose rate limit grants the request, or
-// nil.
+// takeServer returns the least costly backend server whose rate limit and pause grant the
+// request, or nil.
 func (q *request) takeServer() *model.BackendServer {
 	for {
 		b := q.leastCostServer()
-		if b == nil || q.Limits.Take(b.Incarnation()) {
+		if b == nil || q.takePermission(b.Incarnation()) {
 			return b
 		}
 	}
 }
 
 // leastCostServer returns the backend server with the lowest expected wait, or nil. Servers
-// whose rate limit allows no request now are left out.
+// whose rate limit or pause allows no request now are left out.
 // The cost combines this router's load there, latency, failure rate and a small charge
 // for another failure domain. Suspected servers are considered only if all others are
 // excluded, as a suspicion of every server is probably wrong.
 func (q *request) leastCostServer() *model.BackendServer {
 	var best *model.BackendServer
 	var lowest float64
-	q.refusedByLimits = false
+	q.withheld = false
 	for _, allowSuspects := range []bool{false, true} {
 		for _, b := range q.Catalog.Load().Service(q.admitted.Service.Name) {
 			view := q.Health.View(b.Incarnation())
 			if q.avoid[b.Incarnation()] || q.excluded.excludes(b) || view.Suspected && !allowSuspects {
 				continue
 			}
-			if !q.Limits.Available(b.Incarnation()) {
-				q.refusedByLimits = true
+			if !q.Limits.Available(b.Incarnation()) || q.Pauses.Wait(b.Incarnation()) > 0 {
+				q.withheld = true
 				continue
 			}
 			cost := (1 + float64(view.Active)) * (0.01 + view.DecayedLatency.Seconds()) * (1 + 8*view.FailureRate)
@@ -173,9 +177,9 @@
 		}
 	}()
 	sentAt := q.Clock()
-	resp, err := q.BackendClient.Do(run, b.Address, q.newRequest(platform.ForwardOptions{Instance: b.ID}))
+	resp, err := q.BackendClient.Do(run, b.Address, q.newRequest(b, platform.ForwardOptions{}))
 	if err == nil {
-		q.observeLimit(b, platform.DecodeResponseInfo(resp.Status, resp.Header), sentAt)
+		q.observeResponse(b, platform.DecodeResponseInfo(resp.Status, resp.Header), sentAt)
 		read, err = q.readResponse(resp)
 	}
 	returned = true
@@ -232,6 +236,9 @@
 		q.sends--
 		q.unsentAttempts++
 	}
+	if reason == withheld {
+		q.returnPermission(b.Incarnation())
+	}
 	klog.InfoS("attempt failed", "request", q.call.Attempt, "work", q.fingerprint(), "why", reason, "sent", sent, "server", b.Incarnation(), "err", err, "ms", elapsed.Milliseconds())
 	if !reason.countsAsFailure(elapsed) {
 		q.Health.Cancel(b.Incarnation())
--- a/internal/protocol/relay/ending.go
+++ b/internal/protocol/relay/ending.go
@@ -19,6 +19,7 @@
 	tooSlow            endReason = "slower than usual"
 	noConnection       endReason = "no connection"
 	connectionLost     endReason = "broken off"
+	withheld           endReason = "the server asked for a pause"
 	panicked           endReason = "fault in the code"
 	routerStopping     endReason = "router stops"
 )
@@ -41,6 +42,8 @@
 		return deadlineExceeded
 	case cause != nil:
 		return callerDisconnected
+	case errors.Is(err, ErrWithheld):
+		return withheld
 	case errors.Is(err, ErrNotSent):
 		return noConnection
 	}
@@ -55,11 +58,11 @@
 }
 
 // countsAsFailure reports whether the end of a run is evidence against its server. It is
-// not if the caller disconnected, the router is stopping, or the deadline left the
-// server too little time.
+// not if the caller disconnected, the router is stopping or did not send the request, or the
+// deadline left the server too little time.
 func (e endReason) countsAsFailure(elapsed time.Duration) bool {
 	switch e {
-	case callerDisconnected, routerStopping:
+	case callerDisconnected, routerStopping, withheld:
 		return false
 	case deadlineExceeded:
 		return elapsed >= minAttemptTimeout
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -114,7 +114,7 @@
 	first := stages[0].Server
 	path := hops(stages)
 	q.chain = chainString(stages)
-	send := platform.ForwardOptions{Instance: first.ID, Chain: path}
+	send := platform.ForwardOptions{Chain: path}
 	if s.hasLastEventID {
 		send.ResumeAfter = strconv.FormatInt(s.lastEventID, 10)
 	}
@@ -127,7 +127,7 @@
 	defer func() { q.retryGranted = w.stop() || q.retryGranted }()
 	q.sends++
 	sentAt := q.Clock()
-	resp, err := q.BackendClient.Do(run, first.Address, q.newRequest(send))
+	resp, err := q.BackendClient.Do(run, first.Address, q.newRequest(first, send))
 	if err != nil {
 		result = runResult(endReasonOf(run, err), err)
 		return false, false, s.handleSendError(run, w, first, err)
@@ -139,7 +139,7 @@
 		q.runs++
 		return false, false, fault.New(fault.BackendFailed, "an engine's response belongs to another request")
 	}
-	q.observeLimit(first, v, sentAt)
+	q.observeResponse(first, v, sentAt)
 	if v.NotRun {
 		q.logRefusal(first, v, resp.Status, q.Clock()-sentAt)
 		s.handleRefusal(stages, v, resp.Status)
@@ -285,7 +285,10 @@
 		}
 		klog.InfoS("engine suspected: it does not hold the layers of its stage", "request", s.call.Attempt, "server", refusing.Incarnation(), "until", until)
 	} else {
-		s.Suspects.Refused(refusing, s.call.Attempt, status)
+		if refusing != stages[0].Server {
+			s.Pauses.Request(refusing.Incarnation(), v.Pause) // it is at fault; the first one has responded
+		}
+		s.Suspects.Refused(refusing, s.call.Attempt, status, v.Pause)
 	}
 }
 
@@ -296,6 +299,11 @@
 	if errors.Is(err, ErrNotSent) {
 		s.sends--
 		s.unsentAttempts++
+		if reason == withheld {
+			s.returnPermission(first.Incarnation())
+			s.avoid[first.Incarnation()] = true
+			return fault.New(fault.Overloaded, "an engine asked for a pause before the request was sent")
+		}
 		if reason != noConnection && !(reason == deadlineExceeded && reason.countsAsFailure(s.Now().Sub(w.sentAt))) {
 			s.recordChainLoss(w, reason, err)
 			return fault.New(fault.NotConnected, "the run was cancelled before it was sent: %s", reason)
--- a/internal/protocol/relay/move.go
+++ b/internal/protocol/relay/move.go
@@ -125,7 +125,7 @@
 		w.failEngine(server, err)
 		return
 	}
-	w.q.Suspects.Refused(server, w.q.call.Attempt, http.StatusConflict)
+	w.q.Suspects.Refused(server, w.q.call.Attempt, http.StatusConflict, 0)
 }
 
 func (w *chainWatch) hasUnconfirmedOrder() bool {
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -81,7 +81,14 @@
 // or unloads its layers. Its entry may show the cause only seconds later, or not at all
 // while the store is unavailable. Its report and its health check distinguish the cases. A probe would succeed at once, so the suspicion lasts its full period and
 // peers adopt it.
-func (p *Prober) Refused(b *model.BackendServer, request string, status int) {
+//
+// An engine that asks for a pause has said how long it refuses requests of this router. Peers
+// get a shorter period, as it did not ask them.
+func (p *Prober) Refused(b *model.BackendServer, request string, status int, pause time.Duration) {
+	if pause > 0 {
+		p.AnnounceRefusal(b.Incarnation(), p.Now().Add(min(pause, p.Health.NextSuspicionPeriod(b.Incarnation()))))
+		return
+	}
 	if p.Health.Suspected(b.Incarnation()) {
 		return
 	}
--- a/internal/protocol/relay/prober_test.go
+++ b/internal/protocol/relay/prober_test.go
@@ -208,7 +208,7 @@
 		a.unhealthy = true
 		a.load = model.EngineReport{UsedTokenLayers: 10, TotalTokenLayers: 100}
 		for range 20 {
-			p.Refused(a.server, "r", 503)
+			p.Refused(a.server, "r", 503, 0)
 		}
 		time.Sleep(7 * time.Second)
 		assert.Assert(t, p.Health.Suspected(inc("e")))
@@ -224,7 +224,7 @@
 	runProber(t, func(p *Prober, a *fakeEngine) {
 		a.load = model.EngineReport{UsedTokenLayers: 99, TotalTokenLayers: 100}
 		for range 5 {
-			p.Refused(a.server, "r", 503)
+			p.Refused(a.server, "r", 503, 0)
 			time.Sleep(fullEnginePeriod / 2)
 			assert.Assert(t, p.Health.Suspected(inc("e")))
 			time.Sleep(fullEnginePeriod)
@@ -239,7 +239,7 @@
 	runProber(t, func(p *Prober, a *fakeEngine) {
 		a.load = model.EngineReport{TotalTokenLayers: 100}
 		for _, period := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
-			p.Refused(a.server, "r", 503)
+			p.Refused(a.server, "r", 503, 0)
 			time.Sleep(period - 10*time.Millisecond)
 			assert.Assert(t, p.Health.Suspected(inc("e")))
 			time.Sleep(20 * time.Millisecond)
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/pause"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
@@ -33,6 +34,10 @@
 // the context had ended.
 var ErrNotSent = errors.New("not sent")
 
+// ErrWithheld reports that a request was not sent because its Permitted returned false. It is
+// wrapped together with ErrNotSent.
+var ErrWithheld = errors.New("withheld")
+
 // Request is an HTTP request to a backend server.
 type Request struct {
 	Method string
@@ -40,6 +45,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Permitted is called right before the first byte is sent, as a connection may take long
+	// to open. If it returns false, nothing is sent. It may be nil.
+	Permitted func() bool
 }
 
 // Response is a backend server's response whose body has not been read yet.
@@ -90,8 +98,9 @@
 // gets no requests until it has responded again.
 type SuspectTracker interface {
 	Unreachable(b *model.BackendServer, request string, err error)
-	// Refused records that an engine responded but refused a request.
-	Refused(b *model.BackendServer, request string, status int)
+	// Refused records that an engine responded but refused a request. pause is how long it
+	// asked for no requests, 0 if it did not.
+	Refused(b *model.BackendServer, request string, status int, pause time.Duration)
 	// Exited records that an engine's process has exited.
 	Exited(engine model.Incarnation)
 	// Responded records that an incarnation responded to a report request sent at the
@@ -113,7 +122,9 @@
 	RetryBorrower *limits.RetryBorrower
 	WaitQueue     *admission.WaitQueue
 	// Limits holds the rate limits that backend servers advertise. It may be nil.
-	Limits        *ratelimit.Tracker
+	Limits *ratelimit.Tracker
+	// Pauses holds the pauses that backend servers asked for. It may be nil.
+	Pauses        *pause.Tracker
 	BackendClient BackendClient
 	Observer      Observer
 	// OnPanic counts a recovered panic by the place where it was recovered; may be nil.
@@ -157,8 +168,8 @@
 	waitingForCapacity bool
 	// chosenAt is when the server or the chain of the current attempt was chosen.
 	chosenAt time.Time
-	// refusedByLimits is set if the last choice of a server failed because of rate limits.
-	refusedByLimits bool
+	// withheld is set if the last choice of a server failed because of rate limits or pauses.
+	withheld bool
 	// retryGranted is set if a token for the next retry was already taken.
 	retryGranted bool
 	avoid        map[model.Incarnation]bool
@@ -232,15 +243,19 @@
 	return max(q.admitted.Deadline.Sub(q.Now()), time.Millisecond)
 }
 
-func (q *request) newRequest(s platform.ForwardOptions) *Request {
+// newRequest returns the request to send to a server. A server that asks for a pause while the
+// connection is opened does not get it.
+func (q *request) newRequest(b *model.BackendServer, s platform.ForwardOptions) *Request {
+	s.Instance = b.ID
 	s.Customer = q.admitted.Customer
 	s.Timeout = q.remaining()
 	s.Priority = min(q.admitted.Priority, 9)
 	return &Request{
-		Method: q.call.Method,
-		Target: q.call.Target,
-		Host:   q.call.Host,
-		Header: platform.EncodeCall(q.call, s),
-		Body:   q.call.Body,
+		Permitted: func() bool { return !q.Pauses.Paused(b.Incarnation()) },
+		Method:    q.call.Method,
+		Target:    q.call.Target,
+		Host:      q.call.Host,
+		Header:    platform.EncodeCall(q.call, s),
+		Body:      q.call.Body,
 	}
 }
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -101,17 +101,20 @@
 }
 
 // Healthy reports whether a backend server passes its health check. A server counts as
-// healthy if its service has no health path or the check returns an error.
+// healthy if its service has no health path, it asked for a pause, as the check takes a slot,
+// or the check returns an error.
 func (r *Relay) Healthy(ctx context.Context, b *model.BackendServer) (bool, error) {
 	svc := r.Config.Load().Service(b.Service)
-	if svc == nil || svc.HealthPath == "" {
+	if svc == nil || svc.HealthPath == "" || r.Pauses.Paused(b.Incarnation()) {
 		return true, nil
 	}
+	sentAt := r.Clock()
 	resp, err := r.BackendClient.Do(ctx, b.Address, &Request{Method: http.MethodGet, Target: svc.HealthPath, Host: b.Address, Header: http.Header{}})
 	if err != nil {
 		return true, err
 	}
 	defer resp.Body.Close()
+	r.observePause(b, platform.DecodeResponseInfo(resp.Status, resp.Header), sentAt)
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		resp.Body.Discard()
 	}
@@ -149,6 +152,7 @@
 
 // sendOrder sends an order to an engine and returns the status and body of the response.
 func (r *Relay) sendOrder(ctx context.Context, b *model.BackendServer, body []byte) (status int, respBody []byte, err error) {
+	sentAt := r.Clock()
 	resp, err := r.BackendClient.Do(ctx, b.Address, &Request{
 		Method: http.MethodPost,
 		Target: platform.OrderPath,
@@ -160,6 +164,7 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
+	r.observePause(b, platform.DecodeResponseInfo(resp.Status, resp.Header), sentAt)
 	respBody, err = io.ReadAll(io.LimitReader(resp.Body, maxOrderResponseBytes+1))
 	if err != nil || len(respBody) > maxOrderResponseBytes {
 		resp.Body.Discard()
--- a/internal/protocol/relay/suspect.go
+++ b/internal/protocol/relay/suspect.go
@@ -136,7 +136,7 @@
 				return stages, reservation, nil
 			}
 			reservation.Release()
-			s.Limits.Return(stages[0].Server.Incarnation())
+			s.returnPermission(stages[0].Server.Incarnation())
 			s.WaitQueue.Notify()
 			if perm == chooseAgain {
 				continue
@@ -209,7 +209,7 @@
 		if perm == runNow {
 			return server, nil
 		}
-		q.Limits.Return(server.Incarnation())
+		q.returnPermission(server.Incarnation())
 		if perm == notNow {
 			return nil, q.trialError(v.Exits)
 		}
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -93,19 +93,25 @@
 // relay.ErrRefused if none does. After any other error this is unknown. The connection is
 // kept for the next request.
 func (p *Pool) CheckListening(ctx context.Context, addr string) error {
-	h := p.host(addr)
-	c, err := p.dial(ctx, addr, h.currentGeneration())
+	c, err := p.dial(ctx, addr, p.host(addr).currentGeneration())
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return relay.ErrRefused
 	}
 	if err != nil {
 		return err
 	}
-	c.idleDeadline = time.Now().Add(defaultIdleTimeout)
-	h.put(c)
+	p.keep(c, addr)
 	return nil
 }
 
+// keep keeps a connection that was not used for the next request.
+func (p *Pool) keep(c *conn, addr string) {
+	if c.idleDeadline.IsZero() {
+		c.idleDeadline = time.Now().Add(defaultIdleTimeout)
+	}
+	p.host(addr).put(c)
+}
+
 // keepAliveInterval and keepAliveProbes close an idle connection that became
 // unresponsive, because it would never show that its peer exited.
 const (
@@ -151,6 +157,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if r.Permitted != nil && !r.Permitted() {
+			p.keep(c, addr)
+			return nil, notSent(relay.ErrWithheld)
+		}
 		resp, err := p.exchange(ctx, c, addr, r)
 		if c.reused && ctx.Err() == nil && errors.Is(err, relay.ErrNotSent) {
 			// The peer closed the connection after the check in takeIdle. Nothing was
--- a/internal/transport/backend/pool_test.go
+++ b/internal/transport/backend/pool_test.go
@@ -321,3 +321,25 @@
 		t.Fatal("the connection was not closed")
 	}
 }
+
+// A request that is no longer permitted when its connection is open must not be sent. The
+// connection serves the next one.
+func TestWithheldRequestIsNotSent(t *testing.T) {
+	s := newServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return err == nil
+	})
+	p := NewPool()
+	r := &relay.Request{Method: http.MethodGet, Target: "/", Host: "h", Permitted: func() bool { return false }}
+	for range 2 {
+		_, err := p.Do(t.Context(), s.l.Addr().String(), r)
+		assert.Assert(t, errors.Is(err, relay.ErrNotSent) && errors.Is(err, relay.ErrWithheld), "%v", err)
+	}
+	status, body, err := get(t, p, s)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "ok")
+	conns, requests := s.counts()
+	assert.Equal(t, conns, 1)
+	assert.Equal(t, requests, 1)
+}
