prober: the refusal of a request that tries an engine again counts

What callers saw: nothing; an engine that refuses, with or without Retry-After, got a request from each router every 0.3 to 0.4 s for as long as it refused, each a used-up retry. Cause: Refused ignored the refusals of an engine that is marked as suspected, to count those of requests sent together once. That mark is also set while one request tries the engine again after a suspicion, so the refusal of that very request was ignored: the period never doubled, and peers were not told. Change: only a suspicion that lasts makes a refusal count as known. Why it holds: after a suspicion has expired, the next refusal always raises a new one, twice as long up to 8 s, and a success ends it.

--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -199,6 +199,18 @@
 	return r.suspected(h.now())
 }
 
+// SuspicionLasts reports whether the last suspicion of a backend server has not expired.
+// Unlike Suspected it is false for a server that a request tries again after that.
+func (h *Health) SuspicionLasts(inc model.Incarnation) bool {
+	r, ok := h.records.Get(inc)
+	if !ok {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return h.now().Before(r.suspectedUntil)
+}
+
 func (r *record) suspected(now time.Time) bool {
 	return now.Before(r.suspectedUntil) || r.failureCount > 0 && now.Before(r.nextAttempt)
 }
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -89,8 +89,8 @@
 		p.AnnounceRefusal(b.Incarnation(), p.Now().Add(min(pause, p.Health.NextSuspicionPeriod(b.Incarnation()))))
 		return
 	}
-	if p.Health.Suspected(b.Incarnation()) {
-		return
+	if p.Health.SuspicionLasts(b.Incarnation()) {
+		return // the refusals of requests that were sent together count once
 	}
 	p.Health.SuspectUntil(b.Incarnation(), p.Now().Add(fullEnginePeriod))
 	go p.classifyRefusal(b, request, status)
