catalog: a backend server that says that it leaves gets no new requests

What callers saw: nothing yet; a server that leaves got requests until its entry in the store said so, which takes seconds, and for ever while the store is away (DRAIN, Server-Leaving). Cause: no code read the header; leaving was known from the store's entry alone. Change: a response of the server itself (to a request, a health check, a report or an order) marks its incarnation; entries, reads of the whole list and returned entries keep the mark, a new incarnation is free of it. All that treats a draining server as such follows: choices, plans, exits under a request. Peers hear of it as a rumor, within two rounds of heartbeats; the list is sent only if it is not empty, and older routers ignore it. A response of another process at the address says nothing. Why it holds: the mark belongs to the incarnation and nothing but its exit ends it.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -76,6 +76,9 @@
 // put adds or updates an entry. read is the number of the read of the whole list that
 // returned it, or 0 for a change. The caller holds c.mu.
 func (c *Catalog) put(b model.BackendServer, read int64) Conflicts {
+	if c.history.leaving[b.Incarnation()] {
+		b.Draining = true
+	}
 	old, ok := c.entries[b.ID]
 	if ok && !old.missing && old.server.Revision > b.Revision {
 		return Conflicts{}
@@ -235,6 +238,22 @@
 	}
 }
 
+// MarkLeaving records that an incarnation said itself that it leaves, and reports whether that
+// is new. It gets no new requests until it exits, whatever its entry says.
+func (c *Catalog) MarkLeaving(inc model.Incarnation) (isNew bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.history.leaving[inc] {
+		return false
+	}
+	c.history.setLeaving(inc, c.now())
+	if e, ok := c.entries[inc.ID]; ok && e.server.Incarnation() == inc {
+		e.server.Draining = true
+		c.dirty.Store(true)
+	}
+	return true
+}
+
 // Expire removes missing entries whose grace is over and returns their ids.
 func (c *Catalog) Expire() []string {
 	c.mu.Lock()
--- a/internal/coordination/catalog/incarnation.go
+++ b/internal/coordination/catalog/incarnation.go
@@ -146,6 +146,8 @@
 	reads     int64
 	// newest is the newest incarnation of each id.
 	newest map[string]model.Incarnation
+	// leaving are the incarnations that said themselves that they leave.
+	leaving map[model.Incarnation]bool
 	// maxRevision is the highest revision observed.
 	maxRevision model.Revision
 }
@@ -155,6 +157,7 @@
 		firstSeen: map[model.Incarnation]observation{},
 		lastSeen:  map[model.Incarnation]time.Time{},
 		newest:    map[string]model.Incarnation{},
+		leaving:   map[model.Incarnation]bool{},
 	}
 }
 
@@ -183,6 +186,12 @@
 	return seen
 }
 
+// setLeaving records that an incarnation said that it leaves.
+func (h *incarnationHistory) setLeaving(inc model.Incarnation, now time.Time) {
+	h.leaving[inc] = true
+	h.lastSeen[inc] = now
+}
+
 // setNewest records that an incarnation is the newest of its id.
 func (h *incarnationHistory) setNewest(inc model.Incarnation, now time.Time) observation {
 	seen := observation{revision: h.maxRevision + 1}
@@ -209,6 +218,7 @@
 		if !present && now.Sub(at) > historyRetention {
 			delete(c.history.firstSeen, inc)
 			delete(c.history.lastSeen, inc)
+			delete(c.history.leaving, inc)
 			if c.history.newest[inc.ID] == inc {
 				delete(c.history.newest, inc.ID)
 			}
--- a/internal/coordination/catalog/incarnation_test.go
+++ b/internal/coordination/catalog/incarnation_test.go
@@ -228,3 +228,35 @@
 	assert.Equal(t, len(c.history.firstSeen)+len(c.history.lastSeen)+len(c.history.newest)+len(c.newestByAddr), 0)
 	assert.Equal(t, h.records.Len(), 0)
 }
+
+// A server says in its responses that it leaves, and its entry, written late or by a store that
+// is behind, still says that it is ready. It got new requests.
+func TestLeavingServerStaysOutOfUse(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(func() time.Time { return now })
+	b := model.BackendServer{ID: "i-1", Born: 5, Service: "s", Address: "1:1", Revision: 1}
+	c.Put(b)
+	assert.Assert(t, c.MarkLeaving(b.Incarnation()))
+	assert.Assert(t, !c.MarkLeaving(b.Incarnation()), "known already")
+	usable := func() int { return len(c.Load().Service("s")) }
+	assert.Equal(t, usable(), 0)
+	b.Revision = 2
+	c.Put(b)
+	assert.Equal(t, usable(), 0, "a heartbeat")
+	c.Replace([]model.BackendServer{b}, nil, 0)
+	assert.Equal(t, usable(), 0, "a read of the whole list")
+	c.Remove(b.ID, 3, time.Minute)
+	b.Revision = 4
+	c.Put(b)
+	assert.Equal(t, usable(), 0, "an entry that returned")
+	b.Born, b.Revision = 6, 5
+	c.Put(b)
+	assert.Equal(t, usable(), 1, "a new incarnation")
+	assert.Assert(t, c.MarkLeaving(model.Incarnation{ID: "i-2", Born: 1}), "not registered yet")
+	c.Put(model.BackendServer{ID: "i-2", Born: 1, Service: "s", Address: "1:2", Revision: 6})
+	assert.Equal(t, usable(), 1)
+	now = now.Add(2 * historyRetention)
+	c.Remove("i-2", 7, 0)
+	c.PruneExited()
+	assert.Equal(t, len(c.history.leaving), 0)
+}
--- a/internal/coordination/gossip/board.go
+++ b/internal/coordination/gossip/board.go
@@ -31,6 +31,7 @@
 const (
 	Refusal  Kind = iota // the engine refuses requests
 	Slowdown             // the engine is slower than its accelerator type
+	Leaving              // the engine said that it leaves
 )
 
 // Rumor is what a router found out about an engine.
@@ -41,7 +42,7 @@
 	// and never changed.
 	At    hlc.Timestamp
 	Until time.Time
-	// Factor is the slowdown; 1 if it ended, 0 for a refusal.
+	// Factor is the slowdown, 1 if it ended; 0 for rumors of other kinds.
 	Factor float64
 }
 
--- a/internal/protocol/relay/pause_test.go
+++ b/internal/protocol/relay/pause_test.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// A response of another process at a server's address was taken for the server's own.
+func TestResponseOfAnotherServerAsksForNothing(t *testing.T) {
+	for name, header := range map[string]http.Header{
+		"another instance": {"Retry-After": {"2"}, "Server-Leaving": {"1"}, "Instance-Id": {"other"}},
+		"another attempt":  {"Retry-After": {"2"}, "Server-Leaving": {"1"}, "Attempt-Id": {"other"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(model.Route{}, true, nil)
+			s.Pauses = pause.New(func() time.Duration { return time.Hour })
+			one := s.Catalog.Load().ByID("one")
+			q := &request{Relay: s.Relay, call: &model.Call{Attempt: "1"}}
+			q.observeResponse(one, platform.DecodeResponseInfo(http.StatusServiceUnavailable, header), 0)
+			assert.Assert(t, !s.Pauses.Any())
+			assert.Equal(t, len(s.Catalog.Load().Service("s")), 2)
+		})
+	}
+}
+
 // All servers of a service ask for a pause. A caller whom none can take was sent to one of them,
 // or held until its deadline.
 func TestRequestIsRefusedAtOnceWhileAllServersArePaused(t *testing.T) {
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -124,9 +124,12 @@
 	// Limits holds the rate limits that backend servers advertise. It may be nil.
 	Limits *ratelimit.Tracker
 	// Pauses holds the pauses that backend servers asked for. It may be nil.
-	Pauses        *pause.Tracker
-	BackendClient BackendClient
-	Observer      Observer
+	Pauses *pause.Tracker
+	// AnnounceLeaving tells the other routers that a backend server said that it leaves. It may
+	// be nil.
+	AnnounceLeaving func(server model.Incarnation)
+	BackendClient   BackendClient
+	Observer        Observer
 	// OnPanic counts a recovered panic by the place where it was recovered; may be nil.
 	OnPanic func(where string)
 	// ActiveRuns holds the runs in progress at backend servers.
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -43,7 +43,9 @@
 		resp.Body.Discard()
 		return model.EngineReport{}, errReportTooLong
 	}
+	info := platform.DecodeResponseInfo(resp.Status, resp.Header)
 	if resp.Status != http.StatusOK {
+		r.Pauses.Request(b.Incarnation(), info.Pause)
 		return model.EngineReport{}, errors.Errorf("report request returned status %d", resp.Status)
 	}
 	report, err := platform.DecodeReport(raw)
@@ -55,6 +57,7 @@
 	}
 	// A report without a start time may be of another incarnation.
 	if report.Born == b.Born {
+		r.observeRequests(b, info)
 		r.Suspects.Responded(b.Incarnation(), requestedAt)
 	}
 	return report, nil
@@ -108,13 +111,12 @@
 	if svc == nil || svc.HealthPath == "" || r.Pauses.Paused(b.Incarnation()) {
 		return true, nil
 	}
-	sentAt := r.Clock()
 	resp, err := r.BackendClient.Do(ctx, b.Address, &Request{Method: http.MethodGet, Target: svc.HealthPath, Host: b.Address, Header: http.Header{}})
 	if err != nil {
 		return true, err
 	}
 	defer resp.Body.Close()
-	r.observePause(b, platform.DecodeResponseInfo(resp.Status, resp.Header), sentAt)
+	r.observeRequests(b, platform.DecodeResponseInfo(resp.Status, resp.Header))
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		resp.Body.Discard()
 	}
@@ -152,7 +154,6 @@
 
 // sendOrder sends an order to an engine and returns the status and body of the response.
 func (r *Relay) sendOrder(ctx context.Context, b *model.BackendServer, body []byte) (status int, respBody []byte, err error) {
-	sentAt := r.Clock()
 	resp, err := r.BackendClient.Do(ctx, b.Address, &Request{
 		Method: http.MethodPost,
 		Target: platform.OrderPath,
@@ -164,7 +165,7 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	r.observePause(b, platform.DecodeResponseInfo(resp.Status, resp.Header), sentAt)
+	r.observeRequests(b, platform.DecodeResponseInfo(resp.Status, resp.Header))
 	respBody, err = io.ReadAll(io.LimitReader(resp.Body, maxOrderResponseBytes+1))
 	if err != nil || len(respBody) > maxOrderResponseBytes {
 		resp.Body.Discard()
--- a/internal/protocol/relay/withheld.go
+++ b/internal/protocol/relay/withheld.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
@@ -22,17 +24,31 @@
 		rate = ratelimit.Unlimited
 	}
 	q.Limits.Observe(b.Incarnation(), rate, sentAt)
-	q.observePause(b, v, sentAt)
+	if v.Pause == 0 && !v.NotRun {
+		q.Pauses.Responded(b.Incarnation(), sentAt)
+	}
+	q.observeRequests(b, v)
+}
+
+// observeRequests records what a server's response to anything asks of this router: a pause, or
+// no requests at all because the server leaves.
+func (r *Relay) observeRequests(b *model.BackendServer, v platform.ResponseInfo) {
+	if v.Misdirected || v.Instance != "" && v.Instance != b.ID {
+		return
+	}
+	r.Pauses.Request(b.Incarnation(), v.Pause)
+	if v.Leaving && r.Catalog.MarkLeaving(b.Incarnation()) {
+		klog.InfoS("backend server leaves", "server", b.Incarnation(), "address", b.Address, "source", "response")
+		if r.AnnounceLeaving != nil {
+			r.AnnounceLeaving(b.Incarnation())
+		}
+	}
 }
 
-// observePause records whether a server's response asks for a pause.
-func (r *Relay) observePause(b *model.BackendServer, v platform.ResponseInfo, sentAt time.Duration) {
-	switch {
-	case v.Instance != "" && v.Instance != b.ID:
-	case v.Pause > 0:
-		r.Pauses.Request(b.Incarnation(), v.Pause)
-	case !v.NotRun:
-		r.Pauses.Responded(b.Incarnation(), sentAt)
+// HandlePeerLeaving records that a backend server said to a peer that it leaves.
+func (r *Relay) HandlePeerLeaving(server model.Incarnation) {
+	if r.Catalog.MarkLeaving(server) {
+		klog.InfoS("backend server leaves", "server", server, "source", "peer")
 	}
 }
 
--- a/internal/protocol/wire/heartbeat.go
+++ b/internal/protocol/wire/heartbeat.go
@@ -38,10 +38,12 @@
 	Limits map[model.Incarnation]RateLimit
 	// Rumors are what this router or others found out about engines lately.
 	Rumors []Rumor
+	// Leaving are rumors of engines that said that they leave.
+	Leaving []Rumor
 }
 
-// Rumor is what some router found out about an engine: that it refuses requests, or
-// that it is slower than its accelerator type.
+// Rumor is what some router found out about an engine: that it refuses requests, that it is
+// slower than its accelerator type, or that it leaves.
 type Rumor struct {
 	Server model.Incarnation
 	// At is when the router found it out. Of two rumors of one kind the later one counts.
@@ -104,26 +106,33 @@
 	packEach(p, b.Suspects, p.incarnation, p.number)
 	packEach(p, b.Refusing, p.incarnation, p.number)
 	packEach(p, b.SpareTokens, p.text, func(n int) { p.number(int64(n)) })
-	if len(b.Limits) > 0 || len(b.Rumors) > 0 {
+	if len(b.Limits) > 0 || len(b.Rumors) > 0 || len(b.Leaving) > 0 {
 		packEach(p, b.Limits, p.incarnation, func(l RateLimit) {
 			p.flag(l.Ended)
 			p.fraction(l.Rate)
 			p.number(l.AgeMS)
 		})
 	}
-	if len(b.Rumors) > 0 {
-		p.number(int64(len(b.Rumors)))
-		for _, n := range b.Rumors {
-			p.incarnation(n.Server)
-			p.number(n.At.Wall)
-			p.number(n.At.Logical)
-			p.number(n.RemainingMS)
-			p.fraction(n.Slowdown)
-		}
+	if len(b.Rumors) > 0 || len(b.Leaving) > 0 {
+		p.rumors(b.Rumors)
+	}
+	if len(b.Leaving) > 0 {
+		p.rumors(b.Leaving)
 	}
 	return p.b
 }
 
+func (p *packer) rumors(rumors []Rumor) {
+	p.number(int64(len(rumors)))
+	for _, n := range rumors {
+		p.incarnation(n.Server)
+		p.number(n.At.Wall)
+		p.number(n.At.Logical)
+		p.number(n.RemainingMS)
+		p.fraction(n.Slowdown)
+	}
+}
+
 // UnpackRouterHeartbeat decodes the output of Pack. It returns an error if the message
 // is truncated.
 func UnpackRouterHeartbeat(raw []byte) (RouterHeartbeat, error) {
@@ -153,17 +162,25 @@
 		})
 	}
 	if len(u.b) > 0 { // sent only if there are any
-		b.Rumors = make([]Rumor, u.count())
-		for i := range b.Rumors {
-			b.Rumors[i] = Rumor{
-				Server: u.incarnation(), At: hlc.Timestamp{Wall: u.number(), Logical: u.number()},
-				RemainingMS: u.number(), Slowdown: u.fraction(),
-			}
-		}
+		b.Rumors = u.rumors()
+	}
+	if len(u.b) > 0 { // sent only if there are any
+		b.Leaving = u.rumors()
 	}
 	return b, u.err
 }
 
+func (u *unpacker) rumors() []Rumor {
+	var out []Rumor
+	for range u.count() {
+		out = append(out, Rumor{
+			Server: u.incarnation(), At: hlc.Timestamp{Wall: u.number(), Logical: u.number()},
+			RemainingMS: u.number(), Slowdown: u.fraction(),
+		})
+	}
+	return out
+}
+
 // packEach encodes a map.
 func packEach[K comparable, V any](p *packer, m map[K]V, packKey func(K), packValue func(V)) {
 	p.number(int64(len(m)))
--- a/internal/protocol/wire/heartbeat_test.go
+++ b/internal/protocol/wire/heartbeat_test.go
@@ -44,11 +44,15 @@
 				return RateLimit{Ended: rapid.Bool().Draw(t, "ended"), Rate: fraction.Draw(t, "limit"), AgeMS: number.Draw(t, "limitAge")}
 			})),
 		}
+		rumors := rapid.Custom(func(t *rapid.T) Rumor {
+			return Rumor{Server: engine.Draw(t, "noticed"), At: hlc.Timestamp{Wall: number.Draw(t, "wall"), Logical: number.Draw(t, "logical")},
+				RemainingMS: number.Draw(t, "remaining"), Slowdown: fraction.Draw(t, "slowdown")}
+		})
 		if n := rapid.IntRange(0, 6).Draw(t, "rumors"); n > 0 {
-			b.Rumors = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Rumor {
-				return Rumor{Server: engine.Draw(t, "noticed"), At: hlc.Timestamp{Wall: number.Draw(t, "wall"), Logical: number.Draw(t, "logical")},
-					RemainingMS: number.Draw(t, "remaining"), Slowdown: fraction.Draw(t, "slowdown")}
-			}), n, n).Draw(t, "list")
+			b.Rumors = rapid.SliceOfN(rumors, n, n).Draw(t, "list")
+		}
+		if n := rapid.IntRange(0, 6).Draw(t, "leaving"); n > 0 {
+			b.Leaving = rapid.SliceOfN(rumors, n, n).Draw(t, "leavingList")
 		}
 		got, err := UnpackRouterHeartbeat(b.Pack())
 		assert.NilError(t, err)
--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -44,35 +44,48 @@
 	}
 }
 
-// nextRumors returns the rumors on engines to pass on in the next round.
-func (x *Exchange) nextRumors() []wire.Rumor {
+// setRumors sets the rumors on engines that a heartbeat of the next round passes on.
+func (x *Exchange) setRumors(b *wire.RouterHeartbeat) {
 	now := x.Now()
-	var out []wire.Rumor
 	for _, r := range x.rumors.NextRound() {
-		out = append(out, wire.Rumor{Server: r.Engine, At: r.At, RemainingMS: r.Until.Sub(now).Milliseconds(), Slowdown: r.Factor})
+		n := wire.Rumor{Server: r.Engine, At: r.At, RemainingMS: r.Until.Sub(now).Milliseconds(), Slowdown: r.Factor}
+		if r.Kind == gossip.Leaving {
+			b.Leaving = append(b.Leaving, n)
+		} else {
+			b.Rumors = append(b.Rumors, n)
+		}
 	}
-	return out
 }
 
 // handleRumors applies the rumors on engines that a peer passes on.
-func (x *Exchange) handleRumors(from string, rumors []wire.Rumor) {
-	for _, n := range rumors {
-		remaining := milliseconds(n.RemainingMS)
-		r := gossip.Rumor{Engine: n.Server, Kind: gossip.Refusal, At: n.At, Until: x.Now().Add(remaining), Factor: n.Slowdown}
+func (x *Exchange) handleRumors(from string, b wire.RouterHeartbeat) {
+	for _, n := range b.Rumors {
+		kind := gossip.Refusal
 		if n.Slowdown > 0 {
-			r.Kind = gossip.Slowdown
-		}
-		x.Pool.Observe(r.At)
-		if !x.rumors.Add(r) {
-			continue
-		}
-		klog.V(1).InfoS("rumor on engine received", "server", r.Engine, "peer", from, "slowdown", r.Factor, "remaining", remaining)
-		switch r.Kind {
-		case gossip.Refusal:
-			x.HandlePeerRefusal(r.Engine, x.Now().Add(limits.Jitter(remaining)))
-		case gossip.Slowdown:
-			x.Usage.SetPeerSlowdown(r.Engine, r.Factor)
+			kind = gossip.Slowdown
 		}
+		x.handleRumor(from, kind, n)
+	}
+	for _, n := range b.Leaving {
+		x.handleRumor(from, gossip.Leaving, n)
+	}
+}
+
+func (x *Exchange) handleRumor(from string, kind gossip.Kind, n wire.Rumor) {
+	remaining := milliseconds(n.RemainingMS)
+	r := gossip.Rumor{Engine: n.Server, Kind: kind, At: n.At, Until: x.Now().Add(remaining), Factor: n.Slowdown}
+	x.Pool.Observe(r.At)
+	if !x.rumors.Add(r) {
+		return
+	}
+	klog.V(1).InfoS("rumor on engine received", "server", r.Engine, "peer", from, "kind", kind, "slowdown", r.Factor, "remaining", remaining)
+	switch kind {
+	case gossip.Refusal:
+		x.HandlePeerRefusal(r.Engine, x.Now().Add(limits.Jitter(remaining)))
+	case gossip.Slowdown:
+		x.Usage.SetPeerSlowdown(r.Engine, r.Factor)
+	case gossip.Leaving:
+		x.HandlePeerLeaving(r.Engine)
 	}
 }
 
@@ -140,7 +153,7 @@
 	for inc, remaining := range b.Refusing {
 		x.HandlePeerRefusal(inc, x.Now().Add(limits.Jitter(milliseconds(remaining))))
 	}
-	x.handleRumors(from, b.Rumors)
+	x.handleRumors(from, b)
 	x.RetryBorrower.SetPeerTokens(from, b.SpareTokens, validity)
 	x.mergeLimits(from, b.Limits)
 	x.ObservePeerRevision(b.Revision)
--- a/internal/transport/peers/pace.go
+++ b/internal/transport/peers/pace.go
@@ -35,7 +35,7 @@
 	slices.Sort(far)
 	s := gossip.NewSchedule(len(near), len(far))
 	heartbeat := x.newHeartbeat()
-	heartbeat.Rumors = x.nextRumors()
+	x.setRumors(&heartbeat)
 	x.sendHeartbeats(ctx, heartbeat, s.Interval(true), gossip.Due(near, round, s.Near))
 	x.sendHeartbeats(ctx, heartbeat, s.Interval(false), gossip.Due(far, round, s.Far))
 }
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -71,6 +71,8 @@
 	// HandlePeerRefusal is called with engines that refused requests of a peer and the
 	// time until which they should get none.
 	HandlePeerRefusal func(engine model.Incarnation, until time.Time)
+	// HandlePeerLeaving is called with engines that said to a peer that they leave.
+	HandlePeerLeaving func(engine model.Incarnation)
 	// HandleEngineExit is called with engines whose process exited according to a peer.
 	HandleEngineExit func(engine model.Incarnation)
 	// HasTraffic reports whether this router received requests from callers.
@@ -156,6 +158,15 @@
 	x.rumors.Add(gossip.Rumor{Engine: engine, Kind: gossip.Refusal, At: x.Pool.Timestamp(), Until: until})
 }
 
+// leavingTTL is how long a rumor that an engine leaves is valid. An engine exits seconds after it
+// says so, and routers that start later hear it from the engine itself.
+const leavingTTL = 30 * time.Second
+
+// AnnounceLeaving announces that an engine said to this router that it leaves.
+func (x *Exchange) AnnounceLeaving(engine model.Incarnation) {
+	x.rumors.Add(gossip.Rumor{Engine: engine, Kind: gossip.Leaving, At: x.Pool.Timestamp(), Until: x.Now().Add(leavingTTL)})
+}
+
 // AnnounceSlowdown announces what an engine reported to this router: the factor by which it is
 // slower than its accelerator type, or 1.
 func (x *Exchange) AnnounceSlowdown(engine model.Incarnation, factor float64) {
--- a/internal/transport/peers/rumors_test.go
+++ b/internal/transport/peers/rumors_test.go
@@ -15,8 +15,9 @@
 // later to most of hundreds. Those that heard of it pass it on at once, with the time that is
 // left, and each applies it once.
 func TestRumorsOnEnginesArePassedOn(t *testing.T) {
-	refusing, slow := model.Incarnation{ID: "i-1"}, model.Incarnation{ID: "i-2"}
+	refusing, slow, leaving := model.Incarnation{ID: "i-1"}, model.Incarnation{ID: "i-2"}, model.Incarnation{ID: "i-3"}
 	refusals := make([]int, 3)
+	departures := make([]int, 3)
 	routers := make([]*Exchange, 3)
 	for i := range routers {
 		x, _ := newFetching(t, 1, 0)
@@ -26,16 +27,21 @@
 			assert.Assert(t, time.Until(until) > 3*time.Second)
 			refusals[i]++
 		}
+		x.HandlePeerLeaving = func(engine model.Incarnation) {
+			assert.Equal(t, engine, leaving)
+			departures[i]++
+		}
 		x.ObservePeerRevision = func(model.Revision) {}
 		routers[i] = x
 	}
 	sendRound := func(from, to int) {
 		b := routers[from].newHeartbeat()
-		b.Rumors = routers[from].nextRumors()
+		routers[from].setRumors(&b)
 		assert.NilError(t, routers[to].handleHeartbeat(routers[from].Self, b.Pack()))
 	}
 	routers[0].AnnounceRefusal(refusing, time.Now().Add(4*time.Second))
 	routers[0].AnnounceSlowdown(slow, 3)
+	routers[0].AnnounceLeaving(leaving)
 	sendRound(0, 1)
 	sendRound(1, 2)
 	sendRound(2, 1)
