membership: the reply to an older call does not make a leaving gate a candidate again

Cause: each reply replaced what the gate had said of itself, and replies arrive in any order. Change: leaving ends with the incarnation only. Measured: TestOlderLoadDoesNotClearLeaving failed before (the gate was a candidate). Why it holds: a gate that leaves never stays.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -124,6 +124,7 @@
 		m.BackoffUntil = time.Time{}
 		m.RTT = rtt
 	}
+	b.Leaving = b.Leaving || m.Backend.Leaving && m.Incarnation == incarnation
 	m.Instance = in
 	m.Incarnation = incarnation
 	m.Backend = b
@@ -132,7 +133,8 @@
 	m.LastContact = t.now()
 }
 
-// ObserveLoad records the load in a gate's reply.
+// ObserveLoad records the load in a gate's reply. Replies arrive in any order, so one that
+// does not say that the gate leaves changes nothing about that.
 func (t *Table) ObserveLoad(addr string, l Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -143,7 +145,7 @@
 	m.Backend.Active = l.Active
 	m.Backend.Queued = l.Queued
 	m.Backend.Capacity = l.Capacity
-	m.Backend.Leaving = l.Leaving
+	m.Backend.Leaving = m.Backend.Leaving || l.Leaving
 	m.Failures = 0
 	m.LastContact = t.now()
 }
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -28,6 +28,21 @@
 	assert.Equal(t, len(up)+len(doubtful), 0)
 }
 
+// A gate said that it leaves, and the reply to an older call, which arrived later, made it a
+// candidate again. Only a new incarnation may.
+func TestOlderLoadDoesNotClearLeaving(t *testing.T) {
+	tb := New("self", time.Now)
+	tb.Observe(sidecar("a"), "1", offers("s"), 0)
+	tb.ObserveLeaving("a")
+	tb.ObserveLoad("a", Load{Capacity: 4})
+	tb.Observe(sidecar("a"), "1", offers("s"), 0)
+	up, suspects := tb.Candidates("s")
+	assert.Equal(t, len(up)+len(suspects), 0)
+	tb.Observe(sidecar("a"), "2", offers("s"), 0)
+	up, _ = tb.Candidates("s")
+	assert.Equal(t, len(up), 1)
+}
+
 // A member that responds must be kept even if the list lacks it.
 func TestResponsiveMemberIsKeptWithoutTheList(t *testing.T) {
 	now := time.Now()
