membership: a shorter backoff does not replace a longer one

Cause: the last refusal to arrive replaced the others. Measured: TestShorterBackoffDoesNotReplaceALongerOne failed before (1 s instead of 3 s).

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -184,12 +184,14 @@
 	return m.Down()
 }
 
-// SetBackoff records that a gate refused a request and must not be tried for d.
+// SetBackoff records that a gate refused a request and must not be tried for d. It never
+// shortens a backoff: the refusals of calls that were made together arrive in any order.
 func (t *Table) SetBackoff(addr string, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m, ok := t.members[addr]; ok {
-		m.BackoffUntil = t.now().Add(d)
+	m, ok := t.members[addr]
+	if until := t.now().Add(d); ok && until.After(m.BackoffUntil) {
+		m.BackoffUntil = until
 	}
 }
 
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -43,6 +43,17 @@
 	assert.Equal(t, len(up), 1)
 }
 
+// Two refusals arrive in any order. The shorter backoff replaced the longer one.
+func TestShorterBackoffDoesNotReplaceALongerOne(t *testing.T) {
+	now := time.Now()
+	tb := New("self", func() time.Time { return now })
+	tb.Observe(sidecar("a"), "1", offers("s"), 0)
+	tb.SetBackoff("a", 3*time.Second)
+	tb.SetBackoff("a", time.Second)
+	m, _ := tb.Get("a")
+	assert.Equal(t, m.BackoffUntil, now.Add(3*time.Second))
+}
+
 // A member that responds must be kept even if the list lacks it.
 func TestResponsiveMemberIsKeptWithoutTheList(t *testing.T) {
 	now := time.Now()
