routing: a caller whom no gate takes is told when the first one is free again

What callers saw: Retry-After of 2 s whatever the gates had said: too soon for some, late for others. Change: the shortest backoff of the service's gates. Measured: TestRefusalTellsWhenTheFirstGateIsFree failed before (2 s instead of 0.3 and 7 s).

--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -140,7 +140,9 @@
 		return membership.Member{}, err
 	}
 	if len(all) == 0 {
-		return membership.Member{}, fault.New(fault.NoCapacity, "no backend server of %s accepts requests", service)
+		f := fault.New(fault.NoCapacity, "no backend server of %s accepts requests", service)
+		f.RetryAfter = r.shortestBackoff(service, avoid)
+		return membership.Member{}, f
 	}
 	best := all[r.rnd(len(all))]
 	if other := all[r.rnd(len(all))]; loadScore(other) < loadScore(best) {
@@ -149,6 +151,21 @@
 	return best.Member, nil
 }
 
+// shortestBackoff returns how long it takes until the first gate of a service accepts requests
+// again, or 0 if none has a backoff.
+func (r *Router) shortestBackoff(service string, avoid map[string]bool) time.Duration {
+	up, suspects := r.table.Candidates(service)
+	now := r.now()
+	var shortest time.Duration
+	for _, m := range append(up, suspects...) {
+		left := m.BackoffUntil.Sub(now)
+		if !avoid[m.Instance.Address] && left > 0 && (shortest == 0 || left < shortest) {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 func loadScore(c candidate) float64 {
 	b := c.Backend
 	p := float64(b.Active+b.Queued) / float64(max(b.Capacity, 1))
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -94,3 +94,24 @@
 	_, err = r.PlainServer("s", nil)
 	assert.Assert(t, fault.Is(err, fault.NoCapacity))
 }
+
+// All gates of a service refused and said for how long. The caller was told to return sooner
+// than the first of them accepts requests, or much later.
+func TestRefusalTellsWhenTheFirstGateIsFree(t *testing.T) {
+	now := time.Now()
+	clock := func() time.Time { return now }
+	tb := membership.New("self", clock)
+	for _, name := range []string{"a", "b"} {
+		tb.Observe(model.Instance{ID: name, Role: model.RoleSidecar, Address: name}, "inc", membership.Backend{Service: "s", Kind: model.KindPlain, Capacity: 4}, time.Millisecond)
+	}
+	r := New(tb, Links{Time: constantLinkTime}, clock, nil)
+	for _, first := range []time.Duration{300 * time.Millisecond, 7 * time.Second} {
+		tb.SetBackoff("a", first)
+		tb.SetBackoff("b", first+time.Second)
+		_, err := r.PlainServer("s", nil)
+		f := fault.From(err)
+		assert.Equal(t, f.Kind, fault.NoCapacity)
+		assert.Equal(t, f.RetryDelay(), first)
+		now = now.Add(time.Minute)
+	}
+}
