faultsoak: servers ask for pauses and say that they leave

Servers refuse with Retry-After, or say Server-Leaving while their entry says ready; each caller marks its requests with the router process that it sends to and the time. The regression seeds draw their faults as before.

--- a/test/faultsoak/client_test.go
+++ b/test/faultsoak/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -127,6 +128,8 @@
 		return response{err: err}
 	}
 	rep := response{incarnation: c.incarnation, idleSince: c.idleSince, began: time.Now()}
+	req.Header.Set(standin.SenderHeader, c.incarnation.id())
+	req.Header.Set(standin.SentAtHeader, strconv.FormatInt(rep.began.UnixMicro(), 10))
 	_ = c.conn.SetDeadline(rep.began.Add(responseTimeout))
 	if rep.err = c.write(req); rep.err != nil {
 		return rep
--- a/test/faultsoak/process_test.go
+++ b/test/faultsoak/process_test.go
@@ -25,6 +25,7 @@
 
 	mu          sync.Mutex
 	incarnation *incarnation // current process; nil before the first start
+	past        []*incarnation
 	shutDown    bool
 }
 
@@ -39,6 +40,9 @@
 	applied []appliedVersion
 }
 
+// id identifies the process. It must have been started.
+func (l *incarnation) id() string { return fmt.Sprintf("%s/%d", l.router.name, l.cmd.Process.Pid) }
+
 // span is a period of time. A zero end means that it has not ended.
 type span struct{ from, to time.Time }
 
@@ -71,6 +75,7 @@
 		err := cmd.Start()
 		l := &incarnation{router: r, cmd: cmd}
 		r.incarnation = l
+		r.past = append(r.past, l)
 		r.mu.Unlock()
 		if err != nil {
 			s.t.Errorf("router %s: %v", r.name, err)
--- a/test/faultsoak/promise_test.go
+++ b/test/faultsoak/promise_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/skylarkwood/skylarkwood/platform/standin"
 )
 
 // publishedConfig is one version of the configuration that the operator published.
@@ -46,9 +48,34 @@
 	for _, v := range s.fleet.Violations() {
 		s.t.Errorf("engines: %s", v)
 	}
+	for _, b := range s.fleet.Breaches() {
+		if !s.excusesBreach(b) {
+			s.t.Errorf("%s sent %s to %s at %s, %s after the server had asked it not to (leaving: %t)",
+				b.Sender, b.Attempt, b.Server, b.At.Format(time.StampMilli), b.At.Sub(b.AskedAt), b.Leaving)
+		}
+	}
 	s.t.Logf("%+v", n)
 }
 
+// excusesBreach reports whether the router may not have received what the server asked for, or
+// its request was held back: the link was cut, or the router was paused or had restarted.
+func (s *site) excusesBreach(b standin.Breach) bool {
+	const transit = 2 * time.Second // longest fault of a link
+	for _, p := range s.serverProxies {
+		if p.addr() == b.Address && p.wasCut(b.AskedAt.Add(-transit), b.At) {
+			return true
+		}
+	}
+	for _, r := range s.routers {
+		for _, l := range r.past {
+			if l.id() == b.Sender {
+				return l.pausedBetween(b.AskedAt.Add(-transit), b.At)
+			}
+		}
+	}
+	return false
+}
+
 func (s *site) checkRuns(q sentRequest) {
 	runs := len(s.fleet.Runs(q.attempt))
 	if q.kind == "notice" && runs > 1 {
--- a/test/faultsoak/proxy_test.go
+++ b/test/faultsoak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// cuts are the spans in which data may have been held back or lost.
+	cuts []span
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -43,7 +46,25 @@
 
 func (p *proxy) addr() string { return p.l.Addr().String() }
 
-func (p *proxy) set(m mode) { p.mode.Store(int32(m)) }
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode.Store(int32(m))
+	now := time.Now()
+	if n := len(p.cuts); n > 0 && p.cuts[n-1].to.IsZero() {
+		p.cuts[n-1].to = now
+	}
+	if m != pass && m != delay {
+		p.cuts = append(p.cuts, span{from: now})
+	}
+}
+
+// wasCut reports whether data may have been held back or lost in a span.
+func (p *proxy) wasCut(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.cuts, func(c span) bool { return c.overlaps(from, to) })
+}
 
 func (p *proxy) run() {
 	for {
@@ -106,6 +127,8 @@
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	p.cuts = append(p.cuts, span{from: now, to: now.Add(time.Millisecond)})
 	for c := range p.conns {
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -81,7 +81,9 @@
 	key           int // number of the current extra key
 	idle          time.Duration
 	background    sync.WaitGroup
-	snapshot      *standin.Snapshot // nil if none was taken
+	// kinds are the faults to inject. A repeated one is more frequent.
+	kinds    []func(time.Duration)
+	snapshot *standin.Snapshot // nil if none was taken
 
 	mu        sync.Mutex
 	published []publishedConfig
@@ -349,6 +351,27 @@
 	s.injectServerFaults(s.plain[s.rnd.IntN(len(s.plain))], d)
 }
 
+// askForPause makes a server refuse requests and ask each router for a pause, for up to twice
+// the fault's duration.
+func (s *site) askForPause(d time.Duration) {
+	e := s.randomServer()
+	e.SetFaults(standin.EngineFaults{Refuse: true, RetryAfter: time.Duration((0.2 + 1.8*s.rnd.Float64()) * float64(d))})
+	s.runAfter(d, func() { e.SetFaults(standin.EngineFaults{}) })
+}
+
+// announceLeaving makes a server say in its responses that it leaves, and restarts it later. Its
+// entry in the store says that it is ready.
+func (s *site) announceLeaving(d time.Duration) {
+	e := s.randomServer()
+	e.SetFaults(standin.EngineFaults{Leaving: true})
+	s.runAfter(d, e.Restart)
+}
+
+func (s *site) randomServer() *standin.Engine {
+	all := append(append([]*standin.Engine(nil), s.engines...), s.plain...)
+	return all[s.rnd.IntN(len(all))]
+}
+
 func (s *site) killRouter(time.Duration) { s.randomRouter().signal(syscall.SIGKILL) }
 
 func (s *site) stopRouter(time.Duration) { s.randomRouter().signal(syscall.SIGTERM) }
--- a/test/faultsoak/soak_test.go
+++ b/test/faultsoak/soak_test.go
@@ -46,27 +46,33 @@
 		t.Skip("soak takes about half a minute")
 	}
 	slots := make(chan struct{}, *parallel)
-	runSeed := func(seed uint64, resting int) {
+	runSeed := func(seed uint64, resting int, asking bool) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			soak(t, seed, resting)
+			soak(t, seed, resting, asking)
 		})
 	}
 	if !*skipRegressions {
 		for _, r := range regressions {
-			runSeed(r.seed, r.resting)
+			runSeed(r.seed, r.resting, false)
 		}
 	}
 	for i := range uint64(*seeds) {
-		runSeed(*firstSeed+i, *resting)
+		runSeed(*firstSeed+i, *resting, true)
 	}
 }
 
-func soak(t *testing.T, seed uint64, resting int) {
+// soak runs one seed. asking adds servers that ask for something in their responses; without
+// them a seed means the same as before these faults existed.
+func soak(t *testing.T, seed uint64, resting int, asking bool) {
 	s := newSite(t, rand.New(rand.NewPCG(seed, seed)))
 	defer s.close()
+	s.kinds = s.faultKinds()
+	if asking {
+		s.kinds = append(s.kinds, s.askForPause, s.askForPause, s.askForPause, s.announceLeaving)
+	}
 	defer s.startBusyProcesses(*busy)()
 	stalls := recordStalls()
 	end := time.Now().Add(*faultDuration)
@@ -109,7 +115,11 @@
 // injectFault injects one random fault, which ends after a while. Faults may overlap.
 func (s *site) injectFault() {
 	duration := time.Duration(200+s.rnd.IntN(1800)) * time.Millisecond
-	kinds := []func(time.Duration){
+	s.kinds[s.rnd.IntN(len(s.kinds))](duration)
+}
+
+func (s *site) faultKinds() []func(time.Duration) {
+	return []func(time.Duration){
 		s.impairLink, s.impairLink, s.resetLink, s.resetLink, s.impairStore, s.dropWriteResponses, s.compact,
 		s.killEngine, s.killEngine, s.drainEngine, s.injectEngineFaults, s.injectEngineFaults, s.injectPlainFaults, s.injectPlainFaults,
 		s.killRouter, s.stopRouter, s.pauseRouter, s.sendHangup, s.reconfigure,
@@ -117,7 +127,6 @@
 		s.restartEngineSameID, s.restartEngineSameID, s.overwriteEntry,
 		s.snapshotStore, s.restoreStore,
 	}
-	kinds[s.rnd.IntN(len(kinds))](duration)
 }
 
 // waitRecovered waits until every router serves each kind of request and applies the
