chains: engines outside a router's subset replace those that are withheld

What callers saw: at 300 engines or more, a request refused although engines were free: a router considers four engines of a group, and all of them had asked for a pause or had no share of a rate limit. Cause: the subset was chosen once for a catalogue, whatever its engines ask for. Change: if all chains of the subset are withheld, the other engines are considered too; the time until a chain is possible counts all engines. Why it holds: the larger search runs only where the small one finds nothing but withheld chains, so the usual cost of a choice stays.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -109,8 +109,20 @@
 
 // Choose returns the chain with free capacity that has the lowest time per token under the
 // current load of the engines. Without such a chain it returns nil and the reason.
+//
+// If all chains of this router's subset of the engines are withheld, it considers the others.
 func (c *Chooser) Choose(svc *model.Service, req Requirements) ([]Stage, Result) {
-	cands := c.candidates(svc, req)
+	subset := c.engines(svc.Name)
+	stages, result := c.chooseAmong(subset, svc, req)
+	all := c.Catalog.Load().Service(svc.Name)
+	if result == Withheld && len(all) > len(subset) {
+		return c.chooseAmong(all, svc, req)
+	}
+	return stages, result
+}
+
+func (c *Chooser) chooseAmong(engines []*model.BackendServer, svc *model.Service, req Requirements) ([]Stage, Result) {
+	cands := c.candidates(engines, svc, req)
 	s := search{spec: svc.Engine, cands: cands, layers: model.LayerRange{To: svc.Engine.Layers}, homeDomain: req.Domain}
 	s.crossing = c.crossingCosts(svc.Engine, cands, req.Tokens, req.MaxEventGap)
 	if req.Resumed {
@@ -140,7 +152,7 @@
 // stages, engines without a pause, interconnect rate ("pipes") or token memory. It repeats the
 // search, and its result is meant for error messages.
 func (c *Chooser) ExhaustedResource(svc *model.Service, req Requirements) string {
-	cands := c.candidates(svc, req)
+	cands := c.candidates(c.engines(svc.Name), svc, req)
 	s := search{spec: svc.Engine, cands: cands, layers: model.LayerRange{To: svc.Engine.Layers}, homeDomain: req.Domain, requireCapacity: true}
 	s.crossing = c.crossingCosts(svc.Engine, cands, req.Tokens, req.MaxEventGap)
 	if s.shortest() != nil {
@@ -184,13 +196,13 @@
 	return unlimited
 }
 
-func (c *Chooser) candidates(svc *model.Service, req Requirements) []candidate {
+func (c *Chooser) candidates(engines []*model.BackendServer, svc *model.Service, req Requirements) []candidate {
 	spec := svc.Engine
 	var out []candidate
 	domains := map[string]int{}
 	routers := c.RouterCount() // evaluated once, because it counts all known routers
 	domainPeers := c.routersPerDomain(routers) - 1
-	for _, b := range c.engines(svc.Name) {
+	for _, b := range engines {
 		inc := b.Incarnation()
 		card, ok := spec.Card(b.Card)
 		if !ok || b.Holds.Len() <= 0 || b.Holds.To > spec.Layers || req.Avoid[inc] {
--- a/internal/coordination/chains/limit_test.go
+++ b/internal/coordination/chains/limit_test.go
@@ -1,6 +1,7 @@
 package chains
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -105,3 +106,27 @@
 	pauses.Request(inc("b2"), 10*time.Second)
 	assert.Assert(t, f.chooser.Replace(f.svc, stages, lost, 1000, 0) == nil)
 }
+
+// A router of a large service considers a subset of the engines. All of those asked for a pause,
+// and requests were refused although other engines were free.
+func TestEnginesOutsideTheSubsetReplacePausedOnes(t *testing.T) {
+	f := newFixture()
+	for i := range minEnginesForSubset {
+		f.add(fmt.Sprint("e", i), "a", "a100", (i%2)*40, (i%2)*40+40)
+	}
+	pauses := withPauses(f)
+	for _, b := range f.chooser.engines("s") {
+		pauses.Request(b.Incarnation(), 3*time.Second)
+	}
+	req := Requirements{Domain: "a", Tokens: 1000}
+	stages, v := f.chooser.Choose(f.svc, req)
+	assert.Equal(t, v, Found)
+	covers(t, stages, model.LayerRange{To: 80})
+	for i := range minEnginesForSubset {
+		pauses.Request(inc(fmt.Sprint("e", i)), time.Second)
+	}
+	_, v = f.chooser.Choose(f.svc, req)
+	assert.Equal(t, v, Withheld)
+	wait, _ := f.chooser.WithheldWait(f.svc, req)
+	assert.Check(t, wait >= time.Second && wait < 2*time.Second, "%v", wait)
+}
--- a/internal/coordination/chains/missing.go
+++ b/internal/coordination/chains/missing.go
@@ -19,7 +19,7 @@
 func (c *Chooser) ExplainNoChain(svc *model.Service, req Requirements) string {
 	everywhere := make([]bool, svc.Engine.Layers)
 	byDomain := map[string][]bool{}
-	for _, cand := range c.candidates(svc, req) {
+	for _, cand := range c.candidates(c.engines(svc.Name), svc, req) {
 		domain := cand.server.FailureDomain
 		if byDomain[domain] == nil {
 			byDomain[domain] = make([]bool, svc.Engine.Layers)
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -127,7 +127,7 @@
 	for _, s := range r.stages {
 		reserved[s.Server.Incarnation()] = true
 	}
-	cands := r.candidates(r.svc, Requirements{Domain: before, Tokens: r.tokens, Avoid: avoid})
+	cands := r.candidates(r.engines(r.svc.Name), r.svc, Requirements{Domain: before, Tokens: r.tokens, Avoid: avoid})
 	for i := range cands {
 		b := cands[i].server
 		// The pause ends with the next event, which contains stride tokens.
--- a/internal/coordination/chains/withheld.go
+++ b/internal/coordination/chains/withheld.go
@@ -17,7 +17,7 @@
 	}
 	waits := slices.Repeat([]time.Duration{ratelimit.Never}, svc.Engine.Layers)
 	pauses := slices.Clone(waits)
-	for _, b := range c.engines(svc.Name) {
+	for _, b := range c.Catalog.Load().Service(svc.Name) {
 		inc := b.Incarnation()
 		if req.Avoid[inc] {
 			continue
