tests: each test process reserves its range of ports

Change: the reservation that package faultsoak has, moved to the stand-ins, serves both: a listener on the first port keeps a range.

--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -10,13 +10,11 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -43,7 +41,8 @@
 	if os.Getenv(busyEnv) != "" {
 		burnCPU()
 	}
-	reserved, err := reservePorts()
+	var err error
+	ports, err = standin.ReservePorts(firstPort, lastPort, portCount)
 	exitOn(err)
 	dir, err := os.MkdirTemp("", "faultsoak")
 	exitOn(err)
@@ -55,7 +54,7 @@
 		code = m.Run()
 	}
 	os.RemoveAll(dir)
-	reserved.Close()
+	ports.Close()
 	os.Exit(code)
 }
 
@@ -130,46 +129,19 @@
 	return e
 }
 
-// Ports of routers, below the ephemeral range. Each test process reserves a range by
-// listening on its first port, so that a restarting router finds its port free.
+// Ports of routers. Package fleet uses higher ones.
 const (
 	firstPort = 12000
-	lastPort  = 18000 // package fleet uses higher ports
-	portRange = 1000
+	lastPort  = 18000
+	portCount = 1000
 )
 
-var (
-	basePort int
-	nextPort atomic.Int64 // offset from basePort
-)
-
-// reservePorts reserves a range of ports until the returned listener is closed.
-func reservePorts() (net.Listener, error) {
-	for port := firstPort; port < lastPort; port += portRange {
-		if l, err := net.Listen("tcp", loopback(port)); err == nil {
-			basePort = port
-			return l, nil
-		}
-	}
-	return nil, errors.New("no free port range")
-}
+var ports *standin.Ports
 
-func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
-
-// freeAddress returns a free address. The lock prevents a fork while the listener is
-// open: the child would inherit the listener and keep the port in use until exec.
 func freeAddress(t *testing.T) string {
-	syscall.ForkLock.RLock()
-	defer syscall.ForkLock.RUnlock()
-	for range portRange {
-		addr := loopback(basePort + 1 + int(nextPort.Add(1)%(portRange-1)))
-		if l, err := net.Listen("tcp", addr); err == nil {
-			l.Close()
-			return addr
-		}
-	}
-	t.Fatal("no free port found")
-	return ""
+	addr, err := ports.Address()
+	assert.NilError(t, err)
+	return addr
 }
 
 func (s *site) addRouter(name, domain, store string) {
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -8,9 +8,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,26 +99,28 @@
 	return e
 }
 
-const firstPort, portCount = 20000, 10000
+// Ports of routers, below the ephemeral ones and above those of package faultsoak.
+const (
+	firstPort = 18000
+	lastPort  = 32000
+	portCount = 500
+)
 
-// nextPort is an offset from firstPort. The range lies below the ephemeral ports, so
-// that other tests do not take a port before its router listens. The random start
-// keeps test processes apart: a restarting router must find its port free.
-var nextPort atomic.Int64
+var ports *standin.Ports
 
-func init() { nextPort.Store(rand.Int64N(portCount)) }
+func TestMain(m *testing.M) {
+	var err error
+	if ports, err = standin.ReservePorts(firstPort, lastPort, portCount); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
 
 func freeAddress(t *testing.T) string {
-	for range portCount {
-		port := firstPort + nextPort.Add(1)%portCount
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String()
-		}
-	}
-	t.Fatal("no free port found")
-	return ""
+	addr, err := ports.Address()
+	assert.NilError(t, err)
+	return addr
 }
 
 // configure publishes a new version of the configuration, modified by f if f is not
