--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -190,25 +190,24 @@
 
 // Suspected reports whether a backend server should get no requests now.
 func (h *Health) Suspected(inc model.Incarnation) bool {
+	return h.holds(inc, func(r *record) bool { return r.suspected(h.now()) })
+}
+
+// holds reports whether there is a record of a backend server for which f returns true.
+func (h *Health) holds(inc model.Incarnation, f func(*record) bool) bool {
 	r, ok := h.records.Get(inc)
 	if !ok {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.suspected(h.now())
+	return f(r)
 }
 
 // SuspicionLasts reports whether the last suspicion of a backend server has not expired.
 // Unlike Suspected it is false for a server that a request tries again after that.
 func (h *Health) SuspicionLasts(inc model.Incarnation) bool {
-	r, ok := h.records.Get(inc)
-	if !ok {
-		return false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return h.now().Before(r.suspectedUntil)
+	return h.holds(inc, func(r *record) bool { return h.now().Before(r.suspectedUntil) })
 }
 
 func (r *record) suspected(now time.Time) bool {
--- a/internal/coordination/pause/pause.go
+++ b/internal/coordination/pause/pause.go
@@ -79,27 +79,31 @@
 // Wait returns how long this router may send no request to a server: until its pause ends,
 // or until the trial in progress ends.
 func (t *Tracker) Wait(inc model.Incarnation) time.Duration {
-	if !t.Any() {
-		return 0
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	p := t.pauses[inc]
-	if p == nil {
+	p, ok := t.get(inc)
+	if !ok {
 		return 0
 	}
-	return max(p.until-t.clock(), p.trialUntil-t.clock(), 0)
+	return max(max(p.until, p.trialUntil)-t.clock(), 0)
 }
 
 // Paused reports whether a server's pause lasts. Unlike Wait it ignores a trial.
 func (t *Tracker) Paused(inc model.Incarnation) bool {
+	p, ok := t.get(inc)
+	return ok && t.clock() < p.until
+}
+
+// get returns a copy of a server's pause, if it has one.
+func (t *Tracker) get(inc model.Incarnation) (pause, bool) {
 	if !t.Any() {
-		return false
+		return pause{}, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pauses[inc]
-	return p != nil && t.clock() < p.until
+	if p == nil {
+		return pause{}, false
+	}
+	return *p, true
 }
 
 // Take takes the right to send one request to a server. It returns false during a pause, and
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -16,7 +16,6 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/liveness"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/pause"
-	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
@@ -99,7 +98,6 @@
 	updates.Register(r.links)
 }
 
-// reachableRouters returns the registered routers that are reachable.
 // readRouters reads the registered routers from the store and returns their number.
 func (r *Router) readRouters(ctx context.Context) (int, error) {
 	page, err := r.store.Range(ctx, leader.MemberPrefix)
@@ -112,6 +110,7 @@
 	return len(page.Items), nil
 }
 
+// reachableRouters returns the registered routers that are reachable.
 func (r *Router) reachableRouters() []follow.Router {
 	reachable := r.exchange.ReachablePeers()
 	var out []follow.Router
@@ -196,13 +195,26 @@
 	}
 }
 
+func (r *Router) newChooser() *chains.Chooser {
+	return &chains.Chooser{
+		Catalog:      r.catalog,
+		Health:       r.health,
+		Usage:        r.usage,
+		Interconnect: r.interconnect,
+		RouterCount:  r.exchange.RouterCount,
+		Limits:       r.limits,
+		Pauses:       r.pauses,
+		Self:         r.settings.Router.Peers,
+	}
+}
+
 func (r *Router) buildRelay() {
 	rt := r.settings.Router
 	rel := &relay.Relay{
 		Config:          r.config,
 		Catalog:         r.catalog,
 		Health:          r.health,
-		Chooser:         &chains.Chooser{Catalog: r.catalog, Health: r.health, Usage: r.usage, Interconnect: r.interconnect, RouterCount: r.exchange.RouterCount, Limits: r.limits, Pauses: r.pauses, Self: r.settings.Router.Peers},
+		Chooser:         r.newChooser(),
 		Usage:           r.usage,
 		RetryBorrower:   r.exchange.RetryBorrower,
 		WaitQueue:       admission.NewWaitQueue(),
@@ -249,53 +261,3 @@
 	}
 	r.front = &front.Server{Config: r.config, Relay: rel, Observer: r.metrics, OnRequest: func() { r.requestSeen.Store(true) }}
 }
-
-// engines returns the engines of all engine services, draining ones included.
-func (r *Router) engines() []*model.BackendServer {
-	table := r.config.Load()
-	if table == nil {
-		return nil
-	}
-	var out []*model.BackendServer
-	for i := range table.Config.Services {
-		if svc := &table.Config.Services[i]; svc.Engine != nil {
-			out = append(out, r.catalog.Load().All(svc.Name)...)
-		}
-	}
-	return out
-}
-
-// enginesInUse returns the engines that may run requests. Before callers come, none does.
-func (r *Router) enginesInUse() []*model.BackendServer {
-	if !r.hasTraffic() {
-		return nil
-	}
-	return r.engines()
-}
-
-func (r *Router) buildController() {
-	r.elector = &leader.Elector{
-		Store:       r.store,
-		Self:        leader.Member{Instance: r.settings.Instance, Address: r.settings.Router.Peers, Domain: r.settings.FailureDomain, LinkMbps: r.settings.Router.LinkMbps},
-		Incarnation: NewID(),
-		Clock:       boottime.Now,
-		// Routers that watch the store learn first that there is no leader. If all routers
-		// were candidates, each election would cost two store calls a router.
-		Eligible: func() bool { return !r.draining.Load() && r.follower.Watching() },
-	}
-	r.controller = &placement.Controller{
-		Config:       r.config,
-		Catalog:      r.catalog,
-		Store:        r.store,
-		Engines:      relay.EngineClient{Relay: r.front.Relay},
-		FencingToken: r.elector.FencingToken,
-		OnFenced:     r.elector.TokenRejected,
-		HasTraffic:   r.hasTraffic,
-		Paused:       r.pauses.Paused,
-		Suspected:    func(engine model.Incarnation) bool { return r.health.Suspected(engine) || r.pauses.Paused(engine) },
-		Unreachable:  r.prober.Lost,
-		RateLimits:   r.limits.Rates,
-		StreamCount:  func(engine model.Incarnation) float64 { return r.usage.Used(engine).Streams },
-		Now:          time.Now,
-	}
-}
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -267,31 +267,6 @@
 	s.Health.RecordOutcome(stages[0].Server.Incarnation(), true)
 }
 
-// handleRefusal records which engine refused to run its stage.
-func (s *stream) handleRefusal(stages []chains.Stage, v platform.ResponseInfo, status int) {
-	refusing := stages[0].Server
-	for _, stage := range stages {
-		if stage.Server.Address == v.FailedEngine {
-			refusing = stage.Server
-		}
-	}
-	s.avoid[refusing.Incarnation()] = true
-	if v.Misdirected {
-		// The engine is another incarnation, which its report shows, or holds other
-		// layers, which only its registry entry shows because reports lag.
-		until, isNew := s.Health.Suspect(refusing.Incarnation())
-		if isNew && refusing.Born != 0 {
-			go s.VerifyIncarnation(*refusing)
-		}
-		klog.InfoS("engine suspected: it does not hold the layers of its stage", "request", s.call.Attempt, "server", refusing.Incarnation(), "until", until)
-	} else {
-		if refusing != stages[0].Server {
-			s.Pauses.Request(refusing.Incarnation(), v.Pause) // it is at fault; the first one has responded
-		}
-		s.Suspects.Refused(refusing, s.call.Attempt, status, v.Pause)
-	}
-}
-
 // handleSendError records that an engine sent no response, and returns the error. It
 // distinguishes whether the request was sent.
 func (s *stream) handleSendError(run context.Context, w *chainWatch, first *model.BackendServer, err error) *fault.Error {
--- a/internal/protocol/relay/move.go
+++ b/internal/protocol/relay/move.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"slices"
 	"time"
 
@@ -118,16 +117,6 @@
 	return err
 }
 
-// handleRerouteRefusal records which engine a path was refused for. An engine that the
-// stream used before is lost to all streams. Another one may only be full.
-func (w *chainWatch) handleRerouteRefusal(server *model.BackendServer, before []chains.Stage, err error) {
-	if uses(before, server.Incarnation()) {
-		w.failEngine(server, err)
-		return
-	}
-	w.q.Suspects.Refused(server, w.q.call.Attempt, http.StatusConflict, 0)
-}
-
 func (w *chainWatch) hasUnconfirmedOrder() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
