relay: servers without capacity beside paused ones are not taken for free

What callers saw: a request refused because some servers are full and the others asked for a pause was told to return after 0.2 s, as no limit or pause was in the way of the full ones. Change: if rate limits and pauses leave no wait, the usual delay of an overload applies, and the message says so. Measured: TestFullServersBesidePausedOnesAreNotFree failed before (0.22 s).

--- a/internal/coordination/pause/pause.go
+++ b/internal/coordination/pause/pause.go
@@ -39,8 +39,7 @@
 type pause struct {
 	until     time.Duration
 	requested time.Duration // the longest time that was asked for
-	// trialUntil is when the next trial may begin after the pause; no later than now if no
-	// trial is in progress.
+	// trialUntil is when the trial in progress times out; 0 if there was none.
 	trialUntil time.Duration
 }
 
--- a/internal/protocol/relay/pause_test.go
+++ b/internal/protocol/relay/pause_test.go
@@ -124,6 +124,24 @@
 	}
 }
 
+// One server has no capacity, the other a pause. The caller was told to return at once, as if the
+// one without a pause were free.
+func TestFullServersBesidePausedOnesAreNotFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, arrivals := newRefusingFixture(true, func() *Response { return nil })
+		two := s.Catalog.Load().ByID("two")
+		full := s.Usage.Reserve([]chains.Stage{{Server: two, Layers: two.Holds}}, 1<<30)
+		defer full.Release()
+		s.Pauses.Request(inc("one"), 30*time.Second)
+		out, _ := s.serveOne(t)
+		assert.Equal(t, out.status, http.StatusServiceUnavailable)
+		assert.Equal(t, len(*arrivals), 0)
+		retryAfter, err := strconv.ParseFloat(out.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Check(t, retryAfter >= 1, "%v", retryAfter)
+	})
+}
+
 // A stream waits for a pause that ends in time for its first event, rather than being refused.
 func TestStreamWaitsForAPauseThatEndsInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/protocol/relay/withheld.go
+++ b/internal/protocol/relay/withheld.go
@@ -80,11 +80,16 @@
 )
 
 // withheldError returns the refusal of a request that no server's rate limit or pause allows
-// for a time. paused is the part of the wait that is due to pauses.
+// for a time. paused is the part of the wait that is due to pauses. Without a wait, the servers
+// that allow requests have no capacity, and the usual delay of an overload applies.
 func (q *request) withheldError(wait, paused time.Duration) *fault.Error {
-	f := fault.New(fault.Overloaded, "the rate limits of %s allow no request now", q.admitted.Service.Name)
+	service := q.admitted.Service.Name
+	if wait == 0 {
+		return fault.New(fault.Overloaded, "the backend servers of %s that allow requests have no capacity", service)
+	}
+	f := fault.New(fault.Overloaded, "the rate limits of %s allow no request now", service)
 	if paused > 0 {
-		f.Msg = "the backend servers of " + q.admitted.Service.Name + " asked for a pause"
+		f = fault.New(fault.Overloaded, "the backend servers of %s asked for a pause", service)
 	}
 	f.RetryAfter = limits.Jitter(max(min(wait, maxLimitDelay), paused, minWithheldDelay))
 	return f
