chains: an exhausted interconnect is told apart from layers that nobody holds

Choose returned NoChain for both, so that the relay refused a request for want of interconnect capacity at once, as if no engine held the layers. Requirements carry the request's priority.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -57,6 +57,8 @@
 	Tokens int
 	// MaxEventGap is the maximum pause between events; 0 selects the default.
 	MaxEventGap time.Duration
+	// Priority is the urgency of the request; 0 is the most urgent.
+	Priority int
 	// Resumed selects the chain that continues an interrupted stream soonest, instead of
 	// the chain with the lowest time per token.
 	Resumed bool
@@ -82,8 +84,10 @@
 	// Withheld means that chains with free capacity exist, but that their engines allow no
 	// request now: the first stages by their rate limits, or any stage by a pause.
 	Withheld
-	// NoChain means that the usable engines and interconnects do not form a chain over all
-	// layers.
+	// InterconnectExhausted means that usable engines hold all layers, but that every chain
+	// of them crosses an interconnect that is at its limit.
+	InterconnectExhausted
+	// NoChain means that no usable engine holds some layer.
 	NoChain
 )
 
@@ -145,6 +149,10 @@
 	if chain := s.shortest(); chain != nil {
 		return nil, CapacityExhausted
 	}
+	s.crossing = withoutInterconnectLimits(s.crossing)
+	if chain := s.shortest(); chain != nil {
+		return nil, InterconnectExhausted
+	}
 	return nil, NoChain
 }
 
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -76,7 +76,7 @@
 // a limited time.
 func (s *stream) reserveChain(ctx context.Context) ([]chains.Stage, *chains.Reservation, *fault.Error) {
 	q := s.request
-	requirements := chains.Requirements{Domain: q.FailureDomain, Tokens: s.tokens, MaxEventGap: q.admitted.Route.TargetGap, Avoid: q.avoid, FirstStageIn: s.allowedFirstEngines(), Resumed: s.events > 0}
+	requirements := chains.Requirements{Domain: q.FailureDomain, Tokens: s.tokens, MaxEventGap: q.admitted.Route.TargetGap, Priority: q.admitted.Priority, Avoid: q.avoid, FirstStageIn: s.allowedFirstEngines(), Resumed: s.events > 0}
 	if q.excluded.suspect {
 		requirements.ExcludeFirstStage = q.excluded.excludes
 		requirements.FirstStageCost = q.firstStageCost
@@ -125,7 +125,7 @@
 		return stages, reservation, nil
 	case ctx.Err() != nil:
 		return nil, nil, q.contextError(ctx)
-	case result == chains.NoChain && len(q.avoid) > 0:
+	case noChain(result) && len(q.avoid) > 0:
 		// No other chain exists, so engines that failed before are allowed again.
 		clear(q.avoid)
 		if reserve(); reservation != nil {
@@ -133,7 +133,7 @@
 			return stages, reservation, nil
 		}
 	}
-	if result == chains.NoChain {
+	if noChain(result) {
 		f := fault.New(fault.NoCapacity, "no chain of available engines holds all layers: %s", q.Chooser.ExplainNoChain(q.admitted.Service, requirements))
 		if _, paused := q.Chooser.WithheldWait(q.admitted.Service, requirements); paused > f.RetryDelay() {
 			f.RetryAfter = limits.Jitter(paused)
@@ -148,6 +148,11 @@
 	return nil, nil, f
 }
 
+// noChain reports whether the usable engines and interconnects form no chain.
+func noChain(r chains.Result) bool {
+	return r == chains.NoChain || r == chains.InterconnectExhausted
+}
+
 // allowedFirstEngines returns the engines that may run the first stage, or nil if any
 // may. Once the route's attempts are used up, only first engines that ran the stream
 // before are allowed. A lost engine does not count as an attempt. One whose entry was
