--- a/internal/coordination/chains/chains_test.go
+++ b/internal/coordination/chains/chains_test.go
@@ -135,7 +135,7 @@
 	assert.Equal(t, v, Found, "an idle interconnect is used")
 	f.chooser.Interconnect.SetPeerRates("peer", map[DomainPair]float64{{A: "a", B: "b"}: 20000}, 2*time.Second)
 	_, v = f.chooser.Choose(f.svc, Requirements{Domain: "a", Tokens: 1000})
-	assert.Equal(t, v, NoChain)
+	assert.Equal(t, v, InterconnectExhausted)
 	f.now = f.now.Add(2 * time.Second)
 	_, v = f.chooser.Choose(f.svc, Requirements{Domain: "a", Tokens: 1000})
 	assert.Equal(t, v, Found, "the rates of the peer have expired")
