routes: a route's priority orders requests of customers with equal priority

The customer's priority replaced that of the route. On a deployment whose customers all have a priority, requests of an urgent route were therefore as urgent as any other, in the wait queue and at the engines (Request-Priority). Urgency now orders by the customer first and by the route second, for services whose routes differ in priority; for all others it is what Priority was. Not measured on its own yet.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -57,8 +57,10 @@
 	Tokens int
 	// MaxEventGap is the maximum pause between events; 0 selects the default.
 	MaxEventGap time.Duration
-	// Priority is the urgency of the request; 0 is the most urgent.
-	Priority int
+	// Priority is the urgency of the request among those of its service; 0 is the most
+	// urgent. Prioritized is set if the routes of the service have different priorities.
+	Priority    int
+	Prioritized bool
 	// Resumed selects the chain that continues an interrupted stream soonest, instead of
 	// the chain with the lowest time per token.
 	Resumed bool
--- a/internal/coordination/routes/routes.go
+++ b/internal/coordination/routes/routes.go
@@ -22,15 +22,18 @@
 	hosts     map[string][]*model.Route // longest prefix first
 	customers map[string]*model.RouteCustomer
 	services  map[string]*model.Service
+	// priorities are the distinct priorities of each service's routes.
+	priorities map[string][]int
 }
 
 // Compile returns the table of a configuration.
 func Compile(cfg *model.RouteConfig) *Table {
 	t := &Table{
-		Config:    cfg,
-		hosts:     map[string][]*model.Route{},
-		customers: map[string]*model.RouteCustomer{},
-		services:  map[string]*model.Service{},
+		Config:     cfg,
+		hosts:      map[string][]*model.Route{},
+		customers:  map[string]*model.RouteCustomer{},
+		services:   map[string]*model.Service{},
+		priorities: routePriorities(cfg),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
@@ -71,6 +74,12 @@
 	Customer string
 	// Priority is the customer's priority if it has one, otherwise the route's.
 	Priority int
+	// Urgency orders the requests of one service; 0 is the most urgent. It equals Priority
+	// unless the service is prioritized. In that case requests with the same Priority are
+	// ordered by that of their routes.
+	Urgency int
+	// Prioritized is set if the routes of the service have different priorities.
+	Prioritized bool
 	// Deadline is when the request must be complete; zero means no deadline.
 	Deadline time.Time
 }
@@ -98,6 +107,7 @@
 	if a.Service == nil {
 		return a, fault.New(fault.NoCapacity, "service %q of route %s is not configured", name, r.Name)
 	}
+	t.setUrgency(&a)
 	a.Deadline = c.Deadline
 	if r.Timeout > 0 {
 		if deadline := now.Add(r.Timeout); a.Deadline.IsZero() || deadline.Before(a.Deadline) {
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -76,7 +76,7 @@
 // a limited time.
 func (s *stream) reserveChain(ctx context.Context) ([]chains.Stage, *chains.Reservation, *fault.Error) {
 	q := s.request
-	requirements := chains.Requirements{Domain: q.FailureDomain, Tokens: s.tokens, MaxEventGap: q.admitted.Route.TargetGap, Priority: q.admitted.Priority, Avoid: q.avoid, FirstStageIn: s.allowedFirstEngines(), Resumed: s.events > 0}
+	requirements := chains.Requirements{Domain: q.FailureDomain, Tokens: s.tokens, MaxEventGap: q.admitted.Route.TargetGap, Priority: q.admitted.Urgency, Prioritized: q.admitted.Prioritized, Avoid: q.avoid, FirstStageIn: s.allowedFirstEngines(), Resumed: s.events > 0}
 	if q.excluded.suspect {
 		requirements.ExcludeFirstStage = q.excluded.excludes
 		requirements.FirstStageCost = q.firstStageCost
@@ -110,7 +110,7 @@
 		return result != chains.CapacityExhausted
 	}
 	until := q.Now().Add(maxWait)
-	waiter := admission.Request{Customer: q.admitted.Customer, Priority: -q.admitted.Priority}
+	waiter := admission.Request{Customer: q.admitted.Customer, Priority: -q.admitted.Urgency}
 	q.waitingForCapacity = true
 	gotCapacity := q.WaitQueue.Wait(ctx, waiter, maxWait, reserve)
 	// Poll outside of the wait queue, where a stream without a chain would block
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -252,7 +252,7 @@
 	s.Instance = b.ID
 	s.Customer = q.admitted.Customer
 	s.Timeout = q.remaining()
-	s.Priority = min(q.admitted.Priority, 9)
+	s.Priority = min(q.admitted.Urgency, 9)
 	return &Request{
 		Permitted: func() bool { return !q.Pauses.Paused(b.Incarnation()) },
 		Method:    q.call.Method,
