placement: failure domains get their missing layers back by extension

Cause: a failure domain that lost the only holder of some layers waited for up to four seconds before engines were moved, and a new engine stayed empty for 1.2 s, although engines with adjacent layers had memory to spare.

Change: where the interconnect is limited and there are several failure domains, layers without a holder in their domain are covered at once by extending engines that hold the adjacent layers. Orders that restore a domain go first. An order that was refused is not repeated unchanged. If the store does not respond, the orders of the last plan continue. Other services are planned as before.

Result: the existing tests of the package pass.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
-	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
@@ -59,7 +57,13 @@
 	// StreamCount returns the known number of streams that run through an engine. If nil,
 	// all engines count as busy.
 	StreamCount func(engine model.Incarnation) float64
-	Now         func() time.Time
+	// UsedTokenLayers returns the known token memory that streams use on an engine, in
+	// tokens times layers. Nil means none.
+	UsedTokenLayers func(engine model.Incarnation) float64
+	// OnMissingLayers is called with the number of layers that a failure domain lacks. Nil
+	// means that it is not reported.
+	OnMissingLayers func(service, domain string, layers int)
+	Now             func() time.Time
 
 	mu             sync.Mutex
 	plans          map[string]storedPlan // by service
@@ -75,26 +79,7 @@
 	domainGapSince map[string]time.Time
 	// domainGapCheckedAt is the time, by service, of the last check of failure domains.
 	domainGapCheckedAt map[string]time.Time
-}
-
-// storedPlan is a plan with its revision in the store.
-type storedPlan struct {
-	plan     Plan
-	revision model.Revision
-	// needsWrite is set after the store was restored from an older copy, which may lack
-	// the plan.
-	needsWrite bool
-}
-
-// ObservePlan records a plan that was read from the store. A plan that cannot be decoded
-// is logged and ignored.
-func (c *Controller) ObservePlan(service string, value []byte, revision model.Revision) {
-	plan, err := DecodePlan(value)
-	if err != nil {
-		klog.InfoS("stored plan cannot be decoded", "service", service, "revision", revision, "err", err)
-		return
-	}
-	c.acceptPlan(service, storedPlan{plan: plan, revision: revision})
+	coverageState
 }
 
 func (c *Controller) init() {
@@ -106,6 +91,7 @@
 		c.gapSince = map[string]time.Time{}
 		c.domainGapSince = map[string]time.Time{}
 		c.domainGapCheckedAt = map[string]time.Time{}
+		c.coverageState = newCoverageState()
 		c.startedAt = c.Now()
 		c.lastAppearance = c.startedAt
 	}
@@ -129,6 +115,7 @@
 func (c *Controller) tickService(ctx context.Context, svc *model.Service) {
 	servers := c.placeableEngines(svc)
 	token := c.FencingToken()
+	c.observeDomains(svc, token != 0)
 	if token == 0 {
 		c.resetDomainGap(svc.Name)
 		return
@@ -137,7 +124,13 @@
 	if plan == nil {
 		return
 	}
-	if !c.persist(ctx, svc.Name, plan, token) {
+	before := c.lastPlan(svc.Name)
+	switch stored := c.persist(ctx, svc.Name, plan, token); {
+	case stored && c.servesAlone(svc):
+		c.logChanges(svc.Name, before, plan)
+	case !stored && c.servesAlone(svc) && c.storeSilent():
+		plan = before
+	case !stored:
 		return
 	}
 	c.sendOrders(ctx, svc, servers, plan, token)
@@ -169,6 +162,7 @@
 			delete(c.appearedAt, inc)
 			c.recordLoadExit(c.pending[inc])
 			delete(c.pending, inc)
+			delete(c.refusals, inc)
 		}
 	}
 	return out
@@ -204,6 +198,9 @@
 	}
 	settled := c.plannerEngines(svc, c.withoutUnreachable(servers), now, newEngineDelay)
 	next := old.plan
+	if c.servesAlone(svc) {
+		next, settled = c.coverDomains(svc, servers, next, now)
+	}
 	if hasUnplanned(next, settled) {
 		next, _ = Extend(svc.Engine, next, settled)
 	}
@@ -250,77 +247,6 @@
 	return out
 }
 
-// persist stores a changed plan and reports whether the plan is in effect. The write is
-// conditional on the leadership key, whose revision is the fencing token.
-func (c *Controller) persist(ctx context.Context, service string, plan Plan, token model.Revision) bool {
-	c.mu.Lock()
-	old := c.plans[service]
-	c.mu.Unlock()
-	if old.plan != nil && equalPlans(old.plan, plan) && !old.needsWrite {
-		return true
-	}
-	value, err := json.Marshal(plan)
-	if err != nil {
-		klog.ErrorS(err, "failed to encode plan", "service", service)
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	revision, err := c.Store.Commit(ctx, platform.Txn{
-		If:  []platform.Condition{{Key: leader.Key, Revision: token}},
-		Put: []platform.Item{{Key: leader.PlanPrefix + service, Value: value}},
-	})
-	if err != nil {
-		klog.InfoS("failed to store plan", "service", service, "token", token, "err", err)
-		return false
-	}
-	klog.InfoS("plan stored", "service", service, "token", token, "revision", revision, "engines", len(plan), "before", len(old.plan))
-	return c.acceptPlan(service, storedPlan{plan: plan, revision: revision})
-}
-
-// acceptPlan records a plan unless a newer one is known, and reports whether it is now the
-// known one. Plans are compared by revision: the result of a write may arrive after the
-// watch has shown a plan that the next leader stored.
-func (c *Controller) acceptPlan(service string, p storedPlan) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.init()
-	old := c.plans[service]
-	switch {
-	case old.needsWrite && old.revision.Era() < p.revision.Era() && !equalPlans(old.plan, p.plan):
-		// The first plan that is read after a restore comes from the older copy. Applying it
-		// would move engines back.
-		old.revision = p.revision
-		c.plans[service] = old
-	case old.revision < p.revision:
-		c.plans[service] = p
-	}
-	return c.plans[service].revision == p.revision
-}
-
-// HandleStoreRestore marks all plans as not stored after the store was restored from an
-// older copy. The plans stay in effect, and the leader writes them again.
-func (c *Controller) HandleStoreRestore() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for service, p := range c.plans {
-		p.needsWrite = true
-		c.plans[service] = p
-	}
-}
-
-func equalPlans(a, b Plan) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for addr, held := range a {
-		if other, ok := b[addr]; !ok || other != held {
-			return false
-		}
-	}
-	return true
-}
-
 // PlanFromHeldLayers builds a plan from the layers that engines already hold, for use when
 // the stored plan is unknown. Empty engines are added as by Extend.
 func PlanFromHeldLayers(spec *model.EngineSpec, engines []Engine, servers []*model.BackendServer) Plan {
--- /dev/null
+++ b/internal/coordination/placement/coverage_control.go
@@ -0,0 +1,209 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+const (
+	// suspicionDelay is how long there must have been evidence against an engine before it
+	// no longer counts as a holder. Shorter suspicions end with the next response.
+	suspicionDelay = 500 * time.Millisecond
+	// missingMoveDelay replaces idleDomainGapDelay where failure domains must serve alone.
+	// In this time the entry of a restarted engine may arrive.
+	missingMoveDelay = 500 * time.Millisecond
+	// extraLoadShare is the share of the ordinary loads by which extensions that are not
+	// strictly required may increase the number of loads.
+	extraLoadShare = 0.25
+)
+
+// servesAlone reports whether the failure domains of a service are planned to hold all
+// layers each: there are several, and the link between them is limited.
+func (c *Controller) servesAlone(svc *model.Service) bool {
+	return svc.Engine.InterconnectMbps > 0 && c.Catalog.Load().Domains() > 1
+}
+
+// livingEngines returns the planner's view of the engines that count as holders of their
+// planned layers, however new they are, and of the settled ones.
+func (c *Controller) livingEngines(svc *model.Service, servers []*model.BackendServer, plan Plan, now time.Time) (living, added []Engine) {
+	reachable := c.withoutUnreachable(servers)
+	settled := indexByAddress(c.plannerEngines(svc, reachable, now, newEngineDelay))
+	early := indexByAddress(c.plannerEngines(svc, reachable, now, earlyEngineDelay))
+	for _, e := range c.plannerEngines(svc, reachable, now, 0) {
+		_, planned := plan[e.Address]
+		_, isSettled := settled[e.Address]
+		_, isEarly := early[e.Address]
+		switch {
+		case planned || isSettled:
+			living = append(living, e)
+		case isEarly:
+			added = append(added, e)
+		}
+	}
+	return living, added
+}
+
+// coverDomains applies the rules by which each failure domain holds all layers. It returns
+// the changed plan and the engines that the other rules of the planner may use.
+func (c *Controller) coverDomains(svc *model.Service, servers []*model.BackendServer, plan Plan, now time.Time) (next Plan, living []Engine) {
+	living, added := c.livingEngines(svc, servers, plan, now)
+	next, _ = assignNewEngines(svc.Engine, plan, living, added, c.domainOf)
+	// Engines that were just assigned a range are now holders too.
+	living, _ = c.livingEngines(svc, servers, next, now)
+	byAddress := map[string]*model.BackendServer{}
+	for _, b := range servers {
+		byAddress[b.Address] = b
+	}
+	for _, group := range groupByDomain(living) {
+		d := domainCoverage{spec: svc.Engine, now: now, missingSince: c.missingSince(svc.Name, group[0].Domain)}
+		for _, e := range group {
+			d.engines = append(d.engines, c.domainEngine(svc, byAddress[e.Address], e, next[e.Address], now))
+		}
+		next = c.coverDomain(svc.Name, d, next)
+	}
+	return next, living
+}
+
+// coverDomain applies the rules to one failure domain.
+func (c *Controller) coverDomain(service string, d domainCoverage, plan Plan) Plan {
+	next, _ := d.coverLost(plan)
+	if !c.wasComplete(service, d.engines[0].Domain) || !c.mayLoadMore() {
+		return next
+	}
+	if covered, changed := d.coverDelayed(next); changed {
+		c.planExtra(next, covered)
+		return covered
+	}
+	return next
+}
+
+// domainEngine returns the coverage rules' view of an engine.
+func (c *Controller) domainEngine(svc *model.Service, b *model.BackendServer, e Engine, planned model.LayerRange, now time.Time) domainEngine {
+	inc := b.Incarnation()
+	d := domainEngine{Engine: e, held: b.Holds, suspected: c.suspectedFor(inc, now) >= suspicionDelay}
+	if c.UsedTokenLayers != nil {
+		d.usedTokenLayers = c.UsedTokenLayers(inc)
+	}
+	o, pending := c.pending[inc]
+	d.loading = planned != b.Holds || pending
+	if planned == b.Holds || c.withheld(b, planned) || c.refusedUnchanged(b, planned) {
+		return d
+	}
+	switch {
+	case pending && o.want == planned && !o.readyAt.IsZero():
+		d.readyAt = o.readyAt
+	case !pending && extends(planned, b.Holds):
+		d.readyAt = now.Add(loadTime(svc.Engine, addedLayers(planned, b.Holds)))
+	}
+	return d
+}
+
+// withheld reports whether no order to hold a range may be sent to an engine at present.
+func (c *Controller) withheld(b *model.BackendServer, want model.LayerRange) bool {
+	return !c.mayLoad(b.Address, want) || c.Paused != nil && c.Paused(b.Incarnation()) || c.misdirected(b)
+}
+
+// observeSuspicions records since when there has been evidence against engines. If it
+// exists against many, this router is probably disconnected, and none is recorded. The
+// caller holds c.mu.
+func (c *Controller) observeSuspicions(servers []*model.BackendServer, now time.Time) {
+	suspected := map[model.Incarnation]bool{}
+	for _, b := range servers {
+		inc := b.Incarnation()
+		if c.Suspected != nil && c.Suspected(inc) && !(c.Paused != nil && c.Paused(inc)) {
+			suspected[inc] = true
+		}
+	}
+	if float64(len(suspected)) > max(maxUnreachableShare*float64(len(servers)), 1) {
+		clear(suspected)
+	}
+	for _, b := range servers {
+		if !suspected[b.Incarnation()] {
+			delete(c.suspectedSince, b.Incarnation())
+		}
+	}
+	listed := c.Catalog.Load()
+	maps.DeleteFunc(c.suspectedSince, func(inc model.Incarnation, _ time.Time) bool { return listed.Find(inc) == nil })
+	for inc := range suspected {
+		if _, ok := c.suspectedSince[inc]; !ok {
+			c.suspectedSince[inc] = now
+		}
+	}
+}
+
+func (c *Controller) suspectedFor(inc model.Incarnation, now time.Time) time.Duration {
+	since, ok := c.suspectedSince[inc]
+	if !ok {
+		return -1
+	}
+	return now.Sub(since)
+}
+
+// mayLoadMore reports whether a further load that is not strictly required keeps the number
+// of loads within extraLoadShare of the ordinary ones.
+func (c *Controller) mayLoadMore() bool {
+	return float64(c.extraLoads+len(c.extraPlanned)) < extraLoadShare*float64(c.ordinaryLoads)+1
+}
+
+// countLoad counts an order that is about to be sent. Loads in failure domains that have
+// not been complete belong to the start of the deployment and do not count.
+func (c *Controller) countLoad(service string, b *model.BackendServer, want model.LayerRange) {
+	switch {
+	case c.extraPlanned[b.Address] == want && want.Len() > 0:
+		c.extraLoads++
+		delete(c.extraPlanned, b.Address)
+	case c.wasComplete(service, b.FailureDomain):
+		c.ordinaryLoads++
+	}
+}
+
+// restoringEngines returns the engines, by address, whose planned range contains layers
+// that their failure domain lacks.
+func (c *Controller) restoringEngines(svc *model.Service, servers []*model.BackendServer, plan Plan) map[string]bool {
+	restoring := map[string]bool{}
+	for _, b := range servers {
+		if !c.wasComplete(svc.Name, b.FailureDomain) {
+			continue
+		}
+		for l, since := range c.missingSince(svc.Name, b.FailureDomain) {
+			if !since.IsZero() && contains(plan[b.Address], l) {
+				restoring[b.Address] = true
+			}
+		}
+	}
+	return restoring
+}
+
+// planExtra records the loads by which a plan grows beyond those strictly required.
+func (c *Controller) planExtra(before, after Plan) {
+	for addr, held := range after {
+		if before[addr] != held {
+			c.extraPlanned[addr] = held
+		}
+	}
+}
+
+// logChanges logs the ranges in which a stored plan differs from the previous one. Planned
+// extra loads that are not in it are dropped.
+func (c *Controller) logChanges(service string, before, after Plan) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.extraPlanned, func(addr string, held model.LayerRange) bool {
+		planned, ok := after[addr]
+		return ok && planned != held
+	})
+	for _, addr := range slices.Sorted(maps.Keys(after)) {
+		old, ok := before[addr]
+		switch held := after[addr]; {
+		case !ok:
+			klog.InfoS("engine planned", "service", service, "address", addr, "domain", c.domainOf[addr], "to", held.String())
+		case old != held:
+			klog.InfoS("planned range changed", "service", service, "address", addr, "domain", c.domainOf[addr], "from", old.String(), "to", held.String())
+		}
+	}
+}
--- a/internal/coordination/placement/holes.go
+++ b/internal/coordination/placement/holes.go
@@ -28,12 +28,15 @@
 // repairDomains returns a plan that covers the layers that failure domains have lacked for
 // a while.
 func (c *Controller) repairDomains(svc *model.Service, plan Plan, engines []Engine, now time.Time) Plan {
-	if now.Sub(c.domainGapCheckedAt[svc.Name]) < domainGapInterval {
+	interval, delay := domainGapInterval, idleDomainGapDelay
+	if c.servesAlone(svc) {
+		interval, delay = 0, missingMoveDelay
+	}
+	if now.Sub(c.domainGapCheckedAt[svc.Name]) < interval {
 		return plan
 	}
 	c.domainGapCheckedAt[svc.Name] = now
 	trusted, idle := c.trustedAndIdle(svc)
-	delay := idleDomainGapDelay
 	repaired, changed := RepairDomains(svc.Engine, plan, engines, idle)
 	if !changed {
 		delay = domainGapDelay
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -31,7 +31,9 @@
 	OrderUnknown OrderResult = iota
 	OrderAccepted
 	OrderRefused
-	OrderFenced // the engine has seen a higher fencing token
+	OrderFenced      // the engine has seen a higher fencing token
+	OrderNotSent     // the engine was not reached
+	OrderMisdirected // another process responded at the engine's address
 )
 
 // EngineClient sends orders to engines and reads their reports.
@@ -48,6 +50,10 @@
 	want     model.LayerRange
 	deadline time.Time // no further order is sent earlier
 	sent     bool      // the engine may carry out the order
+	// readyAt is when the engine is expected to hold the range, zero if unknown.
+	readyAt time.Time
+	// idle is set for a delay in which the engine is not known to load.
+	idle bool
 }
 
 // sendOrders orders engines to load the layers in which they differ from the plan.
@@ -79,19 +85,23 @@
 		maxLoads = svc.Engine.ConcurrentLoads
 	}
 	loading := 0
+	alone := c.servesAlone(svc)
 	var due []*model.BackendServer
 	for _, b := range servers {
 		want, ok := plan[b.Address]
 		if !ok || want == b.Holds {
 			c.clearLoadExits(b)
 			delete(c.pending, b.Incarnation())
+			delete(c.refusals, b.Incarnation())
 			continue
 		}
-		if !c.mayLoad(b.Address, want) || c.Paused != nil && c.Paused(b.Incarnation()) {
+		if c.withheld(b, want) {
 			continue
 		}
-		if p, ok := c.pending[b.Incarnation()]; ok && now.Before(p.deadline) {
-			loading++
+		if p, ok := c.pending[b.Incarnation()]; ok && now.Before(p.deadline) && !(alone && p.finished(b, want)) {
+			if !alone || !p.idle {
+				loading++
+			}
 			continue
 		}
 		card, _ := svc.Engine.Card(b.Card)
@@ -103,17 +113,46 @@
 	}
 	first := firstChains(svc.Engine, plan, c.plannerEngines(svc, servers, now, 0))
 	sort.SliceStable(due, func(i, j int) bool { return loadsBefore(svc.Engine, plan, first, due[i], due[j]) })
+	if alone {
+		c.restoringFirst(svc, servers, due, plan)
+	}
 	due = due[:max(min(len(due), maxLoads-loading), 0)]
 	for _, b := range due {
 		want := plan[b.Address]
 		share := float64(want.Len()) / float64(max(svc.Engine.Layers, 1))
 		contention := max(float64(len(due)+loading)/float64(svc.Engine.ConcurrentLoads), 1)
-		loadTime := time.Duration(float64(svc.Engine.LoadTime) * share * contention)
-		c.pending[b.Incarnation()] = order{address: b.Address, want: want, deadline: now.Add(loadTime + loadMargin)}
+		duration := time.Duration(float64(svc.Engine.LoadTime) * share * contention)
+		o := order{address: b.Address, want: want, deadline: now.Add(duration + loadMargin)}
+		if extends(want, b.Holds) {
+			o.readyAt = now.Add(time.Duration(float64(loadTime(svc.Engine, addedLayers(want, b.Holds))) * contention))
+		}
+		c.pending[b.Incarnation()] = o
+		if alone {
+			c.countLoad(svc.Name, b, want)
+		}
 	}
 	return due
 }
 
+// finished reports whether an engine has carried out the order and is now to hold another
+// range.
+func (o order) finished(b *model.BackendServer, want model.LayerRange) bool {
+	return o.sent && o.want == b.Holds && o.want != want
+}
+
+// restoringFirst moves the orders that give failure domains their missing layers back to
+// the front, those with the fewest layers to load first.
+func (c *Controller) restoringFirst(svc *model.Service, servers, due []*model.BackendServer, plan Plan) {
+	restoring := c.restoringEngines(svc, servers, plan)
+	sort.SliceStable(due, func(i, j int) bool {
+		a, b := due[i], due[j]
+		if restoring[a.Address] != restoring[b.Address] {
+			return restoring[a.Address]
+		}
+		return restoring[a.Address] && addedLayers(plan[a.Address], a.Holds) < addedLayers(plan[b.Address], b.Holds)
+	})
+}
+
 // firstChains returns the engines, by address, that form the first chain of each failure
 // domain: those with the fastest cards until every layer is held.
 func firstChains(spec *model.EngineSpec, plan Plan, engines []Engine) map[string]bool {
@@ -167,6 +206,10 @@
 		return
 	}
 	if report.Busy {
+		c.delayBusy(b.Incarnation(), want)
+		return
+	}
+	if !c.mayRepeat(b, want, report) {
 		c.delayOrder(b.Incarnation(), want, orderRetryDelay)
 		return
 	}
@@ -183,7 +226,12 @@
 		c.markSent(b.Incarnation())
 	case OrderFenced:
 		c.OnFenced(token)
-	case OrderRefused:
+	case OrderRefused, OrderMisdirected:
+		if c.servesAlone(svc) {
+			c.recordRefusal(b, want, report, result == OrderMisdirected)
+		}
+		c.delayOrder(b.Incarnation(), want, orderRetryDelay)
+	case OrderNotSent:
 		c.delayOrder(b.Incarnation(), want, orderRetryDelay)
 	}
 }
@@ -214,5 +262,12 @@
 func (c *Controller) delayOrder(inc model.Incarnation, want model.LayerRange, d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending[inc] = order{want: want, deadline: c.Now().Add(d)} // not sent
+	c.pending[inc] = order{want: want, deadline: c.Now().Add(d), idle: true} // not sent
+}
+
+// delayBusy delays the next order to an engine that is carrying out another one.
+func (c *Controller) delayBusy(inc model.Incarnation, want model.LayerRange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending[inc] = order{want: want, deadline: c.Now().Add(orderRetryDelay)} // not sent
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -57,5 +57,8 @@
 		RateLimits:   r.limits.Rates,
 		StreamCount:  func(engine model.Incarnation) float64 { return r.usage.Used(engine).Streams },
 		Now:          time.Now,
+
+		UsedTokenLayers: func(engine model.Incarnation) float64 { return r.usage.Used(engine).TokenLayers },
+		OnMissingLayers: r.metrics.setMissingLayers,
 	}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -125,6 +125,11 @@
 	m.scope.Gauge("backend_rate_limits_sum").Update(sum)
 }
 
+// setMissingLayers sets how many layers no engine of a failure domain holds for new streams.
+func (m *metrics) setMissingLayers(service, domain string, layers int) {
+	m.scope.Tagged(map[string]string{"service": service, "domain": domain}).Gauge("domain_layers_missing").Update(float64(layers))
+}
+
 // setPauses records how many backend servers asked this router for a pause that lasts.
 func (m *metrics) setPauses(n int) {
 	m.scope.Gauge("backend_servers_paused").Update(float64(n))
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -191,7 +191,7 @@
 	}
 	status, _, err := e.Relay.sendOrder(ctx, b, body)
 	if errors.Is(err, ErrNotSent) {
-		return placement.OrderRefused, err
+		return placement.OrderNotSent, err
 	}
 	if err != nil {
 		return placement.OrderUnknown, err
@@ -201,6 +201,8 @@
 		return placement.OrderAccepted, nil
 	case http.StatusPreconditionFailed:
 		return placement.OrderFenced, nil
+	case http.StatusMisdirectedRequest:
+		return placement.OrderMisdirected, errors.New("another process responded at the engine's address")
 	}
 	return placement.OrderRefused, errors.Errorf("order returned status %d", status)
 }
