placement: second holders by extension, and extensions that are undone

Cause: a layer with one holder in its failure domain is missing as soon as that engine is lost, and an extension that is no longer needed keeps memory from tokens.

Change: with ample token memory a run of layers with a single holder gets a second one by extension, within a quarter of the ordinary loads. An extension is undone once the layers have two other holders and the engine's token memory is over half used.

--- a/internal/coordination/placement/coverage.go
+++ b/internal/coordination/placement/coverage.go
@@ -124,7 +124,7 @@
 func (d domainCoverage) closeAll(plan Plan, gaps []int, accept func(extended Plan, run model.LayerRange) bool) (next Plan, changed bool) {
 	next = plan
 	for _, run := range runs(gaps) {
-		extended, ok := d.closeRun(next, run, d.minTokens(minExtendedRequests))
+		extended, ok := d.closeRun(next, run, extensionLimits{tokens: d.tokensOf(minExtendedRequests), headroom: usedHeadroom})
 		if ok && accept(extended, run) {
 			next, changed = extended, true
 		}
@@ -132,14 +132,22 @@
 	return next, changed
 }
 
-// minTokens returns the tokens of a number of typical requests.
-func (d domainCoverage) minTokens(requests int) float64 {
+// extensionLimits is the memory that an engine keeps when its range is extended.
+type extensionLimits struct {
+	// tokens is the least token capacity.
+	tokens float64
+	// headroom is the least token memory, as a multiple of what its streams use.
+	headroom float64
+}
+
+// tokensOf returns the tokens of a number of typical requests.
+func (d domainCoverage) tokensOf(requests int) float64 {
 	return float64(requests * max(d.spec.MeanPromptTokens+d.spec.MeanAnswerTokens, 1))
 }
 
 // closeRun covers a run of layers by extending the engines that hold the adjacent layers,
 // one layer at a time to the engine that keeps the greatest token capacity.
-func (d domainCoverage) closeRun(plan Plan, run model.LayerRange, minTokens float64) (Plan, bool) {
+func (d domainCoverage) closeRun(plan Plan, run model.LayerRange, limits extensionLimits) (Plan, bool) {
 	next := clonePlan(plan)
 	for run.Len() > 0 {
 		var best *domainEngine
@@ -150,9 +158,9 @@
 			if held.Len() <= 0 || held.To != run.From && held.From != run.To {
 				continue
 			}
-			tokens, ok := d.extendedTokens(e, plan[e.Address], held.Len()+1)
+			tokens, ok := d.extendedTokens(e, plan[e.Address], held.Len()+1, limits)
 			// Ties are broken by address, so that the plan depends only on the engines.
-			if ok && tokens >= minTokens && (best == nil || tokens > bestTokens || tokens == bestTokens && e.Address < best.Address) {
+			if ok && (best == nil || tokens > bestTokens || tokens == bestTokens && e.Address < best.Address) {
 				best, bestTokens = e, tokens
 			}
 		}
@@ -174,12 +182,12 @@
 
 // extendedTokens returns the token capacity of an engine with n layers. It reports false if
 // the engine cannot be extended: it is loading, suspected, or lacks the memory.
-func (d domainCoverage) extendedTokens(e *domainEngine, planned model.LayerRange, n int) (float64, bool) {
+func (d domainCoverage) extendedTokens(e *domainEngine, planned model.LayerRange, n int, limits extensionLimits) (float64, bool) {
 	if e.suspected || e.loading || e.held != planned || n > MaxLayers(d.spec, e.Card) {
 		return 0, false
 	}
 	tokens := tokenCapacity(d.spec, e.Card, n)
-	return tokens, tokens*float64(n) >= usedHeadroom*e.usedTokenLayers
+	return tokens, tokens >= limits.tokens && tokens*float64(n) >= limits.headroom*e.usedTokenLayers
 }
 
 func (d domainCoverage) plannerEngines() []Engine {
--- a/internal/coordination/placement/coverage_control.go
+++ b/internal/coordination/placement/coverage_control.go
@@ -20,6 +20,9 @@
 	// extraLoadShare is the share of the ordinary loads by which extensions that are not
 	// strictly required may increase the number of loads.
 	extraLoadShare = 0.25
+	// initialExtraLoads is how many of these loads are possible before any ordinary one: an
+	// extension takes up to two engines, one on each side.
+	initialExtraLoads = 2
 )
 
 // servesAlone reports whether the failure domains of a service are planned to hold all
@@ -69,15 +72,36 @@
 	return next, living
 }
 
-// coverDomain applies the rules to one failure domain.
+// coverDomain applies the rules to one failure domain. At most one of the changes that are
+// not strictly required is made at once.
 func (c *Controller) coverDomain(service string, d domainCoverage, plan Plan) Plan {
-	next, _ := d.coverLost(plan)
-	if !c.wasComplete(service, d.engines[0].Domain) || !c.mayLoadMore() {
+	state := c.domains[domainKey{service, d.engines[0].Domain}]
+	if state == nil || !state.wasComplete && d.now.Sub(state.incompleteSince) < settleDelay {
+		return plan // its engines are loading for the first time
+	}
+	next, covered := d.coverLost(plan)
+	if !state.wasComplete && len(UncoveredLayers(d.spec, next, d.plannerEngines())) > 0 {
+		return plan
+	}
+	if covered || !state.wasComplete {
 		return next
 	}
-	if covered, changed := d.coverDelayed(next); changed {
-		c.planExtra(next, covered)
-		return covered
+	if extended, changed := d.coverDelayed(next); changed {
+		if c.admitExtra(next, extended, initialExtraLoads) {
+			return extended
+		}
+		return next
+	}
+	if !state.incompleteSince.IsZero() || d.now.Sub(state.adjustedAt) < adjustInterval {
+		return next
+	}
+	if reduced, changed := d.undoExtension(next, c.extendedFrom[service]); changed {
+		state.adjustedAt = d.now
+		return reduced
+	}
+	if extended, changed := d.addSecondHolder(next); changed && c.admitExtra(next, extended, 0) {
+		state.adjustedAt = d.now
+		return extended
 	}
 	return next
 }
@@ -144,10 +168,21 @@
 	return now.Sub(since)
 }
 
-// mayLoadMore reports whether a further load that is not strictly required keeps the number
-// of loads within extraLoadShare of the ordinary ones.
-func (c *Controller) mayLoadMore() bool {
-	return float64(c.extraLoads+len(c.extraPlanned)) < extraLoadShare*float64(c.ordinaryLoads)+1
+// admitExtra reports whether a changed plan keeps the number of loads within
+// extraLoadShare of the ordinary ones and a fixed number, and records its loads if so.
+func (c *Controller) admitExtra(before, after Plan, fixed int) bool {
+	added := map[string]model.LayerRange{}
+	for addr, held := range after {
+		if before[addr] != held && c.extraPlanned[addr] != held {
+			added[addr] = held
+		}
+	}
+	total := c.extraLoads + len(c.extraPlanned) + len(added)
+	if float64(total) > extraLoadShare*float64(c.ordinaryLoads)+float64(fixed) {
+		return false
+	}
+	maps.Copy(c.extraPlanned, added)
+	return true
 }
 
 // countLoad counts an order that is about to be sent. Loads in failure domains that have
@@ -179,15 +214,6 @@
 	return restoring
 }
 
-// planExtra records the loads by which a plan grows beyond those strictly required.
-func (c *Controller) planExtra(before, after Plan) {
-	for addr, held := range after {
-		if before[addr] != held {
-			c.extraPlanned[addr] = held
-		}
-	}
-}
-
 // logChanges logs the ranges in which a stored plan differs from the previous one. Planned
 // extra loads that are not in it are dropped.
 func (c *Controller) logChanges(service string, before, after Plan) {
--- a/internal/coordination/placement/coverage_state.go
+++ b/internal/coordination/placement/coverage_state.go
@@ -22,6 +22,8 @@
 	// had been complete. extraPlanned holds the planned extra loads by address.
 	ordinaryLoads, extraLoads int
 	extraPlanned              map[string]model.LayerRange
+	// extendedFrom holds, by service, the ranges that extended engines had before.
+	extendedFrom map[string]Plan
 	// storeFailed is set if the last plan could not be stored and no other process led.
 	storeFailed bool
 }
@@ -29,7 +31,7 @@
 func newCoverageState() coverageState {
 	return coverageState{
 		domains: map[domainKey]*domainState{}, domainOf: map[string]string{}, suspectedSince: map[model.Incarnation]time.Time{},
-		refusals: map[model.Incarnation]refusal{}, extraPlanned: map[string]model.LayerRange{},
+		refusals: map[model.Incarnation]refusal{}, extraPlanned: map[string]model.LayerRange{}, extendedFrom: map[string]Plan{},
 	}
 }
 
@@ -48,6 +50,8 @@
 	wasComplete bool
 	// logged is set while the log shows that the domain lacks layers.
 	logged bool
+	// adjustedAt is when the plan of the complete domain was last changed.
+	adjustedAt time.Time
 }
 
 // update records which layers are held.
--- a/internal/coordination/placement/plan_store.go
+++ b/internal/coordination/placement/plan_store.go
@@ -97,6 +97,10 @@
 		old.revision = p.revision
 		c.plans[service] = old
 	case old.revision < p.revision:
+		if c.extendedFrom[service] == nil {
+			c.extendedFrom[service] = Plan{}
+		}
+		updateExtended(c.extendedFrom[service], old.plan, p.plan)
 		c.plans[service] = p
 	}
 	return c.plans[service].revision == p.revision
