--- a/internal/coordination/placement/coverage_cluster_test.go
+++ b/internal/coordination/placement/coverage_cluster_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/leader"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
@@ -15,17 +18,19 @@
 // engines load as long as their added layers take.
 type domainCluster struct {
 	*testCluster
-	tick    time.Duration
-	loads   int // after the start
-	sent    int
+	loads   int // begun
+	sent    int // orders
 	refuse  map[string]OrderResult
 	late    map[string]time.Duration // delay of orders, by address
+	busy    map[string]bool          // by ID
 	running int
-	longest map[string]time.Duration // the longest time without some layer, by domain
-	missing map[string]time.Duration
+	missing map[string]time.Duration // by domain and layer, as long as it lasts
+	longest map[string]time.Duration
 	added   map[string]int // layers loaded, by address
 }
 
+const controlTick = 200 * time.Millisecond
+
 func domainSpec(mbps float64) *model.EngineSpec {
 	spec := weakSpec()
 	spec.LoadTime = 14400 * time.Millisecond
@@ -34,23 +39,47 @@
 	return spec
 }
 
-// newDomainCluster returns a loaded cluster with traffic.
+// singleEngines returns three failure domains in which each layer has one holder, with
+// memory for four more layers, and the plan.
+func singleEngines() ([]Engine, Plan) {
+	var all []Engine
+	plan := Plan{}
+	for _, domain := range []string{"a", "b", "c"} {
+		for i := range 12 {
+			e := Engine{Address: fmt.Sprintf("%s%02d", domain, i), Domain: domain, Card: weakSpec().Cards[1]}
+			all = append(all, e)
+			plan[e.Address] = model.LayerRange{From: 7 * i, To: min(7*i+7, 80)}
+		}
+	}
+	return all, plan
+}
+
+// newDomainCluster returns a loaded cluster of singleEngines with traffic.
 func newDomainCluster(t *testing.T, mbps float64) *domainCluster {
-	s := &domainCluster{testCluster: newTestCluster(t), tick: 200 * time.Millisecond, refuse: map[string]OrderResult{}, late: map[string]time.Duration{},
-		longest: map[string]time.Duration{}, missing: map[string]time.Duration{}, added: map[string]int{}}
+	s := &domainCluster{testCluster: newTestCluster(t), refuse: map[string]OrderResult{}, late: map[string]time.Duration{},
+		longest: map[string]time.Duration{}, missing: map[string]time.Duration{}, busy: map[string]bool{}, added: map[string]int{}}
 	s.publishConfig(domainSpec(mbps))
 	s.c.Engines = s
 	s.c.StreamCount = func(model.Incarnation) float64 { return 9 }
-	s.add(weakEngines())
-	s.run(60 * time.Second)
+	all, plan := singleEngines()
+	for _, e := range all {
+		s.register(e.Address, e.Address, e.Domain, e.Card.Name, plan[e.Address])
+	}
+	s.observePlan(plan)
 	s.traffic.Store(true)
-	assert.Equal(t, len(s.incomplete()), 0)
-	s.loads, s.sent = 0, 0
-	clear(s.longest)
-	clear(s.added)
+	s.run(5 * time.Second)
+	assert.Equal(t, s.sent, 0)
 	return s
 }
 
+func (s *domainCluster) Report(ctx context.Context, b *model.BackendServer) (model.EngineReport, error) {
+	report, err := s.testCluster.Report(ctx, b)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report.Busy = s.busy[b.ID]
+	return report, err
+}
+
 func (s *domainCluster) Place(_ context.Context, b *model.BackendServer, held model.LayerRange, fence, expected int64) (OrderResult, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -63,11 +92,15 @@
 	if result, ok := s.refuse[b.Address]; ok {
 		return result, fmt.Errorf("refused")
 	}
+	if s.busy[b.ID] {
+		return OrderRefused, fmt.Errorf("busy")
+	}
 	begin := func() {
-		if s.orders[b.ID] != expected {
+		if s.orders[b.ID] != expected || s.busy[b.ID] {
 			return // a newer order has begun
 		}
 		s.orders[b.ID]++
+		s.busy[b.ID] = true
 		s.loads++
 		s.running++
 		added := addedLayers(held, s.holds[b.ID])
@@ -77,6 +110,9 @@
 		time.AfterFunc(time.Duration(contention*float64(loadTime(s.spec, added))), func() {
 			s.mu.Lock()
 			s.running--
+			if s.born[b.ID] == born {
+				s.busy[b.ID] = false
+			}
 			ended := s.born[b.ID] != born || s.catalog.Load().ByID(b.ID) == nil
 			s.mu.Unlock()
 			if !ended {
@@ -96,18 +132,28 @@
 	return OrderAccepted, nil
 }
 
+// observePlan stores a plan, which the controller observes.
+func (s *domainCluster) observePlan(plan Plan) {
+	raw := encodePlan(s.t, plan)
+	s.c.ObservePlan("s", raw, s.store.Put(leader.PlanPrefix+"s", raw))
+}
+
 // run ticks for a period of virtual time and records how long domains lack layers.
 func (s *domainCluster) run(d time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(s.tick) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(controlTick) {
 		s.c.Tick(context.Background())
+		synctest.Wait()
 		lacking := s.incomplete()
 		for _, domain := range []string{"a", "b", "c"} {
-			if _, ok := lacking[domain]; !ok {
-				s.missing[domain] = 0
-				continue
+			for l := range s.spec.Layers {
+				key := fmt.Sprintf("%s layer %d", domain, l)
+				if !slices.Contains(lacking[domain], l) {
+					delete(s.missing, key)
+					continue
+				}
+				s.missing[key] += controlTick
+				s.longest[key] = max(s.longest[key], s.missing[key])
 			}
-			s.missing[domain] += s.tick
-			s.longest[domain] = max(s.longest[domain], s.missing[domain])
 		}
 	}
 }
--- a/internal/coordination/placement/coverage_control.go
+++ b/internal/coordination/placement/coverage_control.go
@@ -31,45 +31,51 @@
 	return svc.Engine.InterconnectMbps > 0 && c.Catalog.Load().Domains() > 1
 }
 
-// livingEngines returns the planner's view of the engines that count as holders of their
-// planned layers, however new they are, and of the settled ones.
-func (c *Controller) livingEngines(svc *model.Service, servers []*model.BackendServer, plan Plan, now time.Time) (living, added []Engine) {
-	reachable := c.withoutUnreachable(servers)
-	settled := indexByAddress(c.plannerEngines(svc, reachable, now, newEngineDelay))
-	early := indexByAddress(c.plannerEngines(svc, reachable, now, earlyEngineDelay))
-	for _, e := range c.plannerEngines(svc, reachable, now, 0) {
-		_, planned := plan[e.Address]
-		_, isSettled := settled[e.Address]
-		_, isEarly := early[e.Address]
-		switch {
-		case planned || isSettled:
-			living = append(living, e)
-		case isEarly:
-			added = append(added, e)
+// livingEngines returns the planner's view of the engines that answer: those that the plan
+// contains, however new they are, and the others, in the order in which they appeared.
+func (c *Controller) livingEngines(svc *model.Service, servers []*model.BackendServer, plan Plan, now time.Time) (planned, others []Engine) {
+	servers = c.withoutUnreachable(servers)
+	servers = slices.SortedStableFunc(slices.Values(servers), func(a, b *model.BackendServer) int {
+		return c.appearedAt[a.Incarnation()].Compare(c.appearedAt[b.Incarnation()])
+	})
+	for _, e := range c.plannerEngines(svc, servers, now, 0) {
+		if _, ok := plan[e.Address]; ok {
+			planned = append(planned, e)
+		}
+	}
+	for _, e := range c.plannerEngines(svc, servers, now, earlyEngineDelay) {
+		if _, ok := plan[e.Address]; !ok {
+			others = append(others, e)
 		}
 	}
-	return living, added
+	return planned, others
 }
 
 // coverDomains applies the rules by which each failure domain holds all layers. It returns
 // the changed plan and the engines that the other rules of the planner may use.
-func (c *Controller) coverDomains(svc *model.Service, servers []*model.BackendServer, plan Plan, now time.Time) (next Plan, living []Engine) {
-	living, added := c.livingEngines(svc, servers, plan, now)
-	next, _ = assignNewEngines(svc.Engine, plan, living, added, c.domainOf)
-	// Engines that were just assigned a range are now holders too.
-	living, _ = c.livingEngines(svc, servers, next, now)
+func (c *Controller) coverDomains(svc *model.Service, servers []*model.BackendServer, plan Plan, now time.Time) (next Plan, usable []Engine) {
+	planned, others := c.livingEngines(svc, servers, plan, now)
+	next, _ = assignNewEngines(svc.Engine, plan, planned, others, c.domainOf)
+	planned, others = c.livingEngines(svc, servers, next, now)
+	usable = slices.Clone(planned)
+	settled := indexByAddress(c.plannerEngines(svc, servers, now, newEngineDelay))
+	for _, e := range others {
+		if _, ok := settled[e.Address]; ok {
+			usable = append(usable, e)
+		}
+	}
 	byAddress := map[string]*model.BackendServer{}
 	for _, b := range servers {
 		byAddress[b.Address] = b
 	}
-	for _, group := range groupByDomain(living) {
+	for _, group := range groupByDomain(planned) {
 		d := domainCoverage{spec: svc.Engine, now: now, missingSince: c.missingSince(svc.Name, group[0].Domain)}
 		for _, e := range group {
 			d.engines = append(d.engines, c.domainEngine(svc, byAddress[e.Address], e, next[e.Address], now))
 		}
 		next = c.coverDomain(svc.Name, d, next)
 	}
-	return next, living
+	return next, usable
 }
 
 // coverDomain applies the rules to one failure domain. At most one of the changes that are
--- a/internal/coordination/placement/vacancy.go
+++ b/internal/coordination/placement/vacancy.go
@@ -15,20 +15,15 @@
 // which a planned engine has left or is leaving. All other new engines stay empty until
 // newEngineDelay, since a replacement registers shortly before its predecessor leaves.
 //
-// living are the engines that count as holders of their planned layers. domainOf maps the
-// addresses of planned engines to their failure domains, as far as known.
+// living are the engines that count as holders of their planned layers. added are the new
+// ones in the order in which they appeared. domainOf maps the addresses of planned engines
+// to their failure domains, as far as known.
 func assignNewEngines(spec *model.EngineSpec, plan Plan, living, added []Engine, domainOf map[string]string) (next Plan, changed bool) {
 	next = plan
-	for _, group := range groupByDomain(added) {
-		for _, e := range group {
-			if _, ok := next[e.Address]; ok {
-				continue
-			}
-			assigned, ok := assignNewEngine(spec, next, living, e, domainOf)
-			if ok {
-				next, changed = assigned, true
-				living = append(living[:len(living):len(living)], e)
-			}
+	for _, e := range added {
+		if assigned, ok := assignNewEngine(spec, next, living, e, domainOf); ok {
+			next, changed = assigned, true
+			living = append(living[:len(living):len(living)], e)
 		}
 	}
 	return next, changed
