--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -115,7 +115,7 @@
 func (c *Controller) tickService(ctx context.Context, svc *model.Service) {
 	servers := c.placeableEngines(svc)
 	token := c.FencingToken()
-	c.observeDomains(svc, token != 0)
+	alone := c.observeDomains(svc, token != 0)
 	if token == 0 {
 		c.resetDomainGap(svc.Name)
 		return
@@ -126,9 +126,9 @@
 	}
 	before := c.lastPlan(svc.Name)
 	switch stored := c.persist(ctx, svc.Name, plan, token); {
-	case stored && c.servesAlone(svc):
+	case stored && alone:
 		c.logChanges(svc.Name, before, plan)
-	case !stored && c.servesAlone(svc) && c.storeSilent():
+	case !stored && alone && c.storeSilent():
 		plan = before
 	case !stored:
 		return
--- a/internal/coordination/placement/coverage_control.go
+++ b/internal/coordination/placement/coverage_control.go
@@ -25,10 +25,17 @@
 	initialExtraLoads = 2
 )
 
-// servesAlone reports whether the failure domains of a service are planned to hold all
-// layers each: there are several, and the link between them is limited.
+// servesAlone reports whether each failure domain of a service is planned to hold all
+// layers: the link between them is limited, and there are or recently were several. The
+// caller holds c.mu.
 func (c *Controller) servesAlone(svc *model.Service) bool {
-	return svc.Engine.InterconnectMbps > 0 && c.Catalog.Load().Domains() > 1
+	n := 0
+	for key := range c.domains {
+		if key.service == svc.Name {
+			n++
+		}
+	}
+	return svc.Engine.InterconnectMbps > 0 && n > 1
 }
 
 // livingEngines returns the planner's view of the engines that answer: those that the plan
@@ -120,8 +127,9 @@
 		d.usedTokenLayers = c.UsedTokenLayers(inc)
 	}
 	o, pending := c.pending[inc]
-	d.loading = planned != b.Holds || pending
-	if planned == b.Holds || c.withheld(b, planned) || c.refusedUnchanged(b, planned) {
+	withheld := c.withheld(b, planned)
+	d.loading = planned != b.Holds || pending || withheld
+	if planned == b.Holds || withheld || c.refusedUnchanged(b, planned) {
 		return d
 	}
 	switch {
--- a/internal/coordination/placement/coverage_state.go
+++ b/internal/coordination/placement/coverage_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -87,13 +88,14 @@
 	return out
 }
 
-// observeDomains updates what is known of the failure domains of a service. All routers do
-// so, so that a new leader knows since when layers have been missing. Only the leader logs.
-func (c *Controller) observeDomains(svc *model.Service, leads bool) {
+// observeDomains updates what is known of the failure domains of a service, and reports
+// whether they are planned to serve alone. All routers do so, so that a new leader knows
+// since when layers have been missing. Only the leader logs.
+func (c *Controller) observeDomains(svc *model.Service, leads bool) (alone bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.servesAlone(svc) {
-		return
+	if svc.Engine.InterconnectMbps <= 0 {
+		return false
 	}
 	now := c.Now()
 	all := c.Catalog.Load().All(svc.Name)
@@ -106,6 +108,7 @@
 		}
 		c.domains[key].update(layers, now)
 	}
+	alone = c.servesAlone(svc)
 	for key, s := range c.domains {
 		if key.service != svc.Name {
 			continue
@@ -113,17 +116,26 @@
 		if _, ok := held[key.domain]; !ok {
 			s.update(make([]bool, svc.Engine.Layers), now)
 		}
-		if c.OnMissingLayers != nil {
+		if alone && c.OnMissingLayers != nil {
 			c.OnMissingLayers(svc.Name, key.domain, len(s.missing()))
 		}
-		if leads {
+		if alone && leads {
 			c.logDomain(svc, key, s, all, now)
 		}
 		if _, ok := held[key.domain]; !ok && now.Sub(s.incompleteSince) > domainRetention {
-			delete(c.domains, key)
+			c.removeDomain(key)
 		}
 	}
 	c.observeAddresses(svc, all)
+	return alone
+}
+
+// removeDomain removes the state of a failure domain that has had no engines for a while.
+func (c *Controller) removeDomain(key domainKey) {
+	delete(c.domains, key)
+	if c.OnMissingLayers != nil {
+		c.OnMissingLayers(key.service, key.domain, 0)
+	}
 }
 
 // heldLayers returns, by failure domain, which layers an engine holds that can get new
@@ -151,13 +163,21 @@
 	switch {
 	case incomplete && !s.logged && (s.wasComplete || now.Sub(s.incompleteSince) > maxSettleDelay+svc.Engine.LoadTime):
 		s.logged = true
-		klog.InfoS("failure domain lacks layers", "service", key.service, "domain", key.domain, "layers", runs(s.missing()), "since", s.incompleteSince, "why", c.missingReasons(svc, key.domain, s.missing(), all))
+		klog.InfoS("failure domain lacks layers", "service", key.service, "domain", key.domain, "layers", formatRuns(s.missing()), "since", s.incompleteSince, "why", c.missingReasons(svc, key.domain, s.missing(), all))
 	case !incomplete && s.logged:
 		s.logged = false
 		klog.InfoS("failure domain holds all layers again", "service", key.service, "domain", key.domain)
 	}
 }
 
+func formatRuns(layers []int) string {
+	var parts []string
+	for _, run := range runs(layers) {
+		parts = append(parts, run.String())
+	}
+	return strings.Join(parts, " ")
+}
+
 // missingReasons returns why layers are missing in a failure domain.
 func (c *Controller) missingReasons(svc *model.Service, domain string, layers []int, all []*model.BackendServer) []string {
 	usable := map[string]bool{}
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -227,9 +227,7 @@
 	case OrderFenced:
 		c.OnFenced(token)
 	case OrderRefused, OrderMisdirected:
-		if c.servesAlone(svc) {
-			c.recordRefusal(b, want, report, result == OrderMisdirected)
-		}
+		c.recordRefusal(svc, b, want, report, result == OrderMisdirected)
 		c.delayOrder(b.Incarnation(), want, orderRetryDelay)
 	case OrderNotSent:
 		c.delayOrder(b.Incarnation(), want, orderRetryDelay)
--- a/internal/coordination/placement/refusal.go
+++ b/internal/coordination/placement/refusal.go
@@ -24,10 +24,14 @@
 	at          time.Time
 }
 
-// recordRefusal records that an engine refused an order.
-func (c *Controller) recordRefusal(b *model.BackendServer, want model.LayerRange, report model.EngineReport, misdirected bool) {
+// recordRefusal records that an engine refused an order, for services whose failure domains
+// serve alone.
+func (c *Controller) recordRefusal(svc *model.Service, b *model.BackendServer, want model.LayerRange, report model.EngineReport, misdirected bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.servesAlone(svc) {
+		return
+	}
 	c.refusals[b.Incarnation()] = refusal{want: want, report: report, revision: b.Revision, misdirected: misdirected, at: c.Now()}
 }
 
