follow: an update that the store acknowledged reaches routers while watches are silent

The store's watches may deliver nothing for seconds although it answers other calls. The follower compared its contents only with peers' contents, so the leader's own commits did not count, and a quiet answer of a watch lowered the peers' revision.

countedStore reports each revision that a commit or a linearizable read returned, and routers advertise it. If it is missing for lagTimeout, the watch is cancelled; if a short watch does not deliver it, a watcher reads the range, at most once per second. Only such a read lowers the known revision. A timer detects the lag, as no heartbeat may follow.

--- /dev/null
+++ b/internal/coordination/follow/acknowledged.go
@@ -0,0 +1,84 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+)
+
+// disprovedRetention is how long a revision that a read of the range disproved is ignored if
+// peers still advertise it. Otherwise each of their heartbeats would cause another read.
+const disprovedRetention = 10 * time.Second
+
+// ObserveAcknowledged records a revision that the store returned to another call of this
+// process. It is in force, so the contents must reach it even if no watch delivers it.
+func (f *Follower) ObserveAcknowledged(revision model.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision <= model.Revision(f.acknowledged.Load()) {
+		return
+	}
+	f.acknowledged.Store(int64(revision))
+	f.cancelIfLagging()
+	wake(f.wakeLagCheck)
+}
+
+// knownRevision returns the highest revision that is known to be in force: one that a peer
+// advertised or that the store acknowledged to this process. The caller holds f.mu.
+func (f *Follower) knownRevision() model.Revision {
+	return max(f.peerRevision, model.Revision(f.acknowledged.Load()))
+}
+
+// targetRevision is knownRevision for callers that do not hold f.mu.
+func (f *Follower) targetRevision() model.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.knownRevision()
+}
+
+// checkLag cancels the query in progress when this process has lagged for too long, until
+// ctx is done. Peers' heartbeats may be seconds apart in a large fleet, and none may follow
+// an acknowledged revision.
+func (f *Follower) checkLag(ctx context.Context) {
+	f.mu.Lock()
+	wakeup := f.wakeLagCheck
+	f.mu.Unlock()
+	for ctx.Err() == nil {
+		waitForWake(ctx, wakeup, f.untilLagging())
+	}
+}
+
+// untilLagging cancels the query in progress if this process lags. Otherwise it returns the
+// time until it does unless updates arrive, or 0 if it lacks nothing.
+func (f *Follower) untilLagging() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelIfLagging()
+	remaining := f.laggingSince + f.allowedLag() - f.Clock()
+	if f.laggingSince == 0 || remaining < 0 {
+		return 0
+	}
+	return remaining + time.Millisecond
+}
+
+// correctKnownRevision lowers the known revisions to that of a read of the whole range that
+// began after they were recorded: it is linearizable, so higher ones do not exist. The answer
+// of a watch shows no such thing, because watches may be silent while the store discards its
+// history.
+func (f *Follower) correctKnownRevision(advertised, acknowledged, revision model.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if acknowledged > revision {
+		klog.InfoS("store lacks a revision that it acknowledged", "acknowledged", acknowledged, "store", revision)
+		f.acknowledged.CompareAndSwap(int64(acknowledged), int64(revision))
+	}
+	if advertised <= revision || f.peerRevision > advertised {
+		return
+	}
+	klog.InfoS("peer advertised a higher revision than the store's", "peer", advertised, "store", revision)
+	f.peerRevision = revision
+	f.disproved, f.disprovedUntil = advertised, f.Clock()+disprovedRetention
+}
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -121,12 +121,16 @@
 
 	revision        atomic.Int64 // the contents are complete up to it
 	eraStart        atomic.Int64 // first revision of the newest era seen in an answer of the store
+	acknowledged    atomic.Int64 // highest revision that the store returned to another call of this process
 	mu              sync.Mutex
 	cancelQuery     context.CancelFunc // cancels the query in progress
 	laggingSince    time.Duration      // since when a peer has missingRevision; 0 if none is ahead
 	missingRevision model.Revision     // revision that a peer has and this process lacks
 	peerRevision    model.Revision     // highest revision of any peer
 	otherCallFailed bool               // another call to the store was not answered
+	disproved       model.Revision     // advertised by a peer, but a read of the range showed that it did not exist
+	disprovedUntil  time.Duration      // until when disproved is ignored
+	wakeLagCheck    chan struct{}
 
 	// applying is held while updates are applied. Large values arrive beside the polling.
 	applying    sync.Mutex
@@ -150,6 +154,10 @@
 	rangeTimeout   time.Duration // of the next read of the whole range
 	watchMargin    time.Duration
 	pollMargin     time.Duration
+	reread         reread
+	// awaitsPeer is set while the peer that is polled lacks a revision of another one and may
+	// still get it.
+	awaitsPeer bool
 	// staleSince is when the peer that is polled was first asked without having all that
 	// this process has; 0 if it was up to date.
 	staleSince time.Duration
@@ -187,6 +195,10 @@
 	var fetching sync.WaitGroup
 	defer fetching.Wait()
 	fetching.Go(func() { f.fetchValues(ctx) })
+	f.mu.Lock()
+	f.wakeLagCheck = make(chan struct{}, 1)
+	f.mu.Unlock()
+	fetching.Go(func() { f.checkLag(ctx) })
 	f.starting.Store(true)
 	f.waitForRegistrations(ctx)
 	f.readRouters(ctx)
@@ -205,6 +217,8 @@
 		case errors.Is(err, errPeerStarting):
 			f.startUntil = min(f.Clock()+startPatience, f.startedAt+maxStartPatience)
 			continue
+		case errors.Is(err, errUnconfirmed):
+			continue
 		case !f.source.IsStore():
 			klog.InfoS("polling peer for store updates failed", "peer", f.source.Address, "err", err, "revision", f.Revision())
 			f.Picker.MarkFailed(f.source)
@@ -266,6 +280,8 @@
 	if previous.Address != next.Address {
 		f.watching.Store(false)
 		f.staleSince = 0
+		f.awaitsPeer = false
+		f.reread.due = false
 		klog.InfoS("source of store updates changed", "source", next.Address, "before", previous.Address, "why", next.Reason,
 			"revision", f.Revision(), "age", f.SinceLastContact())
 	}
@@ -276,6 +292,9 @@
 	case !f.source.IsStore():
 		return f.queryPeer(ctx, f.source.Address)
 	case f.synced && !f.eraOutdated():
+		if f.isRereadDue(ctx) {
+			return f.rereadRange(ctx)
+		}
 		return f.watch(ctx)
 	default:
 		return f.readRange(ctx)
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -14,13 +14,23 @@
 func (f *Follower) ObservePeerRevision(revision model.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if revision == f.disproved && f.Clock() < f.disprovedUntil {
+		return
+	}
 	f.peerRevision = max(f.peerRevision, revision)
-	if f.isLagging() && f.cancelQuery != nil {
-		klog.InfoS("updates are behind a peer's; polling again", "source", f.source.Address, "revision", f.Revision(), "peer", f.peerRevision,
-			"for", f.Clock()-f.laggingSince)
-		f.cancelQuery()
-		f.cancelQuery = nil
+	f.cancelIfLagging()
+	wake(f.wakeLagCheck)
+}
+
+// cancelIfLagging cancels the query in progress if this process lags. The caller holds f.mu.
+func (f *Follower) cancelIfLagging() {
+	if !f.isLagging() || f.cancelQuery == nil {
+		return
 	}
+	klog.InfoS("updates are behind a peer's; polling again", "source", f.source.Address, "revision", f.Revision(), "peer", f.knownRevision(),
+		"acknowledged", model.Revision(f.acknowledged.Load()), "for", f.Clock()-f.laggingSince)
+	f.cancelQuery()
+	f.cancelQuery = nil
 }
 
 // ObserveEra records that the store answered some call of this process in an era.
@@ -32,34 +42,33 @@
 }
 
 // AdvertisedRevision returns the revision to advertise to peers. It is the one up to
-// which the contents are complete, or the first of a newer era that this process has
-// seen. A leader need not watch the store, and the watchers' connections may be
-// unresponsive.
+// which the contents are complete, the highest one that the store acknowledged to this
+// process, or the first of a newer era that this process has seen. A leader need not watch
+// the store, and the watchers' connections may be unresponsive.
 func (f *Follower) AdvertisedRevision() model.Revision {
-	return max(f.Revision(), model.Revision(f.eraStart.Load()))
+	return max(f.Revision(), model.Revision(f.eraStart.Load()), model.Revision(f.acknowledged.Load()))
 }
 
 // eraOutdated reports whether the store is known to be in a newer era than the
 // contents.
-func (f *Follower) eraOutdated() bool { return f.highestPeerRevision().Era() > f.Revision().Era() }
+func (f *Follower) eraOutdated() bool { return f.targetRevision().Era() > f.Revision().Era() }
 
-// isLagging reports whether this process has lacked a revision that a peer has for longer than
-// updates take to propagate. While changes follow each other, some peer is always ahead, so
+// isLagging reports whether this process has lacked a known revision for longer than updates take to propagate. While changes follow each other, some peer is always ahead, so
 // the time counts from one revision until that revision is here. The caller holds f.mu.
 func (f *Follower) isLagging() bool {
-	now := f.Clock()
+	now, known := f.Clock(), f.knownRevision()
 	switch {
-	case f.peerRevision <= f.Revision():
+	case known <= f.Revision():
 		f.laggingSince = 0
 		return false
-	case f.source.IsStore() && f.peerRevision.Era() > f.Revision().Era():
+	case f.source.IsStore() && known.Era() > f.Revision().Era():
 		// The store counts anew after a restore, so the watch in progress would miss
 		// its changes. A router that polls a watcher stays with it, as the watcher
 		// notices soon.
 		return true
 	case f.laggingSince == 0 || f.missingRevision <= f.Revision():
 		f.laggingSince = now
-		f.missingRevision = f.peerRevision
+		f.missingRevision = known
 		return false
 	}
 	return now-f.laggingSince > f.allowedLag()
@@ -73,18 +82,20 @@
 	return lagTimeout + f.batchDelay()
 }
 
-// beginQuery records that a query begins, with the function that cancels it. It returns
-// true if the query is urgent because a peer is ahead or another call failed. Urgent
-// queries are short and are not cancelled.
-func (f *Follower) beginQuery(cancel context.CancelFunc) (urgent bool) {
+// beginQuery records that a query begins, with the function that cancels it. The query is
+// urgent if this process lags or another call failed. Urgent queries are short and are not
+// cancelled.
+func (f *Follower) beginQuery(cancel context.CancelFunc) (urgent, lagging bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isLagging() || f.otherCallFailed {
+	lagging = f.isLagging()
+	if lagging || f.otherCallFailed {
 		f.otherCallFailed = false
-		return true
+		return true, lagging
 	}
 	f.cancelQuery = cancel
-	return false
+	wake(f.wakeLagCheck)
+	return false, false
 }
 
 // CallFailed reports that another call of this process to the store was not answered.
@@ -121,23 +132,3 @@
 	f.storeFailures++
 	return f.storeFailures > 1 && f.isBehind()
 }
-
-// highestPeerRevision returns the highest revision that any peer advertised.
-func (f *Follower) highestPeerRevision() model.Revision {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.peerRevision
-}
-
-// correctPeerRevision lowers the peers' revision to that of the store if the store's
-// answer shows that advertised was wrong. Otherwise this process would keep sending urgent
-// queries.
-func (f *Follower) correctPeerRevision(advertised, revision model.Revision) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if advertised <= revision || f.peerRevision > advertised {
-		return
-	}
-	klog.InfoS("peer advertised a higher revision than the store's", "peer", advertised, "store", revision)
-	f.peerRevision = revision
-}
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -67,9 +67,12 @@
 	if !f.hasContents && f.startUntil > 0 {
 		timeout = min(timeout, max(f.startUntil-f.Clock(), 0))
 	}
-	urgent := f.beginQuery(cancel)
+	urgent, _ := f.beginQuery(cancel)
 	if urgent {
 		timeout = 0
+		if f.awaitsPeer {
+			timeout = lagPollTimeout
+		}
 	}
 	sentAt := f.Clock()
 	updates, err := f.pollWithTimeout(queryCtx, addr, after, timeout)
@@ -83,7 +86,7 @@
 		return errPeerStarting
 	case updates.Revision < after && !urgent && f.toleratesStale(sentAt):
 		return nil
-	case updates.Revision < after || urgent && updates.Revision == after || updates.Age < 0 || updates.Elapsed < 0:
+	case updates.Revision < after || urgent && updates.Revision == after && !f.awaitPeer() || updates.Age < 0 || updates.Elapsed < 0:
 		return errors.WithMessagef(errPeerStale, "peer at revision %d, this process at %d", updates.Revision, after)
 	}
 	f.applying.Lock()
@@ -92,6 +95,7 @@
 		f.graceUntil.Store(int64(f.Clock() + min(updates.Grace, removalGrace)))
 	}
 	f.staleSince = 0
+	f.awaitsPeer = f.awaitsPeer && updates.Revision == after
 	f.applyUpdates(updates)
 	f.recordPeerContact(sentAt, updates)
 	return nil
--- a/internal/coordination/follow/outage.go
+++ b/internal/coordination/follow/outage.go
@@ -10,6 +10,7 @@
 // minOutage, removals get removalGrace.
 func (f *Follower) recordStoreContact(at time.Duration) {
 	f.storeFailures = 0
+	f.reread.failed = false
 	silent := f.SinceLastContact()
 	if f.disconnected || silent > maxWatchTimeout+minOutage {
 		if f.outage(at) > minOutage {
--- a/internal/coordination/follow/query.go
+++ b/internal/coordination/follow/query.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/state/replica"
 )
 
@@ -31,7 +33,9 @@
 	ctx, cancel := context.WithTimeout(ctx, f.rangeTimeout)
 	defer cancel()
 	start := f.Clock()
-	advertised := f.highestPeerRevision()
+	f.mu.Lock()
+	advertised, acknowledged := f.peerRevision, model.Revision(f.acknowledged.Load())
+	f.mu.Unlock()
 	page, err := f.Store.Range(ctx, f.Prefix)
 	if err != nil {
 		f.rangeTimeout *= 2
@@ -41,7 +45,7 @@
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.recordStoreContact(start)
-	f.correctPeerRevision(advertised, page.Revision)
+	f.correctKnownRevision(advertised, acknowledged, page.Revision)
 	f.reset(replica.ItemsWithValues(page.Items), page.Revision)
 	f.answerTime = start
 	f.synced = true
@@ -56,35 +60,65 @@
 func (f *Follower) watch(ctx context.Context) error {
 	queryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	wait := f.watchTimeout()
+	f.watchMargin = min(max(f.watchMargin, minWatchMargin), maxWatchMargin)
+	wait, margin := f.watchTimeout(), f.watchMargin
 	if f.disconnected {
 		wait = shortWatchTimeout // the store may have been restored, which its answer shows
 	}
-	if f.beginQuery(cancel) {
+	urgent, lagging := f.beginQuery(cancel)
+	// After a failed read, the store is unavailable or slow rather than its watches silent.
+	confirming := (lagging || f.reread.due) && !f.reread.failed
+	switch {
+	case f.reread.due:
+		wait = min(wait, max(f.reread.at-f.Clock(), confirmTimeout))
+	case confirming:
+		wait = confirmTimeout
+	case urgent:
 		wait = shortWatchTimeout
 	}
-	advertised := f.highestPeerRevision()
-	f.watchMargin = min(max(f.watchMargin, minWatchMargin), maxWatchMargin)
-	startCtx, stop := context.WithTimeout(queryCtx, wait+f.watchMargin)
+	if confirming {
+		margin = f.reread.confirmMargin(margin)
+	}
+	target, start := f.targetRevision(), f.Clock()
+	startCtx, stop := context.WithTimeout(queryCtx, wait+margin)
 	page, err := f.Store.Watch(startCtx, f.Prefix, f.Revision(), wait)
+	unanswered := startCtx.Err() != nil
 	stop()
 	f.endQuery()
-	if err != nil && queryCtx.Err() != nil && ctx.Err() == nil {
+	switch {
+	case err != nil && queryCtx.Err() != nil && ctx.Err() == nil:
 		return errCancelled
-	}
-	if err != nil {
+	case err != nil && confirming && unanswered && ctx.Err() == nil:
+		f.reread.schedule(f.Clock())
+		return errUnconfirmed
+	case err != nil:
 		f.watchMargin *= 2
 		return err
 	}
 	f.watchMargin /= 2
+	f.applyWatch(page, target, f.Clock()-start-wait)
+	if confirming && page.Revision < target {
+		f.reread.schedule(f.Clock())
+	}
+	return nil
+}
+
+// applyWatch applies the answer of a watch that began when target was the highest known
+// revision and that took overrun beyond its wait.
+func (f *Follower) applyWatch(page platform.Page, target model.Revision, overrun time.Duration) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	now := f.Clock()
 	f.recordStoreContact(now)
-	f.correctPeerRevision(advertised, page.Revision)
 	f.apply(replica.ItemsWithValues(page.Items), page.Revision)
-	f.answerTime = now
+	if page.Revision >= target {
+		f.answerTime = now // otherwise the contents are known to be incomplete
+	}
 	f.watching.Store(true)
 	f.changesApplied = len(page.Items) > 0
-	return nil
+	if f.changesApplied {
+		f.reread.due = false
+	} else {
+		f.reread.answerDelay = max(overrun, 0)
+	}
 }
--- /dev/null
+++ b/internal/coordination/follow/reread.go
@@ -0,0 +1,111 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	pause "github.com/skylarkwood/skylarkwood/internal/wait"
+)
+
+const (
+	// confirmTimeout is how long the watch waits that shows whether the store's watches
+	// deliver a known revision. The store has the changes, so it answers at once if they do.
+	confirmTimeout = 100 * time.Millisecond
+	// minConfirmMargin is the shortest time for the answer of that watch. The margin of other
+	// watches would delay updates by up to two seconds if watches are not answered at all.
+	minConfirmMargin = 200 * time.Millisecond
+	// confirmMarginFactor is the ratio of that time to the time that a quiet watch took beyond
+	// its wait, so that the watch of a slow store is not taken for a silent one.
+	confirmMarginFactor = 4
+	// rereadInterval is the minimum time between two reads of the whole range because watches
+	// are silent. Each one loads the store with all contents.
+	rereadInterval = time.Second
+	// rereadSpread is the time over which the reads of all watchers are spread. They learn of
+	// the missing revision at about the same time.
+	rereadSpread = 150 * time.Millisecond
+	// lagPollTimeout is how long a polled peer waits for updates that another router has.
+	lagPollTimeout = 100 * time.Millisecond
+	// catchUpTime is how long a polled watcher that answers may lack a revision beyond the
+	// time allowed for batching: it may hear of the revision later than this process, and a
+	// watch and a read precede its updates.
+	catchUpTime = 700 * time.Millisecond
+)
+
+// errUnconfirmed reports that a short watch for a known revision was not answered.
+var errUnconfirmed = errors.New("watch for a known revision not answered")
+
+// reread is the state of the reads of the whole range that replace silent watches. Only the
+// goroutine of Run uses it.
+type reread struct {
+	due bool
+	at  time.Duration // not before
+	// last is when the last one began, and failed whether the store has not answered since.
+	last   time.Duration
+	failed bool
+	// answerDelay is the time that the last quiet watch took beyond its wait.
+	answerDelay time.Duration
+}
+
+// schedule makes a read due.
+func (r *reread) schedule(now time.Duration) {
+	if r.due {
+		return
+	}
+	r.due = true
+	r.at = now + rand.N(rereadSpread)
+	if r.last > 0 {
+		r.at = max(r.at, r.last+rereadInterval+rand.N(rereadSpread))
+	}
+}
+
+// confirmMargin returns the time for the answer of a watch for a known revision, where
+// otherwise margin applies.
+func (r *reread) confirmMargin(margin time.Duration) time.Duration {
+	return min(max(confirmMarginFactor*r.answerDelay, minConfirmMargin), margin)
+}
+
+// isRereadDue reports whether the range must be read now. It waits if that is soon. Until
+// then, watches end in time for it.
+func (f *Follower) isRereadDue(ctx context.Context) bool {
+	if !f.reread.due {
+		return false
+	}
+	remaining := f.reread.at - f.Clock()
+	if remaining > rereadSpread {
+		return false
+	}
+	pause.For(ctx, max(remaining, 0))
+	return true
+}
+
+// rereadRange reads the whole range because the store's watches do not deliver a known
+// revision. If the read finds changes, the watches are silent, and another read follows: it
+// finds the changes that nobody announces. If it finds none, or a watch delivers changes, the
+// reads end.
+func (f *Follower) rereadRange(ctx context.Context) error {
+	start, before, target := f.Clock(), f.Revision(), f.targetRevision()
+	f.reread.due = false
+	f.reread.last = start
+	if err := f.readRange(ctx); err != nil {
+		f.reread.failed = true
+		return err
+	}
+	klog.InfoS("watches do not deliver updates; whole range read", "revision", f.Revision(), "before", before, "known", target, "took", f.Clock()-start)
+	if f.Revision() > before {
+		f.reread.schedule(f.Clock())
+	}
+	return nil
+}
+
+// awaitPeer reports whether a polled peer that answers may still get the revision that this
+// process lacks.
+func (f *Follower) awaitPeer() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.awaitsPeer = f.laggingSince == 0 || f.Clock()-f.laggingSince <= f.allowedLag()+catchUpTime
+	return f.awaitsPeer
+}
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -91,6 +91,7 @@
 		r.follower.ReadRouters = r.readRouters
 	}
 	r.store.onNoResponse = r.follower.CallFailed
+	r.store.onAcknowledged = r.follower.ObserveAcknowledged
 	if store, ok := r.store.Store.(interface{ OnNewEra(func(era int64)) }); ok {
 		store.OnNewEra(r.follower.ObserveEra)
 	}
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -19,6 +19,9 @@
 	metrics *metrics
 	// onNoResponse is called when a lease renewal gets no response. It may be nil.
 	onNoResponse func()
+	// onAcknowledged is called with each revision that a linearizable call returned and that
+	// is therefore in force. It may be nil.
+	onAcknowledged func(revision model.Revision)
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -68,6 +71,13 @@
 	klog.InfoS("store calls", keysAndValues...)
 }
 
+// acknowledge reports the revision that a call returned.
+func (c *countedStore) acknowledge(revision model.Revision, err error) {
+	if err == nil && revision > 0 && c.onAcknowledged != nil {
+		c.onAcknowledged(revision)
+	}
+}
+
 // Range implements Store.
 func (c *countedStore) Range(ctx context.Context, prefix string) (external.Page, error) {
 	page, err := c.Store.Range(ctx, prefix)
@@ -79,6 +89,7 @@
 func (c *countedStore) Get(ctx context.Context, key string) (external.Item, error) {
 	it, err := c.Store.Get(ctx, key)
 	c.count(callGet, err)
+	c.acknowledge(it.Revision, err)
 	return it, err
 }
 
@@ -104,6 +115,7 @@
 func (c *countedStore) Commit(ctx context.Context, txn external.Txn) (model.Revision, error) {
 	revision, err := c.Store.Commit(ctx, txn)
 	c.count(callCommit, err)
+	c.acknowledge(revision, err)
 	return revision, err
 }
 
