--- a/internal/coordination/follow/reread.go
+++ b/internal/coordination/follow/reread.go
@@ -14,10 +14,10 @@
 const (
 	// confirmTimeout is how long the watch waits that shows whether the store's watches
 	// deliver a known revision. The store has the changes, so it answers at once if they do.
-	confirmTimeout = 100 * time.Millisecond
+	confirmTimeout = 50 * time.Millisecond
 	// minConfirmMargin is the shortest time for the answer of that watch. The margin of other
 	// watches would delay updates by up to two seconds if watches are not answered at all.
-	minConfirmMargin = 200 * time.Millisecond
+	minConfirmMargin = 150 * time.Millisecond
 	// confirmMarginFactor is the ratio of that time to the time that a quiet watch took beyond
 	// its wait, so that the watch of a slow store is not taken for a silent one.
 	confirmMarginFactor = 4
@@ -26,7 +26,7 @@
 	rereadInterval = time.Second
 	// rereadSpread is the time over which the reads of all watchers are spread. They learn of
 	// the missing revision at about the same time.
-	rereadSpread = 150 * time.Millisecond
+	rereadSpread = 100 * time.Millisecond
 	// lagPollTimeout is how long a polled peer waits for updates that another router has.
 	lagPollTimeout = 100 * time.Millisecond
 	// catchUpTime is how long a polled watcher that answers may lack a revision beyond the
@@ -50,7 +50,8 @@
 	answerDelay time.Duration
 }
 
-// schedule makes a read due.
+// schedule makes a read due. A heartbeat may bring a known revision 250 ms late or more, so
+// lagTimeout, the short watch and the spread together must leave room within a second.
 func (r *reread) schedule(now time.Duration) {
 	if r.due {
 		return
@@ -58,7 +59,7 @@
 	r.due = true
 	r.at = now + rand.N(rereadSpread)
 	if r.last > 0 {
-		r.at = max(r.at, r.last+rereadInterval+rand.N(rereadSpread))
+		r.at = max(r.at, r.last+rereadInterval) // the last ones were spread too
 	}
 }
 
