share: divides a limited resource among routers by reported demand

Shares of the interconnect are constants (four equal parts in N), which limit routers while capacity is free and ignore priorities. The new decision module computes a router's share for each priority from the use and the unmet demand that the routers report.

--- /dev/null
+++ b/internal/coordination/share/share.go
@@ -0,0 +1,289 @@
+// Package share divides a limited resource among the routers that use it. Each router
+// reports its used and unmet demand by priority. From the reports of the others and its own
+// demand it computes its share of the resource for each priority.
+package share
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// Priorities is the number of priorities that are told apart. Less urgent ones count as
+	// the last.
+	Priorities = 16
+	// overshoot is the fraction of the limit by which all routers together may exceed it
+	// through demand that they have not reported to each other yet.
+	overshoot = 0.2
+	// rebuildInterval is the minimum time between two evaluations of the reports.
+	rebuildInterval = 50 * time.Millisecond
+	// maxStep is the longest time for which a share counts as constant.
+	maxStep = 250 * time.Millisecond
+	// maxSteps bounds the steps after a time without requests. The memory of demand is over
+	// by then.
+	maxSteps = 12
+	// negligible is the amount below which demand is not reported.
+	negligible = 1.0
+)
+
+// Demand is the demand of one router at a priority, in the unit of the resource.
+type Demand struct {
+	Priority    int
+	Used, Unmet float64
+}
+
+// Request asks for an amount of the resource.
+type Request struct {
+	Priority int
+	Amount   float64
+	// Resumed requests continue an interrupted stream and go before others of their priority.
+	Resumed bool
+	// Limit is the rate that all routers may use together, and Routers their number.
+	Limit   float64
+	Routers int
+}
+
+// Shares holds what one router knows of the use of a resource. It is not safe for
+// concurrent use.
+type Shares struct {
+	now   func() time.Time
+	phase func() float64
+
+	peers     map[string]report
+	rebuiltAt time.Time
+	changed   bool
+	known     int // routers with a valid report, including this one
+	others    [Priorities]column
+	used      float64 // of the other routers
+	unmet     float64 // of the other routers
+	age       time.Duration
+
+	own [Priorities]account
+	at  time.Time // up to which credit is accrued
+
+	limit   float64 // of the last request
+	routers int
+	surge   surge
+}
+
+type report struct {
+	sent     int64
+	expires  time.Time
+	interval time.Duration
+	demands  []Demand
+}
+
+// account is this router's use of the resource at one priority.
+type account struct {
+	used  rate
+	unmet window
+	// credit is the amount that the router may use now. It grows with the share while the
+	// router has demand, and is negative after a request. A request of any size is allowed
+	// at a credit of 0, so no share is too small for a request.
+	credit  float64
+	largest float64 // amount of the last request, bounds the credit
+	started bool
+}
+
+// New returns Shares without demand. phase returns the part of a request by which a new
+// account is in debt, between 0 and 1; nil selects it at random. Otherwise routers that use
+// the resource rarely would all use it at the same time.
+func New(now func() time.Time, phase func() float64) *Shares {
+	if phase == nil {
+		phase = rand.Float64
+	}
+	return &Shares{now: now, phase: phase, peers: map[string]report{}, known: 1, at: now()}
+}
+
+// Report stores the demand of another router. sent orders its reports: an older one is
+// ignored. The next report is expected after interval. This one is valid for ttl.
+func (s *Shares) Report(peer string, sent int64, demands []Demand, interval, ttl time.Duration) {
+	if before, ok := s.peers[peer]; ok && sent < before.sent {
+		return
+	}
+	s.peers[peer] = report{sent: sent, expires: s.now().Add(ttl), interval: interval, demands: demands}
+	s.changed = true
+}
+
+// class returns the index of a priority.
+func class(priority int) int { return min(max(priority, 0), Priorities-1) }
+
+// refresh evaluates the reports if they changed or may have expired.
+func (s *Shares) refresh(now time.Time) {
+	since := now.Sub(s.rebuiltAt)
+	if since < rebuildInterval || !s.changed && since < maxStep {
+		return
+	}
+	s.rebuiltAt, s.changed = now, false
+	s.known, s.used, s.unmet, s.age = 1, 0, 0, 0
+	for p := range s.others {
+		s.others[p].reset()
+	}
+	for peer, r := range s.peers {
+		if !now.Before(r.expires) {
+			delete(s.peers, peer)
+			continue
+		}
+		s.known++
+		s.age = max(s.age, r.interval)
+		for _, d := range r.demands {
+			s.used += d.Used
+			s.unmet += d.Unmet
+			s.others[class(d.Priority)].demands = append(s.others[class(d.Priority)].demands, d.Used+d.Unmet)
+		}
+	}
+	for p := range s.others {
+		s.others[p].sort()
+	}
+}
+
+// reachable returns the part of the limit that the routers with a valid report may use. The
+// others keep an equal part each.
+func (s *Shares) reachable(limit float64, routers int) float64 {
+	return limit * float64(s.known) / float64(max(routers, s.known))
+}
+
+// level returns the largest rate that a router may use at a priority. own is the demand of
+// this router.
+func (s *Shares) level(p int, own *[Priorities]float64, limit float64) float64 {
+	demand := *own
+	for q := range demand {
+		demand[q] += s.others[q].total()
+	}
+	return s.others[p].level(own[p], budgets(&demand, limit)[p])
+}
+
+func (s *Shares) ownDemand(now time.Time) (out [Priorities]float64) {
+	for p := range s.own {
+		a := &s.own[p]
+		if a.started {
+			out[p] = a.used.read(now) + a.unmet.read(now)
+		}
+	}
+	return out
+}
+
+// accrue adds the share since the last call to the credits.
+func (s *Shares) accrue(now time.Time) {
+	s.refresh(now)
+	if since := now.Sub(s.at); since > maxSteps*maxStep {
+		s.surge.accrue(s, s.at, since-maxSteps*maxStep, [Priorities]float64{})
+		s.at = now.Add(-maxSteps * maxStep)
+	}
+	for s.at.Before(now) {
+		step := min(now.Sub(s.at), maxStep)
+		demand := s.ownDemand(s.at)
+		s.surge.accrue(s, s.at, step, demand)
+		limit := s.reachable(s.limit, s.routers)
+		for p := range s.own {
+			a := &s.own[p]
+			if !a.started || demand[p] < negligible {
+				continue
+			}
+			if level := s.level(p, &demand, limit); level < demand[p] {
+				a.credit = min(a.credit+level*step.Seconds(), a.largest)
+			}
+		}
+		s.at = s.at.Add(step)
+	}
+}
+
+// Allows reports whether a request may use the resource now.
+func (s *Shares) Allows(r Request) bool {
+	now := s.now()
+	s.limit, s.routers = r.Limit, r.Routers
+	s.accrue(now)
+	p := class(r.Priority)
+	a := s.account(p, r.Amount)
+	owed := 0.0
+	if r.Resumed {
+		owed = r.Amount
+	}
+	if s.surge.credit+owed < 0 {
+		return false
+	}
+	return a.credit+owed >= 0 || s.unlimited(now, p, r)
+}
+
+// unlimited reports whether the demand of this router including the request is within its
+// share.
+func (s *Shares) unlimited(now time.Time, p int, r Request) bool {
+	demand := s.ownDemand(now)
+	a := &s.own[p]
+	demand[p] = a.used.read(now) + max(a.unmet.read(now), r.Amount/memory.Seconds())
+	return s.level(p, &demand, s.reachable(r.Limit, r.Routers)) >= demand[p]
+}
+
+func (s *Shares) account(p int, amount float64) *account {
+	a := &s.own[p]
+	if !a.started {
+		a.started = true
+		a.credit = -s.phase() * amount
+	}
+	a.largest = amount
+	return a
+}
+
+// Use records that a request uses the resource.
+func (s *Shares) Use(priority int, amount float64) {
+	now := s.now()
+	s.accrue(now)
+	p := class(priority)
+	a := s.account(p, amount)
+	demand := s.ownDemand(now)
+	demand[p] = a.used.read(now) + max(a.unmet.read(now), amount/memory.Seconds())
+	if s.level(p, &demand, s.reachable(s.limit, s.routers)) < demand[p] {
+		a.credit = max(a.credit-amount, -2*amount)
+	}
+	s.surge.credit = max(s.surge.credit-amount, -2*amount)
+	a.used.add(now, amount)
+	// Requests that wait go before new ones, so the request most probably waited.
+	a.unmet.remove(now, amount)
+}
+
+// AddUse records use outside of the shares, by requests that follow another rule.
+func (s *Shares) AddUse(priority int, amount float64) {
+	now := s.now()
+	s.accrue(now)
+	s.account(class(priority), amount).used.add(now, amount)
+}
+
+// RecordUnmet records that a request waits or was refused for lack of the resource.
+func (s *Shares) RecordUnmet(priority int, amount float64) {
+	now := s.now()
+	s.accrue(now)
+	s.account(class(priority), amount).unmet.add(now, amount)
+}
+
+// Demands returns the demand to report to the other routers.
+func (s *Shares) Demands() []Demand {
+	now := s.now()
+	s.accrue(now)
+	var out []Demand
+	for p := range s.own {
+		a := &s.own[p]
+		if !a.started {
+			continue
+		}
+		d := Demand{Priority: p, Used: a.used.read(now), Unmet: a.unmet.read(now)}
+		if d.Used+d.Unmet >= negligible {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// Share returns the rate that this router may use at a priority under the limit of its last
+// request. While the resource is not exhausted, that is the rate left by the others.
+func (s *Shares) Share(priority int) float64 {
+	now := s.now()
+	s.refresh(now)
+	limit := s.reachable(s.limit, s.routers)
+	demand := s.ownDemand(now)
+	level := s.level(class(priority), &demand, limit)
+	if math.IsInf(level, 1) {
+		return max(limit-s.used, 0)
+	}
+	return level
+}
