wire: heartbeats carry the demand for interconnects

Routers need the used and unmet demand of the others by priority. The list is appended at the end and sent only if it has entries; older routers ignore it.

--- a/internal/protocol/wire/heartbeat.go
+++ b/internal/protocol/wire/heartbeat.go
@@ -40,6 +40,18 @@
 	Rumors []Rumor
 	// Leaving are rumors of engines that said that they leave.
 	Leaving []Rumor
+	// Demands are the use of interconnects by its streams, and what waited or was refused
+	// for lack of their capacity, at priorities with demand.
+	Demands []ResourceDemand
+}
+
+// ResourceDemand is the demand for the interconnect between two failure domains at a
+// priority, in Mbit/s.
+type ResourceDemand struct {
+	A, B     string
+	Priority int64
+	Used     float64
+	Unmet    float64
 }
 
 // Rumor is what some router found out about an engine: that it refuses requests, that it is
@@ -106,22 +118,40 @@
 	packEach(p, b.Suspects, p.incarnation, p.number)
 	packEach(p, b.Refusing, p.incarnation, p.number)
 	packEach(p, b.SpareTokens, p.text, func(n int) { p.number(int64(n)) })
-	if len(b.Limits) > 0 || len(b.Rumors) > 0 || len(b.Leaving) > 0 {
+	// A list is sent if it or one after it has entries.
+	demands := len(b.Demands) > 0
+	leaving := len(b.Leaving) > 0 || demands
+	rumors := len(b.Rumors) > 0 || leaving
+	if len(b.Limits) > 0 || rumors {
 		packEach(p, b.Limits, p.incarnation, func(l RateLimit) {
 			p.flag(l.Ended)
 			p.fraction(l.Rate)
 			p.number(l.AgeMS)
 		})
 	}
-	if len(b.Rumors) > 0 || len(b.Leaving) > 0 {
+	if rumors {
 		p.rumors(b.Rumors)
 	}
-	if len(b.Leaving) > 0 {
+	if leaving {
 		p.rumors(b.Leaving)
 	}
+	if demands {
+		p.demands(b.Demands)
+	}
 	return p.b
 }
 
+func (p *packer) demands(demands []ResourceDemand) {
+	p.number(int64(len(demands)))
+	for _, d := range demands {
+		p.text(d.A)
+		p.text(d.B)
+		p.number(d.Priority)
+		p.fraction(d.Used)
+		p.fraction(d.Unmet)
+	}
+}
+
 func (p *packer) rumors(rumors []Rumor) {
 	p.number(int64(len(rumors)))
 	for _, n := range rumors {
@@ -167,9 +197,20 @@
 	if len(u.b) > 0 { // sent only if there are any
 		b.Leaving = u.rumors()
 	}
+	if len(u.b) > 0 { // sent only if there are any
+		b.Demands = u.demands()
+	}
 	return b, u.err
 }
 
+func (u *unpacker) demands() []ResourceDemand {
+	var out []ResourceDemand
+	for range u.count() {
+		out = append(out, ResourceDemand{A: u.text(), B: u.text(), Priority: u.number(), Used: u.fraction(), Unmet: u.fraction()})
+	}
+	return out
+}
+
 func (u *unpacker) rumors() []Rumor {
 	var out []Rumor
 	for range u.count() {
--- a/internal/protocol/wire/heartbeat_test.go
+++ b/internal/protocol/wire/heartbeat_test.go
@@ -54,6 +54,12 @@
 		if n := rapid.IntRange(0, 6).Draw(t, "leaving"); n > 0 {
 			b.Leaving = rapid.SliceOfN(rumors, n, n).Draw(t, "leavingList")
 		}
+		demands := rapid.Custom(func(t *rapid.T) ResourceDemand {
+			return ResourceDemand{A: text.Draw(t, "from"), B: text.Draw(t, "to"), Priority: number.Draw(t, "priority"), Used: fraction.Draw(t, "used"), Unmet: fraction.Draw(t, "unmet")}
+		})
+		if n := rapid.IntRange(0, 6).Draw(t, "demands"); n > 0 {
+			b.Demands = rapid.SliceOfN(demands, n, n).Draw(t, "demandList")
+		}
 		got, err := UnpackRouterHeartbeat(b.Pack())
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, b)
