chains: the interconnect is shared by priority

Services whose routes differ in priority ask their share of the interconnect instead of the constant part; the others keep their rule. Requests that wait or are refused for want of the interconnect count as unmet demand for a second. Heartbeats carry use and unmet demand; invalid rows are ignored with one log line a minute. The metrics interconnect_used_mbps, interconnect_share_mbps and interconnect_unmet_mbps report them.

--- a/internal/coordination/catalog/snapshot.go
+++ b/internal/coordination/catalog/snapshot.go
@@ -34,6 +34,9 @@
 // Domains returns the number of failure domains that have backend servers.
 func (s *Snapshot) Domains() int { return len(s.domains) }
 
+// HasDomain reports whether a failure domain has backend servers.
+func (s *Snapshot) HasDomain(name string) bool { return s.domains[name] }
+
 // ByID returns the known incarnation of a backend server, or nil.
 func (s *Snapshot) ByID(id string) *model.BackendServer { return s.byID[id] }
 
--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -130,7 +130,7 @@
 func (c *Chooser) chooseAmong(engines []*model.BackendServer, svc *model.Service, req Requirements) ([]Stage, Result) {
 	cands := c.candidates(engines, svc, req)
 	s := search{spec: svc.Engine, cands: cands, layers: model.LayerRange{To: svc.Engine.Layers}, homeDomain: req.Domain}
-	s.crossing = c.crossingCosts(svc.Engine, cands, req.Tokens, req.MaxEventGap)
+	s.crossing = c.crossingCosts(svc.Engine, cands, req)
 	if req.Resumed {
 		c.useResumeCosts(&s, req.Tokens)
 	}
@@ -164,7 +164,7 @@
 func (c *Chooser) ExhaustedResource(svc *model.Service, req Requirements) string {
 	cands := c.candidates(c.engines(svc.Name), svc, req)
 	s := search{spec: svc.Engine, cands: cands, layers: model.LayerRange{To: svc.Engine.Layers}, homeDomain: req.Domain, requireCapacity: true}
-	s.crossing = c.crossingCosts(svc.Engine, cands, req.Tokens, req.MaxEventGap)
+	s.crossing = c.crossingCosts(svc.Engine, cands, req)
 	if s.shortest() != nil {
 		return "none at present"
 	}
--- a/internal/coordination/chains/cost.go
+++ b/internal/coordination/chains/cost.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/share"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
@@ -41,7 +42,7 @@
 
 // crossingCosts returns the cost in seconds of a hop between failure domains, by domain
 // index. The cost is infinite if the interconnect is at its limit.
-func (c *Chooser) crossingCosts(spec *model.EngineSpec, cands []candidate, tokens int, maxEventGap time.Duration) [][]float64 {
+func (c *Chooser) crossingCosts(spec *model.EngineSpec, cands []candidate, req Requirements) [][]float64 {
 	names := []string{}
 	for _, cand := range cands {
 		if cand.domain == len(names) {
@@ -52,24 +53,25 @@
 	cost := make([][]float64, len(names))
 	for i := range names {
 		cost[i] = make([]float64, len(names))
-		for j := range names {
-			cost[i][j] = c.crossingCost(spec, names[i], names[j], tokens, maxEventGap, routers)
+		for j := range i + 1 { // the cost is the same in both directions
+			cost[i][j] = c.crossingCost(spec, names[i], names[j], req, routers)
+			cost[j][i] = cost[i][j]
 		}
 	}
 	return cost
 }
 
-func (c *Chooser) crossingCost(spec *model.EngineSpec, a, b string, tokens int, maxEventGap time.Duration, routers int) float64 {
+func (c *Chooser) crossingCost(spec *model.EngineSpec, a, b string, req Requirements, routers int) float64 {
 	if a == b {
 		return hopDelay.Seconds()
 	}
 	if spec.InterconnectMbps <= 0 {
 		return crossDomainDelay.Seconds()
 	}
-	mbit := CrossDomainMbit(spec, tokens)
+	mbit := CrossDomainMbit(spec, req.Tokens)
 	transfer := mbit / spec.InterconnectMbps
-	limit := maxUtilization(time.Duration(transfer*float64(time.Second)), maxEventGap, spec.StepsPerPass)
-	if !c.Interconnect.Allows(a, b, mbit, limit*spec.InterconnectMbps, routers) {
+	limit := maxUtilization(time.Duration(transfer*float64(time.Second)), req.MaxEventGap, spec.StepsPerPass)
+	if !c.allowsCrossing(a, b, mbit, limit*spec.InterconnectMbps, req, routers) {
 		return math.Inf(1)
 	}
 	// The transfer of the prompt delays the first event. To compare with times per token,
@@ -80,14 +82,24 @@
 	return crossDomainDelay.Seconds() + queueing + transfer/float64(max(spec.MeanAnswerTokens, 1))
 }
 
+// allowsCrossing reports whether the interconnect has capacity for a request of mbit. limit
+// is the rate in Mbit/s that all routers may use.
+func (c *Chooser) allowsCrossing(a, b string, mbit, limit float64, req Requirements, routers int) bool {
+	if !req.Prioritized {
+		return c.Interconnect.Allows(a, b, mbit, limit, routers)
+	}
+	return c.Interconnect.AllowsShare(a, b, share.Request{Priority: req.Priority, Amount: mbit, Resumed: req.Resumed, Limit: limit, Routers: routers})
+}
+
 // RecordStart records a stream that starts on a chain: the attempt at each engine, the
-// prefill of the prompt and the traffic between failure domains.
-func (c *Chooser) RecordStart(spec *model.EngineSpec, stages []Stage, tokens int) {
+// prefill of the prompt and the traffic between failure domains. tokens is the length of the
+// prompt.
+func (c *Chooser) RecordStart(spec *model.EngineSpec, stages []Stage, tokens int, req Requirements) {
 	for _, s := range stages {
 		c.Health.RecordAttempt(s.Server.Incarnation())
 	}
 	c.addPrefill(spec, stages, tokens)
-	c.addTraffic(spec, stages, tokens)
+	c.addTraffic(spec, stages, tokens, req)
 }
 
 func (c *Chooser) addPrefill(spec *model.EngineSpec, stages []Stage, tokens int) {
@@ -97,10 +109,14 @@
 }
 
 // addTraffic records the traffic between adjacent stages in different failure domains.
-func (c *Chooser) addTraffic(spec *model.EngineSpec, stages []Stage, tokens int) {
+func (c *Chooser) addTraffic(spec *model.EngineSpec, stages []Stage, tokens int, req Requirements) {
 	for i := 1; i < len(stages); i++ {
 		a, b := stages[i-1].Server.FailureDomain, stages[i].Server.FailureDomain
-		if a != b {
+		switch {
+		case a == b:
+		case req.Prioritized:
+			c.Interconnect.AddSharedTraffic(a, b, req.Priority, CrossDomainMbit(spec, tokens))
+		default:
 			c.Interconnect.AddTraffic(a, b, CrossDomainMbit(spec, tokens))
 		}
 	}
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -150,7 +150,7 @@
 		cands[i].secondsPerLayer += pending + prefillSeconds(spec, b, r.tokens, 1)
 	}
 	s := search{spec: spec, cands: cands, layers: needed, homeDomain: before, requireCapacity: true}
-	s.crossing = r.crossingCosts(spec, cands, r.tokens, r.maxEventGap)
+	s.crossing = r.crossingCosts(spec, cands, Requirements{Tokens: r.tokens, MaxEventGap: r.maxEventGap})
 	for i, row := range s.crossing {
 		for j := range row {
 			row[j] *= float64(max(spec.StepsPerPass, 1))
@@ -191,7 +191,7 @@
 		}
 		r.addPrefill(spec, next[i:i+1], r.tokens)
 		r.Usage.AddPendingPrefill(s.Server.Incarnation(), routers*prefillSeconds(spec, s.Server, r.tokens, s.Layers.Len()))
-		r.addTraffic(spec, next[i-1:min(i+2, len(next))], r.tokens)
+		r.addTraffic(spec, next[i-1:min(i+2, len(next))], r.tokens, Requirements{})
 	}
 }
 
@@ -244,8 +244,9 @@
 // canCross reports whether the interconnect has capacity for a stream between all adjacent
 // stages.
 func (c *Chooser) canCross(spec *model.EngineSpec, stages []Stage, tokens int, maxEventGap time.Duration) bool {
+	req := Requirements{Tokens: tokens, MaxEventGap: maxEventGap}
 	for i := 1; i < len(stages); i++ {
-		if math.IsInf(c.crossingCost(spec, stages[i-1].Server.FailureDomain, stages[i].Server.FailureDomain, tokens, maxEventGap, c.RouterCount()), 1) {
+		if math.IsInf(c.crossingCost(spec, stages[i-1].Server.FailureDomain, stages[i].Server.FailureDomain, req, c.RouterCount()), 1) {
 			return false
 		}
 	}
--- a/internal/coordination/chains/pipes.go
+++ b/internal/coordination/chains/pipes.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/share"
 )
 
 const (
@@ -16,7 +18,8 @@
 	defaultMaxEventGap = 200 * time.Millisecond
 )
 
-// sharesPerRouter is how many equal shares of the usable rate one router may use. It
+// sharesPerRouter is how many equal shares of the usable rate one router may use for services
+// whose routes do not differ in priority. The others use package share. It
 // exceeds 1 because mostly the routers of one failure domain use the interconnect after a
 // loss.
 const sharesPerRouter = 4
@@ -39,11 +42,16 @@
 	mu    sync.Mutex
 	own   map[DomainPair]*decayingSum
 	peers map[string]peerRates
+	// shares divide the interconnects that services with prioritized routes use.
+	shares map[DomainPair]*share.Shares
 }
 
 type peerRates struct {
 	expires time.Time
 	rates   map[DomainPair]float64
+
+	interval time.Duration // until the next report
+	demands  map[DomainPair][]share.Demand
 }
 
 // decayingSum is a sum whose terms decay exponentially.
@@ -63,11 +71,21 @@
 
 // NewInterconnect returns an Interconnect without traffic.
 func NewInterconnect(now func() time.Time) *Interconnect {
-	return &Interconnect{now: now, own: map[DomainPair]*decayingSum{}, peers: map[string]peerRates{}}
+	return &Interconnect{now: now, own: map[DomainPair]*decayingSum{}, peers: map[string]peerRates{}, shares: map[DomainPair]*share.Shares{}}
 }
 
-// AddTraffic records the traffic in Mbit that a chain will cause between two domains.
+// AddTraffic records the traffic in Mbit that a chain will cause between two domains, at the
+// most urgent priority and outside of this router's share.
 func (ic *Interconnect) AddTraffic(a, b string, mbit float64) {
+	ic.addTraffic(a, b, mbit, func(s *share.Shares) { s.AddUse(0, mbit) })
+}
+
+// AddSharedTraffic records the traffic in Mbit of a request that AllowsShare allowed.
+func (ic *Interconnect) AddSharedTraffic(a, b string, priority int, mbit float64) {
+	ic.addTraffic(a, b, mbit, func(s *share.Shares) { s.Use(priority, mbit) })
+}
+
+func (ic *Interconnect) addTraffic(a, b string, mbit float64, record func(*share.Shares)) {
 	ic.mu.Lock()
 	defer ic.mu.Unlock()
 	pair := pairOf(a, b)
@@ -77,6 +95,9 @@
 		ic.own[pair] = d
 	}
 	d.add(ic.now(), mbit/rateDecayTime.Seconds(), rateDecayTime)
+	if s, ok := ic.shares[pair]; ok {
+		record(s)
+	}
 }
 
 // maxUtilization returns the share of the interconnect's rate that may be used. It models
@@ -144,7 +165,5 @@
 
 // SetPeerRates stores the traffic of another router's streams in Mbit/s. It is valid for ttl.
 func (ic *Interconnect) SetPeerRates(peer string, rate map[DomainPair]float64, ttl time.Duration) {
-	ic.mu.Lock()
-	defer ic.mu.Unlock()
-	ic.peers[peer] = peerRates{expires: ic.now().Add(ttl), rates: rate}
+	ic.SetPeerDemands(peer, rate, nil, ttl, ttl)
 }
--- a/internal/coordination/chains/slowstart_test.go
+++ b/internal/coordination/chains/slowstart_test.go
@@ -50,7 +50,7 @@
 		stages, v := f.chooser.Choose(f.svc, Requirements{Domain: fmt.Sprint("d", r%domains), Tokens: 900})
 		assert.Equal(t, v, Found)
 		first := stages[0].Server
-		f.chooser.RecordStart(f.svc.Engine, stages, 774)
+		f.chooser.RecordStart(f.svc.Engine, stages, 774, Requirements{})
 		reservation := f.chooser.Usage.Reserve(stages, 900)
 		f.releases = append(f.releases, release{at: now.Add(streamDuration), reservation: reservation})
 		if first.ID == "new" {
@@ -88,7 +88,7 @@
 	for range 20 {
 		stages, v := f.chooser.Choose(f.svc, Requirements{Domain: "a", Tokens: 10})
 		assert.Equal(t, v, Found)
-		f.chooser.RecordStart(f.svc.Engine, stages, 10)
+		f.chooser.RecordStart(f.svc.Engine, stages, 10, Requirements{})
 		assert.Equal(t, stages[1].Server.ID, "loaded")
 	}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/settings"
@@ -130,6 +131,39 @@
 	m.scope.Gauge("backend_servers_paused").Update(float64(n))
 }
 
+// setInterconnect records the use of interconnects by this router's streams, its share and
+// its unmet demand, by domain pair and priority. reported holds the rows of the last call; a
+// row without demand is set to 0 once.
+func (m *metrics) setInterconnect(reported map[interconnectRow]bool, shares []chains.PairShare) {
+	for row := range reported {
+		reported[row] = false
+	}
+	for _, s := range shares {
+		row := interconnectRow{s.DomainPair, s.Priority}
+		reported[row] = true
+		m.setInterconnectRow(row, s.Used, s.Share, s.Unmet)
+	}
+	for row, current := range reported {
+		if !current {
+			m.setInterconnectRow(row, 0, 0, 0)
+			delete(reported, row)
+		}
+	}
+}
+
+// interconnectRow identifies the demand for an interconnect at a priority.
+type interconnectRow struct {
+	pair     chains.DomainPair
+	priority int
+}
+
+func (m *metrics) setInterconnectRow(row interconnectRow, used, share, unmet float64) {
+	tagged := m.scope.Tagged(map[string]string{"domain_pair": row.pair.A + "|" + row.pair.B, "priority": strconv.Itoa(row.priority)})
+	tagged.Gauge("interconnect_used_mbps").Update(used)
+	tagged.Gauge("interconnect_share_mbps").Update(share)
+	tagged.Gauge("interconnect_unmet_mbps").Update(unmet)
+}
+
 // setQuarantine sets the numbers of suspected and of quarantined requests.
 func (m *metrics) setQuarantine(suspects, quarantined int) {
 	m.scope.Gauge("requests_suspected").Update(float64(suspects))
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -85,8 +85,9 @@
 	requestSeen atomic.Bool
 	draining    atomic.Bool
 
-	linkBytesLogged int64            // used by logControl only
-	malformed       malformedEntries // used by the follower only
+	linkBytesLogged int64                    // used by logControl only
+	interconnects   map[interconnectRow]bool // used by cleanUp only
+	malformed       malformedEntries         // used by the follower only
 	configs         configQueue
 
 	roster *leader.Roster
@@ -203,6 +204,7 @@
 	r.metrics.setLimits(r.limits.Rates())
 	r.pauses.Retain(registered)
 	r.metrics.setPauses(r.pauses.Count())
+	r.metrics.setInterconnect(r.interconnects, r.interconnect.Shares())
 	for _, b := range r.engines() {
 		r.usage.Observe(b.Incarnation(), b.Holds)
 	}
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -99,11 +99,14 @@
 		if result == chains.Found {
 			reservation = q.Usage.Reserve(stages, s.tokens)
 			q.chosenAt = q.Now()
-			q.Chooser.RecordStart(q.admitted.Service.Engine, stages, q.promptTokens())
+			q.Chooser.RecordStart(q.admitted.Service.Engine, stages, q.promptTokens(), requirements)
 			if requirements.Resumed {
 				q.Chooser.RecordResume(q.admitted.Service.Engine, stages, s.tokens)
 			}
 		}
+		if result == chains.InterconnectExhausted {
+			q.recordUnmet(requirements)
+		}
 		if result == chains.Withheld {
 			return s.withheldTooLong(requirements, maxWait)
 		}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -171,6 +171,8 @@
 	waitingForCapacity bool
 	// chosenAt is when the server or the chain of the current attempt was chosen.
 	chosenAt time.Time
+	// unmetAt is when the request was last recorded as unmet demand for the interconnect.
+	unmetAt time.Time
 	// withheld is set if the last choice of a server failed because of rate limits or pauses.
 	withheld bool
 	// retryGranted is set if a token for the next retry was already taken.
--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -41,6 +41,7 @@
 		SpareTokens:   spareTokens,
 		HasTraffic:    x.HasTraffic(),
 		Limits:        rateLimits,
+		Demands:       encodeDemands(x.Interconnect.Demands()),
 	}
 }
 
@@ -143,7 +144,7 @@
 	for _, p := range b.Interconnects {
 		rates[chains.DomainPair{A: p.A, B: p.B}] = p.Rate
 	}
-	x.Interconnect.SetPeerRates(from, rates, validity)
+	x.Interconnect.SetPeerDemands(from, rates, x.validDemands(from, b.Demands), milliseconds(b.IntervalMS), validity)
 	for inc, factor := range b.Slow {
 		x.Usage.SetPeerSlowdown(inc, factor)
 	}
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -92,6 +92,7 @@
 	versionQuery   versionQuery
 	suspects       map[model.Incarnation]time.Time // until when this router suspects them
 	refusing       map[model.Incarnation]time.Time // until when they refuse this router's requests
+	demandsLogged  time.Time                       // last log line on invalid demands
 }
 
 // Register registers the methods that peers call.
