--- a/internal/coordination/share/fill.go
+++ b/internal/coordination/share/fill.go
@@ -7,8 +7,9 @@
 )
 
 // floorShare is the part of the average served fraction that each priority gets at least.
-// Callers need a quarter; the rest is a margin, because requests are served whole.
-const floorShare = 0.3
+// Callers need a quarter; the rest is a margin, because requests are served whole and those
+// that wait too long leave.
+const floorShare = 0.35
 
 // column holds the demand of the other routers at one priority in ascending order.
 type column struct {
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -17,7 +17,10 @@
 	// through demand that they have not reported to each other yet.
 	overshoot = 0.2
 	// rebuildInterval is the minimum time between two evaluations of the reports.
-	rebuildInterval = 50 * time.Millisecond
+	rebuildInterval = 100 * time.Millisecond
+	// minStep is the shortest time for which credit is accrued, which bounds the work of a
+	// router with many requests.
+	minStep = 10 * time.Millisecond
 	// maxStep is the longest time for which a share counts as constant.
 	maxStep = 250 * time.Millisecond
 	// maxSteps bounds the steps after a time without requests. The memory of demand is over
@@ -171,7 +174,7 @@
 		s.surge.accrue(s, s.at, since-maxSteps*maxStep, [Priorities]float64{})
 		s.at = now.Add(-maxSteps * maxStep)
 	}
-	for s.at.Before(now) {
+	for now.Sub(s.at) >= minStep {
 		step := min(now.Sub(s.at), maxStep)
 		demand := s.ownDemand(s.at)
 		s.surge.accrue(s, s.at, step, demand)
