routes: bound waits for capacity by the least target latency of more urgent routes

A wait of a share of the route's own target let requests of less urgent routes, whose targets are longer, outlast the more urgent ones in a shortage. Admission.WaitTarget is the least target of the service's requests that are at least as urgent, over the priorities that customers and routes have.

--- a/internal/coordination/routes/routes.go
+++ b/internal/coordination/routes/routes.go
@@ -24,6 +24,8 @@
 	services  map[string]*model.Service
 	// priorities are the distinct priorities of each service's routes.
 	priorities map[string][]int
+	// waitTargets bound the waits for capacity by service and urgency.
+	waitTargets map[string][]waitTarget
 }
 
 // Compile returns the table of a configuration.
@@ -35,6 +37,7 @@
 		services:   map[string]*model.Service{},
 		priorities: routePriorities(cfg),
 	}
+	t.waitTargets = waitTargets(cfg, t.priorities)
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
@@ -80,6 +83,9 @@
 	Urgency int
 	// Prioritized is set if the routes of the service have different priorities.
 	Prioritized bool
+	// WaitTarget is the least target latency of the service's requests that are at least as
+	// urgent. It bounds the wait for capacity. It is 0 unless the service is prioritized.
+	WaitTarget time.Duration
 	// Deadline is when the request must be complete; zero means no deadline.
 	Deadline time.Time
 }
--- a/internal/coordination/routes/urgency.go
+++ b/internal/coordination/routes/urgency.go
@@ -31,6 +31,13 @@
 	if !a.Prioritized {
 		return
 	}
-	level, _ := slices.BinarySearch(priorities, a.Route.Priority)
-	a.Urgency = a.Priority*len(priorities) + level
+	a.Urgency = urgency(a.Priority, a.Route.Priority, priorities)
+	a.WaitTarget = t.waitTarget(a.Service.Name, a.Urgency)
+}
+
+// urgency returns the urgency of a request from its priority and that of its route. priorities
+// are the distinct priorities of the service's routes.
+func urgency(priority, routePriority int, priorities []int) int {
+	level, _ := slices.BinarySearch(priorities, routePriority)
+	return priority*len(priorities) + level
 }
