admission: a wait line for each prioritized service

The wait queue ordered requests of one priority by arrival, did not count what customers hold, and let one request that does not fit block all others. Line orders by urgency, then fairness among customers, then deadline. Smaller requests of an urgency may pass a larger one for 100 ms. Services that are not prioritized keep the common queue.

--- a/internal/coordination/admission/line.go
+++ b/internal/coordination/admission/line.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,11 +14,13 @@
 // other routers. Notify makes it try at once.
 const pollInterval = 40 * time.Millisecond
 
-// WaitQueue lets requests wait for token memory, ordered by priority and fairly among customers.
-// Only the request at the front tries to get it. It is safe for concurrent use.
+// WaitQueue lets requests wait for capacity. Those of prioritized services wait in a Line of
+// each service, the others in one queue ordered by priority, in which only the request at the
+// front tries to get capacity. It is safe for concurrent use.
 type WaitQueue struct {
 	mu    sync.Mutex
 	queue *fair.Queue[*queuedRequest]
+	lines map[string]*Line
 }
 
 type queuedRequest struct {
@@ -24,13 +28,32 @@
 }
 
 // NewWaitQueue returns an empty queue.
-func NewWaitQueue() *WaitQueue { return &WaitQueue{queue: fair.New[*queuedRequest]()} }
+func NewWaitQueue() *WaitQueue {
+	return &WaitQueue{queue: fair.New[*queuedRequest](), lines: map[string]*Line{}}
+}
 
 // Len returns the number of waiting requests.
 func (q *WaitQueue) Len() int {
+	q.mu.Lock()
+	n := q.queue.Len()
+	lines := slices.Collect(maps.Values(q.lines))
+	q.mu.Unlock()
+	for _, l := range lines {
+		n += l.Len()
+	}
+	return n
+}
+
+// Line returns the line of a prioritized service.
+func (q *WaitQueue) Line(service string) *Line {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.queue.Len()
+	l, ok := q.lines[service]
+	if !ok {
+		l = NewLine(time.Now)
+		q.lines[service] = l
+	}
+	return l
 }
 
 // Wait calls try each time it may succeed, until it does or the timeout passes or ctx ends. It
@@ -41,7 +64,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if q.Len() == 0 && try() {
+	if q.unordered() == 0 && try() {
 		return true
 	}
 	w := &queuedRequest{wake: make(chan struct{}, 1)}
@@ -69,11 +92,21 @@
 	}
 }
 
-// Notify makes the request at the front try again, because capacity may have been released.
-func (q *WaitQueue) Notify() {
+func (q *WaitQueue) unordered() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.queue.Len()
+}
+
+// Notify makes the requests at the front try again, because capacity may have been released.
+func (q *WaitQueue) Notify() {
+	q.mu.Lock()
 	q.notifyLocked()
+	lines := slices.Collect(maps.Values(q.lines))
+	q.mu.Unlock()
+	for _, l := range lines {
+		l.Notify()
+	}
 }
 
 func (q *WaitQueue) notifyLocked() {
--- /dev/null
+++ b/internal/coordination/admission/ordered.go
@@ -0,0 +1,260 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/forecast"
+)
+
+// maxPassing is how long smaller requests may pass a larger one that does not fit. After that
+// it blocks them, because capacity for it only accumulates while they do not take it. It is a
+// quarter of the wait of a request with a target latency of half a second.
+const maxPassing = 100 * time.Millisecond
+
+// Waiter describes a request that waits in a Line.
+type Waiter struct {
+	Customer string
+	// Urgency orders the requests; 0 is the most urgent.
+	Urgency int
+	// Begun is set for streams that an engine has begun to run. They go before new requests
+	// of their urgency.
+	Begun bool
+	// Deadline is the caller's; zero means none. A caller that returns has less time left
+	// than one that calls for the first time, so it goes first.
+	Deadline time.Time
+	// Size is the amount of the resource that the request needs.
+	Size int
+}
+
+// Line lets the requests of one service wait for capacity. They are ordered by urgency, then
+// by fairness among customers, then by the earlier deadline. The request at the front tries to
+// get capacity; while it does not fit, smaller requests of its urgency may, for a bounded time.
+// It is safe for concurrent use.
+type Line struct {
+	// Forecast estimates how long requests wait, and Returns when refused ones return.
+	Forecast *forecast.Forecast
+	Returns  *forecast.Returns
+
+	now     func() time.Time
+	mu      sync.Mutex
+	shares  customerShares
+	waiting []*lineEntry
+	// arrivals is the number of requests that have waited.
+	arrivals uint64
+}
+
+type lineEntry struct {
+	Waiter
+	wake chan struct{}
+	// arrival numbers the entries in the order of their arrival.
+	arrival uint64
+	// triedAt is when the last try failed, and passedSince when a smaller request first passed.
+	triedAt, passedSince time.Time
+}
+
+// NewLine returns an empty Line.
+func NewLine(now func() time.Time) *Line {
+	return &Line{Forecast: forecast.New(now), Returns: forecast.NewReturns(now), now: now, shares: newCustomerShares()}
+}
+
+// Len returns the number of waiting requests.
+func (l *Line) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting)
+}
+
+// Ahead returns the number of waiting requests that would go before a new one.
+func (l *Line) Ahead(w Waiter) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting) == 0 {
+		return 0
+	}
+	l.shares.update(l.now())
+	newest := &lineEntry{Waiter: w, arrival: l.arrivals}
+	n := 0
+	for _, e := range l.waiting {
+		if l.precedes(e, newest) {
+			n++
+		}
+	}
+	return n
+}
+
+// Granted records that a request got capacity, whether it waited or not.
+func (l *Line) Granted(w Waiter) {
+	l.Forecast.Granted(w.Urgency, 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shares.grant(l.now(), w.Customer)
+}
+
+// TryNow calls try and reports whether it succeeded, unless a waiting request goes first.
+func (l *Line) TryNow(ctx context.Context, w Waiter, try func() bool) bool {
+	return ctx.Err() == nil && l.Ahead(w) == 0 && try()
+}
+
+// Wait calls try each time it may succeed, until it does or the timeout passes or ctx ends. It
+// reports whether try succeeded. It does not call try after ctx has ended, because the caller
+// would not use what try acquires.
+func (l *Line) Wait(ctx context.Context, w Waiter, timeout time.Duration, try func() bool) bool {
+	if ctx.Err() != nil || timeout <= 0 {
+		return false
+	}
+	e := &lineEntry{Waiter: w, wake: make(chan struct{}, 1)}
+	l.add(e)
+	defer l.remove(e)
+	expired := time.NewTimer(timeout)
+	defer expired.Stop()
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for {
+		if l.tryIfNext(ctx, e, try) {
+			return true
+		}
+		select {
+		case <-e.wake:
+		case <-tick.C:
+		case <-expired.C:
+			// Capacity may have been released since the last try.
+			return l.tryIfNext(ctx, e, try)
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// tryIfNext calls try if it is the entry's turn. If try fails, the next entry that may pass this
+// one gets its turn.
+func (l *Line) tryIfNext(ctx context.Context, e *lineEntry, try func() bool) bool {
+	if ctx.Err() != nil || !l.mayTry(e) {
+		return false
+	}
+	if try() {
+		l.passed(e)
+		return true
+	}
+	l.failed(e)
+	return false
+}
+
+// mayTry reports whether all entries that go before e have failed to get capacity recently and
+// may be passed by it.
+func (l *Line) mayTry(e *lineEntry) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	l.shares.update(now)
+	for _, o := range l.waiting {
+		if o != e && l.precedes(o, e) && !o.passableBy(e, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// passed records that e got capacity before the entries that it passed.
+func (l *Line) passed(e *lineEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range l.waiting {
+		if o != e && o.passedSince.IsZero() && l.precedes(o, e) {
+			o.passedSince = l.now()
+		}
+	}
+}
+
+// passableBy reports whether a smaller entry of the same urgency may try before o.
+func (o *lineEntry) passableBy(e *lineEntry, now time.Time) bool {
+	if o.Urgency != e.Urgency || e.Size >= o.Size || o.triedAt.IsZero() || now.Sub(o.triedAt) > pollInterval {
+		return false
+	}
+	return o.passedSince.IsZero() || now.Sub(o.passedSince) < maxPassing
+}
+
+// failed records a failed try and wakes the next entry that may pass e.
+func (l *Line) failed(e *lineEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.triedAt = l.now()
+	var next *lineEntry
+	for _, o := range l.waiting {
+		if o != e && l.precedes(e, o) && e.passableBy(o, e.triedAt) && (next == nil || l.precedes(o, next)) {
+			next = o
+		}
+	}
+	if next != nil {
+		next.notify()
+	}
+}
+
+// Notify makes the request at the front try again, because capacity may have been released.
+func (l *Line) Notify() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notifyLocked()
+}
+
+func (l *Line) notifyLocked() {
+	l.shares.update(l.now())
+	var front *lineEntry
+	for _, e := range l.waiting {
+		if front == nil || l.precedes(e, front) {
+			front = e
+		}
+	}
+	if front != nil {
+		front.notify()
+	}
+}
+
+func (e *lineEntry) notify() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Line) add(e *lineEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.arrival = l.arrivals
+	l.arrivals++
+	l.waiting = append(l.waiting, e)
+	l.shares.join(e.Customer)
+	l.Forecast.SetBusy(true)
+}
+
+func (l *Line) remove(e *lineEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, o := range l.waiting {
+		if o == e {
+			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+			break
+		}
+	}
+	l.shares.leave(e.Customer)
+	l.Forecast.SetBusy(len(l.waiting) > 0)
+	l.notifyLocked()
+}
+
+// precedes reports whether a goes before b. Of equal entries the older one goes first.
+func (l *Line) precedes(a, b *lineEntry) bool {
+	if a.Urgency != b.Urgency {
+		return a.Urgency < b.Urgency
+	}
+	if a.Begun != b.Begun {
+		return a.Begun
+	}
+	if x, y := l.shares.excess(a.Customer), l.shares.excess(b.Customer); x != y {
+		return x < y
+	}
+	if a.Deadline.Equal(b.Deadline) {
+		return a.arrival < b.arrival
+	}
+	return b.Deadline.IsZero() || !a.Deadline.IsZero() && a.Deadline.Before(b.Deadline)
+}
