relay: prioritized services wait for the interconnect too, as far as forecast

An exhausted interconnect ended requests at once, and requests waited for memory although they could not be served in time. Both shortages now go through the service's line. A request whose forecast is past its patience is refused at once, with a Retry-After from the forecast. One place classifies the shortage for the message, a log line and the metric refused.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -93,6 +93,16 @@
 	m.scope.Tagged(map[string]string{"service": service, "pause": strconv.FormatBool(pauseRequested)}).Counter("backend_refusals").Inc(1)
 }
 
+// CapacityRefused implements relay.Observer.
+func (m *metrics) CapacityRefused(service, reason string, urgency int) {
+	m.scope.Tagged(map[string]string{"service": service, "reason": reason, "priority": strconv.Itoa(urgency)}).Counter("refused").Inc(1)
+}
+
+// ForecastError implements relay.Observer.
+func (m *metrics) ForecastError(service string, late time.Duration) {
+	m.scope.Tagged(map[string]string{"service": service, "late": strconv.FormatBool(late > 0)}).Histogram("forecast_error_seconds", latencyBuckets).RecordDuration(late.Abs())
+}
+
 // ConnectionEnded implements front.Observer.
 func (m *metrics) ConnectionEnded(reason front.EndReason, duringRequest bool) {
 	m.scope.Tagged(map[string]string{"why": string(reason), "under_request": strconv.FormatBool(duringRequest)}).Counter("caller_connections_ended").Inc(1)
--- a/internal/protocol/relay/acquire.go
+++ b/internal/protocol/relay/acquire.go
@@ -6,12 +6,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
-	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
-	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
-	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
-	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
 const (
@@ -72,87 +67,6 @@
 	return true
 }
 
-// reserveChain chooses a chain and reserves its token memory. It waits for capacity for
-// a limited time.
-func (s *stream) reserveChain(ctx context.Context) ([]chains.Stage, *chains.Reservation, *fault.Error) {
-	q := s.request
-	requirements := chains.Requirements{Domain: q.FailureDomain, Tokens: s.tokens, MaxEventGap: q.admitted.Route.TargetGap, Priority: q.admitted.Urgency, Prioritized: q.admitted.Prioritized, Avoid: q.avoid, FirstStageIn: s.allowedFirstEngines(), Resumed: s.events > 0}
-	if q.excluded.suspect {
-		requirements.ExcludeFirstStage = q.excluded.excludes
-		requirements.FirstStageCost = q.firstStageCost
-	}
-	var stages []chains.Stage
-	var reservation *chains.Reservation
-	result := chains.Found
-	maxWait := time.Duration(capacityWaitShare * float64(q.admitted.Route.TargetLatency))
-	if s.events > 0 {
-		maxWait = max(callerGapTimeout-q.Now().Sub(s.lastEventTime), 0)
-	}
-	reserve := func() bool {
-		if ctx.Err() != nil {
-			return false
-		}
-		stages, result = q.Chooser.Choose(q.admitted.Service, requirements)
-		if result == chains.Found && !q.takePermission(stages[0].Server.Incarnation()) {
-			result = chains.Withheld // another request took the last one
-		}
-		if result == chains.Found {
-			reservation = q.Usage.Reserve(stages, s.tokens)
-			q.chosenAt = q.Now()
-			q.Chooser.RecordStart(q.admitted.Service.Engine, stages, q.promptTokens())
-			if requirements.Resumed {
-				q.Chooser.RecordResume(q.admitted.Service.Engine, stages, s.tokens)
-			}
-		}
-		if result == chains.Withheld {
-			return s.withheldTooLong(requirements, maxWait)
-		}
-		return result != chains.CapacityExhausted
-	}
-	until := q.Now().Add(maxWait)
-	waiter := admission.Request{Customer: q.admitted.Customer, Priority: -q.admitted.Urgency}
-	q.waitingForCapacity = true
-	gotCapacity := q.WaitQueue.Wait(ctx, waiter, maxWait, reserve)
-	// Poll outside of the wait queue, where a stream without a chain would block
-	// others.
-	for s.events > 0 && reservation == nil && q.Now().Before(until) && wait.For(ctx, chainPollInterval) {
-		clear(q.avoid)
-		reserve()
-	}
-	switch {
-	case reservation != nil:
-		q.waitingForCapacity = false
-		return stages, reservation, nil
-	case ctx.Err() != nil:
-		return nil, nil, q.contextError(ctx)
-	case noChain(result) && len(q.avoid) > 0:
-		// No other chain exists, so engines that failed before are allowed again.
-		clear(q.avoid)
-		if reserve(); reservation != nil {
-			q.waitingForCapacity = false
-			return stages, reservation, nil
-		}
-	}
-	if noChain(result) {
-		f := fault.New(fault.NoCapacity, "no chain of available engines holds all layers: %s", q.Chooser.ExplainNoChain(q.admitted.Service, requirements))
-		if _, paused := q.Chooser.WithheldWait(q.admitted.Service, requirements); paused > f.RetryDelay() {
-			f.RetryAfter = limits.Jitter(paused)
-		}
-		return nil, nil, f
-	}
-	if result == chains.Withheld {
-		return nil, nil, q.withheldError(q.Chooser.WithheldWait(q.admitted.Service, requirements))
-	}
-	f := fault.New(fault.Overloaded, "no chain has capacity: %d requests waiting, waited %v, admitted %t, exhausted resource: %s", q.WaitQueue.Len(), maxWait, gotCapacity,
-		q.Chooser.ExhaustedResource(q.admitted.Service, requirements))
-	return nil, nil, f
-}
-
-// noChain reports whether the usable engines and interconnects form no chain.
-func noChain(r chains.Result) bool {
-	return r == chains.NoChain || r == chains.InterconnectExhausted
-}
-
 // allowedFirstEngines returns the engines that may run the first stage, or nil if any
 // may. Once the route's attempts are used up, only first engines that ran the stream
 // before are allowed. A lost engine does not count as an attempt. One whose entry was
--- a/internal/protocol/relay/panic_test.go
+++ b/internal/protocol/relay/panic_test.go
@@ -36,6 +36,8 @@
 func (c *panicObserver) FirstEvent(string, time.Duration)                      {}
 func (c *panicObserver) Retry(string, string)                                  {}
 func (c *panicObserver) Refusal(string, bool)                                  {}
+func (c *panicObserver) CapacityRefused(string, string, int)                   {}
+func (c *panicObserver) ForecastError(string, time.Duration)                   {}
 func (c *panicObserver) recordPanic(string)                                    { c.panics++ }
 
 // responseRecorder is a ResponseWriter that records the response.
--- /dev/null
+++ b/internal/protocol/relay/patience.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+)
+
+// unknownWaitShare is the share of the target latency that a new request may wait for capacity
+// if it is not expected to get it in time.
+const unknownWaitShare = 1.0 / 8
+
+// waitForecast is what was forecast for a request when it met a shortage.
+type waitForecast struct {
+	wait  time.Duration
+	known bool
+	ahead int           // requests that went first
+	age   time.Duration // time since the last grant
+}
+
+func (f waitForecast) String() string {
+	if !f.known {
+		return fmt.Sprintf("unknown, %d ahead", f.ahead)
+	}
+	return fmt.Sprintf("%v, %d ahead, last grant %v ago", f.wait.Round(time.Millisecond), f.ahead, f.age.Round(time.Millisecond))
+}
+
+// isNew reports whether no engine has begun to run the request.
+func (c *chainSearch) isNew() bool { return c.events == 0 && c.runs == 0 }
+
+// waitInLine waits in the line of a prioritized service. A new request that is not expected to
+// be served in time does not wait.
+func (c *chainSearch) waitInLine(ctx context.Context) {
+	reserve := func() bool { return c.reserve(ctx) }
+	if c.line.TryNow(ctx, c.waiter, reserve) {
+		c.admittedOnce = true
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if c.result == chains.Found { // not tried, as others go first
+		c.choose()
+		if c.result == chains.NoChain || c.result == chains.Withheld && c.withheldTooLong(c.requirements, c.maxWait) {
+			return
+		}
+	}
+	c.recordShortage()
+	if c.waitLimit = c.maxWait; c.isNew() {
+		var wait bool
+		if c.waitLimit, wait = c.newRequestLimit(); !wait {
+			return
+		}
+	}
+	began := c.Now()
+	c.admittedOnce = c.line.Wait(ctx, c.waiter, c.waitLimit, reserve)
+	c.waitTime = c.Now().Sub(began)
+	c.waited += c.waitTime
+	if c.reservation != nil && c.forecast.known {
+		c.Observer.ForecastError(c.admitted.Service.Name, c.waitTime-c.forecast.wait)
+	}
+}
+
+// recordShortage records that the request met a shortage, once for each search: before it waits
+// or is refused. c.result tells which one.
+func (c *chainSearch) recordShortage() {
+	ahead := c.line.Ahead(c.waiter)
+	expected, known := c.line.Forecast.Wait(ahead, c.admitted.Urgency)
+	c.forecast = waitForecast{wait: expected, known: known, ahead: ahead, age: c.line.Forecast.Age()}
+}
+
+// newRequestLimit returns how long a new request may wait, or false if it is refused at once
+// because it would not be served within its patience and its deadline.
+//
+// The first request in the line waits for a short time in any case. Otherwise a forecast that
+// is too long would not be corrected, as no request would wait for a grant.
+func (c *chainSearch) newRequestLimit() (limit time.Duration, wait bool) {
+	target := float64(c.admitted.WaitTarget)
+	limit = time.Duration(capacityWaitShare*target) - c.waited
+	if left := c.remaining(); left > 0 {
+		limit = min(limit, left)
+	}
+	late := c.forecast.known && c.forecast.wait > limit
+	if late && c.forecast.ahead > 0 {
+		return limit, false
+	}
+	if late || !c.forecast.known {
+		limit = min(limit, time.Duration(unknownWaitShare*target)-c.waited)
+	}
+	return limit, limit > 0
+}
+
+// returnDelay returns when the caller of a refused request should return: when capacity for its
+// urgency is forecast that no other caller was told to return for.
+func (c *chainSearch) returnDelay() time.Duration {
+	urgency := c.admitted.Urgency
+	expected, known := c.line.Forecast.Wait(c.line.Ahead(c.waiter), urgency)
+	interval, _ := c.line.Forecast.Interval(urgency)
+	return c.line.Returns.Delay(urgency, expected, interval, known, c.remaining())
+}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -92,6 +92,12 @@
 	// Refusal records that a backend server refused a request, and whether it asked for a
 	// pause.
 	Refusal(service string, pauseRequested bool)
+	// CapacityRefused records that a request was refused for lack of capacity. urgency is 0
+	// for the most urgent requests.
+	CapacityRefused(service, reason string, urgency int)
+	// ForecastError records by how much the wait of a request that got capacity was longer
+	// than forecast; negative if it was shorter.
+	ForecastError(service string, late time.Duration)
 }
 
 // SuspectTracker collects evidence that engines do not respond. A suspected engine
@@ -121,6 +127,8 @@
 	// RetryBorrower holds the retry budget and borrows retry tokens from peers.
 	RetryBorrower *limits.RetryBorrower
 	WaitQueue     *admission.WaitQueue
+	// Shortages records since when requests meet each shortage.
+	Shortages admission.Shortages
 	// Limits holds the rate limits that backend servers advertise. It may be nil.
 	Limits *ratelimit.Tracker
 	// Pauses holds the pauses that backend servers asked for. It may be nil.
@@ -169,6 +177,8 @@
 	// unsentAttempts counts the attempts of which nothing was sent.
 	unsentAttempts     int
 	waitingForCapacity bool
+	// waited is the time that the request has waited in the line of a prioritized service.
+	waited time.Duration
 	// chosenAt is when the server or the chain of the current attempt was chosen.
 	chosenAt time.Time
 	// withheld is set if the last choice of a server failed because of rate limits or pauses.
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -34,15 +35,27 @@
 
 func (s fakeBackend) CloseIdle(string) {}
 
-// retryCounter is an Observer that counts retries.
+// retryCounter is an Observer that counts retries, and refusals for lack of capacity by reason
+// and urgency.
 type retryCounter struct {
 	mu      sync.Mutex
 	retries int
+	refused map[string]int
 }
 
 func (o *retryCounter) Request(_, _, _, _ string, _ time.Duration) {}
 func (o *retryCounter) FirstEvent(string, time.Duration)           {}
 func (o *retryCounter) Refusal(string, bool)                       {}
+func (o *retryCounter) ForecastError(string, time.Duration)        {}
+
+func (o *retryCounter) CapacityRefused(_, reason string, urgency int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.refused == nil {
+		o.refused = map[string]int{}
+	}
+	o.refused[fmt.Sprintf("%s %d", reason, urgency)]++
+}
 
 func (o *retryCounter) Retry(_, _ string) {
 	o.mu.Lock()
--- /dev/null
+++ b/internal/protocol/relay/shortage.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
+)
+
+// shortageReason is what a request lacked that no chain could be reserved for. The error
+// message, the log and the metric use the same one.
+type shortageReason string
+
+const (
+	noChainReason      shortageReason = "no_chain" // no usable engine holds some layer
+	interconnectReason shortageReason = "interconnect"
+	memoryReason       shortageReason = "token_memory"
+	slotsReason        shortageReason = "slots"
+	withheldReason     shortageReason = "rate_limits" // or pauses
+	// aheadReason means that there is capacity again, but for requests that go first.
+	aheadReason shortageReason = "requests_ahead"
+)
+
+// shortage describes why no chain could be reserved.
+type shortage struct {
+	reason shortageReason
+	// detail names the resource in the error message.
+	detail string
+	// since is when this router first met the shortage.
+	since time.Time
+}
+
+// classify returns the reason for the result of the last choice.
+func (c *chainSearch) classify() shortage {
+	found := shortage{}
+	switch c.result {
+	case chains.NoChain:
+		found.reason = noChainReason
+	case chains.InterconnectExhausted:
+		found.reason, found.detail = interconnectReason, "interconnect"
+	case chains.Withheld:
+		found.reason = withheldReason
+	default: // Found means that others went first until the wait ended
+		found.detail = c.Chooser.ExhaustedResource(c.admitted.Service, c.requirements)
+		found.reason = capacityReason(found.detail)
+	}
+	found.since = c.Shortages.Record(c.Now(), c.admitted.Service.Name, string(found.reason))
+	return found
+}
+
+// capacityReason returns the reason for a resource that the chooser names.
+func capacityReason(resource string) shortageReason {
+	switch resource {
+	case "pipes":
+		return interconnectReason
+	case "slots":
+		return slotsReason
+	case "rate limits or pauses":
+		return withheldReason
+	case "token memory":
+		return memoryReason
+	}
+	return aheadReason
+}
+
+// refusal returns the error for a request that no chain could be reserved for, and logs and
+// counts it.
+func (c *chainSearch) refusal() *fault.Error {
+	found := c.classify()
+	var f *fault.Error
+	switch {
+	case c.result == chains.Withheld:
+		f = c.withheldError(c.Chooser.WithheldWait(c.admitted.Service, c.requirements))
+	case c.endsAsNoChain():
+		f = c.noChainError(found)
+	default:
+		f = fault.New(fault.Overloaded, "no chain has capacity: %d requests waiting, waited %v, admitted %t, exhausted resource: %s, for %v",
+			c.WaitQueue.Len(), c.waitTime, c.admittedOnce, found.detail, c.Now().Sub(found.since))
+		if c.line != nil {
+			f.RetryAfter = c.returnDelay()
+		}
+	}
+	c.Observer.CapacityRefused(c.admitted.Service.Name, string(found.reason), c.admitted.Urgency)
+	klog.InfoS("request refused for lack of capacity", "request", c.call.Attempt, "resource", found.reason, "sinceMs", c.Now().Sub(found.since).Milliseconds(),
+		"urgency", c.admitted.Urgency, "waitedMs", c.waitTime.Milliseconds(), "limitMs", c.waitLimit.Milliseconds(), "forecast", c.forecast.String(), "retryAfterMs", f.RetryDelay().Milliseconds())
+	return f
+}
+
+func (c *chainSearch) noChainError(found shortage) *fault.Error {
+	f := fault.New(fault.NoCapacity, "no chain of available engines holds all layers: %s; for %v", c.Chooser.ExplainNoChain(c.admitted.Service, c.requirements), c.Now().Sub(found.since))
+	if _, paused := c.Chooser.WithheldWait(c.admitted.Service, c.requirements); paused > f.RetryDelay() {
+		f.RetryAfter = limits.Jitter(paused)
+	}
+	return f
+}
+
+// endsAsNoChain reports whether the request is refused because the usable engines form no chain.
+// Without a line, an exhausted interconnect counts as that.
+func (c *chainSearch) endsAsNoChain() bool {
+	return c.result == chains.NoChain || c.result == chains.InterconnectExhausted && c.line == nil
+}
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -28,6 +28,8 @@
 func (nopObserver) FirstEvent(string, time.Duration)           {}
 func (nopObserver) Refusal(string, bool)                       {}
 func (nopObserver) Retry(_, _ string)                          {}
+func (nopObserver) CapacityRefused(_, _ string, _ int)         {}
+func (nopObserver) ForecastError(string, time.Duration)        {}
 
 // upstream is a backend client that responds with a function.
 type upstream func(ctx context.Context, r *relay.Request) (*relay.Response, error)
