--- a/internal/coordination/forecast/forecast.go
+++ b/internal/coordination/forecast/forecast.go
@@ -32,7 +32,7 @@
 	lastGrant time.Time
 	// granted are the decayed grants by priority, and observed the decayed time in seconds in
 	// which they happened.
-	granted  map[int]float64
+	granted  []priorityGrants
 	observed float64
 	// busy is set while requests wait. busyGranted and busyTime are the decayed grants and
 	// the decayed time while requests waited. Without waiting requests the grants are bounded
@@ -41,11 +41,15 @@
 	busyGranted, busyTime float64
 }
 
-// New returns a Forecast without grants.
-func New(now func() time.Time) *Forecast {
-	return &Forecast{now: now, granted: map[int]float64{}}
+// priorityGrants is the decayed number of grants to a priority.
+type priorityGrants struct {
+	priority int
+	n        float64
 }
 
+// New returns a Forecast without grants.
+func New(now func() time.Time) *Forecast { return &Forecast{now: now} }
+
 // Granted records that the resource was granted to n requests of a priority (0 is the most
 // urgent).
 func (f *Forecast) Granted(priority int, n float64) {
@@ -53,10 +57,16 @@
 	defer f.mu.Unlock()
 	f.decay()
 	f.lastGrant = f.updated
-	f.granted[priority] += n
 	if f.busy {
 		f.busyGranted += n
 	}
+	for i := range f.granted {
+		if f.granted[i].priority == priority {
+			f.granted[i].n += n
+			return
+		}
+	}
+	f.granted = append(f.granted, priorityGrants{priority, n})
 }
 
 // SetBusy records whether requests wait for the resource.
@@ -81,10 +91,10 @@
 	defer f.mu.Unlock()
 	f.decay()
 	total, urgent := 0.0, 0.0
-	for p, n := range f.granted {
-		total += n
-		if p < priority {
-			urgent += n
+	for _, g := range f.granted {
+		total += g.n
+		if g.priority < priority {
+			urgent += g.n
 		}
 	}
 	if f.lastGrant.IsZero() || f.updated.Sub(f.lastGrant) >= validity || total <= 0 {
@@ -121,8 +131,8 @@
 	f.updated = now
 	kept := math.Exp(-elapsed.Seconds() / smoothing.Seconds())
 	added := smoothing.Seconds() * (1 - kept)
-	for p := range f.granted {
-		f.granted[p] *= kept
+	for i := range f.granted {
+		f.granted[i].n *= kept
 	}
 	f.observed = f.observed*kept + added
 	f.busyGranted *= kept
--- a/internal/coordination/forecast/returns.go
+++ b/internal/coordination/forecast/returns.go
@@ -12,8 +12,10 @@
 	// returnShare is the share of the caller's remaining time within which it returns. The
 	// rest is for the second attempt.
 	returnShare = 1.0 / 3
-	// unknownReturn is the delay while no grants are known.
+	// unknownReturn is the shortest delay while no grants are known.
 	unknownReturn = time.Second
+	// delayResolution is the resolution of Retry-After.
+	delayResolution = 10 * time.Millisecond
 	// maxReturn bounds the delay of callers without a deadline.
 	maxReturn = time.Minute
 )
@@ -34,23 +36,39 @@
 }
 
 // Delay returns the delay after which a refused caller should return. wait is the forecast wait
-// of a request and interval the time between two grants, both for its priority; known is false
-// if there is no forecast. remaining is the caller's time left, 0 if it is not bounded.
+// of a request and interval the time between two grants, both for its priority. remaining is the
+// caller's time left, 0 if it is not bounded.
 //
 // Each caller gets its own grant. If the grants within a third of the callers' time are given
 // out, the others are spread evenly over that time.
-func (r *Returns) Delay(priority int, wait, interval time.Duration, known bool, remaining time.Duration) time.Duration {
-	latest := time.Duration(returnShare * float64(remaining))
-	delay := unknownReturn + rand.N(unknownReturn/2)
-	wait = min(wait, maxReturn)
-	interval = min(interval, maxReturn)
-	if known {
-		delay = r.reserve(priority, max(wait, MinReturn), interval, latest)
+func (r *Returns) Delay(priority int, wait, interval, remaining time.Duration) time.Duration {
+	wait, interval = min(wait, maxReturn), min(interval, maxReturn)
+	latest := latestReturn(remaining)
+	return spread(r.reserve(priority, max(wait, MinReturn), interval, latest), wait, latest)
+}
+
+// DelayUnknown is like Delay without a forecast. age is the time since the last grant. As nothing
+// is known about the end of a shortage, it is assumed to last as long again as it has so far.
+func (r *Returns) DelayUnknown(age, remaining time.Duration) time.Duration {
+	delay := min(max(age, unknownReturn), maxReturn*2/3)
+	return spread(delay+rand.N(delay/2), delay, latestReturn(remaining))
+}
+
+// latestReturn returns the latest delay of a caller with the given time left, 0 if it is not
+// bounded. Delays are sent to callers with a resolution of delayResolution.
+func latestReturn(remaining time.Duration) time.Duration {
+	if remaining <= 0 {
+		return 0
 	}
-	if remaining <= 0 || delay <= latest {
+	return max(time.Duration(returnShare*float64(remaining)).Truncate(delayResolution), 1)
+}
+
+// spread returns a delay, or a random one between earliest and latest if it is above latest.
+func spread(delay, earliest, latest time.Duration) time.Duration {
+	if latest <= 0 || delay <= latest {
 		return delay
 	}
-	earliest := min(max(min(wait, latest/2), MinReturn), latest)
+	earliest = min(max(min(earliest, latest/2), MinReturn), latest)
 	return earliest + rand.N(latest-earliest+1)
 }
 
--- a/internal/protocol/relay/patience.go
+++ b/internal/protocol/relay/patience.go
@@ -96,7 +96,12 @@
 // urgency is forecast that no other caller was told to return for.
 func (c *chainSearch) returnDelay() time.Duration {
 	urgency := c.admitted.Urgency
-	expected, known := c.line.Forecast.Wait(c.line.Ahead(c.waiter), urgency)
-	interval, _ := c.line.Forecast.Interval(urgency)
-	return c.line.Returns.Delay(urgency, expected, interval, known, c.remaining())
+	interval, known := c.line.Forecast.Interval(urgency)
+	if !known {
+		return c.line.Returns.DelayUnknown(c.line.Forecast.Age(), c.remaining())
+	}
+	expected, _ := c.line.Forecast.Wait(c.line.Ahead(c.waiter), urgency)
+	// If nothing is granted any more, the shortage may last as long again as it has so far.
+	expected = max(expected, c.line.Forecast.Age())
+	return c.line.Returns.Delay(urgency, expected, interval, c.remaining())
 }
