admission: a starved urgency may try before more urgent requests

Strict order served the least urgent kind nothing while more urgent kinds took all capacity. A kind served less than a quarter as often as all requests now tries first; it does not block more urgent ones if it does not fit.

--- a/internal/coordination/admission/ordered.go
+++ b/internal/coordination/admission/ordered.go
@@ -31,6 +31,7 @@
 // Line lets the requests of one service wait for capacity. They are ordered by urgency, then
 // by fairness among customers, then by the earlier deadline. The request at the front tries to
 // get capacity; while it does not fit, smaller requests of its urgency may, for a bounded time.
+// Requests of an urgency that is starved may also try.
 // It is safe for concurrent use.
 type Line struct {
 	// Forecast estimates how long requests wait, and Returns when refused ones return.
@@ -40,23 +41,15 @@
 	now     func() time.Time
 	mu      sync.Mutex
 	shares  customerShares
+	kinds   kindShares
 	waiting []*lineEntry
 	// arrivals is the number of requests that have waited.
 	arrivals uint64
 }
 
-type lineEntry struct {
-	Waiter
-	wake chan struct{}
-	// arrival numbers the entries in the order of their arrival.
-	arrival uint64
-	// triedAt is when the last try failed, and passedSince when a smaller request first passed.
-	triedAt, passedSince time.Time
-}
-
 // NewLine returns an empty Line.
 func NewLine(now func() time.Time) *Line {
-	return &Line{Forecast: forecast.New(now), Returns: forecast.NewReturns(now), now: now, shares: newCustomerShares()}
+	return &Line{Forecast: forecast.New(now), Returns: forecast.NewReturns(now), now: now, shares: newCustomerShares(), kinds: newKindShares()}
 }
 
 // Len returns the number of waiting requests.
@@ -70,14 +63,19 @@
 func (l *Line) Ahead(w Waiter) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.aheadLocked(l.now(), w)
+}
+
+func (l *Line) aheadLocked(now time.Time, w Waiter) int {
 	if len(l.waiting) == 0 {
 		return 0
 	}
-	l.shares.update(l.now())
+	l.shares.update(now)
+	starved := l.kinds.starved(now, w.Urgency)
 	newest := &lineEntry{Waiter: w, arrival: l.arrivals}
 	n := 0
 	for _, e := range l.waiting {
-		if l.precedes(e, newest) {
+		if l.precedes(e, newest) && !(starved && e.Urgency != w.Urgency) {
 			n++
 		}
 	}
@@ -89,12 +87,24 @@
 	l.Forecast.Granted(w.Urgency, 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.shares.grant(l.now(), w.Customer)
+	now := l.now()
+	l.shares.grant(now, w.Customer)
+	l.kinds.of(now, w.Urgency).granted++
 }
 
-// TryNow calls try and reports whether it succeeded, unless a waiting request goes first.
+// TryNow calls try and reports whether it succeeded, unless a waiting request goes first. It must
+// be called once for each request, before Wait.
 func (l *Line) TryNow(ctx context.Context, w Waiter, try func() bool) bool {
-	return ctx.Err() == nil && l.Ahead(w) == 0 && try()
+	return ctx.Err() == nil && l.arrive(w) == 0 && try()
+}
+
+// arrive counts a request and returns the number of those that would go before it.
+func (l *Line) arrive(w Waiter) (ahead int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	l.kinds.of(now, w.Urgency).requests++
+	return l.aheadLocked(now, w)
 }
 
 // Wait calls try each time it may succeed, until it does or the timeout passes or ctx ends. It
@@ -141,40 +151,17 @@
 	return false
 }
 
-// mayTry reports whether all entries that go before e have failed to get capacity recently and
-// may be passed by it.
-func (l *Line) mayTry(e *lineEntry) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.now()
-	l.shares.update(now)
-	for _, o := range l.waiting {
-		if o != e && l.precedes(o, e) && !o.passableBy(e, now) {
-			return false
-		}
-	}
-	return true
-}
-
 // passed records that e got capacity before the entries that it passed.
 func (l *Line) passed(e *lineEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, o := range l.waiting {
-		if o != e && o.passedSince.IsZero() && l.precedes(o, e) {
+		if o != e && o.Urgency == e.Urgency && o.passedSince.IsZero() && l.precedes(o, e) {
 			o.passedSince = l.now()
 		}
 	}
 }
 
-// passableBy reports whether a smaller entry of the same urgency may try before o.
-func (o *lineEntry) passableBy(e *lineEntry, now time.Time) bool {
-	if o.Urgency != e.Urgency || e.Size >= o.Size || o.triedAt.IsZero() || now.Sub(o.triedAt) > pollInterval {
-		return false
-	}
-	return o.passedSince.IsZero() || now.Sub(o.passedSince) < maxPassing
-}
-
 // failed records a failed try and wakes the next entry that may pass e.
 func (l *Line) failed(e *lineEntry) {
 	l.mu.Lock()
@@ -189,6 +176,9 @@
 	if next != nil {
 		next.notify()
 	}
+	if front := l.front(); front != nil && front.Urgency < e.Urgency {
+		front.notify() // e tried because its urgency is starved
+	}
 }
 
 // Notify makes the request at the front try again, because capacity may have been released.
@@ -198,23 +188,18 @@
 	l.notifyLocked()
 }
 
+// notifyLocked wakes the first entry of a starved urgency, or else the one at the front.
 func (l *Line) notifyLocked() {
-	l.shares.update(l.now())
-	var front *lineEntry
+	now := l.now()
+	l.shares.update(now)
+	next := l.front()
 	for _, e := range l.waiting {
-		if front == nil || l.precedes(e, front) {
-			front = e
+		if next.Urgency != e.Urgency && l.kinds.starved(now, e.Urgency) && (l.precedes(e, next) || !l.kinds.starved(now, next.Urgency)) {
+			next = e
 		}
 	}
-	if front != nil {
-		front.notify()
-	}
-}
-
-func (e *lineEntry) notify() {
-	select {
-	case e.wake <- struct{}{}:
-	default:
+	if next != nil {
+		next.notify()
 	}
 }
 
@@ -241,20 +226,3 @@
 	l.Forecast.SetBusy(len(l.waiting) > 0)
 	l.notifyLocked()
 }
-
-// precedes reports whether a goes before b. Of equal entries the older one goes first.
-func (l *Line) precedes(a, b *lineEntry) bool {
-	if a.Urgency != b.Urgency {
-		return a.Urgency < b.Urgency
-	}
-	if a.Begun != b.Begun {
-		return a.Begun
-	}
-	if x, y := l.shares.excess(a.Customer), l.shares.excess(b.Customer); x != y {
-		return x < y
-	}
-	if a.Deadline.Equal(b.Deadline) {
-		return a.arrival < b.arrival
-	}
-	return b.Deadline.IsZero() || !a.Deadline.IsZero() && a.Deadline.Before(b.Deadline)
-}
