--- a/internal/coordination/admission/customers.go
+++ b/internal/coordination/admission/customers.go
@@ -20,6 +20,9 @@
 	// maxScaleTime is the time after which the stored grants are rescaled, so that they stay
 	// within the range of a float.
 	maxScaleTime = 10 * shareWindow
+	// countResolution is the interval at which decayed counts are updated. It limits the cost
+	// per request.
+	countResolution = 10 * time.Millisecond
 )
 
 // customerShares counts the recent grants to each customer, and the customers that wait. It is
@@ -31,9 +34,10 @@
 	base    time.Time
 	granted map[string]float64
 	total   float64
-	// scale is the count of a grant at the time of the last update.
-	scale   float64
-	waiting map[string]int
+	// scale is the count of a grant at scaledAt, the time of the last update.
+	scaledAt time.Time
+	scale    float64
+	waiting  map[string]int
 	// allowance is the number of grants, at the present scale, that do not exceed an equal
 	// share.
 	allowance float64
@@ -54,6 +58,10 @@
 	if now.Sub(s.base) > maxScaleTime {
 		s.rescale(now)
 	}
+	if now.Sub(s.scaledAt) < countResolution {
+		return
+	}
+	s.scaledAt = now
 	s.scale = math.Exp(now.Sub(s.base).Seconds() / shareWindow.Seconds())
 	s.allowance = shareTolerance*s.total/float64(max(s.customers(), 1)) + shareSlack*s.scale
 }
@@ -61,6 +69,7 @@
 func (s *customerShares) rescale(now time.Time) {
 	kept := math.Exp(-now.Sub(s.base).Seconds() / shareWindow.Seconds())
 	s.base = now
+	s.scaledAt = time.Time{}
 	s.total = 0
 	for c, n := range s.granted {
 		if n *= kept; n < minGranted {
--- a/internal/coordination/admission/starved.go
+++ b/internal/coordination/admission/starved.go
@@ -9,9 +9,6 @@
 // urgency that get capacity. Below it, requests of this urgency may try before more urgent ones.
 const minServedShare = 0.25
 
-// kindResolution is the interval at which the counts decay. It limits the cost per request.
-const kindResolution = 10 * time.Millisecond
-
 // kindShares counts the recent requests of each urgency and how many of them got capacity. It is
 // not safe for concurrent use.
 type kindShares struct {
@@ -36,7 +33,7 @@
 
 func (s *kindShares) decay(now time.Time) {
 	elapsed := now.Sub(s.at)
-	if elapsed < kindResolution {
+	if elapsed < countResolution {
 		return
 	}
 	s.at = now
--- a/internal/coordination/forecast/forecast.go
+++ b/internal/coordination/forecast/forecast.go
@@ -52,11 +52,14 @@
 
 // Granted records that the resource was granted to n requests of a priority (0 is the most
 // urgent).
-func (f *Forecast) Granted(priority int, n float64) {
+func (f *Forecast) Granted(priority int, n float64) { f.GrantedAt(f.now(), priority, n) }
+
+// GrantedAt is like Granted for callers that know the present time. It saves reading the clock.
+func (f *Forecast) GrantedAt(now time.Time, priority int, n float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.decay()
-	f.lastGrant = f.updated
+	f.decay(now)
+	f.lastGrant = now
 	if f.busy {
 		f.busyGranted += n
 	}
@@ -73,7 +76,7 @@
 func (f *Forecast) SetBusy(busy bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.decay()
+	f.decay(f.now())
 	f.busy = busy
 }
 
@@ -89,7 +92,7 @@
 func (f *Forecast) Interval(priority int) (interval time.Duration, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.decay()
+	f.decay(f.now())
 	total, urgent := 0.0, 0.0
 	for _, g := range f.granted {
 		total += g.n
@@ -119,8 +122,7 @@
 }
 
 // decay brings the averages to the present time. The caller holds f.mu.
-func (f *Forecast) decay() {
-	now := f.now()
+func (f *Forecast) decay(now time.Time) {
 	elapsed := now.Sub(f.updated)
 	if elapsed <= 0 {
 		return
