--- a/internal/protocol/relay/patience.go
+++ b/internal/protocol/relay/patience.go
@@ -64,8 +64,15 @@
 }
 
 // recordShortage records that the request met a shortage, once for each search: before it waits
-// or is refused. c.result tells which one.
+// in a line or is refused. c.result tells which one.
 func (c *chainSearch) recordShortage() {
+	if c.shortageRecorded {
+		return
+	}
+	c.shortageRecorded = true
+	if c.line == nil {
+		return
+	}
 	ahead := c.line.Ahead(c.waiter)
 	expected, known := c.line.Forecast.Wait(ahead, c.admitted.Urgency)
 	c.forecast = waitForecast{wait: expected, known: known, ahead: ahead, age: c.line.Forecast.Age()}
@@ -77,17 +84,19 @@
 // The first request in the line waits for a short time in any case. Otherwise a forecast that
 // is too long would not be corrected, as no request would wait for a grant.
 func (c *chainSearch) newRequestLimit() (limit time.Duration, wait bool) {
-	target := float64(c.admitted.WaitTarget)
-	limit = time.Duration(capacityWaitShare*target) - c.waited
+	limit = c.maxWait
 	if left := c.remaining(); left > 0 {
 		limit = min(limit, left)
 	}
+	if c.result == chains.Withheld { // until a known time within maxWait
+		return limit, limit > 0
+	}
 	late := c.forecast.known && c.forecast.wait > limit
 	if late && c.forecast.ahead > 0 {
 		return limit, false
 	}
 	if late || !c.forecast.known {
-		limit = min(limit, time.Duration(unknownWaitShare*target)-c.waited)
+		limit = min(limit, time.Duration(unknownWaitShare*float64(c.admitted.WaitTarget))-c.waited)
 	}
 	return limit, limit > 0
 }
--- a/internal/protocol/relay/reserve.go
+++ b/internal/protocol/relay/reserve.go
@@ -14,12 +14,15 @@
 type chainSearch struct {
 	*stream
 	requirements chains.Requirements
-	// maxWait bounds the wait, except that of a new request in a line.
+	// maxWait bounds the wait. For a new request of a prioritized service it is the patience
+	// of its urgency.
 	maxWait time.Duration
 	// line is the wait line of a prioritized service, nil for other services.
 	line     *admission.Line
 	waiter   admission.Waiter
 	forecast waitForecast
+	// shortageRecorded is set once the shortage has been recorded.
+	shortageRecorded bool
 
 	stages      []chains.Stage
 	reservation *chains.Reservation
@@ -47,6 +50,9 @@
 		c.maxWait = max(callerGapTimeout-q.Now().Sub(s.lastEventTime), 0)
 	}
 	if q.admitted.Prioritized {
+		if c.isNew() {
+			c.maxWait = max(time.Duration(capacityWaitShare*float64(q.admitted.WaitTarget))-q.waited, 0)
+		}
 		c.line = q.WaitQueue.Line(q.admitted.Service.Name)
 		c.waiter = admission.Waiter{Customer: q.admitted.Customer, Urgency: q.admitted.Urgency, Begun: !c.isNew(), Deadline: q.admitted.Deadline, Size: s.tokens}
 	}
@@ -82,6 +88,7 @@
 	case ctx.Err() != nil:
 		return nil, nil, c.contextError(ctx)
 	}
+	c.recordShortage()
 	return nil, nil, c.refusal()
 }
 
