relay, forecast: refuse at once by the chance to be served in time

The test with a wrong clock did not reach the grants before, as the line gave them its own time; Forecast reads its clock again.

--- a/internal/coordination/admission/ordered.go
+++ b/internal/coordination/admission/ordered.go
@@ -84,10 +84,10 @@
 
 // Granted records that a request got capacity, whether it waited or not.
 func (l *Line) Granted(w Waiter) {
-	now := l.now()
-	l.Forecast.GrantedAt(now, w.Urgency, 1)
+	l.Forecast.Granted(w.Urgency, 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.now()
 	l.shares.grant(now, w.Customer)
 	l.kinds.of(now, w.Urgency).granted++
 }
--- a/internal/coordination/forecast/forecast.go
+++ b/internal/coordination/forecast/forecast.go
@@ -20,6 +20,8 @@
 	// maxUrgentShare bounds the share of the rate that more urgent requests are assumed to
 	// take, because no kind of request is served less than a quarter as often as all.
 	maxUrgentShare = 0.75
+	// maxExactGrants is the number of expected grants above which their spread is neglected.
+	maxExactGrants = 100
 )
 
 // Forecast estimates the rate at which a resource is granted. It is safe for concurrent use.
@@ -52,14 +54,11 @@
 
 // Granted records that the resource was granted to n requests of a priority (0 is the most
 // urgent).
-func (f *Forecast) Granted(priority int, n float64) { f.GrantedAt(f.now(), priority, n) }
-
-// GrantedAt is like Granted for callers that know the present time. It saves reading the clock.
-func (f *Forecast) GrantedAt(now time.Time, priority int, n float64) {
+func (f *Forecast) Granted(priority int, n float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.decay(now)
-	f.lastGrant = now
+	f.decay()
+	f.lastGrant = f.updated
 	if f.busy {
 		f.busyGranted += n
 	}
@@ -76,7 +75,7 @@
 func (f *Forecast) SetBusy(busy bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.decay(f.now())
+	f.decay()
 	f.busy = busy
 }
 
@@ -87,12 +86,37 @@
 	return scale(interval, float64(max(ahead, 0)+1)), known
 }
 
+// Chance returns the probability that a request with a number of requests ahead of it is served
+// within a time, if grants are independent of each other. Where few grants fit in that time, the
+// expected wait alone says little. known is false if the resource was not granted recently.
+func (f *Forecast) Chance(ahead, priority int, within time.Duration) (chance float64, known bool) {
+	interval, known := f.Interval(priority)
+	if !known || within <= 0 {
+		return 0, known
+	}
+	expected := float64(within) / float64(max(interval, 1))
+	if expected > maxExactGrants {
+		if float64(ahead) < expected {
+			return 1, true
+		}
+		return 0, true
+	}
+	// One minus the Poisson probability of at most as many grants as requests are ahead.
+	term := math.Exp(-expected)
+	chance = 1
+	for grants := 0; grants <= ahead && chance > 0; grants++ {
+		chance -= term
+		term *= expected / float64(grants+1)
+	}
+	return max(chance, 0), true
+}
+
 // Interval returns the expected time between two grants that reach a priority: those that more
 // urgent requests do not take. known is false if the resource was not granted recently.
 func (f *Forecast) Interval(priority int) (interval time.Duration, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.decay(f.now())
+	f.decay()
 	total, urgent := 0.0, 0.0
 	for _, g := range f.granted {
 		total += g.n
@@ -122,7 +146,8 @@
 }
 
 // decay brings the averages to the present time. The caller holds f.mu.
-func (f *Forecast) decay(now time.Time) {
+func (f *Forecast) decay() {
+	now := f.now()
 	elapsed := now.Sub(f.updated)
 	if elapsed <= 0 {
 		return
--- a/internal/coordination/forecast/forecast_test.go
+++ b/internal/coordination/forecast/forecast_test.go
@@ -155,3 +155,30 @@
 		}
 	})
 }
+
+// Load: one or many grants in the time that a request may wait. Guards against a chance that
+// ignores how much so few grants vary.
+func TestChanceCountsTheSpreadOfGrants(t *testing.T) {
+	f, c := newForecast()
+	_, known := f.Chance(0, 0, time.Second)
+	assert.Assert(t, !known)
+	f.SetBusy(true)
+	c.grant(f, 0, 100*time.Millisecond, 10*time.Second)
+	chance := func(ahead int, within time.Duration) float64 {
+		got, known := f.Chance(ahead, 0, within)
+		assert.Assert(t, known)
+		return got
+	}
+	first := chance(0, 100*time.Millisecond)
+	assert.Assert(t, first > 0.55 && first < 0.7, "%v", first) // 1 - 1/e
+	assert.Assert(t, chance(9, time.Second) > 0.4 && chance(9, time.Second) < 0.65)
+	assert.Assert(t, chance(1000, time.Second) < 1e-9)
+	assert.Equal(t, chance(50, time.Hour), 1.0)
+	assert.Equal(t, chance(0, 0), 0.0)
+	before := 1.0
+	for ahead := range 40 {
+		got := chance(ahead, time.Second)
+		assert.Assert(t, got <= before)
+		before = got
+	}
+}
--- a/internal/protocol/relay/patience.go
+++ b/internal/protocol/relay/patience.go
@@ -8,9 +8,15 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 )
 
-// unknownWaitShare is the share of the target latency that a new request may wait for capacity
-// if it is not expected to get it in time.
-const unknownWaitShare = 1.0 / 8
+const (
+	// unknownWaitShare is the share of the target latency that a new request may wait for
+	// capacity if it is not expected to get it in time.
+	unknownWaitShare = 1.0 / 8
+	// minServedChance is the forecast chance to be served in time below which a new request is
+	// refused at once. Few grants fit in the patience at one router, so a higher bound leaves
+	// capacity unused between two arrivals, most of all if the forecast is too long.
+	minServedChance = 0.25
+)
 
 // waitForecast is what was forecast for a request when it met a shortage.
 type waitForecast struct {
@@ -91,11 +97,12 @@
 	if c.result == chains.Withheld { // until a known time within maxWait
 		return limit, limit > 0
 	}
-	late := c.forecast.known && c.forecast.wait > limit
+	chance, known := c.line.Forecast.Chance(c.forecast.ahead, c.admitted.Urgency, limit)
+	late := known && chance < minServedChance
 	if late && c.forecast.ahead > 0 {
 		return limit, false
 	}
-	if late || !c.forecast.known {
+	if late || !known {
 		limit = min(limit, time.Duration(unknownWaitShare*float64(c.admitted.WaitTarget))-c.waited)
 	}
 	return limit, limit > 0
