catalog: health keeps the kind of evidence behind a suspicion

Cause: a failed request, a refusal without a visible cause and a peer's unconfirmed suspicion excluded an engine in the same way as its exit. Change: a suspicion now knows whether it rests on strong, unanswered or weak evidence. Weak evidence that repeats after another request becomes strong. Existing methods record strong evidence.

--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -23,18 +22,6 @@
 	// suspicionTolerance is how much later a peer's suspicion must expire to count as a
 	// new one. A peer repeats each with the time that is left.
 	suspicionTolerance = 300 * time.Millisecond
-	// failureRateWeight is the weight of the newest outcome in the failure rate.
-	failureRateWeight = 0.15
-	// failureRateDecay is the time constant with which the failure rate decays without
-	// new outcomes. A backend server avoided because of it would otherwise never get
-	// requests again.
-	failureRateDecay = 15 * time.Second
-	// latencyWeight is the weight of the newest latency if the one before it is recent.
-	latencyWeight = 0.1
-	// latencyDecay is the time constant with which the latency loses its weight without new
-	// responses. A backend server that was slow for a moment would otherwise never get
-	// requests again while the others are idle.
-	latencyDecay = 3 * time.Second
 )
 
 // Health holds the direct evidence about backend servers, by incarnation. It is safe
@@ -47,9 +34,11 @@
 type record struct {
 	mu             sync.Mutex
 	suspectedUntil time.Time
+	kinds          evidenceKinds
 	evidenceAt     time.Time // when the suspicion was last raised or confirmed
 	nextAttempt    time.Time // no attempt before
 	refusesUntil   time.Time // known to refuse requests until then
+	refusal        Evidence  // kind of the refusal behind refusesUntil
 	failureCount   int       // consecutive suspicions and lasting refusals
 	failureRate    float64   // smoothed, as of failureRateAt
 	failureRateAt  time.Time
@@ -70,49 +59,70 @@
 	f(r)
 }
 
-// Suspect records evidence that a backend server fails. It returns when the suspicion
-// expires, and whether it is new.
+// Suspect records strong evidence that a backend server fails. It returns when the
+// suspicion expires, and whether it is new.
 func (h *Health) Suspect(inc model.Incarnation) (until time.Time, isNew bool) {
+	return h.SuspectOn(inc, Strong)
+}
+
+// SuspectOn is Suspect for evidence of the given kind. Evidence that repeats after another
+// request was sent becomes strong.
+func (h *Health) SuspectOn(inc model.Incarnation, kind Evidence) (until time.Time, isNew bool) {
 	now := h.now()
 	h.update(inc, func(r *record) {
-		if now.Before(r.suspectedUntil) {
-			r.evidenceAt = now
-			until = r.suspectedUntil
-			return
+		if isNew = !now.Before(r.suspectedUntil); isNew {
+			d := r.nextSuspicionPeriod()
+			r.failureCount++
+			r.suspectedUntil = now.Add(d)
 		}
-		isNew = true
-		d := r.nextSuspicionPeriod()
-		r.failureCount++
 		r.evidenceAt = now
-		r.suspectedUntil = now.Add(d)
 		until = r.suspectedUntil
+		r.kinds.raise(r.kinds.escalated(kind, now), until)
 	})
 	return until, isNew
 }
 
-// SuspectUntil extends the suspicion of a backend server to a given time. It does not
-// count as a failure.
+// SuspectUntil extends the suspicion of a backend server to a given time on strong
+// evidence. It does not count as a failure.
 func (h *Health) SuspectUntil(inc model.Incarnation, until time.Time) {
+	h.SuspectOnUntil(inc, Strong, until)
+}
+
+// SuspectOnUntil is SuspectUntil for evidence of the given kind.
+func (h *Health) SuspectOnUntil(inc model.Incarnation, kind Evidence, until time.Time) {
 	h.update(inc, func(r *record) {
 		if until.After(r.suspectedUntil) {
 			r.evidenceAt = h.now()
 			r.suspectedUntil = until
 		}
+		r.kinds.raise(kind, until)
 	})
 }
 
-// RecordRefusal records that a backend server refused a request of this router and gets
-// none until the given time. A lasting refusal adds to the failures.
+// RecordRefusal records that a backend server refused a request of this router for a known
+// cause and gets none until the given time. A lasting refusal adds to the failures.
 func (h *Health) RecordRefusal(inc model.Incarnation, until time.Time, lasting bool) {
-	h.update(inc, func(r *record) {
-		r.evidenceAt = h.now()
-		r.suspectedUntil = until
-		r.refusesUntil = until
-		if lasting {
-			r.failureCount++
-		}
-		r.failureCount = max(r.failureCount, 1)
-	})
+	h.update(inc, func(r *record) { r.refuse(h.now(), until, Strong, lasting) })
+}
+
+// RecordUnexplainedRefusal is RecordRefusal for a lasting refusal of a backend server that
+// is healthy and has capacity. It is weak evidence.
+func (h *Health) RecordUnexplainedRefusal(inc model.Incarnation, until time.Time) {
+	now := h.now()
+	h.update(inc, func(r *record) { r.refuse(now, until, r.kinds.escalated(Weak, now), true) })
+}
+
+func (r *record) refuse(now, until time.Time, kind Evidence, lasting bool) {
+	r.evidenceAt = now
+	r.suspectedUntil = until
+	r.refusesUntil = until
+	r.refusal = kind
+	r.kinds.unansweredUntil = time.Time{} // the server answered
+	r.kinds.raise(kind, until)
+	if lasting {
+		r.failureCount++
+	}
+	r.failureCount = max(r.failureCount, 1)
 }
 
 // NextSuspicionPeriod returns how long the next suspicion would last. It doubles with
@@ -128,7 +138,8 @@
 }
 
 // SuspectFromPeer records that a backend server refused a request of another router and
-// gets none until the given time. It counts as a failure here as well.
+// gets none until the given time. It counts as a failure here as well. Peers do not tell
+// why it refused, so the evidence is strong unless it adds nothing to what is known here.
 func (h *Health) SuspectFromPeer(inc model.Incarnation, until time.Time) {
 	now := h.now()
 	h.update(inc, func(r *record) {
@@ -141,6 +152,8 @@
 		r.evidenceAt = now
 		r.suspectedUntil = until
 		r.refusesUntil = until
+		r.refusal = Strong
+		r.kinds.raise(Strong, until)
 	})
 }
 
@@ -153,6 +166,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.kinds.attempted = true
 	if r.failureCount > 0 {
 		r.nextAttempt = h.now().Add(attemptInterval)
 	}
@@ -168,6 +182,7 @@
 		r.suspectedUntil = time.Time{}
 		r.refusesUntil = time.Time{}
 		r.nextAttempt = time.Time{}
+		r.kinds = evidenceKinds{}
 		r.failureCount = 0
 	})
 }
@@ -183,6 +198,11 @@
 			return
 		}
 		r.suspectedUntil = r.refusesUntil
+		r.kinds.answered()
+		r.kinds.strongUntil = time.Time{}
+		if r.refusal == Strong {
+			r.kinds.strongUntil = r.refusesUntil
+		}
 		conclusive = true
 	})
 	return conclusive
@@ -214,64 +234,6 @@
 	return now.Before(r.suspectedUntil) || r.failureCount > 0 && now.Before(r.nextAttempt)
 }
 
-// Begin records the start of a request of this process at a backend server.
-func (h *Health) Begin(inc model.Incarnation) { h.update(inc, func(r *record) { r.active++ }) }
-
-// End records the end of a request and whether it succeeded. A latency of 0 is not
-// recorded.
-func (h *Health) End(inc model.Incarnation, ok bool, latency time.Duration) {
-	h.update(inc, func(r *record) {
-		r.active--
-		if ok {
-			r.failureCount = 0
-		}
-		now := h.now()
-		r.recordOutcome(now, ok)
-		if latency > 0 {
-			r.recordLatency(now, latency)
-		}
-	})
-}
-
-// Cancel records the end of a request that its caller cancelled. It has no effect on
-// the failure rate.
-func (h *Health) Cancel(inc model.Incarnation) { h.update(inc, func(r *record) { r.active-- }) }
-
-// RecordOutcome records whether a request succeeded for which Begin and End are not
-// called.
-func (h *Health) RecordOutcome(inc model.Incarnation, ok bool) {
-	h.update(inc, func(r *record) { r.recordOutcome(h.now(), ok) })
-}
-
-func (r *record) recordOutcome(now time.Time, ok bool) {
-	failed := 1.0
-	if ok {
-		failed = 0
-	}
-	rate := r.decayedFailureRate(now)
-	r.failureRate = rate + failureRateWeight*(failed-rate)
-	r.failureRateAt = now
-}
-
-func (r *record) recordLatency(now time.Time, latency time.Duration) {
-	weight := 1 - (1-latencyWeight)*r.latencyRemainder(now)
-	r.latency += time.Duration(weight * float64(latency-r.latency))
-	r.latencyAt = now
-}
-
-// latencyRemainder returns the part of the latency's weight that is left, from 0 to 1.
-func (r *record) latencyRemainder(now time.Time) float64 {
-	if r.latencyAt.IsZero() {
-		return 0
-	}
-	return math.Exp(-now.Sub(r.latencyAt).Seconds() / latencyDecay.Seconds())
-}
-
-// decayedFailureRate returns the failure rate as of now.
-func (r *record) decayedFailureRate(now time.Time) float64 {
-	return r.failureRate * math.Exp(-now.Sub(r.failureRateAt).Seconds()/failureRateDecay.Seconds())
-}
-
 // Retain drops the evidence about incarnations without requests that known does not
 // report.
 func (h *Health) Retain(known func(model.Incarnation) bool) {
@@ -281,28 +243,3 @@
 		return r.active == 0 && !known(inc)
 	})
 }
-
-// View is the evidence about one backend server at one time.
-type View struct {
-	Suspected   bool
-	FailureRate float64
-	// Latency is the smoothed latency of the responses.
-	Latency time.Duration
-	// DecayedLatency is Latency, less with each second without a response.
-	DecayedLatency time.Duration
-	// Active is the number of requests of this process in progress.
-	Active int
-}
-
-// View returns the evidence about one backend server.
-func (h *Health) View(inc model.Incarnation) View {
-	var v View
-	now := h.now()
-	h.update(inc, func(r *record) {
-		v = View{
-			Suspected: r.suspected(now), FailureRate: r.decayedFailureRate(now), Active: r.active,
-			Latency: r.latency, DecayedLatency: time.Duration(float64(r.latency) * r.latencyRemainder(now)),
-		}
-	})
-	return v
-}
