chains: a weakly suspected last holder is a candidate at a cost

Cause: one failed request excluded the only engine that holds some layers in its failure domain, so all streams of the domain needed the interconnect. Change: where there are several failure domains and an interconnect limit, such an engine stays a candidate. Its cost is the expected loss of time of a stream there.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -206,56 +206,6 @@
 	return unlimited
 }
 
-func (c *Chooser) candidates(engines []*model.BackendServer, svc *model.Service, req Requirements) []candidate {
-	spec := svc.Engine
-	var out []candidate
-	domains := map[string]int{}
-	routers := c.RouterCount() // evaluated once, because it counts all known routers
-	domainPeers := c.routersPerDomain(routers) - 1
-	for _, b := range engines {
-		inc := b.Incarnation()
-		card, ok := spec.Card(b.Card)
-		if !ok || b.Holds.Len() <= 0 || b.Holds.To > spec.Layers || req.Avoid[inc] {
-			continue
-		}
-		view := c.Health.View(inc)
-		if view.Suspected {
-			continue
-		}
-		id, ok := domains[b.FailureDomain]
-		if !ok {
-			id = len(domains)
-			domains[b.FailureDomain] = id
-		}
-		capacity := Capacity(spec, card, b.Holds)
-		used := c.Usage.Used(inc)
-		// The usage reported by peers lacks their most recent streams. Routers that receive
-		// the same burst would all select the same engine. Peers in the same failure domain
-		// are assumed to have started as many streams as this router.
-		used.add(c.Usage.Recent(inc).scaled(domainPeers), 1)
-		secondsPerLayer := layerSeconds(spec, card, used, c.Usage.Slowdown(inc))
-		fill := math.Min(used.TokenLayers/math.Max(capacity*maxReservedShare, 1), maxCostFill)
-		secondsPerLayer *= 1 / (1 - fill)
-		firstStageCost := failurePenalty.Seconds() * math.Max(view.FailureRate-toleratedFailureRate, 0)
-		if req.FirstStageCost != nil {
-			firstStageCost += req.FirstStageCost(inc, used.FirstStageStreams).Seconds()
-		}
-		out = append(out, candidate{
-			server:          b,
-			domain:          id,
-			secondsPerLayer: secondsPerLayer,
-			firstStageCost:  firstStageCost,
-			excludedFirst:   req.FirstStageIn != nil && !req.FirstStageIn[inc] || req.ExcludeFirstStage != nil && req.ExcludeFirstStage(b),
-			deferred:        c.Usage.defers(c.Self, inc, b.Holds, prefillSeconds(spec, b, req.Tokens, b.Holds.Len()), routers),
-			limited:         !c.Limits.Available(inc),
-			paused:          c.Pauses.Wait(inc) > 0,
-			noSlot:          b.Slots > 0 && used.FirstStageStreams+1 > float64(b.Slots)*maxSlotShare,
-			full:            used.TokenLayers+float64(req.Tokens*b.Holds.Len()) > capacity*maxReservedShare,
-		})
-	}
-	return out
-}
-
 // Capacity returns an engine's token memory in token-layers.
 func Capacity(spec *model.EngineSpec, card model.Card, held model.LayerRange) float64 {
 	freeMB := card.MB - float64(held.Len())*spec.LayerMB
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -132,6 +132,7 @@
 		b := cands[i].server
 		// The pause ends with the next event, which contains stride tokens.
 		cands[i].secondsPerLayer *= float64(max(spec.StepsPerPass, 1))
+		cands[i].entryCost *= float64(max(spec.MeanAnswerTokens, 1)) // the whole loss is a pause
 		if reserved[b.Incarnation()] {
 			// The stream runs there already and has memory reserved.
 			cands[i].full = false
@@ -219,6 +220,7 @@
 	for i := range s.cands {
 		b := s.cands[i].server
 		s.cands[i].secondsPerLayer *= stride
+		s.cands[i].entryCost *= float64(max(spec.MeanAnswerTokens, 1))
 		s.cands[i].secondsPerLayer += c.Usage.PendingPrefill(b.Incarnation())/float64(b.Holds.Len()) + c.resumePrefillSeconds(spec, b, tokens, 1)
 	}
 	for i, row := range s.crossing {
--- a/internal/coordination/chains/walk.go
+++ b/internal/coordination/chains/walk.go
@@ -12,8 +12,10 @@
 	server          *model.BackendServer
 	domain          int
 	secondsPerLayer float64
-	firstStageCost  float64 // seconds
-	full            bool
+	// entryCost is the cost in seconds per token of any stage at a suspected engine.
+	entryCost      float64
+	firstStageCost float64 // seconds
+	full           bool
 	// deferred is set while the engine is in slow start and left to other routers.
 	deferred bool
 	// limited is set if the engine's rate limit allows no request of this router now.
@@ -95,7 +97,7 @@
 		newRequest := s.requireCapacity && s.layers.From == 0
 		eligible := !c.excludedFirst && !(newRequest && (c.noSlot || c.limited && !s.ignoreWithheld))
 		if eligible && s.usable(c, 0) {
-			row[e].cost = c.secondsPerLayer + s.startCost(c)
+			row[e].cost = c.secondsPerLayer + c.entryCost + s.startCost(c)
 		}
 	}
 }
@@ -113,7 +115,7 @@
 			if cheapest == noCandidate || cheapest == e {
 				continue
 			}
-			if cost := before[cheapest].cost + s.crossing[d][c.domain]; cost < best {
+			if cost := before[cheapest].cost + s.crossing[d][c.domain] + c.entryCost; cost < best {
 				best = cost
 				from = cheapest
 			}
