relay: each suspicion states the kind of its evidence

Cause: all suspicions were equally strong. Change: an exit is strong. A failed connection, report, stage or probe is strong until the engine answers a probe, and weak after that. A peer's refusal is strong unless the engine is a last holder and this router's own check finds no cause. A last holder is probed at once. Measured: go test ./internal/protocol/relay ./internal/coordination/catalog passes.

--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -140,12 +140,14 @@
 // SuspectFromPeer records that a backend server refused a request of another router and
 // gets none until the given time. It counts as a failure here as well. Peers do not tell
 // why it refused, so the evidence is strong unless it adds nothing to what is known here.
-func (h *Health) SuspectFromPeer(inc model.Incarnation, until time.Time) {
+// It returns whether it changed more than the end of a suspicion on stronger evidence.
+func (h *Health) SuspectFromPeer(inc model.Incarnation, until time.Time) (strengthened bool) {
 	now := h.now()
 	h.update(inc, func(r *record) {
 		if !until.After(r.suspectedUntil.Add(suspicionTolerance)) {
 			return
 		}
+		strengthened = r.evidence(now) <= Weak
 		if !now.Before(r.suspectedUntil) {
 			r.failureCount++
 		}
@@ -155,6 +157,7 @@
 		r.refusal = Strong
 		r.kinds.raise(Strong, until)
 	})
+	return strengthened
 }
 
 // RecordAttempt records that a request is sent to a backend server. If its suspicion
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -163,7 +163,7 @@
 		Revision:            func() model.Revision { return r.follower.AdvertisedRevision() },
 		ObservePeerRevision: func(revision model.Revision) { r.follower.ObservePeerRevision(revision) },
 		HandlePeerSuspicion: func(engine model.Incarnation) { r.prober.HandlePeerSuspicion(engine) },
-		HandlePeerRefusal:   r.health.SuspectFromPeer,
+		HandlePeerRefusal:   func(engine model.Incarnation, until time.Time) { r.prober.HandlePeerRefusal(engine, until) },
 		HandlePeerLeaving:   func(engine model.Incarnation) { r.front.Relay.HandlePeerLeaving(engine) },
 		HandleEngineExit:    func(engine model.Incarnation) { r.front.Relay.HandleEngineExit(engine) },
 		Clock:               boottime.Now,
@@ -248,6 +248,10 @@
 	r.prober.Healthy = rel.Healthy
 	r.prober.AnnounceSuspect = r.exchange.AnnounceSuspect
 	r.prober.AnnounceRefusal = r.exchange.AnnounceRefusal
+	r.prober.LastHolder = func(b *model.BackendServer) bool {
+		svc := r.config.Load().Service(b.Service)
+		return svc != nil && rel.Chooser.LastHolder(svc, b)
+	}
 	r.prober.Now = time.Now
 	r.liveness = &liveness.Watcher{
 		Self:    r.settings.Router.Peers,
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
@@ -20,16 +21,6 @@
 	// probeTrustPeriod is how long a successful probe outweighs suspicions from other
 	// routers, which may themselves be disconnected from the engine.
 	probeTrustPeriod = 3 * time.Second
-	// fullMemoryShare is the share of used token memory above which a refusing engine
-	// counts as full rather than leaving.
-	fullMemoryShare = 0.8
-	// fullEnginePeriod is how long a full engine gets no new requests. Streams end every
-	// few milliseconds, so it is short.
-	fullEnginePeriod = 300 * time.Millisecond
-	// drainingEnginePeriod is how long an engine that refuses requests and fails its
-	// health check gets none. Its entry may report the draining late, if the store is
-	// unavailable.
-	drainingEnginePeriod = 8 * time.Second
 )
 
 // Prober withholds requests from suspected engines until they respond again. It probes
@@ -44,7 +35,10 @@
 	Healthy func(ctx context.Context, b *model.BackendServer) (bool, error)
 	// AnnounceRefusal reports to the other routers that an engine refuses requests.
 	AnnounceRefusal func(engine model.Incarnation, until time.Time)
-	Now             func() time.Time
+	// LastHolder reports whether new requests depend on an engine, so that the evidence
+	// against it is checked at once. It may be nil.
+	LastHolder func(b *model.BackendServer) bool
+	Now        func() time.Time
 
 	mu sync.Mutex
 	// exited holds the time at which an engine's exit was recorded: its process
@@ -67,64 +61,30 @@
 	return &Prober{exited: map[model.Incarnation]time.Time{}, suspects: map[model.Incarnation]*suspect{}, lastSuccess: map[model.Incarnation]time.Time{}}
 }
 
-// Unreachable implements SuspectTracker.
+// Unreachable implements SuspectTracker. Unless the engine exited, the evidence becomes weak
+// when the engine answers a probe. One that new requests depend on is probed at once.
 func (p *Prober) Unreachable(b *model.BackendServer, request string, err error) {
-	until, isNew := p.Health.Suspect(b.Incarnation())
+	kind := catalog.Unanswered
+	if errors.Is(err, errExited) || errors.Is(err, errRestarted) {
+		kind = catalog.Strong
+	}
+	until, isNew := p.Health.SuspectOn(b.Incarnation(), kind)
 	if isNew {
 		klog.InfoS("engine suspected", "request", request, "server", b.Incarnation(), "address", b.Address, "err", err, "until", until)
 	}
 	p.addSuspect(b.Incarnation(), true)
 	p.AnnounceSuspect(b.Incarnation(), until)
-}
-
-// Refused implements SuspectTracker. An engine refuses requests while it is full, drains
-// or unloads its layers. Its entry may show the cause only seconds later, or not at all
-// while the store is unavailable. Its report and its health check distinguish the cases. A probe would succeed at once, so the suspicion lasts its full period and
-// peers adopt it.
-//
-// An engine that asks for a pause has said how long it refuses requests of this router. Peers
-// get a shorter period, as it did not ask them.
-func (p *Prober) Refused(b *model.BackendServer, request string, status int, pause time.Duration) {
-	if pause > 0 {
-		p.AnnounceRefusal(b.Incarnation(), p.Now().Add(min(pause, p.Health.NextSuspicionPeriod(b.Incarnation()))))
-		return
-	}
-	if p.Health.SuspicionLasts(b.Incarnation()) {
-		return // the refusals of requests that were sent together count once
+	if isNew && kind != catalog.Strong && p.isLastHolder(b) {
+		p.probe(b.Incarnation())
 	}
-	p.Health.SuspectUntil(b.Incarnation(), p.Now().Add(fullEnginePeriod))
-	go p.classifyRefusal(b, request, status)
 }
 
-func (p *Prober) classifyRefusal(b *model.BackendServer, request string, status int) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-	defer cancel()
-	report, err := p.Report(ctx, b)
-	if err != nil {
-		p.Unreachable(b, request, err)
-		return
-	}
-	full := report.Queued > 0 || report.UsedTokenLayers > fullMemoryShare*report.TotalTokenLayers
-	healthy := true
-	if !full {
-		healthy, err = p.Healthy(ctx, b)
-	}
-	period := fullEnginePeriod
-	switch {
-	case !healthy:
-		period = drainingEnginePeriod
-	case !full:
-		period = p.Health.NextSuspicionPeriod(b.Incarnation())
-	}
-	until := p.Now().Add(period)
-	p.Health.RecordRefusal(b.Incarnation(), until, !full)
-	p.AnnounceRefusal(b.Incarnation(), until)
-	klog.InfoS("engine refused request", "request", request, "server", b.Incarnation(), "address", b.Address, "status", status, "full", full, "well", healthy, "err", err,
-		"usedTokenLayers", report.UsedTokenLayers, "totalTokenLayers", report.TotalTokenLayers, "queued", report.Queued, "until", until)
+func (p *Prober) isLastHolder(b *model.BackendServer) bool {
+	return p.LastHolder != nil && p.LastHolder(b)
 }
 
-// HandlePeerSuspicion applies another router's suspicion. The engine gets no requests from
-// this router until it is probed, and the result of the probe decides.
+// HandlePeerSuspicion applies another router's suspicion. It is weak evidence until the
+// engine is probed, and the result of the probe decides.
 func (p *Prober) HandlePeerSuspicion(inc model.Incarnation) {
 	p.mu.Lock()
 	trusted := p.Now().Sub(p.lastSuccess[inc]) < probeTrustPeriod
@@ -134,7 +94,7 @@
 		return
 	}
 	klog.InfoS("engine suspected by a peer", "server", inc)
-	p.Health.SuspectUntil(inc, p.Now().Add(failedProbePeriod))
+	p.Health.SuspectOnUntil(inc, catalog.Weak, p.Now().Add(failedProbePeriod))
 	p.addSuspect(inc, false)
 	p.probe(inc)
 }
@@ -216,6 +176,7 @@
 	if err == nil && s.local && p.Health.Suspected(b.Incarnation()) {
 		// It responds but did not run its stage: the first suspicion lasts its full period.
 		p.mu.Unlock()
+		p.Health.RecordAnswer(b.Incarnation(), requestedAt)
 		return
 	}
 	if err == nil {
@@ -229,7 +190,7 @@
 	local := s.local
 	p.mu.Unlock()
 	until := p.Now().Add(failedProbePeriod)
-	p.Health.SuspectUntil(b.Incarnation(), until)
+	p.Health.SuspectOnUntil(b.Incarnation(), catalog.Unanswered, until)
 	if local {
 		p.AnnounceSuspect(b.Incarnation(), until)
 	}
