chains: moves and resumptions leave a busy interconnect to new requests

Cause: a move or resumption took the interconnect for any shorter pause, also while new requests had no other chain, and counted the traffic between two replaced stages twice. The prefill of moved streams was already spread over what is left by counting it for all routers of the domain. Each hop is counted once.

--- a/internal/coordination/catalog/outcome.go
+++ b/internal/coordination/catalog/outcome.go
@@ -101,9 +101,12 @@
 	now := h.now()
 	h.update(inc, func(r *record) {
 		v = View{
-			Suspected: r.suspected(now), Evidence: r.evidence(now), FailureRate: r.decayedFailureRate(now), Active: r.active,
+			Suspected: r.suspected(now), FailureRate: r.decayedFailureRate(now), Active: r.active,
 			Latency: r.latency, DecayedLatency: time.Duration(float64(r.latency) * r.latencyRemainder(now)),
 		}
+		if v.Suspected {
+			v.Evidence = r.evidence(now)
+		}
 	})
 	return v
 }
--- a/internal/coordination/chains/candidates.go
+++ b/internal/coordination/chains/candidates.go
@@ -20,7 +20,7 @@
 }
 
 func (c *Chooser) candidates(engines []*model.BackendServer, svc *model.Service, req Requirements) []candidate {
-	l := candidateList{Chooser: c, spec: svc.Engine, req: req, domains: map[string]int{}}
+	l := candidateList{Chooser: c, spec: svc.Engine, req: req, domains: map[string]int{}, out: make([]candidate, 0, len(engines))}
 	l.routers = c.RouterCount() // evaluated once, because it counts all known routers
 	l.domainPeers = c.routersPerDomain(l.routers) - 1
 	var weak []weakSuspect
--- a/internal/coordination/chains/move.go
+++ b/internal/coordination/chains/move.go
@@ -14,7 +14,7 @@
 //
 // Choose minimizes the time per token. Replace minimizes the pause of the stream instead:
 // prefill of all tokens at the new stages, pending prefill there, and transfers between
-// failure domains.
+// failure domains. It accepts a longer pause to leave a busy interconnect to new requests.
 func (c *Chooser) Replace(svc *model.Service, stages []Stage, lost map[model.Incarnation]bool, tokens int, maxEventGap time.Duration) []Stage {
 	if lost[stages[0].Server.Incarnation()] {
 		return nil
@@ -119,10 +119,7 @@
 // and after are the failure domains of the adjacent stages; after is empty if none follows.
 func (r *replacement) cover(needed model.LayerRange, before, after string, avoid map[model.Incarnation]bool) []Stage {
 	spec := r.svc.Engine
-	crossing := crossDomainDelay.Seconds() * float64(max(spec.StepsPerPass, 1))
-	if spec.InterconnectMbps > 0 {
-		crossing += CrossDomainMbit(spec, r.tokens) / spec.InterconnectMbps
-	}
+	crossing := r.newCrossingPauses(spec, r.tokens)
 	reserved := map[model.Incarnation]bool{}
 	for _, s := range r.stages {
 		reserved[s.Server.Incarnation()] = true
@@ -142,21 +139,22 @@
 		// The search has no costs for the hops to the adjacent stages, so they are spread
 		// over the layers.
 		if b.FailureDomain != before {
-			cands[i].secondsPerLayer += crossing / float64(needed.Len())
+			cands[i].secondsPerLayer += crossing.between(before, b.FailureDomain) / float64(needed.Len())
 		}
 		if after != "" && b.FailureDomain != after {
-			cands[i].secondsPerLayer += crossing / float64(needed.Len())
+			cands[i].secondsPerLayer += crossing.between(b.FailureDomain, after) / float64(needed.Len())
 		}
 		pending := r.Usage.PendingPrefill(b.Incarnation()) / float64(b.Holds.Len())
 		cands[i].secondsPerLayer += pending + prefillSeconds(spec, b, r.tokens, 1)
 	}
 	s := search{spec: spec, cands: cands, layers: needed, homeDomain: before, requireCapacity: true}
 	s.crossing = r.crossingCosts(spec, cands, r.tokens, r.maxEventGap)
+	names := domainNames(cands)
 	for i, row := range s.crossing {
 		for j := range row {
 			row[j] *= float64(max(spec.StepsPerPass, 1))
 			if i != j {
-				row[j] = math.Max(row[j], crossing)
+				row[j] = math.Max(row[j], crossing.between(names[i], names[j]))
 			}
 		}
 	}
@@ -187,59 +185,14 @@
 	}
 	routers := r.routersPerDomain(r.RouterCount())
 	for i, s := range next {
+		if i > 0 && !(existing[next[i-1]] && existing[s]) {
+			r.addTraffic(spec, next[i-1:i+1], r.tokens)
+		}
 		if existing[s] {
 			continue
 		}
 		r.addPrefill(spec, next[i:i+1], r.tokens)
 		r.Usage.AddPendingPrefill(s.Server.Incarnation(), routers*prefillSeconds(spec, s.Server, r.tokens, s.Layers.Len()))
-		r.addTraffic(spec, next[i-1:min(i+2, len(next))], r.tokens)
-	}
-}
-
-// resumePrefillSeconds returns the time in seconds that an engine with active streams needs
-// for the prefill of tokens in a number of layers. Each chunk of the prefill shares a pass
-// with the active streams.
-func (c *Chooser) resumePrefillSeconds(spec *model.EngineSpec, b *model.BackendServer, tokens, layers int) float64 {
-	prefill := prefillSeconds(spec, b, tokens, layers)
-	card, ok := spec.Card(b.Card)
-	if !ok || spec.PrefillChunk <= 0 {
-		return prefill
-	}
-	inc := b.Incarnation()
-	step := layerSeconds(spec, card, Usage{Streams: c.Usage.Used(inc).Streams}, c.Usage.Slowdown(inc)) * float64(layers)
-	passes := float64(tokens) / float64(spec.PrefillChunk)
-	return prefill*c.Usage.Slowdown(inc) + passes*step*float64(max(spec.StepsPerPass, 1))
-}
-
-// useResumeCosts replaces the costs of a search, in seconds per token, by the pause of a
-// resumed stream. The pause consists of pending prefill, prefill of all tokens and the
-// tokens of one event.
-func (c *Chooser) useResumeCosts(s *search, tokens int) {
-	spec := s.spec
-	stride := float64(max(spec.StepsPerPass, 1))
-	for i := range s.cands {
-		b := s.cands[i].server
-		s.cands[i].secondsPerLayer *= stride
-		s.cands[i].entryCost *= float64(max(spec.MeanAnswerTokens, 1))
-		s.cands[i].secondsPerLayer += c.Usage.PendingPrefill(b.Incarnation())/float64(b.Holds.Len()) + c.resumePrefillSeconds(spec, b, tokens, 1)
-	}
-	for i, row := range s.crossing {
-		for j := range row {
-			row[j] *= stride
-			if i != j && spec.InterconnectMbps > 0 {
-				row[j] += CrossDomainMbit(spec, tokens) / spec.InterconnectMbps
-			}
-		}
-	}
-}
-
-// RecordResume records the prefill of a stream that is resumed on a chain. Other routers
-// resume streams at the same time, so the prefill is multiplied by the number of routers
-// per failure domain.
-func (c *Chooser) RecordResume(spec *model.EngineSpec, stages []Stage, tokens int) {
-	routers := c.routersPerDomain(c.RouterCount())
-	for _, s := range stages {
-		c.Usage.AddPendingPrefill(s.Server.Incarnation(), routers*c.resumePrefillSeconds(spec, s.Server, tokens, s.Layers.Len()))
 	}
 }
 
