catalog: a refused retry counts as a repeated failure

Cause: the refusal of a request sent under weak suspicion was not counted, and an engine that refuses everything got all requests for 300 ms, which raised the next suspicion to its maximum. Change: refusals need no interval to count apart.

--- a/internal/coordination/catalog/evidence.go
+++ b/internal/coordination/catalog/evidence.go
@@ -43,7 +43,8 @@
 
 	failures  int       // consecutive failures on weak evidence
 	failedAt  time.Time // when the last one was counted
-	attempted bool      // a request was sent since the last evidence
+	retried   bool      // a request was sent since then
+	attempted bool      // a request was sent since the last evidence of any kind
 }
 
 // raise records evidence that lasts until the given time.
@@ -59,8 +60,8 @@
 
 // escalated counts a failure and returns Strong if too many are consecutive, else kind. The
 // streams that one fault breaks count once: another failure needs a request sent since, and
-// attemptInterval, in which streams started earlier break as well.
-func (k *evidenceKinds) escalated(kind Evidence, now time.Time) Evidence {
+// the given interval, in which streams started earlier break as well.
+func (k *evidenceKinds) escalated(kind Evidence, now time.Time, interval time.Duration) Evidence {
 	if kind == Strong {
 		return kind
 	}
@@ -68,12 +69,13 @@
 	switch {
 	case k.failures == 0 || age > weakFailureRetention:
 		k.failures = 1
-	case !k.attempted || age < attemptInterval:
+	case !k.retried || age < interval:
 		return kind
 	default:
 		k.failures++
 	}
 	k.failedAt = now
+	k.retried = false
 	if k.failures >= maxWeakFailures {
 		return Strong
 	}
--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -77,7 +77,7 @@
 		}
 		r.evidenceAt = now
 		until = r.suspectedUntil
-		r.kinds.raise(r.kinds.escalated(kind, now), until)
+		r.kinds.raise(r.kinds.escalated(kind, now, attemptInterval), until)
 	})
 	return until, isNew
 }
@@ -109,7 +109,8 @@
 // is healthy and has capacity. It is weak evidence.
 func (h *Health) RecordUnexplainedRefusal(inc model.Incarnation, until time.Time) {
 	now := h.now()
-	h.update(inc, func(r *record) { r.refuse(now, until, r.kinds.escalated(Weak, now), true) })
+	// Refusals arrive within milliseconds, so no interval is needed to tell them apart.
+	h.update(inc, func(r *record) { r.refuse(now, until, r.kinds.escalated(Weak, now, 0), true) })
 }
 
 func (r *record) refuse(now, until time.Time, kind Evidence, lasting bool) {
@@ -169,6 +170,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.kinds.retried = true
 	r.kinds.attempted = true
 	if r.failureCount > 0 {
 		r.nextAttempt = h.now().Add(attemptInterval)
