relay: a refused path check moves only its stream if the engine works

Cause: all streams of a router left the engine that refused one stream's path check, also while the others made progress there. An engine that unloads or has no memory for one stream answers so. Change: if other streams made progress at the engine since the event was due, only the checked stream leaves, and the engine's refusal is classified.

--- a/internal/protocol/relay/path.go
+++ b/internal/protocol/relay/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
+	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
 const (
@@ -61,9 +63,7 @@
 	switch {
 	case confirmed:
 	case errors.As(err, &conflict):
-		if server := engineAt(stages, conflict.address); server != nil {
-			w.failEngine(server, err)
-		}
+		w.handleCheckRefusal(engineAt(stages, conflict.address), a, err)
 	case ctx.Err() != nil && w.run.Err() == nil:
 		w.markUnconfirmed(err)
 		if slices.Contains(a.Candidates, first.Incarnation()) && !w.changed(generation) {
@@ -72,6 +72,21 @@
 	}
 }
 
+// handleCheckRefusal handles a refused path check. server is the engine that it names, nil if
+// none. If that engine made progress for other streams since this one's event was due, it
+// may have unloaded or refused this stream only. Then this stream leaves it, and the
+// others stay.
+func (w *chainWatch) handleCheckRefusal(server *model.BackendServer, a detector.Assessment, err error) {
+	switch {
+	case server == nil:
+	case slices.Contains(a.Candidates, server.Incarnation()):
+		w.failEngine(server, err)
+	default:
+		w.q.Suspects.Refused(server, w.q.call.Attempt, http.StatusConflict, 0)
+		go w.leaveEngines(engineSet{server.Incarnation(): true}, stalled)
+	}
+}
+
 // markUnconfirmed records that an order was not answered. The engine may execute it after
 // a later one, so the stream is not rerouted any more.
 func (w *chainWatch) markUnconfirmed(err error) {
