--- a/internal/coordination/catalog/evidence.go
+++ b/internal/coordination/catalog/evidence.go
@@ -26,6 +26,8 @@
 	Strong
 )
 
+func (e Evidence) String() string { return [...]string{"none", "weak", "unanswered", "strong"}[e] }
+
 const (
 	// maxWeakFailures is the number of consecutive failures from which weak evidence counts
 	// as strong. A server that fails again when it is tried would use up the retry budget.
--- a/internal/coordination/catalog/outcome.go
+++ b/internal/coordination/catalog/outcome.go
@@ -85,7 +85,9 @@
 	Suspected bool
 	// Evidence is the kind of evidence behind the suspicion, None if there is none. It is
 	// Strong between two attempts after a suspicion expired.
-	Evidence    Evidence
+	Evidence Evidence
+	// EvidenceAge is the time since the suspicion was last raised or confirmed.
+	EvidenceAge time.Duration
 	FailureRate float64
 	// Latency is the smoothed latency of the responses.
 	Latency time.Duration
@@ -106,6 +108,7 @@
 		}
 		if v.Suspected {
 			v.Evidence = r.evidence(now)
+			v.EvidenceAge = now.Sub(r.evidenceAt)
 		}
 	})
 	return v
--- a/internal/coordination/chains/missing.go
+++ b/internal/coordination/chains/missing.go
@@ -5,7 +5,9 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
@@ -82,12 +84,15 @@
 			continue
 		}
 		reason := "not considered"
+		view := c.Health.View(b.Incarnation())
 		switch {
 		case b.Draining:
 			reason = "leaving"
 		case req.Avoid[b.Incarnation()]:
 			reason = "avoided"
-		case c.Health.View(b.Incarnation()).Suspected:
+		case view.Evidence == catalog.Weak:
+			reason = fmt.Sprintf("suspected on weak evidence for %v", view.EvidenceAge.Round(time.Millisecond))
+		case view.Suspected:
 			reason = "suspected"
 		}
 		out = append(out, b.ID+" "+reason)
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -70,7 +70,7 @@
 	}
 	until, isNew := p.Health.SuspectOn(b.Incarnation(), kind)
 	if isNew {
-		klog.InfoS("engine suspected", "request", request, "server", b.Incarnation(), "address", b.Address, "err", err, "until", until)
+		klog.InfoS("engine suspected", "request", request, "server", b.Incarnation(), "address", b.Address, "err", err, "until", until, "evidence", kind)
 	}
 	p.addSuspect(b.Incarnation(), true)
 	p.AnnounceSuspect(b.Incarnation(), until)
