chains: tests of resumptions by all routers

Cause: no test covered that resumed streams of several routers spread over the engines that are left and leave a busy interconnect. Change: the tests. Measured: both pass; without the cost of a busy interconnect TestMovesLeaveBusyInterconnect fails, while the spread holds.

--- a/internal/coordination/chains/weak_test.go
+++ b/internal/coordination/chains/weak_test.go
@@ -186,9 +186,15 @@
 	})
 }
 
-// A move may take a slower engine of the domain while the interconnect is busy, so that new
-// requests can use it. The pause must not grow by more than the cost of the crossings.
+// A move or resumption may take a slower engine of the domain while the interconnect is busy, so
+// that new requests can use it. The pause must not grow by more than the cost of the crossings.
 func TestMovesLeaveBusyInterconnect(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		testMoves(t, resumed)
+	}
+}
+
+func testMoves(t *testing.T, resumed bool) {
 	move := func(rate, extraPrefill float64) string {
 		f := lastHolders()
 		f.add("a2-slow", "a", "l40s", 40, 60)
@@ -199,7 +205,12 @@
 			b := f.catalog.Load().ByID(id)
 			stages = append(stages, Stage{Server: b, Layers: b.Holds})
 		}
-		next := f.chooser.Replace(f.svc, stages, setOf("a2"), 1000, time.Second)
+		var next []Stage
+		if !resumed {
+			next = f.chooser.Replace(f.svc, stages, setOf("a2"), 1000, time.Second)
+		} else {
+			next, _ = f.chooser.Choose(f.svc, Requirements{Domain: "a", Tokens: 1000, MaxEventGap: time.Second, Resumed: true, Avoid: setOf("a2")})
+		}
 		covers(t, next, model.LayerRange{To: 80})
 		return next[1].Server.ID
 	}
@@ -226,6 +237,40 @@
 	assert.DeepEqual(t, rates, map[DomainPair]float64{{A: "a", B: "b"}: mbit, {A: "b", B: "c"}: mbit})
 }
 
+// All routers resume the streams of a lost engine before they know of each other's choices. The
+// streams must spread over the engines that are left, and not cross a busy interconnect.
+func TestResumptionsSpreadWithinDomain(t *testing.T) {
+	const routers, streams = 4, 30
+	runs := map[string]int{}
+	for range routers {
+		f := newFixture()
+		f.svc.Engine.LayerMB = 500
+		for _, n := range []string{"1", "2", "3"} {
+			f.add("head"+n, "a", "a100", 0, 40)
+			f.add("tail"+n, "a", "a100", 40, 80)
+		}
+		f.add("remote", "c", "a100", 40, 80)
+		f.chooser.Interconnect.SetPeerRates("peer", map[DomainPair]float64{{A: "a", B: "c"}: 15000}, time.Minute)
+		for range streams {
+			stages, v := f.chooser.Choose(f.svc, Requirements{Domain: "a", Tokens: 1000, Resumed: true, Avoid: setOf("tail1")})
+			assert.Equal(t, v, Found)
+			f.chooser.Usage.Reserve(stages, 1000)
+			f.chooser.RecordStart(f.svc.Engine, stages, 1000)
+			f.chooser.RecordResume(f.svc.Engine, stages, 1000)
+			for _, s := range stages {
+				runs[s.Server.ID]++
+			}
+		}
+	}
+	for _, id := range []string{"head1", "head2", "head3"} {
+		assert.Check(t, runs[id] >= routers*streams/6, "%v", runs)
+	}
+	for _, id := range []string{"tail2", "tail3"} {
+		assert.Check(t, runs[id] >= routers*streams/4, "%v", runs)
+	}
+	assert.Check(t, runs["remote"] <= routers*streams/3, "%v", runs)
+}
+
 // Selecting the candidates must take less than 1 us more than without kinds of evidence if no
 // engine of 58 is suspected.
 func BenchmarkCandidates(b *testing.B) {
