--- a/internal/coordination/share/failure_test.go
+++ b/internal/coordination/share/failure_test.go
@@ -164,6 +164,23 @@
 	})
 }
 
+// A router reports an impossible amount at the most urgent priority under load, with an
+// impossible time until its next report. It must not starve the others.
+func TestWrongReportStarvesNobody(t *testing.T) {
+	m := newModel(failureRouters, ages[0], modelLimit, modelAmount)
+	m.demand = loads["all"](failureRouters)
+	for _, r := range m.members[1:] {
+		r.shares.Report("wrong", 1, []Demand{{Used: 1e6}}, time.Hour, time.Hour)
+	}
+	m.run(20 * time.Second)
+	m.resetCounts()
+	m.run(20 * time.Second)
+	byPriority, all := m.servedPart()
+	t.Logf("use %.3f, served %.3f of all %.3f", m.utilization(20*time.Second), byPriority, all)
+	assert.Check(t, byPriority[0] > 0.8, "served %.2f", byPriority)
+	assert.Check(t, byPriority[2] >= all/10, "served %.3f of all %.3f", byPriority, all)
+}
+
 // Under load of one router, another must get its share within one report and a second: what
 // was lent returns.
 func TestLentCapacityReturnsWithinOneReport(t *testing.T) {
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -26,6 +26,13 @@
 	// maxSteps bounds the steps after a time without requests. The memory of demand is over
 	// by then.
 	maxSteps = 12
+	// maxInterval bounds the expected time between two reports. Reports of large fleets follow
+	// after 7 s.
+	maxInterval = 10 * time.Second
+	// maxDemand is the demand of a router at a priority that counts, as a multiple of the
+	// limit. Otherwise one router with a wrong report could leave the less urgent priorities
+	// of all others nothing.
+	maxDemand = 10
 	// negligible is the amount below which demand is not reported.
 	negligible = 1.0
 )
@@ -105,7 +112,7 @@
 	if before, ok := s.peers[peer]; ok && sent < before.sent {
 		return
 	}
-	s.peers[peer] = report{sent: sent, expires: s.now().Add(ttl), interval: interval, demands: demands}
+	s.peers[peer] = report{sent: sent, expires: s.now().Add(ttl), interval: min(interval, maxInterval), demands: demands}
 	s.changed = true
 }
 
@@ -131,9 +138,10 @@
 		s.known++
 		s.age = max(s.age, r.interval)
 		for _, d := range r.demands {
-			s.used += d.Used
-			s.unmet += d.Unmet
-			s.others[class(d.Priority)].demands = append(s.others[class(d.Priority)].demands, d.Used+d.Unmet)
+			s.used += s.counted(d.Used)
+			s.unmet += s.counted(d.Unmet)
+			others := &s.others[class(d.Priority)]
+			others.demands = append(others.demands, s.counted(d.Used+d.Unmet))
 		}
 	}
 	for p := range s.others {
@@ -141,6 +149,14 @@
 	}
 }
 
+// counted returns the part of a demand that counts.
+func (s *Shares) counted(demand float64) float64 {
+	if s.limit <= 0 {
+		return demand
+	}
+	return min(demand, maxDemand*s.limit)
+}
+
 // reachable returns the part of the limit that the routers with a valid report may use. The
 // others keep an equal part each.
 func (s *Shares) reachable(limit float64, routers int) float64 {
@@ -161,7 +177,7 @@
 	for p := range s.own {
 		a := &s.own[p]
 		if a.started {
-			out[p] = a.used.read(now) + a.unmet.read(now)
+			out[p] = s.counted(a.used.read(now) + a.unmet.read(now))
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/protocol/relay/unmet_test.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+)
+
+// A request that is refused for lack of the interconnect must count as unmet demand, and once
+// a second however often it asks. Otherwise waiting requests take the shares of others.
+func TestUnmetDemandIsRecordedOnceASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, holder := newIncompleteStream()
+		holder.FailureDomain = "b"
+		s.Catalog.Put(holder)
+		spec := s.admitted.Service.Engine
+		spec.ActivationBytes, spec.InterconnectMbps, spec.MeanPromptTokens = 40000, 100, 100
+		s.admitted.Urgency, s.admitted.Prioritized = 3, true
+		full := map[chains.DomainPair]float64{{A: "a", B: "b"}: 1000}
+		s.Chooser.Interconnect.SetPeerRates("peer", full, time.Minute)
+		s.Chooser.RouterCount = func() int { return 2 }
+		unmet := func() float64 {
+			_, _, f := s.reserveChain(t.Context())
+			assert.Assert(t, f != nil)
+			return s.Chooser.Interconnect.Demands()[0].Unmet
+		}
+		one := chains.CrossDomainMbit(spec, 100)
+		assert.Equal(t, unmet(), one)
+		assert.Equal(t, unmet(), one)
+		time.Sleep(1100 * time.Millisecond)
+		assert.Equal(t, unmet(), one)
+		assert.Equal(t, s.Chooser.Interconnect.Demands()[0].Priority, 3)
+	})
+}
--- a/internal/transport/peers/demands.go
+++ b/internal/transport/peers/demands.go
@@ -15,7 +15,7 @@
 	// interconnects between all of them have 160 at 16 priorities.
 	maxDemands = 512
 	// maxDemandMbps is the maximum amount of a demand. No interconnect is that fast.
-	maxDemandMbps = 1e7
+	maxDemandMbps = 1e6
 	// maxDemandPriority is the maximum priority of a demand. Priorities are small numbers.
 	maxDemandPriority = 1 << 20
 	// invalidLogInterval is the minimum time between two log lines on invalid demands. A peer
