faultsoak: callers of three priorities, a shortage of interconnect, silent watches

The soak had neither routes with priorities nor a shortage, and its store's watches always delivered. Requested seeds now draw sheets of three priorities and silent watches; the regression seeds mean what they did.

--- a/test/faultsoak/client_test.go
+++ b/test/faultsoak/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -59,6 +60,9 @@
 		c.closeConn()
 	}
 	kind := []string{"sheet", "sheet", "notice", "lookup"}[c.rnd.IntN(4)]
+	if sheets := c.site.sheets; kind == "sheet" && len(sheets) > 1 {
+		kind = sheets[c.rnd.IntN(len(sheets))]
+	}
 	if rep := c.request(c.site.routers[c.rnd.IntN(len(c.site.routers))], kind); rep.err != nil {
 		c.closeConn()
 		time.Sleep(20 * time.Millisecond)
@@ -188,7 +192,7 @@
 	s.sent = append(s.sent, sentRequest{attempt, kind, rep})
 	s.mu.Unlock()
 	want := standin.PlainBody(attempt)
-	if kind == "sheet" {
+	if slices.Contains(s.sheets, kind) {
 		want = standin.ResponseBody(attempt, s.fleet.Events)
 	}
 	switch {
--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -25,6 +25,9 @@
 
 const layers = 12
 
+// activationBytes is the size of a token between two engines.
+const activationBytes = 16400
+
 // Values in the routers' settings and the configuration.
 const (
 	grace      = 3 * time.Second
@@ -83,6 +86,10 @@
 	// kinds are the faults to inject. A repeated one is more frequent.
 	kinds    []func(time.Duration)
 	snapshot *standin.Snapshot // nil if none was taken
+	// sheets are the routes of the sheets service, by priority if there are several.
+	sheets []string
+	// interconnectMbps is the rate between the failure domains; 0 means unlimited.
+	interconnectMbps float64
 
 	mu        sync.Mutex
 	published []publishedConfig
@@ -95,18 +102,24 @@
 		Cards: []model.Card{{Name: "fast", MB: 8000, StepTimeFactor: 2, PrefillFactor: 2}, {Name: "slow", MB: 8000, StepTimeFactor: 9, PrefillFactor: 9}}}
 }
 
-func newSite(t *testing.T, rnd *rand.Rand) *site {
+// newSite starts a site. The sheets service has the given routes. If the interconnect is
+// limited, each failure domain has one engine, which cannot hold all layers.
+func newSite(t *testing.T, rnd *rand.Rand, sheets []string, interconnectMbps float64) *site {
 	dir, err := os.MkdirTemp("", "faultsoak-site")
 	assert.NilError(t, err)
-	s := &site{t: t, rnd: rnd, dir: dir, store: standin.NewStore(), idle: idleLimits[0]}
+	s := &site{t: t, rnd: rnd, dir: dir, store: standin.NewStore(), idle: idleLimits[0], sheets: sheets, interconnectMbps: interconnectMbps}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.http = &http.Server{Handler: &standin.StoreServer{Store: s.store}}
 	go func() { _ = s.http.Serve(l) }()
 	s.fleet = standin.NewFleet(s.store, spec())
 	s.publish()
+	cards := []string{"fast", "fast", "slow", "slow"}
+	if interconnectMbps > 0 {
+		cards = cards[:1]
+	}
 	for _, domain := range []string{"a", "b"} {
-		for _, card := range []string{"fast", "fast", "slow", "slow"} {
+		for _, card := range cards {
 			s.engines = append(s.engines, s.add("sheets", domain, card))
 		}
 		s.plain = append(s.plain, s.add("notices", domain, ""))
@@ -180,12 +193,18 @@
 		return map[string]any{"name": name, "host": "h", "prefix": "/" + name + "/", "type": kind, "service": service,
 			"timeout_ms": 6000, "target_latency_ms": 500, "target_gap_ms": 200, "max_attempts": 2, "resume_streams": kind == "streaming"}
 	}
+	routes := []any{route("notice", "non_idempotent", "notices"), route("lookup", "idempotent", "notices")}
+	for priority, name := range s.sheets {
+		r := route(name, "streaming", "sheets")
+		r["priority"] = priority
+		routes = append(routes, r)
+	}
 	raw, err := json.Marshal(map[string]any{
 		"version": s.version,
-		"routes":  []any{route("sheet", "streaming", "sheets"), route("notice", "non_idempotent", "notices"), route("lookup", "idempotent", "notices")},
+		"routes":  routes,
 		"services": []any{map[string]any{"name": "sheets", "engine": map[string]any{"slots": 64, "kv_token_bytes": 1e6, "stride": 3,
 			"models": []any{map[string]any{"load_s": 1}}, "step_ms": 1, "read_per_s": 1e5, "loads_at_once": 4, "usual": map[string]any{"prompt": 100, "answer": 60},
-			"layers": layers, "layer_mb": 1000, "kinds": []any{map[string]any{"name": "fast", "mb": 8000, "pace": 2}, map[string]any{"name": "slow", "mb": 8000, "pace": 9}}}},
+			"layers": layers, "layer_mb": 1000, "activation_bytes": activationBytes, "pipe_mbps": s.interconnectMbps, "kinds": []any{map[string]any{"name": "fast", "mb": 8000, "pace": 2}, map[string]any{"name": "slow", "mb": 8000, "pace": 9}}}},
 			map[string]any{"name": "notices"}},
 		"limits":  map[string]any{"max_body_bytes": 65536, "header_timeout_ms": headerTime.Milliseconds(), "idle_timeout_ms": s.idle.Milliseconds()},
 		"tenants": []any{map[string]any{"name": "school", "api_keys": []any{"key", extraKey(s.key)}}},
@@ -382,7 +401,7 @@
 // clearFaults ends every fault.
 func (s *site) clearFaults() {
 	s.store.SetFaults(standin.StoreFaults{})
-	time.Sleep(2 * time.Second) // duration of the longest fault
+	time.Sleep(2 * time.Second) // duration of the longest fault of a server or link
 	for _, p := range s.serverProxies {
 		p.set(pass)
 	}
--- a/test/faultsoak/soak_test.go
+++ b/test/faultsoak/soak_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -59,19 +60,31 @@
 			runSeed(r.seed, r.resting, false)
 		}
 	}
+	shortageSlot := make(chan struct{}, 1)
 	for i := range uint64(*seeds) {
 		runSeed(*firstSeed+i, *resting, true)
+		t.Run(fmt.Sprint("shortage ", *firstSeed+i), func(t *testing.T) {
+			t.Parallel()
+			shortageSlot <- struct{}{}
+			defer func() { <-shortageSlot }()
+			soakShortage(t, *firstSeed+i)
+		})
 	}
 }
 
-// soak runs one seed. asking adds servers that ask for something in their responses; without
-// them a seed means the same as before these faults existed.
+// soak runs one seed. asking adds servers that ask for something in their responses, routes
+// with priorities and silent watches; without them a seed means the same as before these
+// existed.
 func soak(t *testing.T, seed uint64, resting int, asking bool) {
-	s := newSite(t, rand.New(rand.NewPCG(seed, seed)))
+	sheets := []string{"sheet"}
+	if asking {
+		sheets = sheetsByPriority
+	}
+	s := newSite(t, rand.New(rand.NewPCG(seed, seed)), sheets, 0)
 	defer s.close()
 	s.kinds = s.faultKinds()
 	if asking {
-		s.kinds = append(s.kinds, s.askForPause, s.askForPause, s.askForPause, s.announceLeaving)
+		s.kinds = append(s.kinds, s.askForPause, s.askForPause, s.askForPause, s.announceLeaving, s.silenceWatches, s.silenceWatches)
 	}
 	defer s.startBusyProcesses(*busy)()
 	stalls := recordStalls()
@@ -136,7 +149,7 @@
 	end := time.Now().Add(40 * time.Second)
 	c := &client{site: s, rnd: s.rnd}
 	for _, r := range s.routers {
-		for _, kind := range []string{"sheet", "notice", "lookup"} {
+		for _, kind := range append([]string{"notice", "lookup"}, s.sheets...) {
 			for {
 				c.closeConn()
 				if rep := c.request(r, kind); rep.err == nil && rep.status == http.StatusOK {
