relay: checks after a peer's refusal are spread over the routers

All routers learn of a refusal at the same moment, and each asked a last holder for its report and health at once, also while it was full. The checks are now spread at random over 5 ms per router, at most one is scheduled for an engine, and it is dropped if the suspicion has ended. The test failed before with 400 checks in the same instant; it allows 40 within 50 ms.

--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -254,6 +254,7 @@
 		svc := r.config.Load().Service(b.Service)
 		return svc != nil && rel.Chooser.LastHolder(svc, b)
 	}
+	r.prober.RouterCount = r.exchange.RouterCount
 	r.prober.Now = time.Now
 	r.liveness = &liveness.Watcher{
 		Self:    r.settings.Router.Peers,
--- a/internal/protocol/relay/classify.go
+++ b/internal/protocol/relay/classify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,6 +22,10 @@
 	// health check gets none. Its entry may report the draining late, if the store is
 	// unavailable.
 	drainingEnginePeriod = 8 * time.Second
+	// peerCheckInterval is the mean time between two checks of an engine by different
+	// routers after one refusal. All routers learn of it at the same moment. At 27 routers
+	// the checks take an seventh of the shortest suspicion at most.
+	peerCheckInterval = 5 * time.Millisecond
 )
 
 // Refused implements SuspectTracker. An engine refuses requests while it is full, drains
@@ -99,12 +104,36 @@
 	if !p.Health.SuspectFromPeer(inc, until) {
 		return
 	}
-	if b := p.Catalog.Load().Find(inc); b != nil && p.isLastHolder(b) {
-		go p.checkPeerRefusal(b)
+	b := p.Catalog.Load().Find(inc)
+	if b == nil || !p.isLastHolder(b) || !p.scheduleCheck(inc) {
+		return
+	}
+	routers := 1
+	if p.RouterCount != nil {
+		routers = max(p.RouterCount(), 1)
 	}
+	time.AfterFunc(rand.N(time.Duration(routers)*peerCheckInterval), func() { p.checkPeerRefusal(b) })
+}
+
+// scheduleCheck records that an engine is to be checked. It returns false if that was recorded
+// before and the check has not begun.
+func (p *Prober) scheduleCheck(inc model.Incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.checkScheduled[inc] {
+		return false
+	}
+	p.checkScheduled[inc] = true
+	return true
 }
 
 func (p *Prober) checkPeerRefusal(b *model.BackendServer) {
+	p.mu.Lock()
+	delete(p.checkScheduled, b.Incarnation())
+	p.mu.Unlock()
+	if !p.Health.SuspicionLasts(b.Incarnation()) || !p.isLastHolder(b) {
+		return
+	}
 	checkedAt := p.Now()
 	s, err := p.checkState(b)
 	visible := err != nil || s.full || !s.healthy
--- a/internal/protocol/relay/classify_test.go
+++ b/internal/protocol/relay/classify_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,3 +130,39 @@
 		})
 	}
 }
+
+// Load: 400 routers learn of one refusal by a last holder in the same moment. Guards against as
+// many checks of the engine at once, while it may be full.
+func TestChecksAfterAPeersRefusalAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const routers, window = 400, 50 * time.Millisecond
+		server := model.BackendServer{ID: "e", Service: "s", Address: "1:1", Revision: 1}
+		began := time.Now()
+		var mu sync.Mutex
+		checks := map[time.Duration]int{}
+		for range routers {
+			p := NewProber()
+			p.Now = time.Now
+			p.Health = catalog.NewHealth(time.Now)
+			p.Catalog = catalog.New(time.Now)
+			p.Catalog.Put(server)
+			p.LastHolder = func(*model.BackendServer) bool { return true }
+			p.RouterCount = func() int { return routers }
+			p.Report = func(context.Context, *model.BackendServer) (model.EngineReport, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				checks[time.Since(began)/window]++
+				return model.EngineReport{UsedTokenLayers: 99, TotalTokenLayers: 100}, nil
+			}
+			p.HandlePeerRefusal(inc("e"), time.Now().Add(time.Second))
+		}
+		time.Sleep(3 * time.Second)
+		total := 0
+		for at, n := range checks {
+			assert.Check(t, n <= 40, "%d checks within %v after %v", n, window, at*window)
+			assert.Check(t, at*window <= time.Second, "checked after the refusal had expired")
+			total += n
+		}
+		assert.Assert(t, total > routers/8 && total < routers, "%d checks", total)
+	})
+}
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -38,7 +38,10 @@
 	// LastHolder reports whether new requests depend on an engine, so that the evidence
 	// against it is checked at once. It may be nil.
 	LastHolder func(b *model.BackendServer) bool
-	Now        func() time.Time
+	// RouterCount returns the number of routers, over which checks of one engine are spread.
+	// It may be nil.
+	RouterCount func() int
+	Now         func() time.Time
 
 	mu sync.Mutex
 	// exited holds the time at which an engine's exit was recorded: its process
@@ -47,6 +50,8 @@
 	exited      map[model.Incarnation]time.Time
 	suspects    map[model.Incarnation]*suspect
 	lastSuccess map[model.Incarnation]time.Time // time of the last successful probe
+	// checkScheduled holds the engines whose check after a peer's refusal has not begun.
+	checkScheduled map[model.Incarnation]bool
 }
 
 type suspect struct {
@@ -58,7 +63,7 @@
 
 // NewProber returns a prober without suspects. Its exported fields must be set before use.
 func NewProber() *Prober {
-	return &Prober{exited: map[model.Incarnation]time.Time{}, suspects: map[model.Incarnation]*suspect{}, lastSuccess: map[model.Incarnation]time.Time{}}
+	return &Prober{exited: map[model.Incarnation]time.Time{}, suspects: map[model.Incarnation]*suspect{}, lastSuccess: map[model.Incarnation]time.Time{}, checkScheduled: map[model.Incarnation]bool{}}
 }
 
 // Unreachable implements SuspectTracker. Unless the engine exited, the evidence becomes weak
