relay: refused path checks are handled as before without an interconnect limit

A refused path check at an engine that makes progress moved only one stream, also for services without a limited interconnect between failure domains. All their streams leave the engine again.

--- a/internal/coordination/chains/candidates.go
+++ b/internal/coordination/chains/candidates.go
@@ -34,7 +34,7 @@
 		switch {
 		case !view.Suspected:
 			l.add(b, card, view, 0)
-		case view.Evidence == catalog.Weak && c.countsWeakEvidence(l.spec):
+		case view.Evidence == catalog.Weak && c.CountsWeakEvidence(l.spec):
 			weak = append(weak, weakSuspect{server: b, card: card, view: view})
 		}
 	}
--- a/internal/coordination/chains/weak.go
+++ b/internal/coordination/chains/weak.go
@@ -25,10 +25,10 @@
 	view   catalog.View
 }
 
-// countsWeakEvidence reports whether engines under weak evidence may be used. Without it,
+// CountsWeakEvidence reports whether engines under weak evidence may be used. Without it,
 // another failure domain must take their requests, which a limited interconnect may not
 // allow. Elsewhere they are excluded like all suspects.
-func (c *Chooser) countsWeakEvidence(spec *model.EngineSpec) bool {
+func (c *Chooser) CountsWeakEvidence(spec *model.EngineSpec) bool {
 	return spec.InterconnectMbps > 0 && c.Catalog.Load().Domains() > 1
 }
 
@@ -81,7 +81,7 @@
 // LastHolder reports whether an engine is the only one that new requests could use for some
 // of its layers in its failure domain. It is false where weak evidence does not count.
 func (c *Chooser) LastHolder(svc *model.Service, b *model.BackendServer) bool {
-	if svc.Engine == nil || b.Holds.Len() <= 0 || b.Holds.To > svc.Engine.Layers || !c.countsWeakEvidence(svc.Engine) {
+	if svc.Engine == nil || b.Holds.Len() <= 0 || b.Holds.To > svc.Engine.Layers || !c.CountsWeakEvidence(svc.Engine) {
 		return false
 	}
 	held := make([]bool, svc.Engine.Layers)
--- a/internal/protocol/relay/path.go
+++ b/internal/protocol/relay/path.go
@@ -75,11 +75,11 @@
 // handleCheckRefusal handles a refused path check. server is the engine that it names, nil if
 // none. If that engine made progress for other streams since this one's event was due, it
 // may have unloaded or refused this stream only. Then this stream leaves it, and the
-// others stay.
+// others stay. Where weak evidence does not count, all streams leave.
 func (w *chainWatch) handleCheckRefusal(server *model.BackendServer, a detector.Assessment, err error) {
 	switch {
 	case server == nil:
-	case slices.Contains(a.Candidates, server.Incarnation()):
+	case slices.Contains(a.Candidates, server.Incarnation()) || !w.q.Chooser.CountsWeakEvidence(w.q.admitted.Service.Engine):
 		w.failEngine(server, err)
 	default:
 		w.q.Suspects.Refused(server, w.q.call.Attempt, http.StatusConflict, 0)
