relay: idle time does not count as part of a shortage

Without a forecast the Retry-After was the time since the last grant. After idle time, or before the first grant, a shortage that had just begun therefore gave 40 to 60 s, or a sixth to a third of the caller's time. The time is now bounded by the time since when the router meets the shortage. The test failed before with 59.66 s and passes with 1 to 1.6 s.

--- a/internal/coordination/forecast/returns.go
+++ b/internal/coordination/forecast/returns.go
@@ -47,8 +47,8 @@
 	return spread(r.reserve(priority, max(wait, MinReturn), interval, latest), wait, latest)
 }
 
-// DelayUnknown is like Delay without a forecast. age is the time since the last grant. As nothing
-// is known about the end of a shortage, it is assumed to last as long again as it has so far.
+// DelayUnknown is like Delay without a forecast. age is how long the shortage has lasted. As
+// nothing is known about its end, it is assumed to last as long again as it has so far.
 func (r *Returns) DelayUnknown(age, remaining time.Duration) time.Duration {
 	delay := min(max(age, unknownReturn), maxReturn*2/3)
 	return spread(delay+rand.N(delay/2), delay, latestReturn(remaining))
--- a/internal/protocol/relay/patience.go
+++ b/internal/protocol/relay/patience.go
@@ -109,12 +109,16 @@
 }
 
 // returnDelay returns when the caller of a refused request should return: when capacity for its
-// urgency is forecast that no other caller was told to return for.
-func (c *chainSearch) returnDelay() time.Duration {
+// urgency is forecast that no other caller was told to return for. since is when the shortage
+// began.
+func (c *chainSearch) returnDelay(since time.Time) time.Duration {
 	urgency := c.admitted.Urgency
 	interval, known := c.line.Forecast.Interval(urgency)
 	if !known {
-		return c.line.Returns.DelayUnknown(c.line.Forecast.Age(), c.remaining())
+		// Without requests nothing is granted either, so the last grant may be older than
+		// the shortage.
+		age := min(c.line.Forecast.Age(), c.Now().Sub(since))
+		return c.line.Returns.DelayUnknown(age, c.remaining())
 	}
 	expected, _ := c.line.Forecast.Wait(c.line.Ahead(c.waiter), urgency)
 	// If nothing is granted any more, the shortage may last as long again as it has so far.
--- a/internal/protocol/relay/patience_test.go
+++ b/internal/protocol/relay/patience_test.go
@@ -115,3 +115,25 @@
 		assert.Assert(t, took >= 200*time.Millisecond && took <= patience, "%v", took)
 	})
 }
+
+// Failure: a shortage begins after ten minutes without requests, or before any grant. Guards
+// against a Retry-After that counts the idle time as part of the shortage.
+func TestShortageAfterIdleTimeIsNotTakenForALongOne(t *testing.T) {
+	for _, grantedBefore := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLoadTest(t, time.Millisecond)
+			if grantedBefore {
+				out, _ := l.attempt(t.Context(), 0, "key0", time.Now().Add(callerDeadline))
+				assert.Equal(t, out.status, http.StatusOK)
+				time.Sleep(10 * time.Minute)
+			}
+			l.occupy(time.Minute)
+			for _, deadline := range []time.Time{{}, time.Now().Add(callerDeadline)} {
+				out, _ := l.attempt(t.Context(), 0, "key0", deadline)
+				seconds, err := strconv.ParseFloat(out.header.Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				assert.Assert(t, seconds >= 1 && seconds <= 1.6, "%v", seconds)
+			}
+		})
+	}
+}
--- a/internal/protocol/relay/shortage.go
+++ b/internal/protocol/relay/shortage.go
@@ -80,7 +80,7 @@
 		f = fault.New(fault.Overloaded, "no chain has capacity: %d requests waiting, waited %v, admitted %t, exhausted resource: %s, for %v",
 			c.WaitQueue.Len(), c.waitTime, c.admittedOnce, found.detail, c.Now().Sub(found.since))
 		if c.line != nil {
-			f.RetryAfter = c.returnDelay()
+			f.RetryAfter = c.returnDelay(found.since)
 		}
 	}
 	c.Observer.CapacityRefused(c.admitted.Service.Name, string(found.reason), c.admitted.Urgency)
