relay: requests that may have run take no returns

They end with 502 without a Retry-After, but each took a grant that a refused caller could have been told to return for. The test failed before with a delay of 5.3 s in place of 0.3 s.

--- a/internal/protocol/relay/patience_test.go
+++ b/internal/protocol/relay/patience_test.go
@@ -137,3 +137,24 @@
 		})
 	}
 }
+
+// Load: requests that an engine began to run find no capacity, and end with 502 and without a
+// Retry-After. Guards against giving out the grants that refused callers should return for.
+func TestBegunRequestsTakeNoReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, holder := newIncompleteStream()
+		s.Catalog.Put(holder)
+		s.admitted.Prioritized = true
+		s.admitted.WaitTarget = s.admitted.Route.TargetLatency
+		s.runs = 1
+		s.Usage.SetPeerUsage("peer", map[model.Incarnation]chains.Usage{holder.Incarnation(): {TokenLayers: 1e12}}, time.Hour)
+		line := s.WaitQueue.Line(s.admitted.Service.Name)
+		for range 5 {
+			time.Sleep(200 * time.Millisecond)
+			line.Granted(admission.Waiter{})
+			_, _, f := s.reserveChain(t.Context())
+			assert.Equal(t, string(f.Kind), "overloaded")
+		}
+		assert.Equal(t, line.Returns.Delay(0, 300*time.Millisecond, time.Second, time.Hour), 300*time.Millisecond)
+	})
+}
--- a/internal/protocol/relay/shortage.go
+++ b/internal/protocol/relay/shortage.go
@@ -79,7 +79,7 @@
 	default:
 		f = fault.New(fault.Overloaded, "no chain has capacity: %d requests waiting, waited %v, admitted %t, exhausted resource: %s, for %v",
 			c.WaitQueue.Len(), c.waitTime, c.admittedOnce, found.detail, c.Now().Sub(found.since))
-		if c.line != nil {
+		if c.line != nil && c.runs == 0 { // otherwise it ends without a Retry-After
 			f.RetryAfter = c.returnDelay(found.since)
 		}
 	}
