relay: a refusal is not weak evidence if the health check is not answered

The check returns healthy together with an error, and a last holder whose health check was not answered stayed in use. Such a refusal is strong evidence again. The two new cases of the test failed before.

--- a/internal/protocol/relay/classify.go
+++ b/internal/protocol/relay/classify.go
@@ -56,6 +56,10 @@
 	healthErr error
 }
 
+// unexplained reports whether the state shows no cause of a refusal. A health check that the
+// engine does not answer may be one.
+func (s engineState) unexplained() bool { return !s.full && s.healthy && s.healthErr == nil }
+
 // checkState asks an engine for its state. It returns an error if there is no report.
 func (p *Prober) checkState(b *model.BackendServer) (engineState, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
@@ -87,10 +91,10 @@
 		period = p.Health.NextSuspicionPeriod(b.Incarnation())
 	}
 	until := p.Now().Add(period)
-	if s.full || !s.healthy {
-		p.Health.RecordRefusal(b.Incarnation(), until, !s.full)
-	} else {
+	if s.unexplained() {
 		p.Health.RecordUnexplainedRefusal(b.Incarnation(), until)
+	} else {
+		p.Health.RecordRefusal(b.Incarnation(), until, !s.full)
 	}
 	p.AnnounceRefusal(b.Incarnation(), until)
 	klog.InfoS("engine refused request", "request", request, "server", b.Incarnation(), "address", b.Address, "status", status, "full", s.full, "well", s.healthy, "err", s.healthErr,
@@ -136,9 +140,9 @@
 	}
 	checkedAt := p.Now()
 	s, err := p.checkState(b)
-	visible := err != nil || s.full || !s.healthy
-	if !visible {
+	weak := err == nil && s.unexplained()
+	if weak {
 		p.Health.RecordOwnCheck(b.Incarnation(), checkedAt)
 	}
-	klog.InfoS("last holder that refused a request of a peer was checked", "server", b.Incarnation(), "address", b.Address, "full", s.full, "well", s.healthy, "err", err, "weak", !visible)
+	klog.InfoS("last holder that refused a request of a peer was checked", "server", b.Incarnation(), "address", b.Address, "full", s.full, "well", s.healthy, "err", err, "weak", weak)
 }
--- a/internal/protocol/relay/classify_test.go
+++ b/internal/protocol/relay/classify_test.go
@@ -28,28 +28,31 @@
 		raise                               func(p *Prober, a *fakeEngine)
 		load                                model.EngineReport
 		unresponsive, unhealthy, lastHolder bool
+		healthErr                           error
 		after                               time.Duration
 		want                                catalog.Evidence
 	}{
-		"failed request, not probed yet":          {raise: unreachable, after: probeInterval / 2, want: catalog.Unanswered},
-		"failed request, answers a probe":         {raise: unreachable, after: 2 * probeInterval, want: catalog.Weak},
-		"failed request at a last holder":         {raise: unreachable, lastHolder: true, after: probeInterval / 2, want: catalog.Weak},
-		"failed request, silent":                  {raise: unreachable, lastHolder: true, unresponsive: true, after: time.Minute, want: catalog.Unanswered},
-		"exit":                                    {raise: func(p *Prober, a *fakeEngine) { p.Unreachable(a.server, "", errExited) }, lastHolder: true, after: 2 * probeInterval, want: catalog.Strong},
-		"refusal without cause":                   {raise: refused, load: roomy, after: 10 * time.Millisecond, want: catalog.Weak},
-		"refusal of a full engine":                {raise: refused, load: full, after: 10 * time.Millisecond, want: catalog.Strong},
-		"refusal of a leaving engine":             {raise: refused, load: roomy, unhealthy: true, after: 10 * time.Millisecond, want: catalog.Strong},
-		"refusal, silent":                         {raise: refused, unresponsive: true, after: 10 * time.Millisecond, want: catalog.Unanswered},
-		"peer's refusal":                          {raise: refusedPeer, load: roomy, after: 10 * time.Millisecond, want: catalog.Strong},
-		"peer's refusal by a last holder":         {raise: refusedPeer, load: roomy, lastHolder: true, after: 10 * time.Millisecond, want: catalog.Weak},
-		"peer's refusal by a full last holder":    {raise: refusedPeer, load: full, lastHolder: true, after: 10 * time.Millisecond, want: catalog.Strong},
-		"peer's refusal by a leaving last holder": {raise: refusedPeer, load: roomy, unhealthy: true, lastHolder: true, after: 10 * time.Millisecond, want: catalog.Strong},
-		"peer's refusal by a silent last holder":  {raise: refusedPeer, unresponsive: true, lastHolder: true, after: 10 * time.Millisecond, want: catalog.Strong},
-		"peer's suspicion, silent":                {raise: func(p *Prober, _ *fakeEngine) { p.HandlePeerSuspicion(inc("e")) }, unresponsive: true, after: 10 * time.Millisecond, want: catalog.Unanswered},
+		"failed request, not probed yet":            {raise: unreachable, after: probeInterval / 2, want: catalog.Unanswered},
+		"failed request, answers a probe":           {raise: unreachable, after: 2 * probeInterval, want: catalog.Weak},
+		"failed request at a last holder":           {raise: unreachable, lastHolder: true, after: probeInterval / 2, want: catalog.Weak},
+		"failed request, silent":                    {raise: unreachable, lastHolder: true, unresponsive: true, after: time.Minute, want: catalog.Unanswered},
+		"exit":                                      {raise: func(p *Prober, a *fakeEngine) { p.Unreachable(a.server, "", errExited) }, lastHolder: true, after: 2 * probeInterval, want: catalog.Strong},
+		"refusal without cause":                     {raise: refused, load: roomy, after: 10 * time.Millisecond, want: catalog.Weak},
+		"refusal of a full engine":                  {raise: refused, load: full, after: 10 * time.Millisecond, want: catalog.Strong},
+		"refusal of a leaving engine":               {raise: refused, load: roomy, unhealthy: true, after: 10 * time.Millisecond, want: catalog.Strong},
+		"refusal, silent":                           {raise: refused, unresponsive: true, after: 10 * time.Millisecond, want: catalog.Unanswered},
+		"peer's refusal":                            {raise: refusedPeer, load: roomy, after: 10 * time.Millisecond, want: catalog.Strong},
+		"peer's refusal by a last holder":           {raise: refusedPeer, load: roomy, lastHolder: true, after: 10 * time.Millisecond, want: catalog.Weak},
+		"peer's refusal by a full last holder":      {raise: refusedPeer, load: full, lastHolder: true, after: 10 * time.Millisecond, want: catalog.Strong},
+		"peer's refusal by a leaving last holder":   {raise: refusedPeer, load: roomy, unhealthy: true, lastHolder: true, after: 10 * time.Millisecond, want: catalog.Strong},
+		"peer's refusal by a silent last holder":    {raise: refusedPeer, unresponsive: true, lastHolder: true, after: 10 * time.Millisecond, want: catalog.Strong},
+		"refusal, health check not answered":        {raise: refused, load: roomy, healthErr: errors.New("timeout"), after: 10 * time.Millisecond, want: catalog.Strong},
+		"peer's refusal, health check not answered": {raise: refusedPeer, load: roomy, lastHolder: true, healthErr: errors.New("timeout"), after: 10 * time.Millisecond, want: catalog.Strong},
+		"peer's suspicion, silent":                  {raise: func(p *Prober, _ *fakeEngine) { p.HandlePeerSuspicion(inc("e")) }, unresponsive: true, after: 10 * time.Millisecond, want: catalog.Unanswered},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runProber(t, func(p *Prober, a *fakeEngine) {
-				a.load, a.unhealthy, a.unresponsive = c.load, c.unhealthy, c.unresponsive
+				a.load, a.unhealthy, a.unresponsive, a.healthErr = c.load, c.unhealthy, c.unresponsive, c.healthErr
 				p.LastHolder = func(*model.BackendServer) bool { return c.lastHolder }
 				time.Sleep(time.Millisecond)
 				c.raise(p, a)
--- a/internal/protocol/relay/prober_test.go
+++ b/internal/protocol/relay/prober_test.go
@@ -24,6 +24,7 @@
 	announced    int // announcements to peers
 	load         model.EngineReport
 	unhealthy    bool
+	healthErr    error
 	server       *model.BackendServer
 }
 
@@ -40,7 +41,7 @@
 }
 
 func (a *fakeEngine) healthy(context.Context, *model.BackendServer) (bool, error) {
-	return !a.unhealthy, nil
+	return !a.unhealthy, a.healthErr
 }
 
 func (a *fakeEngine) announce(model.Incarnation, time.Time) {
