catalog: a check after a peer's refusal weakens no other strong evidence

A last holder that was found with wrong layers before the check of a peer's refusal became weak evidence, because neither its report nor its health check shows that. The health record now keeps whether only peers' refusals are behind the strong evidence.

--- a/internal/coordination/catalog/evidence.go
+++ b/internal/coordination/catalog/evidence.go
@@ -42,6 +42,8 @@
 type evidenceKinds struct {
 	strongUntil     time.Time
 	unansweredUntil time.Time
+	// peersOnly is set if only refusals of other routers' requests are behind strongUntil.
+	peersOnly bool
 
 	failures  int       // consecutive failures on weak evidence
 	failedAt  time.Time // when the last one was counted
@@ -52,6 +54,9 @@
 // raise records evidence that lasts until the given time.
 func (k *evidenceKinds) raise(kind Evidence, until time.Time) {
 	k.attempted = false
+	if kind == Strong {
+		k.peersOnly = false
+	}
 	switch {
 	case kind == Strong && until.After(k.strongUntil):
 		k.strongUntil = until
@@ -119,10 +124,10 @@
 
 // RecordOwnCheck records that a backend server that refused a request of another router
 // is healthy and has capacity, as checked by this router from checkedAt on. The refusal
-// lasts, as weak evidence.
+// lasts, as weak evidence, unless there is other strong evidence.
 func (h *Health) RecordOwnCheck(inc model.Incarnation, checkedAt time.Time) {
 	h.update(inc, func(r *record) {
-		if checkedAt.Before(r.evidenceAt) || r.kinds.failures >= maxWeakFailures {
+		if checkedAt.Before(r.evidenceAt) || !r.kinds.peersOnly || r.kinds.failures >= maxWeakFailures {
 			return
 		}
 		r.refusal = Weak
--- a/internal/coordination/catalog/evidence_test.go
+++ b/internal/coordination/catalog/evidence_test.go
@@ -81,3 +81,33 @@
 		assert.Assert(t, h.Suspected(inc("a")), name)
 	}
 }
+
+// A check after a peer's refusal must not weaken strong evidence of this router, whether it
+// came before the refusal or between it and the check: layers that an engine does not hold show
+// in neither its report nor its health check.
+func TestOwnCheckWeakensOnlyAPeersRefusal(t *testing.T) {
+	refusePeer := func(h *Health, now time.Time) { h.SuspectFromPeer(inc("a"), now.Add(2*time.Second)) }
+	refusePeerAgain := func(h *Health, now time.Time) { h.SuspectFromPeer(inc("a"), now.Add(3*time.Second)) }
+	wrongLayers := func(h *Health, _ time.Time) { h.Suspect(inc("a")) }
+	failed := func(h *Health, _ time.Time) { h.SuspectOn(inc("a"), Unanswered) }
+	for name, c := range map[string]struct {
+		events []func(h *Health, now time.Time)
+		want   Evidence
+	}{
+		"peer":                            {[]func(*Health, time.Time){refusePeer}, Weak},
+		"two peers":                       {[]func(*Health, time.Time){refusePeer, refusePeerAgain}, Weak},
+		"peer, failed":                    {[]func(*Health, time.Time){refusePeer, failed}, Weak},
+		"peer, wrong layers":              {[]func(*Health, time.Time){refusePeer, wrongLayers}, Strong},
+		"wrong layers, peer":              {[]func(*Health, time.Time){wrongLayers, refusePeer}, Strong},
+		"peer, wrong layers, second peer": {[]func(*Health, time.Time){refusePeer, wrongLayers, refusePeerAgain}, Strong},
+	} {
+		at, now := clock()
+		h := NewHealth(now)
+		for _, event := range c.events {
+			event(h, *at)
+			*at = at.Add(10 * time.Millisecond)
+		}
+		h.RecordOwnCheck(inc("a"), *at)
+		assert.Check(t, h.View(inc("a")).Evidence == c.want, "%s: %v", name, h.View(inc("a")).Evidence)
+	}
+}
--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -149,6 +149,7 @@
 			return
 		}
 		strengthened = r.evidence(now) <= Weak
+		peersOnly := strengthened || r.kinds.peersOnly && now.Before(r.suspectedUntil)
 		if !now.Before(r.suspectedUntil) {
 			r.failureCount++
 		}
@@ -157,6 +158,7 @@
 		r.refusesUntil = until
 		r.refusal = Strong
 		r.kinds.raise(Strong, until)
+		r.kinds.peersOnly = peersOnly
 	})
 	return strengthened
 }
