--- a/internal/coordination/follow/silent_test.go
+++ b/internal/coordination/follow/silent_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/platform/standin"
@@ -209,3 +211,43 @@
 		assert.Equal(t, store.Calls().Reads-before, 1)
 	})
 }
+
+// Silent watches, commits and restores between the other faults. Once they are over, every
+// router must have the store's contents.
+func TestRoutersConvergeAfterRandomSilence(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		domains, each := rapid.IntRange(1, 3).Draw(rt, "domains"), rapid.IntRange(1, 4).Draw(rt, "each")
+		var steps []func(f *fleet)
+		for range rapid.IntRange(5, 40).Draw(rt, "steps") {
+			step, n := drawStep(rt, domains*each), rapid.IntRange(0, domains*each-1).Draw(rt, "committer")
+			unanswered := rapid.Bool().Draw(rt, "unanswered")
+			switch rapid.IntRange(0, 5).Draw(rt, "silence") {
+			case 0:
+				step = func(f *fleet) {
+					f.store.SetFaults(standin.StoreFaults{SilentWatches: true, UnansweredWatches: unanswered})
+				}
+			case 1, 2:
+				step = func(f *fleet) { f.commit(f.nodes[n], "plan", fmt.Sprint(f.clock())) }
+			case 3:
+				step = func(f *fleet) { f.restore(f.store.Snapshot(), 300*time.Millisecond) }
+			}
+			steps = append(steps, step)
+		}
+		synctest.Test(t, func(*testing.T) {
+			f := newFleet(domains, each)
+			defer f.stop()
+			for _, step := range steps {
+				step(f)
+			}
+			f.heal()
+			f.store.Put("last", []byte("1"))
+			time.Sleep(8 * time.Second)
+			for _, n := range f.nodes {
+				if d := f.differs(n); d != "" {
+					t.Error(d)
+					rt.Error(d)
+				}
+			}
+		})
+	})
+}
