follow: routers stay with their watcher if no watcher has a known revision

A router that polled a watcher left it after about a second if it lacked a known revision, also if all watchers lacked it, and then turned to the store. They now ask the watchers of all failure domains first, and stay for 3 s if none has newer contents.

--- a/internal/coordination/follow/acknowledged.go
+++ b/internal/coordination/follow/acknowledged.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
@@ -83,13 +84,32 @@
 	f.disproved, f.disprovedUntil = advertised, f.Clock()+disprovedRetention
 }
 
-// isPeerAhead asks the routers that this one would poll whether one has newer contents. A
-// router that advertises an acknowledged revision need not have its contents: if the store
-// fails right after a commit, all routers may lack them. It returns true if none of them
-// answers, because a large answer may be slow.
-func (f *Follower) isPeerAhead(ctx context.Context) bool {
+// undeliveredRetention is how long a polled watcher may lack a revision that no watcher has.
+// Then the watchers are asked again.
+const undeliveredRetention = 3 * time.Second
+
+// isUndelivered reports whether no watcher has newer contents than this process. It then stays
+// with the watcher that it polls although that one lacks a known revision: if all routers turned
+// to the store, they would use up its call quota.
+func (f *Follower) isUndelivered(ctx context.Context) bool {
+	known := f.targetRevision()
+	if f.isPeerAhead(ctx, f.Picker.Watchers()) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	klog.InfoS("no watcher has a known revision", "source", f.source.Address, "revision", f.Revision(), "known", known)
+	f.undelivered, f.undeliveredUntil = known, f.Clock()+limits.Jitter(undeliveredRetention)
+	return true
+}
+
+// isPeerAhead asks routers whether one has newer contents. A router that advertises an
+// acknowledged revision need not have its contents: if the store fails right after a commit, all
+// routers may lack them. It returns true if none of them answers, because a large answer may be
+// slow.
+func (f *Follower) isPeerAhead(ctx context.Context, addrs []string) bool {
 	answered := false
-	for _, addr := range f.Picker.Peers() {
+	for _, addr := range addrs {
 		pollCtx, cancel := context.WithTimeout(ctx, minPollMargin)
 		updates, err := f.PollPeer(pollCtx, addr, f.Revision(), 0)
 		cancel()
--- a/internal/coordination/follow/fleet_model_test.go
+++ b/internal/coordination/follow/fleet_model_test.go
@@ -62,6 +62,7 @@
 	knowsRouters bool
 	registered   int // routers, as the store says
 	reads        int // of the whole range
+	storeCalls   int // reads of the range and watches, failed ones included
 	readTime     time.Duration
 }
 
@@ -245,6 +246,7 @@
 }
 
 func (n *node) Range(ctx context.Context, prefix string) (platform.Page, error) {
+	n.set(func() { n.storeCalls++ })
 	if err := n.checkReachable(ctx); err != nil {
 		return platform.Page{}, err
 	}
@@ -254,6 +256,7 @@
 }
 
 func (n *node) Watch(ctx context.Context, prefix string, after model.Revision, timeout time.Duration) (platform.Page, error) {
+	n.set(func() { n.storeCalls++ })
 	ctx, cancel := context.WithTimeout(ctx, timeout+time.Second)
 	defer cancel()
 	if err := n.checkReachable(ctx); err != nil {
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -130,7 +130,11 @@
 	otherCallFailed bool               // another call to the store was not answered
 	disproved       model.Revision     // advertised by a peer, but a read of the range showed that it did not exist
 	disprovedUntil  time.Duration      // until when disproved is ignored
-	wakeLagCheck    chan struct{}
+	// undelivered is a known revision that no watcher has. Until undeliveredUntil, a polled
+	// watcher may lack it.
+	undelivered      model.Revision
+	undeliveredUntil time.Duration
+	wakeLagCheck     chan struct{}
 
 	// applying is held while updates are applied. Large values arrive beside the polling.
 	applying    sync.Mutex
@@ -219,6 +223,8 @@
 			continue
 		case errors.Is(err, errUnconfirmed):
 			continue
+		case errors.Is(err, errPeerLags) && f.isUndelivered(ctx):
+			continue
 		case !f.source.IsStore():
 			klog.InfoS("polling peer for store updates failed", "peer", f.source.Address, "err", err, "revision", f.Revision())
 			f.Picker.MarkFailed(f.source)
@@ -228,7 +234,7 @@
 			f.synced = false
 			continue
 		}
-		if f.Picker != nil && f.countStoreFailure() && f.isPeerAhead(ctx) {
+		if f.Picker != nil && f.countStoreFailure() && f.isPeerAhead(ctx, f.Picker.Peers()) {
 			// Peers hear from the store, so only this process is cut off. During an
 			// outage for all, the source stays: the routers that poll this one would
 			// otherwise all turn to the store.
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -53,12 +53,13 @@
 // contents.
 func (f *Follower) eraOutdated() bool { return f.targetRevision().Era() > f.Revision().Era() }
 
-// isLagging reports whether this process has lacked a known revision for longer than updates take to propagate. While changes follow each other, some peer is always ahead, so
-// the time counts from one revision until that revision is here. The caller holds f.mu.
+// isLagging reports whether this process has lacked a known revision for longer than updates
+// take to propagate. While changes follow each other, some peer is always ahead, so the time
+// counts from one revision until that revision is here. The caller holds f.mu.
 func (f *Follower) isLagging() bool {
 	now, known := f.Clock(), f.knownRevision()
 	switch {
-	case known <= f.Revision():
+	case known <= f.Revision(), !f.source.IsStore() && known <= f.undelivered && now < f.undeliveredUntil:
 		f.laggingSince = 0
 		return false
 	case f.source.IsStore() && known.Era() > f.Revision().Era():
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -29,10 +29,12 @@
 // errPeerStarting reports that a peer reads the store for the first time.
 var errPeerStarting = errors.New("peer has no contents yet")
 
-// errPeerStale reports that a peer's revision is lower than that of this process, or
-// not higher though other peers are ahead.
+// errPeerStale reports that a peer's revision is lower than that of this process.
 var errPeerStale = errors.New("peer's revision is outdated")
 
+// errPeerLags reports that a peer lacks a revision that is known to be in force.
+var errPeerLags = errors.New("peer lacks a known revision")
+
 // WaitForUpdates returns the updates after a revision. If there are none, it waits for
 // some until timeout or peerPollTimeout, and returns an answer without items. It
 // returns ErrNotWatching if this process does not watch the store: two routers that
@@ -86,8 +88,10 @@
 		return errPeerStarting
 	case updates.Revision < after && !urgent && f.toleratesStale(sentAt):
 		return nil
-	case updates.Revision < after || urgent && updates.Revision == after && !f.awaitPeer() || updates.Age < 0 || updates.Elapsed < 0:
+	case updates.Revision < after || updates.Age < 0 || updates.Elapsed < 0:
 		return errors.WithMessagef(errPeerStale, "peer at revision %d, this process at %d", updates.Revision, after)
+	case urgent && updates.Revision == after && !f.awaitPeer():
+		return errors.WithMessagef(errPeerLags, "peer at revision %d, known %d", updates.Revision, f.targetRevision())
 	}
 	f.applying.Lock()
 	defer f.applying.Unlock()
--- a/internal/coordination/follow/picker.go
+++ b/internal/coordination/follow/picker.go
@@ -100,6 +100,17 @@
 	return append(out, slices.DeleteFunc(p.remoteWatchers(domains), p.isAvoided)...)
 }
 
+// Watchers returns the other routers that watch the store, over all failure domains, without
+// those that failed.
+func (p *Picker) Watchers() []string {
+	var out []string
+	for _, addrs := range p.watchers() {
+		out = append(out, addrs...)
+	}
+	sortByHash(out, p.Self)
+	return slices.DeleteFunc(out, func(addr string) bool { return addr == p.Self || p.isAvoided(addr) })
+}
+
 // PickForStart returns the source of the first contents. All routers may ask for them at once,
 // so a watcher must have a wide link.
 func (p *Picker) PickForStart() Source {
--- a/internal/coordination/follow/silent_test.go
+++ b/internal/coordination/follow/silent_test.go
@@ -177,6 +177,36 @@
 	}
 }
 
+// The store no longer responds, or only slowly, after a commit that no watch delivered. All
+// routers know of the revision and no watcher has it. Routers that poll a watcher must not turn
+// to the store for it.
+func TestUndeliveredCommitCausesNoCallsOfOtherRouters(t *testing.T) {
+	for _, faults := range []standin.StoreFaults{{Unresponsive: true}, {SilentWatches: true, Delay: time.Second}} {
+		inFleet(t, 3, 8, func(t *testing.T, f *fleet) {
+			watchers := f.watchers()
+			calls := func() (n int) {
+				for _, node := range f.nodes {
+					if !watchers[node] {
+						node.set(func() { n += node.storeCalls })
+					}
+				}
+				return n
+			}
+			f.store.SetFaults(silentFaults["answered"])
+			f.commit(f.nodes[0], "plan", "1")
+			f.store.SetFaults(faults)
+			before := calls()
+			time.Sleep(20 * time.Second)
+			assert.Equal(t, calls(), before, "%+v", faults)
+			f.store.SetFaults(standin.StoreFaults{})
+			time.Sleep(4 * time.Second)
+			for _, n := range f.nodes {
+				assert.Equal(t, f.differs(n), "")
+			}
+		})
+	}
+}
+
 // The store is restored from a copy that lacks an acknowledged commit. The revision is of an
 // earlier era, so it must cause no more reads than the restore itself.
 func TestRestoreWithoutAnAcknowledgedCommit(t *testing.T) {
