placement: a new leader expects the load of a busy engine to end in time

A router that had seen its failure domain complete and became the leader while a restarted engine loaded its range got the answer that the engine is busy, took the end of the load as unknown, and extended both neighbors at once: three loads in place of one. It now expects the load to take the usual time.

--- a/internal/coordination/placement/coverage_run_test.go
+++ b/internal/coordination/placement/coverage_run_test.go
@@ -137,6 +137,38 @@
 	})
 }
 
+// The leader is lost while a restarted engine loads its range. The next leader has seen the
+// domain complete before, and must not extend other engines over layers that load in time.
+func TestNextLeaderExtendsNothingBesideALoadInProgress(t *testing.T) {
+	runCluster(t, func(t *testing.T, s *domainCluster) {
+		leads, token := false, s.c.FencingToken
+		next := &Controller{Config: s.c.Config, Catalog: s.c.Catalog, Store: s.c.Store, Engines: s, Now: s.c.Now, OnFenced: s.c.OnFenced,
+			HasTraffic: s.c.HasTraffic, StreamCount: s.c.StreamCount, FencingToken: func() model.Revision {
+				if !leads {
+					return 0
+				}
+				return token()
+			}}
+		planned := s.plan()
+		next.ObservePlan("s", encodePlan(t, planned), s.c.plans["s"].revision)
+		next.Tick(context.Background())
+		s.mu.Lock()
+		s.born["a03"]++
+		s.orders["a03"] = 0
+		s.mu.Unlock()
+		s.register("a03", "a03", "a", "large", model.LayerRange{})
+		next.Tick(context.Background())
+		s.run(2 * controlTick)
+		next.Tick(context.Background())
+		assert.Equal(t, s.loads, 1)
+		leads, s.c = true, next
+		s.run(6 * time.Second)
+		s.checkWhole()
+		assert.Equal(t, s.loads, 1)
+		assert.Assert(t, equalPlans(planned, s.plan()))
+	})
+}
+
 // silentStore accepts no plan while silent is set.
 type silentStore struct {
 	*standin.Store
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -206,7 +206,7 @@
 		return
 	}
 	if report.Busy {
-		c.delayBusy(b.Incarnation(), want)
+		c.delayBusy(svc, b, want)
 		return
 	}
 	if !c.mayRepeat(b, want, report) {
@@ -263,9 +263,16 @@
 	c.pending[inc] = order{want: want, deadline: c.Now().Add(d), idle: true} // not sent
 }
 
-// delayBusy delays the next order to an engine that is carrying out another one.
-func (c *Controller) delayBusy(inc model.Incarnation, want model.LayerRange) {
+// delayBusy delays the next order to an engine that is carrying out another one. That is
+// probably the same order of the previous leader, so the engine is expected to hold the range
+// in time.
+func (c *Controller) delayBusy(svc *model.Service, b *model.BackendServer, want model.LayerRange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending[inc] = order{want: want, deadline: c.Now().Add(orderRetryDelay)} // not sent
+	now := c.Now()
+	o := order{want: want, deadline: now.Add(orderRetryDelay)} // not sent
+	if extends(want, b.Holds) {
+		o.readyAt = now.Add(loadTime(svc.Engine, addedLayers(want, b.Holds)))
+	}
+	c.pending[b.Incarnation()] = o
 }
