placement: undo an extension only if another engine holds the layers that stay

An engine that unloads accepts no streams until its running ones have left. If it was the last holder of the layers that it kept, its failure domain lacked them meanwhile. The test of undone extensions now has a second holder of these layers, and checks that nothing changes without it.

--- a/internal/coordination/placement/coverage_test.go
+++ b/internal/coordination/placement/coverage_test.go
@@ -85,7 +85,8 @@
 	})
 }
 
-// An undone extension must leave two holders of each layer.
+// An undone extension must leave two holders of the layers that the engine gives up, and
+// another holder of those that it keeps, since it accepts no streams until it has unloaded.
 func TestUndoKeepsTwoHolders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d, plan := drawCoverage(t)
@@ -103,6 +104,11 @@
 		for l, n := range Coverage(d.spec, plan, d.plannerEngines()) {
 			assert.Assert(t, after[l] == n || after[l] >= 2, "layer %d", l)
 		}
+		for addr, held := range next {
+			for l := held.From; held != plan[addr] && l < held.To; l++ {
+				assert.Assert(t, after[l] >= 2, "layer %d is held by no other engine than %s", l, addr)
+			}
+		}
 	})
 }
 
@@ -189,7 +195,11 @@
 	spare.Address = "spare"
 	plan["spare"] = model.LayerRange{From: 21, To: 28}
 	spare.held = plan["spare"]
-	d.engines = append(d.engines, spare)
+	kept := d.engines[2]
+	kept.Address = "kept"
+	plan["kept"] = model.LayerRange{From: 14, To: 21}
+	kept.held = plan["kept"]
+	d.engines = append(d.engines, spare, kept)
 	extended := clonePlan(plan)
 	extended["a02"] = model.LayerRange{From: 14, To: 25}
 	d.engines[2].held = extended["a02"]
@@ -202,7 +212,10 @@
 	next, changed := d.undoExtension(extended, previous)
 	assert.Assert(t, changed)
 	assert.Equal(t, next["a02"], plan["a02"])
-	d.engines = d.engines[:12]
+	d.engines = d.engines[:13]
+	_, changed = d.undoExtension(extended, previous)
+	assert.Assert(t, !changed, "[14,21) would have no holder until the engine has unloaded")
+	d.engines = append(d.engines[:12], kept)
 	_, changed = d.undoExtension(extended, previous)
 	assert.Assert(t, !changed, "[21,25) would have one holder")
 	updateExtended(previous, extended, next)
--- a/internal/coordination/placement/second_holder.go
+++ b/internal/coordination/placement/second_holder.go
@@ -43,7 +43,8 @@
 }
 
 // undoExtension gives one extended engine its previous range back. The engine must use over
-// half of its token memory, and the layers that it gives up must keep two holders.
+// half of its token memory, the layers that it gives up must keep two holders, and those that
+// it keeps must have another one.
 // previous maps the addresses of extended engines to their ranges before.
 func (d domainCoverage) undoExtension(plan, previous Plan) (next Plan, changed bool) {
 	if !d.settled(plan) {
@@ -80,10 +81,12 @@
 	return e.usedTokenLayers > undoUsedShare*total
 }
 
-// keepsTwoHolders reports whether each layer that an engine gives up has two other holders.
+// keepsTwoHolders reports whether each layer that an engine gives up has two other holders, and
+// each one that it keeps another holder: the engine accepts no streams until it has unloaded.
 func keepsTwoHolders(counts []int, planned, before model.LayerRange) bool {
 	for l := planned.From; l < planned.To; l++ {
-		if !contains(before, l) && counts[l] < 3 {
+		others := counts[l] - 1
+		if others < 1 || !contains(before, l) && others < 2 {
 			return false
 		}
 	}
