placement: count loads that engines may carry out; drop state of departed engines

An order counted as a load whenever it became due, also while its engine refused it: 122 counted for 2 loads in two minutes, which admitted further extensions. Extensions of engines whose range another one took were counted forever, and a refusal or delay recorded after its engine had left was never removed.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -145,7 +146,8 @@
 	now := c.Now()
 	var out []*model.BackendServer
 	present := map[model.Incarnation]bool{}
-	for _, b := range c.Catalog.Load().Service(svc.Name) {
+	listed := c.Catalog.Load()
+	for _, b := range listed.Service(svc.Name) {
 		present[b.Incarnation()] = true
 		if _, ok := svc.Engine.Card(b.Card); !ok {
 			c.recordAppearance(b, now, "card is not configured")
@@ -165,6 +167,9 @@
 			delete(c.refusals, inc)
 		}
 	}
+	// The answer to an order may arrive after its engine has left.
+	maps.DeleteFunc(c.pending, func(inc model.Incarnation, _ order) bool { return listed.Find(inc) == nil })
+	maps.DeleteFunc(c.refusals, func(inc model.Incarnation, _ refusal) bool { return listed.Find(inc) == nil })
 	return out
 }
 
--- a/internal/coordination/placement/coverage_control.go
+++ b/internal/coordination/placement/coverage_control.go
@@ -199,7 +199,7 @@
 	return true
 }
 
-// countLoad counts an order that is about to be sent. Loads in failure domains that have
+// countLoad counts an order that an engine may carry out. Loads in failure domains that have
 // not been complete belong to the start of the deployment and do not count.
 func (c *Controller) countLoad(service string, b *model.BackendServer, want model.LayerRange) {
 	switch {
@@ -229,13 +229,13 @@
 }
 
 // logChanges logs the ranges in which a stored plan differs from the previous one. Planned
-// extra loads that are not in it are dropped.
+// extra loads that are not in it, or in the plan of another service, are dropped.
 func (c *Controller) logChanges(service string, before, after Plan) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	maps.DeleteFunc(c.extraPlanned, func(addr string, held model.LayerRange) bool {
 		planned, ok := after[addr]
-		return ok && planned != held
+		return ok && planned != held || !ok && !c.isPlanned(addr)
 	})
 	for _, addr := range slices.Sorted(maps.Keys(after)) {
 		old, ok := before[addr]
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -127,9 +127,6 @@
 			o.readyAt = now.Add(time.Duration(float64(loadTime(svc.Engine, addedLayers(want, b.Holds))) * contention))
 		}
 		c.pending[b.Incarnation()] = o
-		if alone {
-			c.countLoad(svc.Name, b, want)
-		}
 	}
 	return due
 }
@@ -223,7 +220,7 @@
 		"token", token, "expected", report.OrderCount, "result", int(result), "err", err)
 	switch result {
 	case OrderAccepted, OrderUnknown:
-		c.markSent(b.Incarnation())
+		c.markSent(svc, b, want)
 	case OrderFenced:
 		c.OnFenced(token)
 	case OrderRefused, OrderMisdirected:
@@ -248,12 +245,15 @@
 }
 
 // markSent records that the engine may carry out its pending order.
-func (c *Controller) markSent(inc model.Incarnation) {
+func (c *Controller) markSent(svc *model.Service, b *model.BackendServer, want model.LayerRange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o, ok := c.pending[inc]; ok {
+	if o, ok := c.pending[b.Incarnation()]; ok {
 		o.sent = true
-		c.pending[inc] = o
+		c.pending[b.Incarnation()] = o
+	}
+	if c.servesAlone(svc) {
+		c.countLoad(svc.Name, b, want)
 	}
 }
 
