placement: withhold extensions for which an engine lacks memory by its own report

Extensions kept the token memory that routers had reported as used. That may be seconds old, and a router that has just started knows nothing, so that it could order a full engine to load layers into the memory of its streams. The report that is read before each order now decides as well.

--- a/internal/coordination/placement/coverage_cluster_test.go
+++ b/internal/coordination/placement/coverage_cluster_test.go
@@ -23,6 +23,7 @@
 	refuse  map[string]OrderResult
 	late    map[string]time.Duration // delay of orders, by address
 	busy    map[string]bool          // by ID
+	used    map[string]float64       // token memory, by ID, which the engine reports
 	running int
 	missing map[string]time.Duration // by domain and layer, as long as it lasts
 	longest map[string]time.Duration
@@ -57,7 +58,7 @@
 // newDomainCluster returns a loaded cluster of singleEngines with traffic.
 func newDomainCluster(t *testing.T, mbps float64) *domainCluster {
 	s := &domainCluster{testCluster: newTestCluster(t), refuse: map[string]OrderResult{}, late: map[string]time.Duration{},
-		longest: map[string]time.Duration{}, missing: map[string]time.Duration{}, busy: map[string]bool{}, added: map[string]int{}}
+		longest: map[string]time.Duration{}, missing: map[string]time.Duration{}, busy: map[string]bool{}, used: map[string]float64{}, added: map[string]int{}}
 	s.publishConfig(domainSpec(mbps))
 	s.c.Engines = s
 	s.c.StreamCount = func(model.Incarnation) float64 { return 9 }
@@ -76,7 +77,7 @@
 	report, err := s.testCluster.Report(ctx, b)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	report.Busy = s.busy[b.ID]
+	report.Busy, report.UsedTokenLayers = s.busy[b.ID], s.used[b.ID]
 	return report, err
 }
 
--- a/internal/coordination/placement/coverage_run_test.go
+++ b/internal/coordination/placement/coverage_run_test.go
@@ -238,6 +238,23 @@
 	})
 }
 
+// The streams of an engine use more memory than the routers have reported so far. It must not be
+// ordered to load layers into that memory. Once the memory is free, the order is sent.
+func TestExtensionLeavesTheMemoryThatAnEngineReports(t *testing.T) {
+	runCluster(t, func(t *testing.T, s *domainCluster) {
+		card, _ := s.spec.Card("large")
+		s.used["a02"] = 0.9 * tokenCapacity(s.spec, card, 7) * 7
+		s.remove("a03")
+		s.run(4 * time.Second)
+		assert.Equal(t, s.held("a02"), model.LayerRange{From: 14, To: 21})
+		s.mu.Lock()
+		s.used["a02"] = 0
+		s.mu.Unlock()
+		s.run(4 * time.Second)
+		assert.Equal(t, len(s.incomplete()), 0, "%v", s.incomplete())
+	})
+}
+
 // Orders that give a domain its layers back must not wait behind loads that add a second
 // holder.
 func TestRestoringOrdersGoFirst(t *testing.T) {
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -206,7 +206,7 @@
 		c.delayBusy(svc, b, want)
 		return
 	}
-	if !c.mayRepeat(b, want, report) {
+	if !c.mayRepeat(b, want, report) || !c.leavesUsedMemory(svc, b, want, report) {
 		c.delayOrder(b.Incarnation(), want, orderRetryDelay)
 		return
 	}
--- a/internal/coordination/placement/refusal.go
+++ b/internal/coordination/placement/refusal.go
@@ -64,3 +64,22 @@
 	}
 	return changed
 }
+
+// leavesUsedMemory reports whether an engine that keeps its layers and loads more has memory for
+// the tokens that it reports. What the routers know of them may be seconds old, and a router that
+// has just started knows nothing. The order waits until there is memory.
+func (c *Controller) leavesUsedMemory(svc *model.Service, b *model.BackendServer, want model.LayerRange, report model.EngineReport) bool {
+	c.mu.Lock()
+	alone := c.servesAlone(svc)
+	c.mu.Unlock()
+	if !alone || b.Holds.Len() <= 0 || !extends(want, b.Holds) {
+		return true
+	}
+	card, _ := svc.Engine.Card(b.Card)
+	total := tokenCapacity(svc.Engine, card, want.Len()) * float64(want.Len())
+	if usedHeadroom*report.UsedTokenLayers <= total {
+		return true
+	}
+	klog.InfoS("order withheld: streams use the memory for further layers", "server", b.Incarnation(), "to", want.String(), "usedTokenLayers", report.UsedTokenLayers, "totalTokenLayers", total)
+	return false
+}
