placement: two services with engines keep their state

Planning one service dropped when the engines of the other one appeared, and their orders, in every tick. New engines of such a configuration never got a range, and their pending orders counted as exits while loading.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -160,7 +160,7 @@
 		out = append(out, b)
 	}
 	for inc := range c.appearedAt {
-		if !present[inc] {
+		if b := listed.Find(inc); !present[inc] && (b == nil || b.Service == svc.Name) {
 			delete(c.appearedAt, inc)
 			c.recordLoadExit(c.pending[inc])
 			delete(c.pending, inc)
--- a/internal/coordination/placement/coverage_run_test.go
+++ b/internal/coordination/placement/coverage_run_test.go
@@ -305,6 +305,21 @@
 	})
 }
 
+// There are two services with engines. The engines of one must not seem to be new, and their
+// orders lost, each time the other one is planned.
+func TestTwoEngineServicesKeepTheirState(t *testing.T) {
+	runCluster(t, func(t *testing.T, s *domainCluster) {
+		services := []model.Service{{Name: "s", Engine: s.spec}, {Name: "t", Engine: s.spec}}
+		s.c.Config.Apply(&model.RouteConfig{Version: s.c.Config.Version() + 1, Services: services}, nil)
+		s.catalog.Put(model.BackendServer{ID: "other", Service: "t", Address: "other", FailureDomain: "a", Card: "large", Revision: 1000})
+		s.run(time.Second)
+		s.register("new", "new", "a", "large", model.LayerRange{})
+		s.run(6 * time.Second)
+		assert.Assert(t, s.held("new").Len() > 0)
+		assert.Equal(t, len(s.c.loadExits), 0)
+	})
+}
+
 // The number of missing layers is reported for each domain until it holds all again.
 func TestMissingLayersAreReported(t *testing.T) {
 	runCluster(t, func(t *testing.T, s *domainCluster) {
