--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -145,7 +146,8 @@
 	now := c.Now()
 	var out []*model.BackendServer
 	present := map[model.Incarnation]bool{}
-	for _, b := range c.Catalog.Load().Service(svc.Name) {
+	listed := c.Catalog.Load()
+	for _, b := range listed.Service(svc.Name) {
 		present[b.Incarnation()] = true
 		if _, ok := svc.Engine.Card(b.Card); !ok {
 			c.recordAppearance(b, now, "card is not configured")
@@ -158,13 +160,16 @@
 		out = append(out, b)
 	}
 	for inc := range c.appearedAt {
-		if !present[inc] {
+		if b := listed.Find(inc); !present[inc] && (b == nil || b.Service == svc.Name) {
 			delete(c.appearedAt, inc)
 			c.recordLoadExit(c.pending[inc])
 			delete(c.pending, inc)
 			delete(c.refusals, inc)
 		}
 	}
+	// The answer to an order may arrive after its engine has left.
+	maps.DeleteFunc(c.pending, func(inc model.Incarnation, _ order) bool { return listed.Find(inc) == nil })
+	maps.DeleteFunc(c.refusals, func(inc model.Incarnation, _ refusal) bool { return listed.Find(inc) == nil })
 	return out
 }
 
--- a/internal/coordination/placement/coverage_run_test.go
+++ b/internal/coordination/placement/coverage_run_test.go
@@ -137,6 +137,38 @@
 	})
 }
 
+// The leader is lost while a restarted engine loads its range. The next leader has seen the
+// domain complete before, and must not extend other engines over layers that load in time.
+func TestNextLeaderExtendsNothingBesideALoadInProgress(t *testing.T) {
+	runCluster(t, func(t *testing.T, s *domainCluster) {
+		leads, token := false, s.c.FencingToken
+		next := &Controller{Config: s.c.Config, Catalog: s.c.Catalog, Store: s.c.Store, Engines: s, Now: s.c.Now, OnFenced: s.c.OnFenced,
+			HasTraffic: s.c.HasTraffic, StreamCount: s.c.StreamCount, FencingToken: func() model.Revision {
+				if !leads {
+					return 0
+				}
+				return token()
+			}}
+		planned := s.plan()
+		next.ObservePlan("s", encodePlan(t, planned), s.c.plans["s"].revision)
+		next.Tick(context.Background())
+		s.mu.Lock()
+		s.born["a03"]++
+		s.orders["a03"] = 0
+		s.mu.Unlock()
+		s.register("a03", "a03", "a", "large", model.LayerRange{})
+		next.Tick(context.Background())
+		s.run(2 * controlTick)
+		next.Tick(context.Background())
+		assert.Equal(t, s.loads, 1)
+		leads, s.c = true, next
+		s.run(6 * time.Second)
+		s.checkWhole()
+		assert.Equal(t, s.loads, 1)
+		assert.Assert(t, equalPlans(planned, s.plan()))
+	})
+}
+
 // silentStore accepts no plan while silent is set.
 type silentStore struct {
 	*standin.Store
@@ -206,6 +238,23 @@
 	})
 }
 
+// The streams of an engine use more memory than the routers have reported so far. It must not be
+// ordered to load layers into that memory. Once the memory is free, the order is sent.
+func TestExtensionLeavesTheMemoryThatAnEngineReports(t *testing.T) {
+	runCluster(t, func(t *testing.T, s *domainCluster) {
+		card, _ := s.spec.Card("large")
+		s.used["a02"] = 0.9 * tokenCapacity(s.spec, card, 7) * 7
+		s.remove("a03")
+		s.run(4 * time.Second)
+		assert.Equal(t, s.held("a02"), model.LayerRange{From: 14, To: 21})
+		s.mu.Lock()
+		s.used["a02"] = 0
+		s.mu.Unlock()
+		s.run(4 * time.Second)
+		assert.Equal(t, len(s.incomplete()), 0, "%v", s.incomplete())
+	})
+}
+
 // Orders that give a domain its layers back must not wait behind loads that add a second
 // holder.
 func TestRestoringOrdersGoFirst(t *testing.T) {
@@ -256,6 +305,21 @@
 	})
 }
 
+// There are two services with engines. The engines of one must not seem to be new, and their
+// orders lost, each time the other one is planned.
+func TestTwoEngineServicesKeepTheirState(t *testing.T) {
+	runCluster(t, func(t *testing.T, s *domainCluster) {
+		services := []model.Service{{Name: "s", Engine: s.spec}, {Name: "t", Engine: s.spec}}
+		s.c.Config.Apply(&model.RouteConfig{Version: s.c.Config.Version() + 1, Services: services}, nil)
+		s.catalog.Put(model.BackendServer{ID: "other", Service: "t", Address: "other", FailureDomain: "a", Card: "large", Revision: 1000})
+		s.run(time.Second)
+		s.register("new", "new", "a", "large", model.LayerRange{})
+		s.run(6 * time.Second)
+		assert.Assert(t, s.held("new").Len() > 0)
+		assert.Equal(t, len(s.c.loadExits), 0)
+	})
+}
+
 // The number of missing layers is reported for each domain until it holds all again.
 func TestMissingLayersAreReported(t *testing.T) {
 	runCluster(t, func(t *testing.T, s *domainCluster) {
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -127,9 +127,6 @@
 			o.readyAt = now.Add(time.Duration(float64(loadTime(svc.Engine, addedLayers(want, b.Holds))) * contention))
 		}
 		c.pending[b.Incarnation()] = o
-		if alone {
-			c.countLoad(svc.Name, b, want)
-		}
 	}
 	return due
 }
@@ -206,10 +203,10 @@
 		return
 	}
 	if report.Busy {
-		c.delayBusy(b.Incarnation(), want)
+		c.delayBusy(svc, b, want)
 		return
 	}
-	if !c.mayRepeat(b, want, report) {
+	if !c.mayRepeat(b, want, report) || !c.leavesUsedMemory(svc, b, want, report) {
 		c.delayOrder(b.Incarnation(), want, orderRetryDelay)
 		return
 	}
@@ -223,7 +220,7 @@
 		"token", token, "expected", report.OrderCount, "result", int(result), "err", err)
 	switch result {
 	case OrderAccepted, OrderUnknown:
-		c.markSent(b.Incarnation())
+		c.markSent(svc, b, want)
 	case OrderFenced:
 		c.OnFenced(token)
 	case OrderRefused, OrderMisdirected:
@@ -248,12 +245,15 @@
 }
 
 // markSent records that the engine may carry out its pending order.
-func (c *Controller) markSent(inc model.Incarnation) {
+func (c *Controller) markSent(svc *model.Service, b *model.BackendServer, want model.LayerRange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o, ok := c.pending[inc]; ok {
+	if o, ok := c.pending[b.Incarnation()]; ok {
 		o.sent = true
-		c.pending[inc] = o
+		c.pending[b.Incarnation()] = o
+	}
+	if c.servesAlone(svc) {
+		c.countLoad(svc.Name, b, want)
 	}
 }
 
@@ -263,9 +263,16 @@
 	c.pending[inc] = order{want: want, deadline: c.Now().Add(d), idle: true} // not sent
 }
 
-// delayBusy delays the next order to an engine that is carrying out another one.
-func (c *Controller) delayBusy(inc model.Incarnation, want model.LayerRange) {
+// delayBusy delays the next order to an engine that is carrying out another one. That is
+// probably the same order of the previous leader, so the engine is expected to hold the range
+// in time.
+func (c *Controller) delayBusy(svc *model.Service, b *model.BackendServer, want model.LayerRange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending[inc] = order{want: want, deadline: c.Now().Add(orderRetryDelay)} // not sent
+	now := c.Now()
+	o := order{want: want, deadline: now.Add(orderRetryDelay)} // not sent
+	if extends(want, b.Holds) {
+		o.readyAt = now.Add(loadTime(svc.Engine, addedLayers(want, b.Holds)))
+	}
+	c.pending[b.Incarnation()] = o
 }
