--- a/internal/coordination/chains/demand.go
+++ b/internal/coordination/chains/demand.go
@@ -44,7 +44,7 @@
 	if ok {
 		return s
 	}
-	s = share.New(ic.now, nil)
+	s = share.New(ic.now, ic.phase)
 	ic.shares[pair] = s
 	now := ic.now()
 	if d, ok := ic.own[pair]; ok {
--- a/internal/coordination/chains/pipes.go
+++ b/internal/coordination/chains/pipes.go
@@ -44,6 +44,8 @@
 	peers map[string]peerRates
 	// shares divide the interconnects that services with prioritized routes use.
 	shares map[DomainPair]*share.Shares
+	// phase is that of share.New; tests replace it.
+	phase func() float64
 }
 
 type peerRates struct {
--- a/internal/coordination/chains/share_test.go
+++ b/internal/coordination/chains/share_test.go
@@ -17,6 +17,7 @@
 	f := newFixture()
 	f.add("a1", "a", "a100", 0, 40)
 	f.add("b1", "b", "a100", 40, 80)
+	f.chooser.Interconnect.phase = func() float64 { return 1 }
 	return f
 }
 
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -33,6 +33,8 @@
 	// limit. Otherwise one router with a wrong report could leave the less urgent priorities
 	// of all others nothing.
 	maxDemand = 10
+	// largestDecay is the factor on the largest amount with each smaller one.
+	largestDecay = 0.95
 	// negligible is the amount below which demand is not reported.
 	negligible = 1.0
 )
@@ -92,8 +94,9 @@
 	// router has demand, and is negative after a request. A request of any size is allowed
 	// at a credit of 0, so no share is too small for a request.
 	credit  float64
-	largest float64 // amount of the last request, bounds the credit
-	started bool
+	largest float64 // largest recent amount of a request, bounds the credit
+	started bool    // there was demand
+	phased  bool    // the first debt is set
 }
 
 // New returns Shares without demand. phase returns the part of a request by which a new
@@ -246,11 +249,12 @@
 
 func (s *Shares) account(p int, amount float64) *account {
 	a := &s.own[p]
-	if !a.started {
-		a.started = true
+	a.started = true
+	if !a.phased {
+		a.phased = true
 		a.credit = -s.phase() * amount
 	}
-	a.largest = amount
+	a.largest = max(amount, largestDecay*a.largest)
 	return a
 }
 
@@ -275,7 +279,9 @@
 func (s *Shares) AddUse(priority int, amount float64) {
 	now := s.now()
 	s.accrue(now)
-	s.account(class(priority), amount).used.add(now, amount)
+	a := &s.own[class(priority)]
+	a.started = true
+	a.used.add(now, amount)
 }
 
 // RecordUnmet records that a request waits or was refused for lack of the resource.
--- a/internal/coordination/share/surge.go
+++ b/internal/coordination/share/surge.go
@@ -12,7 +12,7 @@
 	// maxLend bounds lend. It exceeds the number of routers of large fleets.
 	maxLend = 1000
 	// lowUse and highUse are the parts of the limit between which the use is not corrected.
-	lowUse  = 0.93
+	lowUse  = 0.95
 	highUse = 1.0
 	// correction is the speed at which deviations are corrected, in delays of the reports.
 	// A faster correction oscillates, because its effect is seen only with the next reports.
--- a/internal/protocol/relay/unmet_test.go
+++ b/internal/protocol/relay/unmet_test.go
@@ -29,6 +29,9 @@
 			return s.Chooser.Interconnect.Demands()[0].Unmet
 		}
 		one := chains.CrossDomainMbit(spec, 100)
+		// A request that was served leaves no credit for the next ones.
+		s.Chooser.Interconnect.RecordUnmet("a", "b", 3, 0)
+		s.Chooser.Interconnect.AddSharedTraffic("a", "b", 3, one)
 		assert.Equal(t, unmet(), one)
 		assert.Equal(t, unmet(), one)
 		time.Sleep(1100 * time.Millisecond)
