share: routers of the model apply reports at their turn

The tests of 400 routers spend most of their time in applying reports one at a time at all routers. They now apply those of a step together, with the same validity, and Report looks up the peer once.

--- a/internal/coordination/share/model_test.go
+++ b/internal/coordination/share/model_test.go
@@ -29,9 +29,19 @@
 	stopped         bool          // the process is dead or frozen
 	group           int           // only routers of one group hear each other
 	gone            bool          // no longer counted
+	inbox           []arrival     // reports since its last turn
 	arrived, served [3]float64
 }
 
+// arrival is a report that a member applies at its next turn, with the validity that remains
+// then. Members that apply several at once run the model faster than one at a time.
+type arrival struct {
+	at      time.Time
+	from    string
+	sent    int64
+	demands []Demand
+}
+
 // delivery is a report that has not arrived yet.
 type delivery struct {
 	at     time.Time
@@ -95,6 +105,7 @@
 			if r.stopped {
 				continue
 			}
+			m.apply(r)
 			m.arrive(i, r)
 			m.serve(r, routers)
 			m.report(r)
@@ -102,6 +113,14 @@
 	}
 }
 
+// apply applies the reports that arrived.
+func (m *model) apply(r *member) {
+	for _, a := range r.inbox {
+		r.shares.Report(a.from, a.sent, a.demands, m.age, validity*m.age+time.Second-m.now.Sub(a.at))
+	}
+	r.inbox = r.inbox[:0]
+}
+
 func (m *model) arrive(i int, r *member) {
 	for p := range r.arrived {
 		expected := m.demand(i, p, m.now.Sub(m.start)) * modelStep.Seconds() / m.amount
@@ -148,7 +167,7 @@
 // restart replaces the state of a router.
 func (m *model) restart(r *member) {
 	r.shares = New(func() time.Time { return m.now }, m.rand.Float64)
-	r.queue = nil
+	r.queue, r.inbox = nil, nil
 }
 
 // resetCounts forgets what was asked and served, and returns the index of the next step.
@@ -191,7 +210,7 @@
 		if peer == r || peer.stopped || peer.group != r.group {
 			continue
 		}
-		report := func() { peer.shares.Report(r.name, sent, demands, m.age, validity*m.age+time.Second) }
+		report := func() { peer.inbox = append(peer.inbox, arrival{m.now, r.name, sent, demands}) }
 		if m.delays == nil {
 			report()
 			continue
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -60,7 +60,7 @@
 	now   func() time.Time
 	phase func() float64
 
-	peers     map[string]report
+	peers     map[string]*report
 	rebuiltAt time.Time
 	changed   bool
 	known     int // routers with a valid report, including this one
@@ -103,16 +103,21 @@
 	if phase == nil {
 		phase = rand.Float64
 	}
-	return &Shares{now: now, phase: phase, peers: map[string]report{}, known: 1, at: now()}
+	return &Shares{now: now, phase: phase, peers: map[string]*report{}, known: 1, at: now()}
 }
 
 // Report stores the demand of another router. sent orders its reports: an older one is
 // ignored. The next report is expected after interval. This one is valid for ttl.
 func (s *Shares) Report(peer string, sent int64, demands []Demand, interval, ttl time.Duration) {
-	if before, ok := s.peers[peer]; ok && sent < before.sent {
+	r := s.peers[peer]
+	switch {
+	case r == nil:
+		r = &report{}
+		s.peers[peer] = r
+	case sent < r.sent:
 		return
 	}
-	s.peers[peer] = report{sent: sent, expires: s.now().Add(ttl), interval: min(interval, maxInterval), demands: demands}
+	*r = report{sent: sent, expires: s.now().Add(ttl), interval: min(interval, maxInterval), demands: demands}
 	s.changed = true
 }
 
