share: reports are evaluated again only if something changed

Without new reports they were evaluated four times a second at each router. Now only a new report, one that expires or another limit causes that.

--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -60,14 +60,16 @@
 	now   func() time.Time
 	phase func() float64
 
-	peers     map[string]*report
-	rebuiltAt time.Time
-	changed   bool
-	known     int // routers with a valid report, including this one
-	others    [Priorities]column
-	used      float64 // of the other routers
-	unmet     float64 // of the other routers
-	age       time.Duration
+	peers      map[string]*report
+	rebuiltAt  time.Time
+	expiry     time.Time // of the first report to expire, as of rebuiltAt
+	rebuiltFor float64   // limit as of rebuiltAt
+	changed    bool
+	known      int // routers with a valid report, including this one
+	others     [Priorities]column
+	used       float64 // of the other routers
+	unmet      float64 // of the other routers
+	age        time.Duration
 
 	own [Priorities]account
 	at  time.Time // up to which credit is accrued
@@ -77,13 +79,6 @@
 	surge   surge
 }
 
-type report struct {
-	sent     int64
-	expires  time.Time
-	interval time.Duration
-	demands  []Demand
-}
-
 // account is this router's use of the resource at one priority.
 type account struct {
 	used  rate
@@ -106,62 +101,9 @@
 	return &Shares{now: now, phase: phase, peers: map[string]*report{}, known: 1, at: now()}
 }
 
-// Report stores the demand of another router. sent orders its reports: an older one is
-// ignored. The next report is expected after interval. This one is valid for ttl.
-func (s *Shares) Report(peer string, sent int64, demands []Demand, interval, ttl time.Duration) {
-	r := s.peers[peer]
-	switch {
-	case r == nil:
-		r = &report{}
-		s.peers[peer] = r
-	case sent < r.sent:
-		return
-	}
-	*r = report{sent: sent, expires: s.now().Add(ttl), interval: min(interval, maxInterval), demands: demands}
-	s.changed = true
-}
-
 // class returns the index of a priority.
 func class(priority int) int { return min(max(priority, 0), Priorities-1) }
 
-// refresh evaluates the reports if they changed or may have expired.
-func (s *Shares) refresh(now time.Time) {
-	since := now.Sub(s.rebuiltAt)
-	if since < rebuildInterval || !s.changed && since < maxStep {
-		return
-	}
-	s.rebuiltAt, s.changed = now, false
-	s.known, s.used, s.unmet, s.age = 1, 0, 0, 0
-	for p := range s.others {
-		s.others[p].reset()
-	}
-	for peer, r := range s.peers {
-		if !now.Before(r.expires) {
-			delete(s.peers, peer)
-			continue
-		}
-		s.known++
-		s.age = max(s.age, r.interval)
-		for _, d := range r.demands {
-			s.used += s.counted(d.Used)
-			s.unmet += s.counted(d.Unmet)
-			others := &s.others[class(d.Priority)]
-			others.demands = append(others.demands, s.counted(d.Used+d.Unmet))
-		}
-	}
-	for p := range s.others {
-		s.others[p].sort()
-	}
-}
-
-// counted returns the part of a demand that counts.
-func (s *Shares) counted(demand float64) float64 {
-	if s.limit <= 0 {
-		return demand
-	}
-	return min(demand, maxDemand*s.limit)
-}
-
 // reachable returns the part of the limit that the routers with a valid report may use. The
 // others keep an equal part each.
 func (s *Shares) reachable(limit float64, routers int) float64 {
