share: small requests of a large fleet are served

Credit accrued only for a demand of at least 1 Mbit/s at a priority. With 400 routers on a link of 100 Mbit/s the share of a router is less, so a request of 0.5 Mbit was never served (0 of 120 in two minutes at each priority). The bound is now 0.001 Mbit/s.

--- /dev/null
+++ b/internal/coordination/share/limits_test.go
@@ -0,0 +1,36 @@
+package share
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A large fleet shares a slow resource, so the share of a router is below the amount that is
+// worth a report. Its small requests must still be served at that rate, at every priority. A
+// failure starves services with small requests.
+func TestSmallRequestsOfLargeFleetsAreServed(t *testing.T) {
+	for p := range demandParts {
+		now := time.Unix(1000, 0)
+		s := New(func() time.Time { return now }, func() float64 { return 1 })
+		others := []Demand{{0, 0.1, 0.4}, {1, 0.1, 0.4}, {2, 0.1, 0.4}}
+		r := Request{Priority: p, Amount: 0.5, Limit: 100, Routers: 400}
+		served := 0
+		for i := range 1200 {
+			if i%10 == 0 {
+				for peer := range r.Routers - 1 {
+					s.Report(strconv.Itoa(peer), int64(i), others, time.Second, 5*time.Second)
+				}
+				s.RecordUnmet(p, r.Amount)
+			}
+			if s.Allows(r) {
+				s.Use(p, r.Amount)
+				served++
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		assert.Check(t, served >= 3, "priority %d: %d served in two minutes", p, served)
+	}
+}
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -35,6 +35,9 @@
 	maxDemand = 10
 	// negligible is the amount below which demand is not reported.
 	negligible = 1.0
+	// minDemand is the demand below which no credit accrues. It is far below negligible: the
+	// shares of a slow resource in a large fleet are less than that.
+	minDemand = 1e-3
 )
 
 // Demand is the demand of one router at a priority, in the unit of the resource.
@@ -144,7 +147,7 @@
 		limit := s.reachable(s.limit, s.routers)
 		for p := range s.own {
 			a := &s.own[p]
-			if !a.started || demand[p] < negligible {
+			if !a.started || demand[p] < minDemand {
 				continue
 			}
 			if level := s.level(p, &demand, limit); level < demand[p] {
