share: unmet demand ends although the wall clock is set back

Slots were numbered by the wall clock. If it was set back while the process was frozen for more than three seconds, unmet demand stayed until the clock had caught up. Slots are now numbered by the time since the first one, which the monotonic clock measures.

--- a/internal/coordination/share/amount.go
+++ b/internal/coordination/share/amount.go
@@ -30,12 +30,18 @@
 
 // window is a sum of the amounts of the last second.
 type window struct {
-	at  int64 // index of the newest slot since the epoch
-	sum [slots]float64
+	// start is the time of slot 0, at a multiple of slotDuration for all windows. Indexes
+	// follow from a difference of times, which does not change if the wall clock is set.
+	start time.Time
+	at    int64 // index of the newest slot
+	sum   [slots]float64
 }
 
 func (w *window) advance(now time.Time) {
-	at := now.UnixNano() / int64(slotDuration)
+	if w.start.IsZero() {
+		w.start = now.Add(-time.Duration(now.UnixNano() % int64(slotDuration)))
+	}
+	at := int64(now.Sub(w.start) / slotDuration)
 	if at-w.at >= slots {
 		w.sum = [slots]float64{}
 		w.at = at
--- a/internal/coordination/share/limits_test.go
+++ b/internal/coordination/share/limits_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"testing"
 	"time"
+	"unsafe"
 
 	"gotest.tools/v3/assert"
 )
@@ -34,3 +35,23 @@
 		assert.Check(t, served >= 3, "priority %d: %d served in two minutes", p, served)
 	}
 }
+
+// The wall clock is set back while the process is frozen. Unmet demand must still end after a
+// second; otherwise it holds back the less urgent requests of all routers until the clock
+// has caught up.
+func TestUnmetDemandEndsAlthoughTheClockIsSetBack(t *testing.T) {
+	now := time.Now()
+	s := New(func() time.Time { return now }, nil)
+	s.RecordUnmet(0, 100)
+	now = setBack(now.Add(2*maxSteps*maxStep), time.Hour)
+	assert.Equal(t, len(s.Demands()), 0)
+}
+
+// setBack returns t with its wall clock set back by whole seconds and its monotonic clock
+// unchanged. No other way exists to make such a time.
+func setBack(t time.Time, by time.Duration) time.Time {
+	const secondsShift = 30 // the wall seconds follow the nanoseconds
+	back := t
+	*(*uint64)(unsafe.Pointer(&back)) -= uint64(by/time.Second) << secondsShift
+	return back
+}
