--- a/internal/coordination/share/limits_test.go
+++ b/internal/coordination/share/limits_test.go
@@ -55,3 +55,13 @@
 	*(*uint64)(unsafe.Pointer(&back)) -= uint64(by/time.Second) << secondsShift
 	return back
 }
+
+// A peer reports with an impossible validity and stops. Its demand must not count for hours.
+func TestValidityOfAReportIsBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(func() time.Time { return now }, nil)
+	s.Report("peer", 1, []Demand{{Used: 1000}}, time.Hour, 4*time.Hour)
+	now = now.Add(2 * time.Minute)
+	s.Demands()
+	assert.Equal(t, s.known, 1)
+}
--- a/internal/coordination/share/reports.go
+++ b/internal/coordination/share/reports.go
@@ -20,7 +20,7 @@
 	case sent < r.sent:
 		return
 	}
-	*r = report{sent: sent, expires: s.now().Add(ttl), interval: min(interval, maxInterval), demands: demands}
+	*r = report{sent: sent, expires: s.now().Add(min(ttl, maxValidity)), interval: min(interval, maxInterval), demands: demands}
 	s.changed = true
 }
 
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -29,6 +29,10 @@
 	// maxInterval bounds the expected time between two reports. Reports of large fleets follow
 	// after 7 s.
 	maxInterval = 10 * time.Second
+	// maxValidity bounds the time for which a report counts. Reports of large fleets are valid
+	// for half of it; without a bound, one wrong report of a router that stops would leave the
+	// others their minimum for as long as it claims.
+	maxValidity = time.Minute
 	// maxDemand is the demand of a router at a priority that counts, as a multiple of the
 	// limit. Otherwise one router with a wrong report could leave the less urgent priorities
 	// of all others nothing.
