chains: drop expired interconnect reports of peers

Reports of routers that are gone stayed in memory, now with their demands, and each choice went over them. Rate drops them where it goes over all reports.

--- a/internal/coordination/chains/pipes.go
+++ b/internal/coordination/chains/pipes.go
@@ -142,10 +142,12 @@
 	if d, ok := ic.own[pair]; ok {
 		sum = d.read(now, rateDecayTime)
 	}
-	for _, c := range ic.peers {
-		if now.Before(c.expires) {
-			sum += c.rates[pair]
+	for peer, c := range ic.peers {
+		if !now.Before(c.expires) {
+			delete(ic.peers, peer)
+			continue
 		}
+		sum += c.rates[pair]
 	}
 	return sum
 }
--- a/internal/coordination/chains/share_test.go
+++ b/internal/coordination/chains/share_test.go
@@ -156,3 +156,15 @@
 		}
 	}
 }
+
+// Routers come and go under new names. What a router that is gone reported must be dropped
+// once it has expired, or memory and the time of each choice grow with all routers ever seen.
+func TestExpiredReportsOfPeersAreDropped(t *testing.T) {
+	f := halves()
+	for i := range 100 {
+		f.chooser.Interconnect.SetPeerRates(fmt.Sprint("peer", i), map[DomainPair]float64{crossingPair: 1}, 2*time.Second)
+		f.now = f.now.Add(time.Second)
+	}
+	f.chooser.Interconnect.Rate("a", "b")
+	assert.Assert(t, len(f.chooser.Interconnect.peers) <= 2, "%d reports", len(f.chooser.Interconnect.peers))
+}
