chains: the first request for a share counts the reports of peers

The own traffic was added before the reports, which evaluated an empty set of reports. For the next 100 ms the interconnect seemed to be used by this router only, and requests were allowed although peers used all of it.

--- a/internal/coordination/chains/demand.go
+++ b/internal/coordination/chains/demand.go
@@ -47,14 +47,16 @@
 	s = share.New(ic.now, nil)
 	ic.shares[pair] = s
 	now := ic.now()
-	if d, ok := ic.own[pair]; ok {
-		s.AddUse(0, d.read(now, rateDecayTime)*rateDecayTime.Seconds())
-	}
 	for name, p := range ic.peers {
 		if ttl := p.expires.Sub(now); ttl > 0 {
 			s.Report(name, 0, p.demandsFor(pair), p.interval, ttl)
 		}
 	}
+	// This follows the reports, because it evaluates them, and they are evaluated again only
+	// after an interval.
+	if d, ok := ic.own[pair]; ok {
+		s.AddUse(0, d.read(now, rateDecayTime)*rateDecayTime.Seconds())
+	}
 	return s
 }
 
--- a/internal/coordination/chains/share_test.go
+++ b/internal/coordination/chains/share_test.go
@@ -168,3 +168,13 @@
 	f.chooser.Interconnect.Rate("a", "b")
 	assert.Assert(t, len(f.chooser.Interconnect.peers) <= 2, "%d reports", len(f.chooser.Interconnect.peers))
 }
+
+// The first prioritized request after other traffic of this router must see what peers
+// reported before, not an interconnect that only this router uses.
+func TestFirstPrioritizedRequestCountsReportsOfPeers(t *testing.T) {
+	f := halves()
+	f.chooser.Interconnect.AddTraffic("a", "b", 900)
+	f.reportDemand(60000, 20000)
+	_, v := f.chooser.Choose(f.svc, prioritized(1))
+	assert.Equal(t, v, InterconnectExhausted)
+}
