--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -22,6 +22,7 @@
 	for pair, rate := range x.Interconnect.OwnRates() {
 		rates = append(rates, wire.InterconnectRate{A: pair.A, B: pair.B, Rate: rate})
 	}
+	demands := encodeDemands(x.Interconnect.Demands())
 	spareTokens := x.RetryBorrower.Budget.SpareTokens()
 	rateLimits := encodeLimits(x.Limits.Snapshot())
 	now := x.Now()
@@ -41,7 +42,7 @@
 		SpareTokens:   spareTokens,
 		HasTraffic:    x.HasTraffic(),
 		Limits:        rateLimits,
-		Demands:       encodeDemands(x.Interconnect.Demands()),
+		Demands:       demands,
 	}
 }
 
