relay: a refusal for want of the interconnect counts as unmet demand there

Found in review: where the engines of the own failure domain are full and the other chain lacks only the interconnect, the refusal named the interconnect, but no unmet demand was recorded, so less urgent requests of other routers were not held back for it. Recorded now where the refusal is classified, within the same limit of once a second.

--- a/internal/protocol/relay/shortage.go
+++ b/internal/protocol/relay/shortage.go
@@ -70,6 +70,9 @@
 // counts it.
 func (c *chainSearch) refusal() *fault.Error {
 	found := c.classify()
+	if found.reason == interconnectReason {
+		c.recordUnmet(c.requirements)
+	}
 	var f *fault.Error
 	switch {
 	case c.result == chains.Withheld:
