--- a/internal/protocol/wire/heartbeat.go
+++ b/internal/protocol/wire/heartbeat.go
@@ -14,7 +14,8 @@
 	// last confirmed to be the newest.
 	Config      int64
 	ConfigAgeMS int64
-	// Revision is the store revision up to which the router's state is complete.
+	// Revision is the highest store revision that the router knows to exist: the one up to
+	// which its contents are complete, or a later one that the store acknowledged to it.
 	Revision model.Revision
 	// Usage is the load of its streams on engines.
 	Usage []EngineUsage
