peers: a router with more demands than peers accept sends the largest

Found in review: a list over 512 rows was ignored as a whole. 18 failure domains have 153 pairs, 918 rows at six urgencies, so in a shortage everywhere no demand would have been known. TestLargestDemandsAreSent fails without the change.

--- a/internal/transport/peers/demands.go
+++ b/internal/transport/peers/demands.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -11,8 +13,8 @@
 )
 
 const (
-	// maxDemands is the maximum number of demands in a heartbeat. Five failure domains with
-	// interconnects between all of them have 160 at 16 priorities.
+	// maxDemands is the maximum number of demands in a heartbeat: some 16 KB. With more, as 18
+	// failure domains have between all of them at six priorities, the largest are sent.
 	maxDemands = 512
 	// maxDemandMbps is the maximum amount of a demand. No interconnect is that fast.
 	maxDemandMbps = 1e6
@@ -23,7 +25,12 @@
 	invalidLogInterval = time.Minute
 )
 
+// encodeDemands returns the demands to send: all, or the maxDemands largest.
 func encodeDemands(demands []chains.PairDemand) []wire.ResourceDemand {
+	if len(demands) > maxDemands {
+		slices.SortFunc(demands, func(a, b chains.PairDemand) int { return cmp.Compare(b.Used+b.Unmet, a.Used+a.Unmet) })
+		demands = demands[:maxDemands]
+	}
 	var out []wire.ResourceDemand
 	for _, d := range demands {
 		out = append(out, wire.ResourceDemand{A: d.A, B: d.B, Priority: int64(d.Priority), Used: d.Used, Unmet: d.Unmet})
--- a/internal/transport/peers/demands_test.go
+++ b/internal/transport/peers/demands_test.go
@@ -111,3 +111,18 @@
 		t.Fatal("heartbeats are not applied")
 	}
 }
+
+// With many failure domains a router has more demands than peers accept in a heartbeat. It must
+// send the largest, as peers ignore a longer list as a whole.
+func TestLargestDemandsAreSent(t *testing.T) {
+	var demands []chains.PairDemand
+	for i := range 2 * maxDemands {
+		pair := chains.DomainPair{A: fmt.Sprintf("a%d", i), B: "b"}
+		demands = append(demands, chains.PairDemand{DomainPair: pair, Demand: share.Demand{Used: float64(i)}})
+	}
+	sent := encodeDemands(demands)
+	assert.Equal(t, len(sent), maxDemands)
+	for _, d := range sent {
+		assert.Assert(t, d.Used >= maxDemands, "%v", d)
+	}
+}
