--- /dev/null
+++ b/internal/coordination/follow/source.go
@@ -0,0 +1,46 @@
+package follow
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+)
+
+// pickSource chooses the source of the next query. A change of source ends what is known only
+// of the previous one.
+func (f *Follower) pickSource(ctx context.Context) {
+	next := f.nextSource(ctx)
+	if !next.IsStore() {
+		f.starting.Store(false)
+	}
+	if next == f.source {
+		return
+	}
+	f.mu.Lock()
+	previous := f.source
+	f.source = next
+	f.mu.Unlock()
+	if previous.Address != next.Address {
+		f.watching.Store(false)
+		f.staleSince = 0
+		f.awaitsPeer = false
+		f.reread.due = false
+		klog.InfoS("source of store updates changed", "source", next.Address, "before", previous.Address, "why", next.Reason,
+			"revision", f.Revision(), "age", f.SinceLastContact())
+	}
+}
+
+// pollSource sends one query to the source.
+func (f *Follower) pollSource(ctx context.Context) error {
+	switch {
+	case !f.source.IsStore():
+		return f.queryPeer(ctx, f.source.Address)
+	case f.synced && !f.eraOutdated():
+		if f.isRereadDue(ctx) {
+			return f.rereadRange(ctx)
+		}
+		return f.watch(ctx)
+	default:
+		return f.readRange(ctx)
+	}
+}
