follow: name the lag check and the repeated reads for what they do

knownRevision and targetRevision were one value under two names; they are knownRevision and knownRevisionLocked now. isUndelivered and awaitPeer read as queries, but ask peers or record a decision. The lag check moves to lag.go, and comments that spoke of peers' revisions only include acknowledged ones.

--- a/internal/coordination/follow/acknowledged.go
+++ b/internal/coordination/follow/acknowledged.go
@@ -10,9 +10,14 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// disprovedRetention is how long a revision that a read of the range disproved is ignored if
-// peers still advertise it. Otherwise each of their heartbeats would cause another read.
-const disprovedRetention = 10 * time.Second
+const (
+	// disprovedRetention is how long a revision that a read of the range disproved is ignored if
+	// peers still advertise it. Otherwise each of their heartbeats would cause another read.
+	disprovedRetention = 10 * time.Second
+	// undeliveredRetention is how long a polled watcher may lack a revision that no watcher has.
+	// Then the watchers are asked again.
+	undeliveredRetention = 3 * time.Second
+)
 
 // ObserveAcknowledged records a revision that the store returned to another call of this
 // process. It is in force, so the contents must reach it even if no watch delivers it.
@@ -28,47 +33,22 @@
 }
 
 // knownRevision returns the highest revision that is known to be in force: one that a peer
-// advertised or that the store acknowledged to this process. The caller holds f.mu.
+// advertised or that the store acknowledged to this process.
 func (f *Follower) knownRevision() model.Revision {
-	return max(f.peerRevision, model.Revision(f.acknowledged.Load()))
-}
-
-// targetRevision is knownRevision for callers that do not hold f.mu.
-func (f *Follower) targetRevision() model.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.knownRevision()
-}
-
-// checkLag cancels the query in progress when this process has lagged for too long, until
-// ctx is done. Peers' heartbeats may be seconds apart in a large fleet, and none may follow
-// an acknowledged revision.
-func (f *Follower) checkLag(ctx context.Context) {
-	f.mu.Lock()
-	wakeup := f.wakeLagCheck
-	f.mu.Unlock()
-	for ctx.Err() == nil {
-		waitForWake(ctx, wakeup, f.untilLagging())
-	}
+	return f.knownRevisionLocked()
 }
 
-// untilLagging cancels the query in progress if this process lags. Otherwise it returns the
-// time until it does unless updates arrive, or 0 if it lacks nothing.
-func (f *Follower) untilLagging() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cancelIfLagging()
-	remaining := f.laggingSince + f.allowedLag() - f.Clock()
-	if f.laggingSince == 0 || remaining < 0 {
-		return 0
-	}
-	return remaining + time.Millisecond
+// knownRevisionLocked is knownRevision for callers that hold f.mu.
+func (f *Follower) knownRevisionLocked() model.Revision {
+	return max(f.peerRevision, model.Revision(f.acknowledged.Load()))
 }
 
-// correctKnownRevision lowers the known revisions to that of a read of the whole range that
-// began after they were recorded: it is linearizable, so higher ones do not exist. The answer
-// of a watch shows no such thing, because watches may be silent while the store discards its
-// history.
+// correctKnownRevision lowers the revisions advertised by peers and acknowledged by the store to
+// that of a read of the whole range that began after they were recorded. The read is
+// linearizable, so higher revisions do not exist. The answer of a watch does not prove that,
+// because watches may be silent while the store discards its history.
 func (f *Follower) correctKnownRevision(advertised, acknowledged, revision model.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -84,15 +64,11 @@
 	f.disproved, f.disprovedUntil = advertised, f.Clock()+disprovedRetention
 }
 
-// undeliveredRetention is how long a polled watcher may lack a revision that no watcher has.
-// Then the watchers are asked again.
-const undeliveredRetention = 3 * time.Second
-
-// isUndelivered reports whether no watcher has newer contents than this process. It then stays
-// with the watcher that it polls although that one lacks a known revision: if all routers turned
-// to the store, they would use up its call quota.
-func (f *Follower) isUndelivered(ctx context.Context) bool {
-	known := f.targetRevision()
+// confirmUndelivered asks the watchers whether none has newer contents than this process. If so,
+// this process stays with the watcher that it polls although that one lacks a known revision: if
+// all routers turned to the store, they would use up its call quota.
+func (f *Follower) confirmUndelivered(ctx context.Context) bool {
+	known := f.knownRevision()
 	if f.isPeerAhead(ctx, f.Picker.Watchers()) {
 		return false
 	}
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -32,7 +32,7 @@
 	// shortWatchTimeout applies while the state of the store is in doubt and before the
 	// first answer. A peer's poll is refused until then.
 	shortWatchTimeout = 200 * time.Millisecond
-	// lagTimeout is how long a peer's revision may stay ahead before the source is
+	// lagTimeout is how long this process may lack a known revision before the source is
 	// considered unresponsive. Changes reach the routers at different times. A router
 	// that polls a peer also allows for that peer's batch delay.
 	lagTimeout = 400 * time.Millisecond
@@ -124,8 +124,8 @@
 	acknowledged    atomic.Int64 // highest revision that the store returned to another call of this process
 	mu              sync.Mutex
 	cancelQuery     context.CancelFunc // cancels the query in progress
-	laggingSince    time.Duration      // since when a peer has missingRevision; 0 if none is ahead
-	missingRevision model.Revision     // revision that a peer has and this process lacks
+	laggingSince    time.Duration      // since when missingRevision is known; 0 if none is
+	missingRevision model.Revision     // known revision that this process lacks
 	peerRevision    model.Revision     // highest revision of any peer
 	otherCallFailed bool               // another call to the store was not answered
 	disproved       model.Revision     // advertised by a peer, but a read of the range showed that it did not exist
@@ -159,8 +159,8 @@
 	watchMargin    time.Duration
 	pollMargin     time.Duration
 	reread         reread
-	// awaitsPeer is set while the peer that is polled lacks a revision of another one and may
-	// still get it.
+	// awaitsPeer is set while the peer that is polled lacks a known revision and may still get
+	// it.
 	awaitsPeer bool
 	// staleSince is when the peer that is polled was first asked without having all that
 	// this process has; 0 if it was up to date.
@@ -223,7 +223,7 @@
 			continue
 		case errors.Is(err, errUnconfirmed):
 			continue
-		case errors.Is(err, errPeerLags) && f.isUndelivered(ctx):
+		case errors.Is(err, errPeerLags) && f.confirmUndelivered(ctx):
 			continue
 		case !f.source.IsStore():
 			klog.InfoS("polling peer for store updates failed", "peer", f.source.Address, "err", err, "revision", f.Revision())
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -27,12 +27,37 @@
 	if !f.isLagging() || f.cancelQuery == nil {
 		return
 	}
-	klog.InfoS("updates are behind a peer's; polling again", "source", f.source.Address, "revision", f.Revision(), "peer", f.knownRevision(),
+	klog.InfoS("updates are behind a peer's; polling again", "source", f.source.Address, "revision", f.Revision(), "peer", f.knownRevisionLocked(),
 		"acknowledged", model.Revision(f.acknowledged.Load()), "for", f.Clock()-f.laggingSince)
 	f.cancelQuery()
 	f.cancelQuery = nil
 }
 
+// checkLag cancels the query in progress when this process has lagged for too long, until
+// ctx is done. Peers' heartbeats may be seconds apart in a large fleet, and none may follow
+// an acknowledged revision.
+func (f *Follower) checkLag(ctx context.Context) {
+	f.mu.Lock()
+	wakeup := f.wakeLagCheck
+	f.mu.Unlock()
+	for ctx.Err() == nil {
+		waitForWake(ctx, wakeup, f.cancelOrRemaining())
+	}
+}
+
+// cancelOrRemaining cancels the query in progress if this process lags. Otherwise it returns
+// the time until it does unless updates arrive, or 0 if it lacks nothing.
+func (f *Follower) cancelOrRemaining() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelIfLagging()
+	remaining := f.laggingSince + f.allowedLag() - f.Clock()
+	if f.laggingSince == 0 || remaining < 0 {
+		return 0
+	}
+	return remaining + time.Millisecond
+}
+
 // ObserveEra records that the store answered some call of this process in an era.
 func (f *Follower) ObserveEra(era int64) {
 	if first, err := model.NewRevision(era, 0); err == nil && era > f.Revision().Era() {
@@ -51,13 +76,13 @@
 
 // eraOutdated reports whether the store is known to be in a newer era than the
 // contents.
-func (f *Follower) eraOutdated() bool { return f.targetRevision().Era() > f.Revision().Era() }
+func (f *Follower) eraOutdated() bool { return f.knownRevision().Era() > f.Revision().Era() }
 
 // isLagging reports whether this process has lacked a known revision for longer than updates
 // take to propagate. While changes follow each other, some peer is always ahead, so the time
 // counts from one revision until that revision is here. The caller holds f.mu.
 func (f *Follower) isLagging() bool {
-	now, known := f.Clock(), f.knownRevision()
+	now, known := f.Clock(), f.knownRevisionLocked()
 	switch {
 	case known <= f.Revision(), !f.source.IsStore() && known <= f.undelivered && now < f.undeliveredUntil:
 		f.laggingSince = 0
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -91,8 +91,8 @@
 		return nil
 	case updates.Revision < after || updates.Age < 0 || updates.Elapsed < 0:
 		return errors.WithMessagef(errPeerStale, "peer at revision %d, this process at %d", updates.Revision, after)
-	case urgent && updates.Revision == after && !f.awaitPeer():
-		return errors.WithMessagef(errPeerLags, "peer at revision %d, known %d", updates.Revision, f.targetRevision())
+	case urgent && updates.Revision == after && !f.keepsAwaitingPeer():
+		return errors.WithMessagef(errPeerLags, "peer at revision %d, known %d", updates.Revision, f.knownRevision())
 	}
 	f.applying.Lock()
 	defer f.applying.Unlock()
--- a/internal/coordination/follow/query.go
+++ b/internal/coordination/follow/query.go
@@ -70,7 +70,7 @@
 	confirming := (lagging || f.reread.due) && !f.reread.failed
 	switch {
 	case f.reread.due:
-		wait = min(wait, max(f.reread.at-f.Clock(), confirmTimeout))
+		wait = min(wait, max(f.reread.notBefore-f.Clock(), confirmTimeout))
 	case confirming:
 		wait = confirmTimeout
 	case urgent:
@@ -79,7 +79,7 @@
 	if confirming {
 		margin = f.reread.confirmMargin(margin)
 	}
-	target, start := f.targetRevision(), f.Clock()
+	known, start := f.knownRevision(), f.Clock()
 	startCtx, stop := context.WithTimeout(queryCtx, wait+margin)
 	page, err := f.Store.Watch(startCtx, f.Prefix, f.Revision(), wait)
 	unanswered := startCtx.Err() != nil
@@ -96,22 +96,22 @@
 		return err
 	}
 	f.watchMargin /= 2
-	f.applyWatch(page, target, f.Clock()-start-wait)
-	if confirming && page.Revision < target {
+	f.applyWatch(page, known, f.Clock()-start-wait)
+	if confirming && page.Revision < known {
 		f.reread.schedule(f.Clock())
 	}
 	return nil
 }
 
-// applyWatch applies the answer of a watch that began when target was the highest known
-// revision and that took overrun beyond its wait.
-func (f *Follower) applyWatch(page platform.Page, target model.Revision, overrun time.Duration) {
+// applyWatch applies the answer of a watch. known was the highest known revision when the watch
+// began, and overrun is the time that it took beyond its wait.
+func (f *Follower) applyWatch(page platform.Page, known model.Revision, overrun time.Duration) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	now := f.Clock()
 	f.recordStoreContact(now)
 	f.apply(replica.ItemsWithValues(page.Items), page.Revision)
-	if page.Revision >= target {
+	if page.Revision >= known {
 		f.answerTime = now // otherwise the contents are known to be incomplete
 	}
 	f.watching.Store(true)
--- a/internal/coordination/follow/reread.go
+++ b/internal/coordination/follow/reread.go
@@ -41,10 +41,10 @@
 // reread is the state of the reads of the whole range that replace silent watches. Only the
 // goroutine of Run uses it.
 type reread struct {
-	due bool
-	at  time.Duration // not before
-	// last is when the last one began, and failed whether the store has not answered since.
-	last   time.Duration
+	due       bool
+	notBefore time.Duration // if due
+	lastStart time.Duration // 0 before the first one
+	// failed is set if the last one failed and the store has not answered since.
 	failed bool
 	// answerDelay is the time that the last quiet watch took beyond its wait.
 	answerDelay time.Duration
@@ -57,9 +57,9 @@
 		return
 	}
 	r.due = true
-	r.at = now + rand.N(rereadSpread)
-	if r.last > 0 {
-		r.at = max(r.at, r.last+rereadInterval) // the last ones were spread too
+	r.notBefore = now + rand.N(rereadSpread)
+	if r.lastStart > 0 {
+		r.notBefore = max(r.notBefore, r.lastStart+rereadInterval) // the last ones were spread too
 	}
 }
 
@@ -69,13 +69,14 @@
 	return min(max(confirmMarginFactor*r.answerDelay, minConfirmMargin), margin)
 }
 
-// isRereadDue reports whether the range must be read now. It waits if that is soon. Until
-// then, watches end in time for it.
-func (f *Follower) isRereadDue(ctx context.Context) bool {
+// waitForReread reports whether the range must be read again now. It waits for up to
+// rereadSpread until the read may begin. If it may begin only later, the next watch ends in time
+// for it.
+func (f *Follower) waitForReread(ctx context.Context) bool {
 	if !f.reread.due {
 		return false
 	}
-	remaining := f.reread.at - f.Clock()
+	remaining := f.reread.notBefore - f.Clock()
 	if remaining > rereadSpread {
 		return false
 	}
@@ -84,27 +85,27 @@
 }
 
 // rereadRange reads the whole range because the store's watches do not deliver a known
-// revision. If the read finds changes, the watches are silent, and another read follows: it
-// finds the changes that nobody announces. If it finds none, or a watch delivers changes, the
-// reads end.
+// revision. If the read finds changes, the watches are silent, and another read follows, which
+// finds the changes that no router advertises. If it finds none, or a watch delivers changes,
+// the reads end.
 func (f *Follower) rereadRange(ctx context.Context) error {
-	start, before, target := f.Clock(), f.Revision(), f.targetRevision()
+	start, before, known := f.Clock(), f.Revision(), f.knownRevision()
 	f.reread.due = false
-	f.reread.last = start
+	f.reread.lastStart = start
 	if err := f.readRange(ctx); err != nil {
 		f.reread.failed = true
 		return err
 	}
-	klog.InfoS("watches do not deliver updates; whole range read", "revision", f.Revision(), "before", before, "known", target, "took", f.Clock()-start)
+	klog.InfoS("watches do not deliver updates; whole range read", "revision", f.Revision(), "before", before, "known", known, "took", f.Clock()-start)
 	if f.Revision() > before {
 		f.reread.schedule(f.Clock())
 	}
 	return nil
 }
 
-// awaitPeer reports whether a polled peer that answers may still get the revision that this
-// process lacks.
-func (f *Follower) awaitPeer() bool {
+// keepsAwaitingPeer decides whether to wait until the polled peer gets the revision that both it
+// and this process lack, and records the decision for the next poll.
+func (f *Follower) keepsAwaitingPeer() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.awaitsPeer = f.laggingSince == 0 || f.Clock()-f.laggingSince <= f.allowedLag()+catchUpTime
--- a/internal/coordination/follow/source.go
+++ b/internal/coordination/follow/source.go
@@ -36,7 +36,7 @@
 	case !f.source.IsStore():
 		return f.queryPeer(ctx, f.source.Address)
 	case f.synced && !f.eraOutdated():
-		if f.isRereadDue(ctx) {
+		if f.waitForReread(ctx) {
 			return f.rereadRange(ctx)
 		}
 		return f.watch(ctx)
