chains: one function lists the failure domains of candidates; clearer comments

crossingCosts repeated domainNames. Comments on entry costs, weak evidence, unmet demand and shares left the reader without the reason or the subject. The tests of the package pass.

--- a/internal/coordination/chains/candidates.go
+++ b/internal/coordination/chains/candidates.go
@@ -44,7 +44,7 @@
 	return l.out
 }
 
-// add adds an engine. entryCost is the cost in seconds per token of any stage there.
+// add adds an engine with the given candidate.entryCost.
 func (l *candidateList) add(b *model.BackendServer, card model.Card, view catalog.View, entryCost float64) {
 	inc := b.Incarnation()
 	id, ok := l.domains[b.FailureDomain]
--- a/internal/coordination/chains/cost.go
+++ b/internal/coordination/chains/cost.go
@@ -43,12 +43,7 @@
 // crossingCosts returns the cost in seconds of a hop between failure domains, by domain
 // index. The cost is infinite if the interconnect is at its limit.
 func (c *Chooser) crossingCosts(spec *model.EngineSpec, cands []candidate, req Requirements) [][]float64 {
-	names := []string{}
-	for _, cand := range cands {
-		if cand.domain == len(names) {
-			names = append(names, cand.server.FailureDomain)
-		}
-	}
+	names := domainNames(cands)
 	routers := c.RouterCount()
 	cost := make([][]float64, len(names))
 	for i := range names {
--- a/internal/coordination/chains/demand.go
+++ b/internal/coordination/chains/demand.go
@@ -52,8 +52,8 @@
 			s.Report(name, 0, p.demandsFor(pair), p.interval, ttl)
 		}
 	}
-	// This follows the reports, because it evaluates them, and they are evaluated again only
-	// after an interval.
+	// AddUse evaluates the reports, which are not evaluated again for an interval. So they come
+	// first.
 	if d, ok := ic.own[pair]; ok {
 		s.AddUse(0, d.read(now, rateDecayTime)*rateDecayTime.Seconds())
 	}
@@ -115,8 +115,9 @@
 }
 
 // RecordUnmet records that a request waits or was refused because Choose returned
-// InterconnectExhausted. It is called once per request and second. tokens is the length of
-// the prompt.
+// InterconnectExhausted. The demand counts at the full interconnects of the chain that it would
+// get without their limits. It is called once per request and second. tokens is the length of the
+// prompt.
 func (c *Chooser) RecordUnmet(svc *model.Service, req Requirements, tokens int) {
 	if !req.Prioritized || svc.Engine.InterconnectMbps <= 0 {
 		return
--- a/internal/coordination/chains/missing.go
+++ b/internal/coordination/chains/missing.go
@@ -14,10 +14,10 @@
 // maxReasons is the maximum number of engines listed in an explanation.
 const maxReasons = 6
 
-// ExplainNoChain describes why Choose returned NoChain or InterconnectExhausted. It names the layers that no usable
-// engine holds, and why the engines that hold them are unusable. If usable engines hold all
-// layers, the interconnect is at its limit, and the description covers each failure domain
-// separately. The result is meant for error messages.
+// ExplainNoChain describes why Choose returned NoChain or InterconnectExhausted. It names the
+// layers that no usable engine holds, and why the engines that hold them are unusable. If usable
+// engines hold all layers, the interconnect is at its limit, and the description covers each
+// failure domain separately. The result is meant for error messages.
 func (c *Chooser) ExplainNoChain(svc *model.Service, req Requirements) string {
 	everywhere := make([]bool, svc.Engine.Layers)
 	byDomain := map[string][]bool{}
--- a/internal/coordination/chains/pipes.go
+++ b/internal/coordination/chains/pipes.go
@@ -19,9 +19,8 @@
 )
 
 // sharesPerRouter is how many equal shares of the usable rate one router may use for services
-// whose routes do not differ in priority. The others use package share. It
-// exceeds 1 because mostly the routers of one failure domain use the interconnect after a
-// loss.
+// whose routes do not differ in priority. Package share divides the rate for the others. It
+// exceeds 1 because mostly the routers of one failure domain use the interconnect after a loss.
 const sharesPerRouter = 4
 
 // DomainPair is two failure domains in alphabetical order.
@@ -42,9 +41,10 @@
 	mu    sync.Mutex
 	own   map[DomainPair]*decayingSum
 	peers map[string]peerRates
-	// shares divide the interconnects that services with prioritized routes use.
+	// shares holds this router's shares of the interconnects that services with prioritized
+	// routes use.
 	shares map[DomainPair]*share.Shares
-	// phase is that of share.New; tests replace it.
+	// phase is passed to share.New. Only tests set it.
 	phase func() float64
 }
 
@@ -144,12 +144,12 @@
 	if d, ok := ic.own[pair]; ok {
 		sum = d.read(now, rateDecayTime)
 	}
-	for peer, c := range ic.peers {
-		if !now.Before(c.expires) {
+	for peer, p := range ic.peers {
+		if !now.Before(p.expires) {
 			delete(ic.peers, peer)
 			continue
 		}
-		sum += c.rates[pair]
+		sum += p.rates[pair]
 	}
 	return sum
 }
--- a/internal/coordination/chains/walk.go
+++ b/internal/coordination/chains/walk.go
@@ -12,7 +12,8 @@
 	server          *model.BackendServer
 	domain          int
 	secondsPerLayer float64
-	// entryCost is the cost in seconds per token of any stage at a suspected engine.
+	// entryCost is the cost in seconds per token of entering the engine, whatever number of
+	// layers it runs. It is 0 unless the engine is suspected.
 	entryCost      float64
 	firstStageCost float64 // seconds
 	full           bool
--- a/internal/coordination/chains/weak.go
+++ b/internal/coordination/chains/weak.go
@@ -25,14 +25,15 @@
 	view   catalog.View
 }
 
-// CountsWeakEvidence reports whether engines under weak evidence may be used. Without it,
-// another failure domain must take their requests, which a limited interconnect may not
+// CountsWeakEvidence reports whether engines that are suspected on weak evidence may be used.
+// That is so with several failure domains and a limited interconnect: if such an engine were
+// excluded, another domain would have to take its requests, which the interconnect may not
 // allow. Elsewhere they are excluded like all suspects.
 func (c *Chooser) CountsWeakEvidence(spec *model.EngineSpec) bool {
 	return spec.InterconnectMbps > 0 && c.Catalog.Load().Domains() > 1
 }
 
-// weakCost returns the expected loss of time of a stream at a weakly suspected engine.
+// weakCost returns the time that a stream is expected to lose at a weakly suspected engine.
 func weakCost(view catalog.View) time.Duration {
 	return time.Duration(math.Max(view.FailureRate, minWeakFailureRate) * float64(brokenStreamLoss))
 }
@@ -41,7 +42,7 @@
 // failure domain has no usable engine. Several suspects that hold the layer are all added.
 // Candidates that are paused or full are not usable.
 func (l *candidateList) addLastHolders(suspects []weakSuspect) {
-	held := make(map[string][]bool, len(suspects))
+	held := make(map[string][]bool, len(suspects)) // layers by failure domain of the suspects
 	for _, s := range suspects {
 		held[s.server.FailureDomain] = nil
 	}
