catalog: name the counting of failures and the sent requests under a suspicion

escalated counts a failure as a side effect, and retried and attempted differ only in what the request came after. They are countFailure, sentSinceFailure and sentSinceEvidence now. The doc comment of SuspectFromPeer states what its result means. The tests of the package pass.

--- a/internal/coordination/catalog/evidence.go
+++ b/internal/coordination/catalog/evidence.go
@@ -37,23 +37,23 @@
 	weakFailureRetention = 2 * maxSuspicion
 )
 
-// evidenceKinds holds until when each kind of evidence lasts. The rest of a suspicion is
-// weak.
+// evidenceKinds holds until when each kind of evidence lasts. In the rest of its time, a
+// suspicion rests on weak evidence.
 type evidenceKinds struct {
 	strongUntil     time.Time
 	unansweredUntil time.Time
 	// peersOnly is set if only refusals of other routers' requests are behind strongUntil.
 	peersOnly bool
 
-	failures  int       // consecutive failures on weak evidence
-	failedAt  time.Time // when the last one was counted
-	retried   bool      // a request was sent since then
-	attempted bool      // a request was sent since the last evidence of any kind
+	failures          int       // consecutive failures that are not strong evidence by themselves
+	failedAt          time.Time // when the last one was counted
+	sentSinceFailure  bool      // a request was sent since failedAt
+	sentSinceEvidence bool      // a request was sent since the last evidence of any kind
 }
 
 // raise records evidence that lasts until the given time.
 func (k *evidenceKinds) raise(kind Evidence, until time.Time) {
-	k.attempted = false
+	k.sentSinceEvidence = false
 	if kind == Strong {
 		k.peersOnly = false
 	}
@@ -65,10 +65,11 @@
 	}
 }
 
-// escalated counts a failure and returns Strong if too many are consecutive, else kind. The
-// streams that one fault breaks count once: another failure needs a request sent since, and
-// the given interval, in which streams started earlier break as well.
-func (k *evidenceKinds) escalated(kind Evidence, now time.Time, interval time.Duration) Evidence {
+// countFailure counts a failure on evidence of a kind. It returns Strong if the consecutive
+// failures reach maxWeakFailures, else kind. The streams that one fault breaks count once: a
+// further failure counts only if a request was sent since the last one and the interval, in
+// which streams that were started earlier break as well, is over.
+func (k *evidenceKinds) countFailure(kind Evidence, now time.Time, interval time.Duration) Evidence {
 	if kind == Strong {
 		return kind
 	}
@@ -76,13 +77,13 @@
 	switch {
 	case k.failures == 0 || age > weakFailureRetention:
 		k.failures = 1
-	case !k.retried || age < interval:
+	case !k.sentSinceFailure || age < interval:
 		return kind
 	default:
 		k.failures++
 	}
 	k.failedAt = now
-	k.retried = false
+	k.sentSinceFailure = false
 	if k.failures >= maxWeakFailures {
 		return Strong
 	}
@@ -119,7 +120,7 @@
 // RetriedUnderSuspicion reports whether a request was sent to a suspected backend server
 // since the last evidence against it.
 func (h *Health) RetriedUnderSuspicion(inc model.Incarnation) bool {
-	return h.holds(inc, func(r *record) bool { return h.now().Before(r.suspectedUntil) && r.kinds.attempted })
+	return h.holds(inc, func(r *record) bool { return h.now().Before(r.suspectedUntil) && r.kinds.sentSinceEvidence })
 }
 
 // RecordOwnCheck records that a backend server that refused a request of another router
--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -38,7 +38,7 @@
 	evidenceAt     time.Time // when the suspicion was last raised or confirmed
 	nextAttempt    time.Time // no attempt before
 	refusesUntil   time.Time // known to refuse requests until then
-	refusal        Evidence  // kind of the refusal behind refusesUntil
+	refusal        Evidence  // kind of evidence behind refusesUntil
 	failureCount   int       // consecutive suspicions and lasting refusals
 	failureRate    float64   // smoothed, as of failureRateAt
 	failureRateAt  time.Time
@@ -77,7 +77,7 @@
 		}
 		r.evidenceAt = now
 		until = r.suspectedUntil
-		r.kinds.raise(r.kinds.escalated(kind, now, attemptInterval), until)
+		r.kinds.raise(r.kinds.countFailure(kind, now, attemptInterval), until)
 	})
 	return until, isNew
 }
@@ -110,7 +110,7 @@
 func (h *Health) RecordUnexplainedRefusal(inc model.Incarnation, until time.Time) {
 	now := h.now()
 	// Refusals arrive within milliseconds, so no interval is needed to tell them apart.
-	h.update(inc, func(r *record) { r.refuse(now, until, r.kinds.escalated(Weak, now, 0), true) })
+	h.update(inc, func(r *record) { r.refuse(now, until, r.kinds.countFailure(Weak, now, 0), true) })
 }
 
 func (r *record) refuse(now, until time.Time, kind Evidence, lasting bool) {
@@ -140,8 +140,8 @@
 
 // SuspectFromPeer records that a backend server refused a request of another router and
 // gets none until the given time. It counts as a failure here as well. Peers do not tell
-// why it refused, so the evidence is strong unless it adds nothing to what is known here.
-// It returns whether it changed more than the end of a suspicion on stronger evidence.
+// why it refused, so the evidence is strong. It returns false if the suspicion does not end later or
+// rested on more than weak evidence before.
 func (h *Health) SuspectFromPeer(inc model.Incarnation, until time.Time) (strengthened bool) {
 	now := h.now()
 	h.update(inc, func(r *record) {
@@ -172,8 +172,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.kinds.retried = true
-	r.kinds.attempted = true
+	r.kinds.sentSinceFailure = true
+	r.kinds.sentSinceEvidence = true
 	if r.failureCount > 0 {
 		r.nextAttempt = h.now().Add(attemptInterval)
 	}
