placement: plainer names in the coverage rules, and the lock that guards their state

closeAll, closeRun, finished, idle and storeSilent told little or something else than they do; they are coverRuns, coverRun, superseded, delayOnly and planWriteFailed now. Comments state which lock guards coverageState and why coverDomain leaves a domain alone.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -129,8 +129,8 @@
 	switch stored := c.persist(ctx, svc.Name, plan, token); {
 	case stored && alone:
 		c.logChanges(svc.Name, before, plan)
-	case !stored && alone && c.storeSilent():
-		plan = before
+	case !stored && alone && c.planWriteFailed():
+		plan = before // its orders continue
 	case !stored:
 		return
 	}
@@ -159,7 +159,7 @@
 		c.recordAppearance(b, now, "")
 		out = append(out, b)
 	}
-	for inc := range c.appearedAt {
+	for inc := range c.appearedAt { // of all services
 		if b := listed.Find(inc); !present[inc] && (b == nil || b.Service == svc.Name) {
 			delete(c.appearedAt, inc)
 			c.recordLoadExit(c.pending[inc])
--- a/internal/coordination/placement/coverage.go
+++ b/internal/coordination/placement/coverage.go
@@ -29,7 +29,8 @@
 	// suspected is set if there has been evidence against the engine for a while. Its
 	// layers may not be in use, and its range is not extended.
 	suspected bool
-	// loading is set while an order to the engine is in progress or withheld.
+	// loading is set while the engine does not hold its planned range, or an order to it is
+	// pending or withheld.
 	loading bool
 	// readyAt is when the engine is expected to hold its planned layers, zero if unknown.
 	readyAt time.Time
@@ -54,7 +55,7 @@
 	if 2*len(gaps) > d.spec.Layers {
 		return plan, false
 	}
-	return d.closeAll(plan, gaps, func(Plan, model.LayerRange) bool { return true })
+	return d.coverRuns(plan, gaps, func(Plan, model.LayerRange) bool { return true })
 }
 
 // coverDelayed extends engines to layers that are assigned to an engine of the domain which
@@ -70,7 +71,7 @@
 	if 2*len(gaps) > d.spec.Layers {
 		return plan, false
 	}
-	return d.closeAll(plan, gaps, func(extended Plan, run model.LayerRange) bool {
+	return d.coverRuns(plan, gaps, func(extended Plan, run model.LayerRange) bool {
 		return d.restoresSooner(plan, extended, run)
 	})
 }
@@ -94,6 +95,7 @@
 	return planned
 }
 
+// missingFrom returns since when a layer has been missing, or now if it is not missing yet.
 func (d domainCoverage) missingFrom(layer int) time.Time {
 	if layer >= len(d.missingSince) || d.missingSince[layer].IsZero() {
 		return d.now
@@ -118,13 +120,13 @@
 	return true
 }
 
-// closeAll extends engines over each run of consecutive gaps that they can cover entirely
+// coverRuns extends engines over each run of consecutive gaps that they can cover entirely
 // and that accept admits. A run that is covered in part would use memory and a load, and
 // the domain could still not serve alone.
-func (d domainCoverage) closeAll(plan Plan, gaps []int, accept func(extended Plan, run model.LayerRange) bool) (next Plan, changed bool) {
+func (d domainCoverage) coverRuns(plan Plan, gaps []int, accept func(extended Plan, run model.LayerRange) bool) (next Plan, changed bool) {
 	next = plan
 	for _, run := range runs(gaps) {
-		extended, ok := d.closeRun(next, run, extensionLimits{tokens: d.tokensOf(minExtendedRequests), headroom: usedHeadroom})
+		extended, ok := d.coverRun(next, run, extensionLimits{tokens: d.tokensOf(minExtendedRequests), headroom: usedHeadroom})
 		if ok && accept(extended, run) {
 			next, changed = extended, true
 		}
@@ -145,9 +147,9 @@
 	return float64(requests * max(d.spec.MeanPromptTokens+d.spec.MeanAnswerTokens, 1))
 }
 
-// closeRun covers a run of layers by extending the engines that hold the adjacent layers,
+// coverRun covers a run of layers by extending the engines that hold the adjacent layers,
 // one layer at a time to the engine that keeps the greatest token capacity.
-func (d domainCoverage) closeRun(plan Plan, run model.LayerRange, limits extensionLimits) (Plan, bool) {
+func (d domainCoverage) coverRun(plan Plan, run model.LayerRange, limits extensionLimits) (Plan, bool) {
 	next := clonePlan(plan)
 	for run.Len() > 0 {
 		var best *domainEngine
@@ -224,8 +226,7 @@
 
 func contains(r model.LayerRange, layer int) bool { return r.From <= layer && layer < r.To }
 
-// loadTime returns the time to load n layers beside no more loads than do not slow each
-// other down.
+// loadTime returns the time to load n layers while no other loads slow it down.
 func loadTime(spec *model.EngineSpec, n int) time.Duration {
 	return time.Duration(float64(spec.LoadTime) * float64(max(n, 0)) / float64(max(spec.Layers, 1)))
 }
--- a/internal/coordination/placement/coverage_control.go
+++ b/internal/coordination/placement/coverage_control.go
@@ -94,7 +94,7 @@
 	}
 	next, covered := d.coverLost(plan)
 	if !state.wasComplete && len(UncoveredLayers(d.spec, next, d.plannerEngines())) > 0 {
-		return plan
+		return plan // it has too few engines to serve alone
 	}
 	if covered || !state.wasComplete {
 		return next
@@ -174,6 +174,8 @@
 	}
 }
 
+// suspectedFor returns for how long there has been evidence against an engine, or a negative
+// duration if there is none.
 func (c *Controller) suspectedFor(inc model.Incarnation, now time.Time) time.Duration {
 	since, ok := c.suspectedSince[inc]
 	if !ok {
@@ -182,9 +184,9 @@
 	return now.Sub(since)
 }
 
-// admitExtra reports whether a changed plan keeps the number of loads within
-// extraLoadShare of the ordinary ones and a fixed number, and records its loads if so.
-func (c *Controller) admitExtra(before, after Plan, fixed int) bool {
+// admitExtra reports whether the extra loads, with those of a changed plan, are no more than
+// extraLoadShare of the ordinary loads plus an allowance. If so, it records those of the plan.
+func (c *Controller) admitExtra(before, after Plan, allowance int) bool {
 	added := map[string]model.LayerRange{}
 	for addr, held := range after {
 		if before[addr] != held && c.extraPlanned[addr] != held {
@@ -192,7 +194,7 @@
 		}
 	}
 	total := c.extraLoads + len(c.extraPlanned) + len(added)
-	if float64(total) > extraLoadShare*float64(c.ordinaryLoads)+float64(fixed) {
+	if float64(total) > extraLoadShare*float64(c.ordinaryLoads)+float64(allowance) {
 		return false
 	}
 	maps.Copy(c.extraPlanned, added)
@@ -239,7 +241,8 @@
 	})
 	for _, addr := range slices.Sorted(maps.Keys(after)) {
 		old, ok := before[addr]
-		switch held := after[addr]; {
+		held := after[addr]
+		switch {
 		case !ok:
 			klog.InfoS("engine planned", "service", service, "address", addr, "domain", c.domainOf[addr], "to", held.String())
 		case old != held:
--- a/internal/coordination/placement/coverage_state.go
+++ b/internal/coordination/placement/coverage_state.go
@@ -13,20 +13,21 @@
 // domainRetention is how long the state of a failure domain without engines is kept.
 const domainRetention = 10 * time.Minute
 
-// coverageState is the state of the rules by which failure domains hold all layers.
+// coverageState is the state of the rules by which failure domains hold all layers. It is part
+// of a Controller and guarded by Controller.mu.
 type coverageState struct {
 	domains        map[domainKey]*domainState
-	domainOf       map[string]string // failure domains by address
-	suspectedSince map[model.Incarnation]time.Time
-	refusals       map[model.Incarnation]refusal
+	domainOf       map[string]string               // failure domains by address
+	suspectedSince map[model.Incarnation]time.Time // since when there has been evidence against engines
+	refusals       map[model.Incarnation]refusal   // the last refused order of each engine
 	// ordinaryLoads and extraLoads count the loads that were ordered in failure domains that
 	// had been complete. extraPlanned holds the planned extra loads by address.
 	ordinaryLoads, extraLoads int
 	extraPlanned              map[string]model.LayerRange
 	// extendedFrom holds, by service, the ranges that extended engines had before.
 	extendedFrom map[string]Plan
-	// storeFailed is set if the last plan could not be stored and no other process led.
-	storeFailed bool
+	// lastWriteFailed is set if the last plan could not be stored and no other process led.
+	lastWriteFailed bool
 }
 
 func newCoverageState() coverageState {
@@ -68,7 +69,8 @@
 			s.missingSince[l] = now
 		}
 	}
-	switch complete := !slices.Contains(held, false); {
+	complete := !slices.Contains(held, false)
+	switch {
 	case complete:
 		s.wasComplete = true
 		s.incompleteSince = time.Time{}
@@ -150,7 +152,10 @@
 		if held[b.FailureDomain] == nil {
 			held[b.FailureDomain] = make([]bool, svc.Engine.Layers)
 		}
-		for l := b.Holds.From; usable[b.Address] && l < min(b.Holds.To, svc.Engine.Layers); l++ {
+		if !usable[b.Address] {
+			continue
+		}
+		for l := b.Holds.From; l < min(b.Holds.To, svc.Engine.Layers); l++ {
 			held[b.FailureDomain][l] = true
 		}
 	}
@@ -178,7 +183,9 @@
 	return strings.Join(parts, " ")
 }
 
-// missingReasons returns why layers are missing in a failure domain.
+// missingReasons returns why layers are missing in a failure domain. The reason for a layer is
+// the first that applies: a holder is suspected, a holder is leaving, an engine is planned to load
+// it, or else its holder has exited.
 func (c *Controller) missingReasons(svc *model.Service, domain string, layers []int, all []*model.BackendServer) []string {
 	usable := map[string]bool{}
 	for _, b := range c.Catalog.Load().Service(svc.Name) {
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -52,8 +52,9 @@
 	sent     bool      // the engine may carry out the order
 	// readyAt is when the engine is expected to hold the range, zero if unknown.
 	readyAt time.Time
-	// idle is set for a delay in which the engine is not known to load.
-	idle bool
+	// delayOnly is set if no order is in progress and the next one is only delayed. The engine
+	// is not known to load then.
+	delayOnly bool
 }
 
 // sendOrders orders engines to load the layers in which they differ from the plan.
@@ -98,8 +99,8 @@
 		if c.withheld(b, want) {
 			continue
 		}
-		if p, ok := c.pending[b.Incarnation()]; ok && now.Before(p.deadline) && !(alone && p.finished(b, want)) {
-			if !alone || !p.idle {
+		if p, ok := c.pending[b.Incarnation()]; ok && now.Before(p.deadline) && !(alone && p.superseded(b, want)) {
+			if !alone || !p.delayOnly {
 				loading++
 			}
 			continue
@@ -114,7 +115,7 @@
 	first := firstChains(svc.Engine, plan, c.plannerEngines(svc, servers, now, 0))
 	sort.SliceStable(due, func(i, j int) bool { return loadsBefore(svc.Engine, plan, first, due[i], due[j]) })
 	if alone {
-		c.restoringFirst(svc, servers, due, plan)
+		c.sortRestoringFirst(svc, servers, due, plan)
 	}
 	due = due[:max(min(len(due), maxLoads-loading), 0)]
 	for _, b := range due {
@@ -131,15 +132,15 @@
 	return due
 }
 
-// finished reports whether an engine has carried out the order and is now to hold another
+// superseded reports whether an engine has carried out the order and is now to hold another
 // range.
-func (o order) finished(b *model.BackendServer, want model.LayerRange) bool {
+func (o order) superseded(b *model.BackendServer, want model.LayerRange) bool {
 	return o.sent && o.want == b.Holds && o.want != want
 }
 
-// restoringFirst moves the orders that give failure domains their missing layers back to
+// sortRestoringFirst moves the orders that give failure domains their missing layers back to
 // the front, those with the fewest layers to load first.
-func (c *Controller) restoringFirst(svc *model.Service, servers, due []*model.BackendServer, plan Plan) {
+func (c *Controller) sortRestoringFirst(svc *model.Service, servers, due []*model.BackendServer, plan Plan) {
 	restoring := c.restoringEngines(svc, servers, plan)
 	sort.SliceStable(due, func(i, j int) bool {
 		a, b := due[i], due[j]
@@ -260,12 +261,12 @@
 func (c *Controller) delayOrder(inc model.Incarnation, want model.LayerRange, d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending[inc] = order{want: want, deadline: c.Now().Add(d), idle: true} // not sent
+	c.pending[inc] = order{want: want, deadline: c.Now().Add(d), delayOnly: true}
 }
 
 // delayBusy delays the next order to an engine that is carrying out another one. That is
-// probably the same order of the previous leader, so the engine is expected to hold the range
-// in time.
+// probably the previous leader's order for the same range, so the engine is expected to hold
+// the range after the usual time.
 func (c *Controller) delayBusy(svc *model.Service, b *model.BackendServer, want model.LayerRange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordination/placement/plan_store.go
+++ b/internal/coordination/placement/plan_store.go
@@ -52,7 +52,7 @@
 		If:  []platform.Condition{{Key: leader.Key, Revision: token}},
 		Put: []platform.Item{{Key: leader.PlanPrefix + service, Value: value}},
 	})
-	c.setStoreFailed(err != nil && !errors.Is(err, platform.ErrConflict))
+	c.setLastWriteFailed(err != nil && !errors.Is(err, platform.ErrConflict))
 	if err != nil {
 		klog.InfoS("failed to store plan", "service", service, "token", token, "err", err)
 		return false
@@ -61,10 +61,11 @@
 	return c.acceptPlan(service, storedPlan{plan: plan, revision: revision})
 }
 
-func (c *Controller) setStoreFailed(failed bool) {
+// setLastWriteFailed records whether a plan could not be stored for another reason than a new leader.
+func (c *Controller) setLastWriteFailed(failed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.storeFailed = failed
+	c.lastWriteFailed = failed
 }
 
 // lastPlan returns the last plan that is known to be stored.
@@ -74,12 +75,12 @@
 	return c.plans[service].plan
 }
 
-// storeSilent reports whether the last plan could not be stored although no other process
+// planWriteFailed reports whether the last plan could not be stored although no other process
 // is known to lead. The orders of the plan before it continue.
-func (c *Controller) storeSilent() bool {
+func (c *Controller) planWriteFailed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.storeFailed
+	return c.lastWriteFailed
 }
 
 // acceptPlan records a plan unless a newer one is known, and reports whether it is now the
--- a/internal/coordination/placement/second_holder.go
+++ b/internal/coordination/placement/second_holder.go
@@ -35,7 +35,7 @@
 		}
 	}
 	for _, run := range runs(single) {
-		if extended, ok := d.closeRun(plan, run, extensionLimits{tokens: d.tokensOf(ampleRequests), headroom: ampleHeadroom}); ok {
+		if extended, ok := d.coverRun(plan, run, extensionLimits{tokens: d.tokensOf(ampleRequests), headroom: ampleHeadroom}); ok {
 			return extended, true
 		}
 	}
--- a/internal/coordination/placement/vacancy.go
+++ b/internal/coordination/placement/vacancy.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -23,7 +24,7 @@
 	for _, e := range added {
 		if assigned, ok := assignNewEngine(spec, next, living, e, domainOf); ok {
 			next, changed = assigned, true
-			living = append(living[:len(living):len(living)], e)
+			living = append(slices.Clip(living), e)
 		}
 	}
 	return next, changed
@@ -33,8 +34,8 @@
 // covers layers that the failure domain lacks nor was that of an engine of the domain that
 // left.
 func assignNewEngine(spec *model.EngineSpec, plan Plan, living []Engine, e Engine, domainOf map[string]string) (Plan, bool) {
-	known := indexByAddress(living)
-	vacancies := 0
+	known := indexByAddress(living) // engines whose planned ranges are not free
+	vacancies := 0                  // planned ranges in its domain without a living engine
 	for addr := range plan {
 		if _, ok := known[addr]; ok {
 			continue
@@ -43,14 +44,14 @@
 			vacancies++
 			continue
 		}
-		known[addr] = Engine{Address: addr, Domain: domainOf[addr]} // reserved for its own domain
+		known[addr] = Engine{Address: addr, Domain: domainOf[addr]} // reserved for new engines of its own domain
 	}
 	gaps := UncoveredLayers(spec, plan, inDomain(living, e.Domain))
 	if vacancies == 0 && len(gaps) == 0 {
 		return nil, false
 	}
 	next := clonePlan(plan)
-	assignRange(spec, next, append(living[:len(living):len(living)], e), known, e)
+	assignRange(spec, next, append(slices.Clip(living), e), known, e)
 	assigned := next[e.Address]
 	if assigned.Len() <= 0 || assigned.Len() > MaxLayers(spec, e.Card) {
 		return nil, false
