--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -40,20 +40,20 @@
 func NewRouter(s settings.Settings, store external.Store) *Router {
 	m := newMetrics(s)
 	r := &Router{
-		settings:      s,
-		store:         newCountedStore(store, m),
-		config:        &routes.ActiveConfig{},
-		catalog:       catalog.New(time.Now),
-		health:        catalog.NewHealth(time.Now),
-		usage:         chains.NewUsageTracker(time.Now),
-		interconnect:  chains.NewInterconnect(time.Now),
-		prober:        relay.NewProber(),
-		backends:      backend.NewPool(),
-		metrics:       m,
-		roster:        leader.NewRoster(s.Router.Peers, time.Now),
-		malformed:     malformedEntries{},
-		interconnects: map[interconnectRow]bool{},
-		listen:        listenTCP,
+		settings:         s,
+		store:            newCountedStore(store, m),
+		config:           &routes.ActiveConfig{},
+		catalog:          catalog.New(time.Now),
+		health:           catalog.NewHealth(time.Now),
+		usage:            chains.NewUsageTracker(time.Now),
+		interconnect:     chains.NewInterconnect(time.Now),
+		prober:           relay.NewProber(),
+		backends:         backend.NewPool(),
+		metrics:          m,
+		roster:           leader.NewRoster(s.Router.Peers, time.Now),
+		malformed:        malformedEntries{},
+		interconnectRows: map[interconnectRow]bool{},
+		listen:           listenTCP,
 	}
 	r.decode = func(raw []byte) (*model.RouteConfig, error) { return platform.DecodeConfig(raw, r.yield) }
 	r.configs = configQueue{apply: r.applyConfig, confirm: r.config.Confirm}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -136,7 +136,8 @@
 	m.scope.Gauge("backend_rate_limits_sum").Update(sum)
 }
 
-// setMissingLayers sets how many layers no engine of a failure domain holds for new streams.
+// setMissingLayers sets the number of layers that no engine of a failure domain holds and serves
+// to new streams.
 func (m *metrics) setMissingLayers(service, domain string, layers int) {
 	m.scope.Tagged(map[string]string{"service": service, "domain": domain}).Gauge("domain_layers_missing").Update(float64(layers))
 }
@@ -146,9 +147,15 @@
 	m.scope.Gauge("backend_servers_paused").Update(float64(n))
 }
 
+// interconnectRow identifies the demand for an interconnect at a priority.
+type interconnectRow struct {
+	pair     chains.DomainPair
+	priority int
+}
+
 // setInterconnect records the use of interconnects by this router's streams, its share and
-// its unmet demand, by domain pair and priority. reported holds the rows of the last call; a
-// row without demand is set to 0 once.
+// its unmet demand, by domain pair and priority. reported contains the rows of the last call and
+// is updated. A row that shares no longer contain is set to 0 once.
 func (m *metrics) setInterconnect(reported map[interconnectRow]bool, shares []chains.PairShare) {
 	for row := range reported {
 		reported[row] = false
@@ -166,12 +173,6 @@
 	}
 }
 
-// interconnectRow identifies the demand for an interconnect at a priority.
-type interconnectRow struct {
-	pair     chains.DomainPair
-	priority int
-}
-
 func (m *metrics) setInterconnectRow(row interconnectRow, used, share, unmet float64) {
 	tagged := m.scope.Tagged(map[string]string{"domain_pair": row.pair.A + "|" + row.pair.B, "priority": strconv.Itoa(row.priority)})
 	tagged.Gauge("interconnect_used_mbps").Update(used)
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -85,10 +85,10 @@
 	requestSeen atomic.Bool
 	draining    atomic.Bool
 
-	linkBytesLogged int64                    // used by logControl only
-	interconnects   map[interconnectRow]bool // used by cleanUp only
-	malformed       malformedEntries         // used by the follower only
-	configs         configQueue
+	linkBytesLogged  int64                    // used by logControl only
+	interconnectRows map[interconnectRow]bool // rows in the metrics; used by cleanUp only
+	malformed        malformedEntries         // used by the follower only
+	configs          configQueue
 
 	roster *leader.Roster
 }
@@ -204,7 +204,7 @@
 	r.metrics.setLimits(r.limits.Rates())
 	r.pauses.Retain(registered)
 	r.metrics.setPauses(r.pauses.Count())
-	r.metrics.setInterconnect(r.interconnects, r.interconnect.Shares())
+	r.metrics.setInterconnect(r.interconnectRows, r.interconnect.Shares())
 	for _, b := range r.engines() {
 		r.usage.Observe(b.Incarnation(), b.Holds)
 	}
