chains: one function sets up a search over all layers

chooseAmong, ExhaustedResource and RecordUnmet each built the same search with its candidates and crossing costs. They use newSearch. The tests of the package pass.

--- a/internal/coordination/chains/chains.go
+++ b/internal/coordination/chains/chains.go
@@ -128,9 +128,7 @@
 }
 
 func (c *Chooser) chooseAmong(engines []*model.BackendServer, svc *model.Service, req Requirements) ([]Stage, Result) {
-	cands := c.candidates(engines, svc, req)
-	s := search{spec: svc.Engine, cands: cands, layers: model.LayerRange{To: svc.Engine.Layers}, homeDomain: req.Domain}
-	s.crossing = c.crossingCosts(svc.Engine, cands, req)
+	s := c.newSearch(engines, svc, req)
 	if req.Resumed {
 		c.useResumeCosts(&s, req.Tokens)
 	}
@@ -158,13 +156,25 @@
 	return nil, NoChain
 }
 
+// newSearch returns a search for a chain over all layers, at the current costs and without
+// regard to capacity.
+func (c *Chooser) newSearch(engines []*model.BackendServer, svc *model.Service, req Requirements) search {
+	cands := c.candidates(engines, svc, req)
+	return search{
+		spec:       svc.Engine,
+		cands:      cands,
+		layers:     model.LayerRange{To: svc.Engine.Layers},
+		homeDomain: req.Domain,
+		crossing:   c.crossingCosts(svc.Engine, cands, req),
+	}
+}
+
 // ExhaustedResource names the resource that Choose lacked: rate limits or slots of first
 // stages, engines without a pause, interconnect rate ("pipes") or token memory. It repeats the
 // search, and its result is meant for error messages.
 func (c *Chooser) ExhaustedResource(svc *model.Service, req Requirements) string {
-	cands := c.candidates(c.engines(svc.Name), svc, req)
-	s := search{spec: svc.Engine, cands: cands, layers: model.LayerRange{To: svc.Engine.Layers}, homeDomain: req.Domain, requireCapacity: true}
-	s.crossing = c.crossingCosts(svc.Engine, cands, req)
+	s := c.newSearch(c.engines(svc.Name), svc, req)
+	s.requireCapacity = true
 	if s.shortest() != nil {
 		return "none at present"
 	}
@@ -179,8 +189,8 @@
 		return "pipes"
 	}
 	slots := s
-	slots.cands = make([]candidate, len(cands))
-	for i, cand := range cands {
+	slots.cands = make([]candidate, len(s.cands))
+	for i, cand := range s.cands {
 		cand.noSlot = false
 		slots.cands[i] = cand
 	}
--- a/internal/coordination/chains/demand.go
+++ b/internal/coordination/chains/demand.go
@@ -122,12 +122,11 @@
 	if !req.Prioritized || svc.Engine.InterconnectMbps <= 0 {
 		return
 	}
-	cands := c.candidates(c.engines(svc.Name), svc, req)
-	s := search{spec: svc.Engine, cands: cands, layers: model.LayerRange{To: svc.Engine.Layers}, homeDomain: req.Domain}
-	limited := c.crossingCosts(svc.Engine, cands, req)
+	s := c.newSearch(c.engines(svc.Name), svc, req)
+	limited := s.crossing
 	s.crossing = withoutInterconnectLimits(limited)
-	domains := map[string]int{}
-	for _, cand := range cands {
+	domains := map[string]int{} // domain indexes
+	for _, cand := range s.cands {
 		domains[cand.server.FailureDomain] = cand.domain
 	}
 	stages := s.shortest()
