follow: compute the time until a lag apart from the cancelling

A function with the name of a duration also cancelled the query in progress. checkLag now does both in turn under the same lock. The tests of the package pass.

--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -41,21 +41,22 @@
 	wakeup := f.wakeLagCheck
 	f.mu.Unlock()
 	for ctx.Err() == nil {
-		waitForWake(ctx, wakeup, f.cancelOrRemaining())
+		f.mu.Lock()
+		f.cancelIfLagging()
+		remaining := f.untilLagging()
+		f.mu.Unlock()
+		waitForWake(ctx, wakeup, remaining)
 	}
 }
 
-// cancelOrRemaining cancels the query in progress if this process lags. Otherwise it returns
-// the time until it does unless updates arrive, or 0 if it lacks nothing.
-func (f *Follower) cancelOrRemaining() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cancelIfLagging()
+// untilLagging returns the time until this process lags unless updates arrive, or 0 if it lacks
+// nothing or lags already. The caller holds f.mu.
+func (f *Follower) untilLagging() time.Duration {
 	remaining := f.laggingSince + f.allowedLag() - f.Clock()
 	if f.laggingSince == 0 || remaining < 0 {
 		return 0
 	}
-	return remaining + time.Millisecond
+	return remaining + time.Millisecond // isLagging requires more than allowedLag
 }
 
 // ObserveEra records that the store answered some call of this process in an era.
