--- a/internal/coordination/follow/query.go
+++ b/internal/coordination/follow/query.go
@@ -57,17 +57,18 @@
 // errCancelled reports that a newer revision or a failed call ended the query early.
 var errCancelled = errors.New("query cancelled")
 
-func (f *Follower) watch(ctx context.Context) error {
-	queryCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// beginWatch records that a watch begins, with the function that cancels it. It returns how long
+// the watch waits for changes and the margin for its answer. confirming is set if the watch shows
+// whether the store's watches deliver a known revision.
+func (f *Follower) beginWatch(cancel context.CancelFunc) (wait, margin time.Duration, confirming bool) {
 	f.watchMargin = min(max(f.watchMargin, minWatchMargin), maxWatchMargin)
-	wait, margin := f.watchTimeout(), f.watchMargin
+	wait, margin = f.watchTimeout(), f.watchMargin
 	if f.disconnected {
 		wait = shortWatchTimeout // the store may have been restored, which its answer shows
 	}
 	urgent, lagging := f.beginQuery(cancel)
 	// After a failed read, the store is unavailable or slow rather than its watches silent.
-	confirming := (lagging || f.reread.due) && !f.reread.failed
+	confirming = (lagging || f.reread.due) && !f.reread.failed
 	switch {
 	case f.reread.due:
 		wait = min(wait, max(f.reread.notBefore-f.Clock(), confirmTimeout))
@@ -79,6 +80,15 @@
 	if confirming {
 		margin = f.reread.confirmMargin(margin)
 	}
+	return wait, margin, confirming
+}
+
+// watch waits for changes in the store and applies them. If the watch does not deliver a known
+// revision, it schedules a read of the whole range.
+func (f *Follower) watch(ctx context.Context) error {
+	queryCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wait, margin, confirming := f.beginWatch(cancel)
 	known, start := f.knownRevision(), f.Clock()
 	startCtx, stop := context.WithTimeout(queryCtx, wait+margin)
 	page, err := f.Store.Watch(startCtx, f.Prefix, f.Revision(), wait)
