placement: newOrder computes an order's deadline, and the planner's engines are usable

dueOrders both selected engines and computed their times. currentPlan called engines settled that coverDomains may return before they have settled. Plain moves; the tests of the package pass.

--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -201,20 +201,20 @@
 		}
 		return BuildPlan(svc.Engine, c.plannerEngines(svc, servers, now, 0))
 	}
-	settled := c.plannerEngines(svc, c.withoutUnreachable(servers), now, newEngineDelay)
+	usable := c.plannerEngines(svc, c.withoutUnreachable(servers), now, newEngineDelay)
 	next := old.plan
 	if c.servesAlone(svc) {
-		next, settled = c.coverDomains(svc, servers, next, now)
+		next, usable = c.coverDomains(svc, servers, next, now)
 	}
-	if hasUnplanned(next, settled) {
-		next, _ = Extend(svc.Engine, next, settled)
+	if hasUnplanned(next, usable) {
+		next, _ = Extend(svc.Engine, next, usable)
 	}
-	if !c.gapPersists(svc, next, settled, now) {
-		return c.repairDomains(svc, next, settled, now)
+	if !c.gapPersists(svc, next, usable, now) {
+		return c.repairDomains(svc, next, usable, now)
 	}
-	repaired, changed := Repair(svc.Engine, next, settled)
+	repaired, changed := Repair(svc.Engine, next, usable)
 	if changed {
-		klog.InfoS("plan repaired: some layers were held by no engine", "service", svc.Name, "layers", UncoveredLayers(svc.Engine, next, settled))
+		klog.InfoS("plan repaired: some layers were held by no engine", "service", svc.Name, "layers", UncoveredLayers(svc.Engine, next, usable))
 		delete(c.gapSince, svc.Name)
 	}
 	return repaired
--- a/internal/coordination/placement/orders.go
+++ b/internal/coordination/placement/orders.go
@@ -119,19 +119,24 @@
 	}
 	due = due[:max(min(len(due), maxLoads-loading), 0)]
 	for _, b := range due {
-		want := plan[b.Address]
-		share := float64(want.Len()) / float64(max(svc.Engine.Layers, 1))
-		contention := max(float64(len(due)+loading)/float64(svc.Engine.ConcurrentLoads), 1)
-		duration := time.Duration(float64(svc.Engine.LoadTime) * share * contention)
-		o := order{address: b.Address, want: want, deadline: now.Add(duration + loadMargin)}
-		if extends(want, b.Holds) {
-			o.readyAt = now.Add(time.Duration(float64(loadTime(svc.Engine, addedLayers(want, b.Holds))) * contention))
-		}
-		c.pending[b.Incarnation()] = o
+		c.pending[b.Incarnation()] = newOrder(svc.Engine, b, plan[b.Address], len(due)+loading, now)
 	}
 	return due
 }
 
+// newOrder returns the order to hold a range, which is to be sent while a number of loads run.
+// Its deadline allows for a load of the whole range.
+func newOrder(spec *model.EngineSpec, b *model.BackendServer, want model.LayerRange, loads int, now time.Time) order {
+	share := float64(want.Len()) / float64(max(spec.Layers, 1))
+	contention := max(float64(loads)/float64(spec.ConcurrentLoads), 1)
+	duration := time.Duration(float64(spec.LoadTime) * share * contention)
+	o := order{address: b.Address, want: want, deadline: now.Add(duration + loadMargin)}
+	if extends(want, b.Holds) {
+		o.readyAt = now.Add(time.Duration(float64(loadTime(spec, addedLayers(want, b.Holds))) * contention))
+	}
+	return o
+}
+
 // superseded reports whether an engine has carried out the order and is now to hold another
 // range.
 func (o order) superseded(b *model.BackendServer, want model.LayerRange) bool {
