--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -32,7 +32,7 @@
 	// shortWatchTimeout applies while the state of the store is in doubt and before the
 	// first answer. A peer's poll is refused until then.
 	shortWatchTimeout = 200 * time.Millisecond
-	// lagTimeout is how long a peer's revision may stay ahead before the source is
+	// lagTimeout is how long this process may lack a known revision before the source is
 	// considered unresponsive. Changes reach the routers at different times. A router
 	// that polls a peer also allows for that peer's batch delay.
 	lagTimeout = 400 * time.Millisecond
@@ -124,8 +124,8 @@
 	acknowledged    atomic.Int64 // highest revision that the store returned to another call of this process
 	mu              sync.Mutex
 	cancelQuery     context.CancelFunc // cancels the query in progress
-	laggingSince    time.Duration      // since when a peer has missingRevision; 0 if none is ahead
-	missingRevision model.Revision     // revision that a peer has and this process lacks
+	laggingSince    time.Duration      // since when missingRevision is known; 0 if none is
+	missingRevision model.Revision     // known revision that this process lacks
 	peerRevision    model.Revision     // highest revision of any peer
 	otherCallFailed bool               // another call to the store was not answered
 	disproved       model.Revision     // advertised by a peer, but a read of the range showed that it did not exist
@@ -159,8 +159,8 @@
 	watchMargin    time.Duration
 	pollMargin     time.Duration
 	reread         reread
-	// awaitsPeer is set while the peer that is polled lacks a revision of another one and may
-	// still get it.
+	// awaitsPeer is set while the peer that is polled lacks a known revision and may still get
+	// it.
 	awaitsPeer bool
 	// staleSince is when the peer that is polled was first asked without having all that
 	// this process has; 0 if it was up to date.
@@ -223,7 +223,7 @@
 			continue
 		case errors.Is(err, errUnconfirmed):
 			continue
-		case errors.Is(err, errPeerLags) && f.isUndelivered(ctx):
+		case errors.Is(err, errPeerLags) && f.confirmUndelivered(ctx):
 			continue
 		case !f.source.IsStore():
 			klog.InfoS("polling peer for store updates failed", "peer", f.source.Address, "err", err, "revision", f.Revision())
@@ -270,121 +270,3 @@
 	f.Sink.Synced(f.answerTime)
 	f.syncedAt.Store(int64(f.answerTime))
 }
-
-func (f *Follower) pickSource(ctx context.Context) {
-	next := f.nextSource(ctx)
-	if !next.IsStore() {
-		f.starting.Store(false)
-	}
-	if next == f.source {
-		return
-	}
-	f.mu.Lock()
-	previous := f.source
-	f.source = next
-	f.mu.Unlock()
-	if previous.Address != next.Address {
-		f.watching.Store(false)
-		f.staleSince = 0
-		f.awaitsPeer = false
-		f.reread.due = false
-		klog.InfoS("source of store updates changed", "source", next.Address, "before", previous.Address, "why", next.Reason,
-			"revision", f.Revision(), "age", f.SinceLastContact())
-	}
-}
-
-func (f *Follower) pollSource(ctx context.Context) error {
-	switch {
-	case !f.source.IsStore():
-		return f.queryPeer(ctx, f.source.Address)
-	case f.synced && !f.eraOutdated():
-		if f.isRereadDue(ctx) {
-			return f.rereadRange(ctx)
-		}
-		return f.watch(ctx)
-	default:
-		return f.readRange(ctx)
-	}
-}
-
-// reset replaces the contents. The caller holds f.applying.
-func (f *Follower) reset(items []replica.Item, revision model.Revision) {
-	f.hasContents = true
-	f.transfers.Clear()
-	f.checkEra(revision)
-	f.Sink.Reset(platform.Page{Items: f.withValues(items), Revision: revision}, f.grace())
-	if f.Replica != nil {
-		f.Replica.Reset(items, revision)
-	}
-	f.revision.Store(int64(revision))
-}
-
-// checkEra detects that the store was restored from an older copy. Servers that still
-// run may write missing entries again, so removals get removalGrace.
-func (f *Follower) checkEra(revision model.Revision) {
-	previous := f.Revision()
-	if previous == 0 || revision.Era() <= previous.Era() {
-		return
-	}
-	f.graceUntil.Store(int64(f.Clock() + removalGrace))
-	klog.InfoS("store was restored from an older copy", "revision", revision, "before", previous, "source", f.source.Address, "graceForRemoved", f.grace())
-	f.Sink.HandleStoreRestore()
-}
-
-// apply applies changes that are complete up to a revision. The caller holds f.applying.
-func (f *Follower) apply(items []replica.Item, revision model.Revision) {
-	for _, it := range latestPerKey(f.withValues(items)) {
-		f.Sink.Change(it, f.grace())
-	}
-	revision = max(revision, f.Revision())
-	if f.Replica != nil {
-		for _, it := range f.Replica.Apply(items, revision) {
-			klog.InfoS("key removed in a gap of the store's history", "key", it.Key, "revision", revision, "source", f.source.Address)
-			f.Sink.Change(it.Item, f.grace())
-		}
-	}
-	f.revision.Store(int64(revision))
-}
-
-// withValues returns the items that have values and schedules the others to be fetched.
-func (f *Follower) withValues(items []replica.Item) []platform.Item {
-	out := make([]platform.Item, 0, len(items))
-	for _, it := range items {
-		if it.Omitted {
-			f.transfers.Want(it.Key, it.Revision, f.holder())
-			wake(f.wakeFetcher)
-			continue
-		}
-		f.transfers.Drop(it.Key, it.Revision)
-		out = append(out, it.Item)
-	}
-	return out
-}
-
-// holder returns the router whose updates are applied, or an empty string if values cannot be
-// fetched from routers.
-func (f *Follower) holder() string {
-	if f.FetchValue == nil {
-		return ""
-	}
-	return f.source.Address
-}
-
-// latestPerKey returns the last change of each key. Decoding a large configuration is
-// slow, so earlier changes of a key are skipped.
-func latestPerKey(items []platform.Item) []platform.Item {
-	last := make(map[string]int, len(items))
-	for i, it := range items {
-		last[it.Key] = i
-	}
-	if len(last) == len(items) {
-		return items
-	}
-	out := make([]platform.Item, 0, len(last))
-	for i, it := range items {
-		if last[it.Key] == i {
-			out = append(out, it)
-		}
-	}
-	return out
-}
--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -129,8 +129,8 @@
 	switch stored := c.persist(ctx, svc.Name, plan, token); {
 	case stored && alone:
 		c.logChanges(svc.Name, before, plan)
-	case !stored && alone && c.storeSilent():
-		plan = before
+	case !stored && alone && c.planWriteFailed():
+		plan = before // its orders continue
 	case !stored:
 		return
 	}
@@ -159,7 +159,7 @@
 		c.recordAppearance(b, now, "")
 		out = append(out, b)
 	}
-	for inc := range c.appearedAt {
+	for inc := range c.appearedAt { // of all services
 		if b := listed.Find(inc); !present[inc] && (b == nil || b.Service == svc.Name) {
 			delete(c.appearedAt, inc)
 			c.recordLoadExit(c.pending[inc])
@@ -201,20 +201,20 @@
 		}
 		return BuildPlan(svc.Engine, c.plannerEngines(svc, servers, now, 0))
 	}
-	settled := c.plannerEngines(svc, c.withoutUnreachable(servers), now, newEngineDelay)
+	usable := c.plannerEngines(svc, c.withoutUnreachable(servers), now, newEngineDelay)
 	next := old.plan
 	if c.servesAlone(svc) {
-		next, settled = c.coverDomains(svc, servers, next, now)
+		next, usable = c.coverDomains(svc, servers, next, now)
 	}
-	if hasUnplanned(next, settled) {
-		next, _ = Extend(svc.Engine, next, settled)
+	if hasUnplanned(next, usable) {
+		next, _ = Extend(svc.Engine, next, usable)
 	}
-	if !c.gapPersists(svc, next, settled, now) {
-		return c.repairDomains(svc, next, settled, now)
+	if !c.gapPersists(svc, next, usable, now) {
+		return c.repairDomains(svc, next, usable, now)
 	}
-	repaired, changed := Repair(svc.Engine, next, settled)
+	repaired, changed := Repair(svc.Engine, next, usable)
 	if changed {
-		klog.InfoS("plan repaired: some layers were held by no engine", "service", svc.Name, "layers", UncoveredLayers(svc.Engine, next, settled))
+		klog.InfoS("plan repaired: some layers were held by no engine", "service", svc.Name, "layers", UncoveredLayers(svc.Engine, next, usable))
 		delete(c.gapSince, svc.Name)
 	}
 	return repaired
