relay: a request that waits for a trial reports one capacity refusal

Cause: a request that has run already and may run only in a trial asks for a chain every trialPollInterval, and each failure was logged and counted as a refusal for lack of capacity. Change: refusals are logged and counted once for each request (reportRefusal).

--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -183,6 +183,9 @@
 	chosenAt time.Time
 	// unmetAt is when the request was last recorded as unmet demand for the interconnect.
 	unmetAt time.Time
+	// capacityRefusalRecorded is set once a refusal for lack of capacity was logged and counted.
+	// A request that waits for a trial is refused a chain many times.
+	capacityRefusalRecorded bool
 	// withheld is set if the last choice of a server failed because of rate limits or pauses.
 	withheld bool
 	// retryGranted is set if a token for the next retry was already taken.
--- a/internal/protocol/relay/shortage.go
+++ b/internal/protocol/relay/shortage.go
@@ -66,8 +66,7 @@
 	return aheadReason
 }
 
-// refusal returns the error for a request that no chain could be reserved for, and logs and
-// counts it.
+// refusal returns the error for a request that no chain could be reserved for, and reports it.
 func (c *chainSearch) refusal() *fault.Error {
 	found := c.classify()
 	if found.reason == interconnectReason {
@@ -86,10 +85,19 @@
 			f.RetryAfter = c.returnDelay(found.since)
 		}
 	}
+	c.reportRefusal(found, f)
+	return f
+}
+
+// reportRefusal logs and counts a refusal, once for each request.
+func (c *chainSearch) reportRefusal(found shortage, f *fault.Error) {
+	if c.capacityRefusalRecorded {
+		return
+	}
+	c.capacityRefusalRecorded = true
 	c.Observer.CapacityRefused(c.admitted.Service.Name, string(found.reason), c.admitted.Urgency)
 	klog.InfoS("request refused for lack of capacity", "request", c.call.Attempt, "resource", found.reason, "sinceMs", c.Now().Sub(found.since).Milliseconds(),
 		"urgency", c.admitted.Urgency, "waitedMs", c.waitTime.Milliseconds(), "limitMs", c.waitLimit.Milliseconds(), "forecast", c.forecast.String(), "retryAfterMs", f.RetryDelay().Milliseconds())
-	return f
 }
 
 func (c *chainSearch) noChainError(found shortage) *fault.Error {
