admission: names and comments of the wait line

Cause: counts by urgency were called kinds and the rule for starved urgencies, the guard of the entries' fields and what may be passed were not described where they are used. Change: kindShares is urgencyShares (urgencies.go), unordered is lenOutsideLines; doc comments. Result: no change of behavior; tests of the package pass.

--- a/internal/coordination/admission/customers.go
+++ b/internal/coordination/admission/customers.go
@@ -66,6 +66,7 @@
 	s.allowance = shareTolerance*s.total/float64(max(s.customers(), 1)) + shareSlack*s.scale
 }
 
+// rescale makes now the base and forgets customers with few recent grants.
 func (s *customerShares) rescale(now time.Time) {
 	kept := math.Exp(-now.Sub(s.base).Seconds() / shareWindow.Seconds())
 	s.base = now
--- a/internal/coordination/admission/line.go
+++ b/internal/coordination/admission/line.go
@@ -14,9 +14,9 @@
 // other routers. Notify makes it try at once.
 const pollInterval = 40 * time.Millisecond
 
-// WaitQueue lets requests wait for capacity. Those of prioritized services wait in a Line of
-// each service, the others in one queue ordered by priority, in which only the request at the
-// front tries to get capacity. It is safe for concurrent use.
+// WaitQueue lets requests wait for capacity. Each prioritized service has a Line, in which its
+// requests wait. Those of all other services wait in one queue ordered by priority, in which only
+// the request at the front tries to get capacity. It is safe for concurrent use.
 type WaitQueue struct {
 	mu    sync.Mutex
 	queue *fair.Queue[*queuedRequest]
@@ -64,7 +64,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if q.unordered() == 0 && try() {
+	if q.lenOutsideLines() == 0 && try() {
 		return true
 	}
 	w := &queuedRequest{wake: make(chan struct{}, 1)}
@@ -92,7 +92,8 @@
 	}
 }
 
-func (q *WaitQueue) unordered() int {
+// lenOutsideLines returns the number of requests that wait outside of the lines.
+func (q *WaitQueue) lenOutsideLines() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.queue.Len()
--- a/internal/coordination/admission/order.go
+++ b/internal/coordination/admission/order.go
@@ -2,23 +2,25 @@
 
 import "time"
 
+// lineEntry is a waiting request. The Line's mutex protects triedAt and passedSince.
 type lineEntry struct {
 	Waiter
 	wake chan struct{}
 	// arrival numbers the entries in the order of their arrival.
 	arrival uint64
-	// triedAt is when the last try failed, and passedSince when a smaller request first passed.
+	// triedAt is when the last try failed, and passedSince when a smaller request first got
+	// capacity before this one.
 	triedAt, passedSince time.Time
 }
 
 // mayTry reports whether all entries that go before e have failed to get capacity recently and
-// may be passed by it.
+// may be passed by it. If the urgency of e is starved, entries of other urgencies don't count.
 func (l *Line) mayTry(e *lineEntry) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	l.shares.update(now)
-	starved := l.kinds.starved(now, e.Urgency)
+	starved := l.urgencies.starved(now, e.Urgency)
 	for _, o := range l.waiting {
 		if starved && o.Urgency != e.Urgency {
 			continue
@@ -30,7 +32,8 @@
 	return true
 }
 
-// passableBy reports whether a smaller entry of the same urgency may try before o.
+// passableBy reports whether e may try before o, which goes first: e is a smaller request of the
+// same urgency, the last try of o has just failed, and o has not been passed for too long.
 func (o *lineEntry) passableBy(e *lineEntry, now time.Time) bool {
 	if o.Urgency != e.Urgency || e.Size >= o.Size || o.triedAt.IsZero() || now.Sub(o.triedAt) > pollInterval {
 		return false
@@ -49,6 +52,7 @@
 	return front
 }
 
+// notify wakes the goroutine of the entry, so that it tries.
 func (e *lineEntry) notify() {
 	select {
 	case e.wake <- struct{}{}:
--- a/internal/coordination/admission/ordered.go
+++ b/internal/coordination/admission/ordered.go
@@ -38,18 +38,19 @@
 	Forecast *forecast.Forecast
 	Returns  *forecast.Returns
 
-	now     func() time.Time
-	mu      sync.Mutex
-	shares  customerShares
-	kinds   kindShares
-	waiting []*lineEntry
+	now    func() time.Time
+	mu     sync.Mutex
+	shares customerShares
+	// urgencies tells which urgencies are starved.
+	urgencies urgencyShares
+	waiting   []*lineEntry
 	// arrivals is the number of requests that have waited.
 	arrivals uint64
 }
 
 // NewLine returns an empty Line.
 func NewLine(now func() time.Time) *Line {
-	return &Line{Forecast: forecast.New(now), Returns: forecast.NewReturns(now), now: now, shares: newCustomerShares(), kinds: newKindShares()}
+	return &Line{Forecast: forecast.New(now), Returns: forecast.NewReturns(now), now: now, shares: newCustomerShares(), urgencies: newUrgencyShares()}
 }
 
 // Len returns the number of waiting requests.
@@ -71,7 +72,7 @@
 		return 0
 	}
 	l.shares.update(now)
-	starved := l.kinds.starved(now, w.Urgency)
+	starved := l.urgencies.starved(now, w.Urgency)
 	newest := &lineEntry{Waiter: w, arrival: l.arrivals}
 	n := 0
 	for _, e := range l.waiting {
@@ -89,7 +90,7 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	l.shares.grant(now, w.Customer)
-	l.kinds.of(now, w.Urgency).granted++
+	l.urgencies.count(now, w.Urgency).granted++
 }
 
 // TryNow calls try and reports whether it succeeded, unless a waiting request goes first. It must
@@ -98,12 +99,12 @@
 	return ctx.Err() == nil && l.arrive(w) == 0 && try()
 }
 
-// arrive counts a request and returns the number of those that would go before it.
+// arrive counts a request and returns the number of waiting requests that go before it.
 func (l *Line) arrive(w Waiter) (ahead int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	l.kinds.of(now, w.Urgency).requests++
+	l.urgencies.count(now, w.Urgency).requests++
 	return l.aheadLocked(now, w)
 }
 
@@ -194,7 +195,7 @@
 	l.shares.update(now)
 	next := l.front()
 	for _, e := range l.waiting {
-		if next.Urgency != e.Urgency && l.kinds.starved(now, e.Urgency) && (l.precedes(e, next) || !l.kinds.starved(now, next.Urgency)) {
+		if next.Urgency != e.Urgency && l.urgencies.starved(now, e.Urgency) && (l.precedes(e, next) || !l.urgencies.starved(now, next.Urgency)) {
 			next = e
 		}
 	}
