relay: names and comments of the search for a chain

Cause: recordShortage recorded no shortage but made the forecast, classify returned and recorded one, recordReservation reserved, and recordUnmet took requirements that never differed from the search's. Change: makeForecast, findShortage, reserveChosen, recordUnmet without arguments; comments that left out what they refer to are complete. A test head that said "as before" names its failure.

--- a/internal/protocol/relay/classify.go
+++ b/internal/protocol/relay/classify.go
@@ -24,14 +24,14 @@
 	drainingEnginePeriod = 8 * time.Second
 	// peerCheckInterval is the mean time between two checks of an engine by different
 	// routers after one refusal. All routers learn of it at the same moment. At 27 routers
-	// the checks take an seventh of the shortest suspicion at most.
+	// the checks take at most a seventh of the shortest suspicion.
 	peerCheckInterval = 5 * time.Millisecond
 )
 
 // Refused implements SuspectTracker. An engine refuses requests while it is full, drains
 // or unloads its layers. Its entry may show the cause only seconds later, or not at all
-// while the store is unavailable. Its report and its health check distinguish the cases. A probe would succeed at once, so the suspicion lasts its full period and
-// peers adopt it.
+// while the store is unavailable. Its report and its health check distinguish the cases. A
+// probe would succeed at once, so the suspicion lasts its full period and peers adopt it.
 //
 // An engine that asks for a pause has said how long it refuses requests of this router. Peers
 // get a shorter period, as it did not ask them.
@@ -76,7 +76,8 @@
 	return s, nil
 }
 
-// classifyRefusal determines the cause of a refusal. Without one it is weak evidence.
+// classifyRefusal determines the cause of a refusal. A refusal without a visible cause is weak
+// evidence.
 func (p *Prober) classifyRefusal(b *model.BackendServer, request string, status int) {
 	s, err := p.checkState(b)
 	if err != nil {
@@ -131,6 +132,7 @@
 	return true
 }
 
+// checkPeerRefusal makes a scheduled check, unless it is no longer needed.
 func (p *Prober) checkPeerRefusal(b *model.BackendServer) {
 	p.mu.Lock()
 	delete(p.checkScheduled, b.Incarnation())
--- a/internal/protocol/relay/forecast_test.go
+++ b/internal/protocol/relay/forecast_test.go
@@ -14,7 +14,8 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// skewForecast makes the forecast wrong by a factor, all the time, as its clock is.
+// skewForecast makes the forecast too long by a factor (too short if it is below 1): the clock of
+// the forecast runs faster by it.
 func (l *loadTest) skewForecast(factor float64) {
 	began := time.Now()
 	l.WaitQueue.Line("s").Forecast = forecast.New(func() time.Time {
@@ -48,9 +49,10 @@
 }
 
 // Load: 6 requests a second at random times where 4 fit, so that one or two fit in the patience.
-// Failure: as before. What capacity requires is what is refused if all wait.
+// Failure: the forecast is wrong by a factor of three in either direction. Guards against refusing
+// over a third more than capacity requires, which is what is refused if all requests wait.
 func TestWrongForecastOfFewGrants(t *testing.T) {
-	const allWait = 0.001
+	const allWait = 0.001 // the forecast is so short that no request is refused for it
 	refused := map[float64]int{}
 	for _, factor := range []float64{allWait, 1, 3, 1.0 / 3} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/protocol/relay/load_test.go
+++ b/internal/protocol/relay/load_test.go
@@ -22,7 +22,7 @@
 // latencies.
 var kinds = []time.Duration{500 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond}
 
-// patience is the wait that every kind may have: that of the most urgent one.
+// patience is the maximum wait of every kind: capacityWaitShare of the least target latency.
 const patience = 400 * time.Millisecond
 
 const (
@@ -36,13 +36,14 @@
 	t    *testing.T
 	hold time.Duration // how long a request occupies a slot
 
-	mu      sync.Mutex
-	ran     map[string]int // by attempt
-	calls   int
-	byKind  [3]kindResult
-	all     sync.WaitGroup
-	inOrder []int    // kinds in the order in which they were served
-	started []string // targets in the order in which they were sent to engines
+	mu sync.Mutex
+	// ran counts how often each attempt was sent to an engine.
+	ran      map[string]int
+	attempts int
+	byKind   [3]kindResult
+	all      sync.WaitGroup
+	inOrder  []int    // kinds in the order in which they were served
+	started  []string // targets in the order in which they were sent to engines
 }
 
 // kindResult is what callers of one kind received.
@@ -87,11 +88,11 @@
 	l.Usage.SetPeerUsage("peer", used, d)
 }
 
-// attempt makes one attempt and checks that its response is true.
+// attempt makes one attempt and checks that it did not run if it was refused.
 func (l *loadTest) attempt(ctx context.Context, kind int, key string, deadline time.Time) (out *recordingWriter, took time.Duration) {
 	l.mu.Lock()
-	l.calls++
-	id := strconv.Itoa(l.calls)
+	l.attempts++
+	id := strconv.Itoa(l.attempts)
 	l.mu.Unlock()
 	out = &recordingWriter{}
 	began := time.Now()
--- a/internal/protocol/relay/path.go
+++ b/internal/protocol/relay/path.go
@@ -74,8 +74,8 @@
 
 // handleCheckRefusal handles a refused path check. server is the engine that it names, nil if
 // none. If that engine made progress for other streams since this one's event was due, it
-// may have unloaded or refused this stream only. Then this stream leaves it, and the
-// others stay. Where weak evidence does not count, all streams leave.
+// may have unloaded or refused this stream only. Then only this stream leaves it, unless the
+// service does not count weak evidence: there the engine has failed for all streams.
 func (w *chainWatch) handleCheckRefusal(server *model.BackendServer, a detector.Assessment, err error) {
 	switch {
 	case server == nil:
--- a/internal/protocol/relay/patience.go
+++ b/internal/protocol/relay/patience.go
@@ -47,13 +47,13 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if c.result == chains.Found { // not tried, as others go first
+	if c.result == chains.Found { // nothing was tried, because others go first
 		c.choose()
 		if c.result == chains.NoChain || c.result == chains.Withheld && c.withheldTooLong(c.requirements, c.maxWait) {
 			return
 		}
 	}
-	c.recordShortage()
+	c.makeForecast()
 	if c.waitLimit = c.maxWait; c.isNew() {
 		var wait bool
 		if c.waitLimit, wait = c.newRequestLimit(); !wait {
@@ -69,16 +69,13 @@
 	}
 }
 
-// recordShortage records that the request met a shortage, once for each search: before it waits
-// in a line or is refused. c.result tells which one.
-func (c *chainSearch) recordShortage() {
-	if c.shortageRecorded {
-		return
-	}
-	c.shortageRecorded = true
-	if c.line == nil {
+// makeForecast forecasts the request's wait, once for each search: before it waits in a line or
+// is refused.
+func (c *chainSearch) makeForecast() {
+	if c.forecastMade || c.line == nil {
 		return
 	}
+	c.forecastMade = true
 	ahead := c.line.Ahead(c.waiter)
 	expected, known := c.line.Forecast.Wait(ahead, c.admitted.Urgency)
 	c.forecast = waitForecast{wait: expected, known: known, ahead: ahead, age: c.line.Forecast.Age()}
@@ -94,7 +91,7 @@
 	if left := c.remaining(); left > 0 {
 		limit = min(limit, left)
 	}
-	if c.result == chains.Withheld { // until a known time within maxWait
+	if c.result == chains.Withheld { // a rate limit or pause that ends within maxWait
 		return limit, limit > 0
 	}
 	chance, known := c.line.Forecast.Chance(c.forecast.ahead, c.admitted.Urgency, limit)
--- a/internal/protocol/relay/reserve.go
+++ b/internal/protocol/relay/reserve.go
@@ -18,11 +18,10 @@
 	// of its urgency.
 	maxWait time.Duration
 	// line is the wait line of a prioritized service, nil for other services.
-	line     *admission.Line
-	waiter   admission.Waiter
-	forecast waitForecast
-	// shortageRecorded is set once the shortage has been recorded.
-	shortageRecorded bool
+	line         *admission.Line
+	waiter       admission.Waiter
+	forecast     waitForecast
+	forecastMade bool
 
 	stages      []chains.Stage
 	reservation *chains.Reservation
@@ -88,7 +87,7 @@
 	case ctx.Err() != nil:
 		return nil, nil, c.contextError(ctx)
 	}
-	c.recordShortage()
+	c.makeForecast()
 	return nil, nil, c.refusal()
 }
 
@@ -99,7 +98,7 @@
 	c.admittedOnce = c.WaitQueue.Wait(ctx, waiter, c.maxWait, func() bool { return c.reserve(ctx) })
 }
 
-// reserve chooses a chain and reserves it. It returns false if it is worth waiting for capacity.
+// reserve chooses a chain and reserves it. done is false if the request may wait for capacity.
 func (c *chainSearch) reserve(ctx context.Context) (done bool) {
 	if ctx.Err() != nil {
 		return false
@@ -110,17 +109,19 @@
 	}
 	switch c.result {
 	case chains.Found:
-		c.recordReservation()
+		c.reserveChosen()
 	case chains.Withheld:
 		return c.withheldTooLong(c.requirements, c.maxWait)
 	case chains.CapacityExhausted:
 		return false
 	case chains.InterconnectExhausted:
-		return c.line == nil
+		return c.line == nil // other services are refused at once
 	}
 	return true
 }
 
+// choose sets the stages and the result of a choice, and records unmet demand for the
+// interconnect.
 func (c *chainSearch) choose() {
 	c.stages, c.result = c.Chooser.Choose(c.admitted.Service, c.requirements)
 	if c.result == chains.InterconnectExhausted && c.line != nil && len(c.avoid) > 0 {
@@ -129,11 +130,12 @@
 		c.stages, c.result = c.Chooser.Choose(c.admitted.Service, c.requirements)
 	}
 	if c.result == chains.InterconnectExhausted {
-		c.recordUnmet(c.requirements)
+		c.recordUnmet()
 	}
 }
 
-func (c *chainSearch) recordReservation() {
+// reserveChosen reserves the chosen chain and records the load that it causes.
+func (c *chainSearch) reserveChosen() {
 	engine := c.admitted.Service.Engine
 	c.reservation = c.Usage.Reserve(c.stages, c.tokens)
 	c.chosenAt = c.Now()
--- a/internal/protocol/relay/shortage.go
+++ b/internal/protocol/relay/shortage.go
@@ -10,17 +10,19 @@
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 )
 
-// shortageReason is what a request lacked that no chain could be reserved for. The error
-// message, the log and the metric use the same one.
+// shortageReason is the reason why no chain could be reserved for a request. The log and the
+// metric use it, and the error message follows it.
 type shortageReason string
 
 const (
-	noChainReason      shortageReason = "no_chain" // no usable engine holds some layer
+	// noChainReason means that no usable engine holds some layer.
+	noChainReason      shortageReason = "no_chain"
 	interconnectReason shortageReason = "interconnect"
 	memoryReason       shortageReason = "token_memory"
 	slotsReason        shortageReason = "slots"
-	withheldReason     shortageReason = "rate_limits" // or pauses
-	// aheadReason means that there is capacity again, but for requests that go first.
+	// withheldReason means rate limits or pauses of engines.
+	withheldReason shortageReason = "rate_limits"
+	// aheadReason means that there is capacity again, but other requests go first.
 	aheadReason shortageReason = "requests_ahead"
 )
 
@@ -33,8 +35,8 @@
 	since time.Time
 }
 
-// classify returns the reason for the result of the last choice.
-func (c *chainSearch) classify() shortage {
+// findShortage returns what the last choice of a chain lacked, and records it.
+func (c *chainSearch) findShortage() shortage {
 	found := shortage{}
 	switch c.result {
 	case chains.NoChain:
@@ -43,7 +45,7 @@
 		found.reason, found.detail = interconnectReason, "interconnect"
 	case chains.Withheld:
 		found.reason = withheldReason
-	default: // Found means that others went first until the wait ended
+	default: // with Found, others went first until the wait ended
 		found.detail = c.Chooser.ExhaustedResource(c.admitted.Service, c.requirements)
 		found.reason = capacityReason(found.detail)
 	}
@@ -51,7 +53,7 @@
 	return found
 }
 
-// capacityReason returns the reason for a resource that the chooser names.
+// capacityReason returns the reason for a resource that Chooser.ExhaustedResource names.
 func capacityReason(resource string) shortageReason {
 	switch resource {
 	case "pipes":
@@ -68,9 +70,9 @@
 
 // refusal returns the error for a request that no chain could be reserved for, and reports it.
 func (c *chainSearch) refusal() *fault.Error {
-	found := c.classify()
+	found := c.findShortage()
 	if found.reason == interconnectReason {
-		c.recordUnmet(c.requirements)
+		c.recordUnmet()
 	}
 	var f *fault.Error
 	switch {
--- a/internal/protocol/relay/unmet.go
+++ b/internal/protocol/relay/unmet.go
@@ -2,20 +2,19 @@
 
 import (
 	"time"
-
-	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 )
 
-// unmetInterval is the minimum time between two records of one request as unmet demand. A
-// record is remembered for as long.
+// unmetInterval is the minimum time between two records of one request as unmet demand. Package
+// share counts a record for this time.
 const unmetInterval = time.Second
 
-// recordUnmet records that the request waits or is refused for lack of interconnect capacity.
-func (q *request) recordUnmet(requirements chains.Requirements) {
-	now := q.Now()
-	if now.Sub(q.unmetAt) < unmetInterval {
+// recordUnmet records, at most once per unmetInterval, that the request waits or is refused for
+// lack of interconnect capacity.
+func (c *chainSearch) recordUnmet() {
+	now := c.Now()
+	if now.Sub(c.unmetAt) < unmetInterval {
 		return
 	}
-	q.unmetAt = now
-	q.Chooser.RecordUnmet(q.admitted.Service, requirements, q.promptTokens())
+	c.unmetAt = now
+	c.Chooser.RecordUnmet(c.admitted.Service, c.requirements, c.promptTokens())
 }
