peers, wire, standin, faultsoak: names and comments of the new fields

Cause: "sent only if there are any" is wrong for a list before one with entries; the soak's parameter asking also adds faults that ask for nothing. Change: one correct comment on the optional lists, laterFaults, a name for the key of a demand. Result: no change of behavior; tests of internal/protocol/wire, internal/transport/peers and platform/standin pass, test/faultsoak is vetted only.

--- a/internal/protocol/wire/heartbeat.go
+++ b/internal/protocol/wire/heartbeat.go
@@ -186,18 +186,20 @@
 	b.Suspects = unpackEach(u, u.incarnation, u.number)
 	b.Refusing = unpackEach(u, u.incarnation, u.number)
 	b.SpareTokens = unpackEach(u, u.text, func() int { return int(u.number()) })
-	if len(u.b) > 0 { // sent only if there are any
+	// Lists at the end are missing in messages of older versions, and if they and all lists after
+	// them are empty.
+	if len(u.b) > 0 {
 		b.Limits = unpackEach(u, u.incarnation, func() RateLimit {
 			return RateLimit{Ended: u.flag(), Rate: u.fraction(), AgeMS: u.number()}
 		})
 	}
-	if len(u.b) > 0 { // sent only if there are any
+	if len(u.b) > 0 {
 		b.Rumors = u.rumors()
 	}
-	if len(u.b) > 0 { // sent only if there are any
+	if len(u.b) > 0 {
 		b.Leaving = u.rumors()
 	}
-	if len(u.b) > 0 { // sent only if there are any
+	if len(u.b) > 0 {
 		b.Demands = u.demands()
 	}
 	return b, u.err
--- a/internal/transport/peers/demands.go
+++ b/internal/transport/peers/demands.go
@@ -31,7 +31,8 @@
 	return out
 }
 
-// validDemands returns the valid demands of a peer and logs that others were ignored.
+// validDemands returns the valid demands of a peer and logs that others were ignored. Of demands
+// with the same domains and priority the first is valid.
 func (x *Exchange) validDemands(from string, demands []wire.ResourceDemand) []chains.PairDemand {
 	if len(demands) == 0 {
 		return nil
@@ -40,26 +41,26 @@
 		x.logInvalidDemands(from, len(demands), wire.ResourceDemand{})
 		return nil
 	}
-	type row struct {
+	type demandKey struct {
 		pair     chains.DomainPair
 		priority int64
 	}
 	servers := x.Catalog.Load()
-	seen := map[row]bool{}
+	seen := map[demandKey]bool{}
 	ignored := 0
 	var first wire.ResourceDemand
 	var out []chains.PairDemand
 	for _, d := range demands {
-		r := row{chains.DomainPair{A: min(d.A, d.B), B: max(d.A, d.B)}, d.Priority}
-		if seen[r] || !validDemand(d) || !servers.HasDomain(d.A) || !servers.HasDomain(d.B) {
+		key := demandKey{chains.DomainPair{A: min(d.A, d.B), B: max(d.A, d.B)}, d.Priority}
+		if seen[key] || !validDemand(d) || !servers.HasDomain(d.A) || !servers.HasDomain(d.B) {
 			if ignored == 0 {
 				first = d
 			}
 			ignored++
 			continue
 		}
-		seen[r] = true
-		out = append(out, chains.PairDemand{DomainPair: r.pair, Demand: share.Demand{Priority: int(d.Priority), Used: d.Used, Unmet: d.Unmet}})
+		seen[key] = true
+		out = append(out, chains.PairDemand{DomainPair: key.pair, Demand: share.Demand{Priority: int(d.Priority), Used: d.Used, Unmet: d.Unmet}})
 	}
 	if ignored > 0 {
 		x.logInvalidDemands(from, ignored, first)
--- a/test/faultsoak/shortage_test.go
+++ b/test/faultsoak/shortage_test.go
@@ -24,8 +24,8 @@
 	shortageInterval = 250 * time.Millisecond
 	// minRefusedShare is the share of refused sheets from which on a run has a shortage.
 	minRefusedShare = 0.1
-	// maxPriorityGap is the largest difference by which a priority may be served less than a
-	// less urgent one.
+	// maxPriorityGap is the maximum by which the served share of a priority may be below that
+	// of a less urgent one.
 	maxPriorityGap = 0.05
 )
 
--- a/test/faultsoak/soak_test.go
+++ b/test/faultsoak/soak_test.go
@@ -47,12 +47,12 @@
 		t.Skip("soak takes about half a minute")
 	}
 	slots := make(chan struct{}, *parallel)
-	runSeed := func(seed uint64, resting int, asking bool) {
+	runSeed := func(seed uint64, resting int, laterFaults bool) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			soak(t, seed, resting, asking)
+			soak(t, seed, resting, laterFaults)
 		})
 	}
 	if !*skipRegressions {
@@ -72,18 +72,18 @@
 	}
 }
 
-// soak runs one seed. asking adds servers that ask for something in their responses, routes
-// with priorities and silent watches; without them a seed means the same as before these
-// existed.
-func soak(t *testing.T, seed uint64, resting int, asking bool) {
+// soak runs one seed. laterFaults adds servers that ask for something in their responses, routes
+// with priorities and silent watches. Without them a seed gives the same faults as before these
+// were added.
+func soak(t *testing.T, seed uint64, resting int, laterFaults bool) {
 	sheets := []string{"sheet"}
-	if asking {
+	if laterFaults {
 		sheets = sheetsByPriority
 	}
 	s := newSite(t, rand.New(rand.NewPCG(seed, seed)), sheets, 0)
 	defer s.close()
 	s.kinds = s.faultKinds()
-	if asking {
+	if laterFaults {
 		s.kinds = append(s.kinds, s.askForPause, s.askForPause, s.askForPause, s.announceLeaving, s.silenceWatches, s.silenceWatches)
 	}
 	defer s.startBusyProcesses(*busy)()
