relay, forecast: names in tests

Cause: an observer that also counts refusals was called retryCounter, the mix of kinds stood twice as a list of numbers, and within was both a check and a parameter. Change: countingObserver, kindMix, assertNear; isNew stands with chainSearch, which it describes. Result: the checks are the same; tests of both packages pass.

--- a/internal/coordination/forecast/forecast_test.go
+++ b/internal/coordination/forecast/forecast_test.go
@@ -18,7 +18,7 @@
 	return New(c.now), c
 }
 
-// grant grants one request each interval for a time.
+// grant grants one request each interval, while the clock advances by span.
 func (c *clock) grant(f *Forecast, priority int, interval, span time.Duration) {
 	for end := c.at.Add(span); c.at.Before(end); {
 		c.at = c.at.Add(interval)
@@ -26,9 +26,10 @@
 	}
 }
 
-func within(t *testing.T, got, want time.Duration, by float64) {
+// assertNear asserts that got is within the given factor of want.
+func assertNear(t *testing.T, got, want time.Duration, factor float64) {
 	t.Helper()
-	assert.Assert(t, float64(got) >= float64(want)/by && float64(got) <= float64(want)*by, "%v, want %v", got, want)
+	assert.Assert(t, float64(got) >= float64(want)/factor && float64(got) <= float64(want)*factor, "%v, want %v", got, want)
 }
 
 // Load: ten grants a second while requests wait. Guards against a forecast that is off by more
@@ -39,10 +40,10 @@
 	c.grant(f, 0, 100*time.Millisecond, 10*time.Second)
 	wait, known := f.Wait(4, 0)
 	assert.Assert(t, known)
-	within(t, wait, 500*time.Millisecond, 1.15)
+	assertNear(t, wait, 500*time.Millisecond, 1.15)
 	c.grant(f, 0, 300*time.Millisecond, 3*smoothing)
 	wait, _ = f.Wait(0, 0)
-	within(t, wait, 300*time.Millisecond, 1.25)
+	assertNear(t, wait, 300*time.Millisecond, 1.25)
 }
 
 // Load: a steady demand below the capacity, whose few requests wait 20 ms each. Guards against
@@ -91,7 +92,7 @@
 	}
 	first, _ := f.Wait(0, 0)
 	last, _ := f.Wait(0, 2)
-	within(t, last, time.Duration(float64(first)/(1-maxUrgentShare)), 1.01)
+	assertNear(t, last, time.Duration(float64(first)/(1-maxUrgentShare)), 1.01)
 }
 
 // A less urgent request must not be forecast before a more urgent one, whatever was granted.
--- a/internal/protocol/relay/acquire_test.go
+++ b/internal/protocol/relay/acquire_test.go
@@ -34,7 +34,7 @@
 	prober.Health = health
 	prober.Catalog = c
 	r := &Relay{Detector: detector.New(time.Now), Catalog: c, Health: health, Chooser: chooser, Usage: usage, WaitQueue: admission.NewWaitQueue(), Suspects: prober, FailureDomain: "a", Now: time.Now,
-		Quarantine: quarantine.New(func() time.Duration { return 0 }), Observer: &retryCounter{}}
+		Quarantine: quarantine.New(func() time.Duration { return 0 }), Observer: &countingObserver{}}
 	q := &request{Relay: r, call: &model.Call{Attempt: "1"}, startTime: time.Now(), avoid: map[model.Incarnation]bool{}}
 	q.admitted = routes.Admission{
 		Route: &model.Route{TargetLatency: 500 * time.Millisecond, MaxAttempts: 2},
--- a/internal/protocol/relay/load_test.go
+++ b/internal/protocol/relay/load_test.go
@@ -22,6 +22,10 @@
 // latencies.
 var kinds = []time.Duration{500 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond}
 
+// kindMix are the kinds in the order in which they are sent. Their shares are about those of the
+// first reference deployment.
+var kindMix = []int{1, 0, 1, 2, 0, 1}
+
 // patience is the maximum wait of every kind: capacityWaitShare of the least target latency.
 const patience = 400 * time.Millisecond
 
@@ -142,7 +146,7 @@
 func (l *loadTest) send(perSecond int, span time.Duration) {
 	interval := time.Second / time.Duration(perSecond)
 	for i := range int(span / interval) {
-		l.all.Go(func() { l.call([]int{1, 0, 1, 2, 0, 1}[i%6], fmt.Sprint("key", i%4)) })
+		l.all.Go(func() { l.call(kindMix[i%len(kindMix)], fmt.Sprint("key", i%4)) })
 		time.Sleep(interval)
 	}
 }
--- a/internal/protocol/relay/patience.go
+++ b/internal/protocol/relay/patience.go
@@ -33,9 +33,6 @@
 	return fmt.Sprintf("%v, %d ahead, last grant %v ago", f.wait.Round(time.Millisecond), f.ahead, f.age.Round(time.Millisecond))
 }
 
-// isNew reports whether no engine has begun to run the request.
-func (c *chainSearch) isNew() bool { return c.events == 0 && c.runs == 0 }
-
 // waitInLine waits in the line of a prioritized service. A new request that is not expected to
 // be served in time does not wait.
 func (c *chainSearch) waitInLine(ctx context.Context) {
--- a/internal/protocol/relay/patience_test.go
+++ b/internal/protocol/relay/patience_test.go
@@ -40,7 +40,7 @@
 			assert.Equal(t, string(f.Kind), "overloaded")
 			assert.Assert(t, strings.Contains(f.Msg, "exhausted resource: interconnect"), f.Msg)
 			assert.Equal(t, time.Since(began), s.admitted.WaitTarget/8, "nothing is known of the rate")
-			assert.Equal(t, s.Observer.(*retryCounter).refused["interconnect 0"], 1)
+			assert.Equal(t, s.Observer.(*countingObserver).refused["interconnect 0"], 1)
 			time.Sleep(5 * time.Second) // the traffic of before has decayed
 			s.waited = 0
 			_, reservation, f := s.reserveChain(t.Context())
--- a/internal/protocol/relay/reserve.go
+++ b/internal/protocol/relay/reserve.go
@@ -58,6 +58,9 @@
 	return c
 }
 
+// isNew reports whether no engine has begun to run the request.
+func (c *chainSearch) isNew() bool { return c.events == 0 && c.runs == 0 }
+
 // reserveChain chooses a chain and reserves its token memory. It waits for capacity for
 // a limited time.
 func (s *stream) reserveChain(ctx context.Context) ([]chains.Stage, *chains.Reservation, *fault.Error) {
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -35,20 +35,19 @@
 
 func (s fakeBackend) CloseIdle(string) {}
 
-// retryCounter is an Observer that counts retries, and refusals for lack of capacity by reason
-// and urgency.
-type retryCounter struct {
+// countingObserver counts retries, and refusals for lack of capacity by reason and urgency.
+type countingObserver struct {
 	mu      sync.Mutex
 	retries int
 	refused map[string]int
 }
 
-func (o *retryCounter) Request(_, _, _, _ string, _ time.Duration) {}
-func (o *retryCounter) FirstEvent(string, time.Duration)           {}
-func (o *retryCounter) Refusal(string, bool)                       {}
-func (o *retryCounter) ForecastError(string, time.Duration)        {}
+func (o *countingObserver) Request(_, _, _, _ string, _ time.Duration) {}
+func (o *countingObserver) FirstEvent(string, time.Duration)           {}
+func (o *countingObserver) Refusal(string, bool)                       {}
+func (o *countingObserver) ForecastError(string, time.Duration)        {}
 
-func (o *retryCounter) CapacityRefused(_, reason string, urgency int) {
+func (o *countingObserver) CapacityRefused(_, reason string, urgency int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.refused == nil {
@@ -57,7 +56,7 @@
 	o.refused[fmt.Sprintf("%s %d", reason, urgency)]++
 }
 
-func (o *retryCounter) Retry(_, _ string) {
+func (o *countingObserver) Retry(_, _ string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.retries++
@@ -91,7 +90,7 @@
 type fixture struct {
 	*Relay
 	prober   *Prober
-	observer *retryCounter
+	observer *countingObserver
 }
 
 func newFixture(route model.Route, isEngine bool, do fakeBackend) *fixture {
@@ -119,7 +118,7 @@
 	prober.Health = health
 	prober.Catalog = c
 	prober.AnnounceSuspect = func(model.Incarnation, time.Time) {}
-	observer := &retryCounter{}
+	observer := &countingObserver{}
 	rel := &Relay{
 		Config: current, Catalog: c, Health: health, Usage: usage,
 		Chooser:       &chains.Chooser{Catalog: c, Health: health, Usage: usage, Interconnect: chains.NewInterconnect(time.Now), RouterCount: func() int { return 1 }},
--- a/internal/protocol/relay/shortage_test.go
+++ b/internal/protocol/relay/shortage_test.go
@@ -103,7 +103,7 @@
 				}
 			})
 			for i := range 113 * 10 {
-				l.all.Go(func() { l.call([]int{1, 0, 1, 2, 0, 1}[i%6], fmt.Sprint("key", i%3)) })
+				l.all.Go(func() { l.call(kindMix[i%len(kindMix)], fmt.Sprint("key", i%3)) })
 				time.Sleep(time.Second / 113)
 			}
 			close(stop)
--- a/internal/protocol/relay/trial_test.go
+++ b/internal/protocol/relay/trial_test.go
@@ -33,6 +33,6 @@
 		_, _, f := s.reservePermitted(t.Context())
 		assert.Equal(t, f.Kind, fault.OnTrial)
 		assert.Assert(t, time.Since(asked) > 10*trialPollInterval, "it asked once only")
-		assert.DeepEqual(t, s.Observer.(*retryCounter).refused, map[string]int{"no_chain 0": 1})
+		assert.DeepEqual(t, s.Observer.(*countingObserver).refused, map[string]int{"no_chain 0": 1})
 	})
 }
