--- a/internal/coordination/admission/ordered.go
+++ b/internal/coordination/admission/ordered.go
@@ -193,12 +193,15 @@
 func (l *Line) notifyLocked() {
 	now := l.now()
 	l.shares.update(now)
-	next := l.front()
+	var next *lineEntry
 	for _, e := range l.waiting {
-		if next.Urgency != e.Urgency && l.urgencies.starved(now, e.Urgency) && (l.precedes(e, next) || !l.urgencies.starved(now, next.Urgency)) {
+		if l.urgencies.starved(now, e.Urgency) && (next == nil || l.precedes(e, next)) {
 			next = e
 		}
 	}
+	if next == nil {
+		next = l.front()
+	}
 	if next != nil {
 		next.notify()
 	}
--- a/internal/coordination/admission/ordered_test.go
+++ b/internal/coordination/admission/ordered_test.go
@@ -209,3 +209,21 @@
 		}
 	}
 }
+
+// Load: an urgency is starved, and of its two waiting requests the later one goes first. Guards
+// against waking the other one, which may not try, so that capacity stays unused until the next poll.
+func TestReleaseWakesTheNextRequestOfAStarvedUrgency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLineTest()
+		l.urgencies.count(time.Now(), 1).requests = 1000
+		*l.urgencies.count(time.Now(), 0) = urgencyCount{requests: 1000, granted: 1000}
+		deadline := time.Now().Add(20 * time.Second)
+		l.start(t.Context(), "urgent", Waiter{Size: 5, Deadline: deadline}, time.Minute)
+		l.start(t.Context(), "later", Waiter{Urgency: 1, Size: 1, Deadline: deadline}, time.Minute)
+		l.start(t.Context(), "sooner", Waiter{Urgency: 1, Size: 1, Deadline: deadline.Add(-time.Second)}, time.Minute)
+		l.release(1)
+		assert.DeepEqual(t, l.served(), []string{"sooner"})
+		l.release(10)
+		l.all.Wait()
+	})
+}
--- a/internal/protocol/relay/patience_test.go
+++ b/internal/protocol/relay/patience_test.go
@@ -29,6 +29,10 @@
 			s.admitted.Prioritized = prioritized
 			s.admitted.WaitTarget = s.admitted.Route.TargetLatency
 			s.Chooser.Interconnect.AddTraffic("a", "b", 1000)
+			if prioritized { // the share has no credit left, whatever it began with
+				s.Chooser.Interconnect.RecordUnmet("a", "b", 0, 0)
+				s.Chooser.Interconnect.AddSharedTraffic("a", "b", 0, 100)
+			}
 			began := time.Now()
 			_, _, f := s.reserveChain(t.Context())
 			if !prioritized {
