placement: routers that do not lead observe the failure domains once a second

Each router observed them with each tick, five times a second, so that it knows since when layers are missing if it begins to lead. The leader observes with each tick as before.

--- a/internal/coordination/placement/coverage_scope_test.go
+++ b/internal/coordination/placement/coverage_scope_test.go
@@ -73,3 +73,23 @@
 		assert.Equal(t, seen[len(seen)-1], 0)
 	})
 }
+
+// A router that does not lead must not observe the failure domains with each tick, which takes
+// milliseconds with thousands of engines, and must know missing layers when it begins to lead.
+func TestStandbyObservesFailureDomainsOncePerSecond(t *testing.T) {
+	runCluster(t, func(t *testing.T, s *domainCluster) {
+		s.c.FencingToken = func() model.Revision { return 0 }
+		observed, missing := 0, 0
+		s.c.OnMissingLayers = func(_, domain string, n int) {
+			if domain == "a" {
+				observed++
+				missing = n
+			}
+		}
+		s.run(4 * time.Second)
+		assert.Assert(t, observed >= 4 && observed <= 6, "%d observations", observed)
+		s.remove("a03")
+		s.run(2 * time.Second)
+		assert.Equal(t, missing, 7)
+	})
+}
--- a/internal/coordination/placement/coverage_state.go
+++ b/internal/coordination/placement/coverage_state.go
@@ -10,6 +10,10 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
+// standbyInterval is the time between two observations of the failure domains by a router that
+// does not lead. With thousands of engines an observation takes milliseconds on each router.
+const standbyInterval = time.Second
+
 // domainRetention is how long the state of a failure domain without engines is kept.
 const domainRetention = 10 * time.Minute
 
@@ -17,6 +21,7 @@
 // of a Controller and guarded by Controller.mu.
 type coverageState struct {
 	domains        map[domainKey]*domainState
+	observedAt     map[string]time.Time            // the last observation of each service by a standby
 	domainOf       map[string]string               // failure domains by address
 	suspectedSince map[model.Incarnation]time.Time // since when there has been evidence against engines
 	refusals       map[model.Incarnation]refusal   // the last refused order of each engine
@@ -32,7 +37,7 @@
 
 func newCoverageState() coverageState {
 	return coverageState{
-		domains: map[domainKey]*domainState{}, domainOf: map[string]string{}, suspectedSince: map[model.Incarnation]time.Time{},
+		domains: map[domainKey]*domainState{}, observedAt: map[string]time.Time{}, domainOf: map[string]string{}, suspectedSince: map[model.Incarnation]time.Time{},
 		refusals: map[model.Incarnation]refusal{}, extraPlanned: map[string]model.LayerRange{}, extendedFrom: map[string]Plan{},
 	}
 }
@@ -132,6 +137,19 @@
 	return alone
 }
 
+// standbyObservationDue reports whether a router that does not lead observes the failure domains
+// of a service now.
+func (c *Controller) standbyObservationDue(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	if now.Sub(c.observedAt[service]) < standbyInterval {
+		return false
+	}
+	c.observedAt[service] = now
+	return true
+}
+
 // removeDomain removes the state of a failure domain that has had no engines for a while.
 func (c *Controller) removeDomain(key domainKey) {
 	delete(c.domains, key)
