--- a/internal/coordination/placement/controller.go
+++ b/internal/coordination/placement/controller.go
@@ -116,14 +116,14 @@
 func (c *Controller) tickService(ctx context.Context, svc *model.Service) {
 	servers := c.placeableEngines(svc)
 	token := c.FencingToken()
+	alone := false
+	if token != 0 && c.HasTraffic() || c.observationDue(svc.Name) {
+		alone = c.observeDomains(svc, token != 0)
+	}
 	if token == 0 {
-		if c.standbyObservationDue(svc.Name) {
-			c.observeDomains(svc, false)
-		}
 		c.resetDomainGap(svc.Name)
 		return
 	}
-	alone := c.observeDomains(svc, true)
 	plan := c.currentPlan(svc, servers)
 	if plan == nil {
 		return
--- a/internal/coordination/placement/coverage_control.go
+++ b/internal/coordination/placement/coverage_control.go
@@ -26,8 +26,9 @@
 )
 
 // servesAlone reports whether each failure domain of a service is planned to hold all
-// layers: the link between them is limited, and there are or recently were several. The
-// caller holds c.mu.
+// layers: the link between them is limited, and there are or recently were several. Before
+// there is traffic, thousands of engines load at once, and the first plan covers all layers
+// anyway. The caller holds c.mu.
 func (c *Controller) servesAlone(svc *model.Service) bool {
 	n := 0
 	for key := range c.domains {
@@ -35,7 +36,7 @@
 			n++
 		}
 	}
-	return svc.Engine.InterconnectMbps > 0 && n > 1
+	return svc.Engine.InterconnectMbps > 0 && n > 1 && c.HasTraffic()
 }
 
 // livingEngines returns the planner's view of the engines that answer: those that the plan
--- a/internal/coordination/placement/coverage_state.go
+++ b/internal/coordination/placement/coverage_state.go
@@ -10,9 +10,10 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// standbyInterval is the time between two observations of the failure domains by a router that
-// does not lead. With thousands of engines an observation takes milliseconds on each router.
-const standbyInterval = time.Second
+// idleObservationInterval is the time between two observations of the failure domains by a router
+// that does not lead, or before there is traffic. With thousands of engines an observation takes
+// milliseconds on each router.
+const idleObservationInterval = time.Second
 
 // domainRetention is how long the state of a failure domain without engines is kept.
 const domainRetention = 10 * time.Minute
@@ -21,7 +22,7 @@
 // of a Controller and guarded by Controller.mu.
 type coverageState struct {
 	domains        map[domainKey]*domainState
-	observedAt     map[string]time.Time            // the last observation of each service by a standby
+	observedAt     map[string]time.Time            // the last observation of each service that observationDue allowed
 	domainOf       map[string]string               // failure domains by address
 	suspectedSince map[model.Incarnation]time.Time // since when there has been evidence against engines
 	refusals       map[model.Incarnation]refusal   // the last refused order of each engine
@@ -137,13 +138,13 @@
 	return alone
 }
 
-// standbyObservationDue reports whether a router that does not lead observes the failure domains
-// of a service now.
-func (c *Controller) standbyObservationDue(service string) bool {
+// observationDue reports whether a router that does not lead, or has no traffic, observes the
+// failure domains of a service now.
+func (c *Controller) observationDue(service string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
-	if now.Sub(c.observedAt[service]) < standbyInterval {
+	if now.Sub(c.observedAt[service]) < idleObservationInterval {
 		return false
 	}
 	c.observedAt[service] = now
