--- a/internal/coordination/placement/plan_store.go
+++ b/internal/coordination/placement/plan_store.go
@@ -32,8 +32,9 @@
 	c.acceptPlan(service, storedPlan{plan: plan, revision: revision})
 }
 
-// persist stores a changed plan and reports whether the plan is in effect. The write is
-// conditional on the leadership key, whose revision is the fencing token.
+// persist stores a changed plan and reports whether it is the plan to apply. It returns false if
+// the write failed, or if a newer plan became known meanwhile. The write is conditional on the
+// leadership key, whose revision is the fencing token.
 func (c *Controller) persist(ctx context.Context, service string, plan Plan, token model.Revision) bool {
 	c.mu.Lock()
 	old := c.plans[service]
--- a/internal/coordination/share/surge.go
+++ b/internal/coordination/share/surge.go
@@ -6,14 +6,14 @@
 )
 
 const (
-	// maxStretch bounds the factor on the limit. With 2.5, demand that moves each second
-	// exceeded 1.2 of the limit for longer than the age of a report.
+	// maxStretch bounds the factor on the limit. A larger one lets demand that moves between
+	// routers exceed 1.2 of the limit for longer than the age of a report.
 	maxStretch = 1.5
 	// targetUse is the part of the limit to which the use is corrected. Requests are served
 	// whole and the use seen lags, so the use that results is a little less.
 	targetUse = 1.0
-	// highUse is the part of the limit above which recent use is reduced at once. At 1.0, the
-	// variation of the use alone kept its mean under 0.9 while demand moved each second.
+	// highUse is the part of the limit above which recent use is reduced at once. It lies above
+	// the limit, as a reduction at each variation of the use would keep the mean too low.
 	highUse = 1.1
 	// correction is the speed at which deviations are corrected, in delays of the reports.
 	// A faster correction oscillates, because its effect is seen only with the next reports.
