--- /dev/null
+++ b/test/faultsoak/quota_test.go
@@ -0,0 +1,91 @@
+package faultsoak
+
+import (
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// quota is the processor time that a process may use in each period. It runs at full speed until
+// that is used up and then not at all until the next period.
+type quota struct {
+	time, period time.Duration
+}
+
+// limitedProcess stops and continues a process to keep it within its quota.
+type limitedProcess struct {
+	pid  int
+	done chan struct{}
+	wait sync.WaitGroup
+
+	mu    sync.Mutex
+	quota quota
+}
+
+const quotaCheckInterval = 500 * time.Microsecond
+
+// limit keeps the current process of a router within a quota until stop is called.
+func (r *router) limit(q quota) *limitedProcess {
+	l := &limitedProcess{pid: r.current().cmd.Process.Pid, done: make(chan struct{}), quota: q}
+	l.wait.Go(l.run)
+	return l
+}
+
+func (l *limitedProcess) set(q quota) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quota = q
+}
+
+func (l *limitedProcess) run() {
+	defer l.signal(syscall.SIGCONT)
+	debt := time.Duration(0) // processor time used beyond earlier quotas
+	for began := time.Now(); ; {
+		l.mu.Lock()
+		q := l.quota
+		l.mu.Unlock()
+		used, stopped := l.cpuTime(), false
+		for end := began.Add(q.period); time.Now().Before(end); {
+			if !stopped && l.cpuTime()-used+debt >= q.time {
+				stopped = true
+				l.signal(syscall.SIGSTOP)
+			}
+			pause := quotaCheckInterval
+			if stopped {
+				pause = time.Until(end)
+			}
+			select {
+			case <-l.done:
+				return
+			case <-time.After(pause):
+			}
+		}
+		debt = max(debt+l.cpuTime()-used-q.time, 0)
+		if stopped {
+			l.signal(syscall.SIGCONT)
+		}
+		began = began.Add(q.period)
+		if late := time.Since(began); late > q.period {
+			began = time.Now() // this process did not run
+		}
+	}
+}
+
+func (l *limitedProcess) signal(s syscall.Signal) { _ = syscall.Kill(l.pid, s) } // it may have exited
+
+// cpuTime returns the processor time that the process has used.
+func (l *limitedProcess) cpuTime() time.Duration {
+	const schedClock = 2 // CPUCLOCK_SCHED of the kernel's per-process clock IDs
+	var ts unix.Timespec
+	if err := unix.ClockGettime(int32(^l.pid<<3|schedClock), &ts); err != nil {
+		return 0
+	}
+	return time.Duration(ts.Nano())
+}
+
+func (l *limitedProcess) stop() {
+	close(l.done)
+	l.wait.Wait()
+}
--- a/test/faultsoak/shortage_test.go
+++ b/test/faultsoak/shortage_test.go
@@ -32,7 +32,7 @@
 // soakShortage runs callers of three priorities whose sheets all need the interconnect, which
 // is too small for them, while the store's watches fall silent.
 func soakShortage(t *testing.T, seed uint64) {
-	s := newSite(t, rand.New(rand.NewPCG(seed, seed)), sheetsByPriority, shortageMbps)
+	s := newSite(t, rand.New(rand.NewPCG(seed, seed)), siteOptions{routers: *routers, sheets: sheetsByPriority, interconnectMbps: shortageMbps})
 	defer s.close()
 	s.kinds = []func(time.Duration){s.silenceWatches, s.compact}
 	begin := time.Now()
--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -1,6 +1,7 @@
 package faultsoak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -90,6 +91,7 @@
 	sheets []string
 	// interconnectMbps is the rate between the failure domains; 0 means unlimited.
 	interconnectMbps float64
+	kvTokenBytes     float64
 
 	mu            sync.Mutex
 	crashingParts []string // parts of prompts that crash engines
@@ -98,25 +100,35 @@
 	sent          []sentRequest
 }
 
-func spec() *model.EngineSpec {
-	return &model.EngineSpec{Layers: layers, LayerMB: 1000, KVTokenBytes: 1e6,
+func spec(kvTokenBytes float64) *model.EngineSpec {
+	return &model.EngineSpec{Layers: layers, LayerMB: 1000, KVTokenBytes: kvTokenBytes,
 		Cards: []model.Card{{Name: "fast", MB: 8000, StepTimeFactor: 2, PrefillFactor: 2}, {Name: "slow", MB: 8000, StepTimeFactor: 9, PrefillFactor: 9}}}
 }
 
-// newSite starts a site. The sheets service has the given routes. If the interconnect is
+// siteOptions describe a site. The sheets service has the given routes. If the interconnect is
 // limited, each failure domain has one engine, which cannot hold all layers.
-func newSite(t *testing.T, rnd *rand.Rand, sheets []string, interconnectMbps float64) *site {
+type siteOptions struct {
+	routers          int
+	sheets           []string
+	interconnectMbps float64
+	kvTokenBytes     float64 // engine memory of a token, over all layers; 0 for 1 MB
+	idle             time.Duration
+}
+
+func newSite(t *testing.T, rnd *rand.Rand, o siteOptions) *site {
 	dir, err := os.MkdirTemp("", "faultsoak-site")
 	assert.NilError(t, err)
-	s := &site{t: t, rnd: rnd, dir: dir, store: standin.NewStore(), idle: idleLimits[0], sheets: sheets, interconnectMbps: interconnectMbps}
+	o.idle = cmp.Or(o.idle, idleLimits[0])
+	o.kvTokenBytes = cmp.Or(o.kvTokenBytes, 1e6)
+	s := &site{t: t, rnd: rnd, dir: dir, store: standin.NewStore(), idle: o.idle, sheets: o.sheets, interconnectMbps: o.interconnectMbps, kvTokenBytes: o.kvTokenBytes}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.http = &http.Server{Handler: &standin.StoreServer{Store: s.store}}
 	go func() { _ = s.http.Serve(l) }()
-	s.fleet = standin.NewFleet(s.store, spec())
+	s.fleet = standin.NewFleet(s.store, spec(o.kvTokenBytes))
 	s.publish()
 	cards := []string{"fast", "fast", "slow", "slow"}
-	if interconnectMbps > 0 {
+	if o.interconnectMbps > 0 {
 		cards = cards[:1]
 	}
 	for _, domain := range []string{"a", "b"} {
@@ -125,7 +137,7 @@
 		}
 		s.plain = append(s.plain, s.add("notices", domain, ""))
 	}
-	for i := range *routers {
+	for i := range o.routers {
 		s.addRouter(fmt.Sprintf("r%d", i), []string{"a", "b"}[i%2], l.Addr().String())
 	}
 	s.waitRecovered()
@@ -210,7 +222,7 @@
 	raw, err := json.Marshal(map[string]any{
 		"version": s.version,
 		"routes":  routes,
-		"services": []any{map[string]any{"name": "sheets", "engine": map[string]any{"slots": 64, "kv_token_bytes": 1e6, "stride": 3,
+		"services": []any{map[string]any{"name": "sheets", "engine": map[string]any{"slots": 64, "kv_token_bytes": s.kvTokenBytes, "stride": 3,
 			"models": []any{map[string]any{"load_s": 1}}, "step_ms": 1, "read_per_s": 1e5, "loads_at_once": 4, "usual": map[string]any{"prompt": 100, "answer": 60},
 			"layers": layers, "layer_mb": 1000, "activation_bytes": activationBytes, "pipe_mbps": s.interconnectMbps, "kinds": []any{map[string]any{"name": "fast", "mb": 8000, "pace": 2}, map[string]any{"name": "slow", "mb": 8000, "pace": 9}}}},
 			map[string]any{"name": "notices"}},
--- a/test/faultsoak/soak_test.go
+++ b/test/faultsoak/soak_test.go
@@ -80,7 +80,7 @@
 	if laterFaults {
 		sheets = sheetsByPriority
 	}
-	s := newSite(t, rand.New(rand.NewPCG(seed, seed)), sheets, 0)
+	s := newSite(t, rand.New(rand.NewPCG(seed, seed)), siteOptions{routers: *routers, sheets: sheets})
 	defer s.close()
 	s.kinds = s.faultKinds()
 	if laterFaults {
