processor: measure how long the process waits for the processor, and log it

The logs could not tell whether requests wait for the processor where no connection is accepted, and whether a timeout passed while the process waited. A probe (a byte through a pipe, read as a connection is) shows it: every 20 ms, after a late one at once, so that a quota of processor time that leaves no work over is told from a backlog. Log line and metrics, once a second.

No decision changes.

--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/liveness"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/pause"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
@@ -186,6 +187,8 @@
 	r.exchange.Register(r.links)
 	r.exchange.Values.Register(r.links)
 	r.intake = intake.New(boottime.Now)
+	started := time.Now()
+	r.processor = processor.New(func() time.Duration { return time.Since(started) })
 	tracker := quarantine.New(boottime.Now)
 	r.quarantine = &peers.Quarantine{Exchange: r.exchange, Tracker: tracker, Trials: quarantine.NewTrials(tracker)}
 	r.quarantine.Register(r.links)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -70,6 +70,14 @@
 	m.scope.Gauge("config_version").Update(float64(version))
 }
 
+// setProcessor sets the processor time that the process has used and has waited for since its start,
+// and the longest delay of a network event since the last call.
+func (m *metrics) setProcessor(waited, used, longest time.Duration) {
+	m.scope.Gauge("processor_waited_seconds").Update(waited.Seconds())
+	m.scope.Gauge("processor_used_seconds").Update(used.Seconds())
+	m.scope.Gauge("processor_longest_delay_seconds").Update(longest.Seconds())
+}
+
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
 
 // Request implements relay.Observer.
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -18,6 +18,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/liveness"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/pause"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
@@ -75,6 +76,7 @@
 	quarantine   *peers.Quarantine
 	persister    *quarantine.Persister
 	intake       *intake.Monitor
+	processor    *processor.Monitor
 	links        *link.Server
 	linkMetadata *link.Metadata
 	backends     *backend.Pool
@@ -89,6 +91,7 @@
 
 	linkBytesLogged  int64                    // used by logControl only
 	interconnectRows map[interconnectRow]bool // rows in the metrics; used by cleanUp only
+	processorLogged  processorLog             // used by cleanUp only
 	malformed        malformedEntries         // used by the follower only
 	configs          configQueue
 
@@ -132,6 +135,7 @@
 			klog.ErrorS(err, "serving links to peers failed")
 		}
 	}()
+	go r.runProbes(background)
 	r.exchange.QueryPeerVersions()
 	go r.follower.Run(background)
 	electing, resign := context.WithCancel(background)
@@ -196,6 +200,7 @@
 	r.backends.CloseExpired()
 	r.quarantine.Tracker.Expire()
 	r.metrics.setIntake(r.intake.Limited())
+	r.logProcessor()
 	r.metrics.setQuarantine(r.quarantine.Tracker.Counts())
 	r.usage.ExpirePeers()
 	r.catalog.PruneExited()
