relay, admission, backend: leave the wait for the processor out of timeouts

Callers saw 503 although engines had room, also from instances that were not crowded. The class: a judgement of others by a clock that runs while the process does not.

Change: processor.Stopwatch and Monitor.WithTimeout count only time in which the process could run, up to ten times the timeout. All timeouts by which engines and servers are judged and by which requests wait for capacity use them.

--- a/internal/coordination/admission/line.go
+++ b/internal/coordination/admission/line.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/fair"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 )
 
 // pollInterval is how often the front of the queue tries again, for capacity that was released at
@@ -18,6 +19,10 @@
 // requests wait. Those of all other services wait in one queue ordered by priority, in which only
 // the request at the front tries to get capacity. It is safe for concurrent use.
 type WaitQueue struct {
+	// Processor keeps the wait for the processor out of timeouts: a request that was not let
+	// try is not refused. It may be nil and must not change after the first call.
+	Processor *processor.Monitor
+
 	mu    sync.Mutex
 	queue *fair.Queue[*queuedRequest]
 	lines map[string]*Line
@@ -51,6 +56,7 @@
 	l, ok := q.lines[service]
 	if !ok {
 		l = NewLine(time.Now)
+		l.Processor = q.Processor
 		q.lines[service] = l
 	}
 	return l
@@ -72,6 +78,7 @@
 	q.queue.Push(w, r.Customer, r.Priority)
 	q.mu.Unlock()
 	defer q.remove(w)
+	started := q.Processor.Start()
 	expired := time.NewTimer(timeout)
 	defer expired.Stop()
 	tick := time.NewTicker(pollInterval)
@@ -84,6 +91,10 @@
 		case <-w.wake:
 		case <-tick.C:
 		case <-expired.C:
+			if left := started.Remaining(timeout); left > 0 {
+				expired.Reset(left)
+				continue
+			}
 			// Capacity may have been released since the last try.
 			return ctx.Err() == nil && q.isFront(w) && try()
 		case <-ctx.Done():
--- a/internal/coordination/admission/ordered.go
+++ b/internal/coordination/admission/ordered.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/forecast"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 )
 
 // maxPassing is how long smaller requests may pass a larger one that does not fit. After that
@@ -37,6 +38,8 @@
 	// Forecast estimates how long requests wait, and Returns when refused ones return.
 	Forecast *forecast.Forecast
 	Returns  *forecast.Returns
+	// Processor keeps the wait for the processor out of timeouts. It may be nil.
+	Processor *processor.Monitor
 
 	now    func() time.Time
 	mu     sync.Mutex
@@ -118,6 +121,7 @@
 	e := &lineEntry{Waiter: w, wake: make(chan struct{}, 1)}
 	l.add(e)
 	defer l.remove(e)
+	started := l.Processor.Start()
 	expired := time.NewTimer(timeout)
 	defer expired.Stop()
 	tick := time.NewTicker(pollInterval)
@@ -130,6 +134,10 @@
 		case <-e.wake:
 		case <-tick.C:
 		case <-expired.C:
+			if left := started.Remaining(timeout); left > 0 {
+				expired.Reset(left)
+				continue
+			}
 			// Capacity may have been released since the last try.
 			return l.tryIfNext(ctx, e, try)
 		case <-ctx.Done():
--- a/internal/coordination/processor/timeout.go
+++ b/internal/coordination/processor/timeout.go
@@ -6,9 +6,44 @@
 	"time"
 )
 
+// maxWaitFactor bounds the time by which a timeout is put off, as a multiple of its duration.
+// Otherwise a process that never has enough processor time would never give up.
+const maxWaitFactor = 10
+
+// minRemaining is the least time by which a timeout is put off.
+const minRemaining = time.Millisecond
+
+// Stopwatch tells whether a timeout has passed that leaves out the time in which the process waited
+// for the processor, as it could not see then what happened. The zero value counts all time.
+type Stopwatch struct {
+	m             *Monitor
+	began, waited time.Duration
+}
+
+// Start returns a stopwatch that starts now. That of a nil monitor counts all time.
+func (m *Monitor) Start() Stopwatch {
+	if m == nil {
+		return Stopwatch{}
+	}
+	return Stopwatch{m: m, began: m.clock(), waited: m.Waited()}
+}
+
+// Remaining returns how much longer a timeout lasts whose timer, set when the stopwatch started,
+// has fired. It returns 0 if the timeout has passed.
+func (s Stopwatch) Remaining(timeout time.Duration) time.Duration {
+	if s.m == nil {
+		return 0
+	}
+	elapsed := s.m.clock() - s.began
+	ran := elapsed - (s.m.Waited() - s.waited)
+	if timeout-ran < minRemaining || elapsed >= maxWaitFactor*timeout {
+		return 0
+	}
+	return timeout - ran
+}
+
 // WithTimeout returns a context that is cancelled, with context.DeadlineExceeded as its cause, once
-// the process has had the given time to run. Time in which it waited for the processor does not
-// count, as it could not see then what happened. A nil monitor counts all time. The caller must call
+// a timeout has passed as a Stopwatch counts it. A nil monitor counts all time. The caller must call
 // the returned function.
 func (m *Monitor) WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	if m == nil {
@@ -22,30 +57,21 @@
 	}
 }
 
-// maxWaitFactor bounds the time that a timer is put off, as a multiple of its duration. Otherwise a
-// process that never has enough processor time would never give up.
-const maxWaitFactor = 10
-
-// minRest is the least time for which a timer is put off.
-const minRest = time.Millisecond
-
-// Timer calls a function once the process has had a given time to run.
+// Timer calls a function once a timeout has passed as a Stopwatch counts it.
 type Timer struct {
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
 }
 
-// AfterFunc calls f in its own goroutine after d, not counting the time in which the process waited
-// for the processor.
-func (m *Monitor) AfterFunc(d time.Duration, f func()) *Timer {
+// AfterFunc calls f in its own goroutine once a timeout has passed.
+func (m *Monitor) AfterFunc(timeout time.Duration, f func()) *Timer {
 	t := &Timer{}
-	began, waited := m.clock(), m.Waited()
+	s := m.Start()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(d, func() {
-		left := d - m.ranSince(began, waited)
-		if left > minRest && m.clock()-began < maxWaitFactor*d {
+	t.timer = time.AfterFunc(timeout, func() {
+		if left := s.Remaining(timeout); left > 0 {
 			t.putOff(left)
 			return
 		}
@@ -54,12 +80,6 @@
 	return t
 }
 
-// ranSince returns for how long the process did not wait for the processor since a time at which
-// it had waited for the given time in all.
-func (m *Monitor) ranSince(began, waited time.Duration) time.Duration {
-	return m.clock() - began - (m.Waited() - waited)
-}
-
 func (t *Timer) putOff(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -225,6 +225,7 @@
 		Usage:           r.usage,
 		RetryBorrower:   r.exchange.RetryBorrower,
 		WaitQueue:       admission.NewWaitQueue(),
+		Processor:       r.processor,
 		Limits:          r.limits,
 		Pauses:          r.pauses,
 		AnnounceLeaving: r.exchange.AnnounceLeaving,
@@ -243,7 +244,11 @@
 		Now:             time.Now,
 		Started:         time.Now(),
 	}
+	rel.WaitQueue.Processor = r.processor
+	r.backends.Processor = r.processor
+	r.prober.Processor = r.processor
 	rel.SlowdownMonitor = relay.NewSlowdownMonitor()
+	rel.SlowdownMonitor.Processor = r.processor
 	rel.SlowdownMonitor.Usage = r.usage
 	rel.SlowdownMonitor.Catalog = r.catalog
 	rel.SlowdownMonitor.Report = rel.Report
--- a/internal/protocol/relay/classify.go
+++ b/internal/protocol/relay/classify.go
@@ -62,7 +62,7 @@
 
 // checkState asks an engine for its state. It returns an error if there is no report.
 func (p *Prober) checkState(b *model.BackendServer) (engineState, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	ctx, cancel := p.Processor.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	report, err := p.Report(ctx, b)
 	if err != nil {
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -165,9 +165,15 @@
 	timeout := max(slowAttemptFactor*usualLatency, q.admitted.Route.TargetLatency, minAttemptTimeout)
 	run, quit := context.WithCancel(run)
 	decided := make(chan struct{})
+	started := q.Processor.Start()
 	timer := time.AfterFunc(timeout, func() {
 		defer close(decided)
 		defer q.recoverTimerPanic()
+		for left := started.Remaining(timeout); left > 0; left = started.Remaining(timeout) {
+			if !wait.For(run, left) {
+				return
+			}
+		}
 		for captureLog := false; !q.mayRetryElsewhere(run); captureLog = true {
 			if !captureLog {
 				klog.InfoS("slow attempt continues: no other server or no retry token available", "request", q.call.Attempt, "server", b.Incarnation(), "ms", timeout.Milliseconds())
--- a/internal/protocol/relay/giveup.go
+++ b/internal/protocol/relay/giveup.go
@@ -31,7 +31,7 @@
 	}
 	klog.InfoS("stalled run continues: no other engine may resume it or no retry token available", "request", w.q.call.Attempt, "why", f.reason, "culprit", f.failedEngine, "silences", f.stalls, "begun", w.hasEvents, "budget", !w.final, "err", f.err)
 	if !w.final {
-		w.timer.Reset(nextEventTimeout)
+		w.arm(nextEventTimeout)
 	}
 }
 
--- a/internal/protocol/relay/move.go
+++ b/internal/protocol/relay/move.go
@@ -61,7 +61,7 @@
 		return w.generation, false
 	}
 	w.pathCheckDue = false
-	w.timer.Reset(reroutedEventTimeout)
+	w.arm(reroutedEventTimeout)
 	if newStages == nil {
 		return w.generation, false
 	}
@@ -109,7 +109,7 @@
 
 // sendReroute orders the first engine to route the stream over another path.
 func (w *chainWatch) sendReroute(next []chains.Stage, avoid engineSet) error {
-	ctx, cancel := context.WithTimeout(context.Background(), rerouteTimeout)
+	ctx, cancel := w.q.Processor.WithTimeout(context.Background(), rerouteTimeout)
 	defer cancel()
 	began := w.q.Now()
 	err := w.q.Reroute(ctx, next[0].Server, w.q.call.Attempt, hops(next))
--- a/internal/protocol/relay/pace.go
+++ b/internal/protocol/relay/pace.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
@@ -33,6 +34,8 @@
 	Now     func() time.Time
 	// Announce reports a slowdown, or its end, to the other routers. It may be nil.
 	Announce func(engine model.Incarnation, factor float64)
+	// Processor keeps the wait for the processor out of timeouts. It may be nil.
+	Processor *processor.Monitor
 
 	mu         sync.Mutex
 	lastPolled map[model.Incarnation]time.Time
@@ -85,7 +88,7 @@
 }
 
 func (m *SlowdownMonitor) poll(b *model.BackendServer, request string, actual, planned time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	ctx, cancel := m.Processor.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	report, err := m.Report(ctx, b)
 	if err != nil {
--- a/internal/protocol/relay/path.go
+++ b/internal/protocol/relay/path.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -41,7 +40,7 @@
 	defer w.mu.Unlock()
 	if !w.changedLocked(generation) {
 		w.pathCheckDue = false
-		w.timer.Reset(max(nextEventTimeout-a.Pause, minStallTimeout))
+		w.arm(max(nextEventTimeout-a.Pause, minStallTimeout))
 	}
 }
 
@@ -52,7 +51,7 @@
 	defer func() { w.progress.CheckFinished(confirmed) }()
 	stages, _ := w.state()
 	first := stages[0].Server
-	ctx, cancel := context.WithTimeout(w.run, pathCheckTimeout)
+	ctx, cancel := w.q.Processor.WithTimeout(w.run, pathCheckTimeout)
 	defer cancel()
 	began := w.q.Now()
 	err := w.q.Reroute(ctx, first, w.q.call.Attempt, hops(stages))
--- a/internal/protocol/relay/prober.go
+++ b/internal/protocol/relay/prober.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
@@ -42,6 +43,8 @@
 	// It may be nil.
 	RouterCount func() int
 	Now         func() time.Time
+	// Processor keeps the wait for the processor out of timeouts. It may be nil.
+	Processor *processor.Monitor
 
 	mu sync.Mutex
 	// exited holds the time at which an engine's exit was recorded: its process
@@ -161,7 +164,7 @@
 	p.mu.Unlock()
 	requestedAt := p.Now()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		ctx, cancel := p.Processor.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
 		_, err := p.Report(ctx, b)
 		p.handleProbeResult(b, requestedAt, err)
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/pause"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
@@ -161,6 +162,9 @@
 	// MaxConfigAge is the greatest age of the configuration's last confirmation at which
 	// it may justify a permanent refusal.
 	MaxConfigAge time.Duration
+	// Processor keeps the wait for the processor out of the timeouts by which others are
+	// judged. It may be nil.
+	Processor *processor.Monitor
 	// Clock keeps running while the instance is suspended.
 	Clock func() time.Duration
 	Now   func() time.Time
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -15,7 +15,7 @@
 
 // fetchReport requests an engine's report, within reportTimeout.
 func (r *Relay) fetchReport(b *model.BackendServer) (model.EngineReport, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	ctx, cancel := r.Processor.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	return r.Report(ctx, b)
 }
--- a/internal/protocol/relay/suspect.go
+++ b/internal/protocol/relay/suspect.go
@@ -259,7 +259,7 @@
 }
 
 func (r *Relay) confirmExit(b *model.BackendServer) {
-	ctx, cancel := context.WithTimeout(context.Background(), listenTimeout)
+	ctx, cancel := r.Processor.WithTimeout(context.Background(), listenTimeout)
 	defer cancel()
 	switch err := r.CheckListening(ctx, b.Address); {
 	case err == nil:
--- a/internal/protocol/relay/watch.go
+++ b/internal/protocol/relay/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -54,13 +55,15 @@
 	mu           sync.Mutex
 	stages       []chains.Stage
 	timer        *time.Timer
-	hasEvents    bool              // an event was received
-	pathCheckDue bool              // the timer is for a path check, not for a stall
-	unconfirmed  bool              // an order was not answered and may be executed later
-	stalls       int               // consecutive stalls
-	generation   int               // incremented by events and reroutings
-	stopped      bool              // the run has ended
-	failedEngine model.Incarnation // the engine at fault; empty if unknown
+	armed        processor.Stopwatch // since the timer was set
+	timeout      time.Duration       // of the timer
+	hasEvents    bool                // an event was received
+	pathCheckDue bool                // the timer is for a path check, not for a stall
+	unconfirmed  bool                // an order was not answered and may be executed later
+	stalls       int                 // consecutive stalls
+	generation   int                 // incremented by events and reroutings
+	stopped      bool                // the run has ended
+	failedEngine model.Incarnation   // the engine at fault; empty if unknown
 	rerouting    bool
 	// retryGranted is set if a retry token was taken for what follows this run.
 	retryGranted bool
@@ -88,7 +91,14 @@
 func (w *chainWatch) startTimer() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(firstEventTimeout, w.onTimer)
+	w.armed, w.timeout = w.q.Processor.Start(), firstEventTimeout
+	w.timer = time.AfterFunc(w.timeout, w.onTimer)
+}
+
+// arm sets the timer. The caller must hold w.mu.
+func (w *chainWatch) arm(timeout time.Duration) {
+	w.armed, w.timeout = w.q.Processor.Start(), timeout
+	w.timer.Reset(timeout)
 }
 
 func engines(stages []chains.Stage) []model.Incarnation {
@@ -108,7 +118,7 @@
 	w.pathCheckDue = true
 	next := w.progress.RecordEvent()
 	if !w.stopped {
-		w.timer.Reset(next)
+		w.arm(next)
 	}
 	w.checkSpeed()
 }
@@ -158,6 +168,11 @@
 	pathCheckDue := w.pathCheckDue
 	generation := w.generation
 	over := w.stopped || w.rerouting
+	if left := w.armed.Remaining(w.timeout); left > 0 && !over {
+		// Events may have arrived that this process had no time to read.
+		w.timer.Reset(left)
+		over = true
+	}
 	w.mu.Unlock()
 	switch {
 	case over:
@@ -220,7 +235,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.changedLocked(generation) {
-		w.timer.Reset(after)
+		w.arm(after)
 	}
 }
 
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/relay"
 	"github.com/skylarkwood/skylarkwood/internal/state/shard"
 	"github.com/skylarkwood/skylarkwood/internal/tcp"
@@ -43,6 +44,10 @@
 
 // Pool keeps idle connections by address.
 type Pool struct {
+	// Processor keeps the wait for the processor out of timeouts. It may be nil and must not
+	// change after the first call.
+	Processor *processor.Monitor
+
 	hosts  *shard.Map[string, *host]
 	dialed atomic.Int64
 }
@@ -80,8 +85,10 @@
 
 // dial opens a connection. generation is that of its host before the dial.
 func (p *Pool) dial(ctx context.Context, addr string, generation int) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: tcp.UserTimeout(userTimeout)}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	d := net.Dialer{KeepAlive: -1, Control: tcp.UserTimeout(userTimeout)}
+	dialing, cancel := p.Processor.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := d.DialContext(dialing, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
