intake: bound the requests in progress while the process keeps waiting for the processor

Change: the gate asks the probe of the processor. While a probe is late new connections wait unread; once that stands and one has waited 400 ms, a limit on the requests in progress decides who is read, and others are closed. Requests on open connections count; while they exceed the limit their callers are asked to leave.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -1,162 +1,229 @@
-// Package intake decides whether an instance accepts another connection of a caller.
+// Package intake decides when an instance reads from a new connection of a caller, and which new
+// connections it refuses unread.
 //
 // A balancer may hand most new connections to one instance. An instance that reads more requests
-// than it has processor time for serves none of them in time. A connection that is closed before
+// than it has processor time for serves few of them in time. A connection that is refused before
 // anything was read costs its caller little: the next try meets another instance.
 package intake
 
 import (
-	"slices"
 	"sync"
 	"time"
-
-	"k8s.io/klog/v2"
 )
 
 const (
-	// windowLength is the time over which delays are compared.
-	windowLength = 100 * time.Millisecond
-	// maxDelay is the median delay in a window that shows an overload. A request waits for the
-	// processor several times before it is sent on.
-	maxDelay = 30 * time.Millisecond
-	// minSamples is the least number of delays that show an overload, and maxSamples the number
-	// kept for a window.
-	minSamples, maxSamples = 3, 256
-	// overloadedWindows is the number of successive windows that show an overload. A process
-	// that was suspended has one or two.
-	overloadedWindows = 3
-	// The limit on new connections begins at half of their rate, is multiplied by
-	// limitDecrease with each further overload and by limitIncrease with each window without
-	// one, and is lifted once none was refused for calmWindows.
-	limitDecrease, limitIncrease = 0.7, 1.05
-	calmWindows                  = 30
-	// minLimit is the least limit, in connections per window.
-	minLimit = 0.2
-	// logInterval is the time between two log lines while connections are refused.
-	logInterval = time.Second
+	// patience is how long a new connection waits for the processor before the instance limits
+	// what it admits. Callers wait about a second for their request to be read.
+	patience = 400 * time.Millisecond
+	// minStanding is the time for which the delay must have lasted by then. A process that was
+	// stopped has let connections wait, but has time for them.
+	minStanding = 200 * time.Millisecond
+	// limitedPatience is how long a new connection waits while there is a limit. It is longer
+	// than the period of a quota of processor time, in which admissions come in bursts.
+	limitedPatience = 150 * time.Millisecond
+	// The limit begins at limitStart of the requests in progress, is multiplied by limitDecrease
+	// for each decreaseInterval in which the delay lasts, and grows by limitIncrease, at least by
+	// 1, in each increaseInterval in which it keeps a connection waiting without a delay.
+	limitStart       = 0.5
+	limitDecrease    = 0.7
+	limitIncrease    = 0.05
+	decreaseInterval = 200 * time.Millisecond
+	increaseInterval = 100 * time.Millisecond
+	minLimit         = 1
+	// minWaiting is the number of connections that may wait at a limit below it.
+	minWaiting = 4
+	// calmTime is the time without a refused connection after which the limit ends.
+	calmTime = 3 * time.Second
 )
 
-// Monitor observes how long new connections wait for the processor, and limits their rate while
-// that is too long. It is safe for concurrent use.
-type Monitor struct {
-	clock func() time.Duration
-
-	mu      sync.Mutex
-	began   time.Duration // of the current window
-	delays  []time.Duration
-	offered int // connections in the current window
-	// average is that of offered over about a second.
-	average float64
-
-	overloaded int // successive windows that show an overload
-	calm       int // successive windows without a refused connection
-	limited    bool
-	// limit is the number of connections admitted per window, and tokens how many may still
-	// be. None is admitted while the last window shows an overload.
-	limit, tokens float64
-	refused       int // since the last log line
-	loggedAt      time.Duration
-}
-
-// New returns a monitor that admits all connections. clock returns a monotonic time.
-func New(clock func() time.Duration) *Monitor {
-	return &Monitor{clock: clock, began: clock()}
-}
-
-// Admit reports whether to accept a new connection. If not, the caller must close it without
-// reading from it.
-func (m *Monitor) Admit() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.advance()
-	m.offered++
-	if !m.limited {
-		return true
-	}
-	if m.overloaded > 0 || m.tokens < 1 {
-		m.refused++
-		m.calm = 0
-		return false
+// Processor tells whether the process has work that waits for the processor.
+type Processor interface {
+	// Late reports whether the process handles network events late.
+	Late() bool
+	// Standing returns for how long it has done so without a break.
+	Standing() time.Duration
+}
+
+// Gate admits new connections while the process keeps up with its work, and bounds the requests in
+// progress once it did not for long. A bound on requests, unlike one on their rate, acts at once on
+// streams, whose processor time is spent over seconds.
+//
+// Connections wait in the order of their arrival. Each has a place among the requests in progress
+// from its admission on. A Gate is safe for concurrent use. Its decisions must be applied by the
+// caller.
+type Gate[C any] struct {
+	processor Processor
+	clock     func() time.Duration
+
+	mu       sync.Mutex
+	waiting  []arrival[C]
+	inFlight int // requests in progress, and admitted connections without a request so far
+	limited  bool
+	limit    float64 // of inFlight, for new connections
+	// hit is set if the limit has kept a connection waiting since it grew.
+	hit                              bool
+	decreasedAt, increasedAt, calmAt time.Duration
+	log                              limitLog
+}
+
+type arrival[C any] struct {
+	conn C
+	at   time.Duration
+}
+
+// Decisions are the connections that a call admits and refuses.
+type Decisions[C any] struct {
+	Admitted, Refused []C
+}
+
+// New returns a gate without connections. clock returns a monotonic time.
+func New[C any](p Processor, clock func() time.Duration) *Gate[C] {
+	return &Gate[C]{processor: p, clock: clock}
+}
+
+// Arrive adds a new connection.
+func (g *Gate[C]) Arrive(c C) Decisions[C] {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	g.waiting = append(g.waiting, arrival[C]{c, now})
+	d := g.decide(now)
+	if g.limited && len(g.waiting) > max(minWaiting, int(g.limit)) {
+		newest := len(g.waiting) - 1
+		g.refuse(&d, now, newest, newest+1)
 	}
-	m.tokens--
-	return true
-}
-
-// RecordDelay records how long an accepted connection waited for the processor until it was first
-// read from.
-func (m *Monitor) RecordDelay(d time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.advance()
-	if len(m.delays) < maxSamples {
-		m.delays = append(m.delays, d)
+	return d
+}
+
+// Advance decides again. It must be called after each probe of the processor.
+func (g *Gate[C]) Advance() Decisions[C] {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	g.adjust(now)
+	d := g.decide(now)
+	g.log.write(now, false, g.state())
+	return d
+}
+
+// Begin records that a request begins on a connection without a place.
+func (g *Gate[C]) Begin() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight++
+}
+
+// End records that a request has ended or a connection has closed that had a place.
+func (g *Gate[C]) End() Decisions[C] {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	return g.decide(g.clock())
+}
+
+// TakeWaiting returns the waiting connections and gives each a place, whatever the limit.
+func (g *Gate[C]) TakeWaiting() []C {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []C
+	for _, a := range g.waiting {
+		all = append(all, a.conn)
 	}
+	g.inFlight += len(all)
+	g.waiting = nil
+	return all
+}
+
+// Limited reports whether new connections are limited.
+func (g *Gate[C]) Limited() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limited
+}
+
+// Exceeded reports whether requests on open connections alone use up the limit. Their callers
+// should use other instances for their next requests.
+func (g *Gate[C]) Exceeded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limited && float64(g.inFlight) > g.limit
 }
 
-// advance ends the windows that are over. The caller must hold m.mu.
-func (m *Monitor) advance() {
-	now := m.clock()
-	if now-m.began > calmWindows*windowLength {
-		// Nothing has happened for long.
-		m.endWindow()
-		m.calm = calmWindows
-		m.average = 0
-		m.began = now - windowLength
+// decide admits and refuses waiting connections.
+func (g *Gate[C]) decide(now time.Duration) Decisions[C] {
+	var d Decisions[C]
+	for len(g.waiting) > 0 && g.mayAdmit() {
+		d.Admitted = append(d.Admitted, g.waiting[0].conn)
+		g.waiting = g.waiting[1:]
+		g.inFlight++
 	}
-	for ; now-m.began >= windowLength; m.began += windowLength {
-		m.endWindow()
+	expired := 0
+	for expired < len(g.waiting) && g.hasExpired(now, g.waiting[expired]) {
+		expired++
 	}
+	if expired > 0 && !g.limited {
+		g.setLimit(now, max(limitStart*float64(g.inFlight), minLimit))
+	}
+	g.refuse(&d, now, 0, expired)
+	return d
 }
 
-// endWindow applies the delays of a window to the limit.
-func (m *Monitor) endWindow() {
-	const weight = float64(windowLength) / float64(time.Second)
-	m.average += weight * (float64(m.offered) - m.average)
-	m.calm++
-	if delay := m.medianDelay(); delay > maxDelay {
-		m.overloaded++
-	} else {
-		m.overloaded = 0
+func (g *Gate[C]) mayAdmit() bool {
+	if g.limited && float64(g.inFlight)+1 > g.limit {
+		g.hit = true
+		return false
 	}
-	before := m.limited
-	switch {
-	case !m.limited && m.overloaded >= overloadedWindows:
-		m.limited, m.limit = true, max(m.average/2, minLimit)
-	case m.limited && m.overloaded == 1:
-		m.limit = max(m.limit*limitDecrease, minLimit)
-	case m.limited && m.overloaded == 0 && m.calm >= calmWindows:
-		m.limited = false
-	case m.limited && m.overloaded == 0:
-		m.limit *= limitIncrease
+	return !g.processor.Late()
+}
+
+func (g *Gate[C]) hasExpired(now time.Duration, a arrival[C]) bool {
+	if g.limited {
+		return now-a.at > limitedPatience
 	}
-	m.tokens = min(m.tokens, 1) + m.limit
-	m.log(m.limited != before)
-	m.delays, m.offered = m.delays[:0], 0
+	return now-a.at > patience && g.processor.Standing() > minStanding
 }
 
-// medianDelay returns the median of the window's delays, 0 if there are too few.
-func (m *Monitor) medianDelay() time.Duration {
-	if len(m.delays) < minSamples {
-		return 0
+// refuse refuses the waiting connections from one index up to another.
+func (g *Gate[C]) refuse(d *Decisions[C], now time.Duration, from, to int) {
+	if from == to {
+		return
+	}
+	for _, a := range g.waiting[from:to] {
+		d.Refused = append(d.Refused, a.conn)
 	}
-	slices.Sort(m.delays)
-	return m.delays[len(m.delays)/2]
+	g.waiting = append(g.waiting[:from:from], g.waiting[to:]...)
+	g.calmAt = now + calmTime
+	g.log.refused += to - from
 }
 
-// log logs that the limit begins or ends and, while it holds, what it refused.
-func (m *Monitor) log(changed bool) {
-	if !changed && (m.refused == 0 || m.began-m.loggedAt < logInterval) {
+// adjust adapts the limit to the delay.
+func (g *Gate[C]) adjust(now time.Duration) {
+	if !g.limited {
 		return
 	}
-	klog.InfoS("new connections limited: they wait for the processor", "limited", m.limited, "medianDelayMs", m.medianDelay().Milliseconds(),
-		"perSecond", m.limit*float64(time.Second/windowLength), "offeredPerSecond", m.average*float64(time.Second/windowLength), "refused", m.refused)
-	m.refused, m.loggedAt = 0, m.began
+	standing := g.processor.Standing()
+	switch {
+	case standing > decreaseInterval && now-g.decreasedAt >= decreaseInterval:
+		g.limit = max(limitDecrease*g.limit, minLimit)
+		g.decreasedAt = now
+	case standing > 0:
+	case now >= g.calmAt && len(g.waiting) == 0:
+		g.limited = false
+		g.log.write(now, true, g.state())
+	case g.hit && now-g.increasedAt >= increaseInterval:
+		g.limit += max(limitIncrease*g.limit, 1)
+		g.increasedAt = now
+		g.hit = false
+	}
+}
+
+func (g *Gate[C]) setLimit(now time.Duration, limit float64) {
+	g.limited, g.limit = true, limit
+	g.decreasedAt, g.increasedAt = now, now
+	g.hit = false
+	g.log.write(now, true, g.state())
 }
 
-// Limited reports whether new connections are limited, for metrics.
-func (m *Monitor) Limited() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.advance()
-	return m.limited
+func (g *Gate[C]) state() limitState {
+	return limitState{limited: g.limited, standing: g.processor.Standing(), limit: g.limit, inFlight: g.inFlight, waiting: len(g.waiting)}
 }
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -1,108 +1,254 @@
 package intake
 
 import (
-	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 )
 
-// instance is a model of an instance in virtual time: requests share the processor, each of them
-// waits for it in turn.
+// instance is a model of an instance in virtual time. Each request is read and then forwards
+// events, as an engine makes them, until it is served. Reading, forwarding and probes take their
+// turns at the processor, in the order in which they become ready.
 type instance struct {
-	monitor  *Monitor
-	admit    func() bool
-	capacity int // requests per second
-	queue    []time.Duration
-	now      time.Duration
-	work     float64 // processor time available, in requests
-}
-
-func newInstance(capacity int) *instance {
-	n := &instance{capacity: capacity}
-	n.monitor = New(func() time.Duration { return n.now })
-	n.admit = n.monitor.Admit
-	return n
+	gate    *Gate[int]
+	monitor *processor.Monitor
+	admit   func(c int) Decisions[int]
+	now     time.Duration
+
+	capacity int // units of work per second
+	// quota is the part of each quotaPeriod in which the instance runs, at a speed that gives
+	// its capacity.
+	quota  float64
+	events int // of each request
+
+	ready []func() // work of one unit each, in order
+	later map[time.Duration][]func()
+	work  float64
+
+	counts   *counts // of the connections that arrive now
+	deadline time.Duration
 }
 
+// counts are what became of the connections of a span of time.
+type counts struct{ refused, read, served int }
+
 const (
-	step     = time.Millisecond
-	deadline = 500 * time.Millisecond
+	step          = time.Millisecond
+	quotaPeriod   = 100 * time.Millisecond
+	probeInterval = 20 * time.Millisecond
+	eventInterval = 10 * time.Millisecond
+	requestWork   = 10 // units to read a request
 )
 
-// run offers new connections at a rate and returns how many were read, and how many of these were
-// served within the deadline.
-func (n *instance) run(d time.Duration, perSecond int) (read, served int) {
+// newInstance returns an instance that can serve the given number of requests per second.
+func newInstance(requests, events int, quota float64) *instance {
+	n := &instance{capacity: requests * (requestWork + events), events: events, quota: quota, later: map[time.Duration][]func(){}}
+	n.deadline = 2*time.Second + time.Duration(events)*eventInterval
+	n.monitor = processor.New(func() time.Duration { return n.now })
+	n.gate = New[int](n.monitor, n.monitor.Now)
+	n.admit = n.gate.Arrive
+	n.startProbe(0)
+	return n
+}
+
+func (n *instance) schedule(after time.Duration, f func()) {
+	at := n.now + max(after, step)
+	n.later[at] = append(n.later[at], f)
+}
+
+// startProbe makes a probe that is due now, and the next one after it.
+func (n *instance) startProbe(due time.Duration) {
+	n.monitor.Begin(due)
+	n.ready = append(n.ready, func() {
+		pause := time.Duration(0)
+		if n.monitor.End() {
+			pause = probeInterval
+		}
+		n.apply(n.gate.Advance())
+		due := n.now + pause
+		n.schedule(pause, func() { n.startProbe(due) })
+	})
+}
+
+func (n *instance) apply(d Decisions[int]) {
+	c := n.counts
+	c.refused += len(d.Refused)
+	for range d.Admitted {
+		c.read++
+		began := n.now
+		n.after(requestWork, func() { n.forward(c, began) })
+	}
+}
+
+// after calls f once the given units of work are done.
+func (n *instance) after(units int, f func()) {
+	if units == 0 {
+		f()
+		return
+	}
+	n.ready = append(n.ready, func() { n.after(units-1, f) })
+}
+
+// forward forwards the events of a request as its engine makes them, whether or not the earlier ones
+// have been forwarded.
+func (n *instance) forward(c *counts, began time.Duration) {
+	if n.events == 0 {
+		n.finish(c, began)
+		return
+	}
+	for event := 1; event <= n.events; event++ {
+		n.schedule(time.Duration(event)*eventInterval, func() {
+			n.ready = append(n.ready, func() {
+				if event == n.events {
+					n.finish(c, began)
+				}
+			})
+		})
+	}
+}
+
+func (n *instance) finish(c *counts, began time.Duration) {
+	if n.now-began <= n.deadline {
+		c.served++
+	}
+	n.apply(n.gate.End())
+}
+
+// run offers new connections at a rate. What becomes of them is counted in the result, also later.
+func (n *instance) run(d time.Duration, perSecond int) *counts {
+	n.counts = &counts{}
 	offered := 0.0
 	for end := n.now + d; n.now < end; n.now += step {
-		for offered += float64(perSecond) * step.Seconds(); offered >= 1; offered-- {
-			if n.admit() {
-				read++
-				n.queue = append(n.queue, n.now)
-			}
+		for _, f := range n.later[n.now] {
+			f()
 		}
-		n.work += float64(n.capacity) * step.Seconds()
-		if len(n.queue) == 0 {
-			n.work = math.Min(n.work, 1)
+		delete(n.later, n.now)
+		offered += float64(perSecond) * step.Seconds()
+		if float64(n.now%quotaPeriod) >= n.quota*float64(quotaPeriod) {
+			continue // stopped: neither accepts nor works
 		}
-		for ; n.work >= 1 && len(n.queue) > 0; n.work-- {
-			n.monitor.RecordDelay(n.now - n.queue[0])
-			if n.now-n.queue[0] <= deadline {
-				served++
-			}
-			n.queue = n.queue[1:]
+		for ; offered >= 1; offered-- {
+			n.apply(n.admit(0))
+		}
+		n.work += float64(n.capacity) * step.Seconds() / n.quota
+		for ; n.work >= 1 && len(n.ready) > 0; n.work-- {
+			f := n.ready[0]
+			n.ready = n.ready[1:]
+			f()
+		}
+		if len(n.ready) == 0 {
+			n.work = min(n.work, 1)
 		}
 	}
-	return read, served
+	return n.counts
+}
+
+var models = []struct {
+	name             string
+	requests, events int
+	quota            float64
+}{
+	{"share, no events", 50, 0, 1}, {"share, fast, no events", 3000, 0, 1}, {"share, streams", 40, 50, 1}, {"share, long streams", 100, 200, 1},
+	{"quota, no events", 50, 0, 0.1}, {"quota, streams", 40, 50, 0.1}, {"quota, long streams", 100, 200, 0.3}, {"quota, slow", 12, 20, 0.03},
 }
 
 // The balancer hands most new connections to one instance. Guards against reading all of them and
 // serving none in time. The second instance, which gets them once the first is out, must stand
 // too.
 func TestCrowdedInstanceServesWhatItReads(t *testing.T) {
-	for _, capacity := range []int{50, 400, 3000} {
-		for range 2 {
-			n := newInstance(capacity)
-			read, served := n.run(3*time.Second, capacity/2)
-			assert.Equal(t, read, served, "a calm instance refuses none")
-			n.run(3*time.Second, 5*capacity)
-			read, served = n.run(5*time.Second, 5*capacity)
-			assert.Assert(t, 4*served >= 3*read, "%d of %d", served, read)
-			assert.Assert(t, served >= 5*capacity/2, "only %d served", served)
-			n.run(4*time.Second, capacity/2)
-			read, served = n.run(3*time.Second, capacity/2)
-			assert.Assert(t, served >= read-1, "%d of %d once the crowd has left", served, read)
-			assert.Assert(t, read >= 3*(capacity/2)-1, "%d connections admitted once the crowd has left", read)
-			assert.Assert(t, !n.monitor.Limited())
-		}
+	for _, c := range models {
+		t.Run(c.name, func(t *testing.T) {
+			n := newInstance(c.requests, c.events, c.quota)
+			for range 2 {
+				calm := n.run(4*time.Second, c.requests/2)
+				assert.Equal(t, calm.refused, 0, "a calm instance refuses none")
+				assert.Assert(t, calm.read >= 4*(c.requests/2)-c.requests/4, "%d connections admitted", calm.read)
+				n.run(3*time.Second, 5*c.requests)
+				crowded := n.run(8*time.Second, 5*c.requests)
+				n.run(6*time.Second, c.requests/2)
+				assert.Assert(t, 10*crowded.served >= 9*crowded.read, "%d of %d", crowded.served, crowded.read)
+				assert.Assert(t, crowded.served >= 8*c.requests/2, "only %d served in 8 s", crowded.served)
+				after := n.run(3*time.Second, c.requests/2)
+				assert.Equal(t, after.refused, 0, "none is refused once the crowd has left")
+				assert.Assert(t, !n.gate.Limited())
+			}
+		})
 	}
 }
 
 // Guards against a model that does not show the failure.
 func TestCrowdedInstanceWithoutLimitServesFew(t *testing.T) {
-	n := newInstance(400)
-	n.admit = func() bool { return true }
-	n.run(3*time.Second, 2000)
-	read, served := n.run(5*time.Second, 2000)
-	assert.Assert(t, 4*served < 3*read)
-}
-
-// An instance is suspended, or stopped by its quota of processor time for most of each tenth of a
-// second. Guards against refusing connections although it is not overloaded.
-func TestInterruptedInstanceAdmitsConnections(t *testing.T) {
-	now := time.Duration(0)
-	m := New(func() time.Duration { return now })
-	for n := range 1000 {
-		now += 10 * time.Millisecond
-		delay := time.Duration(0)
-		switch {
-		case n%200 < 20:
-			delay = 3 * time.Second // it wakes again
-		case n%10 >= 6:
-			delay = 70 * time.Millisecond // the quota is used up
+	for _, c := range models {
+		n := newInstance(c.requests, c.events, c.quota)
+		n.admit = func(c int) Decisions[int] { return Decisions[int]{Admitted: []int{c}} }
+		n.run(3*time.Second, 5*c.requests)
+		crowded := n.run(8*time.Second, 5*c.requests)
+		n.run(6*time.Second, c.requests/2)
+		assert.Assert(t, 4*crowded.served < 3*crowded.read, "%s: %d of %d", c.name, crowded.served, crowded.read)
+	}
+}
+
+// Guards against refusing connections of an instance that has time for all of them, close to its
+// capacity and at its quota of processor time.
+func TestBusyInstanceAdmitsConnections(t *testing.T) {
+	for _, c := range models {
+		n := newInstance(c.requests, c.events, c.quota)
+		busy := n.run(20*time.Second, c.requests*8/10)
+		assert.Equal(t, busy.refused, 0, c.name)
+		assert.Assert(t, busy.read >= 19*(c.requests*8/10), "%s: %d", c.name, busy.read)
+	}
+}
+
+// An instance is suspended for seconds, again and again. Guards against refusing what has arrived
+// meanwhile although it has time for it.
+func TestSuspendedInstanceAdmitsConnections(t *testing.T) {
+	n := newInstance(400, 10, 1)
+	for range 5 {
+		n.run(4*time.Second, 100)
+		n.now += 3 * time.Second // nothing runs
+		for at, fs := range n.later {
+			if at < n.now {
+				n.ready = append(n.ready, fs...)
+				delete(n.later, at)
+			}
+		}
+		for range 100 {
+			n.apply(n.admit(0))
 		}
-		assert.Assert(t, m.Admit())
-		m.RecordDelay(delay)
+		assert.Equal(t, n.counts.refused, 0)
+	}
+	assert.Assert(t, !n.gate.Limited())
+}
+
+// Requests on open connections use up the processor. Guards against a limit that new connections
+// are measured by and open ones are not.
+func TestRequestsOnOpenConnectionsCount(t *testing.T) {
+	n := newInstance(40, 50, 1)
+	n.run(3*time.Second, 200)
+	assert.Assert(t, n.gate.Limited())
+	limit := int(n.gate.limit)
+	for range 2 * limit {
+		n.gate.Begin()
+	}
+	assert.Assert(t, n.gate.Exceeded())
+	assert.Equal(t, n.run(100*time.Millisecond, 200).read, 0)
+	for range 2 * limit {
+		n.apply(n.gate.End())
+	}
+	assert.Assert(t, !n.gate.Exceeded())
+}
+
+// A planned stop serves what has arrived. Guards against connections that wait forever.
+func TestTakeWaitingAdmitsAll(t *testing.T) {
+	n := newInstance(40, 50, 1)
+	n.run(3*time.Second, 200)
+	for range 3 {
+		n.gate.Arrive(0)
 	}
+	waiting := len(n.gate.waiting)
+	assert.Equal(t, len(n.gate.TakeWaiting()), waiting)
+	assert.Equal(t, len(n.gate.waiting), 0)
 }
--- a/internal/coordination/processor/processor.go
+++ b/internal/coordination/processor/processor.go
@@ -28,7 +28,7 @@
 	waited  time.Duration // by probes that have ended
 	longest time.Duration // delay since the last call of TakeLongest
 	late    bool          // the last probe was late
-	// lateSince is when the first of the successive late probes ended.
+	// lateSince is when the first of the successive late probes was found to be late.
 	lateSince time.Duration
 }
 
@@ -71,17 +71,28 @@
 func (m *Monitor) Late() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.late || m.probing && m.clock()-m.due > maxDelay
+	m.observe()
+	return m.late
 }
 
-// Standing returns for how long all probes have been late. It does not include the first of them,
-// as a process that was stopped once has one late probe. It is 0 if the last probe was on time.
+// observe records that the probe in progress is late, if it is. The caller runs, so the process is
+// not stopped. The caller must hold m.mu.
+func (m *Monitor) observe() {
+	if now := m.clock(); !m.late && m.probing && now-m.due > maxDelay {
+		m.late, m.lateSince = true, now
+	}
+}
+
+// Standing returns for how long all probes have been late, counted from the first call or end of a
+// probe that found it. A process that was stopped finds it when it runs again. It is 0 if the last
+// probe was on time.
 //
 // At a quota of processor time a process is stopped in each period in which it uses that up, but
 // between two stops a probe is on time unless work remains.
 func (m *Monitor) Standing() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observe()
 	if !m.late {
 		return 0
 	}
--- a/internal/coordination/processor/processor_test.go
+++ b/internal/coordination/processor/processor_test.go
@@ -33,8 +33,13 @@
 func TestOneStopIsNoStandingDelay(t *testing.T) {
 	p := newProcess()
 	p.probe(0)
-	p.probe(3 * time.Second)
+	p.Begin(p.now)
+	p.now += 3 * time.Second
+	assert.Assert(t, p.Late())
 	assert.Equal(t, p.Standing(), time.Duration(0))
+	p.now += 5 * time.Millisecond
+	assert.Equal(t, p.Standing(), 5*time.Millisecond)
+	p.End()
 	assert.Assert(t, p.Late())
 	p.probe(time.Millisecond)
 	p.now += time.Second
@@ -67,6 +72,17 @@
 	assert.Equal(t, p.Standing(), 950*time.Millisecond)
 }
 
+// A probe is in progress for long while the process runs. Guards against noticing a delay only once a
+// probe has ended.
+func TestProbeInProgressShowsAStandingDelay(t *testing.T) {
+	p := newProcess()
+	p.Begin(p.now)
+	p.now += 30 * time.Millisecond
+	assert.Assert(t, p.Late())
+	p.now += time.Second
+	assert.Equal(t, p.Standing(), time.Second)
+}
+
 // Guards against counting only what has ended: the process may be asked while it waits.
 func TestWaitedIncludesTheProbeInProgress(t *testing.T) {
 	p := newProcess()
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -186,9 +187,9 @@
 	r.links.VerifySenderHost = true
 	r.exchange.Register(r.links)
 	r.exchange.Values.Register(r.links)
-	r.intake = intake.New(boottime.Now)
 	started := time.Now()
 	r.processor = processor.New(func() time.Duration { return time.Since(started) })
+	r.intake = intake.New[net.Conn](r.processor, r.processor.Now)
 	tracker := quarantine.New(boottime.Now)
 	r.quarantine = &peers.Quarantine{Exchange: r.exchange, Tracker: tracker, Trials: quarantine.NewTrials(tracker)}
 	r.quarantine.Register(r.links)
--- a/internal/daemon/processor.go
+++ b/internal/daemon/processor.go
@@ -22,7 +22,7 @@
 
 // runProbes measures how long this process waits for the processor, until ctx ends.
 func (r *Router) runProbes(ctx context.Context) {
-	if err := selfprobe.Run(ctx, r.processor, func() {}); err != nil {
+	if err := selfprobe.Run(ctx, r.processor, r.front.Advance); err != nil {
 		klog.ErrorS(err, "measuring the wait for the processor failed")
 	}
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -75,7 +75,7 @@
 	liveness     *liveness.Watcher
 	quarantine   *peers.Quarantine
 	persister    *quarantine.Persister
-	intake       *intake.Monitor
+	intake       *intake.Gate[net.Conn]
 	processor    *processor.Monitor
 	links        *link.Server
 	linkMetadata *link.Metadata
--- a/internal/transport/front/caller.go
+++ b/internal/transport/front/caller.go
@@ -17,7 +17,7 @@
 type responseWriter struct {
 	w          http.ResponseWriter
 	rc         *http.ResponseController
-	draining   *atomic.Bool
+	closing    func() bool
 	stream     bool
 	headerSent atomic.Bool
 }
@@ -31,7 +31,7 @@
 		h.Set("Content-Length", formatInt(length))
 	}
 	c.stream = length < 0
-	if c.draining.Load() {
+	if c.closing() {
 		h.Set("Connection", "close")
 	}
 	c.w.WriteHeader(status)
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
-	"github.com/skylarkwood/skylarkwood/internal/coordination/intake"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/keepalive"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/tcp"
@@ -17,46 +16,6 @@
 
 type connKey struct{}
 
-// timedListener accepts connections that limit their idle time and the time for reading a
-// header.
-type timedListener struct {
-	net.Listener
-	limits func() model.CallerLimits
-	// intake limits new connections. It may be nil.
-	intake *intake.Monitor
-	once   sync.Once
-	err    error
-}
-
-// Close closes the listener once. Both the stop and net/http call it.
-func (l *timedListener) Close() error {
-	l.once.Do(func() { l.err = l.Listener.Close() })
-	return l.err
-}
-
-// Accept returns the next connection that is admitted. Others are closed before anything is read
-// from them, so that their callers may send any request again.
-func (l *timedListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.intake == nil {
-			return newTimedConn(c, l.limits), nil
-		}
-		if l.intake.Admit() {
-			t := newTimedConn(c, l.limits)
-			accepted := time.Now()
-			t.firstRead = func() { l.intake.RecordDelay(time.Since(accepted)) }
-			return t, nil
-		}
-		if err := c.Close(); err != nil {
-			klog.V(1).InfoS("closing a connection that is not admitted failed", "caller", c.RemoteAddr(), "err", err)
-		}
-	}
-}
-
 // timedConn limits how long a connection may be idle and how long reading a header may
 // take. The timeouts of net/http cannot change after the start, but the operator's can.
 //
@@ -67,15 +26,16 @@
 type timedConn struct {
 	net.Conn
 	limits func() model.CallerLimits
-	// firstRead, if not nil, is called when the first read begins. Only the goroutine that
-	// reads uses it.
-	firstRead func()
+	// firstRequest ends the place of a connection without a request. It may be nil.
+	firstRequest *time.Timer
 
-	mu      sync.Mutex
-	state   keepalive.ConnState
-	reason  EndReason // first reason for its end; empty if there is none
-	cause   error
-	request *model.Call // in progress; nil if there is none
+	mu sync.Mutex
+	// inProgress is set while the connection has a place among the requests in progress.
+	inProgress bool
+	state      keepalive.ConnState
+	reason     EndReason // first reason for its end; empty if there is none
+	cause      error
+	request    *model.Call // in progress; nil if there is none
 }
 
 func newTimedConn(c net.Conn, limits func() model.CallerLimits) *timedConn {
@@ -86,10 +46,6 @@
 
 // Read implements net.Conn.
 func (c *timedConn) Read(p []byte) (int, error) {
-	if c.firstRead != nil {
-		c.firstRead()
-		c.firstRead = nil
-	}
 	if err := c.setIdleDeadline(); err != nil {
 		return 0, err
 	}
--- a/internal/transport/front/crowd_test.go
+++ b/internal/transport/front/crowd_test.go
@@ -16,7 +16,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/intake"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/relay"
+	"github.com/skylarkwood/skylarkwood/internal/transport/selfprobe"
 )
 
 // tryOnce sends one request on a new connection and reports whether it was answered with success in
@@ -69,12 +71,16 @@
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	const work = 10 * time.Millisecond // of the processor, for each request
 	started := time.Now()
-	_, addr := serveLimited(t, intake.New(func() time.Duration { return time.Since(started) }), func(context.Context, *relay.Request) (*relay.Response, error) {
+	m := processor.New(func() time.Duration { return time.Since(started) })
+	s, addr := serveLimited(t, intake.New[net.Conn](m, m.Now), func(context.Context, *relay.Request) (*relay.Response, error) {
 		for end := time.Now().Add(work); time.Now().Before(end); {
 			_ = fmt.Sprint(end)
 		}
 		return textResponse("done"), nil
 	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = selfprobe.Run(ctx, m, s.Advance) }()
 	_, read, served := crowd(addr, time.Second, 4*work)
 	assert.Assert(t, 10*served >= 9*read, "%d of %d served while it is calm", served, read)
 	crowd(addr, 3*time.Second, work/5)
--- a/internal/transport/front/end_test.go
+++ b/internal/transport/front/end_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,7 +99,7 @@
 // cutting off a complete response.
 func TestEndOfAResponseGetsANewDeadline(t *testing.T) {
 	w := &deadlineWriter{ResponseWriter: httptest.NewRecorder()}
-	out := &responseWriter{w: w, rc: http.NewResponseController(w), draining: &atomic.Bool{}}
+	out := &responseWriter{w: w, rc: http.NewResponseController(w), closing: func() bool { return false }}
 	out.WriteHeader(http.StatusOK, nil, -1)
 	assert.NilError(t, out.Write([]byte("id: 1\n\n")))
 	w.deadline = time.Now().Add(-time.Second)
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -37,8 +37,9 @@
 type Server struct {
 	Config *routes.ActiveConfig
 	Relay  *relay.Relay
-	// Intake limits new connections. It may be nil.
-	Intake *intake.Monitor
+	// Intake limits new connections. It may be nil. Advance must be called after each probe of
+	// its processor.
+	Intake *intake.Gate[net.Conn]
 	// OnRequest is called for each request. It may be nil.
 	OnRequest func()
 	// Observer counts the ends of connections. It may be nil.
@@ -50,11 +51,13 @@
 	cancelPending context.CancelFunc
 	draining      atomic.Bool
 	active        atomic.Int64
+	listener      atomic.Pointer[timedListener]
 }
 
 // Serve serves connections until Shutdown.
 func (s *Server) Serve(callers net.Listener) error {
-	l := &timedListener{Listener: callers, limits: s.limits, intake: s.Intake}
+	l := newTimedListener(callers, s.limits, s.Intake)
+	s.listener.Store(l)
 	// Set before the listener, as a stop that finds the listener may use them at once.
 	s.stopContext, s.cancelPending = context.WithCancel(context.Background())
 	if !s.conns.setListener(l) {
@@ -77,9 +80,12 @@
 			s.conns.add(t)
 		case http.StateActive:
 			t.startRequest()
+			l.beginRequest(t)
 		case http.StateIdle:
 			t.startIdle()
+			l.endRequest(t)
 		case http.StateClosed, http.StateHijacked:
+			l.endRequest(t)
 			s.conns.remove(t)
 			s.recordConnectionEnd(t)
 		}
@@ -113,6 +119,18 @@
 	return l
 }
 
+// Advance lets the intake decide again about connections that wait.
+func (s *Server) Advance() {
+	if l := s.listener.Load(); l != nil && s.Intake != nil {
+		l.advance()
+	}
+}
+
+// closing reports whether callers should send their next request on another connection.
+func (s *Server) closing() bool {
+	return s.draining.Load() || s.Intake != nil && s.Intake.Exceeded()
+}
+
 // ActiveRequests returns the number of requests in progress.
 func (s *Server) ActiveRequests() int64 { return s.active.Load() }
 
@@ -125,7 +143,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	rc := http.NewResponseController(w)
-	out := &responseWriter{w: w, rc: rc, draining: &s.draining}
+	out := &responseWriter{w: w, rc: rc, closing: s.closing}
 	defer recoverHandler(conn, out)
 	if s.OnRequest != nil {
 		s.OnRequest()
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -66,7 +66,7 @@
 func serve(t *testing.T, u upstream) (*Server, string) { return serveLimited(t, nil, u) }
 
 // serveLimited is serve with a limit on new connections.
-func serveLimited(t *testing.T, limit *intake.Monitor, u upstream) (*Server, string) {
+func serveLimited(t *testing.T, limit *intake.Gate[net.Conn], u upstream) (*Server, string) {
 	current := &routes.ActiveConfig{}
 	current.Apply(config(1, 300*time.Millisecond), nil)
 	cat := catalog.New(time.Now)
