processor: probe every 50 ms

Probes cost processor time at every instance all the time. A late probe is still followed by another at once, so a limit begins as soon as before but for 30 ms.

--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -38,7 +38,6 @@
 const (
 	step          = time.Millisecond
 	quotaPeriod   = 100 * time.Millisecond
-	probeInterval = 20 * time.Millisecond
 	eventInterval = 10 * time.Millisecond
 	requestWork   = 10 // units to read a request
 )
@@ -65,7 +64,7 @@
 	n.ready = append(n.ready, func() {
 		pause := time.Duration(0)
 		if n.monitor.End() {
-			pause = probeInterval
+			pause = processor.ProbeInterval
 		}
 		n.apply(n.gate.Advance())
 		due := n.now + pause
--- a/internal/coordination/processor/processor.go
+++ b/internal/coordination/processor/processor.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// ProbeInterval is the time between two probes while they are on time. A late one must be
+	// followed by another at once, which shows whether work remains.
+	ProbeInterval = 50 * time.Millisecond
 	// maxDelay is the longest delay of a probe that is on time.
 	maxDelay = 20 * time.Millisecond
 	// tolerance is the part of a probe's delay that is not counted as waiting.
--- a/internal/transport/selfprobe/selfprobe.go
+++ b/internal/transport/selfprobe/selfprobe.go
@@ -12,11 +12,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 )
 
-// interval is the time between two probes while they are on time. A late one is followed by another
-// at once, which shows whether work remains.
-const interval = 20 * time.Millisecond
-
-// Run probes until ctx ends, and calls ended after each probe. It returns an error if there is no
+// Run probes every processor.ProbeInterval, and at once after a late probe, until ctx ends, and calls ended after each probe. It returns an error if there is no
 // pipe.
 func Run(ctx context.Context, m *processor.Monitor, ended func()) error {
 	r, w, err := os.Pipe()
@@ -40,7 +36,7 @@
 		}
 		pause := time.Duration(0)
 		if onTime := <-handled; onTime {
-			pause = interval
+			pause = processor.ProbeInterval
 		}
 		ended()
 		due = m.Now() + pause
