faultsoak: most new connections go to one router that has little processor time

The soak spread its callers evenly and gave every router the whole processor. Now a fault makes nine of ten new connections go to one router, half of whose callers open one for each request, while its process gets 0.05 of a core by quota; it overlaps with all other faults. The checks stay as they are: stops by the quota excuse nothing.

--- a/test/faultsoak/client_test.go
+++ b/test/faultsoak/client_test.go
@@ -66,7 +66,14 @@
 	if sheets := c.site.sheets; kind == "sheet" && len(sheets) > 1 {
 		kind = sheets[c.rnd.IntN(len(sheets))]
 	}
-	if rep := c.request(c.site.routers[c.rnd.IntN(len(c.site.routers))], kind); rep.err != nil {
+	r := c.site.routers[c.rnd.IntN(len(c.site.routers))]
+	if crowded := c.site.crowded.Load(); crowded != nil && c.rnd.Float64() < crowdShare {
+		r = crowded
+		if c.rnd.IntN(2) == 0 {
+			c.closeConn()
+		}
+	}
+	if rep := c.request(r, kind); rep.err != nil {
 		c.closeConn()
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/test/faultsoak/quota_test.go
+++ b/test/faultsoak/quota_test.go
@@ -1,6 +1,7 @@
 package faultsoak
 
 import (
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -16,36 +17,26 @@
 
 // limitedProcess stops and continues a process to keep it within its quota.
 type limitedProcess struct {
-	pid  int
-	done chan struct{}
-	wait sync.WaitGroup
-
-	mu    sync.Mutex
-	quota quota
+	process *os.Process
+	quota   quota
+	done    chan struct{}
+	wait    sync.WaitGroup
 }
 
 const quotaCheckInterval = 500 * time.Microsecond
 
 // limit keeps the current process of a router within a quota until stop is called.
 func (r *router) limit(q quota) *limitedProcess {
-	l := &limitedProcess{pid: r.current().cmd.Process.Pid, done: make(chan struct{}), quota: q}
+	l := &limitedProcess{process: r.current().cmd.Process, done: make(chan struct{}), quota: q}
 	l.wait.Go(l.run)
 	return l
 }
 
-func (l *limitedProcess) set(q quota) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.quota = q
-}
-
 func (l *limitedProcess) run() {
 	defer l.signal(syscall.SIGCONT)
 	debt := time.Duration(0) // processor time used beyond earlier quotas
+	q := l.quota
 	for began := time.Now(); ; {
-		l.mu.Lock()
-		q := l.quota
-		l.mu.Unlock()
 		used, stopped := l.cpuTime(), false
 		for end := began.Add(q.period); time.Now().Before(end); {
 			if !stopped && l.cpuTime()-used+debt >= q.time {
@@ -73,13 +64,13 @@
 	}
 }
 
-func (l *limitedProcess) signal(s syscall.Signal) { _ = syscall.Kill(l.pid, s) } // it may have exited
+func (l *limitedProcess) signal(s syscall.Signal) { _ = l.process.Signal(s) } // it may have exited
 
 // cpuTime returns the processor time that the process has used.
 func (l *limitedProcess) cpuTime() time.Duration {
 	const schedClock = 2 // CPUCLOCK_SCHED of the kernel's per-process clock IDs
 	var ts unix.Timespec
-	if err := unix.ClockGettime(int32(^l.pid<<3|schedClock), &ts); err != nil {
+	if err := unix.ClockGettime(int32(^l.process.Pid<<3|schedClock), &ts); err != nil {
 		return 0
 	}
 	return time.Duration(ts.Nano())
--- a/test/faultsoak/shortage_test.go
+++ b/test/faultsoak/shortage_test.go
@@ -107,3 +107,20 @@
 		s.store.SetFaults(standin.StoreFaults{})
 	})
 }
+
+// crowdedShare is the share of a core that a crowded router has.
+const crowdedShare = 0.05
+
+// crowdRouter makes most new connections go to one router, whose process gets little processor time
+// until it exits or the fault ends.
+func (s *site) crowdRouter(d time.Duration) {
+	r := s.randomRouter()
+	if r.current() == nil || r.current().cmd.Process == nil || !s.crowded.CompareAndSwap(nil, r) {
+		return
+	}
+	l := r.limit(perPeriod(crowdedShare, tenth))
+	s.runAfter(2*d, func() {
+		l.stop()
+		s.crowded.Store(nil)
+	})
+}
--- a/test/faultsoak/site_test.go
+++ b/test/faultsoak/site_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -80,10 +81,12 @@
 	plain         []*standin.Engine
 	serverProxies []*proxy // proxies of the engines and plain servers
 	routers       []*router
-	version       int64
-	key           int // number of the current extra key
-	idle          time.Duration
-	background    sync.WaitGroup
+	// crowded is the router that most new connections go to. It may be nil.
+	crowded    atomic.Pointer[router]
+	version    int64
+	key        int // number of the current extra key
+	idle       time.Duration
+	background sync.WaitGroup
 	// kinds are the faults to inject. A repeated one is more frequent.
 	kinds    []func(time.Duration)
 	snapshot *standin.Snapshot // nil if none was taken
--- a/test/faultsoak/soak_test.go
+++ b/test/faultsoak/soak_test.go
@@ -84,7 +84,7 @@
 	defer s.close()
 	s.kinds = s.faultKinds()
 	if laterFaults {
-		s.kinds = append(s.kinds, s.askForPause, s.askForPause, s.askForPause, s.announceLeaving, s.silenceWatches, s.silenceWatches, s.crashByPart, s.sendUnframed, s.sendUnframed)
+		s.kinds = append(s.kinds, s.askForPause, s.askForPause, s.askForPause, s.announceLeaving, s.silenceWatches, s.silenceWatches, s.crashByPart, s.sendUnframed, s.sendUnframed, s.crowdRouter, s.crowdRouter)
 	}
 	defer s.startBusyProcesses(*busy)()
 	stalls := recordStalls()
