quarantine: one success of a trait outweighs three exits, not all before it

A part that crashes nine of ten servers was acquitted by each success, about once a second, before the second that a verdict waits; a verdict lost a trait with its first success, also of a request that ran already. Change: a success discards the three oldest exits; a verdict holds until fewer than three are left; a peer's announcement stands for the successes of all at the time. A part that was at up to three exits is free with its first success as before.

--- a/internal/coordination/quarantine/trait.go
+++ b/internal/coordination/quarantine/trait.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -22,6 +20,8 @@
 	// maxTraitsPerVerdict bounds the traits of one verdict. With fewer traits than were found
 	// it concerns more requests.
 	maxTraitsPerVerdict = 16
+	// exitsPerSuccess is the number of exits that one success outweighs.
+	exitsPerSuccess = 3
 	// announceInterval is how often a success is announced that is older than the exits at
 	// which its trait was present.
 	announceInterval = evidenceRetention / 2
@@ -156,7 +156,8 @@
 		}
 		r.exits[server] = e.at
 		if len(r.exits) > maxExitsPerTrait {
-			delete(r.exits, slices.MinFunc(slices.Collect(maps.Keys(r.exits)), func(a, b model.Incarnation) int { return int(r.exits[a] - r.exits[b]) }))
+			oldest, _ := oldestExit(r.exits)
+			delete(r.exits, oldest)
 		}
 		t.traitChanged(tr, r)
 		if r.succeeded && (!r.announced || t.clock()-r.announcedAt > announceInterval) {
@@ -181,17 +182,34 @@
 	}
 }
 
-// clearTrait records a success of a trait at a time and discards the exits before. The caller must
-// hold t.mu.
+// clearTrait records a success of a trait at a time and discards the oldest exits before it, up to
+// exitsPerSuccess. A cause that does not make every server exit would otherwise be acquitted again
+// and again. The caller must hold t.mu.
 func (t *Tracker) clearTrait(tr Trait, r *traitRecord, at time.Duration) {
 	if r.isSuspicious() && !tr.isPair() {
 		logTraitServed(tr, r)
 	}
 	r.succeeded, r.succeededAt = true, max(r.succeededAt, at)
-	maps.DeleteFunc(r.exits, func(_ model.Incarnation, exitedAt time.Duration) bool { return exitedAt <= at })
+	for range exitsPerSuccess {
+		server, found := oldestExit(r.exits)
+		if !found || r.exits[server] > at {
+			break
+		}
+		delete(r.exits, server)
+	}
 	t.traitChanged(tr, r)
 }
 
+// oldestExit returns the server that exited first, or false if there is none.
+func oldestExit(exits map[model.Incarnation]time.Duration) (oldest model.Incarnation, found bool) {
+	for server, at := range exits {
+		if !found || at < exits[oldest] {
+			oldest, found = server, true
+		}
+	}
+	return oldest, found
+}
+
 // applySuccess records a success of a trait that a peer has announced. The caller must hold t.mu.
 func (t *Tracker) applySuccess(s TraitSuccess) {
 	at := t.clock() - max(time.Duration(s.AgeMS)*time.Millisecond, 0)
@@ -201,9 +219,8 @@
 	r := t.traitFor(s.Trait)
 	r.announced, r.announcedAt = true, max(r.announcedAt, at)
 	t.clearTrait(s.Trait, r, at)
-	if len(r.exits) == 0 {
-		delete(t.outbox.successes, s.Trait)
-	}
+	// The peer's announcement stands for the successes that all routers see at the time.
+	delete(t.outbox.successes, s.Trait)
 }
 
 // forgetTraitExit removes an exit from the evidence about its traits. The caller must hold t.mu.
--- a/internal/coordination/quarantine/trait_model_test.go
+++ b/internal/coordination/quarantine/trait_model_test.go
@@ -77,6 +77,17 @@
 	}
 }
 
+// sendMostlyCrashing is sendCrashing for requests of which one in ten is served, chosen at random.
+func (m *partModel) sendMostlyCrashing(from, to, interval time.Duration, customer func() string, parts ...string) {
+	for at := from; at < to; at += time.Duration(m.rnd.Int64N(int64(2 * interval))) {
+		m.schedule(at, func() {
+			q := m.newRequest(customer(), parts...)
+			q.crashesServer = m.rnd.IntN(10) > 0
+			m.randomRouter().serve(q)
+		})
+	}
+}
+
 func always(customer string) func() string { return func() string { return customer } }
 
 // soundRate returns the fraction of the other requests sent between two times that were served,
@@ -236,6 +247,15 @@
 	})
 }
 
+// A part crashes nine of ten servers, and some requests with it are served. Guards against a success
+// that outweighs all crashes before it.
+func TestRequestsWithPartThatCrashesMostServersAreStopped(t *testing.T) {
+	eachModel(t, func(m *partModel) {
+		m.sendMostlyCrashing(crashesFrom, modelEnd, 100*time.Millisecond, always("customer1"), "first0", "bad")
+		m.check(1, crashesFrom+8*time.Second)
+	})
+}
+
 // Fewer servers exit under a part than a verdict needs. Guards against restrictions on others that
 // stay.
 func TestFewCrashesLeaveOthersServed(t *testing.T) {
--- a/internal/coordination/quarantine/traitassess.go
+++ b/internal/coordination/quarantine/traitassess.go
@@ -143,12 +143,12 @@
 	return f
 }
 
-// effectiveTraits returns the traits of a verdict without those with which requests were served
-// since.
+// effectiveTraits returns the traits of a verdict without those with which so many requests were
+// served since that few exits are left against them.
 func (t *Tracker) effectiveTraits(v *verdictEntry) []Trait {
 	return slices.DeleteFunc(slices.Clone(v.traits), func(tr Trait) bool {
 		r := t.traits[tr]
-		return r != nil && r.succeeded && r.succeededAt > v.since
+		return r != nil && r.succeeded && r.succeededAt > v.since && len(r.exits) < minTraitExitsForTrial
 	})
 }
 
--- a/test/faultsoak/crowd_test.go
+++ b/test/faultsoak/crowd_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -486,3 +487,47 @@
 		t.Logf("seed %d; router logs are in %s", seed, s.logDir())
 	}
 }
+
+// Guards against a limit on new connections where no router is crowded: one is suspended for
+// seconds, or all of them restart with little processor time.
+func TestRoutersThatAreNotCrowdedRefuseNoConnection(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes about 20 s")
+	}
+	for name, disturb := range map[string]func(s *site){
+		"suspended": func(s *site) {
+			s.routers[0].signal(syscall.SIGSTOP)
+			s.runAfter(3*time.Second, func() { s.routers[0].signal(syscall.SIGCONT) })
+		},
+		"restart of all": func(s *site) {
+			before := s.routers[0].current()
+			for _, r := range s.routers {
+				r.signal(syscall.SIGKILL)
+			}
+			for s.routers[0].current() == before {
+				time.Sleep(10 * time.Millisecond)
+			}
+			for _, r := range s.routers {
+				l := r.limit(perPeriod(0.15, hundredth))
+				s.runAfter(8*time.Second, l.stop)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, rand.New(rand.NewPCG(*firstSeed, 1)), siteOptions{routers: crowdRouters, sheets: []string{"sheet"}, kvTokenBytes: 1e4, idle: 4 * time.Second})
+			defer s.close()
+			load := &crowd{site: s, rnd: rand.New(rand.NewPCG(*firstSeed, 2))}
+			s.runAfter(calmTime, func() { disturb(s) })
+			load.run(3*calmTime, 40, false, "sheet", "sheet", "lookup")
+			t.Logf("%s", load.tally(time.Time{}, time.Now()))
+			for _, r := range s.routers {
+				if n := s.refusedConnections(r); n > 0 {
+					t.Errorf("%s refused %d new connections", r.name, n)
+				}
+			}
+			if t.Failed() {
+				t.Logf("router logs are in %s", s.logDir())
+			}
+		})
+	}
+}
