intake: admit waiting connections in steps, and refuse them at a stop while there is a limit

Change: a probe that is due and missing is late, too; 16 connections are admitted after an on-time probe, twice as many after each further one; a stop refuses what waits while there is a limit.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -32,6 +32,10 @@
 	minLimit         = 1
 	// minWaiting is the number of connections that may wait at a limit below it.
 	minWaiting = 4
+	// The number of connections admitted after one probe begins at minWindow and doubles with each
+	// probe that is on time, up to maxWindow. After a stop many may have arrived at once, and the
+	// delay that they cause shows only once they are read.
+	minWindow, maxWindow = 16, 1 << 12
 	// calmTime is the time without a refused connection after which the limit ends.
 	calmTime = 3 * time.Second
 )
@@ -55,11 +59,14 @@
 	processor Processor
 	clock     func() time.Duration
 
-	mu       sync.Mutex
-	waiting  []arrival[C]
-	inFlight int // requests in progress, and admitted connections without a request so far
-	limited  bool
-	limit    float64 // of inFlight, for new connections
+	mu      sync.Mutex
+	waiting []arrival[C]
+	// window is the number of connections that may be admitted after a probe, and credit how many
+	// of them still may.
+	window, credit int
+	inFlight       int // requests in progress, and admitted connections without a request so far
+	limited        bool
+	limit          float64 // of inFlight, for new connections
 	// hit is set if the limit has kept a connection waiting since it grew.
 	hit                              bool
 	decreasedAt, increasedAt, calmAt time.Duration
@@ -78,7 +85,7 @@
 
 // New returns a gate without connections. clock returns a monotonic time.
 func New[C any](p Processor, clock func() time.Duration) *Gate[C] {
-	return &Gate[C]{processor: p, clock: clock}
+	return &Gate[C]{processor: p, clock: clock, window: minWindow, credit: minWindow}
 }
 
 // Arrive adds a new connection.
@@ -95,15 +102,22 @@
 	return d
 }
 
-// Advance decides again. It must be called after each probe of the processor.
-func (g *Gate[C]) Advance() Decisions[C] {
+// Advance decides again. It must be called after each probe of the processor. again reports whether
+// connections wait for nothing but the next probe, so that it should follow at once.
+func (g *Gate[C]) Advance() (d Decisions[C], again bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
+	if g.processor.Late() {
+		g.window = minWindow
+	} else {
+		g.credit = g.window
+		g.window = min(2*g.window, maxWindow)
+	}
 	g.adjust(now)
-	d := g.decide(now)
+	d = g.decide(now)
 	g.log.write(now, false, g.state())
-	return d
+	return d, len(g.waiting) > 0 && g.credit == 0
 }
 
 // Begin records that a request begins on a connection without a place.
@@ -121,17 +135,24 @@
 	return g.decide(g.clock())
 }
 
-// TakeWaiting returns the waiting connections and gives each a place, whatever the limit.
-func (g *Gate[C]) TakeWaiting() []C {
+// Close decides on the waiting connections, because no more arrive: they are admitted, or refused if
+// there is a limit, as a stop leaves no time for them.
+func (g *Gate[C]) Close() Decisions[C] {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var all []C
+	now := g.clock()
+	var d Decisions[C]
+	if g.limited {
+		g.refuse(&d, now, 0, len(g.waiting))
+		g.log.write(now, true, g.state())
+		return d
+	}
 	for _, a := range g.waiting {
-		all = append(all, a.conn)
+		d.Admitted = append(d.Admitted, a.conn)
 	}
-	g.inFlight += len(all)
+	g.inFlight += len(g.waiting)
 	g.waiting = nil
-	return all
+	return d
 }
 
 // Limited reports whether new connections are limited.
@@ -156,6 +177,7 @@
 		d.Admitted = append(d.Admitted, g.waiting[0].conn)
 		g.waiting = g.waiting[1:]
 		g.inFlight++
+		g.credit--
 	}
 	expired := 0
 	for expired < len(g.waiting) && g.hasExpired(now, g.waiting[expired]) {
@@ -173,7 +195,7 @@
 		g.hit = true
 		return false
 	}
-	return !g.processor.Late()
+	return g.credit > 0 && !g.processor.Late()
 }
 
 func (g *Gate[C]) hasExpired(now time.Duration, a arrival[C]) bool {
@@ -207,7 +229,7 @@
 		g.limit = max(limitDecrease*g.limit, minLimit)
 		g.decreasedAt = now
 	case standing > 0:
-	case now >= g.calmAt && len(g.waiting) == 0:
+	case now >= g.calmAt:
 		g.limited = false
 		g.log.write(now, true, g.state())
 	case g.hit && now-g.increasedAt >= increaseInterval:
--- a/internal/coordination/processor/processor.go
+++ b/internal/coordination/processor/processor.go
@@ -27,7 +27,8 @@
 
 	mu      sync.Mutex
 	probing bool
-	due     time.Duration // time at which the probe in progress was to be handled
+	// due is when the probe in progress was to be handled, or the next one begins.
+	due     time.Duration
 	waited  time.Duration // by probes that have ended
 	longest time.Duration // delay since the last call of TakeLongest
 	late    bool          // the last probe was late
@@ -59,9 +60,10 @@
 	delay := now - m.due
 	m.waited += max(delay-tolerance, 0)
 	m.longest = max(m.longest, delay)
-	m.probing = false
+	m.due = now
 	if delay <= maxDelay {
 		m.late = false
+		m.due += ProbeInterval
 		return true
 	}
 	if !m.late {
@@ -70,7 +72,15 @@
 	return false
 }
 
-// Late reports whether the last probe was late or the one in progress is.
+// Stop records that no more probes follow.
+func (m *Monitor) Stop() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.probing, m.late = false, false
+}
+
+// Late reports whether the last probe was late, or the one in progress or due is. A process that was
+// stopped may handle other events before its next probe.
 func (m *Monitor) Late() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -78,7 +88,7 @@
 	return m.late
 }
 
-// observe records that the probe in progress is late, if it is. The caller runs, so the process is
+// observe records that the probe in progress or due is late, if it is. The caller runs, so the process is
 // not stopped. The caller must hold m.mu.
 func (m *Monitor) observe() {
 	if now := m.clock(); !m.late && m.probing && now-m.due > maxDelay {
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -119,11 +119,10 @@
 	return l
 }
 
-// Advance lets the intake decide again about connections that wait.
-func (s *Server) Advance() {
-	if l := s.listener.Load(); l != nil && s.Intake != nil {
-		l.advance()
-	}
+// Advance lets the intake decide again about connections that wait. again is that of Gate.Advance.
+func (s *Server) Advance() (again bool) {
+	l := s.listener.Load()
+	return l != nil && s.Intake != nil && l.advance()
 }
 
 // closing reports whether callers should send their next request on another connection.
--- a/internal/transport/front/listener.go
+++ b/internal/transport/front/listener.go
@@ -75,8 +75,7 @@
 	return c, nil
 }
 
-// acceptAll hands connections to the gate until the listener is closed. What waits then is admitted,
-// as a planned stop serves what has arrived.
+// acceptAll hands connections to the gate until the listener is closed.
 func (l *timedListener) acceptAll() {
 	for {
 		c, err := l.Listener.Accept()
@@ -89,7 +88,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		l.apply(intake.Decisions[net.Conn]{Admitted: l.gate.TakeWaiting()})
+		l.apply(l.gate.Close())
 		l.mu.Lock()
 		l.err = err
 		l.mu.Unlock()
@@ -124,8 +123,12 @@
 	l.changed.Broadcast()
 }
 
-// advance lets the gate decide again.
-func (l *timedListener) advance() { l.apply(l.gate.Advance()) }
+// advance lets the gate decide again. again is that of Gate.Advance.
+func (l *timedListener) advance() (again bool) {
+	d, again := l.gate.Advance()
+	l.apply(d)
+	return again
+}
 
 // beginRequest records that a request begins on a connection.
 func (l *timedListener) beginRequest(c *timedConn) {
--- a/internal/transport/selfprobe/selfprobe.go
+++ b/internal/transport/selfprobe/selfprobe.go
@@ -12,14 +12,16 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 )
 
-// Run probes every processor.ProbeInterval, and at once after a late probe, until ctx ends, and calls ended after each probe. It returns an error if there is no
-// pipe.
-func Run(ctx context.Context, m *processor.Monitor, ended func()) error {
+// Run probes until ctx ends. It calls ended after each probe. The next one follows after
+// processor.ProbeInterval, or at once if the last one was late or ended returned true. Run returns an
+// error if there is no pipe.
+func Run(ctx context.Context, m *processor.Monitor, ended func() (again bool)) error {
 	r, w, err := os.Pipe()
 	if err != nil {
 		return errors.Wrap(err, "open pipe for probes")
 	}
 	defer w.Close()
+	defer m.Stop()
 	handled := make(chan bool, 1)
 	go handle(r, m, handled)
 	timer := time.NewTimer(0)
@@ -34,11 +36,11 @@
 		if _, err := w.Write([]byte{0}); err != nil {
 			return errors.Wrap(err, "write to pipe for probes")
 		}
-		pause := time.Duration(0)
-		if onTime := <-handled; onTime {
-			pause = processor.ProbeInterval
+		onTime := <-handled
+		pause := processor.ProbeInterval
+		if again := ended(); again || !onTime {
+			pause = 0
 		}
-		ended()
 		due = m.Now() + pause
 		timer.Reset(pause)
 	}
--- a/test/faultsoak/process_test.go
+++ b/test/faultsoak/process_test.go
@@ -26,6 +26,7 @@
 	mu          sync.Mutex
 	incarnation *incarnation // current process; nil before the first start
 	past        []*incarnation
+	crowds      []span // in which the router had little processor time
 	shutDown    bool
 }
 
--- a/test/faultsoak/shortage_test.go
+++ b/test/faultsoak/shortage_test.go
@@ -119,8 +119,29 @@
 		return
 	}
 	l := r.limit(perPeriod(crowdedShare, tenth))
+	end := r.recordCrowd()
 	s.runAfter(2*d, func() {
 		l.stop()
+		end()
 		s.crowded.Store(nil)
 	})
 }
+
+// recordCrowd records that the router is crowded until the result is called.
+func (r *router) recordCrowd() (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := len(r.crowds)
+	r.crowds = append(r.crowds, span{from: time.Now()})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.crowds[i].to = time.Now()
+	}
+}
+
+func (r *router) crowdedBetween(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.crowds, func(s span) bool { return s.overlaps(from, to) })
+}
