--- a/test/faultsoak/stall_test.go
+++ b/test/faultsoak/stall_test.go
@@ -19,6 +19,7 @@
 
 	mu     sync.Mutex
 	stalls []string
+	total  time.Duration
 }
 
 // recordStalls records the pauses of this process until stop is called.
@@ -35,6 +36,7 @@
 			now := time.Now()
 			if pause := now.Sub(last); pause >= minStall {
 				r.mu.Lock()
+				r.total += pause
 				r.stalls = append(r.stalls, fmt.Sprintf("%s for %v", last.Format("15:04:05.000"), pause.Round(time.Millisecond)))
 				r.mu.Unlock()
 			}
@@ -44,6 +46,13 @@
 	return r
 }
 
+// sum returns the duration of all pauses so far.
+func (r *stallRecorder) sum() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total
+}
+
 // stop ends the recording and returns the pauses.
 func (r *stallRecorder) stop() []string {
 	close(r.done)
