intake: admit connections when no probe is made; front: set the timer of a new connection under its lock

Found by reading the diff: if the pipe of the probes cannot be opened, the credit for admissions is never renewed, and after 16 connections an instance would admit none. A second without a probe admits without one. The first timer of a connection was stored without the lock under which its callback reads it. TestInstanceWithoutProbesAdmitsConnections fails without the first change (16 of 1,000).

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -36,6 +36,8 @@
 	// probe that is on time, up to maxWindow. After a stop many may have arrived at once, and the
 	// delay that they cause shows only once they are read.
 	minWindow, maxWindow = 16, 1 << 12
+	// maxProbeAge is the time without a probe after which connections are admitted without one.
+	maxProbeAge = time.Second
 	// calmTime is the time without a refused connection after which the limit ends.
 	calmTime = 3 * time.Second
 )
@@ -70,6 +72,7 @@
 	// hit is set if the limit has kept a connection waiting since it grew.
 	hit                              bool
 	decreasedAt, increasedAt, calmAt time.Duration
+	probedAt                         time.Duration
 	log                              limitLog
 }
 
@@ -108,6 +111,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
+	g.probedAt = now
 	if g.processor.Late() {
 		g.window = minWindow
 	} else {
@@ -162,8 +166,8 @@
 	return g.limited
 }
 
-// Exceeded reports whether requests on open connections alone use up the limit. Their callers
-// should use other instances for their next requests.
+// Exceeded reports whether more requests are in progress than the limit allows, as those on open
+// connections are not refused. Their callers should use other instances for their next requests.
 func (g *Gate[C]) Exceeded() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -173,7 +177,7 @@
 // decide admits and refuses waiting connections.
 func (g *Gate[C]) decide(now time.Duration) Decisions[C] {
 	var d Decisions[C]
-	for len(g.waiting) > 0 && g.mayAdmit() {
+	for len(g.waiting) > 0 && g.mayAdmit(now) {
 		d.Admitted = append(d.Admitted, g.waiting[0].conn)
 		g.waiting = g.waiting[1:]
 		g.inFlight++
@@ -190,12 +194,13 @@
 	return d
 }
 
-func (g *Gate[C]) mayAdmit() bool {
+func (g *Gate[C]) mayAdmit(now time.Duration) bool {
 	if g.limited && float64(g.inFlight)+1 > g.limit {
 		g.hit = true
 		return false
 	}
-	return g.credit > 0 && !g.processor.Late()
+	hasCredit := g.credit > 0 || now-g.probedAt > maxProbeAge
+	return hasCredit && !g.processor.Late()
 }
 
 func (g *Gate[C]) hasExpired(now time.Duration, a arrival[C]) bool {
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -264,6 +264,16 @@
 	assert.Assert(t, !n.gate.Exceeded())
 }
 
+// Probes of the processor cannot be made. Guards against an instance that then admits no connection.
+func TestInstanceWithoutProbesAdmitsConnections(t *testing.T) {
+	n := newInstance(400, 0, 1)
+	n.monitor.Stop()
+	n.ready, n.later = nil, map[time.Duration][]func(){}
+	calm := n.run(10*time.Second, 100)
+	assert.Equal(t, calm.refused, 0)
+	assert.Assert(t, calm.read >= 990, "%d of 1000", calm.read)
+}
+
 // An instance is stopped while connections wait. Guards against connections that wait forever, and
 // against a crowded instance that reads what it has no time for.
 func TestStopDecidesOnWaitingConnections(t *testing.T) {
--- a/internal/transport/front/listener.go
+++ b/internal/transport/front/listener.go
@@ -116,8 +116,7 @@
 	defer l.mu.Unlock()
 	for _, c := range d.Admitted {
 		t := newTimedConn(c, l.limits)
-		t.inProgress = true
-		t.firstRequest = time.AfterFunc(firstRequestTimeout, func() { l.endRequest(t) })
+		t.awaitFirstRequest(func() { l.endRequest(t) })
 		l.admitted = append(l.admitted, t)
 	}
 	l.changed.Broadcast()
@@ -144,6 +143,15 @@
 	}
 }
 
+// awaitFirstRequest gives a new connection its place, and calls end once it has kept it without a
+// request for firstRequestTimeout.
+func (c *timedConn) awaitFirstRequest(end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inProgress = true
+	c.firstRequest = time.AfterFunc(firstRequestTimeout, end)
+}
+
 // setInProgress sets whether the connection has a place among the requests in progress, and returns
 // whether it had one.
 func (c *timedConn) setInProgress(now bool) (before bool) {
