--- a/internal/coordination/admission/line.go
+++ b/internal/coordination/admission/line.go
@@ -19,8 +19,8 @@
 // requests wait. Those of all other services wait in one queue ordered by priority, in which only
 // the request at the front tries to get capacity. It is safe for concurrent use.
 type WaitQueue struct {
-	// Processor keeps the wait for the processor out of timeouts: a request that was not let
-	// try is not refused. It may be nil and must not change after the first call.
+	// Processor keeps the wait for the processor out of timeouts. It may be nil and must not
+	// change after the first call.
 	Processor *processor.Monitor
 
 	mu    sync.Mutex
--- a/internal/coordination/processor/processor.go
+++ b/internal/coordination/processor/processor.go
@@ -100,8 +100,8 @@
 // probe that found it. A process that was stopped finds it when it runs again. It is 0 if the last
 // probe was on time.
 //
-// At a quota of processor time a process is stopped in each period in which it uses that up, but
-// between two stops a probe is on time unless work remains.
+// A process with a quota of processor time is stopped whenever it has used up the quota of a period.
+// If it has no work left before the next stop, a probe in between is on time.
 func (m *Monitor) Standing() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/coordination/quarantine/traitassess.go
+++ b/internal/coordination/quarantine/traitassess.go
@@ -143,8 +143,8 @@
 	return f
 }
 
-// effectiveTraits returns the traits of a verdict without those with which so many requests were
-// served since that few exits are left against them.
+// effectiveTraits returns the traits of a verdict that still hold. A trait ceases to hold once enough
+// requests with it were served since the verdict to outweigh all but a few of its exits.
 func (t *Tracker) effectiveTraits(v *verdictEntry) []Trait {
 	return slices.DeleteFunc(slices.Clone(v.traits), func(tr Trait) bool {
 		r := t.traits[tr]
--- a/internal/transport/front/listener.go
+++ b/internal/transport/front/listener.go
@@ -75,7 +75,7 @@
 	return c, nil
 }
 
-// acceptAll hands connections to the gate until the listener is closed.
+// acceptAll accepts connections and hands them to the gate until the listener is closed.
 func (l *timedListener) acceptAll() {
 	for {
 		c, err := l.Listener.Accept()
--- a/internal/transport/selfprobe/selfprobe.go
+++ b/internal/transport/selfprobe/selfprobe.go
@@ -1,5 +1,5 @@
-// Package selfprobe measures how late this process handles network events: it writes to a pipe of
-// its own, whose end is read like a connection.
+// Package selfprobe measures how late this process handles network events. It writes a byte into a
+// pipe and reads it at the other end, through the same poller as connections.
 package selfprobe
 
 import (
