review: a watch answer over 8 MB leaves a router at an old configuration

A router that was cut off from the store for 5.5 s while 12 versions of 650 KB were written repeats a watch whose answer it cuts off at 8 MB, until the store discards its history: it runs requests by the old service and with a dropped key, sends requests to draining servers, and refuses all once these have exited.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -8,6 +8,7 @@
 // cases run one case each. trouble is false if the disruption is left out.
 var cases = map[string]func(s *site, trouble bool) error{
 	"late-health-answer": lateHealthAnswer,
+	"config-storm":       configStorm,
 }
 
 func main() {
