--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -3,8 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxTime bounds a case, which takes some 46 s.
+const maxTime = 110 * time.Second
+
 // cases run one case each. trouble is false if the disruption is left out.
 var cases = map[string]func(s *site, trouble bool) error{
 	"late-health-answer": lateHealthAnswer,
@@ -26,6 +32,7 @@
 		return exitNotRun
 	}
 	defer s.close()
+	go s.stopEarly()
 	trouble := os.Getenv("TROUBLE") != "0"
 	s.logf("case %s, disruption: %v", name, trouble)
 	if err := cases[name](s, trouble); err != nil {
@@ -42,3 +49,17 @@
 	fmt.Println("the rule held")
 	return exitHeld
 }
+
+// stopEarly ends all processes and the case if it is interrupted or takes too long.
+func (s *site) stopEarly() {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case sig := <-interrupted:
+		s.logf("the case was interrupted: %v", sig)
+	case <-time.After(maxTime):
+		s.logf("the case took over %v", maxTime)
+	}
+	s.close()
+	os.Exit(exitNotRun)
+}
