--- a/review/_cases2/harness.go
+++ b/review/_cases2/harness.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -54,7 +55,6 @@
 	dir     string // temporary
 	trouble bool
 	store   *standin.Store
-	storeAt string
 
 	mu       sync.Mutex
 	routers  []*router
@@ -114,9 +114,62 @@
 func (w *world) startStore(config map[string]any) {
 	w.store = standin.NewStore()
 	w.put("op/config", config)
+}
+
+// gate is one machine's path to the store.
+type gate struct {
+	addr string
+
+	mu      sync.Mutex
+	away    bool          // the store turns the machine away
+	cut     chan struct{} // closed when it does, to end watches that wait
+	watches int           // calls of kv-watch so far
+}
+
+// openGate opens a path to the store.
+func (w *world) openGate() *gate {
 	l := w.listen()
-	w.storeAt = l.Addr().String()
-	go http.Serve(l, &standin.StoreServer{Store: w.store})
+	g := &gate{addr: l.Addr().String(), cut: make(chan struct{})}
+	store := &standin.StoreServer{Store: w.store}
+	go http.Serve(l, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		g.mu.Lock()
+		away, cut := g.away, g.cut
+		if strings.HasSuffix(r.URL.Path, "/kv-watch") {
+			g.watches++
+		}
+		g.mu.Unlock()
+		if away {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		go func() {
+			select {
+			case <-cut:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		store.ServeHTTP(rw, r.WithContext(ctx))
+	}))
+	return g
+}
+
+func (g *gate) turnAway(away bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if away && !g.away {
+		close(g.cut)
+		g.cut = make(chan struct{})
+	}
+	g.away = away
+}
+
+func (g *gate) watchCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.watches
 }
 
 func (w *world) put(key string, value any) {
@@ -141,6 +194,7 @@
 	settings string
 	callers  string
 	ready    string
+	store    *gate
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -201,13 +255,13 @@
 	}
 	command, template := deployed(w)
 	for i := range n {
-		r := &router{w: w, name: fmt.Sprintf("edge-zone-a-%d", i+1), callers: freeAddress(w), ready: freeAddress(w), restart: true}
+		r := &router{w: w, name: fmt.Sprintf("edge-zone-a-%d", i+1), callers: freeAddress(w), ready: freeAddress(w), store: w.openGate(), restart: true}
 		// The metrics port of the template is the same on each machine, so each router has
 		// an address of its own.
 		fields := map[string]any{
 			"node": r.name, "zone": "zone-a", "region": "region-a", "ip": fmt.Sprintf("127.0.0.%d", 11+i),
 			"listen.front": r.callers, "listen.ready": r.ready, "listen.control": control[i],
-			"seeds": control, "platform.address": w.storeAt, "bootstrap": true,
+			"seeds": control, "platform.address": r.store.addr, "bootstrap": true,
 			"bounds.grace_s": graceS, "bounds.config_apply_ms": 2000, "bounds.retry_budget_ratio": 0.2,
 			"bounds.budget_slack": 200, "bounds.budget_window_s": 10,
 			"limits.memory_mb": memoryMB, "limits.link_mbps": 1000.0,
@@ -392,7 +446,7 @@
 		fmt.Fprintln(os.Stderr, "usage: cases2 CASE RECORD")
 		os.Exit(exitFailed)
 	}
-	cases := map[string]func(*world) bool{"stale-refusal": staleRefusal, "endless-answer": endlessAnswer, "large-bodies": largeBodies}
+	cases := map[string]func(*world) bool{"stale-refusal": staleRefusal, "endless-answer": endlessAnswer, "foreign-entry": foreignEntry, "turned-away": turnedAway}
 	run := cases[os.Args[1]]
 	f, err := os.Create(os.Args[2])
 	if err != nil || run == nil {
--- a/review/_cases2/memory.go
+++ b/review/_cases2/memory.go
@@ -171,38 +171,3 @@
 	w.rec.printf("%d requests ran at a sound server and got no answer on a kept connection; allowed are %d", t.lost, lostRequests)
 	return false
 }
-
-// largeBodies: many users come at once, with bodies as large as the configuration allows.
-func largeBodies(w *world) (broken bool) {
-	const work = 500 * time.Millisecond
-	w.startStore(plainConfig(10000))
-	sound := map[string]bool{}
-	for i := range 3 {
-		s := &server{id: fmt.Sprintf("i-desk%d", i+1), service: "desk", slots: 32}
-		sound[s.id] = true
-		s.plain = func(c net.Conn, r *http.Request, body []byte) bool { return s.wholeAnswer(c, r, work) }
-		w.startServer(s)
-	}
-	w.startRouters(1)
-	time.Sleep(time.Second)
-	t := &tally{w: w}
-	var wg sync.WaitGroup
-	until := time.Now().Add(15 * time.Second)
-	none := func(int) string { return "" }
-	for i := range 8 {
-		wg.Go(func() { t.load(w.routers[0], fmt.Sprintf("usual%d", i), until, none, []byte("a notice"), sound) })
-	}
-	if w.trouble {
-		time.Sleep(5 * time.Second)
-		for i := range 40 {
-			wg.Go(func() {
-				t.load(w.routers[0], fmt.Sprintf("burst%d", i), time.Now().Add(5*time.Second), none, make([]byte, 4<<20), sound)
-			})
-		}
-	}
-	wg.Wait()
-	peak, n := w.routers[0].memory()
-	w.rec.printf("router: peak of its memory %.0f MB of %d, ended %d times for exceeding it; %d sent, %d served, %d otherwise", peak, memoryMB, n, t.sent, t.served, t.other)
-	w.rec.printf("%d requests ran at a sound server and got no answer on a kept connection; allowed are %d", t.lost, lostRequests)
-	return t.lost > lostRequests
-}
--- a/review/_cases2/server.go
+++ b/review/_cases2/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +24,7 @@
 	card    string // empty for a plain service
 
 	mu       sync.Mutex
+	draining bool
 	layers   [2]int
 	sequence int
 	running  int
@@ -54,11 +56,22 @@
 	return s
 }
 
+func (s *server) setDraining() {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	s.register()
+}
+
 func (s *server) register() {
 	s.mu.Lock()
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
 	entry := map[string]any{
 		"service": s.service, "address": s.addr, "zone": "zone-a", "version": "1", "slots": s.slots,
-		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1_700_000_000_000,
+		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1_700_000_000_000,
 	}
 	if s.card != "" {
 		entry["type"] = s.card
@@ -242,10 +255,14 @@
 	time.Sleep(s.firstToken)
 	s.w.ran(s.id, attempt)
 	head := s.head(r, http.StatusOK, []string{"Response-Signature: sig." + s.id + "." + attempt, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"})
-	for i := 1; i <= s.events; i++ {
+	from := 1
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		from = after + 1
+	}
+	for i := from; i <= s.events; i++ {
 		event := fmt.Sprintf("id: %d\ndata: %s token %d of %s\n\n", i, s.id, i, attempt)
 		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
-		if i == 1 {
+		if i == from {
 			if !s.begin(c, []byte(head+"\r\n"+chunk)) {
 				return false
 			}
