--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,4 +7,4 @@
 	echo "build the system and run review/build-2.sh first" >&2
 	exit 2
 }
-exec target/review-cases2 foreign-entry "$here/record.txt"
+exec target/review-cases2 turned-away "$here/record.txt"
