quarantine: log how likely the exits of a verdict were by chance

The logs could not tell whether requests of a customer on a route were lost because of themselves or because everything was lost. A verdict on traits now logs the moments of its exits (exits within 250 ms of each other), the other runs lost and served around each, and the probability of all losses by chance.

Decisions are unchanged.

--- a/internal/coordination/quarantine/exit.go
+++ b/internal/coordination/quarantine/exit.go
@@ -8,16 +8,37 @@
 
 // serverExit is the exit of one server process.
 type serverExit struct {
-	domain   string
+	domain string
+	// service is that of the requests there, or empty if it is not known.
+	service  string
 	at       time.Duration
 	requests map[model.Fingerprint]participation
 	// traits holds the traits of these requests, with the number of requests.
 	traits      map[Trait]int
 	explanation explanation
+	// lost is the number of requests of this router there whose response had not proceeded.
+	lost int
 	// truncated reports that the server ran more requests than are kept.
 	truncated bool
 }
 
+// serviceOf returns the service of requests of this router at one server, or "" if there are none.
+func serviceOf(requests map[model.Fingerprint]participation) string {
+	for _, p := range requests {
+		return p.service
+	}
+	return ""
+}
+
+// countLost adds requests of this router to those that the exit interrupted.
+func (e *serverExit) countLost(requests map[model.Fingerprint]participation) {
+	for _, p := range requests {
+		if !p.proceeded {
+			e.lost++
+		}
+	}
+}
+
 // participation describes how a request took part at a server that exited.
 type participation struct {
 	// responseStarted reports that the response had started. A request that makes servers
@@ -32,6 +53,8 @@
 	// customer, route and parts are those of Subject.
 	customer, route string
 	parts           []string
+	// service is that of a request of this router.
+	service string
 }
 
 // traits returns the traits under suspicion after the exit.
--- a/internal/coordination/quarantine/log.go
+++ b/internal/coordination/quarantine/log.go
@@ -72,8 +72,21 @@
 	klog.InfoS("request quarantined: servers exited while they ran it", "work", fp, "ends", incarnationNames(ev.attributed), "weight", ev.weight, "wide", ev.laterStage, "term", minTerm, "source", source)
 }
 
-func logTraitsQuarantined(c traitCause) {
-	klog.InfoS("requests quarantined: servers exited while they ran requests with these traits", "traits", c.traits, "ends", incarnationNames(c.exits), "term", minTerm, "source", "this router")
+func logTraitsQuarantined(c traitCause, moments []moment) {
+	klog.InfoS("requests quarantined: servers exited while they ran requests with these traits", "traits", c.traits, "ends", incarnationNames(c.exits), "moments", len(moments), "chance", formatChance(moments), "othersLost", lossesOf(moments), "term", minTerm, "source", "this router")
+}
+
+func formatChance(moments []moment) string { return fmt.Sprintf("%.1e", chance(moments)) }
+
+// lossesOf lists, for each moment, the other runs that this router lost of all that it lost or
+// served around it.
+func lossesOf(moments []moment) []string {
+	out := make([]string, min(len(moments), maxLoggedRequests))
+	for i := range out {
+		m := moments[len(moments)-len(out)+i]
+		out[i] = fmt.Sprintf("%d/%d", m.lost, m.lost+m.served)
+	}
+	return out
 }
 
 func logTraitServed(tr Trait, r *traitRecord) {
--- a/internal/coordination/quarantine/model_test.go
+++ b/internal/coordination/quarantine/model_test.go
@@ -141,6 +141,7 @@
 	r.generation++
 	clock := func() time.Duration { return r.sim.now }
 	r.tracker = New(clock)
+	r.tracker.Servers = func(string) int { return len(r.sim.servers) }
 	r.trials = NewTrials(r.tracker)
 }
 
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -28,9 +28,11 @@
 
 // ExitReport names the requests that one router had at a server when its process exited.
 type ExitReport struct {
-	Server   model.Incarnation `json:"server"`
-	Domain   string            `json:"domain"`
-	Requests []RequestAtExit   `json:"present"`
+	Server model.Incarnation `json:"server"`
+	Domain string            `json:"domain"`
+	// Service is that of the requests.
+	Service  string          `json:"service,omitempty"`
+	Requests []RequestAtExit `json:"present"`
 }
 
 // RequestAtExit is a request that ran at a server when its process exited.
@@ -91,10 +93,10 @@
 	}
 }
 
-func (o *outbox) addExit(server model.Incarnation, domain string, requests map[model.Fingerprint]participation) {
+func (o *outbox) addExit(server model.Incarnation, domain, service string, requests map[model.Fingerprint]participation) {
 	r := o.exits[server]
 	if r == nil {
-		r = &ExitReport{Server: server, Domain: domain}
+		r = &ExitReport{Server: server, Domain: domain, Service: service}
 		o.exits[server] = r
 	}
 	for fp, p := range requests {
@@ -165,7 +167,7 @@
 			break
 		}
 		n := min(len(e.Requests), remaining)
-		r.Exits = append(r.Exits, ExitReport{Server: e.Server, Domain: e.Domain, Requests: e.Requests[:n]})
+		r.Exits = append(r.Exits, ExitReport{Server: e.Server, Domain: e.Domain, Service: e.Service, Requests: e.Requests[:n]})
 		remaining -= n
 		if e.Requests = e.Requests[n:]; len(e.Requests) == 0 {
 			delete(t.outbox.exits, server)
@@ -207,7 +209,7 @@
 		for _, p := range e.Requests {
 			mergeParticipation(requests, p.Fingerprint, p.participation())
 		}
-		t.recordExit(e.Server, e.Domain, requests)
+		t.recordExit(e.Server, e.Domain, e.Service, requests)
 	}
 	for _, s := range r.Succeeded {
 		t.applySuccess(s)
--- a/internal/coordination/quarantine/run.go
+++ b/internal/coordination/quarantine/run.go
@@ -70,6 +70,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.setLocations(locations)
+	t.stages[subject.Service] = len(locations)
 	return r
 }
 
@@ -141,7 +142,7 @@
 func (r *Run) participationAt(server model.Incarnation) participation {
 	return participation{
 		responseStarted: r.responseStarted, laterStage: r.locations[0].Server != server, proceeded: r.proceeded.Load(),
-		customer: r.subject.Customer, route: r.subject.Route, parts: r.subject.Parts,
+		customer: r.subject.Customer, route: r.subject.Route, parts: r.subject.Parts, service: r.subject.Service,
 	}
 }
 
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -47,6 +47,10 @@
 // Tracker holds what one router knows about requests that make servers exit. It is safe for
 // concurrent use.
 type Tracker struct {
+	// Servers returns the number of servers of a service that may run requests. It must be set
+	// before the first use, or be nil if the number is not known.
+	Servers func(service string) int
+
 	clock     func() time.Duration
 	startedAt time.Duration
 
@@ -69,8 +73,11 @@
 	traitsEvaluatedAt                       time.Duration
 	// traitsAtExits is the sum over exits of the traits present there.
 	traitsAtExits int
-	// successes counts the requests that this router served, by service.
+	// successes counts the requests that this router served, by service, and served does so by
+	// time. stages is the number of servers of the last run.
 	successes map[string]int
+	served    map[string]*served
+	stages    map[string]int
 	// unconfirmedSuccesses are complete responses that ended with their connection.
 	unconfirmedSuccesses []unconfirmedSuccess
 	outbox               outbox
@@ -96,6 +103,8 @@
 		suspectTraits:    map[Trait]*traitRecord{},
 		suspiciousTraits: map[Trait]*traitRecord{},
 		successes:        map[string]int{},
+		served:           map[string]*served{},
+		stages:           map[string]int{},
 		outbox:           newOutbox(),
 
 		checkedAt: map[model.Incarnation]time.Duration{},
@@ -166,28 +175,32 @@
 		}
 	}
 	t.withdrawUnconfirmedSuccesses(server, requests)
-	added := t.recordExit(server, domain, requests)
+	added := t.recordExit(server, domain, serviceOf(requests), requests)
 	if len(added) == 0 {
 		return
 	}
+	t.exits[server].countLost(added)
 	for fp, p := range added {
 		t.suspectFor(fp).local = true
 		for _, tr := range p.traits() {
 			t.traitFor(tr).local = true
 		}
 	}
-	t.outbox.addExit(server, domain, added)
+	t.outbox.addExit(server, domain, t.exits[server].service, added)
 	t.logExit(server, domain, added, "this router")
 }
 
 // recordExit records the requests that ran at a server when it exited and returns those that
 // were not known yet. The caller must hold t.mu.
-func (t *Tracker) recordExit(server model.Incarnation, domain string, requests map[model.Fingerprint]participation) map[model.Fingerprint]participation {
+func (t *Tracker) recordExit(server model.Incarnation, domain, service string, requests map[model.Fingerprint]participation) map[model.Fingerprint]participation {
 	e := t.exits[server]
 	if e == nil {
 		e = &serverExit{domain: domain, at: t.clock(), requests: map[model.Fingerprint]participation{}, traits: map[Trait]int{}}
 		t.exits[server] = e
 	}
+	if e.service == "" {
+		e.service = service
+	}
 	added := map[model.Fingerprint]participation{}
 	for fp, p := range requests {
 		if _, known := e.requests[fp]; known {
@@ -300,6 +313,9 @@
 		t.removeIfUnsuspected(fp)
 	}
 	t.expireTraits()
+	for _, s := range t.served {
+		s.expire(now - evidenceRetention)
+	}
 	maps.DeleteFunc(t.checkedAt, func(_ model.Incarnation, at time.Duration) bool { return now-at > checkInterval })
 	for fp, v := range t.verdicts {
 		if now-v.since > v.term+probation(v.term) {
--- a/internal/coordination/quarantine/trait.go
+++ b/internal/coordination/quarantine/trait.go
@@ -171,6 +171,7 @@
 func (t *Tracker) recordSuccess(service string, traits []Trait) {
 	now := t.clock()
 	t.successes[service]++
+	t.servedBy(service).add(now)
 	for _, tr := range traits {
 		r := t.traitFor(tr)
 		r.service = service
--- a/internal/coordination/quarantine/traitcause.go
+++ b/internal/coordination/quarantine/traitcause.go
@@ -188,7 +188,7 @@
 		t.renewVerdict(fp, v)
 	} else {
 		t.storeVerdict(fp, &verdictEntry{since: t.clock(), term: minTerm, exits: len(c.exits), traits: c.traits})
-		logTraitsQuarantined(c)
+		logTraitsQuarantined(c, t.moments(c.traits[0], c.exits))
 	}
 	if slices.ContainsFunc(c.traits, func(tr Trait) bool { r := t.traits[tr]; return r != nil && r.local }) {
 		t.outbox.addVerdict(fp)
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -191,6 +191,7 @@
 	r.processor = processor.New(func() time.Duration { return time.Since(started) })
 	r.intake = intake.New[net.Conn](r.processor, r.processor.Now)
 	tracker := quarantine.New(boottime.Now)
+	tracker.Servers = r.serversInUse
 	r.quarantine = &peers.Quarantine{Exchange: r.exchange, Tracker: tracker, Trials: quarantine.NewTrials(tracker)}
 	r.quarantine.Register(r.links)
 	r.persister = &quarantine.Persister{
@@ -279,3 +280,15 @@
 	}
 	r.front = &front.Server{Config: r.config, Relay: rel, Observer: r.metrics, Intake: r.intake, OnRequest: func() { r.requestSeen.Store(true) }}
 }
+
+// serversInUse returns the number of servers of a service that may run requests: engines hold layers,
+// servers of plain services have none to hold.
+func (r *Router) serversInUse(service string) int {
+	n := 0
+	for _, s := range r.catalog.Load().Service(service) {
+		if s.Card == "" || s.Holds.Len() > 0 {
+			n++
+		}
+	}
+	return n
+}
