quarantine: failing tests of proper requests refused for unrelated exits (red)

A small site as a model: 33 engines in chains of four, four routers, ten customers on three routes; engines in use exit in pairs, singly, by domain, over all domains at once, from the first second, and beside restarts of routers.

--- a/internal/coordination/quarantine/model_test.go
+++ b/internal/coordination/quarantine/model_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -25,6 +26,9 @@
 	seq     int
 	routers []*simRouter
 	servers []*simServer
+	// chainLength is the number of servers at which each request runs, at least 1.
+	chainLength  int
+	restartDelay time.Duration
 	// lossRate is the fraction of messages between routers that are lost.
 	lossRate float64
 	// sendGrace is how long after the third exit the crashing request may still be sent.
@@ -83,6 +87,7 @@
 type simRequest struct {
 	fingerprint   model.Fingerprint
 	customer      string
+	route         string
 	parts         []string
 	sentAt        time.Duration
 	served        bool
@@ -96,7 +101,7 @@
 	s := subjectOf(q.fingerprint)
 	s.Customer, s.Parts, s.Service = q.customer, q.parts, "sheets"
 	if q.customer != "" {
-		s.Route = "sheet"
+		s.Route = cmp.Or(q.route, "sheet")
 	}
 	return s
 }
@@ -106,11 +111,11 @@
 	r          *simRouter
 	generation int
 	run        *Run
-	server     *simServer
+	servers    []*simServer
 }
 
 func newSimulation(t *testing.T, seed uint64, routers, servers int) *simulation {
-	sim := &simulation{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), sendGrace: 50 * time.Millisecond}
+	sim := &simulation{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), sendGrace: 50 * time.Millisecond, chainLength: 1, restartDelay: restartDelay}
 	for i := range routers {
 		r := &simRouter{sim: sim, name: fmt.Sprintf("r%d", i)}
 		r.start()
@@ -211,7 +216,7 @@
 	var best *simServer
 	lowest := 0.0
 	for _, s := range r.sim.servers {
-		if !s.up || q.busy[s.incarnation] || a.AvoidDomains[s.domain] {
+		if !r.sim.usable(s) || q.busy[s.incarnation] || a.AvoidDomains[s.domain] {
 			continue
 		}
 		cost := float64(len(s.active)) + r.sim.rnd.Float64()
@@ -265,18 +270,22 @@
 	}
 	q.sends++
 	q.busy = nil
-	run := &simRun{simRequest: q, r: r, generation: r.generation, server: s, run: r.tracker.Begin(q.subject(), suspect, Location{Server: s.incarnation, Domain: s.domain})}
-	s.active = append(s.active, run)
-	incarnation := s.incarnation
+	run := &simRun{simRequest: q, r: r, generation: r.generation, servers: sim.chainOf(s)}
+	var locations []Location
+	for _, s := range run.servers {
+		s.active = append(s.active, run)
+		locations = append(locations, Location{Server: s.incarnation, Domain: s.domain})
+	}
+	run.run = r.tracker.Begin(q.subject(), suspect, locations...)
 	if q.crashesServer {
 		sim.schedule(time.Duration(60+sim.rnd.IntN(80))*time.Millisecond, func() {
-			if s.up && s.incarnation == incarnation && slices.Contains(s.active, run) {
+			if slices.Contains(s.active, run) {
 				sim.exits++
 				sim.crashTimes = append(sim.crashTimes, sim.now)
 				if sim.exits == minExits {
 					sim.thirdExitAt = sim.now
 				}
-				s.exit()
+				run.servers[sim.rnd.IntN(len(run.servers))].exit()
 			}
 		})
 		return
@@ -291,13 +300,34 @@
 	}
 	sim.schedule(time.Duration(500+sim.rnd.IntN(2500))*time.Millisecond, func() {
 		if slices.Contains(s.active, run) {
-			s.active = slices.DeleteFunc(s.active, func(r *simRun) bool { return r == run })
+			run.leave()
 			run.run.End(Completed)
 			run.served = true
 		}
 	})
 }
 
+// chainOf returns the servers of the chain that a server belongs to.
+func (sim *simulation) chainOf(s *simServer) []*simServer {
+	if sim.chainLength == 1 {
+		return []*simServer{s}
+	}
+	first := slices.Index(sim.servers, s) / sim.chainLength * sim.chainLength
+	return sim.servers[first:min(first+sim.chainLength, len(sim.servers))]
+}
+
+// usable reports whether all servers of a chain are up.
+func (sim *simulation) usable(s *simServer) bool {
+	return !slices.ContainsFunc(sim.chainOf(s), func(s *simServer) bool { return !s.up })
+}
+
+// leave removes the run from its servers.
+func (run *simRun) leave() {
+	for _, s := range run.servers {
+		s.active = slices.DeleteFunc(s.active, func(r *simRun) bool { return r == run })
+	}
+}
+
 // exit ends a server's process. Routers with runs there see lost connections, and all routers
 // learn of the exit a little later.
 func (s *simServer) exit() {
@@ -310,12 +340,13 @@
 	runs := s.active
 	s.active = nil
 	for _, run := range runs {
+		run.leave()
 		sim.schedule(sim.messageDelay(), func() { run.connectionLost() })
 	}
 	for _, r := range sim.routers {
 		sim.schedule(5*time.Millisecond+sim.messageDelay(), func() { r.tracker.ServerExited(incarnation, domain) })
 	}
-	sim.schedule(restartDelay, func() {
+	sim.schedule(sim.restartDelay, func() {
 		s.up = true
 		s.incarnation.Born++
 	})
--- a/internal/coordination/quarantine/trait_model_test.go
+++ b/internal/coordination/quarantine/trait_model_test.go
@@ -53,7 +53,13 @@
 }
 
 func (m *partModel) serveSound(customer string, parts ...string) {
+	m.serveRoute(customer, "", parts...)
+}
+
+// serveRoute sends a request of a customer on a route.
+func (m *partModel) serveRoute(customer, route string, parts ...string) {
 	r, q := m.randomRouter(), m.newRequest(customer, parts...)
+	q.route = route
 	q.sentAt = m.now
 	m.sound = append(m.sound, q)
 	if r.tracker.Assess(q.subject()).Restriction == Quarantined {
