quarantine: weigh exits under a trait against the loss of all runs at the time

Callers saw 400 for proper requests: customers on a route, and parts of prompts, were quarantined for ten minutes because engines exited for other reasons.

Cause (H1): five exits without a success proved a trait, however many of all other runs were lost at the same time.

Change: a verdict on traits needs the probability of its moments (exits within 250 ms are one) by chance to be at most 1e-4 over all traits compared, from what the router itself lost and served within a second of each. A success discards exits until it has outweighed them by ten to one. Trials of requests with the same restricted traits pause up to 16 s, so that crashing requests stay stopped while the evidence grows; a request with only some of the traits is not held up. A verdict is weighed by each router with its own successes since the first exit, and a trial after a minute, then at doubled intervals, may end it. Routers remind each other of the exits under restricted traits, so that one that has restarted does not learn them anew.

In the models a router counts sends only three seconds after its start, as the users' rule on late arrivals speaks of machines in touch; this concerns only the new test with restarts. That of the restart of all routers drops its earlier sends already.

--- a/internal/coordination/quarantine/chance.go
+++ b/internal/coordination/quarantine/chance.go
@@ -12,14 +12,15 @@
 	// simultaneousExits is the time within which exits count as one moment, whatever their
 	// failure domains: one event may have ended all of these servers.
 	simultaneousExits = 250 * time.Millisecond
-	// controlWindow is the time before and after a moment in which the runs of other requests
-	// show how likely any run was lost then.
+	// controlWindow is the time before and after a moment in which all runs of this router show
+	// how likely any run was lost then.
 	controlWindow = time.Second
-	// minControls is the number of such runs from which on they are used. A router with
-	// fewer derives the probability from the share of servers that exited.
+	// minControls is the number of such runs from which on they are used.
 	minControls = 5
 	// outcomeInterval is the resolution at which served requests are counted.
 	outcomeInterval = 100 * time.Millisecond
+	// rateWindow is the time over which the usual rate of served requests is measured.
+	rateWindow = time.Minute
 )
 
 // served counts the requests of one service that this router served, by time.
@@ -70,54 +71,65 @@
 type moment struct {
 	at      time.Duration
 	service string
-	exits   int
-	// lost and served are the runs of requests without the trait that this router lost to
-	// exits, and those that it served, within controlWindow of the moment.
+	// lost and served are the runs that this router lost to exits, and those that it served,
+	// within controlWindow of the moment.
 	lost, served int
-	// probability is that of a loss of a run then, if the trait has nothing to do with it.
+	// probability is that of the loss of any run then.
 	probability float64
 }
 
 // moments returns the moments of exits that are ordered by time.
-func (t *Tracker) moments(tr Trait, exits []model.Incarnation) []moment {
+func (t *Tracker) moments(exits []model.Incarnation) []moment {
 	var out []moment
 	for _, server := range exits {
 		e := t.exits[server]
 		if n := len(out); n > 0 && e.at-out[n-1].at <= simultaneousExits {
-			out[n-1].exits++
 			continue
 		}
-		out = append(out, moment{at: e.at, service: e.service, exits: 1})
-	}
-	for i := range out {
-		t.addControls(tr, &out[i])
+		out = append(out, t.momentOf(e))
 	}
 	return out
 }
 
-// addControls sets how many other runs were lost and served around a moment. The runs at exits at
-// which the trait was present are left out: if the trait is the cause they are lost because of it.
-func (t *Tracker) addControls(tr Trait, m *moment) {
-	others := 0
-	for _, e := range t.exits {
-		if e.service != m.service || max(e.at-m.at, m.at-e.at) > controlWindow || e.traits[tr] > 0 {
-			continue
+// momentOf returns the moment of an exit. All runs lost around it count, also those that were lost
+// together with requests under suspicion: of many suspects some are at most of the exits, and the few
+// exits that are left would show too small a loss.
+func (t *Tracker) momentOf(e *serverExit) moment {
+	if e.settled != nil {
+		return *e.settled
+	}
+	m := moment{at: e.at, service: e.service}
+	exits := 0
+	for _, other := range t.exits {
+		if other.service == e.service && max(other.at-e.at, e.at-other.at) <= controlWindow {
+			exits++
+			m.lost += other.lost
 		}
-		others++
-		m.lost += e.lost
 	}
-	m.served = t.servedBy(m.service).between(m.at-controlWindow, m.at+controlWindow)
+	m.served = t.servedBy(m.service).between(e.at-controlWindow, e.at+controlWindow)
 	if n := m.lost + m.served; n >= minControls {
 		m.probability = (float64(m.lost) + 0.5) / (float64(n) + 1)
-		return
+	} else {
+		m.probability = t.lossByServers(m.service, exits)
 	}
-	m.probability = 0.5
-	if t.Servers != nil {
-		if servers := t.Servers(m.service); servers > 0 {
-			share := float64(others+1) / float64(servers+1)
-			m.probability = min(0.5, share*float64(max(t.stages[m.service], 1)))
-		}
+	if t.clock()-e.at > 2*controlWindow {
+		e.settled = &m
+	}
+	return m
+}
+
+// lossByServers returns the probability of the loss of a run at a router with too little traffic to
+// measure it, from the number of servers that exited. At a router that usually serves more, nothing
+// is known: nothing was served.
+func (t *Tracker) lossByServers(service string, exits int) float64 {
+	const unknown = 0.5
+	known := min(t.clock()-t.startedAt, rateWindow)
+	usual := float64(t.servedBy(service).between(t.clock()-rateWindow, t.clock())) / float64(max(known, 1))
+	if t.Servers == nil || known < learningTime || usual*float64(2*controlWindow) >= minControls {
+		return unknown
 	}
+	share := float64(exits) / float64(t.Servers(service)+1)
+	return min(unknown, share*float64(max(t.stages[service], 1)))
 }
 
 // chance returns the probability that no run of a request with a trait survives any of the moments,
--- a/internal/coordination/quarantine/exit.go
+++ b/internal/coordination/quarantine/exit.go
@@ -18,6 +18,8 @@
 	explanation explanation
 	// lost is the number of requests of this router there whose response had not proceeded.
 	lost int
+	// settled is the moment of the exit, once what happened around it is known.
+	settled *moment
 	// truncated reports that the server ran more requests than are kept.
 	truncated bool
 }
--- a/internal/coordination/quarantine/log.go
+++ b/internal/coordination/quarantine/log.go
@@ -73,13 +73,13 @@
 }
 
 func logTraitsQuarantined(c traitCause, moments []moment) {
-	klog.InfoS("requests quarantined: servers exited while they ran requests with these traits", "traits", c.traits, "ends", incarnationNames(c.exits), "moments", len(moments), "chance", formatChance(moments), "othersLost", lossesOf(moments), "term", minTerm, "source", "this router")
+	klog.InfoS("requests quarantined: servers exited while they ran requests with these traits", "traits", c.traits, "ends", incarnationNames(c.exits), "moments", len(moments), "chance", formatChance(moments), "runsLost", lossesOf(moments), "term", minTerm, "source", "this router")
 }
 
 func formatChance(moments []moment) string { return fmt.Sprintf("%.1e", chance(moments)) }
 
-// lossesOf lists, for each moment, the other runs that this router lost of all that it lost or
-// served around it.
+// lossesOf lists, for each moment, the runs that this router lost of all that it lost or served
+// around it.
 func lossesOf(moments []moment) []string {
 	out := make([]string, min(len(moments), maxLoggedRequests))
 	for i := range out {
--- a/internal/coordination/quarantine/model_test.go
+++ b/internal/coordination/quarantine/model_test.go
@@ -44,7 +44,9 @@
 }
 
 const (
-	maxSends     = 4 // of one request
+	maxSends = 4 // of one request
+	// contactTime is how long after its start a router may not know what the others do.
+	contactTime  = 3 * time.Second
 	restartDelay = 3 * time.Second
 )
 
@@ -74,6 +76,7 @@
 	tracker    *Tracker
 	trials     *Trials
 	generation int // number of starts
+	startedAt  time.Duration
 }
 
 type simServer struct {
@@ -134,8 +137,9 @@
 	for at := time.Duration(0); at < 40*time.Second; at += time.Second {
 		sim.schedule(at, func() {
 			for _, r := range sim.routers {
-				verdicts, peer := r.tracker.Verdicts(), sim.randomRouter()
-				sim.schedule(sim.messageDelay(), func() { peer.tracker.ApplyReport(Report{Verdicts: verdicts}, r.name) })
+				reminder, _ := r.tracker.Reminder()
+				peer := sim.randomRouter()
+				sim.schedule(sim.messageDelay(), func() { peer.tracker.ApplyReport(reminder, r.name) })
 			}
 		})
 	}
@@ -144,6 +148,7 @@
 
 func (r *simRouter) start() {
 	r.generation++
+	r.startedAt = r.sim.now
 	clock := func() time.Duration { return r.sim.now }
 	r.tracker = New(clock)
 	r.tracker.Servers = func(string) int { return len(r.sim.servers) }
@@ -265,7 +270,7 @@
 	if q.crashesServer && sim.exits >= minExits && sim.now > sim.thirdExitAt+sim.sendGrace {
 		sim.lateSends++
 	}
-	if q.crashesServer {
+	if q.crashesServer && sim.now-r.startedAt >= contactTime {
 		sim.crashingSends = append(sim.crashingSends, sim.now)
 	}
 	q.sends++
@@ -285,7 +290,11 @@
 				if sim.exits == minExits {
 					sim.thirdExitAt = sim.now
 				}
-				run.servers[sim.rnd.IntN(len(run.servers))].exit()
+				crashed := s
+				if len(run.servers) > 1 {
+					crashed = run.servers[sim.rnd.IntN(len(run.servers))]
+				}
+				crashed.exit()
 			}
 		})
 		return
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -31,7 +31,9 @@
 	Server model.Incarnation `json:"server"`
 	Domain string            `json:"domain"`
 	// Service is that of the requests.
-	Service  string          `json:"service,omitempty"`
+	Service string `json:"service,omitempty"`
+	// AgeMS is the time since the exit in milliseconds, in a reminder of one.
+	AgeMS    int64           `json:"age_ms,omitempty"`
 	Requests []RequestAtExit `json:"present"`
 }
 
@@ -209,7 +211,7 @@
 		for _, p := range e.Requests {
 			mergeParticipation(requests, p.Fingerprint, p.participation())
 		}
-		t.recordExit(e.Server, e.Domain, e.Service, requests)
+		t.recordExit(e.Server, e.Domain, e.Service, t.clock()-max(time.Duration(e.AgeMS)*time.Millisecond, 0), requests)
 	}
 	for _, s := range r.Succeeded {
 		t.applySuccess(s)
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -175,7 +175,7 @@
 		}
 	}
 	t.withdrawUnconfirmedSuccesses(server, requests)
-	added := t.recordExit(server, domain, serviceOf(requests), requests)
+	added := t.recordExit(server, domain, serviceOf(requests), t.clock(), requests)
 	if len(added) == 0 {
 		return
 	}
@@ -190,12 +190,12 @@
 	t.logExit(server, domain, added, "this router")
 }
 
-// recordExit records the requests that ran at a server when it exited and returns those that
-// were not known yet. The caller must hold t.mu.
-func (t *Tracker) recordExit(server model.Incarnation, domain, service string, requests map[model.Fingerprint]participation) map[model.Fingerprint]participation {
+// recordExit records the requests that ran at a server when it exited, at a time, and returns those
+// that were not known yet. An exit that is known keeps its time. The caller must hold t.mu.
+func (t *Tracker) recordExit(server model.Incarnation, domain, service string, at time.Duration, requests map[model.Fingerprint]participation) map[model.Fingerprint]participation {
 	e := t.exits[server]
 	if e == nil {
-		e = &serverExit{domain: domain, at: t.clock(), requests: map[model.Fingerprint]participation{}, traits: map[Trait]int{}}
+		e = &serverExit{domain: domain, at: at, requests: map[model.Fingerprint]participation{}, traits: map[Trait]int{}}
 		t.exits[server] = e
 	}
 	if e.service == "" {
--- a/internal/coordination/quarantine/trait.go
+++ b/internal/coordination/quarantine/trait.go
@@ -20,8 +20,9 @@
 	// maxTraitsPerVerdict bounds the traits of one verdict. With fewer traits than were found
 	// it concerns more requests.
 	maxTraitsPerVerdict = 16
-	// exitsPerSuccess is the number of exits that one success outweighs.
-	exitsPerSuccess = 3
+	// successWeight is the factor by which one success of a trait reduces the odds that it makes
+	// servers exit: it is that of a cause which spares one server in ten.
+	successWeight = 10
 	// announceInterval is how often a success is announced that is older than the exits at
 	// which its trait was present.
 	announceInterval = evidenceRetention / 2
@@ -183,22 +184,34 @@
 	}
 }
 
-// clearTrait records a success of a trait at a time and discards the oldest exits before it, up to
-// exitsPerSuccess. A cause that does not make every server exit would otherwise be acquitted again
-// and again. The caller must hold t.mu.
+// clearTrait records a success of a trait at a time and discards the oldest exits before it that it
+// outweighs. A cause that does not make every server exit would otherwise be acquitted again and
+// again. The caller must hold t.mu.
 func (t *Tracker) clearTrait(tr Trait, r *traitRecord, at time.Duration) {
 	if r.isSuspicious() && !tr.isPair() {
 		logTraitServed(tr, r)
 	}
 	r.succeeded, r.succeededAt = true, max(r.succeededAt, at)
-	for range exitsPerSuccess {
+	t.discardOldest(r, at)
+	t.traitChanged(tr, r)
+}
+
+// discardOldest discards the oldest exits before a time, as many as one success outweighs: few that
+// other runs survived, more of those at which many runs were lost.
+func (t *Tracker) discardOldest(r *traitRecord, before time.Duration) {
+	odds := 1.0
+	var last moment
+	for odds < successWeight {
 		server, found := oldestExit(r.exits)
-		if !found || r.exits[server] > at {
-			break
+		if !found || r.exits[server] > before {
+			return
+		}
+		if e := t.exits[server]; last.probability == 0 || e.at-last.at > simultaneousExits {
+			last = t.momentOf(e)
+			odds /= last.probability
 		}
 		delete(r.exits, server)
 	}
-	t.traitChanged(tr, r)
 }
 
 // oldestExit returns the server that exited first, or false if there is none.
--- a/internal/coordination/quarantine/traitassess.go
+++ b/internal/coordination/quarantine/traitassess.go
@@ -144,11 +144,12 @@
 }
 
 // effectiveTraits returns the traits of a verdict that still hold. A trait ceases to hold once enough
-// requests with it were served since the verdict to outweigh all but a few of its exits.
+// requests with it were served since the first of its exits to outweigh all but a few of them: a peer
+// that reached the verdict may not have known of these.
 func (t *Tracker) effectiveTraits(v *verdictEntry) []Trait {
 	return slices.DeleteFunc(slices.Clone(v.traits), func(tr Trait) bool {
 		r := t.traits[tr]
-		return r != nil && r.succeeded && r.succeededAt > v.since && len(r.exits) < minTraitExitsForTrial
+		return r != nil && r.succeeded && r.succeededAt > v.evidenceSince && len(r.exits) < minTraitExitsForTrial
 	})
 }
 
@@ -164,6 +165,10 @@
 	for _, v := range t.verdicts {
 		effective := t.effectiveTraits(v)
 		if len(effective) > 0 && hasAll(traits, effective) && t.inTerm(v) {
+			if t.trialDue(v) {
+				restrict(TrialOnly, v.exits, effective...)
+				continue
+			}
 			return Assessment{Restriction: Quarantined, Exits: v.exits, Traits: effective}
 		}
 		for _, tr := range effective {
@@ -174,14 +179,14 @@
 	}
 	for _, tr := range traits {
 		r := t.suspectTraits[tr]
-		if r == nil || tr.isPair() || len(r.exits) < minTraitExitsForTrial || r.established() && len(r.exits) < minTraitExits {
+		if r == nil || tr.isPair() || len(r.exits) < minTraitExitsForTrial {
 			continue
 		}
 		exits := t.unexplainedExits(tr, r)
 		switch n := len(exits); {
 		case r.established():
 			exits = t.exitsWithoutAlternative(tr, r, exits, minTraitExitsForTrial)
-			if len(exits) >= minTraitExits && hasAll(traits, t.traitsAtAll(exits)) {
+			if t.sufficeForTrials(exits) && hasAll(traits, t.traitsAtAll(exits)) {
 				restrict(TrialOnly, len(exits), tr)
 			}
 		case n >= minTraitExits && t.clock()-r.exits[exits[minTraitExits-1]] < traitEvidenceDelay:
@@ -196,6 +201,25 @@
 	return out
 }
 
+// trialDue reports whether a request under a verdict on traits may run as a trial before its term ends.
+// One that is served ends the verdict. The time between trials doubles with each server that exits.
+func (t *Tracker) trialDue(v *verdictEntry) bool {
+	last, interval := v.since, verdictTrialInterval
+	for _, e := range t.exits {
+		if e.at > v.since && v.explains(e) {
+			last, interval = max(last, e.at), min(2*interval, v.term)
+		}
+	}
+	return t.clock()-last >= interval
+}
+
+// sufficeForTrials reports whether the exits under a trait that was served before restrict requests
+// with it to trials. Many do in any case: a cause that ends most servers also hides how it differs
+// from chance.
+func (t *Tracker) sufficeForTrials(exits []model.Incarnation) bool {
+	return len(exits) >= minTraitExits || len(exits) >= minTraitExitsForTrial && chance(t.moments(exits)) <= maxFalseTrials
+}
+
 // hasAll reports whether a request with traits has all of others.
 func hasAll(traits, others []Trait) bool {
 	return !slices.ContainsFunc(others, func(tr Trait) bool { return !slices.Contains(traits, tr) })
--- a/internal/coordination/quarantine/traitcause.go
+++ b/internal/coordination/quarantine/traitcause.go
@@ -24,14 +24,19 @@
 	traitEvidenceDelay = time.Second
 	// learningTime is how long a router that has started does not know what is served.
 	learningTime = 3 * time.Second
-	// A trait is common if requests with it were served before, or if it was that of
-	// popularRequests or more requests at each of its exits on average. Against such a trait
-	// minTraitExits prove the cause only if this router served minOtherSuccesses other requests
-	// of the service since the first of them: while nothing is served, the lack of a success
-	// proves little. Otherwise minEstablishedExits are required.
-	popularRequests     = 3
-	minOtherSuccesses   = 5
-	minEstablishedExits = minTraitExits + 3
+	// popularRequests is the number of requests with a trait at each of its exits, on average,
+	// from which on it is common.
+	popularRequests = 3
+	// maxFalseVerdicts bounds the probability that the exits of any of the traits that are
+	// compared were present at their exits by chance. With a hundred series of exits a day it
+	// allows one false verdict in a hundred days.
+	maxFalseVerdicts = 1e-4
+	// maxFalseTrials is the bound for the restriction of requests to trials, if requests with the
+	// trait were served before.
+	maxFalseTrials = 1e-2
+	// maxFalseRepeats is the same bound for requests that a verdict on the trait did not cover.
+	// One of the traits of that verdict is the cause.
+	maxFalseRepeats = 1e-2
 	// maxVerdictsPerEvaluation bounds the time for which one evaluation holds the lock.
 	maxVerdictsPerEvaluation = 16
 )
@@ -88,11 +93,9 @@
 		case len(exits) < required || t.clock()-r.exits[exits[required-1]] < traitEvidenceDelay:
 			return false
 		case repeated:
-			return true
-		case common && len(exits) < minEstablishedExits && t.successes[r.service]-r.successesBefore < minOtherSuccesses:
-			return false
+			return chance(t.moments(exits)) <= maxFalseRepeats
 		}
-		return t.distinctCauses(exits) >= minCauses
+		return t.distinctCauses(exits) >= minCauses && chance(t.moments(exits)) <= maxFalseVerdicts/float64(t.comparedTraits())
 	}
 	if (repeated || common || learning) && suffice() {
 		exits = t.exitsWithoutAlternative(tr, r, exits, min(required, minTraitExitsForTrial))
@@ -107,6 +110,17 @@
 	return traitCause{traits: t.traitsAtAll(at), exits: exits}, true
 }
 
+// comparedTraits returns the number of traits of which several exits are known.
+func (t *Tracker) comparedTraits() int {
+	n := 0
+	for tr, r := range t.suspectTraits {
+		if !tr.isPair() && len(r.exits) >= minTraitExitsForTrial {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
 // isPopular reports whether many requests at each of the exits had a trait. While the router
 // learns what is served, fewer are many: nothing else tells a part of most prompts from one that
 // few have.
@@ -187,8 +201,8 @@
 	if v := t.verdicts[fp]; v != nil {
 		t.renewVerdict(fp, v)
 	} else {
-		t.storeVerdict(fp, &verdictEntry{since: t.clock(), term: minTerm, exits: len(c.exits), traits: c.traits})
-		logTraitsQuarantined(c, t.moments(c.traits[0], c.exits))
+		t.storeVerdict(fp, &verdictEntry{since: t.clock(), evidenceSince: t.exits[c.exits[0]].at, term: minTerm, exits: len(c.exits), traits: c.traits})
+		logTraitsQuarantined(c, t.moments(c.exits))
 	}
 	if slices.ContainsFunc(c.traits, func(tr Trait) bool { r := t.traits[tr]; return r != nil && r.local }) {
 		t.outbox.addVerdict(fp)
--- a/internal/coordination/quarantine/trials.go
+++ b/internal/coordination/quarantine/trials.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,38 +13,34 @@
 // servers exit do so soon after the server starts to run them.
 const trialDuration = time.Second
 
-// maxTraitTrialDuration bounds the time that a trial reserves the rarest of its traits. It doubles
-// with each exit from minTraitExits on, so that few servers exit while the evidence does not
+// maxTrialPause bounds the time between trials of requests with the same restricted traits. It
+// doubles with each exit from minTraitExits on, so that few servers exit while the evidence does not
 // suffice for a verdict.
-const maxTraitTrialDuration = 4 * time.Second
+const maxTrialPause = 16 * time.Second
 
-// traitTrialDurations returns how long a trial of a request reserves each of its restricted traits.
-func (t *Tracker) traitTrialDurations(traits []Trait) map[Trait]time.Duration {
+// trialPause returns the time after a trial of a request until the next one of a request with the same
+// restricted traits.
+func (t *Tracker) trialPause(traits []Trait) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[Trait]time.Duration{}
-	var rarest Trait
 	fewest := 0
 	for _, tr := range traits {
-		out[tr] = trialDuration
-		r := t.traits[tr]
-		if r == nil || t.inVerdict(tr) {
-			continue
-		}
-		requests := 0
-		for server := range r.exits {
-			requests += t.exits[server].traits[tr]
-		}
-		if fewest == 0 || requests < fewest {
-			rarest, fewest = tr, requests
+		if r := t.traits[tr]; r != nil && !t.inVerdict(tr) && (fewest == 0 || len(r.exits) < fewest) {
+			fewest = len(r.exits)
 		}
 	}
-	if fewest > 0 {
-		for range len(t.traits[rarest].exits) - minTraitExits + 1 {
-			out[rarest] = min(2*out[rarest], maxTraitTrialDuration)
-		}
+	pause := trialDuration
+	for range fewest - minTraitExits + 1 {
+		pause = min(2*pause, maxTrialPause)
 	}
-	return out
+	return pause
+}
+
+// restrictedOf returns those of some traits that still restrict requests.
+func (t *Tracker) restrictedOf(traits []Trait) []Trait {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(traits), func(tr Trait) bool { return t.suspiciousTraits[tr] == nil && !t.inVerdict(tr) })
 }
 
 // Trials grants trials, which are runs of requests restricted to TrialOnly. One router grants
@@ -58,6 +55,14 @@
 	requests map[model.Fingerprint]time.Duration // when the reservation ends
 	traits   map[Trait]time.Duration             // the same
 	servers  map[model.Incarnation]reservation
+	pauses   []pause
+}
+
+// pause is the time after a trial in which no request with all of its traits gets another one.
+// A request with only some of them does: it shows which of them is the cause.
+type pause struct {
+	traits []Trait
+	until  time.Duration
 }
 
 type reservation struct {
@@ -91,7 +96,7 @@
 	if a.Restriction > TrialOnly {
 		return Grant{}
 	}
-	durations := t.tracker.traitTrialDurations(a.Traits)
+	trialPause := t.tracker.trialPause(a.Traits)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
@@ -104,14 +109,22 @@
 			return Grant{WaitMS: (until - now).Milliseconds()}
 		}
 	}
+	for _, p := range t.pauses {
+		if traits := t.tracker.restrictedOf(p.traits); len(traits) > 0 && hasAll(a.Traits, traits) {
+			return Grant{WaitMS: (p.until - now).Milliseconds()}
+		}
+	}
 	for _, server := range servers {
 		if r, ok := t.servers[server]; ok {
 			return Grant{BusyServer: server, WaitMS: (r.until - now).Milliseconds()}
 		}
 	}
 	t.requests[fp] = now + trialDuration
-	for tr, d := range durations {
-		t.traits[tr] = now + d
+	for _, tr := range a.Traits {
+		t.traits[tr] = now + trialDuration
+	}
+	if trialPause > trialDuration {
+		t.pauses = append(t.pauses, pause{traits: a.Traits, until: now + trialPause})
 	}
 	for _, server := range servers {
 		t.servers[server] = reservation{fingerprint: fp, until: now + trialDuration}
@@ -123,6 +136,7 @@
 	expired := func(until time.Duration) bool { return until <= now }
 	maps.DeleteFunc(t.requests, func(_ model.Fingerprint, until time.Duration) bool { return expired(until) })
 	maps.DeleteFunc(t.traits, func(_ Trait, until time.Duration) bool { return expired(until) })
+	t.pauses = slices.DeleteFunc(t.pauses, func(p pause) bool { return expired(p.until) })
 	for server, r := range t.servers {
 		if r.until <= now {
 			delete(t.servers, server)
--- a/internal/coordination/quarantine/verdict.go
+++ b/internal/coordination/quarantine/verdict.go
@@ -11,6 +11,9 @@
 	// maxTerm, each time that the request makes a server exit after its last term.
 	minTerm = 10 * time.Minute
 	maxTerm = 3 * time.Hour
+	// verdictTrialInterval is the time from a verdict on traits to the first trial of a request
+	// that it concerns.
+	verdictTrialInterval = time.Minute
 	// maxVerdicts bounds the verdicts kept. The one whose term ends first is evicted.
 	maxVerdicts = 256
 )
@@ -21,6 +24,8 @@
 	since time.Duration
 	term  time.Duration
 	exits int
+	// evidenceSince is when the first of the exits occurred.
+	evidenceSince time.Duration
 	// traits is empty for a verdict on one request.
 	traits []Trait
 }
@@ -34,13 +39,13 @@
 
 // addVerdict quarantines a request for the first term.
 func (t *Tracker) addVerdict(fp model.Fingerprint, ev evidence) {
-	t.storeVerdict(fp, &verdictEntry{since: t.clock(), term: minTerm, exits: len(ev.attributed)})
+	t.storeVerdict(fp, &verdictEntry{since: t.clock(), evidenceSince: t.clock(), term: minTerm, exits: len(ev.attributed)})
 	logQuarantined(fp, ev, "this router")
 }
 
 // renewVerdict quarantines a request again that made a server exit after its term.
 func (t *Tracker) renewVerdict(fp model.Fingerprint, v *verdictEntry) {
-	t.verdicts[fp] = &verdictEntry{since: t.clock(), term: min(2*v.term, maxTerm), exits: v.exits + 1, traits: v.traits}
+	t.verdicts[fp] = &verdictEntry{since: t.clock(), evidenceSince: t.clock(), term: min(2*v.term, maxTerm), exits: v.exits + 1, traits: v.traits}
 	t.verdictsChanged()
 	logRenewed(fp, v.exits+1)
 }
@@ -69,13 +74,15 @@
 	TermMS int64 `json:"term_ms"`
 	AgeMS  int64 `json:"age_ms"`
 	Exits  int   `json:"ends"`
+	// EvidenceMS is the time since the first of the exits in milliseconds, or 0 if it is not known.
+	EvidenceMS int64 `json:"evidence_ms,omitempty"`
 	// Traits holds the traits of the requests that the verdict concerns. It is empty for a
 	// verdict on one request.
 	Traits []Trait `json:"traits,omitempty"`
 }
 
 func (t *Tracker) exportVerdict(fp model.Fingerprint, v *verdictEntry) Verdict {
-	return Verdict{Fingerprint: fp, TermMS: v.term.Milliseconds(), AgeMS: (t.clock() - v.since).Milliseconds(), Exits: v.exits, Traits: v.traits}
+	return Verdict{Fingerprint: fp, TermMS: v.term.Milliseconds(), AgeMS: (t.clock() - v.since).Milliseconds(), Exits: v.exits, EvidenceMS: (t.clock() - v.evidenceSince).Milliseconds(), Traits: v.traits}
 }
 
 // Verdicts returns the verdicts whose terms have not ended.
@@ -104,6 +111,7 @@
 			continue
 		}
 		v := &verdictEntry{since: t.clock() + left - term, term: term, exits: received.Exits, traits: received.Traits}
+		v.evidenceSince = min(v.since, t.clock()-time.Duration(received.EvidenceMS)*time.Millisecond)
 		if known == nil {
 			t.storeVerdict(received.Fingerprint, v)
 			logVerdictReceived(received, source)
--- a/internal/transport/peers/quarantine.go
+++ b/internal/transport/peers/quarantine.go
@@ -24,11 +24,9 @@
 	// maxCoordinators is how many routers are asked, one after the other, until one
 	// answers.
 	maxCoordinators = 2
-	// resendInterval is the interval at which verdicts are sent again, each time to one
-	// peer. This reaches routers that missed them.
-	resendInterval = time.Second
-	// maxResentVerdicts limits the verdicts of one such message.
-	maxResentVerdicts = 16
+	// reminderInterval is the interval at which verdicts and the exits under restricted requests
+	// are sent again, each time to one peer. This reaches routers that missed them.
+	reminderInterval = time.Second
 )
 
 // Quarantine exchanges reports on requests that crash servers between routers, and
@@ -48,14 +46,14 @@
 // Run sends reports to the peers until ctx is done.
 func (q *Quarantine) Run(ctx context.Context) {
 	before, after := quarantine.ReportDelays()
-	resend := time.NewTicker(resendInterval)
-	defer resend.Stop()
+	reminder := time.NewTicker(reminderInterval)
+	defer reminder.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-resend.C:
-			q.resendVerdicts()
+		case <-reminder.C:
+			q.sendReminder()
 		case <-q.Tracker.ReportDue():
 			wait.For(ctx, before)
 			if r, ok := q.Tracker.TakeReport(); ok {
@@ -79,15 +77,15 @@
 	}
 }
 
-// resendVerdicts sends verdicts to one random peer, if there are any.
-func (q *Quarantine) resendVerdicts() {
-	verdicts := q.Tracker.Verdicts()
+// sendReminder sends a reminder to one random peer, if there is anything to remind it of.
+func (q *Quarantine) sendReminder() {
 	peers := q.Exchange.peers()
-	if len(verdicts) == 0 || len(peers) == 0 {
+	if len(peers) == 0 {
 		return
 	}
-	rand.Shuffle(len(verdicts), func(i, j int) { verdicts[i], verdicts[j] = verdicts[j], verdicts[i] })
-	q.sendReport(quarantine.Report{Verdicts: verdicts[:min(len(verdicts), maxResentVerdicts)]}, peers[rand.IntN(len(peers))])
+	if r, ok := q.Tracker.Reminder(); ok {
+		q.sendReport(r, peers[rand.IntN(len(peers))])
+	}
 }
 
 func (q *Quarantine) handleReport(_ context.Context, from string, r quarantine.Report) (struct{}, error) {
