backend: bound the header of a response

The status line, the fields and the interim responses before them may now have 64 KB in all, for requests, streams, health checks, reports and orders, which read through one function; then the connection is closed and the request counts as one that may have run. Bodies, events, reports and orders were bounded already, chunk headers and trailers are by net/http.

TestResponseHeaderWithoutEndIsAbandoned: five forms, all red before (the caller waited until its deadline, the server sent on), none after.

--- a/internal/transport/backend/ended_test.go
+++ b/internal/transport/backend/ended_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -45,7 +44,9 @@
 	nc, err := net.Dial("tcp", s.l.Addr().String())
 	assert.NilError(t, err)
 	h := &hookedConn{TCPConn: nc.(*net.TCPConn), closed: make(chan struct{})}
-	p.host(s.l.Addr().String()).put(&conn{Conn: h, br: bufio.NewReader(h), idleDeadline: time.Now().Add(time.Hour)})
+	c := newConn(h, 0)
+	c.idleDeadline = time.Now().Add(time.Hour)
+	p.host(s.l.Addr().String()).put(c)
 	return h
 }
 
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -54,7 +54,8 @@
 
 type conn struct {
 	net.Conn
-	br           *bufio.Reader
+	br           *bufio.Reader // reads through header
+	header       *headerLimiter
 	idleDeadline time.Time // may be reused before
 	reused       bool      // it has served a request
 	generation   int       // of its host when it was opened
@@ -93,7 +94,13 @@
 		return nil, err
 	}
 	p.dialed.Add(1)
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferSize), generation: generation}, nil
+	return newConn(nc, generation), nil
+}
+
+// newConn returns the connection of a host of a generation.
+func newConn(nc net.Conn, generation int) *conn {
+	header := &headerLimiter{r: nc}
+	return &conn{Conn: nc, header: header, br: bufio.NewReaderSize(header, readBufferSize), generation: generation}
 }
 
 // CheckListening checks whether a process accepts connections at an address. It returns
@@ -193,7 +200,7 @@
 		}
 		sent <- w
 	}
-	resp, err := readResponse(c.br, r.Method)
+	resp, err := readResponse(c, r.Method)
 	if err != nil {
 		stop()
 		c.Close()
@@ -214,9 +221,14 @@
 }
 
 // readResponse reads the header of the final response and skips interim responses.
-func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
+func readResponse(c *conn, method string) (*http.Response, error) {
+	c.header.begin()
+	defer c.header.end()
 	for {
-		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if c.header.exceeded() {
+			return nil, ErrHeaderTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
