relay: a response without the request's id proves nothing

Engines echo the id, so a response counts for a request only if it bears it; otherwise the request may have run and the copy goes to nobody. The answers of the router's own calls (reports, orders, health checks) still have no id to check.

The stand-ins of four relay tests echo the id now, as the protocol says; what they assert is unchanged.

--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -242,14 +242,19 @@
 	}
 }
 
+// answeredBy reports whether a response belongs to the request. One without the request's id may be a
+// late copy of the answer to a call without an id on the same connection, so it does not even prove
+// that the request did not run.
+func (q *request) answeredBy(v platform.ResponseInfo) bool { return v.Attempt == q.call.Attempt }
+
 // readResponse reads a response completely. It returns an error if the response is
 // truncated, too large, unsigned or belongs to another request.
 func (q *request) readResponse(ctx context.Context, b *model.BackendServer, resp *Response) (*bufferedResponse, error) {
 	defer resp.Body.Close()
 	v := platform.DecodeResponseInfo(resp.Status, resp.Header)
-	if v.Attempt != "" && v.Attempt != q.call.Attempt {
+	if !q.answeredBy(v) {
 		resp.Body.Discard()
-		return nil, errors.Errorf("response belongs to another request %s", v.Attempt)
+		return nil, errors.Errorf("response belongs to another request %q", v.Attempt)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -131,7 +131,7 @@
 	}
 	defer resp.Body.Close()
 	v := platform.DecodeResponseInfo(resp.Status, resp.Header)
-	if v.Attempt != "" && v.Attempt != q.call.Attempt {
+	if !q.answeredBy(v) {
 		resp.Body.Discard()
 		q.runs++
 		return false, false, fault.New(fault.BackendFailed, "an engine's response belongs to another request")
--- a/internal/protocol/relay/panic_test.go
+++ b/internal/protocol/relay/panic_test.go
@@ -117,8 +117,9 @@
 
 type okClient struct{}
 
-func (okClient) Do(context.Context, string, *Request) (*Response, error) {
+func (okClient) Do(_ context.Context, _ string, r *Request) (*Response, error) {
 	h := http.Header{"Response-Signature": {"s"}}
+	h.Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	return &Response{Status: http.StatusOK, Header: h, Body: &stringBody{*strings.NewReader("body")}}, nil
 }
 
--- a/internal/protocol/relay/pause_test.go
+++ b/internal/protocol/relay/pause_test.go
@@ -217,7 +217,7 @@
 		s, _ := newRefusingFixture(true, func() *Response { return nil })
 		first := s.Catalog.Load().ByID("one")
 		later := s.Catalog.Load().ByID("two")
-		v := platform.DecodeResponseInfo(http.StatusServiceUnavailable, http.Header{"Retry-After": {"2"}, "Not-Executed": {"1"}, "At-Server": {later.Address}})
+		v := platform.DecodeResponseInfo(http.StatusServiceUnavailable, http.Header{"Attempt-Id": {"1"}, "Retry-After": {"2"}, "Not-Executed": {"1"}, "At-Server": {later.Address}})
 		st := &stream{request: &request{Relay: s.Relay, call: &model.Call{Attempt: "1"}, avoid: map[model.Incarnation]bool{}}}
 		st.observeResponse(first, v, s.Clock())
 		st.handleRefusal([]chains.Stage{{Server: first}, {Server: later}}, v, http.StatusServiceUnavailable)
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -26,11 +26,18 @@
 	"github.com/skylarkwood/skylarkwood/platform"
 )
 
-// fakeBackend is a BackendClient that handles each request by a function.
+// fakeBackend is a BackendClient that handles each request by a function. Its responses bear the
+// request's id unless the function sets another one.
 type fakeBackend func(ctx context.Context, addr string, r *Request) (*Response, error)
 
 func (s fakeBackend) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
-	return s(ctx, addr, r)
+	resp, err := s(ctx, addr, r)
+	if resp != nil {
+		if _, set := resp.Header["Attempt-Id"]; !set {
+			resp.Header.Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		}
+	}
+	return resp, err
 }
 
 func (s fakeBackend) CloseIdle(string) {}
--- a/internal/protocol/relay/withheld.go
+++ b/internal/protocol/relay/withheld.go
@@ -16,7 +16,7 @@
 // observeResponse records what a server's response to a caller's request states about the
 // server. A response from another process at the server's address states nothing about it.
 func (q *request) observeResponse(b *model.BackendServer, v platform.ResponseInfo, sentAt time.Duration) {
-	if v.Misdirected || v.Attempt != "" && v.Attempt != q.call.Attempt {
+	if v.Misdirected || !q.answeredBy(v) {
 		return
 	}
 	rate := v.Limit
