--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -73,11 +73,10 @@
 	traitsEvaluatedAt                       time.Duration
 	// traitsAtExits is the sum over exits of the traits present there.
 	traitsAtExits int
-	// successes counts the requests that this router served, by service, and served does so by
-	// time. stages is the number of servers of the last run.
-	successes map[string]int
-	served    map[string]*served
-	stages    map[string]int
+	// served counts the requests that this router served, by service. stages is the number of
+	// servers of the last run.
+	served map[string]*served
+	stages map[string]int
 	// unconfirmedSuccesses are complete responses that ended with their connection.
 	unconfirmedSuccesses []unconfirmedSuccess
 	outbox               outbox
@@ -102,7 +101,6 @@
 		verdictTraits:    map[Trait]bool{},
 		suspectTraits:    map[Trait]*traitRecord{},
 		suspiciousTraits: map[Trait]*traitRecord{},
-		successes:        map[string]int{},
 		served:           map[string]*served{},
 		stages:           map[string]int{},
 		outbox:           newOutbox(),
--- a/internal/coordination/quarantine/trait.go
+++ b/internal/coordination/quarantine/trait.go
@@ -90,11 +90,6 @@
 	succeededAt time.Duration
 	// local reports that this router ran a request with the trait at a server that exited.
 	local bool
-	// service is that of the last request with the trait that this router served.
-	// successesBefore is the number of requests of this service that it had served when the
-	// first of exits was recorded.
-	service         string
-	successesBefore int
 	// announced is set if the other routers know of a success, of announcedAt or later.
 	announced   bool
 	announcedAt time.Duration
@@ -152,9 +147,6 @@
 		if _, known := r.exits[server]; known || r.succeeded && r.succeededAt > e.at {
 			continue
 		}
-		if len(r.exits) == 0 {
-			r.successesBefore = t.successes[r.service]
-		}
 		r.exits[server] = e.at
 		if len(r.exits) > maxExitsPerTrait {
 			oldest, _ := oldestExit(r.exits)
@@ -171,11 +163,9 @@
 // against these traits any more. The caller must hold t.mu.
 func (t *Tracker) recordSuccess(service string, traits []Trait) {
 	now := t.clock()
-	t.successes[service]++
 	t.servedBy(service).add(now)
 	for _, tr := range traits {
 		r := t.traitFor(tr)
-		r.service = service
 		suspected := len(r.exits) > 0 || t.inVerdict(tr)
 		t.clearTrait(tr, r, now)
 		if suspected {
