--- a/internal/coordination/quarantine/sizes_race_test.go
+++ b/internal/coordination/quarantine/sizes_race_test.go
@@ -5,3 +5,6 @@
 // modelSizes has no large model: the models run in one goroutine, and their largest sizes run
 // without the race detector.
 var modelSizes = []int{3, 30}
+
+// exitSeeds and crashSeeds are small for the same reason.
+const exitSeeds, crashSeeds = uint64(2), uint64(1)
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -173,18 +173,21 @@
 		}
 	}
 	t.withdrawUnconfirmedSuccesses(server, requests)
-	added := t.recordExit(server, domain, serviceOf(requests), t.clock(), requests)
+	service := serviceOf(requests)
+	added := t.recordExit(server, domain, service, t.clock(), requests)
 	if len(added) == 0 {
 		return
 	}
-	t.exits[server].countLost(added)
+	if e := t.exits[server]; e != nil { // it may have been evicted
+		e.countLost(added)
+	}
 	for fp, p := range added {
 		t.suspectFor(fp).local = true
 		for _, tr := range p.traits() {
 			t.traitFor(tr).local = true
 		}
 	}
-	t.outbox.addExit(server, domain, t.exits[server].service, added)
+	t.outbox.addExit(server, domain, service, added)
 	t.logExit(server, domain, added, "this router")
 }
 
