quarantine: bound the time of evaluations, and the exits that one success outweighs

Moments are kept between evaluations, and the next one waits for a hundred times what the last one took, one second at most.

--- a/internal/coordination/quarantine/chance.go
+++ b/internal/coordination/quarantine/chance.go
@@ -95,8 +95,9 @@
 // together with requests under suspicion: of many suspects some are at most of the exits, and the few
 // exits that are left would show too small a loss.
 func (t *Tracker) momentOf(e *serverExit) moment {
-	if e.settled != nil {
-		return *e.settled
+	now := t.clock()
+	if e.momentAt > 0 && (e.momentAt-e.at > 2*controlWindow || now-e.momentAt < outcomeInterval) {
+		return e.moment
 	}
 	m := moment{at: e.at, service: e.service}
 	exits := 0
@@ -112,9 +113,7 @@
 	} else {
 		m.probability = t.lossByServers(m.service, exits)
 	}
-	if t.clock()-e.at > 2*controlWindow {
-		e.settled = &m
-	}
+	e.moment, e.momentAt = m, now
 	return m
 }
 
--- a/internal/coordination/quarantine/exit.go
+++ b/internal/coordination/quarantine/exit.go
@@ -18,8 +18,9 @@
 	explanation explanation
 	// lost is the number of requests of this router there whose response had not proceeded.
 	lost int
-	// settled is the moment of the exit, once what happened around it is known.
-	settled *moment
+	// moment caches the moment of the exit as of momentAt, 0 if it is not known yet.
+	moment   moment
+	momentAt time.Duration
 	// truncated reports that the server ran more requests than are kept.
 	truncated bool
 }
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -70,7 +70,9 @@
 	// served. suspectTraits holds those present at exits since their last success, and
 	// suspiciousTraits those that restrict requests.
 	traits, suspectTraits, suspiciousTraits map[Trait]*traitRecord
-	traitsEvaluatedAt                       time.Duration
+	traitsEvaluatedAt, evaluationTook       time.Duration
+	// compared is the number of traits that the last evaluation compared.
+	compared int
 	// traitsAtExits is the sum over exits of the traits present there.
 	traitsAtExits int
 	// served counts the requests that this router served, by service. stages is the number of
--- a/internal/coordination/quarantine/trait.go
+++ b/internal/coordination/quarantine/trait.go
@@ -23,6 +23,9 @@
 	// successWeight is the factor by which one success of a trait reduces the odds that it makes
 	// servers exit: it is that of a cause which spares one server in ten.
 	successWeight = 10
+	// maxExitsPerSuccess bounds the exits that one success outweighs. While a cause ends most
+	// servers, each of them seems to prove little.
+	maxExitsPerSuccess = 3
 	// announceInterval is how often a success is announced that is older than the exits at
 	// which its trait was present.
 	announceInterval = evidenceRetention / 2
@@ -191,7 +194,7 @@
 func (t *Tracker) discardOldest(r *traitRecord, before time.Duration) {
 	odds := 1.0
 	var last moment
-	for odds < successWeight {
+	for n := 0; n < maxExitsPerSuccess && odds < successWeight; n++ {
 		server, found := oldestExit(r.exits)
 		if !found || r.exits[server] > before {
 			return
--- a/internal/coordination/quarantine/traitcause.go
+++ b/internal/coordination/quarantine/traitcause.go
@@ -16,6 +16,11 @@
 	// traitEvaluationInterval is the shortest time between two evaluations of all suspected
 	// traits, which compare them with each other.
 	traitEvaluationInterval = 150 * time.Millisecond
+	// evaluationPause is the time between two evaluations as a multiple of what the last one
+	// took, up to maxEvaluationPause: while many traits are suspected and none is proven, each one
+	// compares all of them.
+	evaluationPause    = 100
+	maxEvaluationPause = time.Second
 	// minRepeatedExits is the number that proves it for requests which a verdict on the trait
 	// did not cover. They run as trials, so that few others were present.
 	minRepeatedExits = 2
@@ -52,10 +57,13 @@
 // suffices. The cause with the most traits comes first: it concerns the fewest requests, and explains
 // exits for the others. The caller must hold t.mu.
 func (t *Tracker) evaluateTraits() {
-	if t.clock()-t.traitsEvaluatedAt < traitEvaluationInterval {
+	began := t.clock()
+	if began-t.traitsEvaluatedAt < max(traitEvaluationInterval, min(evaluationPause*t.evaluationTook, maxEvaluationPause)) {
 		return
 	}
-	t.traitsEvaluatedAt = t.clock()
+	t.traitsEvaluatedAt = began
+	defer func() { t.evaluationTook = t.clock() - began }()
+	t.compared = t.comparedTraits()
 	for range maxVerdictsPerEvaluation {
 		var best traitCause
 		for tr, r := range t.suspectTraits {
@@ -95,7 +103,7 @@
 		case repeated:
 			return chance(t.moments(exits)) <= maxFalseRepeats
 		}
-		return t.distinctCauses(exits) >= minCauses && chance(t.moments(exits)) <= maxFalseVerdicts/float64(t.comparedTraits())
+		return t.distinctCauses(exits) >= minCauses && chance(t.moments(exits)) <= maxFalseVerdicts/float64(t.compared)
 	}
 	if (repeated || common || learning) && suffice() {
 		exits = t.exitsWithoutAlternative(tr, r, exits, min(required, minTraitExitsForTrial))
