--- a/internal/coordination/quarantine/unrelated_model_test.go
+++ b/internal/coordination/quarantine/unrelated_model_test.go
@@ -47,7 +47,7 @@
 	s.exit()
 }
 
-// pairs makes two servers exit every interval, wherever they are.
+// pairs makes two servers in use exit every interval, in any failure domain.
 func (m *siteModel) pairs(from, to, interval time.Duration) {
 	for at := from; at < to; at += interval {
 		m.schedule(at, func() {
