relay: search each byte of a stream for the end of an event once

A faulty engine that sends an event without an end in small pieces, or many short events after a long one, kept a router busy: each read and each event searched all bytes that were buffered anew, twice.

The reader now remembers how far it has searched. The time before grows with the square of the size (events may have 1 MB).

TestEachByteOfAStreamIsSearchedOnce; TestEventsDoNotDependOnReadSizes holds unchanged.

--- a/internal/protocol/relay/events.go
+++ b/internal/protocol/relay/events.go
@@ -21,10 +21,11 @@
 
 // eventReader splits a stream into complete events. It never returns a partial event.
 type eventReader struct {
-	src io.Reader
-	buf []byte
-	pos int // start of the unread events
-	eof bool
+	src     io.Reader
+	buf     []byte
+	pos     int // start of the unread events
+	scanned int // up to here, buf holds no end of the event at pos
+	eof     bool
 }
 
 var (
@@ -36,9 +37,9 @@
 // event is valid until the next call.
 func (r *eventReader) next() (event, error) {
 	for {
-		if end := eventEnd(r.buf[r.pos:]); end > 0 {
-			raw := r.buf[r.pos : r.pos+end]
-			r.pos += end
+		if end := r.eventEnd(); end > 0 {
+			raw := r.buf[r.pos:end]
+			r.pos = end
 			ev := event{raw: raw}
 			ev.id, ev.hasID = eventID(raw)
 			return ev, nil
@@ -58,6 +59,7 @@
 func (r *eventReader) fill() error {
 	if r.pos > 0 {
 		r.buf = append(r.buf[:0], r.buf[r.pos:]...)
+		r.scanned -= r.pos
 		r.pos = 0
 	}
 	if len(r.buf) > maxEventBytes {
@@ -75,18 +77,21 @@
 	return err
 }
 
-// eventEnd returns the length of the first event including its blank line; 0 if it is
-// incomplete.
-func eventEnd(b []byte) int {
-	lf := bytes.Index(b, []byte("\n\n"))
-	crlf := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case lf < 0 && crlf < 0:
-		return 0
-	case lf < 0 || crlf >= 0 && crlf < lf:
-		return crlf + 4
+// eventEnd returns the end in buf of the event at pos, including its blank line; 0 if it is
+// incomplete. It examines each byte once, however many reads and events the bytes come in.
+func (r *eventReader) eventEnd() int {
+	for {
+		i := bytes.IndexByte(r.buf[r.scanned:], '\n')
+		if i < 0 {
+			r.scanned = len(r.buf)
+			return 0
+		}
+		r.scanned += i + 1
+		line := r.buf[r.pos:r.scanned]
+		if bytes.HasSuffix(line, []byte("\n\n")) || bytes.HasSuffix(line, []byte("\r\n\r\n")) {
+			return r.scanned
+		}
 	}
-	return lf + 2
 }
 
 func eventID(raw []byte) (int64, bool) {
--- a/internal/protocol/relay/events_test.go
+++ b/internal/protocol/relay/events_test.go
@@ -50,6 +50,23 @@
 	assert.Equal(t, err, errEventTooLong)
 }
 
+// Guards against a search for the end of an event that begins anew with every read or event: a
+// faulty engine that sends an event without an end in small pieces would take a whole processor.
+func TestEachByteOfAStreamIsSearchedOnce(t *testing.T) {
+	long := "data: " + strings.Repeat("x", 4096)
+	for name, src := range map[string]io.Reader{
+		"event without an end": iotest.OneByteReader(strings.NewReader(long)),
+		"many short events":    strings.NewReader(long + strings.Repeat("\n\n", 2048)),
+	} {
+		r := eventReader{src: src}
+		_, err := r.next()
+		for ; err == nil; _, err = r.next() {
+			assert.Equal(t, r.scanned, r.pos, "%s: bytes after an event were searched", name)
+		}
+		assert.Equal(t, r.scanned, len(r.buf), "%s: bytes are left to search", name)
+	}
+}
+
 type endlessReader struct{}
 
 func (endlessReader) Read(p []byte) (int, error) {
