relay: bound what is read of a health check's response

The body of a response to a health check was discarded without a bound until the check's timeout of 250 ms, some 30 MB at the rate of an instance's link, for each check of a faulty server. Only its status counts: after 64 KB the connection is closed.

--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -103,6 +103,10 @@
 	}
 }
 
+// maxHealthBytes bounds how much of the response to a health check is read, so that its
+// connection can be reused. Only its status counts.
+const maxHealthBytes = 64 << 10
+
 // Healthy reports whether a backend server passes its health check. A server counts as
 // healthy if its service has no health path, it asked for a pause, as the check takes a slot,
 // or the check returns an error.
@@ -117,7 +121,7 @@
 	}
 	defer resp.Body.Close()
 	r.observeRequests(b, platform.DecodeResponseInfo(resp.Status, resp.Header))
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBytes+1)); err != nil || n > maxHealthBytes {
 		resp.Body.Discard()
 	}
 	return resp.Status == http.StatusOK, nil
