--- a/internal/transport/backend/endless_test.go
+++ b/internal/transport/backend/endless_test.go
@@ -66,6 +66,35 @@
 	}
 }
 
+// A faulty server sends a chunked body whose framing never ends. Guards against a read that keeps
+// the framing until the router runs out of memory.
+func TestChunkedBodyWithEndlessFramingIsAbandoned(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, sent := range map[string]struct{ start, piece string }{
+		"chunk size":          {header, "0"},
+		"chunk extension":     {header + "1;", "x"},
+		"many extensions":     {header, "1;" + strings.Repeat("x", 1024) + "\r\nx\r\n"},
+		"field of a trailer":  {header + "0\r\nServer: ", "x"},
+		"fields of a trailer": {header + "0\r\n", "Server: x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, closed := endlessServer(t, sent.start, sent.piece)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			resp, err := NewPool().Do(ctx, addr, &relay.Request{Method: "GET", Target: "/", Host: "h"})
+			assert.NilError(t, err)
+			n, err := io.Copy(io.Discard, resp.Body)
+			assert.Assert(t, err != nil && ctx.Err() == nil, "%d bytes read: %v", n, err)
+			resp.Body.Close()
+			select {
+			case <-closed:
+			case <-ctx.Done():
+				t.Fatal("the connection stays open")
+			}
+		})
+	}
+}
+
 // Guards against a limit that applies to more than the header of one response.
 func TestLongBodiesAndManyResponsesAreRead(t *testing.T) {
 	const size = 4 * maxHeaderBytes
