--- a/internal/coordination/follow/fleet_model_test.go
+++ b/internal/coordination/follow/fleet_model_test.go
@@ -49,6 +49,10 @@
 	done          chan struct{}
 	lastHeartbeat map[string]time.Duration
 	refused       bool // the store rejects its calls
+	// turnedAway is how the store treats its calls: "" (served) or one of turnedAwayHow. cut is
+	// closed when that changes, which ends the calls in progress.
+	turnedAway string
+	cut        chan struct{}
 	frozen        bool // its messages and calls get no answer, in both directions
 	// readsFail makes reads of single keys fail.
 	readsFail bool
@@ -67,11 +71,15 @@
 	readTime     time.Duration
 }
 
+// turnedAwayHow are the ways in which the store turns a router away: it answers 503, it resets the
+// connections, or it does not respond.
+var turnedAwayHow = []string{"rejected", "reset", "silent"}
+
 func newFleet(domains, each int) *fleet {
 	f := &fleet{store: standin.NewStore(), started: time.Now(), cut: map[[2]string]bool{}}
 	for d := range domains {
 		for i := range each {
-			n := &node{Store: f.store, fleet: f, Router: Router{Address: fmt.Sprintf("r%d.%d", d, i), Domain: fmt.Sprint("d", d)}}
+			n := &node{Store: f.store, fleet: f, Router: Router{Address: fmt.Sprintf("r%d.%d", d, i), Domain: fmt.Sprint("d", d)}, cut: make(chan struct{})}
 			f.nodes = append(f.nodes, n)
 		}
 	}
@@ -231,11 +239,44 @@
 	return updates, err
 }
 
+func (n *node) turnAway(how string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.turnedAway = how
+	if n.cut != nil {
+		close(n.cut)
+	}
+	n.cut = make(chan struct{})
+}
+
+func (n *node) isTurnedAway() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.turnedAway != ""
+}
+
+// awaitTurnedAway waits until ctx is done or the store turns this router away. A silent store
+// does not end the call in progress.
+func (n *node) awaitTurnedAway(ctx context.Context) (ended bool) {
+	n.mu.Lock()
+	cut := n.cut
+	n.mu.Unlock()
+	select {
+	case <-cut:
+		n.mu.Lock()
+		how := n.turnedAway
+		n.mu.Unlock()
+		return how != "silent"
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // checkReachable returns an error if the store rejects this router's calls, and blocks
 // while the router is frozen.
 func (n *node) checkReachable(ctx context.Context) error {
 	n.mu.Lock()
-	refused, frozen := n.refused, n.frozen
+	refused, frozen := n.refused || n.turnedAway == "rejected" || n.turnedAway == "reset", n.frozen || n.turnedAway == "silent"
 	n.mu.Unlock()
 	if frozen {
 		<-ctx.Done()
@@ -264,7 +305,20 @@
 	if err := n.checkReachable(ctx); err != nil {
 		return platform.Page{}, err
 	}
-	page, err := n.Store.Watch(ctx, prefix, after, timeout)
+	waiting, end := context.WithCancel(ctx)
+	defer end()
+	go func() {
+		if n.awaitTurnedAway(waiting) {
+			end()
+		}
+	}()
+	page, err := n.Store.Watch(waiting, prefix, after, timeout)
+	if n.isTurnedAway() {
+		if waiting.Err() == nil {
+			<-ctx.Done()
+		}
+		return platform.Page{}, platform.ErrUnavailable
+	}
 	if n.isFrozen() {
 		<-ctx.Done()
 		return platform.Page{}, platform.ErrUnavailable
