follow: leave sources that no longer learn of changes

Cause: a router accepts the answers of the watcher that it polls whatever their age, and leaves it only for an error or because some router advertises a higher revision. None does if all watchers are turned away, and a watcher whose calls fail goes on answering. Shown in the model for 503, reset and silence.

Change (follow/detour.go): - a watcher says in its answers that its calls to the store fail, and answers the polls that wait as soon as they do; - a router that polls counts the time since any router without further changes heard from the store (the heartbeats had it). After 1.3 s, or at once if its watcher fails, it asks the other watchers and the routers that follow them in rank; if none learns, it calls the store in its turn, 50 ms after the one before it. If the store answers, it watches in place of the watchers, and the others of its domain poll it; - while the store does not answer, a router repeats that call after 2 to 12 s; - each router asks its Picker's source again after 2 to 3 s; - a watcher that is turned away finds these routers too; - watches last 0.7 to 4 s, not 1.5 to 8, so that some watch ends several times within 1.3 s.

Why it holds: what accuses a source is the absence of any contact with the store, which no revision needs to announce; turns by rank keep hundreds of routers from calling at once.

--- a/internal/coordination/follow/fleet_test.go
+++ b/internal/coordination/follow/fleet_test.go
@@ -154,7 +154,7 @@
 	})
 }
 
-// During an outage for all, only watchers call the store.
+// During an outage for all, only watchers stay with the store; the others call it at growing intervals.
 func TestOnlyWatchersRetryDuringAnOutage(t *testing.T) {
 	inFleet(t, 5, 20, func(t *testing.T, f *fleet) {
 		f.store.SetFaults(standin.StoreFaults{Refuse: true})
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -23,12 +23,14 @@
 const (
 	// minWatchTimeout and maxWatchTimeout bound how long a watch waits for a change.
 	// Each watch is one call, and its end detects a connection that no longer delivers
-	// changes. The timeouts of all watchers are spread so that some watch ends
-	// about every watchTimeoutPerWatcher. Its revision, advertised to the peers, shows
-	// them what they missed.
-	minWatchTimeout        = 1500 * time.Millisecond
-	maxWatchTimeout        = 8 * time.Second
-	watchTimeoutPerWatcher = 750 * time.Millisecond
+	// changes. The timeouts of all watchers are spread so that some watch ends several times
+	// within maxSourceAge: the others learn from its heartbeat that the store answers. Its
+	// revision, advertised to the peers, shows them what they missed.
+	minWatchTimeout        = 700 * time.Millisecond
+	maxWatchTimeout        = 4 * time.Second
+	watchTimeoutPerWatcher = 350 * time.Millisecond
+	// soloWatchTimeout is the same for a process without peers.
+	soloWatchTimeout = 1500 * time.Millisecond
 	// shortWatchTimeout applies while the state of the store is in doubt and before the
 	// first answer. A peer's poll is refused until then.
 	shortWatchTimeout = 200 * time.Millisecond
@@ -149,10 +151,14 @@
 	hasContents    bool          // since the first reset
 	synced         bool          // the whole range was read
 	lastContact    atomic.Int64
+	peerContact    atomic.Int64 // last known contact of a peer with the store
 	syncedAt       atomic.Int64 // the applied contents were complete then
 	graceUntil     atomic.Int64
 	disconnected   bool
-	storeFailures  int           // consecutive
+	storeFailures  int          // consecutive
+	failing        failingState // of the calls to the store
+	sourceFailing  bool         // the polled peer said that its calls to the store fail
+	detour         detour
 	answerTime     time.Duration // the last answer was complete then
 	changesApplied bool          // the last answer came from the store and had changes
 	rangeTimeout   time.Duration // of the next read of the whole range
@@ -227,6 +233,7 @@
 			continue
 		case !f.source.IsStore():
 			klog.InfoS("polling peer for store updates failed", "peer", f.source.Address, "err", err, "revision", f.Revision())
+			f.endDetour()
 			f.Picker.MarkFailed(f.source)
 			continue
 		case errors.Is(err, platform.ErrCompacted):
@@ -234,7 +241,11 @@
 			f.synced = false
 			continue
 		}
-		if f.Picker != nil && f.countStoreFailure() && f.isPeerAhead(ctx, f.Picker.Peers()) {
+		if f.detour.active {
+			f.endDetour()
+			continue
+		}
+		if f.Picker != nil && f.countStoreFailure() && f.isPeerAhead(ctx, f.Picker.PeersAndSubstitutes()) {
 			// Peers hear from the store, so only this process is cut off. During an
 			// outage for all, the source stays: the routers that poll this one would
 			// otherwise all turn to the store.
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -157,5 +157,8 @@
 // store answers.
 func (f *Follower) countStoreFailure() bool {
 	f.storeFailures++
+	if f.storeFailures > 1 {
+		f.failing.set(true)
+	}
 	return f.storeFailures > 1 && f.isBehind()
 }
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -19,6 +19,8 @@
 	Age, Elapsed time.Duration
 	// Grace is how long removed entries remain valid.
 	Grace time.Duration
+	// Failing is set if the router's calls to the store fail, so that it learns of no changes.
+	Failing bool
 	// Starting is set if the router reads the store for the first time and has no contents.
 	Starting bool
 }
@@ -45,7 +47,11 @@
 		return Updates{}, ErrNotWatching
 	}
 	start := f.Clock()
-	f.Replica.Wait(ctx, after, min(timeout, peerPollTimeout))
+	if timeout > 0 {
+		waiting, cancel := f.failing.cancelOnBegin(ctx)
+		f.Replica.Wait(waiting, after, min(timeout, peerPollTimeout))
+		cancel()
+	}
 	if f.starting.Load() {
 		return Updates{Starting: true}, nil
 	}
@@ -54,7 +60,7 @@
 	}
 	// The age is read before the items and is that of the applied contents. An answer
 	// of the store whose changes are still being decoded does not count.
-	updates := Updates{Age: f.Clock() - time.Duration(f.syncedAt.Load()), Grace: f.grace()}
+	updates := Updates{Age: f.Clock() - time.Duration(f.syncedAt.Load()), Grace: f.grace(), Failing: f.failing.get()}
 	updates.Changes = f.Replica.Since(after)
 	updates.Elapsed = f.Clock() - start
 	return updates, nil
@@ -65,7 +71,7 @@
 	after := f.Revision()
 	queryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timeout := peerPollTimeout
+	timeout := f.outdatedWait()
 	if !f.hasContents && f.startUntil > 0 {
 		timeout = min(timeout, max(f.startUntil-f.Clock(), 0))
 	}
@@ -103,6 +109,10 @@
 	f.awaitsPeer = f.awaitsPeer && updates.Revision == after
 	f.applyUpdates(updates)
 	f.recordPeerContact(sentAt, updates)
+	f.sourceFailing = updates.Failing
+	if f.detour.active && updates.Failing {
+		return errSourceOutdated
+	}
 	return nil
 }
 
--- a/internal/coordination/follow/outage.go
+++ b/internal/coordination/follow/outage.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -10,6 +12,7 @@
 // minOutage, removals get removalGrace.
 func (f *Follower) recordStoreContact(at time.Duration) {
 	f.storeFailures = 0
+	f.failing.set(false)
 	f.reread.failed = false
 	silent := f.SinceLastContact()
 	if f.disconnected || silent > maxWatchTimeout+minOutage {
@@ -42,6 +45,48 @@
 	f.disconnected = true
 }
 
+// failingState tells those that wait when a process begins to fail.
+type failingState struct {
+	mu     sync.Mutex
+	failed bool
+	begun  chan struct{} // closed when it begins to fail
+}
+
+func (s *failingState) set(failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if failed && !s.failed && s.begun != nil {
+		close(s.begun)
+		s.begun = nil
+	}
+	s.failed = failed
+}
+
+func (s *failingState) get() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// cancelOnBegin returns a context that is done as soon as the process begins to fail.
+func (s *failingState) cancelOnBegin(ctx context.Context) (context.Context, context.CancelFunc) {
+	s.mu.Lock()
+	if s.begun == nil {
+		s.begun = make(chan struct{})
+	}
+	begun := s.begun
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-begun:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 func (f *Follower) grace() time.Duration {
 	return max(time.Duration(f.graceUntil.Load())-f.Clock(), 0)
 }
--- a/internal/coordination/follow/picker.go
+++ b/internal/coordination/follow/picker.go
@@ -86,9 +86,40 @@
 			return Source{Address: addr, Reason: "watches for another failure domain"}
 		}
 	}
+	if watcher { // which the store turned away
+		for _, addr := range p.firstSubstitutes() {
+			if !p.isAvoided(addr) {
+				return Source{Address: addr, Reason: "may watch in place of this router"}
+			}
+		}
+	}
 	return Source{Reason: "no watcher answers", Fallback: true}
 }
 
+// Substitutes returns the routers of this failure domain that do not watch the store, in the order
+// in which they replace its watchers.
+func (p *Picker) Substitutes() []string {
+	routers := []Router{{Address: p.Self, Domain: p.Domain, LinkMbps: p.LinkMbps}}
+	for _, r := range p.Routers() {
+		if r.Domain == p.Domain && r.Address != p.Self {
+			routers = append(routers, r)
+		}
+	}
+	ranked := rank(routers, p.Domain)
+	return ranked[min(len(ranked), watchersPerDomain):]
+}
+
+func (p *Picker) firstSubstitutes() []string {
+	substitutes := p.Substitutes()
+	return substitutes[:min(len(substitutes), maxSubstitutes)]
+}
+
+// PeersAndSubstitutes returns the routers that a watcher may poll if the store fails, in the order
+// in which they are picked.
+func (p *Picker) PeersAndSubstitutes() []string {
+	return append(p.Peers(), slices.DeleteFunc(p.firstSubstitutes(), p.isAvoided)...)
+}
+
 // Peers returns the routers that this one may poll if it does not use the store, in the order
 // in which they are picked.
 func (p *Picker) Peers() []string {
@@ -199,6 +230,13 @@
 // rankWatchers returns the link addresses of the watchers among the routers of a failure
 // domain, by rank.
 func rankWatchers(routers []Router, domain string) []string {
+	ranked := rank(routers, domain)
+	return ranked[:min(len(ranked), watchersPerDomain)]
+}
+
+// rank returns the link addresses of the routers of a failure domain in the order in which they
+// are its watchers.
+func rank(routers []Router, domain string) []string {
 	hashes := make(map[string]uint64, len(routers))
 	for _, r := range routers {
 		hashes[r.Address] = spread.Hash(domain, r.Address)
@@ -206,9 +244,9 @@
 	slices.SortFunc(routers, func(a, b Router) int {
 		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(hashes[a.Address], hashes[b.Address]), cmp.Compare(a.Address, b.Address))
 	})
-	var out []string
-	for _, r := range routers[:min(len(routers), watchersPerDomain)] {
-		out = append(out, r.Address)
+	out := make([]string, len(routers))
+	for i, r := range routers {
+		out[i] = r.Address
 	}
 	return out
 }
--- a/internal/coordination/follow/query.go
+++ b/internal/coordination/follow/query.go
@@ -16,7 +16,7 @@
 // an unresponsive connection before the others.
 func (f *Follower) watchTimeout() time.Duration {
 	if f.Picker == nil {
-		return minWatchTimeout
+		return soloWatchTimeout
 	}
 	if !f.Watching() {
 		return shortWatchTimeout
--- a/internal/coordination/follow/source.go
+++ b/internal/coordination/follow/source.go
@@ -10,6 +10,9 @@
 // of the previous one.
 func (f *Follower) pickSource(ctx context.Context) {
 	next := f.nextSource(ctx)
+	if f.Picker != nil {
+		next = f.replaceOutdated(ctx, next)
+	}
 	if !next.IsStore() {
 		f.starting.Store(false)
 	}
@@ -21,7 +24,8 @@
 	f.source = next
 	f.mu.Unlock()
 	if previous.Address != next.Address {
-		f.watching.Store(false)
+		// The store has just answered a router that calls it in place of the watchers.
+		f.watching.Store(next.IsStore() && f.detour.active && f.synced)
 		f.staleSince = 0
 		f.awaitsPeer = false
 		f.reread.due = false
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -167,6 +167,7 @@
 		Interconnect:        r.interconnect,
 		Revision:            func() model.Revision { return r.follower.AdvertisedRevision() },
 		ObservePeerRevision: func(revision model.Revision) { r.follower.ObservePeerRevision(revision) },
+		ObservePeerContact:  func(revision model.Revision, at time.Duration) { r.follower.ObservePeerContact(revision, at) },
 		HandlePeerSuspicion: func(engine model.Incarnation) { r.prober.HandlePeerSuspicion(engine) },
 		HandlePeerRefusal:   func(engine model.Incarnation, until time.Time) { r.prober.HandlePeerRefusal(engine, until) },
 		HandlePeerLeaving:   func(engine model.Incarnation) { r.front.Relay.HandlePeerLeaving(engine) },
--- a/internal/protocol/wire/router.go
+++ b/internal/protocol/wire/router.go
@@ -121,6 +121,8 @@
 	Items json.RawMessage `json:"items,omitempty"`
 	// Packed is that list compressed with DEFLATE, instead of Items.
 	Packed []byte `json:"packed,omitempty"`
+	// Failing is set if the sender's calls to the store fail.
+	Failing bool `json:"failing,omitempty"`
 	// Starting is set if the sender reads the store for the first time and has no contents.
 	Starting bool `json:"starting,omitempty"`
 }
--- a/internal/transport/peers/heartbeat.go
+++ b/internal/transport/peers/heartbeat.go
@@ -159,6 +159,9 @@
 	x.RetryBorrower.SetPeerTokens(from, b.SpareTokens, validity)
 	x.mergeLimits(from, b.Limits)
 	x.ObservePeerRevision(b.Revision)
+	if x.ObservePeerContact != nil {
+		x.ObservePeerContact(b.Revision, arrived-milliseconds(b.ConfigAgeMS))
+	}
 	own := x.Config.Version()
 	switch {
 	case b.Config == own && own > 0:
--- a/internal/transport/peers/news.go
+++ b/internal/transport/peers/news.go
@@ -109,6 +109,7 @@
 		Age:     milliseconds(reply.AgeMS),
 		Elapsed: milliseconds(reply.ElapsedMS),
 		Grace:   milliseconds(reply.GraceMS),
+		Failing: reply.Failing,
 	}, nil
 }
 
@@ -136,6 +137,7 @@
 		AgeMS:     ceilMilliseconds(updates.Age),
 		ElapsedMS: updates.Elapsed.Milliseconds(),
 		GraceMS:   updates.Grace.Milliseconds(),
+		Failing:   updates.Failing,
 		Packed:    encoded.packed,
 	}
 	if reply.Packed == nil {
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -59,6 +59,9 @@
 	// ObservePeerRevision is called with the revision of a peer.
 	Revision            func() model.Revision
 	ObservePeerRevision func(revision model.Revision)
+	// ObservePeerContact is called with the time of Clock at which a peer with contents up to a
+	// revision was last known to have heard from the store. It may be nil.
+	ObservePeerContact func(revision model.Revision, at time.Duration)
 	// HandlePeerSuspicion is called with engines that a peer suspects.
 	HandlePeerSuspicion func(engine model.Incarnation)
 	Clock               func() time.Duration
