fleet: test of routers whose watchers the store turns away

Real routers in two failure domains, each with its own way to the store, which turns away the four that watch (503, reset, silence) and serves the others. Guards the field in the answers and the contacts in the heartbeats that the model of package follow assumes.

--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -45,6 +45,8 @@
 	routers []*router
 	version int64
 	config  map[string]any
+	gated   bool             // each router has its own way to the store
+	gates   map[string]*gate // by router
 }
 
 type router struct {
@@ -62,9 +64,15 @@
 	}
 }
 
-func newSite(t *testing.T, routers int) *site {
+func newSite(t *testing.T, routers int) *site { return newSiteWith(t, routers, nil) }
+
+// newSiteWith starts a site. setup, which may be nil, changes it before that.
+func newSiteWith(t *testing.T, routers int, setup func(*site)) *site {
 	t.Parallel()
 	s := &site{t: t, store: standin.NewStore()}
+	if setup != nil {
+		setup(s)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.addr = l.Addr().String()
@@ -165,6 +173,9 @@
 	set.Router.Ready = freeAddress(s.t)
 	set.Router.Peers = freeAddress(s.t)
 	set.Router.Store = s.addr
+	if s.gated {
+		set.Router.Store = s.openGate(name)
+	}
 	set.Router.FirstStart = true
 	set.Router.RetrySlack = 200
 	set.Router.Grace = settings.Duration(3 * time.Second)
