follow: a router that stands in for the watchers keeps the store when its watch is cancelled

It also forgets earlier failures when the store answers it; otherwise a former watcher would tell that its calls fail.

TestSubstituteKeepsTheStoreWhenItsWatchIsCancelled: red before (the router leaves the store within a second), three of three runs pass since.

--- a/internal/coordination/follow/detour.go
+++ b/internal/coordination/follow/detour.go
@@ -237,6 +237,8 @@
 	if f.outage(now) > minOutage {
 		f.graceUntil.Store(int64(now + removalGrace))
 	}
+	f.storeFailures = 0
+	f.failing.set(false)
 	f.apply(replica.ItemsWithValues(page.Items), page.Revision)
 	f.lastContact.Store(int64(now))
 	f.answerTime = now
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -241,7 +241,7 @@
 			f.synced = false
 			continue
 		}
-		if f.detour.active {
+		if f.detour.active && !errors.Is(err, errCancelled) {
 			f.endDetour()
 			continue
 		}
--- a/internal/coordination/follow/turnedaway_test.go
+++ b/internal/coordination/follow/turnedaway_test.go
@@ -124,3 +124,33 @@
 		})
 	}
 }
+
+// A router watches the store in place of the watchers when another one commits, and the watches are
+// silent for a moment. Guards against routers that give the store up for a watch that they
+// cancelled themselves, so that those that poll them search again.
+func TestSubstituteKeepsTheStoreWhenItsWatchIsCancelled(t *testing.T) {
+	inFleet(t, 1, 6, func(t *testing.T, f *fleet) {
+		f.turnAway(f.watchers(), "rejected")
+		time.Sleep(applyBound)
+		substitutes := f.watchers()
+		for n := range substitutes {
+			if n.isTurnedAway() {
+				delete(substitutes, n)
+			}
+		}
+		assert.Equal(t, len(substitutes), 1)
+		f.store.SetFaults(silentFaults["answered"])
+		for _, n := range f.nodes {
+			if !n.isTurnedAway() && !substitutes[n] {
+				f.commit(n, "plan", "1")
+				break
+			}
+		}
+		for range 20 {
+			time.Sleep(50 * time.Millisecond)
+			for n := range substitutes {
+				assert.Assert(t, f.watchers()[n], "%s has left the store", n.Address)
+			}
+		}
+	})
+}
