follow: routers without contents do not poll starting watchers continuously

Found by reading: since routers count the age of their sources, one that starts and has no contents yet polled the watchers, which start as well, every 50 ms once it had waited for 1.3 s. It waits as long as before now; the age concerns routers with contents only.

--- a/internal/coordination/follow/detour.go
+++ b/internal/coordination/follow/detour.go
@@ -99,6 +99,9 @@
 // outdatedWait returns how long a poll may wait, so that this router notices in time that its
 // source is outdated and takes its turn.
 func (f *Follower) outdatedWait() time.Duration {
+	if !f.hasContents {
+		return peerPollTimeout
+	}
 	next := maxSourceAge - f.sinceAnyContact()
 	if d := &f.detour; d.outdatedSince > 0 {
 		next = min(d.nextAsk, max(d.nextCall, d.turn)) - f.Clock()
--- a/internal/coordination/follow/start_test.go
+++ b/internal/coordination/follow/start_test.go
@@ -182,3 +182,23 @@
 		f.assertContents(t)
 	})
 }
+
+// The watchers take long to read the store at a start of all. Guards against routers without
+// contents that count their sources as outdated and poll them more often than they send
+// heartbeats.
+func TestStartingWatchersAreNotPolledContinuously(t *testing.T) {
+	const domains, each = 3, 12
+	inFleet(t, domains, each, func(t *testing.T, f *fleet) {
+		f.stop()
+		f.widen(each)
+		for _, n := range f.nodes {
+			n.polls, n.readTime = 0, 1900*time.Millisecond
+		}
+		f.startAll(100*time.Millisecond, 120, nil)
+		const wait = 2500 * time.Millisecond
+		time.Sleep(wait)
+		for _, n := range f.nodes {
+			n.set(func() { assert.Check(t, n.polls <= int(wait/testHeartbeatInterval), "%s polled %d times", n.Address, n.polls) })
+		}
+	})
+}
