--- a/internal/coordination/follow/detour.go
+++ b/internal/coordination/follow/detour.go
@@ -96,9 +96,9 @@
 	return f.sourceFailing || f.sinceAnyContact() > maxSourceAge
 }
 
-// outdatedWait returns how long a poll may wait, so that this router notices in time that its
-// source is outdated and takes its turn.
-func (f *Follower) outdatedWait() time.Duration {
+// pollTimeout returns how long a polled watcher may wait for updates. The poll ends in time for this
+// router to notice that its source is outdated, and to take its turn.
+func (f *Follower) pollTimeout() time.Duration {
 	if !f.hasContents {
 		return peerPollTimeout
 	}
--- a/internal/coordination/follow/fleet_model_test.go
+++ b/internal/coordination/follow/fleet_model_test.go
@@ -75,10 +75,6 @@
 	readTime     time.Duration
 }
 
-// turnedAwayHow are the ways in which the store turns a router away: it answers 503, it resets the
-// connections, or it does not respond.
-var turnedAwayHow = []string{"rejected", "reset", "silent"}
-
 func newFleet(domains, each int) *fleet {
 	f := &fleet{store: standin.NewStore(), started: time.Now(), cut: map[[2]string]bool{}}
 	for d := range domains {
@@ -270,39 +266,6 @@
 	return updates, err
 }
 
-func (n *node) turnAway(how string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.turnedAway = how
-	if n.cut != nil {
-		close(n.cut)
-	}
-	n.cut = make(chan struct{})
-}
-
-func (n *node) isTurnedAway() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.turnedAway != ""
-}
-
-// awaitTurnedAway waits until ctx is done or the store turns this router away. A silent store
-// does not end the call in progress.
-func (n *node) awaitTurnedAway(ctx context.Context) (ended bool) {
-	n.mu.Lock()
-	cut := n.cut
-	n.mu.Unlock()
-	select {
-	case <-cut:
-		n.mu.Lock()
-		how := n.turnedAway
-		n.mu.Unlock()
-		return how != "silent"
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // checkReachable returns an error if the store rejects this router's calls, and blocks
 // while the router is frozen.
 func (n *node) checkReachable(ctx context.Context) error {
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -71,7 +71,7 @@
 	after := f.Revision()
 	queryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timeout := f.outdatedWait()
+	timeout := f.pollTimeout()
 	if !f.hasContents && f.startUntil > 0 {
 		timeout = min(timeout, max(f.startUntil-f.Clock(), 0))
 	}
--- a/internal/coordination/follow/start_test.go
+++ b/internal/coordination/follow/start_test.go
@@ -198,7 +198,9 @@
 		const wait = 2500 * time.Millisecond
 		time.Sleep(wait)
 		for _, n := range f.nodes {
-			n.set(func() { assert.Check(t, n.polls <= int(wait/testHeartbeatInterval), "%s polled %d times", n.Address, n.polls) })
+			n.set(func() {
+				assert.Check(t, n.polls <= int(wait/testHeartbeatInterval), "%s polled %d times", n.Address, n.polls)
+			})
 		}
 	})
 }
--- a/internal/coordination/follow/turnedaway_test.go
+++ b/internal/coordination/follow/turnedaway_test.go
@@ -21,25 +21,6 @@
 	returnTime = failedSourceDelay*3/2 + 2*detourPeriod*3/2 + time.Second
 )
 
-// turnAway makes the store answer no calls of the given routers: it rejects or resets them, or
-// does not respond.
-func (f *fleet) turnAway(nodes map[*node]bool, how string) {
-	for n := range nodes {
-		n.turnAway(how)
-	}
-}
-
-// servedWithout returns the routers that lack a key's value although the store serves them.
-func (f *fleet) servedWithout(key, value string) []string {
-	var out []string
-	for _, addr := range f.without(key, value) {
-		if !f.node(addr).isTurnedAway() {
-			out = append(out, addr)
-		}
-	}
-	return out
-}
-
 // storeCalls returns the number of calls of all routers to the store.
 func (f *fleet) storeCalls() (calls int) {
 	for _, n := range f.nodes {
