logs: the version that admitted a request, from whom it came and its age at the admission

Cause: the line of a request had the age of the configuration at its end, and no line told from which router a version came or how long a failed poll took.

Change: request ended has configFrom, and configAgeMs is that of the admission; configuration in force names the router as source; a failed poll logs the time that it took and the age of the contents.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -178,6 +178,17 @@
 	return f.Clock() - time.Duration(f.lastContact.Load())
 }
 
+// Origin returns from where the last updates came, for the log: a router's link address, or
+// "store".
+func (f *Follower) Origin() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.source.IsStore() {
+		return "store"
+	}
+	return f.source.Address
+}
+
 // Revision returns the revision up to which the contents are complete.
 func (f *Follower) Revision() model.Revision { return model.Revision(f.revision.Load()) }
 
@@ -215,6 +226,7 @@
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		f.pickSource(ctx)
+		start := f.Clock()
 		err := f.pollSource(ctx)
 		if ctx.Err() != nil {
 			return
@@ -232,7 +244,8 @@
 		case errors.Is(err, errPeerLags) && f.confirmUndelivered(ctx):
 			continue
 		case !f.source.IsStore():
-			klog.InfoS("polling peer for store updates failed", "peer", f.source.Address, "err", err, "revision", f.Revision())
+			klog.InfoS("polling peer for store updates failed", "peer", f.source.Address, "err", err, "revision", f.Revision(),
+				"took", f.Clock()-start, "age", f.SinceLastContact())
 			f.endDetour()
 			f.Picker.MarkFailed(f.source)
 			continue
--- a/internal/coordination/placement/controller_test.go
+++ b/internal/coordination/placement/controller_test.go
@@ -62,7 +62,7 @@
 func (s *testCluster) publishConfig(sp *model.EngineSpec) {
 	s.spec = sp
 	version := s.c.Config.Version() + 1
-	s.c.Config.Apply(&model.RouteConfig{Version: version, Services: []model.Service{{Name: "s", Engine: sp}, {Name: "plain"}}}, nil)
+	s.c.Config.Apply(&model.RouteConfig{Version: version, Services: []model.Service{{Name: "s", Engine: sp}, {Name: "plain"}}}, nil, "")
 }
 
 func (s *testCluster) add(engines []Engine) {
--- a/internal/coordination/placement/coverage_scope_test.go
+++ b/internal/coordination/placement/coverage_scope_test.go
@@ -48,7 +48,7 @@
 func TestTwoEngineServicesKeepTheirState(t *testing.T) {
 	runCluster(t, func(t *testing.T, s *domainCluster) {
 		services := []model.Service{{Name: "s", Engine: s.spec}, {Name: "t", Engine: s.spec}}
-		s.c.Config.Apply(&model.RouteConfig{Version: s.c.Config.Version() + 1, Services: services}, nil)
+		s.c.Config.Apply(&model.RouteConfig{Version: s.c.Config.Version() + 1, Services: services}, nil, "")
 		s.catalog.Put(model.BackendServer{ID: "other", Service: "t", Address: "other", FailureDomain: "a", Card: "large", Revision: 1000})
 		s.run(time.Second)
 		s.register("new", "new", "a", "large", model.LayerRange{})
--- a/internal/coordination/routes/routes.go
+++ b/internal/coordination/routes/routes.go
@@ -18,7 +18,9 @@
 
 // Table is a configuration compiled for lookups.
 type Table struct {
-	Config    *model.RouteConfig
+	Config *model.RouteConfig
+	// Origin is from where this process received the configuration, for the log.
+	Origin    string
 	hosts     map[string][]*model.Route // longest prefix first
 	customers map[string]*model.RouteCustomer
 	services  map[string]*model.Service
@@ -197,15 +199,17 @@
 	return 0
 }
 
-// Apply puts a newer configuration in force and returns true. It ignores versions that are
-// not newer and returns false.
-func (c *ActiveConfig) Apply(cfg *model.RouteConfig, raw []byte) bool {
+// Apply puts a newer configuration, which was received from origin, in force and returns true.
+// It ignores versions that are not newer and returns false.
+func (c *ActiveConfig) Apply(cfg *model.RouteConfig, raw []byte, origin string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cfg.Version <= c.Version() {
 		return false
 	}
-	c.table.Store(Compile(cfg))
+	t := Compile(cfg)
+	t.Origin = origin
+	c.table.Store(t)
 	c.raw.Store(&RawConfig{Version: cfg.Version, Raw: raw})
 	ready := c.Ready()
 	c.closeReady.Do(func() { close(ready) })
--- a/internal/coordination/routes/routes_test.go
+++ b/internal/coordination/routes/routes_test.go
@@ -101,7 +101,7 @@
 		var c ActiveConfig
 		newest := int64(0)
 		for _, v := range rapid.SliceOf(rapid.Int64Range(1, 20)).Draw(rt, "versions") {
-			applied := c.Apply(config(v), nil)
+			applied := c.Apply(config(v), nil, "")
 			assert.Equal(rt, applied, v > newest)
 			newest = max(newest, v)
 			assert.Equal(rt, c.Version(), newest)
@@ -122,7 +122,7 @@
 		t.Fatal("no configuration is in force yet")
 	default:
 	}
-	c.Apply(config(1), nil)
-	c.Apply(config(2), nil)
+	c.Apply(config(1), nil, "")
+	c.Apply(config(2), nil, "")
 	<-c.Ready()
 }
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -100,11 +100,12 @@
 	if before == 0 {
 		r.exchange.FetchNewer(cfg.Version)
 	}
-	if !r.config.Apply(cfg, it.Value) {
+	origin := r.follower.Origin()
+	if !r.config.Apply(cfg, it.Value, origin) {
 		klog.InfoS("configuration skipped: not newer than the one in force", "version", cfg.Version, "inForce", r.config.Version())
 		return
 	}
-	klog.InfoS("configuration in force", "version", cfg.Version, "before", before, "source", "store", "revision", it.Revision,
+	klog.InfoS("configuration in force", "version", cfg.Version, "before", before, "source", origin, "revision", it.Revision, "age", r.follower.SinceLastContact(),
 		"routes", len(cfg.Routes), "customers", len(cfg.Customers), "decoding", time.Since(start))
 }
 
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -57,7 +57,7 @@
 			Layers: 12, LayerMB: 1000, KVTokenBytes: 1e6, StepTime: time.Millisecond, PrefillRate: 1e5,
 			Cards: []model.Card{{Name: "fast", MB: 16000, StepTimeFactor: 2, PrefillFactor: 2}},
 		}}},
-	}, nil)
+	}, nil, "")
 	r.catalog.Put(model.BackendServer{ID: "e", Service: "s", Address: "e:1", Card: "fast", Holds: model.LayerRange{To: 12}, Slots: 9})
 	return r
 }
--- a/internal/protocol/relay/answer.go
+++ b/internal/protocol/relay/answer.go
@@ -16,9 +16,8 @@
 // configuration may be out of date, a permanent refusal is replaced by a temporary one
 // that the caller may retry.
 func (q *request) reject(f *fault.Error) bool {
-	age := q.Config.Age(q.Clock())
 	permanent := f.Kind == fault.NotFound || f.Kind == fault.UnknownCustomer
-	if permanent && age > q.MaxConfigAge {
+	if permanent && q.configAge > q.MaxConfigAge {
 		f = fault.New(fault.StaleConfig, "the configuration may be out of date: %s", f.Msg)
 	}
 	return q.respondError(f)
@@ -80,7 +79,7 @@
 	klog.InfoS("request ended", "request", q.call.Attempt, "outcome", outcome, "kind", kind, "cause", msg,
 		"status", status, "progress", q.progress(), "route", route, "service", service, "customer", q.admitted.Customer,
 		"ms", elapsed.Milliseconds(), "firstEventMs", q.timeToFirstEvent.Milliseconds(), "longestGapMs", q.longestGap.Milliseconds(), "sends", q.sends, "mayHaveRun", q.runs, "chain", q.chain,
-		"configVersion", q.admitted.Version, "configAgeMs", q.Config.Age(q.Clock()).Milliseconds())
+		"configVersion", q.admitted.Version, "configAgeMs", q.configAge.Milliseconds(), "configFrom", q.configOrigin)
 }
 
 // progress returns, for the log, how far the request got before it ended.
--- a/internal/protocol/relay/endless_test.go
+++ b/internal/protocol/relay/endless_test.go
@@ -64,7 +64,7 @@
 			cfg := *f.Config.Load().Config
 			cfg.Version++
 			cfg.Services[0].HealthPath = "/health"
-			f.Config.Apply(&cfg, nil)
+			f.Config.Apply(&cfg, nil, "")
 			c.call(f)
 			assert.Assert(t, len(bodies) > 0)
 			for _, b := range bodies {
--- a/internal/protocol/relay/load_test.go
+++ b/internal/protocol/relay/load_test.go
@@ -79,7 +79,7 @@
 	for i := range 4 {
 		cfg.Customers = append(cfg.Customers, model.RouteCustomer{Name: fmt.Sprint("customer", i), APIKeys: []string{fmt.Sprint("key", i)}})
 	}
-	assert.Assert(t, l.Config.Apply(cfg, nil))
+	assert.Assert(t, l.Config.Apply(cfg, nil, ""))
 	return l
 }
 
--- a/internal/protocol/relay/panic_test.go
+++ b/internal/protocol/relay/panic_test.go
@@ -72,7 +72,7 @@
 		Version:  1,
 		Routes:   []model.Route{{Name: "notice", Kind: model.RouteNotRepeatable, MaxAttempts: 1, Split: []model.ServiceShare{{Service: "notices", Weight: 1}}}},
 		Services: []model.Service{{Name: "notices"}},
-	}, nil)
+	}, nil, "")
 	r.Catalog.Put(model.BackendServer{ID: "n", Service: "notices", Address: "n:1", FailureDomain: "a", Slots: 9})
 	r.RetryBorrower = &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(1, 1, time.Second, func() int { return 1 }, time.Now), Now: time.Now}
 	r.Clock = func() time.Duration { return 0 }
--- a/internal/protocol/relay/pause_test.go
+++ b/internal/protocol/relay/pause_test.go
@@ -199,7 +199,7 @@
 		cfg := *s.Config.Load().Config
 		cfg.Version++
 		cfg.Services[0].HealthPath = "/health"
-		s.Config.Apply(&cfg, nil)
+		s.Config.Apply(&cfg, nil, "")
 		one := s.Catalog.Load().ByID("one")
 		healthy, err := s.Healthy(t.Context(), one)
 		assert.NilError(t, err)
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -175,10 +175,14 @@
 // request is the state of one request.
 type request struct {
 	*Relay
-	call      *model.Call
-	admitted  routes.Admission
-	out       *headerTracker
-	startTime time.Time
+	call     *model.Call
+	admitted routes.Admission
+	// configAge and configOrigin are the time since the configuration that admitted the request
+	// was last confirmed, and from where it came; for the log.
+	configAge    time.Duration
+	configOrigin string
+	out          *headerTracker
+	startTime    time.Time
 	// runs counts the sends that may have run; sends counts all sends.
 	runs, sends int
 	// unsentAttempts counts the attempts of which nothing was sent.
@@ -221,6 +225,7 @@
 	}
 	admitted, denied := table.Admit(c, q.startTime)
 	q.admitted = admitted
+	q.configAge, q.configOrigin = r.Config.Age(r.Clock()), table.Origin
 	if denied != nil {
 		return q.reject(denied)
 	}
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -112,7 +112,7 @@
 	route.Name, route.Host, route.Prefix = "r", "h", "/"
 	route.Split = []model.ServiceShare{{Service: "s", Weight: 1}}
 	current := &routes.ActiveConfig{}
-	current.Apply(&model.RouteConfig{Version: 1, Routes: []model.Route{route}, Services: []model.Service{svc}}, nil)
+	current.Apply(&model.RouteConfig{Version: 1, Routes: []model.Route{route}, Services: []model.Service{svc}}, nil, "")
 	c := catalog.New(time.Now)
 	for _, id := range []string{"one", "two"} {
 		c.Put(model.BackendServer{ID: id, Service: "s", Address: id + ":1", FailureDomain: "a", Card: "fast", Holds: model.LayerRange{To: 12}, Slots: 9})
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -68,7 +68,7 @@
 // serveLimited is serve with a limit on new connections.
 func serveLimited(t *testing.T, limit *intake.Gate[net.Conn], u upstream) (*Server, string) {
 	current := &routes.ActiveConfig{}
-	current.Apply(config(1, 300*time.Millisecond), nil)
+	current.Apply(config(1, 300*time.Millisecond), nil, "")
 	cat := catalog.New(time.Now)
 	cat.Put(model.BackendServer{ID: "b", Service: "s", Address: "1:1"})
 	rel := &relay.Relay{
--- a/internal/transport/front/rest_test.go
+++ b/internal/transport/front/rest_test.go
@@ -95,9 +95,9 @@
 func TestLongerIdleTimeoutAppliesToIdleConnections(t *testing.T) {
 	const short = 50 * time.Millisecond
 	s, addr := serve(t, echo)
-	s.Config.Apply(config(2, short), nil)
+	s.Config.Apply(config(2, short), nil, "")
 	c := newIdleConn(t, addr, 1)
-	s.Config.Apply(config(3, time.Minute), nil)
+	s.Config.Apply(config(3, time.Minute), nil, "")
 	time.Sleep(short + keepalive.IdleMargin(short) + 200*time.Millisecond)
 	assert.NilError(t, c.send(1))
 	assert.NilError(t, c.readResponse(1))
--- a/internal/transport/front/stalled_test.go
+++ b/internal/transport/front/stalled_test.go
@@ -46,7 +46,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				current := &routes.ActiveConfig{}
-				current.Apply(config(1, 300*time.Millisecond), nil)
+				current.Apply(config(1, 300*time.Millisecond), nil, "")
 				s := &Server{Config: current}
 				near, far := net.Pipe()
 				l := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
--- a/internal/transport/peers/confirm_test.go
+++ b/internal/transport/peers/confirm_test.go
@@ -57,7 +57,7 @@
 		HasTraffic:          func() bool { return true },
 	}
 	x.Register(link.NewServer(metadataOf("self:1")))
-	x.Config.Apply(&model.RouteConfig{Version: 1}, nil)
+	x.Config.Apply(&model.RouteConfig{Version: 1}, nil, "")
 	t.Cleanup(func() {
 		x.Pool.Close()
 		stop()
--- a/internal/transport/peers/fetch.go
+++ b/internal/transport/peers/fetch.go
@@ -78,8 +78,8 @@
 		klog.InfoS("backend servers copied from a peer", "peer", from, "servers", len(reply.Servers))
 	}
 	before := x.Config.Version()
-	if x.Config.Apply(cfg, reply.Raw) {
-		klog.InfoS("configuration in force", "version", cfg.Version, "before", before, "source", "peer", "peer", from)
+	if x.Config.Apply(cfg, reply.Raw, from) {
+		klog.InfoS("configuration in force", "version", cfg.Version, "before", before, "source", from, "why", "its heartbeat had a newer version")
 	}
 	return nil
 }
--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -50,8 +50,8 @@
 func TestFetchWaitsForTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := &Exchange{Config: &routes.ActiveConfig{}, HasTraffic: func() bool { return true }} // a fetch would panic without a Pool
-		x.Config.Apply(&model.RouteConfig{Version: 2}, nil)
-		time.AfterFunc(300*time.Millisecond, func() { x.Config.Apply(&model.RouteConfig{Version: 4}, nil) })
+		x.Config.Apply(&model.RouteConfig{Version: 2}, nil, "")
+		time.AfterFunc(300*time.Millisecond, func() { x.Config.Apply(&model.RouteConfig{Version: 4}, nil, "") })
 		assert.NilError(t, x.fetchIfBehind("peer", wire.RouterHeartbeat{Config: 4}))
 		assert.Equal(t, x.Config.Version(), int64(4))
 	})
