link: senders to one address share the attempt to connect, each until its own deadline

What callers see: changes that reach a router late, as its polls of a silent address outlast their timeouts (CONFIG).

Cause: Pool.get connected while it held the peer's lock. To an address that answers nothing that takes 0.5 s, heartbeats begin it four times a second, and every other sender, cancelled or not, and Reset after it waited for the lock: up to 0.5 s before and after a poll, more with further senders.

Change: one attempt to connect at a time for an address, without the lock, for which senders wait until their own contexts end. A sender that comes later in the attempt shares its outcome.

--- a/internal/transport/link/pool.go
+++ b/internal/transport/link/pool.go
@@ -27,12 +27,25 @@
 	metadata *Metadata
 	peers    *shard.Map[string, *peer]
 	dial     func(ctx context.Context, addr string) (net.Conn, error)
+	// ctx ends with Close. It ends the attempts to connect.
+	ctx   context.Context
+	close context.CancelFunc
 }
 
 type peer struct {
 	addr string
-	mu   sync.Mutex
-	conn *clientConn // nil if none is open
+	mu   sync.Mutex // not held while connecting
+	conn *clientConn
+	// connecting is the attempt to connect in progress; nil if there is none.
+	connecting *connecting
+}
+
+// connecting is an attempt to connect, for which all senders to a peer wait, each until its own
+// context ends. Fields other than done are set before done is closed.
+type connecting struct {
+	done chan struct{}
+	conn *clientConn
+	err  error
 }
 
 // clientConn is a connection opened by this process.
@@ -45,7 +58,8 @@
 
 // NewPool returns an empty pool.
 func NewPool(metadata *Metadata) *Pool {
-	return &Pool{metadata: metadata, peers: shard.New[string, *peer](), dial: dial}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{metadata: metadata, peers: shard.New[string, *peer](), dial: dial, ctx: ctx, close: cancel}
 }
 
 // dial opens a connection to a peer.
@@ -131,6 +145,7 @@
 
 // Close closes every connection.
 func (p *Pool) Close() {
+	p.close()
 	for _, pr := range p.peers.Values() {
 		pr.mu.Lock()
 		pr.closeConn()
@@ -138,21 +153,54 @@
 	}
 }
 
+// get returns the connection to a peer. It connects if there is none.
 func (p *Pool) get(ctx context.Context, addr string) (*clientConn, error) {
 	pr, _ := p.peers.GetOrPut(addr, func() *peer { return &peer{addr: addr} })
+	conn, attempt := p.connOrAttempt(pr)
+	if conn != nil {
+		return conn, nil
+	}
+	select {
+	case <-attempt.done:
+		return attempt.conn, attempt.err
+	case <-ctx.Done():
+		return nil, fault.New(fault.NotConnected, "dial %s: no connection before the deadline", addr)
+	}
+}
+
+// connOrAttempt returns the open connection to a peer or, if there is none, the attempt to connect.
+func (p *Pool) connOrAttempt(pr *peer) (*clientConn, *connecting) {
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
 	if pr.conn != nil && !closed(pr.conn.Conn) {
 		return pr.conn, nil
 	}
-	c, err := p.dial(ctx, addr)
+	if pr.connecting == nil {
+		pr.connecting = &connecting{done: make(chan struct{})}
+		go p.connect(pr, pr.connecting)
+	}
+	return nil, pr.connecting
+}
+
+// connect carries out an attempt to connect.
+func (p *Pool) connect(pr *peer, attempt *connecting) {
+	c, err := p.dial(p.ctx, pr.addr)
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	defer close(attempt.done)
+	pr.connecting = nil
+	if err == nil && p.ctx.Err() != nil {
+		c.Close()
+		err = net.ErrClosed
+	}
 	if err != nil {
-		return nil, fault.New(fault.NotConnected, "dial %s: %v", addr, err)
+		attempt.err = fault.New(fault.NotConnected, "dial %s: %v", pr.addr, err)
+		return
 	}
 	// Peers only send replies on this connection.
 	f := newFrames(p.metadata.countBytes(c), func([]byte) {})
-	pr.conn = &clientConn{Conn: jsonrpc2.NewConn(context.Background(), f, NewServer(p.metadata)), frames: f}
-	return pr.conn, nil
+	attempt.conn = &clientConn{Conn: jsonrpc2.NewConn(context.Background(), f, NewServer(p.metadata)), frames: f}
+	pr.conn = attempt.conn
 }
 
 // isReply reports whether an error is a reply of the peer.
