follow: the call in place of the watchers runs beside the polling

What callers see: a commit that no watch delivers reaches some routers only after more than a second (CONFIG).

Cause, shown by the log of a failing run: while watches are not answered, the sources count as outdated 1.3 s after their last contact. One router of each failure domain then called the store in their place, waited 0.5 s for the answer and did not poll its watcher, which had read the range meanwhile.

Change: the call runs beside the polls and ends the poll in progress when it has an outcome.

--- a/internal/coordination/follow/detour.go
+++ b/internal/coordination/follow/detour.go
@@ -10,8 +10,6 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/model"
-	"github.com/skylarkwood/skylarkwood/internal/platform"
-	"github.com/skylarkwood/skylarkwood/internal/state/replica"
 )
 
 const (
@@ -122,6 +120,9 @@
 func (f *Follower) replaceOutdated(ctx context.Context, preferred Source) Source {
 	d := &f.detour
 	now := f.Clock()
+	if f.finishCall() {
+		return f.beginDetour(Source{Reason: "no watcher learns of changes"})
+	}
 	switch {
 	case !f.hasContents, preferred.IsStore() && !(d.active && preferred.Fallback):
 		*d = detour{}
@@ -149,8 +150,8 @@
 	if addr := f.findLearning(ctx, preferred.Address); addr != "" {
 		return f.beginDetour(Source{Address: addr, Reason: "learns of changes, which the watchers do not"})
 	}
-	if f.Clock() >= max(d.turn, d.nextCall) && f.substitute(ctx) {
-		return f.beginDetour(Source{Reason: "no watcher learns of changes"})
+	if f.Clock() >= max(d.turn, d.nextCall) {
+		f.startCall(ctx)
 	}
 	return preferred
 }
@@ -213,41 +214,3 @@
 	return !updates.Starting && !updates.Failing &&
 		(updates.Age <= maxSourceAge || updates.Revision > f.Revision() || f.sinceAnyContact() <= maxSourceAge)
 }
-
-// substitute calls the store in place of the watchers. It reports whether this router should go on
-// to use the store: the sources missed changes, or the store turns them away.
-func (f *Follower) substitute(ctx context.Context) bool {
-	d := &f.detour
-	ctx, cancel := context.WithTimeout(ctx, substituteTimeout)
-	defer cancel()
-	age, failing := f.SinceLastContact(), f.sourceFailing
-	page, err := f.Store.Watch(ctx, f.Prefix, f.Revision(), 0)
-	compacted := errors.Is(err, platform.ErrCompacted)
-	klog.InfoS("store called in place of its watchers", "err", err, "items", len(page.Items), "revision", page.Revision, "before", f.Revision(), "age", age)
-	switch {
-	case compacted && !d.compacted:
-		// To read everything is expensive, and the watchers may just be about to.
-		d.compacted, d.nextCall = true, f.Clock()+compactedDelay+d.turn-d.outdatedSince
-		return false
-	case compacted:
-		f.synced = false
-		return true
-	case err != nil:
-		d.callDelay = min(max(2*d.callDelay, minCallDelay), maxCallDelay)
-		d.nextCall = f.Clock() + limits.Jitter(d.callDelay)
-		return false
-	}
-	now := f.Clock()
-	f.applying.Lock()
-	defer f.applying.Unlock()
-	if f.outage(now) > minOutage {
-		f.graceUntil.Store(int64(now + removalGrace))
-	}
-	f.storeFailures = 0
-	f.failing.set(false)
-	f.apply(replica.ItemsWithValues(page.Items), page.Revision)
-	f.lastContact.Store(int64(now))
-	f.answerTime = now
-	f.reportSynced()
-	return failing || len(page.Items) > 0
-}
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -126,6 +126,7 @@
 	acknowledged    atomic.Int64 // highest revision that the store returned to another call of this process
 	mu              sync.Mutex
 	cancelQuery     context.CancelFunc // cancels the query in progress
+	callDone        bool               // the call in place of the watchers has an outcome
 	cancelOutdated  bool               // cancel it if the source that it polls becomes outdated
 	laggingSince    time.Duration      // since when missingRevision is known; 0 if none is
 	missingRevision model.Revision     // known revision that this process lacks
@@ -139,6 +140,8 @@
 	undeliveredUntil time.Duration
 	wakeLagCheck     chan struct{}
 
+	background sync.WaitGroup // of calls to the store beside the polling
+
 	// applying is held while updates are applied. Large values arrive beside the polling.
 	applying    sync.Mutex
 	transfers   *transfer.Schedule
@@ -160,6 +163,7 @@
 	failing        failingState // of the calls to the store
 	sourceFailing  bool         // the polled peer said that its calls to the store fail
 	detour         detour
+	call           *storeCall    // in place of the watchers; nil if there is none
 	answerTime     time.Duration // the last answer was complete then
 	changesApplied bool          // the last answer came from the store and had changes
 	rangeTimeout   time.Duration // of the next read of the whole range
@@ -216,6 +220,7 @@
 	}
 	var fetching sync.WaitGroup
 	defer fetching.Wait()
+	defer f.background.Wait()
 	fetching.Go(func() { f.fetchValues(ctx) })
 	f.mu.Lock()
 	f.wakeLagCheck = make(chan struct{}, 1)
@@ -240,7 +245,7 @@
 		case errors.Is(err, errPeerStarting):
 			f.startUntil = min(f.Clock()+startPatience, f.startedAt+maxStartPatience)
 			continue
-		case errors.Is(err, errUnconfirmed):
+		case errors.Is(err, errUnconfirmed), errors.Is(err, errCallDone):
 			continue
 		case errors.Is(err, errPeerLags) && f.confirmUndelivered(ctx):
 			continue
--- a/internal/coordination/follow/lag.go
+++ b/internal/coordination/follow/lag.go
@@ -140,7 +140,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	lagging = f.isLagging()
-	if lagging || f.otherCallFailed {
+	if lagging || f.otherCallFailed || f.callDone {
 		f.otherCallFailed = false
 		return true, lagging
 	}
--- a/internal/coordination/follow/news.go
+++ b/internal/coordination/follow/news.go
@@ -87,6 +87,8 @@
 	updates, err := f.pollWithTimeout(queryCtx, addr, after, timeout)
 	f.endQuery()
 	switch {
+	case err != nil && queryCtx.Err() != nil && ctx.Err() == nil && f.isCallDone():
+		return errCallDone
 	case err != nil && queryCtx.Err() != nil && ctx.Err() == nil:
 		return errCancelled
 	case err != nil:
