backend, fleet: tests of responses cut at any byte, as the pool and the caller read them

A report of other operators: an engine stops inside the head of its response and closes; callers got a 200 with an empty or short body, framed as whole (MIXED, ORDER).

No fault found. Each cut of eight responses (length, length zero, chunks, trailers, bare newlines, an interim response before, HTTP/1.0, until the close), closed and reset, on new and on kept connections, is an error of the pool.

--- /dev/null
+++ b/internal/transport/backend/cut_test.go
@@ -0,0 +1,86 @@
+package backend
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// wholeResponses are responses by their framing. All but the last have an end that can be told from
+// a connection that is closed early.
+var wholeResponses = map[string]string{
+	"length":          "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+	"length zero":     "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n",
+	"chunks":          "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+	"trailers":        "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nTrailer: T\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nT: 1\r\n\r\n",
+	"bare newlines":   "HTTP/1.1 200 OK\nResponse-Signature: s\nContent-Length: 4\n\nbody",
+	"interim":         "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+	"old protocol":    "HTTP/1.0 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+	"until the close": "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\nbody",
+}
+
+// headLength returns the length of the last head of a response.
+func headLength(response string) int {
+	if i := strings.LastIndex(response, "\r\n\r\n"); strings.Contains(response, "Transfer-Encoding") && i >= 0 {
+		return strings.Index(response, "\r\n\r\n") + len("\r\n\r\n")
+	}
+	if i := strings.LastIndex(response, "\r\n\r\n"); i >= 0 {
+		return i + len("\r\n\r\n")
+	}
+	return strings.LastIndex(response, "\n\n") + len("\n\n")
+}
+
+// A server stops at any byte of a response and closes or resets its connection, which is new or was
+// used before. Guards against responses that look complete to the caller.
+func TestResponsesCutAtAnyByteAreErrors(t *testing.T) {
+	for form, whole := range wholeResponses {
+		for _, reset := range []bool{false, true} {
+			for _, kept := range []bool{false, true} {
+				name := form + map[bool]string{true: ", reset", false: ", closed"}[reset] + map[bool]string{true: ", kept connection", false: ""}[kept]
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					for cut := range len(whole) {
+						status, body, err := getCut(t, whole[:cut], reset, kept)
+						// A clean close may be the end of such a response once its head is complete.
+						if form == "until the close" && !reset && cut >= headLength(whole) {
+							continue
+						}
+						assert.Check(t, err != nil, "cut after %d of %d bytes, %q: status %d, body %q", cut, len(whole), whole[max(cut-12, 0):cut], status, body)
+					}
+					_, _, err := getCut(t, whole, false, kept)
+					assert.Check(t, err == nil, "whole: %v", err)
+				})
+			}
+		}
+	}
+}
+
+// getCut sends a request to a server whose response to it is text, at which its connection ends.
+func getCut(t *testing.T, text string, reset, kept bool) (status int, body string, err error) {
+	first := true
+	s := newServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		if kept && first {
+			first = false
+			_, _ = io.WriteString(c, ok)
+			return true
+		}
+		_, _ = io.WriteString(c, text)
+		if reset {
+			time.Sleep(2 * time.Millisecond) // the response arrives before the reset
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	})
+	defer s.l.Close()
+	p := NewPool()
+	if kept {
+		_, _, err := get(t, p, s)
+		assert.NilError(t, err)
+	}
+	return get(t, p, s)
+}
--- a/test/fleet/harness_test.go
+++ b/test/fleet/harness_test.go
@@ -47,6 +47,8 @@
 	config  map[string]any
 	gated   bool             // each router has its own way to the store
 	gates   map[string]*gate // by router
+	// proxy, if not nil, maps the address of each backend server to the one that it registers.
+	proxy func(addr string) string
 }
 
 type router struct {
@@ -102,7 +104,7 @@
 }
 
 func (s *site) addServer(service, domain, card string) *standin.Engine {
-	e, err := s.fleet.Add(service, domain, card, nil)
+	e, err := s.fleet.Add(service, domain, card, s.proxy)
 	assert.NilError(s.t, err)
 	return e
 }
