leader: a stopping router tries again to remove its entry

What callers see: routers that start take one that has ended for running.

Cause: the removal was one attempt.

Change: up to four attempts, 0.15 to 0.6 s apart. A conflict ends them: the entry is gone or was written again.

Result: TestStoppingRouterTriesAgainToRemoveItsEntry (a store that refuses or does not answer for 0.7 s) failed before and passes; the package passes.

--- a/internal/coordination/leader/lease.go
+++ b/internal/coordination/leader/lease.go
@@ -75,12 +75,12 @@
 // release resigns, revokes the lease of the leadership key and removes this router's entry.
 func (e *Elector) release() {
 	held, member := e.resign()
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
 	if held != 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
 		if err := e.Store.Revoke(ctx, held); err != nil {
 			klog.InfoS("failed to revoke the lease; it will expire", "lease", held, "err", err)
 		}
 	}
-	e.unregister(ctx, member)
+	e.unregister(member)
 }
--- a/internal/coordination/leader/leave_test.go
+++ b/internal/coordination/leader/leave_test.go
@@ -76,3 +76,22 @@
 		assert.ErrorIs(t, err, platform.ErrNotFound, "no router can lead until the lease expires")
 	})
 }
+
+// The store turns a router away while it stops. Guards against entries of routers that have ended,
+// which those that start take for running.
+func TestStoppingRouterTriesAgainToRemoveItsEntry(t *testing.T) {
+	for name, fault := range map[string]standin.StoreFaults{"refused": {Refuse: true}, "not answered": {Unresponsive: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := standin.NewStore()
+				a, _ := run(store, "a")
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, len(store.Keys(MemberPrefix)), 1)
+				store.SetFaults(fault)
+				time.AfterFunc(700*time.Millisecond, func() { store.SetFaults(standin.StoreFaults{}) })
+				a.shutDown()
+				assert.Equal(t, len(store.Keys(MemberPrefix)), 0)
+			})
+		})
+	}
+}
--- a/internal/coordination/leader/register.go
+++ b/internal/coordination/leader/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -71,16 +72,44 @@
 	e.member.after = e.Clock() + time.Duration(rand.Int64N(int64(maxRegisterDelay)))
 }
 
+const (
+	// unregisterAttempts is how often a stopping router tries to remove its entry. A router that is
+	// stopped while the store turns it away would otherwise stay registered until the leader finds
+	// it silent.
+	unregisterAttempts = 4
+	// minUnregisterDelay is the delay before the second attempt. It doubles with each.
+	minUnregisterDelay = 150 * time.Millisecond
+)
+
 // unregister removes this router's entry.
-func (e *Elector) unregister(ctx context.Context, revision model.Revision) {
+func (e *Elector) unregister(revision model.Revision) {
 	if revision == 0 {
 		return
 	}
+	delay := minUnregisterDelay
+	for attempt := 1; ; attempt++ {
+		err := e.removeEntry(revision)
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, platform.ErrConflict): // an earlier attempt succeeded, or it was written again
+			klog.InfoS("the router's entry was changed or removed already", "attempt", attempt, "written", revision)
+			return
+		case attempt == unregisterAttempts:
+			klog.InfoS("failed to remove the router's entry; the leader will", "attempts", attempt, "err", err)
+			return
+		}
+		time.Sleep(delay)
+		delay *= 2
+	}
+}
+
+func (e *Elector) removeEntry(revision model.Revision) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
 	_, err := e.Store.Commit(ctx, platform.Txn{
 		If:     []platform.Condition{{Key: e.memberKey(), Revision: revision}},
 		Delete: []string{e.memberKey()},
 	})
-	if err != nil {
-		klog.InfoS("failed to remove the router's entry; the leader will", "err", err)
-	}
+	return err
 }
