follow: after a query fails, all sources are asked at once, and the first that answers is used

What callers see: changes that reach a router late beside several routers that do not answer (CONFIG).

Cause: after a poll without an answer, the Picker's next choice was polled for another timeout, 0.5 to 2 s; with three silent sources in a row that exceeds two seconds.

Change: whoever leaves a source asks all others at once and uses the first that is ahead or learns, as it does for outdated sources.

--- a/internal/coordination/follow/acknowledged.go
+++ b/internal/coordination/follow/acknowledged.go
@@ -84,6 +84,6 @@
 // routers may lack them. It returns true if none of them answers, because a large answer may be
 // slow.
 func (f *Follower) isPeerAhead(ctx context.Context, addrs []string) bool {
-	addr, answered := f.askAll(ctx, addrs, minPollMargin, func(u Updates) bool { return u.Revision > f.Revision() })
+	addr, answered := f.askAll(ctx, addrs, minPollMargin, f.isAhead)
 	return addr != "" || !answered
 }
--- a/internal/coordination/follow/detour.go
+++ b/internal/coordination/follow/detour.go
@@ -140,8 +140,8 @@
 		f.sourceFailing = false
 		return preferred
 	case !f.sourceOutdated():
-		*d = detour{nextCall: d.nextCall}
-		return preferred
+		*d = detour{nextCall: d.nextCall, nextAsk: d.nextAsk, askDelay: d.askDelay}
+		return f.replaceLeft(ctx, preferred)
 	}
 	f.beginSearch(preferred)
 	if f.Clock() >= max(d.turn, d.nextCall) {
@@ -156,12 +156,27 @@
 	return preferred
 }
 
+// replaceLeft returns the source to use after a query failed. The Picker's next choice may be silent
+// as well, and each that is takes the timeout of a poll, so all are asked at once.
+func (f *Follower) replaceLeft(ctx context.Context, preferred Source) Source {
+	if !f.sourceLeft || preferred.IsStore() {
+		f.sourceLeft = false
+		return preferred
+	}
+	f.sourceLeft = false
+	if addr := f.findLearning(ctx, ""); addr != "" && addr != preferred.Address {
+		return f.beginDetour(Source{Address: addr, Reason: "answers first after a source was left"})
+	}
+	return preferred
+}
+
 func (f *Follower) beginSearch(outdated Source) {
 	d := &f.detour
 	if d.outdatedSince > 0 {
 		return
 	}
 	d.outdatedSince = f.Clock()
+	d.nextAsk, d.askDelay = 0, 0
 	d.turn = d.outdatedSince + f.turnDelay()
 	klog.InfoS("source learns of no changes", "source", outdated.Address, "failing", f.sourceFailing, "age", f.SinceLastContact(),
 		"anyContact", f.sinceAnyContact(), "revision", f.Revision(), "turn", d.turn-d.outdatedSince)
@@ -185,6 +200,9 @@
 	}
 }
 
+// isAhead reports whether the router that gave an answer has changes that this router lacks.
+func (f *Follower) isAhead(updates Updates) bool { return updates.Revision > f.Revision() }
+
 // sourceLearns asks a source whether it learns of changes.
 func (f *Follower) sourceLearns(ctx context.Context, s Source) bool {
 	addr, _ := f.askAll(ctx, []string{s.Address}, askTimeout, f.learns)
@@ -203,8 +221,15 @@
 	candidates := slices.DeleteFunc(append(f.Picker.Peers(), f.Picker.firstSubstitutes()...), func(addr string) bool {
 		return addr == except || addr == f.Picker.Self
 	})
-	timeout := min(askTimeout, max(d.turn-f.Clock(), turnInterval))
-	addr, _ := f.askAll(ctx, candidates, timeout, f.learns)
+	timeout := askTimeout
+	if d.outdatedSince > 0 {
+		timeout = min(timeout, max(d.turn-f.Clock(), turnInterval))
+	}
+	accept := f.learns
+	if f.isBehind() {
+		accept = f.isAhead
+	}
+	addr, _ := f.askAll(ctx, candidates, timeout, accept)
 	return addr
 }
 
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -162,6 +162,7 @@
 	storeFailures  int          // consecutive
 	failing        failingState // of the calls to the store
 	sourceFailing  bool         // the polled peer said that its calls to the store fail
+	sourceLeft     bool         // the last query failed; the next source may be silent too
 	detour         detour
 	call           *storeCall    // in place of the watchers; nil if there is none
 	answerTime     time.Duration // the last answer was complete then
@@ -253,7 +254,7 @@
 			klog.InfoS("polling peer for store updates failed", "peer", f.source.Address, "err", err, "revision", f.Revision(),
 				"took", f.Clock()-start, "age", f.SinceLastContact())
 			f.endDetour()
-			f.Picker.MarkFailed(f.source)
+			f.leaveSource()
 			continue
 		case errors.Is(err, platform.ErrCompacted):
 			klog.InfoS("store history compacted; reading the whole range", "prefix", f.Prefix, "revision", f.Revision())
@@ -268,7 +269,7 @@
 			// Peers hear from the store, so only this process is cut off. During an
 			// outage for all, the source stays: the routers that poll this one would
 			// otherwise all turn to the store.
-			f.Picker.MarkFailed(f.source)
+			f.leaveSource()
 		}
 		if errors.Is(err, errCancelled) {
 			continue
@@ -279,6 +280,12 @@
 	}
 }
 
+// leaveSource makes the Picker choose another source for a while.
+func (f *Follower) leaveSource() {
+	f.Picker.MarkFailed(f.source)
+	f.sourceLeft = true
+}
+
 // finishQuery reports that the contents are complete. After changes it waits so that
 // further changes collect.
 func (f *Follower) finishQuery(ctx context.Context) {
