follow: the outcome of a call to the store is recorded in one step

Found by reading: the call's channel was closed before callDone was set. Had the goroutine of Run used the outcome in between, callDone would have stayed set, and every poll after it would have been urgent: without a wait, again and again.

Change: callDone alone says that there is an outcome, under one lock. Origin and leaveSource move to source.go.

Result: not shown by a test, as the window is microseconds.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -126,8 +126,8 @@
 	acknowledged    atomic.Int64 // highest revision that the store returned to another call of this process
 	mu              sync.Mutex
 	cancelQuery     context.CancelFunc // cancels the query in progress
-	callDone        bool               // the call in place of the watchers has an outcome
 	cancelOutdated  bool               // cancel it if the source that it polls becomes outdated
+	callDone        bool               // the call in place of the watchers has an outcome
 	laggingSince    time.Duration      // since when missingRevision is known; 0 if none is
 	missingRevision model.Revision     // known revision that this process lacks
 	peerRevision    model.Revision     // highest revision of any peer
@@ -140,7 +140,7 @@
 	undeliveredUntil time.Duration
 	wakeLagCheck     chan struct{}
 
-	background sync.WaitGroup // of calls to the store beside the polling
+	background sync.WaitGroup // of the calls to the store that run beside the polling
 
 	// applying is held while updates are applied. Large values arrive beside the polling.
 	applying    sync.Mutex
@@ -184,17 +184,6 @@
 	return f.Clock() - time.Duration(f.lastContact.Load())
 }
 
-// Origin returns from where the last updates came, for the log: a router's link address, or
-// "store".
-func (f *Follower) Origin() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.source.IsStore() {
-		return "store"
-	}
-	return f.source.Address
-}
-
 // Revision returns the revision up to which the contents are complete.
 func (f *Follower) Revision() model.Revision { return model.Revision(f.revision.Load()) }
 
@@ -280,12 +269,6 @@
 	}
 }
 
-// leaveSource makes the Picker choose another source for a while.
-func (f *Follower) leaveSource() {
-	f.Picker.MarkFailed(f.source)
-	f.sourceLeft = true
-}
-
 // finishQuery reports that the contents are complete. After changes it waits so that
 // further changes collect.
 func (f *Follower) finishQuery(ctx context.Context) {
--- a/internal/coordination/follow/source.go
+++ b/internal/coordination/follow/source.go
@@ -48,3 +48,20 @@
 		return f.readRange(ctx)
 	}
 }
+
+// leaveSource makes the Picker choose another source for a while.
+func (f *Follower) leaveSource() {
+	f.Picker.MarkFailed(f.source)
+	f.sourceLeft = true
+}
+
+// Origin returns from where the last updates came, for the log: a router's link address, or
+// "store".
+func (f *Follower) Origin() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.source.IsStore() {
+		return "store"
+	}
+	return f.source.Address
+}
--- a/internal/coordination/follow/substitute.go
+++ b/internal/coordination/follow/substitute.go
@@ -20,8 +20,7 @@
 	after   model.Revision
 	failing bool // the source had said that its calls to the store fail
 
-	// The outcome is set before done is closed.
-	done       chan struct{}
+	// The outcome is set before Follower.callDone.
 	page       platform.Page
 	err        error
 	answeredAt time.Duration
@@ -35,20 +34,20 @@
 	if f.call != nil {
 		return
 	}
-	c := &storeCall{after: f.Revision(), failing: f.sourceFailing, done: make(chan struct{})}
+	c := &storeCall{after: f.Revision(), failing: f.sourceFailing}
 	f.call = c
 	f.background.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, substituteTimeout)
 		defer cancel()
 		c.page, c.err = f.Store.Watch(ctx, f.Prefix, c.after, 0)
 		c.answeredAt = f.Clock()
-		close(c.done)
-		f.cancelForCall()
+		f.endCall()
 	})
 }
 
-// cancelForCall ends the poll in progress, so that the outcome of a call to the store is used at once.
-func (f *Follower) cancelForCall() {
+// endCall records that the call to the store has an outcome, and cancels the poll in progress so
+// that it is used at once.
+func (f *Follower) endCall() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.callDone = true
@@ -67,19 +66,15 @@
 // finishCall uses the outcome of a call to the store, if there is one. It reports whether this
 // router should go on to use the store: the sources missed changes, or the store turns them away.
 func (f *Follower) finishCall() bool {
-	c := f.call
-	if c == nil {
-		return false
-	}
-	select {
-	case <-c.done:
-	default:
-		return false
-	}
-	f.call = nil
 	f.mu.Lock()
+	done := f.callDone
 	f.callDone = false
 	f.mu.Unlock()
+	if !done {
+		return false
+	}
+	c := f.call
+	f.call = nil
 	klog.InfoS("store called in place of its watchers", "err", c.err, "items", len(c.page.Items), "revision", c.page.Revision,
 		"before", c.after, "known", f.Revision(), "age", f.SinceLastContact())
 	if c.err != nil {
