follow: the model of overlapping faults starts routers without races

Its harness wrote fields of running routers without their lock, which the race detector reported. With -race the tests of disturbed, ended and turned-away routers pass now.

--- a/internal/coordination/follow/churn_test.go
+++ b/internal/coordination/follow/churn_test.go
@@ -146,7 +146,7 @@
 
 func (c *churn) play(t *testing.T) {
 	for _, n := range c.nodes {
-		n.knowsRouters, n.registered = true, len(c.nodes)
+		n.set(func() { n.knowsRouters, n.registered = true, len(c.nodes) })
 	}
 	for begun := time.Now(); time.Since(begun) < churnTime; time.Sleep(churnStep) {
 		c.endFaults()
--- a/internal/coordination/follow/start_test.go
+++ b/internal/coordination/follow/start_test.go
@@ -20,7 +20,7 @@
 func (f *fleet) startAll(within time.Duration, registered int, down map[*node]bool) {
 	var starting sync.WaitGroup
 	for _, n := range f.nodes {
-		n.knowsRouters, n.registered, n.reads = true, registered, 0
+		n.set(func() { n.knowsRouters, n.registered, n.reads = true, registered, 0 })
 		if down[n] {
 			continue
 		}
