follow, backend, faultsoak: plainer comments and one rule in place of two in the new tests

From reading the diff as a newcomer: the test of cut responses told the end of a head with a function of special cases, of which one was used; the play of ended routers chose its watchers twice in one condition. The checks are the same. In the product only comments change.

--- a/internal/coordination/follow/confirm.go
+++ b/internal/coordination/follow/confirm.go
@@ -16,9 +16,9 @@
 type unheardState int
 
 const (
-	unconfirmed unheardState = iota // not asked yet
+	unconfirmed unheardState = iota // it was not asked yet
 	confirmed                       // it answered
-	absent                          // it did not answer
+	absent                          // it was asked and did not answer
 )
 
 // confirmSource returns a source that is known to run. A router that starts knows the others only
@@ -40,8 +40,8 @@
 	return next
 }
 
-// confirmRegistered asks the routers that may be the source and were not heard of, all at once,
-// whether they run.
+// confirmRegistered asks the possible sources that sent no heartbeat to this process whether they
+// run. It asks all of them at once, and waits for all answers for up to askTimeout.
 func (f *Follower) confirmRegistered(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/internal/transport/backend/cut_test.go
+++ b/internal/transport/backend/cut_test.go
@@ -11,28 +11,19 @@
 	"gotest.tools/v3/assert"
 )
 
-// wholeResponses are responses by their framing. All but the last have an end that can be told from
-// a connection that is closed early.
-var wholeResponses = map[string]string{
-	"length":          "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
-	"length zero":     "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n",
-	"chunks":          "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
-	"trailers":        "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nTrailer: T\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nT: 1\r\n\r\n",
-	"bare newlines":   "HTTP/1.1 200 OK\nResponse-Signature: s\nContent-Length: 4\n\nbody",
-	"interim":         "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
-	"old protocol":    "HTTP/1.0 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
-	"until the close": "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\nbody",
-}
+// untilClose is the framing of a response without a length, which ends with its connection.
+const untilClose = "until the close"
 
-// headLength returns the length of the last head of a response.
-func headLength(response string) int {
-	if i := strings.LastIndex(response, "\r\n\r\n"); strings.Contains(response, "Transfer-Encoding") && i >= 0 {
-		return strings.Index(response, "\r\n\r\n") + len("\r\n\r\n")
-	}
-	if i := strings.LastIndex(response, "\r\n\r\n"); i >= 0 {
-		return i + len("\r\n\r\n")
-	}
-	return strings.LastIndex(response, "\n\n") + len("\n\n")
+// wholeResponses are complete responses, by their framing.
+var wholeResponses = map[string]string{
+	"length":        "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+	"length zero":   "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n",
+	"chunks":        "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+	"trailers":      "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nTrailer: T\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nT: 1\r\n\r\n",
+	"bare newlines": "HTTP/1.1 200 OK\nResponse-Signature: s\nContent-Length: 4\n\nbody",
+	"interim":       "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+	"old protocol":  "HTTP/1.0 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+	untilClose:      "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\nbody",
 }
 
 // A server stops at any byte of a response and closes or resets its connection, which is new or was
@@ -46,8 +37,8 @@
 					t.Parallel()
 					for cut := range len(whole) {
 						status, body, err := getCut(t, whole[:cut], reset, kept)
-						// A clean close may be the end of such a response once its head is complete.
-						if form == "until the close" && !reset && cut >= headLength(whole) {
+						// A clean close ends a response without a length once its head is complete.
+						if form == untilClose && !reset && strings.Contains(whole[:cut], "\r\n\r\n") {
 							continue
 						}
 						assert.Check(t, err != nil, "cut after %d of %d bytes, %q: status %d, body %q", cut, len(whole), whole[max(cut-12, 0):cut], status, body)
--- a/test/faultsoak/ended_test.go
+++ b/test/faultsoak/ended_test.go
@@ -60,7 +60,7 @@
 	stalls := recordStalls()
 	var running []*router
 	for _, r := range s.routers {
-		if slices.Index(s.watchersOf(r.settings.FailureDomain), r) < perDomain && slices.Contains(s.watchersOf(r.settings.FailureDomain), r) {
+		if slices.Contains(s.watchersOf(r.settings.FailureDomain)[:perDomain], r) {
 			defer s.endRegistered(r, how)()
 		} else {
 			running = append(running, r)
