caller: observe where it is found that a caller has left

The router did not tell how long a request lay unread, when a departure was found and by what, or how long after it the last byte went out. The kernel is asked for the state of the connection before handling, after a wait for a chain and before the first byte to a server. Nothing is decided on it yet.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
@@ -117,6 +118,11 @@
 	m.scope.Tagged(map[string]string{"why": string(reason), "under_request": strconv.FormatBool(duringRequest)}).Counter("caller_connections_ended").Inc(1)
 }
 
+// CallerLeft implements front.Observer.
+func (m *metrics) CallerLeft(found caller.Point) {
+	m.scope.Tagged(map[string]string{"found": string(found)}).Counter("callers_left").Inc(1)
+}
+
 // countStoreCall counts a call to the store.
 func (m *metrics) countStoreCall(kind string) {
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("store_calls").Inc(1)
--- a/internal/protocol/relay/reserve.go
+++ b/internal/protocol/relay/reserve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/wait"
@@ -103,6 +104,7 @@
 
 // reserve chooses a chain and reserves it. done is false if the request may wait for capacity.
 func (c *chainSearch) reserve(ctx context.Context) (done bool) {
+	caller.Observe(ctx, caller.Waiting)
 	if ctx.Err() != nil {
 		return false
 	}
--- /dev/null
+++ b/internal/tcp/peer_test.go
@@ -0,0 +1,70 @@
+package tcp
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// pair returns both ends of a connection.
+func pair(t *testing.T) (near, far *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	s, err := l.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close(); s.Close() })
+	return s.(*net.TCPConn), c.(*net.TCPConn)
+}
+
+// The end of a connection must be found behind unread bytes, however the peer ended it.
+func TestPeerEndIsFoundBehindUnreadBytes(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn) error{
+		"closed":      (*net.TCPConn).Close,
+		"half-closed": (*net.TCPConn).CloseWrite,
+		"reset": func(c *net.TCPConn) error {
+			if err := c.SetLinger(0); err != nil {
+				return err
+			}
+			return c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := pair(t)
+			assert.DeepEqual(t, Peer(near).Ended, false)
+			_, err := far.Write(make([]byte, 100))
+			assert.NilError(t, err)
+			assert.Assert(t, Peer(near).Known)
+			assert.NilError(t, end(far))
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if Peer(near).Ended {
+					return poll.Success()
+				}
+				return poll.Continue("the end has not arrived")
+			}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+		})
+	}
+}
+
+// A peer that is still there, and one that only reads an end of ours, must not count as ended.
+func TestPeerOfOpenConnectionHasNotEnded(t *testing.T) {
+	near, far := pair(t)
+	assert.NilError(t, near.CloseWrite())
+	buf := make([]byte, 1)
+	_, err := far.Read(buf)
+	assert.ErrorContains(t, err, "EOF")
+	assert.Assert(t, !Peer(near).Ended)
+}
+
+// A connection that is not a socket has no known state.
+func TestPeerOfPipeIsUnknown(t *testing.T) {
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	assert.Equal(t, Peer(a), PeerState{})
+}
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/relay"
 	"github.com/skylarkwood/skylarkwood/internal/state/shard"
@@ -175,6 +176,7 @@
 			p.keep(c, addr)
 			return nil, notSent(relay.ErrWithheld)
 		}
+		caller.Observe(ctx, caller.Sending)
 		resp, err := p.exchange(ctx, c, addr, r)
 		if c.reused && ctx.Err() == nil && errors.Is(err, relay.ErrNotSent) {
 			// The peer closed the connection after the check in takeIdle. Nothing was
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -115,6 +115,9 @@
 	klog.InfoS("request header not received in time", "caller", c.RemoteAddr(), "err", err)
 }
 
+// peerState returns the state of the caller's end of the connection.
+func (c *timedConn) peerState() tcp.PeerState { return tcp.Peer(c.Conn) }
+
 func (c *timedConn) bytesRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/front/end.go
+++ b/internal/transport/front/end.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 )
 
@@ -29,6 +30,14 @@
 // progress on the connection.
 type Observer interface {
 	ConnectionEnded(reason EndReason, under bool)
+	// CallerLeft records where it was found that the caller of a request in progress has left.
+	CallerLeft(found caller.Point)
+}
+
+func (s *Server) recordCallerLeft(found caller.Point) {
+	if s.Observer != nil {
+		s.Observer.CallerLeft(found)
+	}
 }
 
 // recordConnectionEnd logs and counts the end of a connection. If a request was in
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/intake"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
@@ -168,6 +169,9 @@
 	conn.setRequest(call)
 	ctx, done := s.requestContext(r, out)
 	defer done()
+	who, ctx := caller.New(ctx, caller.Options{Request: call.Attempt, Received: time.Now(), Peer: conn.peerState, OnLeft: s.recordCallerLeft})
+	defer who.Close()
+	caller.Observe(ctx, caller.Handling)
 	if complete := s.Relay.Serve(ctx, call, out); !complete {
 		// Aborts the connection, so that the caller detects the incomplete response.
 		panic(http.ErrAbortHandler)
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/intake"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
@@ -100,6 +101,8 @@
 	under  bool
 }
 
+func (ends) CallerLeft(caller.Point) {}
+
 func (e ends) ConnectionEnded(reason EndReason, under bool) {
 	select {
 	case e <- ended{reason, under}:
