--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -68,20 +68,16 @@
 
 // serveLimited is serve with a limit on new connections.
 func serveLimited(t *testing.T, limit *intake.Gate[net.Conn], u upstream) (*Server, string) {
-	current := &routes.ActiveConfig{}
-	current.Apply(config(1, 300*time.Millisecond), nil, "")
-	cat := catalog.New(time.Now)
-	cat.Put(model.BackendServer{ID: "b", Service: "s", Address: "1:1"})
-	rel := &relay.Relay{
-		Config: current, Catalog: cat, Health: catalog.NewHealth(time.Now), BackendClient: u, Observer: nopObserver{}, WaitQueue: admission.NewWaitQueue(), ActiveRuns: relay.NewActiveRuns(),
-		RetryBorrower: &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(0.2, 10, time.Second, func() int { return 1 }, time.Now), Now: time.Now},
-		Clock:         func() time.Duration { return 0 }, Now: time.Now, MaxConfigAge: time.Hour,
-		Quarantine:     quarantine.New(func() time.Duration { return 0 }),
-		CheckListening: func(context.Context, string) error { return nil },
-	}
-	s := &Server{Config: current, Relay: rel, Observer: make(ends, 64), Intake: limit}
+	s := newFront(u, "1:1", config(1, 300*time.Millisecond))
+	s.Intake = limit
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	start(t, s, l)
+	return s, l.Addr().String()
+}
+
+// start serves the callers of a listener until the end of the test.
+func start(t *testing.T, s *Server, l net.Listener) {
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	t.Cleanup(func() {
@@ -90,7 +86,22 @@
 		assert.Check(t, s.Shutdown(ctx) == nil)
 		assert.Check(t, <-done == nil)
 	})
-	return s, l.Addr().String()
+}
+
+// newFront returns a front with one plain service of one server.
+func newFront(client relay.BackendClient, address string, cfg *model.RouteConfig) *Server {
+	current := &routes.ActiveConfig{}
+	current.Apply(cfg, nil, "")
+	cat := catalog.New(time.Now)
+	cat.Put(model.BackendServer{ID: "b", Service: "s", Address: address})
+	rel := &relay.Relay{
+		Config: current, Catalog: cat, Health: catalog.NewHealth(time.Now), BackendClient: client, Observer: nopObserver{}, WaitQueue: admission.NewWaitQueue(), ActiveRuns: relay.NewActiveRuns(),
+		RetryBorrower: &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(0.2, 10, time.Second, func() int { return 1 }, time.Now), Now: time.Now},
+		Clock:         func() time.Duration { return 0 }, Now: time.Now, MaxConfigAge: time.Hour,
+		Quarantine:     quarantine.New(func() time.Duration { return 0 }),
+		CheckListening: func(context.Context, string) error { return nil },
+	}
+	return &Server{Config: current, Relay: rel, Observer: make(ends, 64)}
 }
 
 // ends collects the ends of connections.
