caller: nothing is sent for a caller that has left, whether or not its end was read

Callers that left before their request was read, or while it waited, had it sent on. Cause: the only sign of a departure was the context, which is cancelled by a goroutine that reads the end of the connection. A handler is usually faster, a process without processor time runs that goroutine late, and unread bytes hide the end. The class: a belief about another party that is as old as the last time this process looked, used for a decision now.

One owner, coordination/caller, asks the kernel for the state of the connection before a request is admitted, after each wait, before a token, trial or chain is taken, and right before the first byte, after the connection to the server is open; it cancels the context of the request, and with it all else. It also compares the deadline with the clock. Half-closed callers still get their response, which closes the connection.

--- a/internal/coordination/caller/caller.go
+++ b/internal/coordination/caller/caller.go
@@ -47,6 +47,7 @@
 // Caller is the caller of one request. It is safe for concurrent use.
 type Caller struct {
 	Options
+	cancel context.CancelCauseFunc
 	unhook func() bool
 
 	mu       sync.Mutex
@@ -57,29 +58,60 @@
 
 type key struct{}
 
-// New returns the caller of a request whose connection ends with ctx, and the context of the request.
-// The caller must be closed.
+// New returns the caller of a request whose connection ends with ctx, and the context of the request,
+// which is cancelled once the caller has left. The caller must be closed.
 func New(ctx context.Context, o Options) (*Caller, context.Context) {
 	c := &Caller{Options: o}
-	c.unhook = context.AfterFunc(ctx, func() { c.record(Read, tcp.PeerState{}) })
+	connection := ctx
+	ctx, c.cancel = context.WithCancelCause(connection)
+	c.unhook = context.AfterFunc(connection, func() { c.setLeft(Read, tcp.PeerState{}) })
 	return c, context.WithValue(ctx, key{}, c)
 }
 
 // Close ends the observation of the caller, after its response.
-func (c *Caller) Close() { c.unhook() }
+func (c *Caller) Close() {
+	c.unhook()
+	c.cancel(nil)
+}
 
-// Observe records whether the caller of a request has left.
-func Observe(ctx context.Context, p Point) {
-	c, ok := ctx.Value(key{}).(*Caller)
-	if !ok || c.Peer == nil {
-		return
+// Left reports whether it was found that the caller has left.
+func (c *Caller) Left() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.left
+}
+
+// Check returns nil if the caller of a request waits for its response, as far as is known, and
+// otherwise why it does not; ctx is done then. It must be called after each wait, before anything is
+// taken for the request, and right before it is sent.
+func Check(ctx context.Context, p Point) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	c, _ := ctx.Value(key{}).(*Caller)
+	if c != nil && c.check(p) {
+		return ErrLeft
 	}
-	if state := c.Peer(); state.Ended {
-		c.record(p, state)
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		<-ctx.Done() // its timer is due
+		return context.Cause(ctx)
 	}
-	if p == Sending {
+	if c != nil && p == Sending {
 		c.recordSend()
 	}
+	return nil
+}
+
+// check asks for the state of the connection and reports whether the caller has left.
+func (c *Caller) check(p Point) bool {
+	if c.Peer == nil {
+		return false
+	}
+	state := c.Peer()
+	if state.Ended {
+		c.setLeft(p, state)
+	}
+	return state.Ended
 }
 
 func (c *Caller) recordSend() {
@@ -89,14 +121,23 @@
 	c.sends++
 }
 
-// record logs that the caller has left.
-func (c *Caller) record(p Point, state tcp.PeerState) {
+// setLeft records that the caller has left, and cancels the context of its request.
+func (c *Caller) setLeft(p Point, state tcp.PeerState) {
+	c.cancel(ErrLeft)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.left {
 		return
 	}
 	c.left = true
+	c.log(p, state)
+	if c.OnLeft != nil {
+		c.OnLeft(p)
+	}
+}
+
+// log writes what is known of the departure. c.mu must be held.
+func (c *Caller) log(p Point, state tcp.PeerState) {
 	now := time.Now()
 	sentMS := int64(-1)
 	if c.sends > 0 {
@@ -104,7 +145,4 @@
 	}
 	klog.InfoS("caller left", "request", c.Request, "found", p, "receivedMsAgo", now.Sub(c.Received).Milliseconds(),
 		"lastSegmentMsAgo", state.SinceSegment.Milliseconds(), "sends", c.sends, "lastSendMsAgo", sentMS)
-	if c.OnLeft != nil {
-		c.OnLeft(p)
-	}
 }
--- a/internal/coordination/limits/loans.go
+++ b/internal/coordination/limits/loans.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 )
 
 const (
@@ -83,7 +85,7 @@
 // while tokens are borrowed. It takes none once ctx is done, as a cancelled request
 // needs no retry.
 func (b *RetryBorrower) Take(ctx context.Context, service string) bool {
-	for ctx.Err() == nil {
+	for caller.Check(ctx, caller.Waiting) == nil {
 		if b.Budget.Take(service) {
 			return true
 		}
--- a/internal/protocol/relay/move.go
+++ b/internal/protocol/relay/move.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
@@ -81,6 +82,9 @@
 	avoid := q.ActiveRuns.recentlyLost(engines(stages))
 	maps.Copy(avoid, lost)
 	for range maxRerouteOrders {
+		if caller.Check(w.run, caller.Waiting) != nil {
+			return nil
+		}
 		next := q.Chooser.Replace(q.admitted.Service, stages, avoid, w.reservation.Tokens(), q.admitted.Route.TargetGap)
 		if next == nil {
 			return nil
--- a/internal/protocol/relay/patience.go
+++ b/internal/protocol/relay/patience.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 )
 
@@ -41,7 +42,7 @@
 		c.admittedOnce = true
 		return
 	}
-	if ctx.Err() != nil {
+	if caller.Check(ctx, caller.Waiting) != nil {
 		return
 	}
 	if c.result == chains.Found { // nothing was tried, because others go first
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
@@ -216,13 +217,16 @@
 
 // Serve handles one request. It returns false if the response is incomplete and the
 // caller's connection must be aborted.
-func (r *Relay) Serve(ctx context.Context, c *model.Call, caller ResponseWriter) (complete bool) {
-	q := &request{Relay: r, call: c, out: &headerTracker{ResponseWriter: caller}, startTime: r.Now(), avoid: map[model.Incarnation]bool{}}
+func (r *Relay) Serve(ctx context.Context, c *model.Call, out ResponseWriter) (complete bool) {
+	q := &request{Relay: r, call: c, out: &headerTracker{ResponseWriter: out}, startTime: r.Now(), avoid: map[model.Incarnation]bool{}}
 	defer q.recoverPanic(&complete)
 	table := r.table(ctx)
 	if table == nil {
 		return q.respondError(fault.New(fault.NotReady, "no configuration loaded yet"))
 	}
+	if caller.Check(ctx, caller.Handling) != nil {
+		return q.respondError(q.contextError(ctx))
+	}
 	admitted, denied := table.Admit(c, q.startTime)
 	q.admitted = admitted
 	q.configAge, q.configOrigin = r.Config.Age(r.Clock()), table.Origin
--- a/internal/protocol/relay/repeat.go
+++ b/internal/protocol/relay/repeat.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"k8s.io/klog/v2"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 )
 
 // retryable reports whether the request may be sent again at all.
@@ -21,7 +23,7 @@
 		return false
 	}
 	if q.firstSend() {
-		return ctx.Err() == nil
+		return caller.Check(ctx, caller.Waiting) == nil
 	}
 	if !q.takeRetryToken(ctx) {
 		if ctx.Err() == nil {
--- a/internal/protocol/relay/reserve.go
+++ b/internal/protocol/relay/reserve.go
@@ -104,8 +104,7 @@
 
 // reserve chooses a chain and reserves it. done is false if the request may wait for capacity.
 func (c *chainSearch) reserve(ctx context.Context) (done bool) {
-	caller.Observe(ctx, caller.Waiting)
-	if ctx.Err() != nil {
+	if caller.Check(ctx, caller.Waiting) != nil {
 		return false
 	}
 	c.choose()
--- a/internal/protocol/relay/suspect.go
+++ b/internal/protocol/relay/suspect.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
@@ -112,6 +113,9 @@
 
 // startTrial asks for a trial at servers. A server that runs another suspect is excluded.
 func (q *request) startTrial(ctx context.Context, v quarantine.Assessment, servers []model.Incarnation) permission {
+	if caller.Check(ctx, caller.Waiting) != nil {
+		return notNow
+	}
 	g := q.RequestTrial(ctx, q.subject(), servers)
 	klog.InfoS("trial requested", "request", q.call.Attempt, "work", q.fingerprint(), "traits", v.Traits, "servers", len(servers), "first", servers[0], "granted", g.Granted, "busy", g.BusyServer, "waitMs", g.WaitMS)
 	switch {
@@ -232,7 +236,10 @@
 			return server, nil
 		}
 		q.returnPermission(server.Incarnation())
-		if perm == notNow {
+		switch {
+		case ctx.Err() != nil:
+			return nil, q.contextError(ctx)
+		case perm == notNow:
 			return nil, q.trialError(v)
 		}
 	}
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -164,9 +164,8 @@
 // error the request may have run. The caller must close the body of the response.
 func (p *Pool) Do(ctx context.Context, addr string, r *relay.Request) (*relay.Response, error) {
 	for {
-		// The caller may have disconnected while the request was queued.
-		if ctx.Err() != nil {
-			return nil, notSent(context.Cause(ctx))
+		if err := caller.Check(ctx, caller.Waiting); err != nil {
+			return nil, notSent(err)
 		}
 		c, err := p.connect(ctx, addr)
 		if err != nil {
@@ -176,7 +175,10 @@
 			p.keep(c, addr)
 			return nil, notSent(relay.ErrWithheld)
 		}
-		caller.Observe(ctx, caller.Sending)
+		if err := caller.Check(ctx, caller.Sending); err != nil {
+			p.keep(c, addr)
+			return nil, notSent(err)
+		}
 		resp, err := p.exchange(ctx, c, addr, r)
 		if c.reused && ctx.Err() == nil && errors.Is(err, relay.ErrNotSent) {
 			// The peer closed the connection after the check in takeIdle. Nothing was
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -171,13 +171,15 @@
 	defer done()
 	who, ctx := caller.New(ctx, caller.Options{Request: call.Attempt, Received: time.Now(), Peer: conn.peerState, OnLeft: s.recordCallerLeft})
 	defer who.Close()
-	caller.Observe(ctx, caller.Handling)
+	out.closing = func() bool { return s.closing() || who.Left() }
 	if complete := s.Relay.Serve(ctx, call, out); !complete {
 		// Aborts the connection, so that the caller detects the incomplete response.
 		panic(http.ErrAbortHandler)
 	}
 	out.extendDeadline()
-	if r.Context().Err() == nil {
+	if who.Left() {
+		conn.setEndReason(EndCallerClosed, caller.ErrLeft)
+	} else if r.Context().Err() == nil {
 		conn.setRequest(nil)
 	}
 }
