caller: check periodically where unread bytes hide the end of a connection

Servers worked on for callers that had left if unread bytes lay behind the request: net/http watches for the end with a read, which ends with the first byte of the next request, and nothing looks at the connection until the response is complete. While no read waits, the state of the connection is now asked every 100 ms; the other connections cost nothing more than one timer.

--- a/internal/coordination/caller/caller.go
+++ b/internal/coordination/caller/caller.go
@@ -40,6 +40,9 @@
 	Received time.Time
 	// Peer asks for the state of the caller's connection. It may be nil.
 	Peer func() tcp.PeerState
+	// Unwatched reports whether no read waits for the end of the connection. Watch calls it. It may be
+	// nil.
+	Unwatched func() bool
 	// OnLeft is called once when it is found that the caller has left. It may be nil.
 	OnLeft func(Point)
 }
@@ -52,7 +55,9 @@
 
 	mu       sync.Mutex
 	left     bool
-	lastSend time.Time // first byte of the last send
+	closed   bool
+	watch    *time.Timer // of the periodic check; nil if there is none
+	lastSend time.Time   // first byte of the last send
 	sends    int
 }
 
@@ -72,6 +77,52 @@
 func (c *Caller) Close() {
 	c.unhook()
 	c.cancel(nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.watch != nil {
+		c.watch.Stop()
+	}
+}
+
+// watchInterval is the interval of the periodic check. Servers must be told of a departure within half
+// a second.
+const watchInterval = 100 * time.Millisecond
+
+// Watch checks periodically whether the caller has left, for as long as its connection is unwatched. It
+// must be called at the start of the request and each time a read of the connection has ended.
+func (c *Caller) Watch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Unwatched != nil && c.watch == nil && !c.closed && !c.left {
+		c.watch = time.AfterFunc(watchInterval, c.checkPeriodically)
+	}
+}
+
+func (c *Caller) checkPeriodically() {
+	if !c.continueWatch() || c.check(Periodic) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && !c.left {
+		c.watch.Reset(watchInterval)
+	}
+}
+
+// continueWatch reports whether the connection is still unwatched. If it is not, the next call of Watch
+// starts the check again.
+func (c *Caller) continueWatch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.left {
+		return false
+	}
+	if !c.Unwatched() {
+		c.watch = nil
+		return false
+	}
+	return true
 }
 
 // Left reports whether it was found that the caller has left.
--- a/internal/coordination/caller/caller_test.go
+++ b/internal/coordination/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,13 +13,22 @@
 )
 
 // connection is a caller's connection whose end has not been read.
-type connection struct{ state tcp.PeerState }
+type connection struct {
+	known          bool
+	ended, watched atomic.Bool
+	checks         atomic.Int64
+}
+
+func (c *connection) peer() tcp.PeerState {
+	c.checks.Add(1)
+	return tcp.PeerState{Known: c.known, Ended: c.ended.Load()}
+}
 
-func (c *connection) peer() tcp.PeerState { return c.state }
+func (c *connection) unwatched() bool { return !c.watched.Load() }
 
 // A departure must end everything that is done for the request, and be recorded once.
 func TestDepartureCancelsTheRequest(t *testing.T) {
-	conn := &connection{tcp.PeerState{Known: true}}
+	conn := &connection{known: true}
 	var found []Point
 	c, ctx := New(t.Context(), Options{Peer: conn.peer, OnLeft: func(p Point) { found = append(found, p) }})
 	defer c.Close()
@@ -26,7 +36,7 @@
 	defer cancel()
 	assert.NilError(t, Check(run, Sending))
 	assert.Assert(t, !c.Left())
-	conn.state.Ended = true
+	conn.ended.Store(true)
 	for range 2 {
 		assert.ErrorIs(t, Check(run, Waiting), ErrLeft)
 	}
@@ -57,3 +67,40 @@
 		assert.ErrorIs(t, ctx.Err(), context.DeadlineExceeded)
 	})
 }
+
+// Unread bytes hide the end of a connection from reads. Guards against work that goes on for a caller
+// that has left, and against checks while a read waits for the end.
+func TestUnwatchedConnectionIsCheckedPeriodically(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conn := &connection{known: true}
+		c, ctx := New(t.Context(), Options{Peer: conn.peer, Unwatched: conn.unwatched})
+		defer c.Close()
+		c.Watch()
+		time.Sleep(time.Second + watchInterval/2)
+		assert.Equal(t, conn.checks.Load(), int64(10))
+		conn.watched.Store(true) // a read waits
+		time.Sleep(time.Second)
+		assert.Equal(t, conn.checks.Load(), int64(10))
+		conn.watched.Store(false)
+		c.Watch()
+		conn.ended.Store(true)
+		time.Sleep(watchInterval)
+		synctest.Wait()
+		assert.ErrorIs(t, context.Cause(ctx), ErrLeft)
+		time.Sleep(time.Second)
+		assert.Equal(t, conn.checks.Load(), int64(11))
+	})
+}
+
+// Guards against a check of a connection that serves another request by then.
+func TestNothingIsCheckedAfterTheResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conn := &connection{known: true}
+		c, _ := New(t.Context(), Options{Peer: conn.peer, Unwatched: conn.unwatched})
+		c.Watch()
+		c.Close()
+		c.Watch()
+		time.Sleep(time.Second)
+		assert.Equal(t, conn.checks.Load(), int64(0))
+	})
+}
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/keepalive"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/tcp"
@@ -36,6 +37,10 @@
 	reason     EndReason // first reason for its end; empty if there is none
 	cause      error
 	request    *model.Call // in progress; nil if there is none
+	// caller is that of the request that is handled; nil if there is none.
+	caller *caller.Caller
+	// reading is set while a read waits for bytes or for the end of the connection.
+	reading bool
 }
 
 func newTimedConn(c net.Conn, limits func() model.CallerLimits) *timedConn {
@@ -46,9 +51,10 @@
 
 // Read implements net.Conn.
 func (c *timedConn) Read(p []byte) (int, error) {
-	if err := c.setIdleDeadline(); err != nil {
+	if err := c.beginRead(); err != nil {
 		return 0, err
 	}
+	defer c.endRead()
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
@@ -65,17 +71,47 @@
 	}
 }
 
-// setIdleDeadline sets the deadline of a read that waits for a request. While a request is
+// beginRead sets the deadline of a read that waits for a request. While a request is
 // in progress, the deadlines are those of its body.
-func (c *timedConn) setIdleDeadline() error {
+func (c *timedConn) beginRead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = true
 	if c.state.Phase() == keepalive.Serving {
 		return nil
 	}
 	return c.SetReadDeadline(c.state.Deadline(c.limits()))
 }
 
+// endRead records the end of a read. If it was the one that waits for the end of the connection of a
+// request in progress, unread bytes may hide that end now.
+func (c *timedConn) endRead() {
+	c.mu.Lock()
+	c.reading = false
+	current := c.caller
+	c.mu.Unlock()
+	if current != nil {
+		current.Watch()
+	}
+}
+
+// unwatched reports whether no read waits for the end of the connection.
+func (c *timedConn) unwatched() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.reading
+}
+
+// setCaller sets the caller of the request that is handled; nil once it was handled.
+func (c *timedConn) setCaller(current *caller.Caller) {
+	c.mu.Lock()
+	c.caller = current
+	c.mu.Unlock()
+	if current != nil {
+		current.Watch()
+	}
+}
+
 // handleDeadline handles a read that reached its deadline and reports whether the
 // connection ends. Otherwise it sets a new deadline for the next read. There is none if
 // bytes have arrived, as that read does not block.
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -169,8 +169,10 @@
 	conn.setRequest(call)
 	ctx, done := s.requestContext(r, out)
 	defer done()
-	who, ctx := caller.New(ctx, caller.Options{Request: call.Attempt, Received: time.Now(), Peer: conn.peerState, OnLeft: s.recordCallerLeft})
+	who, ctx := caller.New(ctx, caller.Options{Request: call.Attempt, Received: time.Now(), Peer: conn.peerState, Unwatched: conn.unwatched, OnLeft: s.recordCallerLeft})
 	defer who.Close()
+	conn.setCaller(who)
+	defer conn.setCaller(nil)
 	out.closing = func() bool { return s.closing() || who.Left() }
 	if complete := s.Relay.Serve(ctx, call, out); !complete {
 		// Aborts the connection, so that the caller detects the incomplete response.
