relay: the test of spread checks locks its counts when it reads them

go test -race reported a race in 2 of 4 runs of the package: the test read the map of its checks without the lock under which they are written. A sleep in a synctest bubble does not synchronize with goroutines that have ended.

--- a/internal/protocol/relay/classify_test.go
+++ b/internal/protocol/relay/classify_test.go
@@ -160,6 +160,8 @@
 			p.HandlePeerRefusal(inc("e"), time.Now().Add(time.Second))
 		}
 		time.Sleep(3 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		total := 0
 		for at, n := range checks {
 			assert.Check(t, n <= 40, "%d checks within %v after %v", n, window, at*window)
