front: a caller's wait counts from the arrival of its request

A request that lay unread, because the process had no processor time or the connection was not accepted yet, got its whole deadline and route timeout anew: its server might work on for that long after the caller had given up, and a request whose caller had given up was sent. The wait counts now from the first read of the request, or from the arrival of its last data in the kernel if that is earlier; for a body that arrives slowly from its header.

--- a/internal/coordination/keepalive/keepalive.go
+++ b/internal/coordination/keepalive/keepalive.go
@@ -37,6 +37,7 @@
 	phase         Phase
 	phaseStart    time.Time
 	closeWhenIdle bool
+	lastRead      time.Time // zero before the first read
 }
 
 // StartIdle records that the connection waits for the next request.
@@ -48,14 +49,23 @@
 // BytesRead records that bytes were read. Only the first bytes of a header start its
 // timeout. Otherwise a caller could hold the connection by sending single bytes.
 func (s *ConnState) BytesRead(now time.Time) {
+	s.lastRead = now
 	if s.phase == Idle {
 		s.phase = ReadingHeader
 		s.phaseStart = now
 	}
 }
 
-// StartRequest records that a request is in progress.
-func (s *ConnState) StartRequest() { s.phase = Serving }
+// StartRequest records that a request is in progress, and returns when the first of its bytes was read.
+// Those of a pipelined request were read with the previous one.
+func (s *ConnState) StartRequest() (firstRead time.Time) {
+	firstRead = s.lastRead
+	if s.phase == ReadingHeader {
+		firstRead = s.phaseStart
+	}
+	s.phase = Serving
+	return firstRead
+}
 
 // CloseWhenIdle makes the connection expire as soon as it is idle, for a router that shuts
 // down.
--- a/internal/coordination/keepalive/keepalive_test.go
+++ b/internal/coordination/keepalive/keepalive_test.go
@@ -98,3 +98,15 @@
 		})
 	})
 }
+
+// The bytes of a pipelined request may have been read with the previous one. Guards against counting its
+// caller's wait from the end of that one, or the wait of a slow sender from its last byte.
+func TestRequestCountsFromItsFirstBytes(t *testing.T) {
+	var s ConnState
+	s.StartIdle(startTime)
+	s.BytesRead(startTime.Add(time.Second))
+	s.BytesRead(startTime.Add(2 * time.Second))
+	assert.Equal(t, s.StartRequest(), startTime.Add(time.Second))
+	s.StartIdle(startTime.Add(10 * time.Second))
+	assert.Equal(t, s.StartRequest(), startTime.Add(2*time.Second))
+}
--- a/internal/model/serving.go
+++ b/internal/model/serving.go
@@ -195,14 +195,16 @@
 
 // Call is a caller's request to be sent to a backend server.
 type Call struct {
-	Attempt string // id of this attempt, unique for each retry
-	Method  string
-	Host    string
-	Target  string // path and query as received
-	Path    string
-	Header  []HeaderField
-	Body    []byte
-	APIKey  string
+	// Received is when the request arrived; zero if it is not known. Timeouts count from it.
+	Received time.Time
+	Attempt  string // id of this attempt, unique for each retry
+	Method   string
+	Host     string
+	Target   string // path and query as received
+	Path     string
+	Header   []HeaderField
+	Body     []byte
+	APIKey   string
 	// Deadline is when the caller stops waiting; zero if it is not known.
 	Deadline time.Time
 	// ResumeAfter is the id of the last event that the caller received; empty for none.
--- a/internal/protocol/relay/departed_test.go
+++ b/internal/protocol/relay/departed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -36,12 +37,17 @@
 				var left atomic.Bool
 				left.Store(sends == 0)
 				sent := 0
-				s := newFixture(model.Route{Kind: kind, MaxAttempts: 2, TargetLatency: time.Second}, kind == streaming, func(context.Context, string, *Request) (*Response, error) {
+				s := newFixture(model.Route{Kind: kind, MaxAttempts: 2, TargetLatency: time.Second}, kind == streaming, func(_ context.Context, _ string, r *Request) (*Response, error) {
+					if r.Method == http.MethodGet {
+						return signed(http.StatusOK, strings.NewReader(`{"kv_total":100}`)), nil
+					}
 					sent++
 					left.Store(true)
 					return refusal(""), nil
 				})
-				s.Pauses = nil
+				s.prober.Report = s.Report
+				s.prober.Healthy = s.Healthy
+				s.prober.AnnounceRefusal = func(model.Incarnation, time.Time) {}
 				out := &recordingWriter{}
 				complete := s.Serve(unreadEnd(t, &left), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out)
 				assert.Assert(t, complete)
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -219,6 +219,9 @@
 // caller's connection must be aborted.
 func (r *Relay) Serve(ctx context.Context, c *model.Call, out ResponseWriter) (complete bool) {
 	q := &request{Relay: r, call: c, out: &headerTracker{ResponseWriter: out}, startTime: r.Now(), avoid: map[model.Incarnation]bool{}}
+	if !c.Received.IsZero() {
+		q.startTime = c.Received
+	}
 	defer q.recoverPanic(&complete)
 	table := r.table(ctx)
 	if table == nil {
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -37,6 +37,7 @@
 	reason     EndReason // first reason for its end; empty if there is none
 	cause      error
 	request    *model.Call // in progress; nil if there is none
+	firstRead  time.Time   // of the request in progress
 	// caller is that of the request that is handled; nil if there is none.
 	caller *caller.Caller
 	// reading is set while a read waits for bytes or for the end of the connection.
@@ -154,6 +155,18 @@
 // peerState returns the state of the caller's end of the connection.
 func (c *timedConn) peerState() tcp.PeerState { return tcp.Peer(c.Conn) }
 
+// requestReceived returns when the request in progress arrived: when it was first read from, or when its
+// last data reached the kernel, if that was earlier.
+func (c *timedConn) requestReceived() time.Time {
+	arrived := time.Now().Add(-c.peerState().SinceData)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.firstRead.Before(arrived) {
+		return c.firstRead
+	}
+	return arrived
+}
+
 func (c *timedConn) bytesRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -172,7 +185,7 @@
 func (c *timedConn) startRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state.StartRequest()
+	c.firstRead = c.state.StartRequest()
 	_ = c.SetReadDeadline(time.Time{}) // fails if the connection is closed, as the next read does
 }
 
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -159,7 +159,7 @@
 		out.writeError(status, err.Error())
 		return
 	}
-	call, err := platform.DecodeCall(r, body, time.Now())
+	call, err := platform.DecodeCall(r, body, conn.requestReceived())
 	if err != nil {
 		klog.InfoS("malformed request", "caller", r.RemoteAddr, "err", err)
 		f := fault.New(fault.InvalidRequest, "%v", err)
@@ -169,7 +169,7 @@
 	conn.setRequest(call)
 	ctx, done := s.requestContext(r, out)
 	defer done()
-	who, ctx := caller.New(ctx, caller.Options{Request: call.Attempt, Received: time.Now(), Peer: conn.peerState, Unwatched: conn.unwatched, OnLeft: s.recordCallerLeft})
+	who, ctx := caller.New(ctx, caller.Options{Request: call.Attempt, Received: call.Received, Peer: conn.peerState, Unwatched: conn.unwatched, OnLeft: s.recordCallerLeft})
 	defer who.Close()
 	conn.setCaller(who)
 	defer conn.setCaller(nil)
