relay, backend: one question about the caller for each decision

A plain request asked for the state of its caller's connection five times, three of them with nothing but computation in between. It asks once when it is handled and once before its first byte, and again after each wait.

--- a/internal/coordination/admission/ordered.go
+++ b/internal/coordination/admission/ordered.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/forecast"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
 )
@@ -100,7 +99,7 @@
 // TryNow calls try and reports whether it succeeded, unless a waiting request goes first. It must
 // be called once for each request, before Wait.
 func (l *Line) TryNow(ctx context.Context, w Waiter, try func() bool) bool {
-	return caller.Check(ctx, caller.Waiting) == nil && l.arrive(w) == 0 && try()
+	return ctx.Err() == nil && l.arrive(w) == 0 && try()
 }
 
 // arrive counts a request and returns the number of waiting requests that go before it.
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
-	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -43,7 +42,7 @@
 // others as far as the route and the retry budget allow.
 func (q *request) servePlain(ctx context.Context) bool {
 	var lastFailure *bufferedResponse
-	for caller.Check(ctx, caller.Waiting) == nil {
+	for ctx.Err() == nil {
 		server, f := q.pickServer(ctx)
 		if f != nil && lastFailure == nil {
 			return q.respondError(f)
--- a/internal/protocol/relay/patience.go
+++ b/internal/protocol/relay/patience.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 )
 
@@ -42,7 +41,7 @@
 		c.admittedOnce = true
 		return
 	}
-	if caller.Check(ctx, caller.Waiting) != nil {
+	if ctx.Err() != nil {
 		return
 	}
 	if c.result == chains.Found { // nothing was tried, because others go first
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -164,8 +164,8 @@
 // error the request may have run. The caller must close the body of the response.
 func (p *Pool) Do(ctx context.Context, addr string, r *relay.Request) (*relay.Response, error) {
 	for {
-		if err := caller.Check(ctx, caller.Waiting); err != nil {
-			return nil, notSent(err)
+		if ctx.Err() != nil {
+			return nil, notSent(context.Cause(ctx))
 		}
 		c, err := p.connect(ctx, addr)
 		if err != nil {
