relay: a server's permission is returned if the caller left before the send

After a pause that a server asked for, one request tries it and others wait; a rate limit counts what is sent. A request whose caller left, or whose router stopped, while the connection was opened kept both, though the server never saw it: the next request was refused with 503.

TestPermissionOfUnsentRequestIsReturned: red before, for plain servers and engines.

--- a/internal/protocol/relay/departed_test.go
+++ b/internal/protocol/relay/departed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -101,3 +102,34 @@
 		assert.Equal(t, perm, notNow)
 	})
 }
+
+// After a pause that a server asked for, one request tries it. Guards against keeping that place for a
+// request that was not sent because its caller left while the connection was opened.
+func TestPermissionOfUnsentRequestIsReturned(t *testing.T) {
+	for _, isEngine := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var left atomic.Bool
+			refused := false
+			s, arrivals := newRefusingFixture(isEngine, func() *Response {
+				if refused {
+					return nil
+				}
+				refused = true
+				return refusal("1")
+			})
+			s.Catalog.Remove("two", 1, 0)
+			s.serveOne(t)
+			time.Sleep(1300 * time.Millisecond) // the pause is over
+			do := s.BackendClient
+			s.BackendClient = fakeBackend(func(ctx context.Context, _ string, _ *Request) (*Response, error) {
+				left.Store(true)
+				return nil, fmt.Errorf("%w: %w", ErrNotSent, caller.Check(ctx, caller.Sending))
+			})
+			s.Serve(unreadEnd(t, &left), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, &recordingWriter{})
+			s.BackendClient = do
+			out, _ := s.serveOne(t)
+			assert.Equal(t, out.status, http.StatusOK, "engine: %v", isEngine)
+			assert.Equal(t, len(*arrivals), 2)
+		})
+	}
+}
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -211,7 +211,7 @@
 		q.sends--
 		q.unsentAttempts++
 	}
-	if reason == withheld {
+	if !sent && !reason.countsAsFailure(elapsed) {
 		q.returnPermission(b.Incarnation())
 	}
 	klog.InfoS("attempt failed", "request", q.call.Attempt, "work", q.fingerprint(), "why", reason, "sent", sent, "server", b.Incarnation(), "err", err, "ms", elapsed.Milliseconds())
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -283,6 +283,9 @@
 			return fault.New(fault.Overloaded, "an engine asked for a pause before the request was sent")
 		}
 		if reason != noConnection && !(reason == deadlineExceeded && reason.countsAsFailure(s.Now().Sub(w.sentAt))) {
+			if !reason.countsAsFailure(0) {
+				s.returnPermission(first.Incarnation())
+			}
 			s.recordChainLoss(w, reason, err)
 			return fault.New(fault.NotConnected, "the run was cancelled before it was sent: %s", reason)
 		}
