--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -66,7 +65,7 @@
 	if err := json.Unmarshal(value, &m); err != nil {
 		return Member{}, err
 	}
-	if _, err := netip.ParseAddrPort(m.Address); err != nil {
+	if err := model.CheckAddress(m.Address); err != nil {
 		return Member{}, err
 	}
 	return m, nil
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -53,7 +53,7 @@
 		return nil, errors.New("plan: value is null")
 	}
 	for addr, held := range plan {
-		if held.From < 0 || held.To < held.From {
+		if held.From < 0 || held.To < held.From || held.To > model.MaxLayers {
 			return nil, errors.Errorf("plan: %.40q has invalid layer range %s", addr, held)
 		}
 	}
--- a/internal/coordination/placement/second_holder.go
+++ b/internal/coordination/placement/second_holder.go
@@ -84,7 +84,7 @@
 // keepsTwoHolders reports whether each layer that an engine gives up has two other holders, and
 // each one that it keeps another holder: the engine accepts no streams until it has unloaded.
 func keepsTwoHolders(counts []int, planned, before model.LayerRange) bool {
-	for l := planned.From; l < planned.To; l++ {
+	for l := planned.From; l < min(planned.To, len(counts)); l++ {
 		others := counts[l] - 1
 		if others < 1 || !contains(before, l) && others < 2 {
 			return false
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -39,6 +39,10 @@
 	return k.Customer + "/" + k.ID
 }
 
+// MaxLayers limits the number of layers of a model, because routers allocate memory for each
+// layer.
+const MaxLayers = 1 << 12
+
 // LayerRange is the half-open range of layers [From, To).
 type LayerRange struct {
 	From int `json:"from"`
