front: connections of callers that have left are not admitted

An instance that limits its new connections admitted them in the order of their arrival, also those whose callers had left meanwhile: each was read, counted as a request in progress, and kept others waiting or refused.

--- a/internal/transport/front/departed_test.go
+++ b/internal/transport/front/departed_test.go
@@ -16,7 +16,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/intake"
 	"github.com/skylarkwood/skylarkwood/internal/transport/backend"
+	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
 
 // server is a backend server that counts requests and keeps what they say.
@@ -178,3 +180,39 @@
 	// The kernel counts in steps of up to 10 ms.
 	assert.Assert(t, left <= int((5*time.Second-unread).Milliseconds())+10, "%d ms", left)
 }
+
+// calm is a process that never waits for the processor.
+type calm struct{}
+
+func (calm) Late() bool              { return false }
+func (calm) Standing() time.Duration { return 0 }
+
+// A connection whose caller has left must not be read, nor keep a place among the requests in progress.
+func TestConnectionsOfDepartedCallersAreNotAdmitted(t *testing.T) {
+	srv := newServer(t, func(*http.Request) {})
+	s := srv.front()
+	began := time.Now()
+	s.Intake = intake.New[net.Conn](calm{}, func() time.Duration { return time.Since(began) })
+	var requests atomic.Int64
+	s.OnRequest = func() { requests.Add(1) }
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	for range 100 {
+		c := dial(t, l)
+		_, err := io.WriteString(c, post("/x", 20))
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
+	}
+	time.Sleep(50 * time.Millisecond) // the kernel handles the ends
+	start(t, s, l)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for wait.For(ctx, time.Millisecond) {
+			s.Advance()
+		}
+	}()
+	got := talk(t, l.Addr().String(), "GET /last HTTP/1.1\r\n"+finalHeader+"\r\n")
+	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 200"), got)
+	assert.Equal(t, requests.Load(), int64(1))
+}
--- a/internal/transport/front/listener.go
+++ b/internal/transport/front/listener.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/intake"
 	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/tcp"
 )
 
 const (
@@ -102,19 +103,54 @@
 	return errors.As(err, &temporary) && temporary.Temporary()
 }
 
-// apply applies decisions of the gate.
+// apply applies decisions of the gate. The place of an admitted connection whose caller has left goes
+// to the next one.
 func (l *timedListener) apply(d intake.Decisions[net.Conn]) {
-	for _, c := range d.Refused {
+	for {
+		closeUnread(d.Refused)
+		present, left := splitLeft(d.Admitted)
+		closeUnread(left)
+		l.addAdmitted(present)
+		if len(left) == 0 {
+			return
+		}
+		d = intake.Decisions[net.Conn]{}
+		for range left {
+			next := l.gate.End()
+			d.Admitted = append(d.Admitted, next.Admitted...)
+			d.Refused = append(d.Refused, next.Refused...)
+		}
+	}
+}
+
+func closeUnread(conns []net.Conn) {
+	for _, c := range conns {
 		if err := c.Close(); err != nil {
 			klog.V(1).InfoS("closing a connection that is not admitted failed", "caller", c.RemoteAddr(), "err", err)
 		}
 	}
-	if len(d.Admitted) == 0 {
+}
+
+// splitLeft separates the connections whose callers have left.
+func splitLeft(conns []net.Conn) (present, left []net.Conn) {
+	for _, c := range conns {
+		if tcp.Peer(c).Ended {
+			left = append(left, c)
+		} else {
+			present = append(present, c)
+		}
+	}
+	return present, left
+}
+
+// addAdmitted lets Accept return connections.
+func (l *timedListener) addAdmitted(conns []net.Conn) {
+	if len(conns) == 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, c := range d.Admitted {
+	for _, c := range conns {
 		t := newTimedConn(c, l.limits)
 		t.awaitFirstRequest(func() { l.endRequest(t) })
 		l.admitted = append(l.admitted, t)
--- a/test/fleet/incarnation_test.go
+++ b/test/fleet/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -82,6 +83,10 @@
 		`{"service":"sheets","address":"127.0.0.1:1","zone":"a","state":"resting","type":"fast","layers":{"from":0,"to":12}}`,
 		`{"service":"nobody","address":"127.0.0.1:1","zone":"a","state":"ready"}`,
 		`{"service":"sheets","address":"127.0.0.1:1","zone":"a","state":"ready","type":"fast","slots":9,"layers":{"from":0,"to":"all"}}`,
+		`{"service":"sheets","address":"127.0.0.1:65536","zone":"a","state":"ready","type":"fast","layers":{"from":0,"to":12}}`,
+		`{"service":"sheets","address":"127.0.0.1:0","zone":"a","state":"ready","type":"fast","layers":{"from":0,"to":12}}`,
+		`{"service":"sheets","address":"127.0.0.1:1","zone":"a","state":"ready","type":"fast","slots":1e400}`,
+		`{"service":"sheets","address":"127.0.0.1:1","zone":"a","state":"ready","type":"fast","layers":` + strings.Repeat("[", 400_000) + strings.Repeat("]", 400_000) + `}`,
 	}
 	for i, value := range invalid {
 		overwritten.PutEntry("servers/odd-"+string(rune('a'+i)), []byte(value))
