--- a/internal/coordination/limits/loans_test.go
+++ b/internal/coordination/limits/loans_test.go
@@ -21,7 +21,7 @@
 func newBorrowerFleet(ratio, slack float64, names ...string) *borrowerFleet {
 	f := &borrowerFleet{budgets: map[string]*SharedRetryBudget{}, borrowers: map[string]*RetryBorrower{}, unresponsive: map[string]bool{}}
 	for _, name := range names {
-		f.budgets[name] = NewSharedRetryBudget(ratio, slack, 10*time.Second, func() int { return len(names) }, time.Now)
+		f.budgets[name] = NewSharedRetryBudget(ratio, slack, 10*time.Second, func() int { return len(names) }, monotonic)
 		f.borrowers[name] = &RetryBorrower{Budget: f.budgets[name], Borrow: f.lend, Now: time.Now}
 	}
 	return f
@@ -137,10 +137,10 @@
 				spent++
 			}
 		}
-		first := NewSharedRetryBudget(0.2, slack, 10*time.Second, func() int { return 1 }, time.Now)
+		first := NewSharedRetryBudget(0.2, slack, 10*time.Second, func() int { return 1 }, monotonic)
 		time.Sleep(10 * time.Second)
 		drain(first)
-		restarted := NewSharedRetryBudget(0.2, slack, 10*time.Second, func() int { return 1 }, time.Now)
+		restarted := NewSharedRetryBudget(0.2, slack, 10*time.Second, func() int { return 1 }, monotonic)
 		drain(restarted)
 		assert.Assert(t, spent <= slack, "%d of %d", spent, slack)
 	})
@@ -191,3 +191,6 @@
 		})
 	}
 }
+
+// monotonic is the clock of retry budgets.
+func monotonic() time.Duration { return time.Since(time.Unix(0, 0)) }
--- a/internal/coordination/limits/retries.go
+++ b/internal/coordination/limits/retries.go
@@ -24,8 +24,8 @@
 	slack   float64
 	window  time.Duration
 	routers func() int
-	now     func() time.Time
-	started time.Time
+	clock   func() time.Duration
+	started time.Duration
 
 	mu       sync.Mutex
 	services map[string]*retryWindow
@@ -38,15 +38,16 @@
 }
 
 // NewSharedRetryBudget returns a router's part of a budget; routers returns how many
-// share it.
-func NewSharedRetryBudget(ratio, slack float64, window time.Duration, routers func() int, now func() time.Time) *SharedRetryBudget {
+// share it. clock returns a time that is not set, unlike the time of day: a step would empty
+// the window.
+func NewSharedRetryBudget(ratio, slack float64, window time.Duration, routers func() int, clock func() time.Duration) *SharedRetryBudget {
 	return &SharedRetryBudget{
 		ratio:    ratio,
 		slack:    slack,
 		window:   window,
 		routers:  routers,
-		now:      now,
-		started:  now(),
+		clock:    clock,
+		started:  clock(),
 		services: map[string]*retryWindow{},
 	}
 }
@@ -110,7 +111,7 @@
 	// A router that restarts does not know what it spent before. Its share of the slack
 	// grows over one window, or routers that restart together would spend the slack
 	// twice.
-	age := min(b.now().Sub(b.started).Seconds()/b.window.Seconds(), 1)
+	age := min((b.clock()-b.started).Seconds()/b.window.Seconds(), 1)
 	allowed := usableFraction * (b.ratio*float64(requests) + age*b.slack/float64(max(b.routers(), 1)))
 	return allowed - float64(retries)
 }
@@ -124,7 +125,7 @@
 		b.services[service] = w
 	}
 	bucket := int64(b.window) / (windowBuckets - 1)
-	now := b.now().UnixNano() / bucket
+	now := int64(b.clock()-b.started) / bucket
 	for n := max(w.newest+1, now-windowBuckets+1); n <= now; n++ {
 		w.requests[n%windowBuckets] = 0
 		w.retries[n%windowBuckets] = 0
--- a/internal/coordination/limits/retries_test.go
+++ b/internal/coordination/limits/retries_test.go
@@ -10,14 +10,17 @@
 
 // All requests fail at several routers that do not communicate. In no window may the
 // retries of all exceed ratio * requests + slack.
+// epoch is when the clocks of the budgets begin.
+var epoch = time.Unix(5000, 0)
+
 func TestSharedRetryBudgetHoldsInEachWindow(t *testing.T) {
 	const ratio, slack, window = 0.2, 196, 10 * time.Second
 	rapid.Check(t, func(rt *rapid.T) {
 		routers := rapid.IntRange(1, 8).Draw(rt, "routers")
-		now := time.Unix(5000, 0)
+		now := epoch
 		var all []*SharedRetryBudget
 		for range routers {
-			all = append(all, NewSharedRetryBudget(ratio, slack, window, func() int { return routers }, func() time.Time { return now }))
+			all = append(all, NewSharedRetryBudget(ratio, slack, window, func() int { return routers }, func() time.Duration { return now.Sub(epoch) }))
 		}
 		var requests, retries []time.Time
 		for range rapid.IntRange(10, 400).Draw(rt, "steps") {
@@ -48,8 +51,8 @@
 }
 
 func TestSharedRetryBudgetRefills(t *testing.T) {
-	now := time.Unix(5000, 0)
-	b := NewSharedRetryBudget(0.2, 20, 10*time.Second, func() int { return 1 }, func() time.Time { return now })
+	now := epoch
+	b := NewSharedRetryBudget(0.2, 20, 10*time.Second, func() int { return 1 }, func() time.Duration { return now.Sub(epoch) })
 	assert.Assert(t, !b.Take("s"), "a router that starts does not know what it spent before")
 	now = now.Add(10 * time.Second)
 	taken := 0
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -180,7 +180,7 @@
 	r.pauses = pause.New(boottime.Now)
 	r.limits = ratelimit.New(r.settings.Router.Peers, r.routersNear, boottime.Now)
 	r.exchange.Limits = r.limits
-	budget := limits.NewSharedRetryBudget(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.RouterCount, time.Now)
+	budget := limits.NewSharedRetryBudget(rt.RetryRatio, rt.RetrySlack, time.Duration(rt.RetryWindow), r.exchange.RouterCount, boottime.Now)
 	r.exchange.RetryBorrower = &limits.RetryBorrower{Budget: budget, Borrow: r.exchange.Borrow, Now: time.Now}
 	r.exchange.TransferSlot = transfer.NewSlot()
 	r.exchange.Values = r.newValues()
--- a/internal/protocol/relay/panic_test.go
+++ b/internal/protocol/relay/panic_test.go
@@ -74,7 +74,7 @@
 		Services: []model.Service{{Name: "notices"}},
 	}, nil, "")
 	r.Catalog.Put(model.BackendServer{ID: "n", Service: "notices", Address: "n:1", FailureDomain: "a", Slots: 9})
-	r.RetryBorrower = &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(1, 1, time.Second, func() int { return 1 }, time.Now), Now: time.Now}
+	r.RetryBorrower = &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(1, 1, time.Second, func() int { return 1 }, monotonic), Now: time.Now}
 	r.Clock = func() time.Duration { return 0 }
 	return r
 }
--- a/internal/protocol/relay/path_test.go
+++ b/internal/protocol/relay/path_test.go
@@ -240,7 +240,7 @@
 		const budget = 30
 		engines := &fakeEngines{}
 		s := newThreeStageFixture(engines.do)
-		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, budget, time.Second, func() int { return 1 }, time.Now)
+		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, budget, time.Second, func() int { return 1 }, monotonic)
 		var streams []*chainWatch
 		for range 90 {
 			w, _ := s.startStream(t, resumable)
--- a/internal/protocol/relay/watch_test.go
+++ b/internal/protocol/relay/watch_test.go
@@ -192,7 +192,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
 		s := newTwoStageFixture(route, func(context.Context, string, *Request) (*Response, error) { return reportResponse(emptyReport), nil })
-		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 100, time.Hour, func() int { return 1 }, time.Now)
+		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 100, time.Hour, func() int { return 1 }, monotonic)
 		_, run := s.startTwoStageStream(t, route)
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
--- a/internal/transport/peers/limits_test.go
+++ b/internal/transport/peers/limits_test.go
@@ -17,7 +17,7 @@
 func withLimits(x *Exchange) {
 	start := time.Now()
 	x.Revision = func() model.Revision { return 0 }
-	x.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 1, time.Second, x.RouterCount, time.Now)
+	x.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 1, time.Second, x.RouterCount, monotonic)
 	x.Limits = ratelimit.New(x.Self, func(model.Incarnation) []ratelimit.Router {
 		var out []ratelimit.Router
 		for _, addr := range x.LiveRouters() {
@@ -65,3 +65,6 @@
 	}
 	assert.Equal(t, len(y.Limits.Rates()), 0)
 }
+
+// monotonic is the clock of retry budgets.
+func monotonic() time.Duration { return time.Since(time.Unix(0, 0)) }
