catalog: an entry of a service that no configuration names replaces no server

Cause: entries were compared by address alone. An entry counts now as evidence of a successor at an address only if the configuration names its service, also later; nothing counts before the first configuration.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -31,8 +31,10 @@
 	mu           sync.Mutex
 	entries      map[string]*entry // by id
 	newestByAddr map[string]string // id of the newest entry, by address
-	history      incarnationHistory
-	current      atomic.Pointer[Snapshot]
+	// services are those that the configuration names; nil if all count.
+	services map[string]bool
+	history  incarnationHistory
+	current  atomic.Pointer[Snapshot]
 	// dirty is set if entries changed since the last snapshot. The next Load makes a
 	// new one. A snapshot for each change would be expensive while many engines
 	// register.
@@ -61,7 +63,22 @@
 // publish replaces the snapshot. The caller holds c.mu.
 func (c *Catalog) publish() {
 	c.dirty.Store(false)
-	c.current.Store(newSnapshot(c.entries))
+	c.current.Store(newSnapshot(c.entries, c.names))
+}
+
+// SetServices sets the services that the configuration names. An entry of another service is no
+// evidence that the process at its address was replaced: another program may have written it. Before
+// the first call all services count.
+func (c *Catalog) SetServices(names map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.services = names
+	c.dirty.Store(true)
+}
+
+// names reports whether the configuration names the service of an entry. The caller holds c.mu.
+func (c *Catalog) names(e *entry) bool {
+	return c.services == nil || c.services[e.server.Service]
 }
 
 // Put adds or updates an entry and returns the conflicts with other incarnations. An
--- a/internal/coordination/catalog/incarnation.go
+++ b/internal/coordination/catalog/incarnation.go
@@ -84,10 +84,13 @@
 
 // replacedAtAddress returns the older incarnation at a new entry's address, if any.
 func (c *Catalog) replacedAtAddress(e *entry) []model.BackendServer {
+	if !c.names(e) {
+		return nil
+	}
 	id, addr := e.server.ID, e.server.Address
 	before := c.newestByAddr[addr]
 	other, ok := c.entries[before]
-	if !ok || before == id || other.server.Address != addr {
+	if !ok || before == id || other.server.Address != addr || !c.names(other) {
 		c.newestByAddr[addr] = id
 		return nil
 	}
@@ -98,13 +101,21 @@
 	return []model.BackendServer{other.server}
 }
 
-// newestAtAddresses returns the newest entry of each address.
-func newestAtAddresses(entries map[string]*entry) map[string]*entry {
+// newestAtAddresses returns the newest entry of each address, of a named service if there is one.
+func newestAtAddresses(entries map[string]*entry, named func(*entry) bool) map[string]*entry {
 	out := make(map[string]*entry, len(entries))
 	for _, e := range entries {
-		if other := out[e.server.Address]; other == nil || e.startedAfter(other) {
-			out[e.server.Address] = e
+		other := out[e.server.Address]
+		switch {
+		case other == nil:
+		case named(e) != named(other):
+			if named(other) {
+				continue
+			}
+		case !e.startedAfter(other):
+			continue
 		}
+		out[e.server.Address] = e
 	}
 	return out
 }
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -58,6 +58,7 @@
 		interconnectRows: map[interconnectRow]bool{},
 		listen:           listenTCP,
 	}
+	r.catalog.SetServices(map[string]bool{}) // none is named yet
 	r.decode = func(raw []byte) (*model.RouteConfig, error) { return platform.DecodeConfig(raw, r.yield) }
 	r.configs = configQueue{apply: r.applyConfig, confirm: r.config.Confirm}
 	r.buildExchange()
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/boottime"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/transfer"
+	"github.com/skylarkwood/skylarkwood/internal/model"
 	external "github.com/skylarkwood/skylarkwood/internal/platform"
 	"github.com/skylarkwood/skylarkwood/internal/transport/peers"
 )
@@ -105,10 +106,19 @@
 		klog.InfoS("configuration skipped: not newer than the one in force", "version", cfg.Version, "inForce", r.config.Version())
 		return
 	}
+	r.catalog.SetServices(serviceNames(cfg))
 	klog.InfoS("configuration in force", "version", cfg.Version, "before", before, "source", origin, "revision", it.Revision, "age", r.follower.SinceLastContact(),
 		"routes", len(cfg.Routes), "customers", len(cfg.Customers), "decoding", time.Since(start))
 }
 
+func serviceNames(cfg *model.RouteConfig) map[string]bool {
+	names := make(map[string]bool, len(cfg.Services))
+	for _, s := range cfg.Services {
+		names[s.Name] = true
+	}
+	return names
+}
+
 // lookupValue returns this router's value of a store key or, for an empty key, the
 // configuration in force.
 func (r *Router) lookupValue(key string) (external.Item, bool) {
