caller: a process that lacks processor time looks for departures itself

While the process handles network events late, whoever has the processor checks all callers whose requests are at servers, once in 100 ms, and ends the sending side of their connections to servers at once.

--- a/internal/coordination/caller/caller.go
+++ b/internal/coordination/caller/caller.go
@@ -30,6 +30,7 @@
 	Waiting  Point = "check after a wait"
 	Sending  Point = "check before a send"
 	Periodic Point = "periodic check"
+	Sweep    Point = "check of all callers"
 )
 
 // Options describe a caller.
@@ -43,6 +44,8 @@
 	// Unwatched reports whether no read waits for the end of the connection. Watch calls it. It may be
 	// nil.
 	Unwatched func() bool
+	// Callers are the other callers of this process. It may be nil.
+	Callers *Callers
 	// OnLeft is called once when it is found that the caller has left. It may be nil.
 	OnLeft func(Point)
 }
@@ -59,6 +62,9 @@
 	watch    *time.Timer // of the periodic check; nil if there is none
 	lastSend time.Time   // first byte of the last send
 	sends    int
+	// hooks are called once the caller has left.
+	hooks    map[int]func()
+	lastHook int
 }
 
 type key struct{}
@@ -70,12 +76,14 @@
 	connection := ctx
 	ctx, c.cancel = context.WithCancelCause(connection)
 	c.unhook = context.AfterFunc(connection, func() { c.setLeft(Read, tcp.PeerState{}) })
+	o.Callers.add(c)
 	return c, context.WithValue(ctx, key{}, c)
 }
 
 // Close ends the observation of the caller, after its response.
 func (c *Caller) Close() {
 	c.unhook()
+	c.Callers.remove(c)
 	c.cancel(nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -140,8 +148,11 @@
 		return context.Cause(ctx)
 	}
 	c, _ := ctx.Value(key{}).(*Caller)
-	if c != nil && c.check(p) {
-		return ErrLeft
+	if c != nil {
+		c.Callers.CheckIfLate()
+		if c.check(p) {
+			return ErrLeft
+		}
 	}
 	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
 		<-ctx.Done() // its timer is due
@@ -165,6 +176,36 @@
 	return state.Ended
 }
 
+// OnLeft calls f as soon as it is found that the caller of a request has left, by whoever finds it: f must
+// not block. Unlike a function that waits for the context, it needs no goroutine that must get the
+// processor first. remove prevents the call.
+func OnLeft(ctx context.Context, f func()) (remove func()) {
+	c, _ := ctx.Value(key{}).(*Caller)
+	if c == nil {
+		return func() {}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hooks == nil {
+		c.hooks = map[int]func(){}
+	}
+	c.lastHook++
+	id := c.lastHook
+	c.hooks[id] = f
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.hooks, id)
+	}
+}
+
+// waitsForServer reports whether the request was sent and the caller is not known to have left.
+func (c *Caller) waitsForServer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sends > 0 && !c.left && !c.closed
+}
+
 func (c *Caller) recordSend() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -181,9 +222,13 @@
 		return
 	}
 	c.left = true
+	for _, f := range c.hooks {
+		f()
+	}
+	c.hooks = nil
 	c.log(p, state)
-	if c.OnLeft != nil {
-		c.OnLeft(p)
+	if c.Options.OnLeft != nil {
+		c.Options.OnLeft(p)
 	}
 }
 
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/boottime"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/admission"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
@@ -280,7 +281,7 @@
 			rel.HandleEngineExit(b.Incarnation())
 		},
 	}
-	r.front = &front.Server{Config: r.config, Relay: rel, Observer: r.metrics, Intake: r.intake, OnRequest: func() { r.requestSeen.Store(true) }}
+	r.front = &front.Server{Config: r.config, Relay: rel, Observer: r.metrics, Intake: r.intake, Callers: &caller.Callers{Late: r.processor.Late}, OnRequest: func() { r.requestSeen.Store(true) }}
 }
 
 // serversInUse returns the number of servers of a service that may run requests: engines hold layers,
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -63,3 +63,10 @@
 	}
 	return n, recvErr
 }
+
+// CloseWrite ends the sending side of a connection without waiting for reads in progress.
+func CloseWrite(c net.Conn) {
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // fails if the connection has ended
+	}
+}
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -191,7 +191,7 @@
 
 // exchange sends a request over a connection and reads the header of the response.
 func (p *Pool) exchange(ctx context.Context, c *conn, addr string, r *relay.Request) (*relay.Response, error) {
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := c.closeWith(ctx)
 	sent := make(chan writeResult, 1)
 	if len(r.Body) > maxInlineBody {
 		go func() { sent <- write(c, r) }()
@@ -224,6 +224,17 @@
 	return &relay.Response{Status: resp.StatusCode, Header: resp.Header, Body: b, EndsWithConnection: unframed}, nil
 }
 
+// closeWith closes a connection as soon as ctx is done. stop prevents that, and returns false if it came too
+// late. A server is told at once that the caller has left, as closing waits for whoever reads.
+func (c *conn) closeWith(ctx context.Context) (stop func() bool) {
+	keepOpen := caller.OnLeft(ctx, func() { tcp.CloseWrite(c.Conn) })
+	keep := context.AfterFunc(ctx, func() { c.Close() })
+	return func() bool {
+		keepOpen()
+		return keep()
+	}
+}
+
 // readResponse reads the header of the final response and skips interim responses.
 func readResponse(c *conn, method string) (*http.Response, error) {
 	c.header.begin()
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -41,6 +41,8 @@
 	// Intake limits new connections. It may be nil. Advance must be called after each probe of
 	// its processor.
 	Intake *intake.Gate[net.Conn]
+	// Callers are the callers of the requests in progress. It may be nil.
+	Callers *caller.Callers
 	// OnRequest is called for each request. It may be nil.
 	OnRequest func()
 	// Observer counts the ends of connections. It may be nil.
@@ -58,6 +60,7 @@
 // Serve serves connections until Shutdown.
 func (s *Server) Serve(callers net.Listener) error {
 	l := newTimedListener(callers, s.limits, s.Intake)
+	l.callers = s.Callers
 	s.listener.Store(l)
 	// Set before the listener, as a stop that finds the listener may use them at once.
 	s.stopContext, s.cancelPending = context.WithCancel(context.Background())
@@ -80,6 +83,7 @@
 		case http.StateNew:
 			s.conns.add(t)
 		case http.StateActive:
+			s.Callers.CheckIfLate()
 			t.startRequest()
 			l.beginRequest(t)
 		case http.StateIdle:
@@ -169,7 +173,7 @@
 	conn.setRequest(call)
 	ctx, done := s.requestContext(r, out)
 	defer done()
-	who, ctx := caller.New(ctx, caller.Options{Request: call.Attempt, Received: call.Received, Peer: conn.peerState, Unwatched: conn.unwatched, OnLeft: s.recordCallerLeft})
+	who, ctx := caller.New(ctx, caller.Options{Request: call.Attempt, Received: call.Received, Peer: conn.peerState, Unwatched: conn.unwatched, Callers: s.Callers, OnLeft: s.recordCallerLeft})
 	defer who.Close()
 	conn.setCaller(who)
 	defer conn.setCaller(nil)
--- a/internal/transport/front/listener.go
+++ b/internal/transport/front/listener.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/intake"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/tcp"
@@ -29,6 +30,8 @@
 	limits func() model.CallerLimits
 	// gate limits new connections. It may be nil.
 	gate *intake.Gate[net.Conn]
+	// callers are those of the requests in progress. It may be nil.
+	callers *caller.Callers
 
 	start    sync.Once
 	once     sync.Once
@@ -80,6 +83,7 @@
 func (l *timedListener) acceptAll() {
 	for {
 		c, err := l.Listener.Accept()
+		l.callers.CheckIfLate()
 		if err == nil {
 			l.apply(l.gate.Arrive(c))
 			continue
@@ -160,6 +164,7 @@
 
 // advance lets the gate decide again. again is that of Gate.Advance.
 func (l *timedListener) advance() (again bool) {
+	l.callers.CheckIfLate()
 	d, again := l.gate.Advance()
 	l.apply(d)
 	return again
