--- a/internal/tcp/peer_test.go
+++ b/internal/tcp/peer_test.go
@@ -68,3 +68,15 @@
 	defer b.Close()
 	assert.Equal(t, Peer(a), PeerState{})
 }
+
+func BenchmarkPeer(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(b, err)
+	defer c.Close()
+	for b.Loop() {
+		Peer(c)
+	}
+}
