--- a/internal/coordination/caller/caller.go
+++ b/internal/coordination/caller/caller.go
@@ -46,8 +46,8 @@
 	Unwatched func() bool
 	// Callers are the other callers of this process. It may be nil.
 	Callers *Callers
-	// OnLeft is called once when it is found that the caller has left. It may be nil.
-	OnLeft func(Point)
+	// Observe is called once when it is found that the caller has left. It may be nil.
+	Observe func(Point)
 }
 
 // Caller is the caller of one request. It is safe for concurrent use.
@@ -176,9 +176,9 @@
 	return state.Ended
 }
 
-// OnLeft calls f as soon as it is found that the caller of a request has left, by whoever finds it: f must
-// not block. Unlike a function that waits for the context, it needs no goroutine that must get the
-// processor first. remove prevents the call.
+// OnLeft calls f as soon as it is found that the caller of a request has left, by whoever finds it, so f
+// must not block. A function that waits for the context runs later, as its goroutine must get the
+// processor first; it is still needed for the other ends of a request. remove prevents the call.
 func OnLeft(ctx context.Context, f func()) (remove func()) {
 	c, _ := ctx.Value(key{}).(*Caller)
 	if c == nil {
@@ -218,7 +218,7 @@
 	c.cancel(ErrLeft)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.left {
+	if c.left || c.closed {
 		return
 	}
 	c.left = true
@@ -227,8 +227,8 @@
 	}
 	c.hooks = nil
 	c.log(p, state)
-	if c.Options.OnLeft != nil {
-		c.Options.OnLeft(p)
+	if c.Observe != nil {
+		c.Observe(p)
 	}
 }
 
--- a/internal/coordination/caller/caller_test.go
+++ b/internal/coordination/caller/caller_test.go
@@ -30,7 +30,7 @@
 func TestDepartureCancelsTheRequest(t *testing.T) {
 	conn := &connection{known: true}
 	var found []Point
-	c, ctx := New(t.Context(), Options{Peer: conn.peer, OnLeft: func(p Point) { found = append(found, p) }})
+	c, ctx := New(t.Context(), Options{Peer: conn.peer, Observe: func(p Point) { found = append(found, p) }})
 	defer c.Close()
 	run, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -77,11 +77,13 @@
 func (c *timedConn) beginRead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
-	if c.state.Phase() == keepalive.Serving {
-		return nil
+	if c.state.Phase() != keepalive.Serving {
+		if err := c.SetReadDeadline(c.state.Deadline(c.limits())); err != nil {
+			return err
+		}
 	}
-	return c.SetReadDeadline(c.state.Deadline(c.limits()))
+	c.reading = true
+	return nil
 }
 
 // endRead records the end of a read. If it was the one that waits for the end of the connection of a
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -171,19 +171,19 @@
 		return
 	}
 	conn.setRequest(call)
-	who, ctx := caller.New(r.Context(), caller.Options{Request: call.Attempt, Received: call.Received, Peer: conn.peerState, Unwatched: conn.unwatched, Callers: s.Callers, OnLeft: s.recordCallerLeft})
-	defer who.Close()
-	conn.setCaller(who)
+	requester, ctx := caller.New(r.Context(), caller.Options{Request: call.Attempt, Received: call.Received, Peer: conn.peerState, Unwatched: conn.unwatched, Callers: s.Callers, Observe: s.recordCallerLeft})
+	defer requester.Close()
+	conn.setCaller(requester)
 	defer conn.setCaller(nil)
 	ctx, done := s.requestContext(ctx, out)
 	defer done()
-	out.closing = func() bool { return s.closing() || who.Left() }
+	out.closing = func() bool { return s.closing() || requester.Left() }
 	if complete := s.Relay.Serve(ctx, call, out); !complete {
 		// Aborts the connection, so that the caller detects the incomplete response.
 		panic(http.ErrAbortHandler)
 	}
 	out.extendDeadline()
-	if who.Left() {
+	if requester.Left() {
 		conn.setEndReason(EndCallerClosed, caller.ErrLeft)
 	} else if r.Context().Err() == nil {
 		conn.setRequest(nil)
