--- a/test/fleet/incarnation_test.go
+++ b/test/fleet/incarnation_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -103,3 +104,36 @@
 	overwritten.PutEntry(key, original)
 	s.eventually("the engine serves again", func() bool { return s.call(s.routers[0], requestSpec{path: "/sheet/1"}).status == http.StatusOK })
 }
+
+// Another program may list running engines under a service that no configuration names. Guards against
+// taking the engines for exited: their streams would run again elsewhere, and they would get no others.
+func TestEntriesOfUnknownServicesEndNoStreams(t *testing.T) {
+	s := newSite(t, 2)
+	s.fleet.Events = 150
+	attempts := make([]string, 6)
+	var all sync.WaitGroup
+	for i := range attempts {
+		attempts[i] = newAttempt()
+		all.Go(func() {
+			s.assertComplete(s.call(s.routers[i%2], requestSpec{path: "/sheet/1", attempt: attempts[i]}))
+		})
+	}
+	s.eventually("the streams run", func() bool {
+		for _, attempt := range attempts {
+			if len(s.fleet.Runs(attempt)) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for i, e := range s.engines {
+		e.PutEntry(fmt.Sprint("servers/foreign-", i), fmt.Appendf(nil,
+			`{"service":"elsewhere","address":%q,"zone":"a","state":"ready","type":"fast","born":%d}`, e.Address(), time.Now().UnixMilli()))
+	}
+	all.Wait()
+	for _, attempt := range attempts {
+		assert.Equal(t, len(s.fleet.Runs(attempt)), 1)
+	}
+	s.fleet.Events = 20
+	s.assertComplete(s.call(s.routers[0], requestSpec{path: "/sheet/2"}))
+}
