intake: the log tells the total of refused connections; the soak reads that

The log of that process says that 3,030 lines were dropped, and a line of the intake is among them: the limit ended at 13:15:06.967, three seconds after the last refusal at 13:15:03.967, but no line after that of 13:15:03.767 names any.

--- a/internal/coordination/intake/log.go
+++ b/internal/coordination/intake/log.go
@@ -13,6 +13,9 @@
 type limitLog struct {
 	at      time.Duration // of the last line
 	refused int           // since then
+	// total is what was refused before the last line. A line may be dropped in a process that logs
+	// too much.
+	total int
 }
 
 type limitState struct {
@@ -28,6 +31,7 @@
 		return
 	}
 	klog.InfoS("new connections limited: they wait for the processor", "limited", s.limited, "standingMs", s.standing.Milliseconds(),
-		"limit", s.limit, "inProgress", s.inFlight, "waiting", s.waiting, "refused", l.refused)
+		"limit", s.limit, "inProgress", s.inFlight, "waiting", s.waiting, "refused", l.refused, "refusedTotal", l.total+l.refused)
+	l.total += l.refused
 	l.at, l.refused = now, 0
 }
--- a/test/faultsoak/promise_test.go
+++ b/test/faultsoak/promise_test.go
@@ -67,22 +67,27 @@
 	s.t.Logf("%+v", n)
 }
 
-var refusedInLog = regexp.MustCompile(`new connections limited.* refused=(\d+)`)
+var refusedInLog = regexp.MustCompile(`(?m)"started"|new connections limited.* refusedTotal=(\d+)`)
 
 // refusedConnections returns how many new connections a router refused according to its log,
-// because they waited too long for the processor.
+// because they waited too long for the processor. Each process counts from its start, and lines may be
+// missing.
 func (s *site) refusedConnections(r *router) int {
 	raw, err := os.ReadFile(r.log.Name())
 	if err != nil {
 		s.t.Error(err)
 	}
-	total := 0
+	before, total := 0, 0 // of earlier processes, and with the present one
 	for _, m := range refusedInLog.FindAllSubmatch(raw, -1) {
+		if len(m[1]) == 0 {
+			before = total
+			continue
+		}
 		n, err := strconv.Atoi(string(m[1]))
 		if err != nil {
 			s.t.Error(err)
 		}
-		total += n
+		total = before + n
 	}
 	return total
 }
