--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -283,7 +283,7 @@
 			return fault.New(fault.Overloaded, "an engine asked for a pause before the request was sent")
 		}
 		if reason != noConnection && !(reason == deadlineExceeded && reason.countsAsFailure(s.Now().Sub(w.sentAt))) {
-			if !reason.countsAsFailure(0) {
+			if !reason.countsAsFailure(0) { // the caller, the deadline or the router ended it
 				s.returnPermission(first.Incarnation())
 			}
 			s.recordChainLoss(w, reason, err)
