backend: the test of cut responses leaves the wait for the processor out of timeouts

Its 36 parallel cases dial within 400 ms by the wall clock, and the test's process waited longer than that for the processor. Routers leave that wait out (Pool.Processor); the test does now, too. What it asserts is unchanged.

--- a/internal/transport/backend/cut_test.go
+++ b/internal/transport/backend/cut_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/processor"
+	"github.com/skylarkwood/skylarkwood/internal/transport/selfprobe"
 )
 
 // untilClose is the framing of a response without a length, which ends with its connection.
@@ -29,6 +33,7 @@
 // A server stops at any byte of a response and closes or resets its connection, which is new or was
 // used before. Guards against responses that look complete to the caller.
 func TestResponsesCutAtAnyByteAreErrors(t *testing.T) {
+	waits := monitorProcessor(t)
 	for form, whole := range wholeResponses {
 		for _, reset := range []bool{false, true} {
 			for _, kept := range []bool{false, true} {
@@ -36,14 +41,14 @@
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
 					for cut := range len(whole) {
-						status, body, err := getCut(t, whole[:cut], reset, kept)
+						status, body, err := getCut(t, waits, whole[:cut], reset, kept)
 						// A clean close ends a response without a length once its head is complete.
 						if form == untilClose && !reset && strings.Contains(whole[:cut], "\r\n\r\n") {
 							continue
 						}
 						assert.Check(t, err != nil, "cut after %d of %d bytes, %q: status %d, body %q", cut, len(whole), whole[max(cut-12, 0):cut], status, body)
 					}
-					_, _, err := getCut(t, whole, false, kept)
+					_, _, err := getCut(t, waits, whole, false, kept)
 					assert.Check(t, err == nil, "whole: %v", err)
 				})
 			}
@@ -51,8 +56,18 @@
 	}
 }
 
+// monitorProcessor keeps the wait for the processor out of the timeouts of pools, as in a router.
+func monitorProcessor(t *testing.T) *processor.Monitor {
+	began := time.Now()
+	m := processor.New(func() time.Duration { return time.Since(began) })
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = selfprobe.Run(ctx, m, func() bool { return false }) }()
+	return m
+}
+
 // getCut sends a request to a server whose response to it is text, at which its connection ends.
-func getCut(t *testing.T, text string, reset, kept bool) (status int, body string, err error) {
+func getCut(t *testing.T, waits *processor.Monitor, text string, reset, kept bool) (status int, body string, err error) {
 	first := true
 	s := newServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
 		if kept && first {
@@ -69,6 +84,7 @@
 	})
 	defer s.l.Close()
 	p := NewPool()
+	p.Processor = waits
 	if kept {
 		_, _, err := get(t, p, s)
 		assert.NilError(t, err)
