caller, front, tcp: names and comments that a newcomer understands

The kernel's TCP states come from x/sys, the two intervals of 100 ms are one, and "unwatched" says now what it means: no read is pending on the connection. No change of behaviour.

--- a/internal/coordination/caller/caller.go
+++ b/internal/coordination/caller/caller.go
@@ -20,17 +20,20 @@
 // ErrLeft is the cause with which the context of a request is cancelled whose caller has left.
 var ErrLeft = errors.New("caller left")
 
-// Point is where it was found that a caller has left.
+// Point is the step of a request at which the router found that its caller has left.
 type Point string
 
-// Points. Read is the read that waits for the end of the connection.
+// Read is the read with which the server of net/http waits for the end of the connection while a
+// request is handled. The others are checks: before the request is handled, after it has waited for
+// something, before its first byte is sent, and two that do not depend on its progress (Watch,
+// Callers.CheckIfLate).
 const (
 	Read     Point = "read of the connection"
 	Handling Point = "check before handling"
 	Waiting  Point = "check after a wait"
 	Sending  Point = "check before a send"
 	Periodic Point = "periodic check"
-	Sweep    Point = "check of all callers"
+	All      Point = "check of all callers"
 )
 
 // Options describe a caller.
@@ -41,9 +44,9 @@
 	Received time.Time
 	// Peer asks for the state of the caller's connection. It may be nil.
 	Peer func() tcp.PeerState
-	// Unwatched reports whether no read waits for the end of the connection. Watch calls it. It may be
-	// nil.
-	Unwatched func() bool
+	// NoPendingRead reports whether no read waits on the connection, so that its end would not be read.
+	// Without it, Watch does nothing.
+	NoPendingRead func() bool
 	// Callers are the other callers of this process. It may be nil.
 	Callers *Callers
 	// Observe is called once when it is found that the caller has left. It may be nil.
@@ -93,17 +96,17 @@
 	}
 }
 
-// watchInterval is the interval of the periodic check. Servers must be told of a departure within half
-// a second.
-const watchInterval = 100 * time.Millisecond
+// checkInterval is the interval of checks that do not depend on the progress of a request. Servers must
+// be told of a departure within half a second.
+const checkInterval = 100 * time.Millisecond
 
-// Watch checks periodically whether the caller has left, for as long as its connection is unwatched. It
-// must be called at the start of the request and each time a read of the connection has ended.
+// Watch checks periodically whether the caller has left, until a read waits on its connection. It must
+// be called at the start of the request and each time a read of the connection has returned.
 func (c *Caller) Watch() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.Unwatched != nil && c.watch == nil && !c.closed && !c.left {
-		c.watch = time.AfterFunc(watchInterval, c.checkPeriodically)
+	if c.NoPendingRead != nil && c.watch == nil && !c.closed && !c.left {
+		c.watch = time.AfterFunc(checkInterval, c.checkPeriodically)
 	}
 }
 
@@ -114,19 +117,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed && !c.left {
-		c.watch.Reset(watchInterval)
+		c.watch.Reset(checkInterval)
 	}
 }
 
-// continueWatch reports whether the connection is still unwatched. If it is not, the next call of Watch
-// starts the check again.
+// continueWatch reports whether there is still no pending read. If there is one, the next call of Watch
+// starts the periodic check again.
 func (c *Caller) continueWatch() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.left {
 		return false
 	}
-	if !c.Unwatched() {
+	if !c.NoPendingRead() {
 		c.watch = nil
 		return false
 	}
--- a/internal/coordination/caller/caller_test.go
+++ b/internal/coordination/caller/caller_test.go
@@ -15,7 +15,7 @@
 // connection is a caller's connection whose end has not been read.
 type connection struct {
 	known          bool
-	ended, watched atomic.Bool
+	ended, reading atomic.Bool
 	checks         atomic.Int64
 }
 
@@ -24,7 +24,7 @@
 	return tcp.PeerState{Known: c.known, Ended: c.ended.Load()}
 }
 
-func (c *connection) unwatched() bool { return !c.watched.Load() }
+func (c *connection) noPendingRead() bool { return !c.reading.Load() }
 
 // A departure must end everything that is done for the request, and be recorded once.
 func TestDepartureCancelsTheRequest(t *testing.T) {
@@ -70,21 +70,21 @@
 
 // Unread bytes hide the end of a connection from reads. Guards against work that goes on for a caller
 // that has left, and against checks while a read waits for the end.
-func TestUnwatchedConnectionIsCheckedPeriodically(t *testing.T) {
+func TestConnectionWithoutPendingReadIsCheckedPeriodically(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		conn := &connection{known: true}
-		c, ctx := New(t.Context(), Options{Peer: conn.peer, Unwatched: conn.unwatched})
+		c, ctx := New(t.Context(), Options{Peer: conn.peer, NoPendingRead: conn.noPendingRead})
 		defer c.Close()
 		c.Watch()
-		time.Sleep(time.Second + watchInterval/2)
+		time.Sleep(time.Second + checkInterval/2)
 		assert.Equal(t, conn.checks.Load(), int64(10))
-		conn.watched.Store(true) // a read waits
+		conn.reading.Store(true) // a read waits
 		time.Sleep(time.Second)
 		assert.Equal(t, conn.checks.Load(), int64(10))
-		conn.watched.Store(false)
+		conn.reading.Store(false)
 		c.Watch()
 		conn.ended.Store(true)
-		time.Sleep(watchInterval)
+		time.Sleep(checkInterval)
 		synctest.Wait()
 		assert.ErrorIs(t, context.Cause(ctx), ErrLeft)
 		time.Sleep(time.Second)
@@ -96,7 +96,7 @@
 func TestNothingIsCheckedAfterTheResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		conn := &connection{known: true}
-		c, _ := New(t.Context(), Options{Peer: conn.peer, Unwatched: conn.unwatched})
+		c, _ := New(t.Context(), Options{Peer: conn.peer, NoPendingRead: conn.noPendingRead})
 		c.Watch()
 		c.Close()
 		c.Watch()
--- a/internal/coordination/caller/callers.go
+++ b/internal/coordination/caller/callers.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// Callers are the callers of the requests in progress. While the process handles network events late, the
-// reads that wait for the ends of connections are late too, by as much as all other work that waits. Then
-// whoever has the processor checks all callers whose requests are at servers, so that the work for the
-// departed ends. A nil Callers is empty.
+// Callers are the callers of the requests in progress. A nil Callers is empty.
+//
+// A process that lacks processor time handles network events late, and so the reads that wait for the
+// ends of connections. Goroutines that run call CheckIfLate, so that servers learn of departures anyway.
 type Callers struct {
 	// Late reports whether the process handles network events late.
 	Late func() bool
@@ -18,9 +18,6 @@
 	checked time.Time
 }
 
-// checkAllInterval is the interval between two checks of all callers.
-const checkAllInterval = 100 * time.Millisecond
-
 func (s *Callers) add(c *Caller) {
 	if s == nil {
 		return
@@ -42,15 +39,15 @@
 	delete(s.all, c)
 }
 
-// CheckIfLate checks all callers whose requests were sent, if the process is late and the last check was
-// checkAllInterval ago. It is cheap otherwise and may be called with each network event.
+// CheckIfLate checks all callers whose requests were sent to servers, if the process is late and the last
+// call that did so was checkInterval ago. Otherwise it is cheap enough for each network event.
 func (s *Callers) CheckIfLate() {
 	if s == nil || !s.Late() {
 		return
 	}
 	for _, c := range s.due(time.Now()) {
 		if c.waitsForServer() {
-			c.check(Sweep)
+			c.check(All)
 		}
 	}
 }
@@ -59,7 +56,7 @@
 func (s *Callers) due(now time.Time) []*Caller {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.checked) < checkAllInterval {
+	if now.Sub(s.checked) < checkInterval {
 		return nil
 	}
 	s.checked = now
--- a/internal/coordination/caller/callers_test.go
+++ b/internal/coordination/caller/callers_test.go
@@ -43,7 +43,7 @@
 		again.recordSend()
 		assert.NilError(t, Check(ctx, Waiting))
 		assert.Assert(t, !again.Left(), "checked twice within the interval")
-		time.Sleep(checkAllInterval)
+		time.Sleep(checkInterval)
 		assert.NilError(t, Check(ctx, Waiting))
 		assert.Assert(t, again.Left())
 		again.Close()
--- a/internal/tcp/peer.go
+++ b/internal/tcp/peer.go
@@ -20,18 +20,9 @@
 	SinceData, SinceSegment time.Duration
 }
 
-// maxPeerAge is the longest time since a segment that is taken for known. The kernel counts from
-// its own start if none has arrived.
-const maxPeerAge = time.Hour
-
-// states of a connection whose peer will send no more, from the kernel's enum of TCP states.
-const (
-	stateTimeWait  = 6
-	stateClose     = 7
-	stateCloseWait = 8
-	stateLastAck   = 9
-	stateClosing   = 11
-)
+// maxSinceArrival is the longest time since an arrival that is taken for known. The kernel counts from
+// its own start if nothing has arrived.
+const maxSinceArrival = time.Hour
 
 // Peer returns the state of a connection's peer. It neither blocks nor consumes bytes.
 func Peer(c net.Conn) PeerState {
@@ -54,23 +45,24 @@
 	return PeerState{
 		Known:        true,
 		Ended:        peerEnded(info.State),
-		SinceData:    age(info.Last_data_recv),
-		SinceSegment: age(info.Last_ack_recv),
+		SinceData:    sinceArrival(info.Last_data_recv),
+		SinceSegment: sinceArrival(info.Last_ack_recv),
 	}
 }
 
+// peerEnded reports whether the peer of a connection in a TCP state sends no more.
 func peerEnded(state uint8) bool {
 	switch state {
-	case stateTimeWait, stateClose, stateCloseWait, stateLastAck, stateClosing:
+	case unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_TIME_WAIT, unix.BPF_TCP_CLOSE:
 		return true
 	}
 	return false
 }
 
-// age converts a time of the kernel, in milliseconds.
-func age(ms uint32) time.Duration {
+// sinceArrival converts the milliseconds that the kernel counts since an arrival; 0 if nothing arrived yet.
+func sinceArrival(ms uint32) time.Duration {
 	d := time.Duration(ms) * time.Millisecond
-	if d > maxPeerAge {
+	if d > maxSinceArrival {
 		return 0
 	}
 	return d
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// unwatched reports whether no read waits for the end of the connection.
-func (c *timedConn) unwatched() bool {
+// hasNoPendingRead reports whether no read waits, so that the end of the connection would not be read.
+func (c *timedConn) hasNoPendingRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.reading
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -171,7 +171,7 @@
 		return
 	}
 	conn.setRequest(call)
-	requester, ctx := caller.New(r.Context(), caller.Options{Request: call.Attempt, Received: call.Received, Peer: conn.peerState, Unwatched: conn.unwatched, Callers: s.Callers, Observe: s.recordCallerLeft})
+	requester, ctx := caller.New(r.Context(), caller.Options{Request: call.Attempt, Received: call.Received, Peer: conn.peerState, NoPendingRead: conn.hasNoPendingRead, Callers: s.Callers, Observe: s.recordCallerLeft})
 	defer requester.Close()
 	conn.setCaller(requester)
 	defer conn.setCaller(nil)
--- a/internal/transport/front/listener.go
+++ b/internal/transport/front/listener.go
@@ -107,14 +107,14 @@
 	return errors.As(err, &temporary) && temporary.Temporary()
 }
 
-// apply applies decisions of the gate. The place of an admitted connection whose caller has left goes
-// to the next one.
+// apply applies decisions of the gate. An admitted connection whose caller has left is closed, and the
+// next waiting connection is admitted in its place.
 func (l *timedListener) apply(d intake.Decisions[net.Conn]) {
 	for {
 		closeUnread(d.Refused)
 		present, left := splitLeft(d.Admitted)
 		closeUnread(left)
-		l.addAdmitted(present)
+		l.queueForAccept(present)
 		if len(left) == 0 {
 			return
 		}
@@ -147,8 +147,8 @@
 	return present, left
 }
 
-// addAdmitted lets Accept return connections.
-func (l *timedListener) addAdmitted(conns []net.Conn) {
+// queueForAccept hands connections to Accept.
+func (l *timedListener) queueForAccept(conns []net.Conn) {
 	if len(conns) == 0 {
 		return
 	}
