--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -63,7 +63,7 @@
 // publish replaces the snapshot. The caller holds c.mu.
 func (c *Catalog) publish() {
 	c.dirty.Store(false)
-	c.current.Store(newSnapshot(c.entries, c.names))
+	c.current.Store(newSnapshot(c.entries, c.supersedes))
 }
 
 // SetServices sets the services that the configuration names. An entry of another service is no
@@ -76,8 +76,8 @@
 	c.dirty.Store(true)
 }
 
-// names reports whether the configuration names the service of an entry. The caller holds c.mu.
-func (c *Catalog) names(e *entry) bool {
+// configured reports whether the configuration names the service of an entry. The caller holds c.mu.
+func (c *Catalog) configured(e *entry) bool {
 	return c.services == nil || c.services[e.server.Service]
 }
 
--- a/internal/coordination/catalog/incarnation.go
+++ b/internal/coordination/catalog/incarnation.go
@@ -84,13 +84,13 @@
 
 // replacedAtAddress returns the older incarnation at a new entry's address, if any.
 func (c *Catalog) replacedAtAddress(e *entry) []model.BackendServer {
-	if !c.names(e) {
+	if !c.configured(e) {
 		return nil
 	}
 	id, addr := e.server.ID, e.server.Address
 	before := c.newestByAddr[addr]
 	other, ok := c.entries[before]
-	if !ok || before == id || other.server.Address != addr || !c.names(other) {
+	if !ok || before == id || other.server.Address != addr || !c.configured(other) {
 		c.newestByAddr[addr] = id
 		return nil
 	}
@@ -101,25 +101,26 @@
 	return []model.BackendServer{other.server}
 }
 
-// newestAtAddresses returns the newest entry of each address, of a named service if there is one.
-func newestAtAddresses(entries map[string]*entry, named func(*entry) bool) map[string]*entry {
+// newestAtAddresses returns for each address the entry that supersedes the others.
+func newestAtAddresses(entries map[string]*entry, supersedes func(e, other *entry) bool) map[string]*entry {
 	out := make(map[string]*entry, len(entries))
 	for _, e := range entries {
-		other := out[e.server.Address]
-		switch {
-		case other == nil:
-		case named(e) != named(other):
-			if named(other) {
-				continue
-			}
-		case !e.startedAfter(other):
-			continue
+		if other := out[e.server.Address]; other == nil || supersedes(e, other) {
+			out[e.server.Address] = e
 		}
-		out[e.server.Address] = e
 	}
 	return out
 }
 
+// supersedes reports whether an entry takes precedence over another one with the same address: if only
+// its service is configured, or if its process started later. The caller holds c.mu.
+func (c *Catalog) supersedes(e, other *entry) bool {
+	if c.configured(e) != c.configured(other) {
+		return c.configured(e)
+	}
+	return e.startedAfter(other)
+}
+
 // startedAfter reports whether an incarnation started after another one at the same
 // address. Entries from the same read of the whole list are compared by start time.
 // Without start times, the one with fewer heartbeats started later.
--- a/internal/coordination/catalog/snapshot.go
+++ b/internal/coordination/catalog/snapshot.go
@@ -52,14 +52,14 @@
 	return nil
 }
 
-func newSnapshot(entries map[string]*entry, named func(*entry) bool) *Snapshot {
+func newSnapshot(entries map[string]*entry, supersedes func(e, other *entry) bool) *Snapshot {
 	s := &Snapshot{
 		services: map[string][]*model.BackendServer{},
 		byID:     make(map[string]*model.BackendServer, len(entries)),
 		byAddr:   make(map[string]*model.BackendServer, len(entries)),
 		domains:  map[string]bool{},
 	}
-	holder := newestAtAddresses(entries, named)
+	holder := newestAtAddresses(entries, supersedes)
 	for id, e := range entries {
 		if holder[e.server.Address] != e {
 			continue
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -143,19 +142,6 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// Body reads the body of a response. Read returns io.EOF only if the response is complete:
-// after its full length, its last chunk, or a clean close if there is no length.
-type Body struct {
-	pool     *Pool
-	addr     string
-	conn     *conn
-	resp     *http.Response
-	complete bool
-	reusable bool
-	stop     func() bool
-	closed   atomic.Bool
-}
-
 // notSent returns an error that wraps relay.ErrNotSent and the reason.
 func notSent(reason error) error { return fmt.Errorf("%w: %w", relay.ErrNotSent, reason) }
 
@@ -298,36 +284,3 @@
 	n, err := c.Write(b)
 	return writeResult{bytes: n, err: err}
 }
-
-// Read implements io.Reader.
-func (b *Body) Read(p []byte) (int, error) {
-	n, err := b.resp.Body.Read(p)
-	if err == io.EOF {
-		b.complete = true
-	}
-	return n, err
-}
-
-// Close ends the use of the response. The connection is kept if the response was read
-// completely and no bytes follow it, and closed otherwise. Only the first call has an
-// effect, because the connection may serve another request by the second one.
-func (b *Body) Close() {
-	if b.closed.Swap(true) {
-		return
-	}
-	intact := b.stop() && b.complete && b.reusable
-	if !intact || b.conn.br.Buffered() > 0 {
-		b.conn.Close()
-		return
-	}
-	idle := idleTimeout(b.resp.Header)
-	if idle <= 0 {
-		b.conn.Close()
-		return
-	}
-	b.conn.idleDeadline = time.Now().Add(idle)
-	b.pool.host(b.addr).put(b.conn)
-}
-
-// Discard marks the connection as not reusable.
-func (b *Body) Discard() { b.reusable = false }
