--- a/internal/tcp/peer_test.go
+++ b/internal/tcp/peer_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/skylarkwood/skylarkwood/internal/tcp/tcptest"
 )
 
 // pair returns both ends of a connection.
@@ -24,16 +26,7 @@
 
 // The end of a connection must be found behind unread bytes, however the peer ended it.
 func TestPeerEndIsFoundBehindUnreadBytes(t *testing.T) {
-	for name, end := range map[string]func(*net.TCPConn) error{
-		"closed":      (*net.TCPConn).Close,
-		"half-closed": (*net.TCPConn).CloseWrite,
-		"reset": func(c *net.TCPConn) error {
-			if err := c.SetLinger(0); err != nil {
-				return err
-			}
-			return c.Close()
-		},
-	} {
+	for name, end := range tcptest.Ends {
 		t.Run(name, func(t *testing.T) {
 			near, far := pair(t)
 			assert.DeepEqual(t, Peer(near).Ended, false)
--- a/internal/transport/front/departed_test.go
+++ b/internal/transport/front/departed_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/intake"
+	"github.com/skylarkwood/skylarkwood/internal/tcp/tcptest"
 	"github.com/skylarkwood/skylarkwood/internal/transport/backend"
 	"github.com/skylarkwood/skylarkwood/internal/wait"
 )
@@ -62,17 +63,6 @@
 // largeBody exceeds the buffers of net/http.
 const largeBody = 90_000
 
-var departures = map[string]func(*net.TCPConn) error{
-	"closed":      (*net.TCPConn).Close,
-	"half-closed": (*net.TCPConn).CloseWrite,
-	"reset": func(c *net.TCPConn) error {
-		if err := c.SetLinger(0); err != nil {
-			return err
-		}
-		return c.Close()
-	},
-}
-
 func dial(t *testing.T, l net.Listener) *net.TCPConn {
 	c, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
@@ -90,7 +80,7 @@
 		"pipelined":    post("/1", 20) + post("/2", 20),
 		"large pairs":  post("/1", largeBody) + post("/2", largeBody),
 	} {
-		for departure, leave := range departures {
+		for departure, leave := range tcptest.Ends {
 			t.Run(request+" "+departure, func(t *testing.T) {
 				srv := newServer(t, func(*http.Request) {})
 				s := srv.front()
@@ -120,7 +110,7 @@
 // connection.
 func TestDepartureBehindUnreadBytesEndsTheWork(t *testing.T) {
 	for behind, rest := range map[string]string{"nothing": "", "one byte": "P", "a request": post("/2", largeBody)} {
-		for departure, leave := range departures {
+		for departure, leave := range tcptest.Ends {
 			t.Run(behind+" "+departure, func(t *testing.T) {
 				t.Parallel()
 				working, told := make(chan struct{}), make(chan struct{})
