--- a/internal/coordination/limits/loans_test.go
+++ b/internal/coordination/limits/loans_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits/limitstest"
 )
 
 // borrowerFleet is a set of routers that share a budget and lend to each other.
@@ -21,7 +23,7 @@
 func newBorrowerFleet(ratio, slack float64, names ...string) *borrowerFleet {
 	f := &borrowerFleet{budgets: map[string]*SharedRetryBudget{}, borrowers: map[string]*RetryBorrower{}, unresponsive: map[string]bool{}}
 	for _, name := range names {
-		f.budgets[name] = NewSharedRetryBudget(ratio, slack, 10*time.Second, func() int { return len(names) }, monotonic)
+		f.budgets[name] = NewSharedRetryBudget(ratio, slack, 10*time.Second, func() int { return len(names) }, limitstest.Clock)
 		f.borrowers[name] = &RetryBorrower{Budget: f.budgets[name], Borrow: f.lend, Now: time.Now}
 	}
 	return f
@@ -137,10 +139,10 @@
 				spent++
 			}
 		}
-		first := NewSharedRetryBudget(0.2, slack, 10*time.Second, func() int { return 1 }, monotonic)
+		first := NewSharedRetryBudget(0.2, slack, 10*time.Second, func() int { return 1 }, limitstest.Clock)
 		time.Sleep(10 * time.Second)
 		drain(first)
-		restarted := NewSharedRetryBudget(0.2, slack, 10*time.Second, func() int { return 1 }, monotonic)
+		restarted := NewSharedRetryBudget(0.2, slack, 10*time.Second, func() int { return 1 }, limitstest.Clock)
 		drain(restarted)
 		assert.Assert(t, spent <= slack, "%d of %d", spent, slack)
 	})
@@ -191,6 +193,3 @@
 		})
 	}
 }
-
-// monotonic is the clock of retry budgets.
-func monotonic() time.Duration { return time.Since(time.Unix(0, 0)) }
--- a/internal/protocol/relay/panic_test.go
+++ b/internal/protocol/relay/panic_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits/limitstest"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -74,7 +75,7 @@
 		Services: []model.Service{{Name: "notices"}},
 	}, nil, "")
 	r.Catalog.Put(model.BackendServer{ID: "n", Service: "notices", Address: "n:1", FailureDomain: "a", Slots: 9})
-	r.RetryBorrower = &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(1, 1, time.Second, func() int { return 1 }, monotonic), Now: time.Now}
+	r.RetryBorrower = &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(1, 1, time.Second, func() int { return 1 }, limitstest.Clock), Now: time.Now}
 	r.Clock = func() time.Duration { return 0 }
 	return r
 }
--- a/internal/protocol/relay/path_test.go
+++ b/internal/protocol/relay/path_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits/limitstest"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/platform"
 )
@@ -240,7 +241,7 @@
 		const budget = 30
 		engines := &fakeEngines{}
 		s := newThreeStageFixture(engines.do)
-		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, budget, time.Second, func() int { return 1 }, monotonic)
+		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, budget, time.Second, func() int { return 1 }, limitstest.Clock)
 		var streams []*chainWatch
 		for range 90 {
 			w, _ := s.startStream(t, resumable)
--- a/internal/protocol/relay/repeat_test.go
+++ b/internal/protocol/relay/repeat_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits/limitstest"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/platform"
 )
@@ -28,7 +29,7 @@
 			}
 			return signed(http.StatusOK, strings.NewReader("in time")), nil
 		})
-		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 20, time.Minute, func() int { return 1 }, monotonic)
+		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 20, time.Minute, func() int { return 1 }, limitstest.Clock)
 		began := time.Now()
 		time.AfterFunc(2*time.Second, func() {
 			assert.Check(t, !s.RetryBorrower.Budget.Take("s"))
@@ -52,7 +53,7 @@
 				}
 				return signed(http.StatusOK, strings.NewReader("id: 1\ndata: a\n\n")), nil
 			})
-			s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 0, time.Second, func() int { return 1 }, monotonic)
+			s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 0, time.Second, func() int { return 1 }, limitstest.Clock)
 			out := &recordingWriter{}
 			assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
 			assert.Equal(t, out.status, http.StatusOK, "engine %t: %s", isEngine, out.body.String())
@@ -75,7 +76,7 @@
 			}
 			return signed(http.StatusInternalServerError, strings.NewReader("failed")), nil
 		})
-		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 2, time.Second, func() int { return 1 }, monotonic)
+		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 2, time.Second, func() int { return 1 }, limitstest.Clock)
 		time.Sleep(2 * time.Second) // until the slack, one send, may be spent
 		out := &recordingWriter{}
 		assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
--- a/internal/protocol/relay/serve_test.go
+++ b/internal/protocol/relay/serve_test.go
@@ -19,6 +19,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/detector"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits/limitstest"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -130,7 +131,7 @@
 		Config: current, Catalog: c, Health: health, Usage: usage,
 		Chooser:       &chains.Chooser{Catalog: c, Health: health, Usage: usage, Interconnect: chains.NewInterconnect(time.Now), RouterCount: func() int { return 1 }},
 		WaitQueue:     admission.NewWaitQueue(),
-		RetryBorrower: &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(0, 100, time.Second, func() int { return 1 }, monotonic), Now: time.Now},
+		RetryBorrower: &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(0, 100, time.Second, func() int { return 1 }, limitstest.Clock), Now: time.Now},
 		BackendClient: do, Observer: observer, ActiveRuns: NewActiveRuns(), Suspects: prober, FailureDomain: "a",
 		Detector: detector.New(time.Now),
 		Clock:    func() time.Duration { return 0 }, Now: time.Now, MaxConfigAge: time.Hour,
@@ -302,7 +303,7 @@
 			}
 			return signed(http.StatusOK, strings.NewReader("late")), nil
 		})
-		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 100, time.Hour, func() int { return 1 }, monotonic)
+		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 100, time.Hour, func() int { return 1 }, limitstest.Clock)
 		out := &recordingWriter{}
 		assert.Assert(t, s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out))
 		assert.Equal(t, out.status, http.StatusOK)
@@ -376,6 +377,3 @@
 		})
 	}
 }
-
-// monotonic is the clock of retry budgets.
-func monotonic() time.Duration { return time.Since(time.Unix(0, 0)) }
--- a/internal/protocol/relay/watch_test.go
+++ b/internal/protocol/relay/watch_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/chains"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits/limitstest"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/platform"
@@ -192,7 +193,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		route := model.Route{Kind: streaming, ResumeStreams: true, MaxAttempts: 2}
 		s := newTwoStageFixture(route, func(context.Context, string, *Request) (*Response, error) { return reportResponse(emptyReport), nil })
-		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 100, time.Hour, func() int { return 1 }, monotonic)
+		s.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 100, time.Hour, func() int { return 1 }, limitstest.Clock)
 		_, run := s.startTwoStageStream(t, route)
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -18,6 +18,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/catalog"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/intake"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits/limitstest"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/routes"
 	"github.com/skylarkwood/skylarkwood/internal/model"
@@ -96,7 +97,7 @@
 	cat.Put(model.BackendServer{ID: "b", Service: "s", Address: address})
 	rel := &relay.Relay{
 		Config: current, Catalog: cat, Health: catalog.NewHealth(time.Now), BackendClient: client, Observer: nopObserver{}, WaitQueue: admission.NewWaitQueue(), ActiveRuns: relay.NewActiveRuns(),
-		RetryBorrower: &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(0.2, 10, time.Second, func() int { return 1 }, monotonic), Now: time.Now},
+		RetryBorrower: &limits.RetryBorrower{Budget: limits.NewSharedRetryBudget(0.2, 10, time.Second, func() int { return 1 }, limitstest.Clock), Now: time.Now},
 		Clock:         func() time.Duration { return 0 }, Now: time.Now, MaxConfigAge: time.Hour,
 		Quarantine:     quarantine.New(func() time.Duration { return 0 }),
 		CheckListening: func(context.Context, string) error { return nil },
@@ -238,6 +239,3 @@
 	got := talk(t, addr, "OPTIONS * HTTP/1.1\r\n"+finalHeader+"\r\n")
 	assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 404"), got)
 }
-
-// monotonic is the clock of retry budgets.
-func monotonic() time.Duration { return time.Since(time.Unix(0, 0)) }
--- a/internal/transport/peers/limits_test.go
+++ b/internal/transport/peers/limits_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
+	"github.com/skylarkwood/skylarkwood/internal/coordination/limits/limitstest"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/ratelimit"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
@@ -17,7 +18,7 @@
 func withLimits(x *Exchange) {
 	start := time.Now()
 	x.Revision = func() model.Revision { return 0 }
-	x.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 1, time.Second, x.RouterCount, monotonic)
+	x.RetryBorrower.Budget = limits.NewSharedRetryBudget(0, 1, time.Second, x.RouterCount, limitstest.Clock)
 	x.Limits = ratelimit.New(x.Self, func(model.Incarnation) []ratelimit.Router {
 		var out []ratelimit.Router
 		for _, addr := range x.LiveRouters() {
@@ -65,6 +66,3 @@
 	}
 	assert.Equal(t, len(y.Limits.Rates()), 0)
 }
-
-// monotonic is the clock of retry budgets.
-func monotonic() time.Duration { return time.Since(time.Unix(0, 0)) }
