state/answers: one bound for answers that are kept, in place of two

Cause: the bound of kept answers stood in state/requests and in protocol/gate, with the same rule. Change: state/answers.Kept owns the rule (the answers of requests that finished first are dropped); requests and gate say what an answer's size is and how it is dropped. No behaviour changes. Measured: the tests of both packages pass unchanged but for the field that they read.

--- a/internal/protocol/gate/answers.go
+++ b/internal/protocol/gate/answers.go
@@ -1,44 +1,18 @@
 package gate
 
-import "time"
+// LimitAnswers bounds the memory of the answers that are kept for entries which lost them, in bytes; 0 means
+// no bound. The records of requests stay. It must be called before the gate is used.
+func (g *Gate) LimitAnswers(bytes int64) { g.answers.Limit(bytes) }
 
-// answers bounds the memory of the answers that are kept for entries which lost them. The records
-// stay. The caller holds the mutex of the gate.
-type answers struct {
-	limit int64 // in bytes; 0 means none
-	held  int64
-	kept  []*record // the earliest first
-}
-
-// LimitAnswers bounds the memory of the kept answers in bytes; 0 means no bound. Beyond it, the answers
-// of the requests that finished first are no longer kept. It must be called before the gate is used.
-func (g *Gate) LimitAnswers(bytes int64) { g.answers.limit = bytes }
-
-// keep keeps the answer of a finished request.
-func (a *answers) keep(rec *record, answer []byte) {
+// keep keeps the answer of a finished request. The caller must hold g.mu.
+func (g *Gate) keep(rec *record, answer []byte) {
 	rec.answer = answer
-	if len(answer) == 0 {
-		return
-	}
-	a.held += int64(len(answer))
-	a.kept = append(a.kept, rec)
-	for a.limit > 0 && a.held > a.limit && len(a.kept) > 0 {
-		first := a.kept[0]
-		a.kept = a.kept[1:]
-		a.held -= int64(len(first.answer))
-		first.answer, first.answerDropped = nil, true
-	}
+	g.answers.Grow(rec.Size())
+	g.answers.Finish(rec)
 }
 
-// forget ends the account of records that are not kept after now.
-func (a *answers) forget(now time.Time) {
-	kept := make([]*record, 0, len(a.kept))
-	for _, rec := range a.kept {
-		if rec.keepUntil.Before(now) {
-			a.held -= int64(len(rec.answer))
-		} else {
-			kept = append(kept, rec)
-		}
-	}
-	a.kept = kept
-}
+// Size implements answers.Answer. The caller must hold the mutex of the gate.
+func (rec *record) Size() int64 { return int64(len(rec.answer)) }
+
+// Drop implements answers.Answer. The caller must hold the mutex of the gate.
+func (rec *record) Drop() { rec.answer, rec.answerDropped = nil, true }
--- a/internal/protocol/gate/answers_test.go
+++ b/internal/protocol/gate/answers_test.go
@@ -36,5 +36,5 @@
 	assert.Equal(t, kept, 3*size)
 	c.at = last.RetainUntil.Add(2 * ClockSkew)
 	g.Sweep()
-	assert.Equal(t, g.answers.held, int64(0))
+	assert.Equal(t, g.answers.Held(), int64(0))
 }
--- a/internal/protocol/gate/gate.go
+++ b/internal/protocol/gate/gate.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
+	"github.com/skylarkwood/skylarkwood/internal/state/answers"
 )
 
 const (
@@ -71,7 +72,7 @@
 	active        int
 	queue         *fair.Queue[*Ticket]
 	limiter       *limits.ConcurrencyLimiter // nil if the number of slots is fixed
-	answers       answers                    // of finished requests
+	answers       answers.Kept[*record]      // of finished requests
 	serviceTime   time.Duration              // smoothed time for which a request occupies its slot
 	leaving       bool
 	drained       chan struct{}
@@ -261,7 +262,7 @@
 	defer g.mu.Unlock()
 	if t.rec.phase == started {
 		t.rec.phase = finished
-		g.answers.keep(t.rec, answer)
+		g.keep(t.rec, answer)
 	}
 	if t.rec.phase == reserved && g.records[t.req.Key] == t.rec {
 		delete(g.records, t.req.Key)
@@ -363,6 +364,6 @@
 			delete(g.records, k)
 		}
 	}
-	g.answers.forget(now)
+	g.answers.Forget(func(rec *record) bool { return rec.keepUntil.Before(now) })
 	return len(g.records)
 }
--- a/internal/state/requests/requests.go
+++ b/internal/state/requests/requests.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/state/answers"
 	"github.com/skylarkwood/skylarkwood/internal/state/shard"
 )
 
@@ -20,7 +21,7 @@
 	Content  uint64 // hash of the request's contents
 	Deadline time.Time
 
-	kept *answers
+	kept *answers.Kept[*Request]
 
 	mu      sync.Mutex
 	answer  [][]byte
@@ -36,7 +37,7 @@
 // before position or the request is finished.
 func (r *Request) Append(position int64, parts [][]byte) (added int, ok bool) {
 	fresh, ok := r.append(position, parts)
-	r.kept.add(sizeOf(fresh))
+	r.kept.Grow(sizeOf(fresh))
 	return len(fresh), ok
 }
 
@@ -62,7 +63,7 @@
 // finished.
 func (r *Request) Finish(o model.Outcome) {
 	r.finish(o)
-	r.kept.finished(r)
+	r.kept.Finish(r)
 }
 
 func (r *Request) finish(o model.Outcome) {
@@ -138,7 +139,7 @@
 	now       func() time.Time
 	retention time.Duration
 	all       *shard.Map[string, *Request]
-	kept      *answers
+	kept      *answers.Kept[*Request]
 	// copies are final outcomes received from other entries.
 	copies *shard.Map[string, outcomeCopy]
 }
@@ -155,7 +156,7 @@
 		now:       now,
 		retention: retention,
 		all:       shard.New[string, *Request](),
-		kept:      &answers{},
+		kept:      &answers.Kept[*Request]{},
 		copies:    shard.New[string, outcomeCopy](),
 	}
 }
@@ -197,6 +198,6 @@
 	s.all.DeleteIf(func(_ string, r *Request) bool {
 		return r.Outcome().Final() && r.Deadline.Before(old)
 	})
-	s.kept.forget(old)
+	s.kept.Forget(func(r *Request) bool { return r.Deadline.Before(old) })
 	s.copies.DeleteIf(func(_ string, c outcomeCopy) bool { return c.at.Before(old) })
 }
--- a/internal/state/requests/requests_test.go
+++ b/internal/state/requests/requests_test.go
@@ -127,5 +127,5 @@
 	r.Append(0, [][]byte{make([]byte, 50)})
 	r.Finish(model.Outcome{State: model.Ran})
 	s.Sweep()
-	assert.Equal(t, s.kept.held, int64(0))
+	assert.Equal(t, s.kept.Held(), int64(0))
 }
