link: replies are taken from the budget before they are encoded, and encoded once

Callers and other processes saw links closed, and requests that had run cut off, as a reply that found no room after it was encoded ended its link with all calls in progress on it; 30 connections that asked for answers and read nothing took 668 to 686 MB of an entry's 284 (488 with half as many). Cause: a reply was encoded three times over (body, envelope, response), each waiting for its turn on the link with its copies, and asked for room only then. Replies on connections that a process opened itself were never asked for. Change: replies of a link are encoded one after the other, with their envelope, in one step; one whose size is known asks for room before that, and waits for it if its reader is a process of the system. Replies to own calls wait for room before they are read (clientbudget.Response): the one that began first always finds it.

--- a/internal/coordination/clientbudget/budget.go
+++ b/internal/coordination/clientbudget/budget.go
@@ -66,7 +66,13 @@
 	noneAbandonedUntil time.Duration
 	// freed is closed and replaced once an account that yields has released memory.
 	freed chan struct{}
-	log   usageLog
+	// responses are those that hold or wait for memory, the earliest first.
+	responses []*Response
+	// responsesWait is set if a response waits for responseReleased, which is closed and replaced once one
+	// has released memory.
+	responsesWait    bool
+	responseReleased chan struct{}
+	log              usageLog
 }
 
 // connections are the open connections of one listener.
@@ -86,7 +92,7 @@
 
 // New returns a budget without accounts. clock returns a monotonic time.
 func New(limits Limits, clock func() time.Duration) *Budget {
-	b := &Budget{limits: limits, clock: clock, open: map[Listener]*connections{}, freed: make(chan struct{})}
+	b := &Budget{limits: limits, clock: clock, open: map[Listener]*connections{}, freed: make(chan struct{}), responseReleased: make(chan struct{})}
 	for l, n := range limits.Connections {
 		b.open[l] = &connections{accounts: map[*Account]struct{}{}, limit: n}
 	}
--- a/internal/coordination/clientbudget/log.go
+++ b/internal/coordination/clientbudget/log.go
@@ -60,7 +60,7 @@
 		return
 	}
 	l.at, l.pending = now, false
-	klog.InfoS("clients hold the memory or connections of this process", "usedBytes", b.used, "limitBytes", b.limits.Memory, "detachedBytes", b.detached,
+	klog.InfoS("clients hold the memory or connections of this process", "usedBytes", b.used, "limitBytes", b.limits.Memory, "detachedBytes", b.detached, "responses", len(b.responses), "responseBytes", b.responseBytes(),
 		"connections", b.connectionCounts(), "serverConnections", b.servers,
 		"memoryRefusedTotal", l.refusals[memoryRefused], "connectionsRefusedTotal", l.refusals[connectionRefused], "serverConnectionsRefusedTotal", l.refusals[serverRefused],
 		"yieldedForMemoryTotal", l.yields[memoryYielded], "yieldedForConnectionTotal", l.yields[connectionYielded],
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -227,12 +227,6 @@
 // AdmittedBy returns the configuration revision under which the call was admitted.
 func (c Call) AdmittedBy() int64 { return c.Revision }
 
-// CallReply carries the backend server's response.
-type CallReply struct {
-	Body []byte `json:"body"`
-	Load Load   `json:"load"`
-}
-
 // Cancel prevents a request from starting at a gate and requests its execution state.
 // The gate keeps the tombstone until RetainUntil.
 type Cancel struct {
@@ -253,14 +247,6 @@
 	WasFinished  ExecutionState = "finished"
 )
 
-// CancelReply carries the execution state and, if the gate still has it, the response.
-type CancelReply struct {
-	State ExecutionState `json:"verdict"`
-	Body  []byte         `json:"body,omitempty"`
-	// Dropped means that the backend server has answered and that the answer is no longer kept.
-	Dropped bool `json:"dropped,omitempty"`
-}
-
 // Intent requests the single handover of a request that is not repeatable from the
 // owner of its ledger shard.
 type Intent struct {
@@ -295,17 +281,6 @@
 	Key model.RequestKey `json:"key"`
 }
 
-// OutcomeReply returns an entry's record of a request. Known is false if there is none.
-type OutcomeReply struct {
-	Known   bool          `json:"known"`
-	Outcome model.Outcome `json:"outcome"`
-	Answer  [][]byte      `json:"answer,omitempty"`
-	// Dropped means that the answer is no longer kept.
-	Dropped bool `json:"dropped,omitempty"`
-	// Started is when the entry started. It has no records of earlier requests.
-	Started time.Time `json:"started"`
-}
-
 // OutcomeCopy stores a copy of a final outcome at another entry.
 type OutcomeCopy struct {
 	Key     model.RequestKey `json:"key"`
--- a/internal/transport/link/frames.go
+++ b/internal/transport/link/frames.go
@@ -43,32 +43,28 @@
 	r    *bufio.Reader
 	// account is what the process holds for the sender. It is nil if this process opened the connection.
 	account *clientbudget.Account
-	taken   int64 // from the account for the message that was read last
+	// clients is the memory for replies on a connection that this process opened. It may be nil.
+	clients *clientbudget.Budget
+	release func() // gives back what was taken for the message that was read last
 	// onNotification is called with each notification. It must not block or retain the
 	// bytes.
 	onNotification func([]byte)
 
-	mu sync.Mutex // held while a message is written
+	replies sync.Mutex // held while a reply is encoded and written
+	mu      sync.Mutex // held while a message is written
 }
 
 func newFrames(conn io.ReadWriteCloser, onNotification func([]byte)) *frames {
-	return &frames{conn: conn, r: bufio.NewReader(conn), onNotification: onNotification}
+	return &frames{conn: conn, r: bufio.NewReader(conn), onNotification: onNotification, release: func() {}}
 }
 
-// WriteObject implements jsonrpc2.ObjectStream.
+// WriteObject implements jsonrpc2.ObjectStream. It writes calls; replies are written by writeReply.
 func (f *frames) WriteObject(obj any) error {
 	raw, err := json.Marshal(obj)
 	if err != nil {
 		return errors.Wrap(err, "encode message")
 	}
 	head := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(raw)), uint64(len(raw)))
-	held := int64(2 * len(raw))
-	if !f.account.Take(held) {
-		klog.InfoS("connection closed: no room for a response", "bytes", len(raw))
-		f.Close()
-		return errNoRoom
-	}
-	defer f.account.Give(held)
 	return f.write(append(head, raw...))
 }
 
@@ -79,18 +75,31 @@
 	return append(framed, notification...)
 }
 
-func (f *frames) write(framed []byte) error {
+// write writes the parts of one message.
+func (f *frames) write(parts ...[]byte) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, err := f.conn.Write(framed)
-	return errors.Wrap(err, "write to link")
+	for _, p := range parts {
+		if _, err := f.conn.Write(p); err != nil {
+			return errors.Wrap(err, "write to link")
+		}
+	}
+	return nil
 }
 
 // ReadObject implements jsonrpc2.ObjectStream. It decodes the next JSON message and calls
 // onNotification with the notifications before it.
 func (f *frames) ReadObject(v any) error {
+	err := f.readObject(v)
+	if err != nil {
+		f.takeCharge()()
+	}
+	return err
+}
+
+func (f *frames) readObject(v any) error {
 	for {
-		f.giveBack(f.takeCharge())
+		f.takeCharge()()
 		n, err := binary.ReadUvarint(f.r)
 		if err != nil {
 			return err
@@ -117,12 +126,10 @@
 	if n > maxFrame {
 		return nil, errFrameTooLong
 	}
-	cost := int64(n)*decodedFactor + callCost
-	if !f.account.Take(cost) && !f.waitForRoom(cost) {
-		klog.InfoS("connection closed: no room for a message", "bytes", n)
-		return nil, errNoRoom
+	if err := f.take(int64(n)*decodedFactor + callCost); err != nil {
+		klog.InfoS("connection closed: no room for a message", "bytes", n, "err", err)
+		return nil, err
 	}
-	f.taken = cost
 	raw := make([]byte, min(n, maxPreallocation))
 	for read := 0; ; {
 		k, err := io.ReadFull(f.r, raw[read:])
@@ -135,21 +142,33 @@
 	}
 }
 
+// take takes memory for the next message, before it is read.
+func (f *frames) take(n int64) error {
+	if f.clients != nil {
+		reply := f.clients.NewResponse()
+		f.release = reply.Release
+		return reply.Wait(context.Background(), min(n, f.clients.Limits().Memory))
+	}
+	if !f.account.Take(n) && !f.waitForRoom(n) {
+		return errNoRoom
+	}
+	f.release = func() { f.account.Give(n) }
+	return nil
+}
+
 // waitForRoom waits for room for a message of a known peer, whose calls would all fail with its
 // connection.
-func (f *frames) waitForRoom(cost int64) bool {
-	return f.account.KnownPeer() && f.account.Wait(context.Background(), cost)
+func (f *frames) waitForRoom(n int64) bool {
+	return f.account.KnownPeer() && f.account.Wait(context.Background(), n)
 }
 
-// takeCharge returns what was taken for the message that was read last. Whoever takes it must give it
-// back.
-func (f *frames) takeCharge() int64 {
-	taken := f.taken
-	f.taken = 0
-	return taken
+// takeCharge returns what gives back the memory of the message that was read last. Whoever takes it must
+// call it.
+func (f *frames) takeCharge() (release func()) {
+	release = f.release
+	f.release = func() {}
+	return release
 }
 
-func (f *frames) giveBack(n int64) { f.account.Give(n) }
-
 // Close implements jsonrpc2.ObjectStream.
 func (f *frames) Close() error { return f.conn.Close() }
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -85,12 +85,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
 	}
-	return &wire.Envelope{
-		Clock:    s.Clock.Now(),
-		Revision: s.Revision(),
-		From:     s.Self,
-		Body:     body,
-	}, nil
+	env := s.header()
+	env.Body = body
+	return &env, nil
+}
+
+// header returns an envelope without a body.
+func (s *Metadata) header() wire.Envelope {
+	return wire.Envelope{Clock: s.Clock.Now(), Revision: s.Revision(), From: s.Self}
 }
 
 func (s *Metadata) openEnvelope(raw *json.RawMessage) (wire.Envelope, error) {
@@ -162,10 +164,10 @@
 	}
 }
 
-// serverConn serves one accepted connection.
+// serverConn serves the messages of one connection.
 type serverConn struct {
 	*Server
-	host   string // host of the peer
+	host   string // host of the peer; empty if this process opened the connection
 	frames *frames
 }
 
@@ -178,37 +180,24 @@
 	return h
 }
 
-// Handle implements jsonrpc2.Handler.
-func (c *serverConn) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	charge := c.frames.takeCharge()
-	c.serve(ctx, conn, req, c.host, func() { c.frames.giveBack(charge) })
-}
-
-// Handle implements jsonrpc2.Handler for calls that a peer makes over a connection opened
-// by this process.
-func (s *Server) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	s.serve(ctx, conn, req, "", func() {})
-}
-
-// serve handles a message and calls done once it was handled and, if it is a call, its response was
-// written.
-func (s *Server) serve(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, from string, done func()) {
-	env, err := s.metadata.openEnvelope(req.Params)
+// Handle implements jsonrpc2.Handler. What was taken for a message is given back once it was handled and,
+// if it is a call, its reply was written.
+func (c *serverConn) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	done := c.frames.takeCharge()
+	env, err := c.metadata.openEnvelope(req.Params)
 	if err == nil {
-		err = s.verifySender(env.From, from, wire.Method(req.Method))
+		err = c.verifySender(env.From, c.host, wire.Method(req.Method))
+	}
+	h, ok := c.handlers[wire.Method(req.Method)]
+	if err == nil && !ok {
+		err = fault.New(fault.NotFound, "no method %q", req.Method)
 	}
 	if err != nil {
 		defer done()
-		s.reply(ctx, conn, req, nil, err)
+		c.reply(req, nil, err)
 		return
 	}
-	h, ok := s.handlers[wire.Method(req.Method)]
 	h = recoverCall(wire.Method(req.Method), h)
-	if !ok {
-		defer done()
-		s.reply(ctx, conn, req, nil, fault.New(fault.NotFound, "no method %q", req.Method))
-		return
-	}
 	if req.Notif {
 		defer done()
 		_, _ = h(ctx, env.From, env.Body)
@@ -217,7 +206,7 @@
 	go func() {
 		defer done()
 		v, err := h(ctx, env.From, env.Body)
-		s.reply(ctx, conn, req, v, err)
+		c.reply(req, v, err)
 	}()
 }
 
@@ -231,29 +220,6 @@
 	return fault.New(fault.InvalidRequest, "sender %s connects from host %s", sender, from)
 }
 
-func (s *Server) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, v any, err error) {
-	if req.Notif {
-		return
-	}
-	if err != nil {
-		_ = conn.ReplyWithError(ctx, req.ID, encodeFault(err))
-		return
-	}
-	env, err := s.metadata.newEnvelope(v)
-	if err != nil {
-		_ = conn.ReplyWithError(ctx, req.ID, encodeFault(err))
-		return
-	}
-	_ = conn.Reply(ctx, req.ID, env)
-}
-
-func encodeFault(err error) *jsonrpc2.Error {
-	f := fault.From(err)
-	out := &jsonrpc2.Error{Code: faultCode, Message: f.Msg}
-	out.SetError(wire.Fault{Kind: string(f.Kind), Msg: f.Msg, RetryAfter: f.RetryAfter})
-	return out
-}
-
 func decodeFault(err error) error {
 	var rpc *jsonrpc2.Error
 	if !errors.As(err, &rpc) || rpc.Code != faultCode || rpc.Data == nil {
--- a/internal/transport/link/pool.go
+++ b/internal/transport/link/pool.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/clientbudget"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 	"github.com/skylarkwood/skylarkwood/internal/state/shard"
@@ -24,6 +25,9 @@
 
 // Pool keeps one connection per peer address and opens it on first use.
 type Pool struct {
+	// Clients is the memory for replies until they are decoded. It may be nil.
+	Clients *clientbudget.Budget
+
 	metadata *Metadata
 	peers    *shard.Map[string, *peer]
 	dial     func(ctx context.Context, addr string) (net.Conn, error)
@@ -199,10 +203,16 @@
 	}
 	// Peers only send replies on this connection.
 	f := newFrames(p.metadata.countBytes(c), func([]byte) {})
-	attempt.conn = &clientConn{Conn: jsonrpc2.NewConn(context.Background(), f, NewServer(p.metadata)), frames: f}
+	f.clients = p.Clients
+	attempt.conn = newClientConn(context.Background(), p.metadata, f)
 	pr.conn = attempt.conn
 }
 
+// newClientConn returns a connection whose peer gets an error for each call that it makes.
+func newClientConn(ctx context.Context, m *Metadata, f *frames) *clientConn {
+	return &clientConn{Conn: jsonrpc2.NewConn(ctx, f, &serverConn{Server: NewServer(m), frames: f}), frames: f}
+}
+
 // isReply reports whether an error is a reply of the peer.
 func isReply(err error) bool {
 	var rpc *jsonrpc2.Error
--- a/internal/transport/link/serve_test.go
+++ b/internal/transport/link/serve_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"testing/synctest"
 
-	"github.com/sourcegraph/jsonrpc2"
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
@@ -48,7 +47,7 @@
 	p := NewPool(newMetadata("127.0.0.1:1"))
 	pr, _ := p.peers.GetOrPut("peer", func() *peer { return &peer{addr: "peer"} })
 	f := newFrames(c, func([]byte) {})
-	pr.conn = &clientConn{Conn: jsonrpc2.NewConn(t.Context(), f, NewServer(p.metadata)), frames: f}
+	pr.conn = newClientConn(t.Context(), p.metadata, f)
 	t.Cleanup(p.Close)
 	return p
 }
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -93,9 +93,10 @@
 	n.onHeartbeat = onHeartbeat
 }
 
-// LimitClients takes what this process holds for whoever connects from a budget. It must be called
-// before Run.
+// LimitClients takes what this process holds for whoever connects, and of replies to its own calls, from
+// a budget. It must be called before Run.
 func (n *Node) LimitClients(b *clientbudget.Budget) {
+	n.Pool.Clients = b
 	n.Server.Clients = b
 	n.Server.KnownPeer = n.IsMemberHost
 }
