sidecar: an answer is received as far as there is room, and holds it until it was sent on

Callers of 1 MB answers saw 2 to 4 of 40 requests cut off although they had run, and 600 answers took 222 to 310 MB of a sidecar's 216. Cause: answers of the backend server had no owner: each was held about ten times (received, decoded, encoded, waiting for the link), as many at once as the backend server sent. Change: the body of a response is read as far as clientbudget.Response grants, four times what has arrived, and the grant is given back once the reply was written. What there is no room for waits at the backend server until its deadline; the answer that began first always goes on, so none wait for each other.

--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -84,7 +84,7 @@
 // prepare ends the sessions that an earlier sidecar left at the engine and reads which layers
 // the engine holds. No request is accepted before it returns.
 func (d *Sidecar) prepare(ctx context.Context) error {
-	b := sidecar.Backend{Engine: d.deps.Engine, Plain: d.deps.Plain}
+	b := sidecar.Backend{Engine: d.deps.Engine, Plain: d.deps.Plain, Clients: d.clients}
 	for b.Engine != nil {
 		err := d.takeOverEngine(ctx, &b)
 		if err == nil {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -39,7 +39,11 @@
 	req.GetBody = nil
 	req.Header.Del("Idempotency-Key")
 	req.Header.Del("X-Idempotency-Key")
-	return t.next.RoundTrip(req)
+	resp, err := t.next.RoundTrip(req)
+	if err == nil {
+		limitResponse(r.Context(), resp)
+	}
+	return resp, err
 }
 
 type kvClient struct {
--- a/internal/protocol/sidecar/sidecar.go
+++ b/internal/protocol/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/ulid/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/clientbudget"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/limits"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/platform"
@@ -34,6 +35,8 @@
 	Fence  int64
 	// Limiter adapts the number of concurrent sessions to the engine's step times.
 	Limiter *limits.ConcurrencyLimiter
+	// Clients is the memory for answers until they were sent on. It may be nil.
+	Clients *clientbudget.Budget
 }
 
 // Sidecar is one incarnation of a sidecar process.
@@ -265,15 +268,17 @@
 	s.log(c.Key, c.Incarnation)
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
 	defer cancel()
-	body, err := s.backend.Plain.Call(ctx, c.Key.RequestKey.String(), c.Body)
+	room := s.backend.Clients.NewResponse()
+	body, err := s.backend.Plain.Call(platform.WithRoom(ctx, func(n int64) error { return room.Wait(ctx, n) }), c.Key.RequestKey.String(), c.Body)
 	if err != nil {
+		room.Release()
 		ticket.Finish(nil)
 		s.events.Add(c.Key.RequestKey, events.Finished, err.Error())
 		return wire.CallReply{}, fault.New(fault.BackendFailed, "backend server failed: %v", err)
 	}
 	ticket.Finish(body)
 	s.events.Add(c.Key.RequestKey, events.Finished, "ran")
-	return wire.CallReply{Body: body, Load: s.gate.Load()}, nil
+	return wire.CallReply{Body: body, Load: s.gate.Load(), Release: room.Release}, nil
 }
 
 func (s *Sidecar) log(k wire.RunKey, incarnation string) {
