api: room for an answer is taken before a request is accepted

Cause: an entry held what a caller does not read, as a copy in the answer's buffer, without asking the budget; a stream that ended for want of its answer said that the request was not accepted, which was not true. Change: the account of a caller takes room for the largest part that the service has sent in the last minutes before the request is submitted, and more once a part is larger. A request without room is refused before anything runs. Account.Wait counts a refusal once, not each time it asks.

--- a/internal/coordination/clientbudget/account.go
+++ b/internal/coordination/clientbudget/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,15 @@
 	if a == nil || n <= 0 {
 		return true
 	}
+	ok := a.tryTake(n)
+	if !ok && !a.Yielded() {
+		a.budget.recordRefusal()
+	}
+	return ok
+}
+
+// tryTake is Take, and does not count a refusal.
+func (a *Account) tryTake(n int64) bool {
 	ok, freed := a.take(n)
 	if freed == nil {
 		return ok
@@ -65,7 +75,6 @@
 		select {
 		case <-freed:
 		case <-timer.C:
-			a.budget.recordRefusal()
 			return false
 		}
 		ok, freed = a.take(n)
@@ -88,8 +97,6 @@
 		b.used += n
 	} else if b.willFit(a, n) {
 		freed = b.freed
-	} else {
-		b.log.refused(memoryRefused)
 	}
 	b.log.write(now, b)
 	b.mu.Unlock()
@@ -110,11 +117,12 @@
 // Wait takes n bytes, and waits for room until ctx is done or two stall times have passed. It is for
 // what a request that was handed on cannot do without: its response.
 func (a *Account) Wait(ctx context.Context, n int64) bool {
-	if a == nil {
+	if a == nil || n <= 0 {
 		return true
 	}
-	for end := a.budget.clock() + 2*stallTime; !a.Take(n); {
+	for end := a.budget.clock() + 2*stallTime; !a.tryTake(n); {
 		if a.budget.clock() > end || a.Yielded() {
+			a.budget.recordRefusal()
 			return false
 		}
 		select {
@@ -233,6 +241,14 @@
 	return a.yielded.Load()
 }
 
+// LargestBody is Limits.LargestBody of the account's budget; the largest number for a nil account.
+func (a *Account) LargestBody() int64 {
+	if a == nil {
+		return math.MaxInt64
+	}
+	return a.budget.limits.LargestBody()
+}
+
 // KnownPeer reports whether the client is another process of the system.
 func (a *Account) KnownPeer() bool { return a != nil && a.knownPeer }
 
--- a/internal/transport/api/requests.go
+++ b/internal/transport/api/requests.go
@@ -34,6 +34,8 @@
 type Requests struct {
 	Node  *mesh.Node
 	Owner *owner.Owner
+
+	answers clientbudget.Expected
 }
 
 // notAccepted is the outcome of a rejected submission, of which nothing ran. It does not
@@ -43,10 +45,16 @@
 // connectError converts an error to a Connect error with its kind, outcome and retry delay
 // as metadata.
 func connectError(err error) error {
+	out := interrupted(err)
+	out.Meta().Set(MetaOutcome, notAccepted)
+	return out
+}
+
+// interrupted is connectError for a request that was accepted and whose stream ends without its outcome.
+func interrupted(err error) *connect.Error {
 	f := fault.From(err)
 	out := connect.NewError(f.Kind.Response().Code, f)
 	out.Meta().Set(MetaKind, string(f.Kind))
-	out.Meta().Set(MetaOutcome, notAccepted)
 	if after := f.RetryDelay(); after > 0 {
 		out.Meta().Set(MetaRetryAfter, strconv.FormatInt(after.Milliseconds(), 10))
 	}
@@ -83,6 +91,12 @@
 		return connectError(err)
 	}
 	m := r.Msg
+	room := newAnswerRoom(ctx)
+	if !room.reserve(ctx, s.answers.Size(m.Service)) {
+		f := fault.New(fault.Overloaded, "no room for the answer")
+		f.RetryAfter = guard.ConnOf(ctx).Account().RetryAfter()
+		return connectError(f)
+	}
 	req, err := s.Owner.Submit(owner.Submission{
 		Customer:      m.Customer,
 		ID:            m.RequestId,
@@ -104,7 +118,7 @@
 	for pos := int64(0); ; {
 		parts, outcome, err := req.Next(ctx, pos)
 		if errors.Is(err, requests.ErrAnswerDropped) {
-			return connectError(fault.New(fault.NotFound, "%v", err))
+			return interrupted(fault.New(fault.NotFound, "%v", err))
 		}
 		if err != nil {
 			return err // the caller disconnected; the request continues
@@ -112,6 +126,17 @@
 		if outcome.Final() {
 			return stream.Send(&v1.SubmitResponse{Position: pos, Outcome: outcomeMessage(outcome)})
 		}
+		size := sizeOf(parts)
+		s.answers.Observe(m.Service, size)
+		if room.lacks(size) {
+			parts = nil // not held while it waits; they may be dropped then
+			if !room.reserve(ctx, size) {
+				f := fault.New(fault.Overloaded, "no room for the answer; it can be requested again under the same id")
+				f.RetryAfter = guard.ConnOf(ctx).Account().RetryAfter()
+				return interrupted(f)
+			}
+			continue
+		}
 		if err := stream.Send(&v1.SubmitResponse{Position: pos, Data: join(parts)}); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/transport/api/room.go
@@ -0,0 +1,47 @@
+package api
+
+import (
+	"context"
+
+	"github.com/skylarkwood/skylarkwood/internal/coordination/clientbudget"
+	"github.com/skylarkwood/skylarkwood/internal/transport/guard"
+)
+
+// sentFactor times the size of a part of an answer is the memory that it takes until the caller has read it:
+// the part, joined, and as encoded in a buffer that grows.
+const sentFactor = 4
+
+// answerRoom is the memory that the account of a caller holds for the parts of its answer, until the call ends.
+type answerRoom struct {
+	account *clientbudget.Account
+	held    int64
+}
+
+func newAnswerRoom(ctx context.Context) *answerRoom {
+	return &answerRoom{account: guard.ConnOf(ctx).Account()}
+}
+
+// need returns the memory for a part of a size. The largest answer needs no more than an empty budget holds.
+func (r *answerRoom) need(size int64) int64 {
+	return min(sentFactor*size, r.account.LargestBody())
+}
+
+// lacks reports whether there is not yet room for a part of a size.
+func (r *answerRoom) lacks(size int64) bool { return r.need(size) > r.held }
+
+// reserve takes room for parts up to a size, and waits for it for a short time.
+func (r *answerRoom) reserve(ctx context.Context, size int64) bool {
+	more := r.need(size) - r.held
+	if !r.account.Wait(ctx, more) {
+		return false
+	}
+	r.held += max(more, 0)
+	return true
+}
+
+func sizeOf(parts [][]byte) (n int64) {
+	for _, p := range parts {
+		n += int64(len(p))
+	}
+	return n
+}
