api: listings of templates are composed one at a time and taken from the budget

100 clients that did not read a listing of 4 MB took 420 MB of an entry's 284 (223 with half as many). Cause: the response of a unary call was composed and encoded for each reader without asking for room. Change: listings are composed one after the other, as their size is not known before, and take three times their size until the call ends; without room the call is refused with the time to come back.

--- a/internal/transport/api/operators.go
+++ b/internal/transport/api/operators.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"sort"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/skylarkwood/skylarkwood/api/skylarkwood/v1"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/config"
 	"github.com/skylarkwood/skylarkwood/internal/coordination/membership"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/transport/guard"
 	"github.com/skylarkwood/skylarkwood/internal/transport/mesh"
 )
 
@@ -24,22 +27,53 @@
 	confirmInterval   = 50 * time.Millisecond
 )
 
+// listingFactor times the size of a listing is the memory that it takes until its reader has it.
+const listingFactor = 3
+
 // Operators implements the OperatorService.
 type Operators struct {
 	Node *mesh.Node
+
+	listing sync.Mutex // held while a listing is composed, whose size is not known before
 }
 
 // GetTemplate implements the OperatorService.
-func (s *Operators) GetTemplate(_ context.Context, r *connect.Request[v1.GetTemplateRequest]) (*connect.Response[v1.GetTemplateResponse], error) {
+func (s *Operators) GetTemplate(ctx context.Context, r *connect.Request[v1.GetTemplateRequest]) (*connect.Response[v1.GetTemplateResponse], error) {
 	rec, ok := s.Node.Config.Current().Record(r.Msg.Customer)
 	if !ok {
 		return nil, connectError(fault.New(fault.NotFound, "customer %q has no template", r.Msg.Customer))
 	}
-	return connect.NewResponse(&v1.GetTemplateResponse{Change: changeMessage(rec.Current)}), nil
+	out := &v1.GetTemplateResponse{Change: changeMessage(rec.Current)}
+	if err := takeListing(ctx, out); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(out), nil
 }
 
 // ListTemplates implements the OperatorService.
-func (s *Operators) ListTemplates(context.Context, *connect.Request[v1.ListTemplatesRequest]) (*connect.Response[v1.ListTemplatesResponse], error) {
+func (s *Operators) ListTemplates(ctx context.Context, _ *connect.Request[v1.ListTemplatesRequest]) (*connect.Response[v1.ListTemplatesResponse], error) {
+	s.listing.Lock()
+	defer s.listing.Unlock()
+	out := s.templates()
+	if err := takeListing(ctx, out); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(out), nil
+}
+
+// takeListing takes the memory of a listing, which is given back with the end of the call.
+func takeListing(ctx context.Context, m proto.Message) error {
+	account := guard.ConnOf(ctx).Account()
+	if account.Take(listingFactor * int64(proto.Size(m))) {
+		return nil
+	}
+	f := fault.New(fault.Overloaded, "no room for the response")
+	f.RetryAfter = account.RetryAfter()
+	return connectError(f)
+}
+
+// templates returns the templates of all customers, sorted by customer.
+func (s *Operators) templates() *v1.ListTemplatesResponse {
 	cur := s.Node.Config.Current()
 	out := &v1.ListTemplatesResponse{ConfigRevision: cur.Head.Revision}
 	for _, b := range cur.Buckets {
@@ -50,19 +84,24 @@
 	sort.Slice(out.Changes, func(i, j int) bool {
 		return out.Changes[i].Template.Customer < out.Changes[j].Template.Customer
 	})
-	return connect.NewResponse(out), nil
+	return out
 }
 
 // GetTemplateHistory implements the OperatorService.
-func (s *Operators) GetTemplateHistory(_ context.Context, r *connect.Request[v1.GetTemplateHistoryRequest]) (*connect.Response[v1.GetTemplateHistoryResponse], error) {
+func (s *Operators) GetTemplateHistory(ctx context.Context, r *connect.Request[v1.GetTemplateHistoryRequest]) (*connect.Response[v1.GetTemplateHistoryResponse], error) {
 	rec, ok := s.Node.Config.Current().Record(r.Msg.Customer)
 	if !ok {
 		return nil, connectError(fault.New(fault.NotFound, "customer %q has no template", r.Msg.Customer))
 	}
+	s.listing.Lock()
+	defer s.listing.Unlock()
 	out := &v1.GetTemplateHistoryResponse{Changes: []*v1.TemplateChange{changeMessage(rec.Current)}}
 	for _, c := range rec.Earlier {
 		out.Changes = append(out.Changes, changeMessage(c))
 	}
+	if err := takeListing(ctx, out); err != nil {
+		return nil, err
+	}
 	return connect.NewResponse(out), nil
 }
 
