mesh: the configuration that an unconfirmed sender claims is not believed

Callers got stale_configuration from an entry for good, "configuration is in force", after anybody had sent its link port one message that claimed that revision. Cause: the highest revision in any message was believed, whoever it named as its sender. Change: only a member that the instance list has, or that has responded, is believed and asked for its configuration.

--- a/internal/transport/mesh/config.go
+++ b/internal/transport/mesh/config.go
@@ -56,16 +56,20 @@
 	return struct{}{}, nil
 }
 
-// observeRevision handles the revision in a message of a peer.
+// observeRevision handles the revision in a message of a peer. That of a sender which neither the list nor
+// a response has confirmed is not believed, as anybody can send it.
 func (n *Node) observeRevision(from string, revision int64) {
 	n.lastContact.Store(n.now().UnixNano())
 	n.Table.ObserveRevision(from, revision)
+	if m, known := n.Table.Get(from); !known || !m.Confirmed() {
+		return
+	}
 	for max := n.maxSeenRevision.Load(); revision > max; max = n.maxSeenRevision.Load() {
 		if n.maxSeenRevision.CompareAndSwap(max, revision) {
 			break
 		}
 	}
-	if revision > n.revision.Load() && from != "" {
+	if revision > n.revision.Load() {
 		select {
 		case n.newerPeers <- from:
 		default:
