link, membership, sidecar: senders that messages only name take no memory and no connections

Cause: the sender that a message names was kept as a member, with heartbeats to it, as a contact of a sidecar, and as the receiver of notifications about missing stages, for any name of any length and any number of them. Whose host only a message names is no known peer. Tests of links used names without a port as senders; they have one now.

--- a/bench/transport_test.go
+++ b/bench/transport_test.go
@@ -45,7 +45,7 @@
 	}))
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ctx, l) }()
-	pool := link.NewPool(newMetadata("me"))
+	pool := link.NewPool(newMetadata("me:1"))
 	b.Cleanup(func() { pool.Close(); stop(); <-done })
 	msg := newForward()
 	go func() {
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -70,6 +70,7 @@
 	mu      sync.Mutex
 	members map[string]*Member
 	readAt  time.Time // when the list was last read
+	met     int       // members that neither the list nor a response has confirmed
 }
 
 // New returns a table for the process at link address self.
@@ -98,10 +99,13 @@
 		m.Listed = true
 		m.LastListed = now
 	}
+	t.met = 0
 	for addr, m := range t.members {
 		unresponsive := m.LastContact.IsZero() || m.Down()
 		if !m.Listed && unresponsive && now.Sub(m.LastListed) > retention {
 			delete(t.members, addr)
+		} else if !m.Confirmed() {
+			t.met++
 		}
 	}
 }
@@ -129,8 +133,7 @@
 	m.Incarnation = incarnation
 	m.Backend = b
 	m.RTT += (rtt - m.RTT) / 8
-	m.Failures = 0
-	m.LastContact = t.now()
+	t.responded(m)
 }
 
 // ObserveLoad records the load in a gate's reply. Replies arrive in any order, so one that
@@ -146,20 +149,7 @@
 	m.Backend.Queued = l.Queued
 	m.Backend.Capacity = l.Capacity
 	m.Backend.Leaving = m.Backend.Leaving || l.Leaving
-	m.Failures = 0
-	m.LastContact = t.now()
-}
-
-// ObserveRevision records the configuration revision in a message. It adds the sender
-// if the instance list lacks it.
-func (t *Table) ObserveRevision(addr string, revision int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if addr == "" || addr == t.self {
-		return
-	}
-	m := t.member(addr)
-	m.Revision = max(m.Revision, revision)
+	t.responded(m)
 }
 
 // ObserveLeaving records that a gate announced that it is leaving.
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -114,3 +115,24 @@
 		}
 	})
 }
+
+// Guards against members without a bound, as anybody can name an address in a message.
+func TestMembersThatNobodyConfirmedAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New("self:1", func() time.Time { return now })
+	listed := model.Instance{Address: "listed:1", Role: model.RoleEntry}
+	table.UpdateList([]model.Instance{listed})
+	for i := range 10 * maxMet {
+		table.ObserveRevision(fmt.Sprintf("met:%d", i), 1)
+	}
+	assert.Equal(t, len(table.All()), 1+maxMet)
+	table.Observe(model.Instance{Address: "met:0", Role: model.RoleEntry}, "incarnation", Backend{}, time.Millisecond)
+	table.ObserveRevision("next:1", 1)
+	_, known := table.Get("next:1")
+	assert.Assert(t, known, "a response makes room for another member")
+	now = now.Add(2 * retention)
+	table.UpdateList([]model.Instance{listed})
+	table.ObserveRevision("later:1", 1)
+	_, known = table.Get("later:1")
+	assert.Assert(t, known, "members that nobody has confirmed are forgotten")
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -121,7 +121,7 @@
 		Address:          s.Listen.Link,
 		Data:             s.Listen.HTTP,
 		Peers:            e.node.Pool,
-		Feeder:           sender{e.node.Pool, e.data},
+		Feeder:           sender{e.node, e.data},
 		Table:            e.node.Table,
 		Router:           routing.New(e.node.Table, e.links(), time.Now, nil),
 		Config:           e.node.Config,
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -101,7 +101,7 @@
 	if b.Engine != nil {
 		d.gate.SetConcurrencyLimiter(b.Limiter)
 	}
-	d.sidecar = sidecar.New(d.settings.Listen.Link, d.gate, b, sender{d.node.Pool, d.data}, d.node.Events, time.Now)
+	d.sidecar = sidecar.New(d.settings.Listen.Link, d.gate, b, sender{d.node, d.data}, d.node.Events, time.Now)
 	d.node.SetBackend(d.helloReply(), d.gate.Load, d.sidecar.RecordContact)
 	d.register()
 	return nil
@@ -173,7 +173,7 @@
 // sender sends the results of a stage: activations and tokens over data streams, other messages
 // over links.
 type sender struct {
-	pool *link.Pool
+	node *mesh.Node
 	data *data.Pool
 }
 
@@ -185,12 +185,16 @@
 	return s.data.SendTokens(owner.Data, t)
 }
 
+// NoStage notifies a member only: anybody can name an address as the sender of positions.
 func (s sender) NoStage(ctx context.Context, addr string, n wire.NoStage) error {
-	return s.pool.Notify(ctx, addr, wire.MethodNoStage, n)
+	if _, known := s.node.Table.Get(addr); !known {
+		return fault.New(fault.NotFound, "%s is no member", addr)
+	}
+	return s.node.Pool.Notify(ctx, addr, wire.MethodNoStage, n)
 }
 
 func (s sender) StageFailed(ctx context.Context, addr string, f wire.StageFailed) error {
-	return s.pool.Notify(ctx, addr, wire.MethodStageFailed, f)
+	return s.node.Pool.Notify(ctx, addr, wire.MethodStageFailed, f)
 }
 
 // Run serves until ctx ends. The gate then refuses new requests, and Run returns when the
--- a/internal/protocol/sidecar/sidecar.go
+++ b/internal/protocol/sidecar/sidecar.go
@@ -48,9 +48,10 @@
 	events  *events.Log
 	now     func() time.Time
 
-	mu          sync.Mutex // guards opening and closing of sessions
-	sessions    *shard.Map[string, *session]
-	lastContact *shard.Map[string, time.Time] // by entry address
+	mu       sync.Mutex // guards opening and closing of sessions
+	sessions *shard.Map[string, *session]
+	owners   owners
+	replies  chan struct{} // bounds the notifications about missing stages that are sent at once
 }
 
 // session is an open stage and its ticket at the gate.
@@ -66,21 +67,22 @@
 // New returns a sidecar that is reached at a link address.
 func New(address string, g *gate.Gate, b Backend, send stage.Sender, log *events.Log, now func() time.Time) *Sidecar {
 	return &Sidecar{
-		address:     address,
-		gate:        g,
-		backend:     b,
-		send:        send,
-		events:      log,
-		now:         now,
-		sessions:    shard.New[string, *session](),
-		lastContact: shard.New[string, time.Time](),
+		address:  address,
+		gate:     g,
+		backend:  b,
+		send:     send,
+		events:   log,
+		now:      now,
+		sessions: shard.New[string, *session](),
+		owners:   owners{byAddress: map[string]*owner{}},
+		replies:  make(chan struct{}, maxMissingStageReplies),
 	}
 }
 
 func (s *Sidecar) Gate() *gate.Gate { return s.gate }
 
 // RecordContact records that an entry sent a message.
-func (s *Sidecar) RecordContact(entry string) { s.lastContact.Put(entry, s.now()) }
+func (s *Sidecar) RecordContact(entry string) { s.owners.contact(entry, s.now()) }
 
 // Open opens a stage or moves an open one to a higher epoch.
 func (s *Sidecar) Open(_ context.Context, from string, o wire.Open) (wire.OpenReply, error) {
@@ -123,6 +125,7 @@
 	ses.name = fmt.Sprintf("%s/%d", o.Key, o.Epoch)
 	ses.Session = stage.New(o, s.engineFor(ses), s.send)
 	s.sessions.Put(o.Key.String(), ses)
+	s.owners.add(o.Owner, s.now())
 	s.events.Add(o.Key.RequestKey, events.GateOpened, o.Chain[o.Index].Range.String())
 	go func() {
 		ses.Run(ctx)
@@ -172,6 +175,7 @@
 		s.sessions.Delete(ses.open.Key.String())
 	}
 	s.mu.Unlock()
+	s.owners.remove(ses.open.Owner)
 	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
 	defer cancel()
 	_ = s.backend.Engine.EndSession(ctx, ses.name, s.backend.Fence)
@@ -191,18 +195,34 @@
 	return struct{}{}, ses.Resume(r)
 }
 
+// maxMissingStageReplies is the number of notifications about missing stages that are sent at once. A
+// sender that gets none learns of it by its checks of the stages.
+const maxMissingStageReplies = 64
+
 // Forward adds inputs to an open stage. If there is none, it notifies the sender,
 // because this sidecar may have replaced the one that had the stage.
 func (s *Sidecar) Forward(ctx context.Context, from string, f wire.Forward) {
 	ses, ok := s.sessions.Get(f.Key.String())
 	if !ok {
-		go func() { _ = s.send.NoStage(ctx, from, wire.NoStage{Key: f.Key, Epoch: f.Epoch}) }()
+		s.reportMissingStage(ctx, from, f)
 		return
 	}
 	// Inputs of an old epoch are rejected. The sender expects no reply.
 	_ = ses.Accept(f)
 }
 
+func (s *Sidecar) reportMissingStage(ctx context.Context, to string, f wire.Forward) {
+	select {
+	case s.replies <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-s.replies }()
+		_ = s.send.NoStage(ctx, to, wire.NoStage{Key: f.Key, Epoch: f.Epoch})
+	}()
+}
+
 // NoStage handles the notification that another process has no open stage for a
 // request.
 func (s *Sidecar) NoStage(ctx context.Context, from string, n wire.NoStage) (struct{}, error) {
@@ -224,63 +244,6 @@
 	return wire.CloseReply{Load: s.gate.Load()}, nil
 }
 
-// Call executes one call of the plain service. It waits at the gate for a slot.
-func (s *Sidecar) Call(ctx context.Context, from string, c wire.Call) (wire.CallReply, error) {
-	s.RecordContact(from)
-	if s.backend.Plain == nil {
-		return wire.CallReply{}, fault.New(fault.InvalidRequest, "this sidecar has no plain service")
-	}
-	ticket, err := s.gate.Reserve(gate.Request{
-		Key:           c.Key,
-		Attempt:       c.Attempt,
-		Incarnation:   c.Incarnation,
-		Deadline:      c.Deadline,
-		RetainUntil:   c.RetainUntil,
-		Priority:      c.Priority,
-		NotRepeatable: c.NotRepeatable,
-		CreatedAt:     createdAt(c.Key.ID),
-	}, true)
-	if err != nil {
-		return wire.CallReply{}, err
-	}
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	defer cancel()
-	select {
-	case <-ticket.Ready():
-	case <-ticket.Shed():
-		ticket.Finish(nil)
-		return wire.CallReply{}, fault.New(fault.Overloaded, "dropped from the queue in favor of another request")
-	case <-ctx.Done():
-		ticket.Finish(nil)
-		return wire.CallReply{}, fault.New(fault.Deadline, "deadline passed while waiting at the gate")
-	}
-	if !ticket.Start() {
-		ticket.Finish(nil)
-		return wire.CallReply{}, fault.New(fault.Cancelled, "cancelled before it started")
-	}
-	return s.handOver(c, ticket)
-}
-
-// handOver calls the backend server. The call continues if the entry's connection is
-// lost, because the outcome may be requested over another one.
-func (s *Sidecar) handOver(c wire.Call, ticket *gate.Ticket) (wire.CallReply, error) {
-	s.events.Add(c.Key.RequestKey, events.Started, "plain call")
-	s.log(c.Key, c.Incarnation)
-	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
-	defer cancel()
-	room := s.backend.Clients.NewResponse()
-	body, err := s.backend.Plain.Call(platform.WithRoom(ctx, func(n int64) error { return room.Wait(ctx, n) }), c.Key.RequestKey.String(), c.Body)
-	if err != nil {
-		room.Release()
-		ticket.Finish(nil)
-		s.events.Add(c.Key.RequestKey, events.Finished, err.Error())
-		return wire.CallReply{}, fault.New(fault.BackendFailed, "backend server failed: %v", err)
-	}
-	ticket.Finish(body)
-	s.events.Add(c.Key.RequestKey, events.Finished, "ran")
-	return wire.CallReply{Body: body, Load: s.gate.Load(), Release: room.Release}, nil
-}
-
 func (s *Sidecar) log(k wire.RunKey, incarnation string) {
 	klog.V(2).InfoS("request started", "request", k.ID, "customer", k.Customer, "run", k.Run,
 		"address", s.address, "incarnation", incarnation)
@@ -301,7 +264,7 @@
 	s.gate.Sweep()
 	limit := s.now().Add(-ownerTimeout)
 	for _, ses := range s.sessions.Values() {
-		if at, ok := s.lastContact.Get(ses.open.Owner); ok && at.Before(limit) {
+		if s.owners.silentSince(ses.open.Owner, limit) {
 			ses.cancel()
 		}
 	}
--- a/internal/transport/data/data.go
+++ b/internal/transport/data/data.go
@@ -133,6 +133,9 @@
 // Carry implements the DataService.
 func (s *Server) Carry(ctx context.Context, in *connect.ClientStream[meshv1.Parcel]) (*connect.Response[meshv1.CarryResponse], error) {
 	for in.Receive() {
+		if err := link.CheckSender(in.Msg().From); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
 		s.handle(ctx, in.Msg())
 	}
 	return connect.NewResponse(&meshv1.CarryResponse{}), in.Err()
--- a/internal/transport/data/data_test.go
+++ b/internal/transport/data/data_test.go
@@ -33,14 +33,17 @@
 	tokens := make(chan wire.Tokens, sent)
 	revisions := make(chan int64, 2*sent)
 	in := &Server{
-		Metadata: newMetadata("server", func(_ string, r int64) { revisions <- r }),
-		Forward:  func(_ context.Context, from string, f wire.Forward) { assert.Check(t, from == "client"); forwards <- f },
-		Tokens:   func(tk wire.Tokens) { tokens <- tk },
+		Metadata: newMetadata("server:1", func(_ string, r int64) { revisions <- r }),
+		Forward: func(_ context.Context, from string, f wire.Forward) {
+			assert.Check(t, from == "client:1")
+			forwards <- f
+		},
+		Tokens: func(tk wire.Tokens) { tokens <- tk },
 	}
 	mux := http.NewServeMux()
 	mux.Handle(in.Handler())
 	srv := httptest.NewServer(mux)
-	p := NewPool(newMetadata("client", func(string, int64) {}))
+	p := NewPool(newMetadata("client:1", func(string, int64) {}))
 	t.Cleanup(func() { p.Close(); srv.Close() })
 	addr := strings.TrimPrefix(srv.URL, "http://")
 	for i := int64(0); i < sent; i++ {
@@ -60,7 +63,7 @@
 	assert.NilError(t, err)
 	addr := l.Addr().String()
 	l.Close()
-	p := NewPool(newMetadata("client", func(string, int64) {}))
+	p := NewPool(newMetadata("client:1", func(string, int64) {}))
 	defer p.Close()
 	for err == nil {
 		err = p.Forward(addr, wire.Forward{Key: key})
@@ -86,7 +89,7 @@
 			c.Close()
 		}
 	}()
-	p := NewPool(newMetadata("client", func(string, int64) {}))
+	p := NewPool(newMetadata("client:1", func(string, int64) {}))
 	defer p.Close()
 	for err == nil {
 		err = p.Forward(l.Addr().String(), wire.Forward{Key: key, Data: [][]byte{make([]byte, 1024)}})
--- a/internal/transport/link/left_test.go
+++ b/internal/transport/link/left_test.go
@@ -20,7 +20,7 @@
 			return e, nil
 		}))
 	})
-	p := NewPool(newMetadata("me"))
+	p := NewPool(newMetadata("me:1"))
 	defer p.Close()
 	var got echo
 	other, cancelled := make(chan error, 1), make(chan error, 1)
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -103,11 +104,33 @@
 	if err := json.Unmarshal(*raw, &env); err != nil {
 		return env, fault.New(fault.InvalidRequest, "decode envelope: %v", err)
 	}
+	if err := CheckSender(env.From); err != nil {
+		return env, err
+	}
 	s.Clock.Observe(env.Clock)
 	s.ObservePeerRevision(env.From, env.Revision)
 	return env, nil
 }
 
+// maxSender is the size in bytes of the longest address of a sender: a host name and a port.
+const maxSender = 253 + 6
+
+// CheckSender returns an error if the address of a sender is none, as receivers keep what they know of
+// senders by address. A sender that takes no messages has an empty one.
+func CheckSender(from string) error {
+	if from == "" {
+		return nil
+	}
+	_, port, err := net.SplitHostPort(from)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil || len(from) > maxSender {
+		return fault.New(fault.InvalidRequest, "sender %.64q is no address of a process", from)
+	}
+	return nil
+}
+
 // Server serves the methods of one process. Handlers are registered before Serve. Each
 // call runs on its own goroutine. Notifications run in the order of arrival on the
 // connection's reader and must not block.
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -59,11 +59,11 @@
 			return echo{from + ":" + e.Text}, nil
 		}))
 	})
-	p := NewPool(newMetadata("me"))
+	p := NewPool(newMetadata("me:1"))
 	defer p.Close()
 	var got echo
 	assert.NilError(t, p.Call(context.Background(), addr, "echo", echo{"hello"}, &got))
-	assert.Equal(t, got.Text, "me:hello")
+	assert.Equal(t, got.Text, "me:1:hello")
 	err := p.Call(context.Background(), addr, "echo", echo{}, &got)
 	assert.DeepEqual(t, fault.From(err), &fault.Error{Kind: fault.Overloaded, Msg: "full", RetryAfter: time.Second})
 	err = p.Call(context.Background(), addr, "unknown", echo{}, &got)
@@ -92,7 +92,7 @@
 			closed <- struct{}{}
 		}
 	}()
-	p := NewPool(newMetadata("me"))
+	p := NewPool(newMetadata("me:1"))
 	defer p.Close()
 	err = p.Call(context.Background(), l.Addr().String(), "echo", echo{"once"}, nil)
 	assert.Assert(t, fault.Is(err, fault.Unreachable))
@@ -108,7 +108,7 @@
 		s.Register("echo", Handle(func(_ context.Context, _ string, e echo) (echo, error) { return e, nil }))
 	})
 	proxy, cut := cuttableProxy(t, addr)
-	p := NewPool(newMetadata("me"))
+	p := NewPool(newMetadata("me:1"))
 	defer p.Close()
 	var got echo
 	assert.NilError(t, p.Call(context.Background(), proxy, "echo", echo{"1"}, &got))
@@ -134,7 +134,7 @@
 		}))
 	})
 	proxy, cut := cuttableProxy(t, addr)
-	p := NewPool(newMetadata("me"))
+	p := NewPool(newMetadata("me:1"))
 	defer p.Close()
 	assert.NilError(t, p.Call(context.Background(), proxy, "echo", echo{"1"}, nil))
 	cut()
@@ -158,7 +158,7 @@
 // connection stays open.
 func TestResetAfterAFailedDialKeepsALaterConnection(t *testing.T) {
 	addr, listen := refusingAddress(t)
-	p := NewPool(newMetadata("me"))
+	p := NewPool(newMetadata("me:1"))
 	defer p.Close()
 	ctx := context.Background()
 	assert.Assert(t, fault.Is(p.Send(ctx, addr, p.NewNotification("note", nil)), fault.NotConnected))
@@ -249,7 +249,7 @@
 	f.Add([]byte(`{"b":null}`))
 	f.Add([]byte(`[]`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		s := newMetadata("me")
+		s := newMetadata("me:1")
 		msg := json.RawMessage(raw)
 		env, err := s.openEnvelope(&msg)
 		if err != nil {
@@ -296,14 +296,14 @@
 		})
 		s.Register("echo", Handle(func(_ context.Context, _ string, e echo) (echo, error) { return e, nil }))
 	})
-	p := NewPool(newMetadata("me"))
+	p := NewPool(newMetadata("me:1"))
 	defer p.Close()
 	ctx := context.Background()
 	long := strings.Repeat("x", 3*maxPreallocation)
 	var want []string
 	for i := range 5 {
 		text := strconv.Itoa(i)
-		want = append(want, "me "+text)
+		want = append(want, "me:1 "+text)
 		assert.NilError(t, p.Send(ctx, addr, p.NewNotification("note", []byte(text))))
 		var back echo
 		assert.NilError(t, p.Call(ctx, addr, "echo", echo{long}, &back))
@@ -344,7 +344,7 @@
 	f.Add([]byte("\x02{}"))
 	f.Add([]byte{0xff, 0xff, 0xff, 0x0f, 1})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		s := NewServer(newMetadata("me"))
+		s := NewServer(newMetadata("me:1"))
 		in := newFrames(readOnly{bytes.NewReader(raw)}, func(raw []byte) { s.handleNotification(raw, "127.0.0.1") })
 		for {
 			var v json.RawMessage
@@ -369,7 +369,7 @@
 		s.Register("call", Handle(func(context.Context, string, echo) (echo, error) { panic("handler fails") }))
 		s.Register("echo", Handle(func(_ context.Context, _ string, e echo) (echo, error) { return e, nil }))
 	})
-	p := NewPool(newMetadata("me"))
+	p := NewPool(newMetadata("me:1"))
 	defer p.Close()
 	ctx := context.Background()
 	assert.NilError(t, p.Send(ctx, addr, p.NewNotification("note", nil)))
--- a/internal/transport/link/notice.go
+++ b/internal/transport/link/notice.go
@@ -55,6 +55,9 @@
 // handleNotification handles a notification from a host.
 func (s *Server) handleNotification(raw []byte, fromHost string) {
 	head, body, err := wire.UnpackNotification(raw)
+	if err == nil {
+		err = CheckSender(head.From)
+	}
 	if err == nil {
 		err = s.verifySender(head.From, fromHost, head.Method)
 	}
--- a/internal/transport/link/silent_test.go
+++ b/internal/transport/link/silent_test.go
@@ -15,7 +15,7 @@
 // A peer has lost power, and another sender is connecting to it. Guards against calls, and resets
 // after them, that outlast their own cancellation because they wait for that attempt.
 func TestCallEndsWithItsContextWhileAnotherSenderConnects(t *testing.T) {
-	p := NewPool(newMetadata("me"))
+	p := NewPool(newMetadata("me:1"))
 	defer p.Close()
 	connecting, release := make(chan struct{}, 2), make(chan struct{})
 	p.dial = func(context.Context, string) (net.Conn, error) {
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -104,7 +104,7 @@
 // IsMemberHost reports whether a host is that of another process of the system.
 func (n *Node) IsMemberHost(host string) bool {
 	for _, m := range n.Table.All() {
-		if h, _, err := net.SplitHostPort(m.Instance.Address); err == nil && h == host {
+		if h, _, err := net.SplitHostPort(m.Instance.Address); err == nil && h == host && m.Confirmed() {
 			return true
 		}
 	}
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -181,3 +182,16 @@
 	}
 	return b.String()
 }
+
+// ReadByte implements io.ByteReader.
+func (c *conn) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(c, b[:])
+	return b[0], err
+}
+
+// skip reads and discards n bytes.
+func (c *conn) skip(n int) error {
+	_, err := io.CopyN(io.Discard, c, int64(n))
+	return err
+}
