link, api, platform: replies that cannot be encoded, late callers and the largest answers

Change: an error reply; parts are sent in messages of 4 KB, or one by one where they are larger; room grows by a quarter.

--- a/internal/platform/receive.go
+++ b/internal/platform/receive.go
@@ -41,7 +41,7 @@
 // Read implements io.Reader.
 func (b *limitedBody) Read(p []byte) (int, error) {
 	if b.read == b.room && b.read != b.length {
-		more := max(b.room, firstRoom)
+		more := max(b.room/4, firstRoom)
 		if b.length >= 0 {
 			more = b.length
 		}
--- a/internal/transport/api/requests.go
+++ b/internal/transport/api/requests.go
@@ -126,6 +126,7 @@
 		if outcome.Final() {
 			return stream.Send(&v1.SubmitResponse{Position: pos, Outcome: outcomeMessage(outcome)})
 		}
+		parts = firstParts(parts)
 		size := sizeOf(parts)
 		s.answers.Observe(m.Service, size)
 		if room.lacks(size) {
--- a/internal/transport/api/room.go
+++ b/internal/transport/api/room.go
@@ -39,6 +39,21 @@
 	return true
 }
 
+// maxJoined is the size in bytes up to which parts are sent together. A caller that is behind gets what it
+// lacks in several messages, so that it needs no more room than one that is not.
+const maxJoined = 4 << 10
+
+// firstParts returns the parts that are sent in one message: the first one, and what follows up to maxJoined.
+func firstParts(parts [][]byte) [][]byte {
+	size := 0
+	for i, p := range parts {
+		if size += len(p); i > 0 && size > maxJoined {
+			return parts[:i]
+		}
+	}
+	return parts
+}
+
 func sizeOf(parts [][]byte) (n int64) {
 	for _, p := range parts {
 		n += int64(len(p))
--- a/internal/transport/link/reply.go
+++ b/internal/transport/link/reply.go
@@ -71,14 +71,20 @@
 		return errNoRoom
 	}
 	_, w.held = body.(wire.Holder)
-	return errors.Wrap(json.NewEncoder(&w).Encode(r), "write reply")
+	err := json.NewEncoder(&w).Encode(r)
+	if err != nil && !w.written {
+		r.Result, r.Error = nil, encodeFault(errors.Wrap(err, "encode reply"))
+		err = json.NewEncoder(&w).Encode(r)
+	}
+	return errors.Wrap(err, "write reply")
 }
 
 // replyWriter writes an encoded reply as one message.
 type replyWriter struct {
-	frames *frames
-	held   bool // the reply holds its memory itself
-	taken  int64
+	frames  *frames
+	held    bool // the reply holds its memory itself
+	taken   int64
+	written bool // the reply was encoded, and written unless that failed
 }
 
 // take takes memory for the reply. Without room it closes the connection: whoever waits for the reply learns
@@ -95,6 +101,7 @@
 
 // Write implements io.Writer. The encoder calls it once.
 func (w *replyWriter) Write(encoded []byte) (int, error) {
+	w.written = true
 	if more := 2*int64(len(encoded)) - w.taken; !w.held && more > 0 && !w.take(more) {
 		return 0, errNoRoom
 	}
--- a/internal/transport/link/reply_test.go
+++ b/internal/transport/link/reply_test.go
@@ -81,3 +81,12 @@
 		return poll.Success()
 	})
 }
+
+// Guards against a reply that cannot be encoded, whose caller waits for ever.
+func TestReplyThatCannotBeEncodedIsAnError(t *testing.T) {
+	addr, _ := serveWithin(t, 1<<20, func() any { return func() {} })
+	p := NewPool(newMetadata("127.0.0.1:1"))
+	defer p.Close()
+	err := p.Call(t.Context(), addr, "reply", echo{}, nil)
+	assert.Assert(t, fault.Is(err, fault.Internal), "%v", err)
+}
--- a/test/clients/answers_test.go
+++ b/test/clients/answers_test.go
@@ -30,12 +30,24 @@
 const largeAnswer = 1 << 20
 
 // Guards against answers that are lost on their way, for want of room, after the request has run.
-func TestLargeAnswersAreNotLost(t *testing.T) {
-	c := startClusterAnswering(t, 0, largeAnswer)
+func TestLargeAnswersAreNotLost(t *testing.T) { checkAnswersArrive(t, largeAnswer, 40) }
+
+// Guards against the same with the largest answers, one of which takes all of a sidecar's memory for clients.
+func TestLargestAnswersAreNotLost(t *testing.T) {
+	const largest = sidecarMemoryMB << 20 / 20
+	for _, callers := range []int{1, 10} {
+		t.Run(fmt.Sprint(callers, " callers"), func(t *testing.T) { checkAnswersArrive(t, largest, callers) })
+	}
+}
+
+// checkAnswersArrive lets callers ask for answers of a size at once. Each request must be answered whole or
+// refused before it ran.
+func checkAnswersArrive(t *testing.T, size, callers int) {
+	c := startClusterAnswering(t, 0, size)
 	endEntry, endSidecar := c.entry.observe(), c.sidecar.observe()
-	var callers sync.WaitGroup
-	for range int(*scale * 40) {
-		callers.Go(func() {
+	var all sync.WaitGroup
+	for range max(1, int(*scale*float64(callers))) {
+		all.Go(func() {
 			var received countingWriter
 			res, err := c.client().Submit(context.Background(), &v1.SubmitRequest{Customer: customer, RequestId: daemon.NewID(), Service: notices, Body: []byte("a notice"), TimeoutMs: waitTimeout.Milliseconds()}, &received)
 			var refused *connect.Error
@@ -45,14 +57,14 @@
 			assert.Check(t, err)
 			switch res.Outcome.GetState() {
 			case v1.OutcomeState_OUTCOME_STATE_RAN:
-				assert.Check(t, received >= largeAnswer, "%d bytes of the answer", received)
+				assert.Check(t, int(received) >= size, "%d bytes of the answer", received)
 			case v1.OutcomeState_OUTCOME_STATE_NOT_RUN:
 			default:
-				t.Errorf("outcome %v: %s", res.Outcome.State, res.Outcome.GetCause())
+				t.Errorf("outcome %v: %s", res.Outcome.GetState(), res.Outcome.GetCause())
 			}
 		})
 	}
-	callers.Wait()
+	all.Wait()
 	entry, sidecar := endEntry(), endSidecar()
 	t.Logf("peaks: entry %.0f MB of %d, sidecar %.0f MB of %d", entry.memoryMB, entryMemoryMB, sidecar.memoryMB, sidecarMemoryMB)
 	assert.Check(t, entry.memoryMB <= entryMemoryMB)
