--- a/internal/protocol/wire/reply.go
+++ b/internal/protocol/wire/reply.go
@@ -11,8 +11,8 @@
 
 // Sized is a reply whose size is known before it is encoded.
 type Sized interface {
-	// Size is in bytes.
-	Size() int64
+	// ReplySize returns the size in bytes.
+	ReplySize() int64
 }
 
 // CallReply carries the backend server's response.
@@ -38,8 +38,8 @@
 	Dropped bool `json:"dropped,omitempty"`
 }
 
-// Size implements Sized.
-func (r CancelReply) Size() int64 { return int64(len(r.Body)) }
+// ReplySize implements Sized.
+func (r CancelReply) ReplySize() int64 { return int64(len(r.Body)) }
 
 // OutcomeReply returns an entry's record of a request. Known is false if there is none.
 type OutcomeReply struct {
@@ -52,8 +52,8 @@
 	Started time.Time `json:"started"`
 }
 
-// Size implements Sized.
-func (r OutcomeReply) Size() (n int64) {
+// ReplySize implements Sized.
+func (r OutcomeReply) ReplySize() (n int64) {
 	for _, part := range r.Answer {
 		n += int64(len(part))
 	}
--- a/internal/transport/link/reply.go
+++ b/internal/transport/link/reply.go
@@ -12,8 +12,13 @@
 	"github.com/skylarkwood/skylarkwood/internal/protocol/wire"
 )
 
-// encodedFactor times the size of a reply is the memory that it takes while it is encoded and written.
-const encodedFactor = 4
+const (
+	// encodedFactor times the size of a reply is the memory that it takes while it is encoded.
+	encodedFactor = 4
+	// writtenFactor times the size of an encoded reply is the memory that it takes while it is written: that
+	// of the encoder's buffer.
+	writtenFactor = 2
+)
 
 // maxCopied is the size in bytes of the largest reply that is copied behind its length, to be written at once.
 const maxCopied = 64 << 10
@@ -67,7 +72,7 @@
 	defer f.replies.Unlock()
 	w := replyWriter{frames: f}
 	defer func() { f.account.Give(w.taken) }()
-	if sized, ok := body.(wire.Sized); ok && !w.take(encodedFactor*sized.Size()) {
+	if sized, ok := body.(wire.Sized); ok && !w.take(encodedFactor*sized.ReplySize()) {
 		return errNoRoom
 	}
 	_, w.held = body.(wire.Holder)
@@ -99,10 +104,24 @@
 	return true
 }
 
+// settle corrects what was taken for a reply, now that its encoded size is known.
+func (w *replyWriter) settle(encoded int64) bool {
+	if w.held {
+		return true
+	}
+	need := writtenFactor * encoded
+	if need > w.taken {
+		return w.take(need - w.taken)
+	}
+	w.frames.account.Give(w.taken - need)
+	w.taken = need
+	return true
+}
+
 // Write implements io.Writer. The encoder calls it once.
 func (w *replyWriter) Write(encoded []byte) (int, error) {
 	w.written = true
-	if more := 2*int64(len(encoded)) - w.taken; !w.held && more > 0 && !w.take(more) {
+	if !w.settle(int64(len(encoded))) {
 		return 0, errNoRoom
 	}
 	length := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64), uint64(len(encoded)))
--- a/test/clients/answers_test.go
+++ b/test/clients/answers_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -150,3 +151,26 @@
 		return err
 	}})
 }
+
+// Guards against a router that ends by the memory of its configuration, which others ask for and do not read.
+func TestConfigurationsAtPeersPortThatAreNotRead(t *testing.T) {
+	const size, calls = 1 << 20, 10
+	r := startRouterConfigured(t, 0, nil, append(configuration(t), bytes.Repeat([]byte(" "), size)...))
+	query, err := json.Marshal(wire.RouterConfigRequest{Servers: true})
+	assert.NilError(t, err)
+	r.withstand(&crowd{addr: r.settings.Router.Peers, clients: listenerCrowd, ethernet: true, send: func(cc *conn) error {
+		_ = cc.SetWriteDeadline(time.Now().Add(5 * time.Second))
+		for i := range calls {
+			call, err := json.Marshal(map[string]any{"jsonrpc": "2.0", "id": i, "method": wire.MethodRouterConfig, "params": wire.Envelope{From: "127.0.0.1:1", Body: query}})
+			if err != nil {
+				return err
+			}
+			if _, err := cc.Write(append(binary.AppendUvarint(nil, uint64(len(call))), call...)); err != nil {
+				return err
+			}
+		}
+		_, err := io.CopyN(io.Discard, cc, 1) // until replies are written
+		return err
+	}})
+	assertAcceptsCalls(t, r.settings.Router.Peers)
+}
--- a/test/clients/router_test.go
+++ b/test/clients/router_test.go
@@ -104,13 +104,19 @@
 
 // startRouterLoggingTo is startRouter with a file for the log; nil keeps it for the report of a failure.
 func startRouterLoggingTo(t *testing.T, descriptors int, log *os.File) *router {
+	t.Helper()
+	return startRouterConfigured(t, descriptors, log, configuration(t))
+}
+
+// startRouterConfigured is startRouterLoggingTo with a configuration.
+func startRouterConfigured(t *testing.T, descriptors int, log *os.File, config []byte) *router {
 	t.Helper()
 	r := &router{server: &server{runs: map[string]int{}, held: make(chan struct{})}}
 	store := standin.NewStore()
 	storeListener, serverListener := listen(t), listen(t)
 	go func() { _ = http.Serve(storeListener, &standin.StoreServer{Store: store}) }()
 	go func() { _ = http.Serve(serverListener, r.server) }()
-	store.Put(platform.ConfigKey, configuration(t))
+	store.Put(platform.ConfigKey, config)
 	entry, err := json.Marshal(map[string]any{"service": "notices", "address": serverListener.Addr().String(), "zone": "a", "slots": 1000, "state": "ready", "born": 1})
 	assert.NilError(t, err)
 	store.Put("servers/i-1", entry)
