--- a/internal/platform/receive.go
+++ b/internal/platform/receive.go
@@ -22,18 +22,26 @@
 	return context.WithValue(ctx, roomKey{}, take)
 }
 
+// TakeRoom asks for n bytes as WithRoom says. Without WithRoom they are granted.
+func TakeRoom(ctx context.Context, n int64) error {
+	if take, ok := ctx.Value(roomKey{}).(func(n int64) error); ok {
+		return take(n)
+	}
+	return nil
+}
+
 // limitResponse applies WithRoom to a response.
 func limitResponse(ctx context.Context, resp *http.Response) {
-	if take, ok := ctx.Value(roomKey{}).(func(n int64) error); ok {
-		resp.Body = &limitedBody{ReadCloser: resp.Body, take: take, length: resp.ContentLength}
+	if ctx.Value(roomKey{}) != nil {
+		resp.Body = &limitedBody{ReadCloser: resp.Body, ctx: ctx, length: resp.ContentLength}
 	}
 }
 
 // limitedBody is a body that is read as far as there is room.
 type limitedBody struct {
 	io.ReadCloser
-	take   func(n int64) error
-	length int64 // -1 if it is unknown
+	ctx    context.Context // of the request
+	length int64           // -1 if it is unknown
 	room   int64
 	read   int64
 }
@@ -45,7 +53,7 @@
 		if b.length >= 0 {
 			more = b.length
 		}
-		if err := b.take(receivedFactor * more); err != nil {
+		if err := TakeRoom(b.ctx, receivedFactor*more); err != nil {
 			return 0, err
 		}
 		b.room += more
