--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -70,7 +70,8 @@
 	mu      sync.Mutex
 	members map[string]*Member
 	readAt  time.Time // when the list was last read
-	met     int       // members that neither the list nor a response has confirmed
+	// unconfirmed is the number of members that neither the list nor a response has confirmed.
+	unconfirmed int
 }
 
 // New returns a table for the process at link address self.
@@ -99,13 +100,13 @@
 		m.Listed = true
 		m.LastListed = now
 	}
-	t.met = 0
+	t.unconfirmed = 0
 	for addr, m := range t.members {
 		unresponsive := m.LastContact.IsZero() || m.Down()
 		if !m.Listed && unresponsive && now.Sub(m.LastListed) > retention {
 			delete(t.members, addr)
 		} else if !m.Confirmed() {
-			t.met++
+			t.unconfirmed++
 		}
 	}
 }
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -122,11 +122,11 @@
 	table := New("self:1", func() time.Time { return now })
 	listed := model.Instance{Address: "listed:1", Role: model.RoleEntry}
 	table.UpdateList([]model.Instance{listed})
-	for i := range 10 * maxMet {
-		table.ObserveRevision(fmt.Sprintf("met:%d", i), 1)
+	for i := range 10 * maxUnconfirmed {
+		table.ObserveRevision(fmt.Sprintf("unconfirmed:%d", i), 1)
 	}
-	assert.Equal(t, len(table.All()), 1+maxMet)
-	table.Observe(model.Instance{Address: "met:0", Role: model.RoleEntry}, "incarnation", Backend{}, time.Millisecond)
+	assert.Equal(t, len(table.All()), 1+maxUnconfirmed)
+	table.Observe(model.Instance{Address: "unconfirmed:0", Role: model.RoleEntry}, "incarnation", Backend{}, time.Millisecond)
 	table.ObserveRevision("next:1", 1)
 	_, known := table.Get("next:1")
 	assert.Assert(t, known, "a response makes room for another member")
--- a/internal/coordination/membership/met.go
+++ b/internal/coordination/membership/unconfirmed.go
@@ -1,8 +1,8 @@
 package membership
 
-// maxMet is the number of members that are known only from their messages, which anybody can send. A
+// maxUnconfirmed is the number of members that are known only from their messages, which anybody can send. A
 // process that starts is in the list within seconds.
-const maxMet = 64
+const maxUnconfirmed = 64
 
 // Confirmed reports whether the list has the member, or it has responded.
 func (m *Member) Confirmed() bool { return m.Listed || !m.LastContact.IsZero() }
@@ -10,7 +10,7 @@
 // responded records that a member has responded.
 func (t *Table) responded(m *Member) {
 	if !m.Confirmed() {
-		t.met = max(t.met-1, 0)
+		t.unconfirmed = max(t.unconfirmed-1, 0)
 	}
 	m.Failures = 0
 	m.LastContact = t.now()
@@ -25,10 +25,10 @@
 		return
 	}
 	if _, known := t.members[addr]; !known {
-		if t.met >= maxMet {
+		if t.unconfirmed >= maxUnconfirmed {
 			return
 		}
-		t.met++
+		t.unconfirmed++
 	}
 	m := t.member(addr)
 	m.Revision = max(m.Revision, revision)
--- a/internal/transport/link/frames.go
+++ b/internal/transport/link/frames.go
@@ -92,14 +92,14 @@
 func (f *frames) ReadObject(v any) error {
 	err := f.readObject(v)
 	if err != nil {
-		f.takeCharge()()
+		f.giveBack()
 	}
 	return err
 }
 
 func (f *frames) readObject(v any) error {
 	for {
-		f.takeCharge()()
+		f.giveBack()
 		n, err := binary.ReadUvarint(f.r)
 		if err != nil {
 			return err
@@ -162,9 +162,11 @@
 	return f.account.KnownPeer() && f.account.Wait(context.Background(), n)
 }
 
-// takeCharge returns what gives back the memory of the message that was read last. Whoever takes it must
-// call it.
-func (f *frames) takeCharge() (release func()) {
+// giveBack gives back what was taken for the message that was read last.
+func (f *frames) giveBack() { f.handOver()() }
+
+// handOver returns what gives back the memory of the message that was read last. The caller must call it.
+func (f *frames) handOver() (release func()) {
 	release = f.release
 	f.release = func() {}
 	return release
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -206,7 +206,7 @@
 // Handle implements jsonrpc2.Handler. What was taken for a message is given back once it was handled and,
 // if it is a call, its reply was written.
 func (c *serverConn) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	done := c.frames.takeCharge()
+	done := c.frames.handOver()
 	env, err := c.metadata.openEnvelope(req.Params)
 	if err == nil {
 		err = c.verifySender(env.From, c.host, wire.Method(req.Method))
