catalog: an earlier process in a restored copy of the store replaces nobody

It read the store 2 s before that came back from an older copy; the copy had entries of earlier processes at the addresses of the engines that it knew. Cause: of two entries with one address the one that was first observed later counts as the running process. An earlier process that only the restored copy has is first observed after the running one, so that one counted as exited at each router that had known it before, for as long as the copy's entry stayed. Change: the order of observation decides within one era of the store only; between eras the start times do, as within one read. Measured: TestEarlierProcessInARestoredCopyReplacesNobody fails without it ("the running process counts as exited"). Without a restored store there is one era, and nothing changes.

--- a/internal/coordination/catalog/incarnation.go
+++ b/internal/coordination/catalog/incarnation.go
@@ -122,13 +122,15 @@
 }
 
 // startedAfter reports whether an incarnation started after another one at the same
-// address. Entries from the same read of the whole list are compared by start time.
+// address. Entries from the same read of the whole list are compared by start time, and so are those of
+// different eras of the store: a copy that is restored may have earlier processes.
 // Without start times, the one with fewer heartbeats started later.
 func (e *entry) startedAfter(other *entry) bool {
 	a, b := &e.server, &other.server
 	sameRead := e.firstSeen.read != 0 && e.firstSeen.read == other.firstSeen.read
+	sameEra := e.firstSeen.revision.Era() == other.firstSeen.revision.Era()
 	switch {
-	case !sameRead && e.firstSeen.revision != other.firstSeen.revision:
+	case !sameRead && sameEra && e.firstSeen.revision != other.firstSeen.revision:
 		return e.firstSeen.revision > other.firstSeen.revision
 	case a.Born != b.Born:
 		return a.Born > b.Born
--- a/internal/coordination/catalog/restore_test.go
+++ b/internal/coordination/catalog/restore_test.go
@@ -53,3 +53,24 @@
 	assert.Assert(t, c.Load().ByID("lives") != nil)
 	assert.Assert(t, c.Load().ByID("ended") == nil)
 }
+
+// Guards against an engine that stays out of use at a router that knew it before the store came back from an
+// older copy, because the copy has an earlier process at its address.
+func TestEarlierProcessInARestoredCopyReplacesNobody(t *testing.T) {
+	_, now := clock()
+	c := New(now)
+	running := server("running", "1:1", revision(t, 0, 70))
+	running.Born = 3
+	c.Replace([]model.BackendServer{running}, nil, 2*time.Second)
+	earlier := server("earlier", "1:1", revision(t, 2, 40))
+	earlier.Born = 1
+	running.Revision = revision(t, 2, 61)
+	conflicts := c.Replace([]model.BackendServer{earlier, running}, nil, 2*time.Second)
+	for _, b := range conflicts.Exited {
+		assert.Assert(t, b.ID != "running", "the running process counts as exited")
+	}
+	running.Revision = revision(t, 2, 69)
+	c.Put(running)
+	assert.Assert(t, c.Load().ByID("running") != nil, "the running process is out of use")
+	assert.Equal(t, c.Load().ByAddress("1:1").ID, "running")
+}
