clientbudget: answers in progress use half of the memory for clients, and the earliest one what it needs besides

Cause: answers could use all that is not kept for small accounts, and the earliest one all of the rest, so that the link's own account found no room for a short message. Change: answers use half; what the earliest one holds beyond that is counted apart. TestResponsesLeaveRoomForAccounts.

--- a/internal/coordination/clientbudget/response.go
+++ b/internal/coordination/clientbudget/response.go
@@ -8,6 +8,10 @@
 	"github.com/pkg/errors"
 )
 
+// responseShare is the share of the memory that responses may use together. What is above is left to requests and
+// to replies that are short.
+const responseShare = 0.5
+
 // Errors of Response.Wait.
 var (
 	ErrResponseTooLarge = errors.New("response is larger than the memory for clients")
@@ -20,6 +24,8 @@
 // other. It is safe for concurrent use. All methods of a nil response do nothing and grant everything.
 type Response struct {
 	account Account // never yields, as it belongs to no connection
+	// excess is what the earliest response holds beyond the memory of all.
+	excess int64
 }
 
 // NewResponse returns a response that holds nothing. Release must be called.
@@ -55,7 +61,7 @@
 func (r *Response) take(n int64) (released <-chan struct{}, err error) {
 	b := r.account.budget
 	b.mu.Lock()
-	if r.account.held+n > b.limits.Memory {
+	if r.account.held+r.excess+n > b.limits.Memory {
 		b.mu.Unlock()
 		return nil, ErrResponseTooLarge
 	}
@@ -63,11 +69,18 @@
 		b.responses = append(b.responses, r)
 	}
 	now := b.clock()
-	victims, ok := b.makeRoom(&r.account, n, now)
-	if ok || b.responses[0] == r {
+	var victims []*Account
+	fits := b.responseBytes()+n <= int64(responseShare*float64(b.limits.Memory))
+	if fits {
+		victims, fits = b.makeRoom(&r.account, n, now)
+	}
+	switch {
+	case fits:
 		r.account.held += n
 		b.used += n
-	} else {
+	case b.responses[0] == r:
+		r.excess += n
+	default:
 		b.responsesWait = true
 		released = b.responseReleased
 	}
@@ -91,6 +104,7 @@
 	}
 	b.responses = slices.Delete(b.responses, i, i+1)
 	r.account.give(r.account.held)
+	r.excess = 0
 	if b.responsesWait {
 		b.responsesWait = false
 		close(b.responseReleased)
@@ -98,7 +112,7 @@
 	}
 }
 
-// responseBytes returns what responses hold. The caller must hold b.mu.
+// responseBytes returns what responses hold, without the excess of the earliest one. The caller must hold b.mu.
 func (b *Budget) responseBytes() (n int64) {
 	for _, r := range b.responses {
 		n += r.account.held
--- a/internal/coordination/clientbudget/response_test.go
+++ b/internal/coordination/clientbudget/response_test.go
@@ -28,7 +28,7 @@
 				defer func() { r.Release(); done <- struct{}{} }()
 				for range steps {
 					assert.Check(t, r.Wait(t.Context(), step))
-					assert.Check(t, b.Usage().Bytes <= 2*responseMemory, "%d bytes held", b.Usage().Bytes)
+					assert.Check(t, b.Usage().Bytes <= responseMemory/2, "%d bytes held", b.Usage().Bytes)
 					time.Sleep(time.Millisecond)
 				}
 			}()
@@ -45,7 +45,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newResponseBudget()
 		first, second := b.NewResponse(), b.NewResponse()
-		assert.NilError(t, first.Wait(t.Context(), responseMemory))
+		assert.NilError(t, first.Wait(t.Context(), responseMemory/2))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		assert.ErrorIs(t, second.Wait(ctx, 1), ErrNoResponseRoom)
@@ -65,3 +65,25 @@
 	r.Release()
 	assert.Equal(t, b.Usage().Bytes, int64(0))
 }
+
+// Guards against responses, and the earliest one of any size, that leave no room for requests and short replies,
+// without which the connections of all of them end.
+func TestResponsesLeaveRoomForAccounts(t *testing.T) {
+	b := newResponseBudget()
+	link := b.Open(Callers, "link", false, func() {}, nil)
+	link.Enter(Working)
+	first, second := b.NewResponse(), b.NewResponse()
+	assert.NilError(t, first.Wait(t.Context(), responseMemory/2))
+	assert.NilError(t, first.Wait(t.Context(), responseMemory/2))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, second.Wait(ctx, 1), ErrNoResponseRoom)
+	assert.Assert(t, link.Take(2*smallAccount), "no room for requests on a link")
+	other := b.Open(Callers, "other", false, func() {}, nil)
+	assert.Assert(t, other.Take(smallAccount/2), "no room for a short reply")
+	second.Release()
+	first.Release()
+	link.Close()
+	other.Close()
+	assert.Equal(t, b.Usage().Bytes, int64(0))
+}
