mesh: a heartbeat that waits behind large replies does not end their connection

Callers saw requests cut off beside load: "does not respond: link: jsonrpc2: connection is closed", 6 and 7 of 40 with answers of 1 MB. Cause: heartbeats time out after 0.7 s, and their replies wait behind 40 MB of answers on the same link; then the entry closed the connection as silent, and counted the sidecar as one that fails. Change: while bytes arrive on the connection, a heartbeat without a reply changes nothing.

--- a/internal/transport/link/frames.go
+++ b/internal/transport/link/frames.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -46,6 +47,8 @@
 	// clients is the memory for replies on a connection that this process opened. It may be nil.
 	clients *clientbudget.Budget
 	release func() // gives back what was taken for the message that was read last
+	// received is the number of bytes read so far.
+	received atomic.Int64
 	// onNotification is called with each notification. It must not block or retain the
 	// bytes.
 	onNotification func([]byte)
@@ -55,7 +58,19 @@
 }
 
 func newFrames(conn io.ReadWriteCloser, onNotification func([]byte)) *frames {
-	return &frames{conn: conn, r: bufio.NewReader(conn), onNotification: onNotification, release: func() {}}
+	f := &frames{conn: conn, onNotification: onNotification, release: func() {}}
+	f.r = bufio.NewReader(receivedCounter{f})
+	return f
+}
+
+// receivedCounter reads from a connection and counts the bytes.
+type receivedCounter struct{ *frames }
+
+// Read implements io.Reader.
+func (c receivedCounter) Read(p []byte) (int, error) {
+	n, err := c.conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 // WriteObject implements jsonrpc2.ObjectStream. It writes calls; replies are written by writeReply.
--- a/internal/transport/link/pool.go
+++ b/internal/transport/link/pool.go
@@ -119,6 +119,21 @@
 	return nil
 }
 
+// Received returns the number of bytes received on the connection to a peer; 0 if there is none. A peer from
+// which bytes arrive while a message waits for its reply is slow, not silent.
+func (p *Pool) Received(addr string) int64 {
+	pr, ok := p.peers.Get(addr)
+	if !ok {
+		return 0
+	}
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if pr.conn == nil {
+		return 0
+	}
+	return pr.conn.frames.received.Load()
+}
+
 // Reset closes the connection to a peer if a message on it failed, so that the next
 // message opens a new one. A connection can stay unresponsive while new ones work, so only
 // a new one shows whether the peer is reachable.
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -246,8 +246,8 @@
 }
 
 // Probe sends a heartbeat to a member, records the result in the membership table and
-// reports whether the member replied. After a failure the next message uses a new
-// connection.
+// reports whether the member replied or sent something else meanwhile. After a failure the
+// next message uses a new connection.
 func (n *Node) Probe(ctx context.Context, addr string) bool {
 	start := n.now()
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
@@ -257,7 +257,12 @@
 		hello.Known = m.Incarnation
 	}
 	var reply wire.HelloReply
+	received := n.Pool.Received(addr)
 	if err := n.Pool.Call(ctx, addr, wire.MethodHello, hello, &reply); err != nil {
+		// The reply waits behind larger ones, which would be lost with the connection.
+		if n.Pool.Received(addr) > received {
+			return true
+		}
 		n.Pool.Reset(addr)
 		if n.Table.RecordFailure(addr) {
 			klog.V(1).InfoS("member did not respond to a heartbeat", "address", addr, "err", err)
