--- a/internal/transport/api/operators.go
+++ b/internal/transport/api/operators.go
@@ -63,13 +63,10 @@
 
 // takeListing takes the memory of a listing, which is given back with the end of the call.
 func takeListing(ctx context.Context, m proto.Message) error {
-	account := guard.ConnOf(ctx).Account()
-	if account.Take(listingFactor * int64(proto.Size(m))) {
+	if guard.ConnOf(ctx).Account().Take(listingFactor * int64(proto.Size(m))) {
 		return nil
 	}
-	f := fault.New(fault.Overloaded, "no room for the response")
-	f.RetryAfter = account.RetryAfter()
-	return connectError(f)
+	return connectError(noRoom(ctx, "no room for the response"))
 }
 
 // templates returns the templates of all customers, sorted by customer.
--- a/internal/transport/api/requests.go
+++ b/internal/transport/api/requests.go
@@ -93,9 +93,7 @@
 	m := r.Msg
 	room := newAnswerRoom(ctx)
 	if !room.reserve(ctx, s.answers.Size(m.Service)) {
-		f := fault.New(fault.Overloaded, "no room for the answer")
-		f.RetryAfter = guard.ConnOf(ctx).Account().RetryAfter()
-		return connectError(f)
+		return connectError(noRoom(ctx, "no room for the answer"))
 	}
 	req, err := s.Owner.Submit(owner.Submission{
 		Customer:      m.Customer,
@@ -132,9 +130,7 @@
 		if room.lacks(size) {
 			parts = nil // not held while it waits; they may be dropped then
 			if !room.reserve(ctx, size) {
-				f := fault.New(fault.Overloaded, "no room for the answer; it can be requested again under the same id")
-				f.RetryAfter = guard.ConnOf(ctx).Account().RetryAfter()
-				return interrupted(f)
+				return interrupted(noRoom(ctx, "no room for the answer; it can be requested again under the same id"))
 			}
 			continue
 		}
--- a/internal/transport/api/room.go
+++ b/internal/transport/api/room.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/clientbudget"
+	"github.com/skylarkwood/skylarkwood/internal/fault"
 	"github.com/skylarkwood/skylarkwood/internal/transport/guard"
 )
 
@@ -39,6 +40,13 @@
 	return true
 }
 
+// noRoom returns the error for a caller whose response finds no room, with the time to come back.
+func noRoom(ctx context.Context, msg string) *fault.Error {
+	f := fault.New(fault.Overloaded, "%s", msg)
+	f.RetryAfter = guard.ConnOf(ctx).Account().RetryAfter()
+	return f
+}
+
 // maxJoined is the size in bytes up to which parts are sent together. A caller that is behind gets what it
 // lacks in several messages, so that it needs no more room than one that is not.
 const maxJoined = 4 << 10
