response, backend: statuses outside 100 to 599 are malformed responses

Callers got the body of a response with status 000 as their answer, and responses with status 600 and 999 as they were. Cause: net/http parses any three characters that Atoi takes (000, 099, -00, +20, 999), and the pool took everything below 200 for interim responses: it skipped the head and read what followed, the body included, as the next response. Change: package response checks each status line in front of the parser, as the bytes arrive, also those of interim responses. The limit of a head's size moves there. 101 is refused: no request asks for another protocol. A version other than HTTP/1.x, a second blank and a tab before the status are refused too, as no server that is well sends them.

--- /dev/null
+++ b/internal/response/reader.go
@@ -0,0 +1,86 @@
+// Package response decides which responses of servers are well-formed. net/http parses them, but accepts more
+// than HTTP/1.1 allows.
+package response
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Reader passes on what a connection receives, up to the first line that may not be in the head of a
+// response.
+type Reader struct {
+	conn net.Conn
+
+	mu    sync.Mutex
+	head  headChecker
+	err   error // ends all further reads
+	ended bool  // the connection has ended
+}
+
+// NewReader returns a reader of a connection without a request.
+func NewReader(c net.Conn) *Reader { return &Reader{conn: c} }
+
+// Begin expects the response to a request. It must be called before the request is written.
+func (r *Reader) Begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.head.begin()
+}
+
+// ReadHead reads the head of the final response to a request with a method from br, which reads from r, and
+// skips interim responses.
+func (r *Reader) ReadHead(br *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+		if refused, ended := r.state(); refused != nil {
+			return nil, refused // the parser may hide it
+		} else if err != nil && !ended {
+			return nil, malformed("%v", err)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// state returns the error that ended the reading, and whether the connection has ended.
+func (r *Reader) state() (refused error, ended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.err, r.ended
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	if refused, _ := r.state(); refused != nil {
+		return 0, refused
+	}
+	n, err := r.conn.Read(p)
+	passed, malformed := r.received(p[:n], err)
+	switch {
+	case malformed != nil && passed > 0:
+		// net/http would send some requests again if the first read failed.
+		return passed, nil
+	case malformed != nil:
+		return 0, malformed
+	}
+	return n, err
+}
+
+// received checks the result of a read of the connection and returns how many bytes may be passed on.
+func (r *Reader) received(b []byte, end error) (passed int, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = end != nil
+	passed, err = r.head.check(b)
+	if err != nil {
+		r.err = err
+	}
+	return passed, err
+}
--- a/internal/transport/backend/conn.go
+++ b/internal/transport/backend/conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/caller"
+	"github.com/skylarkwood/skylarkwood/internal/response"
 	"github.com/skylarkwood/skylarkwood/internal/tcp"
 )
 
@@ -14,8 +15,8 @@
 type conn struct {
 	net.Conn
 	closed       func()        // called once it is closed; may be nil
-	br           *bufio.Reader // reads through header
-	header       *headerLimiter
+	br           *bufio.Reader // reads through reader
+	reader       *response.Reader
 	idleDeadline time.Time // may be reused before
 	reused       bool      // it has served a request
 	generation   int       // of its host when it was opened
@@ -23,8 +24,8 @@
 
 // newConn returns the connection of a host of a generation.
 func newConn(nc net.Conn, generation int) *conn {
-	header := &headerLimiter{r: nc}
-	return &conn{Conn: nc, header: header, br: bufio.NewReaderSize(header, readBufferSize), generation: generation}
+	reader := response.NewReader(nc)
+	return &conn{Conn: nc, reader: reader, br: bufio.NewReaderSize(reader, readBufferSize), generation: generation}
 }
 
 // Close implements net.Conn.
--- a/internal/transport/backend/endless_test.go
+++ b/internal/transport/backend/endless_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/skylarkwood/skylarkwood/internal/protocol/relay"
+	"github.com/skylarkwood/skylarkwood/internal/response"
 )
 
 // endlessServer answers each request with a start and then repeats a piece until its peer closes.
@@ -55,7 +56,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
 			_, err := NewPool().Do(ctx, addr, &relay.Request{Method: "GET", Target: "/", Host: "h"})
-			assert.Assert(t, errors.Is(err, ErrHeaderTooLarge), "%v", err)
+			assert.Assert(t, errors.Is(err, response.ErrHeadTooLarge), "%v", err)
 			assert.NilError(t, ctx.Err())
 			select {
 			case <-closed:
@@ -97,7 +98,7 @@
 
 // Guards against a limit that applies to more than the header of one response.
 func TestLongBodiesAndManyResponsesAreRead(t *testing.T) {
-	const size = 4 * maxHeaderBytes
+	const size = 4 * response.MaxHeadBytes
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -177,6 +177,7 @@
 // exchange sends a request over a connection and reads the header of the response.
 func (p *Pool) exchange(ctx context.Context, c *conn, addr string, r *relay.Request) (*relay.Response, error) {
 	stop := c.closeWith(ctx)
+	c.reader.Begin()
 	sent := make(chan writeResult, 1)
 	if r.Body.Len() > maxInlineBody {
 		go func() { sent <- write(c, r) }()
@@ -189,7 +190,7 @@
 		}
 		sent <- w
 	}
-	resp, err := readResponse(c, r.Method)
+	resp, err := c.reader.ReadHead(c.br, r.Method)
 	if err != nil {
 		stop()
 		c.Close()
@@ -209,24 +210,6 @@
 	return &relay.Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, EndsWithConnection: unframed}, nil
 }
 
-// readResponse reads the header of the final response and skips interim responses.
-func readResponse(c *conn, method string) (*http.Response, error) {
-	c.header.begin()
-	defer c.header.end()
-	for {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
-		if c.header.exceeded() {
-			return nil, ErrHeaderTooLarge
-		}
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= 200 {
-			return resp, nil
-		}
-	}
-}
-
 // writeResult is the result of a write. The context may be cancelled between its check and
 // the write, so only the number of bytes that the kernel accepted shows whether anything
 // was sent.
