response, backend: names of fields that are no tokens make a response malformed

Callers got lines such as 'Bad Name: 1' passed on, and bodies that were not the server's: with 'Transfer-Encoding : chunked' the framing of the chunks, with 'Content-Length : 4' all bytes up to the end of the connection. Cause: net/http's parser refuses control bytes in names, but lets blanks through, keeps such a field under its own name and so ignores what it says of the body; in trailers and interim responses, too. A line that begins with a blank is joined to the value before it, so ' Transfer-Encoding: chunked' behind another field does the same. In HTTP/1.0 the parser drops a transfer encoding and returns the chunks' framing as the body. Change: the checker in front of the parser accepts only tokens as names, no line that begins with a blank (RFC 9112, 5.2 lets a proxy refuse it) and no transfer encoding in HTTP/1.0. Names in trailers are checked at the end of the body.

--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -33,12 +34,13 @@
 )
 
 // headChecker checks the heads of a response and of the interim ones before it, line by line. The rules are
-// those of RFC 9112, section 4, except that a line may end without a carriage return.
+// those of RFC 9112, sections 4 and 5, except that a line may end without a carriage return.
 type headChecker struct {
-	part    headPart
-	size    int    // of the lines so far in bytes
-	interim bool   // another head follows
-	line    []byte // beginning of a line whose end has not arrived
+	part headPart
+	size int // of the lines so far in bytes
+	// interim is set if another head follows, http10 if the response is of HTTP/1.0.
+	interim, http10 bool
+	line            []byte // beginning of a line whose end has not arrived
 }
 
 // begin expects the head of a response.
@@ -82,7 +84,8 @@
 	case h.part == statusLine:
 		h.part = fieldLines
 		return h.checkStatusLine(line)
-	case len(line) > 0: // a field
+	case len(line) > 0:
+		return h.checkField(line)
 	case h.interim:
 		h.part = statusLine
 	default:
@@ -107,8 +110,45 @@
 	if string(status) == "101" {
 		return malformed("status 101 without a request to switch protocols")
 	}
-	h.interim = status[0] == '1'
+	h.interim, h.http10 = status[0] == '1', line[7] == '0'
+	return nil
+}
+
+// checkField checks the name of a field. net/http checks its value.
+func (h *headChecker) checkField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		// RFC 9112, section 5.2 allows a proxy to refuse a folded line. It can't be told from a field whose
+		// name begins with a blank, and may hide one that delimits the body.
+		return malformed("field line begins with a blank: %.40q", line)
+	}
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok {
+		return malformed("field line without a colon: %.40q", line)
+	}
+	if err := checkFieldName(name); err != nil {
+		return err
+	}
+	if h.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return malformed("HTTP/1.0 response with a transfer encoding")
+	}
+	return nil
+}
+
+func checkFieldName[T string | []byte](name T) error {
+	if len(name) == 0 {
+		return malformed("empty field name")
+	}
+	for i := range len(name) {
+		if !isTokenByte(name[i]) {
+			return malformed("field name %.40q contains %q", name, name[i])
+		}
+	}
 	return nil
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// isTokenByte reports whether a byte may occur in a token of RFC 9110, section 5.6.2.
+func isTokenByte(c byte) bool {
+	return isDigit(c) || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || c < 0x80 && strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
--- a/internal/response/reader.go
+++ b/internal/response/reader.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -84,3 +85,28 @@
 	}
 	return passed, err
 }
+
+// EndOfBody returns the error of a read of a response's body, given that of the parser. It is io.EOF only if
+// the response is complete, with well-formed trailers.
+func (r *Reader) EndOfBody(resp *http.Response, err error) error {
+	if err == nil {
+		return nil
+	}
+	if err == io.EOF {
+		return checkTrailers(resp)
+	}
+	if _, ended := r.state(); !ended {
+		return malformed("%v", err)
+	}
+	return err
+}
+
+// checkTrailers returns io.EOF, or an error if the trailers of a response, whose body was read, are malformed.
+func checkTrailers(resp *http.Response) error {
+	for name := range resp.Trailer {
+		if err := checkFieldName(name); err != nil {
+			return err
+		}
+	}
+	return io.EOF
+}
--- a/internal/transport/backend/body.go
+++ b/internal/transport/backend/body.go
@@ -23,9 +23,8 @@
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
-	if err == io.EOF {
-		b.complete = true
-	}
+	err = b.conn.reader.EndOfBody(b.resp, err)
+	b.complete = b.complete || err == io.EOF
 	return n, err
 }
 
--- a/internal/transport/backend/broken_test.go
+++ b/internal/transport/backend/broken_test.go
@@ -15,7 +15,7 @@
 	"github.com/skylarkwood/skylarkwood/internal/response/responsetest"
 )
 
-// A server sends malformed heads on a new or a kept connection, in one piece or byte by byte. Guards
+// A server sends malformed heads or trailers on a new or a kept connection, in one piece or byte by byte. Guards
 // against passing them on, against bodies that the server did not delimit so, and against using the
 // connection again.
 func TestMalformedResponsesAreErrors(t *testing.T) {
