relay, catalog: a server that breaks its responses in a row is suspected

Callers' requests went to a broken server first: 45 to 50 of 60 calls beside two sound servers that take 0.1 s, with heads that are malformed or uploads that are cut off, each a retry from the budget; 31 to 60 of 60, with the broken response as the answer, on. Cause: a response that breaks at once records a failure, but no latency; the cost of a server is its latency times a factor of at most nine for its failures, so a server that only fails looks the fastest. Engines recorded nothing. Change: a malformed or incomplete response is a reason of its own for the end of a run ('broken response'). From the second in a row without a success the server is suspected, as after a failed connection. Of an engine it counts if no event came before, when no later stage can be the cause; then only the first engine is avoided, not the whole chain. One broken response between others does not suspect a server (TestServerThatBreaksResponsesInARowIsSuspected). Why it holds: the reason comes from what was received, not from the attempt's context, whose end goes first.

--- a/internal/coordination/catalog/health.go
+++ b/internal/coordination/catalog/health.go
@@ -42,9 +42,11 @@
 	failureCount   int       // consecutive suspicions and lasting refusals
 	failureRate    float64   // smoothed, as of failureRateAt
 	failureRateAt  time.Time
-	latency        time.Duration // smoothed, as of latencyAt
-	latencyAt      time.Time
-	active         int // requests of this process in progress
+	// brokenResponses is the number of broken responses since the last successful one.
+	brokenResponses int
+	latency         time.Duration // smoothed, as of latencyAt
+	latencyAt       time.Time
+	active          int // requests of this process in progress
 }
 
 // NewHealth returns a Health without evidence.
--- a/internal/coordination/catalog/outcome.go
+++ b/internal/coordination/catalog/outcome.go
@@ -20,6 +20,9 @@
 	// responses. A backend server that was slow for a moment would otherwise never get
 	// requests again while the others are idle.
 	latencyDecay = 3 * time.Second
+	// maxBrokenResponses is the number of consecutive broken responses from which a backend server
+	// is to be suspected. One that breaks its responses at once looks faster than all others.
+	maxBrokenResponses = 2
 )
 
 // Begin records the start of a request of this process at a backend server.
@@ -51,10 +54,22 @@
 	h.update(inc, func(r *record) { r.recordOutcome(h.now(), ok) })
 }
 
+// RecordBrokenResponse is RecordOutcome for a response that was malformed or incomplete. It returns
+// whether the backend server is to be suspected.
+func (h *Health) RecordBrokenResponse(inc model.Incarnation) (suspect bool) {
+	h.update(inc, func(r *record) {
+		r.recordOutcome(h.now(), false)
+		r.brokenResponses++
+		suspect = r.brokenResponses >= maxBrokenResponses
+	})
+	return suspect
+}
+
 func (r *record) recordOutcome(now time.Time, ok bool) {
 	failed := 1.0
 	if ok {
 		failed = 0
+		r.brokenResponses = 0
 	}
 	rate := r.decayedFailureRate(now)
 	r.failureRate = rate + failureRateWeight*(failed-rate)
--- /dev/null
+++ b/internal/protocol/relay/broken_test.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/skylarkwood/skylarkwood/internal/model"
+	"github.com/skylarkwood/skylarkwood/internal/response"
+)
+
+// brokenReader returns a text and then an error.
+func brokenReader(text string, err error) io.Reader {
+	return io.MultiReader(strings.NewReader(text), errorReader{err})
+}
+
+type errorReader struct{ err error }
+
+func (r errorReader) Read([]byte) (int, error) { return 0, r.err }
+
+// brokenResponses are what a client returns for broken responses, by what is broken.
+var brokenResponses = map[string]func() (*Response, error){
+	"head":            func() (*Response, error) { return nil, errors.Wrap(response.ErrMalformed, "read response") },
+	"end":             func() (*Response, error) { return unframed(response.ErrIncomplete), nil },
+	"trailer":         func() (*Response, error) { return unframed(response.ErrMalformed), nil },
+	"failure's end":   func() (*Response, error) { r := unframed(response.ErrIncomplete); r.Status = 500; return r, nil },
+	"rejection's end": func() (*Response, error) { r := unframed(response.ErrIncomplete); r.Status = 400; return r, nil },
+}
+
+func unframed(err error) *Response {
+	r := signed(http.StatusOK, brokenReader("part", err))
+	r.Length, r.EndsWithConnection = -1, true
+	return r
+}
+
+// Guards against a broken response that reaches the caller, a request that runs twice though it may run once, and
+// a promise that a request has not run which may have.
+func TestBrokenResponseEndsOrRepeatsTheRequest(t *testing.T) {
+	for _, kind := range []model.RouteKind{idempotent, notRepeatable, streaming} {
+		for name, broken := range brokenResponses {
+			t.Run(string(kind)+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					sends := 0
+					s := newFixture(model.Route{Kind: kind, MaxAttempts: 2, TargetLatency: time.Second, ResumeStreams: kind == streaming}, kind == streaming, func(context.Context, string, *Request) (*Response, error) {
+						if sends++; sends == 1 {
+							return broken()
+						}
+						return signed(http.StatusOK, strings.NewReader("id: 1\n\n")), nil
+					})
+					time.Sleep(2 * time.Second) // until the slack of the retry budget may be spent
+					out := &recordingWriter{}
+					s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out)
+					if kind == notRepeatable {
+						assert.Equal(t, sends, 1)
+						assert.Equal(t, out.status, http.StatusBadGateway)
+						return
+					}
+					assert.Equal(t, sends, 2)
+					assert.Equal(t, out.status, http.StatusOK)
+					assert.Equal(t, out.body.String(), "id: 1\n\n")
+				})
+			})
+		}
+	}
+}
+
+// Guards against a server that looks the fastest as it breaks each response at once, and against suspecting one
+// that breaks a few of many.
+func TestServerThatBreaksResponsesInARowIsSuspected(t *testing.T) {
+	for _, isEngine := range []bool{false, true} {
+		for name, broken := range brokenResponses {
+			for _, alternating := range []bool{false, true} {
+				synctest.Test(t, func(t *testing.T) {
+					kind := idempotent
+					if isEngine {
+						kind = streaming
+					}
+					sends := 0
+					s := newFixture(model.Route{Kind: kind, MaxAttempts: 1}, isEngine, func(context.Context, string, *Request) (*Response, error) {
+						if sends++; alternating && sends%2 == 0 {
+							return signed(http.StatusOK, strings.NewReader("id: 1\n\n")), nil
+						}
+						return broken()
+					})
+					s.Catalog.Remove("two", 1, 0)
+					for range 4 {
+						time.Sleep(10 * time.Millisecond)
+						s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, &recordingWriter{})
+					}
+					view := s.Health.View(inc("one"))
+					assert.Equal(t, view.Suspected, !alternating, "%s, engine %t, after %d", name, isEngine, sends)
+					assert.Equal(t, view.Active, 0)
+				})
+			}
+		}
+	}
+}
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -222,6 +222,11 @@
 		q.Health.Cancel(b.Incarnation())
 		return
 	}
+	if reason == brokenResponse {
+		q.Health.Cancel(b.Incarnation())
+		q.recordBrokenResponse(b, err)
+		return
+	}
 	q.Health.End(b.Incarnation(), false, 0)
 	if !sent {
 		until, _ := q.Health.Suspect(b.Incarnation())
--- a/internal/protocol/relay/ending.go
+++ b/internal/protocol/relay/ending.go
@@ -8,6 +8,7 @@
 
 	"github.com/skylarkwood/skylarkwood/internal/coordination/quarantine"
 	"github.com/skylarkwood/skylarkwood/internal/fault"
+	"github.com/skylarkwood/skylarkwood/internal/response"
 )
 
 // endReason is why a run at a backend server ended without a complete response. It is the
@@ -23,6 +24,7 @@
 	noConnection       endReason = "no connection"
 	noDescriptor       endReason = "no descriptor"
 	connectionLost     endReason = "broken off"
+	brokenResponse     endReason = "broken response"
 	withheld           endReason = "the server asked for a pause"
 	panicked           endReason = "fault in the code"
 	routerStopping     endReason = "router stops"
@@ -52,6 +54,8 @@
 		return noDescriptor
 	case errors.Is(err, ErrNotSent):
 		return noConnection
+	case errors.Is(err, response.ErrMalformed), errors.Is(err, response.ErrIncomplete):
+		return brokenResponse
 	}
 	return connectionLost
 }
@@ -78,8 +82,11 @@
 
 // runResult returns the quarantine result of a run without a complete response.
 func runResult(reason endReason, err error) quarantine.Result {
-	if !errors.Is(err, ErrNotSent) && (reason == connectionLost || reason == engineExited) {
-		return quarantine.ConnectionLost
+	switch reason {
+	case connectionLost, brokenResponse, engineExited:
+		if !errors.Is(err, ErrNotSent) {
+			return quarantine.ConnectionLost
+		}
 	}
 	return quarantine.Inconclusive
 }
--- a/internal/protocol/relay/generate.go
+++ b/internal/protocol/relay/generate.go
@@ -145,14 +145,17 @@
 	q.runs++
 	s.firstEngines[first.Incarnation()] = true
 	if resp.Status != http.StatusOK || v.Signature == "" {
-		s.Health.RecordOutcome(first.Incarnation(), false)
 		read, err := s.readResponse(run, first, resp)
 		result = bufferedResult(run, resp, err)
+		if !s.recordBrokenRun(run, w, first, err) {
+			s.Health.RecordOutcome(first.Incarnation(), false)
+		}
 		return s.handleFailureResponse(resp, read, err)
 	}
 	if q.admitted.Route.Kind != model.RouteStreaming {
 		read, err := s.readResponse(run, first, resp)
 		result = bufferedResult(run, resp, err)
+		s.recordBrokenRun(run, w, first, err)
 		return s.forwardSingle(read, err)
 	}
 	s.runEvents = 0
@@ -170,6 +173,9 @@
 	}
 	if s.writeErr == nil {
 		result = runResult(endReasonOf(run, end), end)
+		if s.runEvents == 0 {
+			s.recordBrokenRun(run, w, first, end)
+		}
 		s.recordChainLoss(w, endReasonOf(run, end), end)
 	}
 	return false, false, fault.New(fault.BackendLost, "a chain failed after %d events", s.events)
@@ -303,6 +309,7 @@
 	}
 	s.runs++
 	s.firstEngines[first.Incarnation()] = true
+	s.recordBrokenRun(run, w, first, err)
 	s.recordChainLoss(w, reason, err)
 	return fault.New(fault.BackendLost, "an engine was lost before it responded")
 }
