relay: an order whose response broke off is unknown

An order whose response was cut after its head counted as accepted, refused or fenced by the status alone, and a reroute as executed. Cause: the error of reading the body was dropped. It is returned now, so the order is unknown, as one without a response; the next report tells. TestBrokenResponseToAnOrderTellsNothing fails before ('1, <nil>' for a 202).

--- a/internal/protocol/relay/broken_test.go
+++ b/internal/protocol/relay/broken_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/skylarkwood/skylarkwood/internal/coordination/placement"
 	"github.com/skylarkwood/skylarkwood/internal/model"
 	"github.com/skylarkwood/skylarkwood/internal/response"
 )
@@ -102,3 +104,16 @@
 		}
 	}
 }
+
+// Guards against an order that is taken for refused, though its response broke off.
+func TestBrokenResponseToAnOrderTellsNothing(t *testing.T) {
+	for _, status := range []int{http.StatusAccepted, http.StatusConflict, http.StatusPreconditionFailed} {
+		r := &Relay{BackendClient: fakeBackend(func(context.Context, string, *Request) (*Response, error) {
+			resp := unframed(errors.Wrap(syscall.ECONNRESET, "read"))
+			resp.Status = status
+			return resp, nil
+		}), Now: time.Now}
+		result, err := EngineClient{r}.Place(t.Context(), &model.BackendServer{ID: "one"}, model.LayerRange{To: 1}, 1, 1)
+		assert.Assert(t, err != nil && result == placement.OrderUnknown, "status %d: %d, %v", status, result, err)
+	}
+}
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -174,7 +174,7 @@
 	if err != nil || len(respBody) > maxOrderResponseBytes {
 		resp.Body.Discard()
 	}
-	return resp.Status, respBody, nil
+	return resp.Status, respBody, err
 }
 
 // EngineClient sends orders to engines and requests their reports.
