--- a/internal/protocol/relay/broken_test.go
+++ b/internal/protocol/relay/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -45,13 +46,16 @@
 // Guards against a broken response that reaches the caller, a request that runs twice though it may run once, and
 // a promise that a request has not run which may have.
 func TestBrokenResponseEndsOrRepeatsTheRequest(t *testing.T) {
-	for _, kind := range []model.RouteKind{idempotent, notRepeatable, streaming} {
+	for _, c := range []struct {
+		kind     model.RouteKind
+		isEngine bool
+	}{{idempotent, false}, {notRepeatable, false}, {idempotent, true}, {notRepeatable, true}, {streaming, true}} {
 		for name, broken := range brokenResponses {
-			t.Run(string(kind)+", "+name, func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, engine %t, %s", c.kind, c.isEngine, name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					sends := 0
-					s := newFixture(model.Route{Kind: kind, MaxAttempts: 2, TargetLatency: time.Second, ResumeStreams: kind == streaming}, kind == streaming, func(context.Context, string, *Request) (*Response, error) {
-						if sends++; sends == 1 {
+					var sentTo []string
+					s := newFixture(model.Route{Kind: c.kind, MaxAttempts: 2, TargetLatency: time.Second, ResumeStreams: true}, c.isEngine, func(_ context.Context, addr string, _ *Request) (*Response, error) {
+						if sentTo = append(sentTo, addr); len(sentTo) == 1 {
 							return broken()
 						}
 						return signed(http.StatusOK, strings.NewReader("id: 1\n\n")), nil
@@ -59,12 +63,13 @@
 					time.Sleep(2 * time.Second) // until the slack of the retry budget may be spent
 					out := &recordingWriter{}
 					s.Serve(t.Context(), &model.Call{Attempt: "1", Method: "POST", Host: "h", Path: "/"}, out)
-					if kind == notRepeatable {
-						assert.Equal(t, sends, 1)
+					if c.kind == notRepeatable {
+						assert.Equal(t, len(sentTo), 1)
 						assert.Equal(t, out.status, http.StatusBadGateway)
 						return
 					}
-					assert.Equal(t, sends, 2)
+					assert.Equal(t, len(sentTo), 2)
+					assert.Assert(t, sentTo[0] != sentTo[1], "sent to the broken server again")
 					assert.Equal(t, out.status, http.StatusOK)
 					assert.Equal(t, out.body.String(), "id: 1\n\n")
 				})
