response, relay: plainer comments; responsetest: one server for tests that serve raw responses

Read as a newcomer would. The reader and the body say that the server has received the request, which is the rule; a broken response of a plain server is recorded in one place. The tests of four packages had a listener each. Bare newlines are among the whole responses of all readers. No behaviour changes.

--- a/internal/platform/broken_test.go
+++ b/internal/platform/broken_test.go
@@ -29,22 +29,9 @@
 
 // call sends a call of some size to a plain service that handles its connection with serve.
 func call(t *testing.T, size int, serve func(c *net.TCPConn)) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		serve(c.(*net.TCPConn))
-	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	body, err := DialPlain(NewHTTPClient(1), "http://"+l.Addr().String()).Call(ctx, "id", make([]byte, size))
+	body, err := DialPlain(NewHTTPClient(1), "http://"+responsetest.Serve(t, serve)).Call(ctx, "id", make([]byte, size))
 	assert.Check(t, ctx.Err() == nil)
 	return string(body), err
 }
--- a/internal/protocol/relay/broken.go
+++ b/internal/protocol/relay/broken.go
@@ -8,8 +8,10 @@
 	"github.com/skylarkwood/skylarkwood/internal/model"
 )
 
-// recordBrokenResponse records that a server responded with err, which is a malformed or an incomplete response.
+// recordBrokenResponse records the end of an attempt at a plain server with err, which is a malformed or an
+// incomplete response.
 func (q *request) recordBrokenResponse(b *model.BackendServer, err error) {
+	q.Health.Cancel(b.Incarnation()) // the failure is recorded below
 	if q.Health.RecordBrokenResponse(b.Incarnation()) {
 		until, _ := q.Health.Suspect(b.Incarnation())
 		klog.InfoS("backend server suspected: it breaks its responses", "request", q.call.Attempt, "server", b.Incarnation(), "err", err, "until", until)
--- a/internal/protocol/relay/dispatch.go
+++ b/internal/protocol/relay/dispatch.go
@@ -223,7 +223,6 @@
 		return
 	}
 	if reason == brokenResponse {
-		q.Health.Cancel(b.Incarnation())
 		q.recordBrokenResponse(b, err)
 		return
 	}
--- a/internal/protocol/relay/report.go
+++ b/internal/protocol/relay/report.go
@@ -156,7 +156,8 @@
 // maxOrderResponseBytes bounds the size of the response to an order.
 const maxOrderResponseBytes = 64 << 10
 
-// sendOrder sends an order to an engine and returns the status and body of the response.
+// sendOrder sends an order to an engine and returns the status and body of the response. An order whose response
+// is incomplete may have been accepted or not.
 func (r *Relay) sendOrder(ctx context.Context, b *model.BackendServer, body []byte) (status int, respBody []byte, err error) {
 	resp, err := r.BackendClient.Do(ctx, b.Address, &Request{
 		Method: http.MethodPost,
--- a/internal/response/reader.go
+++ b/internal/response/reader.go
@@ -12,7 +12,7 @@
 )
 
 // Reader passes on what a connection receives, up to the first line that may not be in the head of a
-// response. It returns io.EOF only if the connection has ended after the request was written whole.
+// response. It returns io.EOF only if the connection has ended after the server has received the request.
 type Reader struct {
 	conn net.Conn
 
@@ -104,7 +104,7 @@
 	return passed, upload, err
 }
 
-// confirmEnd returns io.EOF if the connection ended after an upload was complete.
+// confirmEnd returns io.EOF if the connection ended after an upload was received.
 func (r *Reader) confirmEnd(u *Upload) error {
 	err := u.confirm(r.conn)
 	if err == nil {
--- a/internal/response/responsetest/responsetest.go
+++ b/internal/response/responsetest/responsetest.go
@@ -1,7 +1,36 @@
 // Package responsetest contains responses for tests of programs that read responses.
 package responsetest
 
-import "fmt"
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+)
+
+// Serve starts a server that passes each of its connections to serve and then closes it. The server ends with the
+// test.
+func Serve(t *testing.T, serve func(c *net.TCPConn)) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
 
 // Malformed returns responses that are not valid in HTTP/1.1, by what is wrong with them. Their heads contain
 // fields, each with its line end, and a lenient reader takes body, or more, for their bodies.
@@ -70,6 +99,7 @@
 	rest := fields + length + "\r\n" + body
 	return map[string]string{
 		"length":              "HTTP/1.1 200 OK\r\n" + rest,
+		"bare newlines":       strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+fields+length+"\r\n", "\r\n", "\n") + body,
 		"no reason":           "HTTP/1.1 200\r\n" + rest,
 		"empty reason":        "HTTP/1.1 200 \r\n" + rest,
 		"HTTP/1.0":            "HTTP/1.0 200 OK\r\n" + rest,
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -19,7 +19,7 @@
 // serveTexts answers the nth request of each connection, once it is read, with the nth of some texts. It ends the
 // connection after the last one.
 func serveTexts(t *testing.T, texts ...string) (url string) {
-	return serveConns(t, func(c *net.TCPConn) {
+	return "http://" + responsetest.Serve(t, func(c *net.TCPConn) {
 		br := bufio.NewReader(c)
 		for _, text := range texts {
 			r, err := http.ReadRequest(br)
@@ -32,25 +32,6 @@
 	})
 }
 
-func serveConns(t *testing.T, serve func(c *net.TCPConn)) (url string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
 func newClient() *http.Client {
 	var d net.Dialer
 	return &http.Client{Transport: NewTransport(&http.Transport{DialContext: d.DialContext})}
@@ -108,7 +89,7 @@
 		for _, text := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\npart"} {
 			for _, read := range []int64{300, size / 2} {
 				t.Run(fmt.Sprintf("reset %t, %d bytes read, %d sent", reset, read, len(text)), func(t *testing.T) {
-					url := serveConns(t, func(c *net.TCPConn) {
+					url := "http://" + responsetest.Serve(t, func(c *net.TCPConn) {
 						_, _ = io.CopyN(io.Discard, c, read)
 						_, _ = io.WriteString(c, text)
 						if reset {
--- a/internal/transport/backend/body.go
+++ b/internal/transport/backend/body.go
@@ -9,7 +9,7 @@
 
 // Body reads the body of a response. Read returns io.EOF only if the response is complete:
 // after its full length, its last chunk, or, if there is neither, a clean close after the
-// request was written whole. Other errors are response.ErrIncomplete or response.ErrMalformed.
+// server has received the request. Other errors are response.ErrIncomplete or response.ErrMalformed.
 type Body struct {
 	pool     *Pool
 	addr     string
--- a/internal/transport/backend/broken_test.go
+++ b/internal/transport/backend/broken_test.go
@@ -28,21 +28,10 @@
 // post sends an upload to a server that handles its connections with serve.
 func post(t *testing.T, size int, serve func(c *net.TCPConn)) (status int, body string, err error) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		serve(c.(*net.TCPConn))
-	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	r := &relay.Request{Method: http.MethodPost, Target: "/", Host: "h", Body: model.Body{make([]byte, size)}}
-	resp, err := NewPool().Do(ctx, l.Addr().String(), r)
+	resp, err := NewPool().Do(ctx, responsetest.Serve(t, serve), r)
 	if err != nil {
 		assert.NilError(t, ctx.Err())
 		return 0, "", err
--- a/test/fleet/broken_test.go
+++ b/test/fleet/broken_test.go
@@ -58,32 +58,15 @@
 // openProxy starts a proxy that passes each request on to a server unless respond has ended its connection
 // with a response of its own.
 func openProxy(t *testing.T, server string, respond func(c net.Conn, r *http.Request) (done bool)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
-	forward := func(c net.Conn) {
-		defer c.Close()
+	return responsetest.Serve(t, func(c *net.TCPConn) {
 		br := bufio.NewReader(c)
 		for {
 			r, err := http.ReadRequest(br)
-			if err != nil || respond(c, r) {
+			if err != nil || respond(c, r) || passOn(c, r, server) != nil {
 				return
 			}
-			if err := passOn(c, r, server); err != nil {
-				return
-			}
-		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go forward(c)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // passOn sends a request to a server and writes the response to c.
